--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -0,0 +1,27 @@
+package gingerspool.dispatch;
+
+/** One attempt to run a task on a worker. */
+public final class Assignment {
+    public final Task task;
+    public final int worker;
+    public final int number;
+    final double sentAt;
+    /** Running time expected there, and the wait believed in when it was sent. */
+    final double run;
+    final double wait;
+    double startedAt = Double.NaN;
+    boolean over;
+    boolean cancelled;
+    boolean neverRan;
+    Assignment before;
+    Assignment after;
+
+    Assignment(Task task, int worker, int number, double sentAt, double run, double wait) {
+        this.task = task;
+        this.worker = worker;
+        this.number = number;
+        this.sentAt = sentAt;
+        this.run = run;
+        this.wait = wait;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -0,0 +1,864 @@
+package gingerspool.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+/**
+ * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that carries
+ * the time (listed, arrived, ended, started, reported, wake ...), and it acts through Outlet, nowhere else.
+ * After every input the rules below are gone through in order until none fires. Workers are dense indexes given
+ * by the caller; tasks and assignments are objects. Times are milliseconds. docs/design.md explains the mechanism.
+ */
+public final class Dispatcher {
+    public static final int GONE = 0;
+    public static final int DRAINING = 1;
+    public static final int RUNNING = 2;
+
+    /** Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open. */
+    private static final int ROOM = 32;
+    private static final double[] TH = {0.5, 1, 1.25, 1.5, 2, 3, 5};
+    private static final int K = TH.length + 1;
+    /** Scores this close to the best are alike (the design's figure). */
+    private static final double NEAR = 0.02;
+    /** N_S: pair rows, mixes and running times look back over about this many samples. */
+    private static final int SAMPLES = 64;
+    /** How many samples the fleet's common pair table is worth beside a worker's own. */
+    private static final double POOLED = 2 * K;
+    /** Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running time. */
+    private static final int BINS = 24;
+    private static final double BINS_PER_RUN = 4;
+    /** The part of our share of a cold worker's budget that we use. */
+    private static final double COLD_USE = 0.5;
+    /** A task whose best chance is lower than this is given up. */
+    private static final double HOPELESS = 0.08;
+
+    private final Outlet out;
+    private final SplittableRandom chance;
+
+    // The deployment, as the few figures that decisions use.
+    private final Profile[] profiles;
+    private final double[] allowance;
+    private final double excess;
+    private final boolean byWork;
+    private final int zone;
+    private final int dispatchers;
+    private final boolean listOnRequest;
+    private final boolean fetchesReports;
+    private final boolean byPriority;
+    private final boolean tellsStart;
+    private final boolean mayCopy;
+    private final int mostTries;
+    private final double longestAdvice;
+    private final double askSpan;
+    private final double tick;
+    private final double coldFrom;
+    private final double warmWithin;
+    private final double budgetSpan;
+    private final double budgetShare;
+    private final double crossFee;
+
+    // Workers, by dense index.
+    private int workers;
+    private int[] state = new int[ROOM];
+    private int[] zoneOf = new int[ROOM];
+    private int[] kindOf = new int[ROOM];
+    private int[] cellOf = new int[ROOM];
+    private boolean[] named = new boolean[ROOM];
+    private boolean[] probing = new boolean[ROOM];
+    private double[] startedAt = new double[ROOM];
+    private double[] slots = new double[ROOM];
+    private double[] own = new double[ROOM];
+    private double[] ownSmooth = new double[ROOM];
+    private double[] ownAt = new double[ROOM];
+    private double[] others = new double[ROOM];
+    private double[] heardAt = new double[ROOM];
+    private double[] workDone = new double[ROOM];
+    private double[] runTime = new double[ROOM];
+    private double[] fail = new double[ROOM];
+    private double[] failAt = new double[ROOM];
+    private double[] shunUntil = new double[ROOM];
+    private double[] shunSpan = new double[ROOM];
+    private double[] coldLevel = new double[ROOM];
+    private double[] coldAt = new double[ROOM];
+    private double[] probedAt = new double[ROOM];
+    private double[] value = new double[ROOM];
+    private double[][] lastReport = new double[ROOM][];
+    private double[][][] pairs = new double[ROOM][][];
+    private int[][] sentIn = new int[ROOM][];
+    private Assignment[] oldest = new Assignment[ROOM];
+    private Assignment[] newest = new Assignment[ROOM];
+
+    // What is learned of the fleet as a whole.
+    private final double[][] pool = new double[K][K];
+    private final double[] poolSum = new double[K];
+    private double[] kindSlots = new double[0];
+    private double[] kindWork = new double[0];
+    private double[] kindRun = new double[0];
+    private final double[] profileWork;
+    private final double[] profileSeen;
+    private double mixWork;
+    private double meanWorth;
+    private double meanOthers;
+    private final double[] tenantRate;
+    private final double[] tenantAt;
+
+    // Tasks in hand, and what was asked for.
+    private final List<Task> hand = new ArrayList<>();
+    private double now;
+    private Task task;
+    private int best;
+    private double bestChance;
+    private boolean anyReady;
+    private boolean watching;
+    private boolean asked;
+    private double askAt = Double.NEGATIVE_INFINITY;
+    private double askGap;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    private record Rule(BooleanSupplier when, Runnable then) { }
+
+    /** The rules, in order. Those on a task look at the first task in hand that is due for a look. */
+    private final Rule[] rules = {
+        new Rule(this::listWanted, this::askForList),
+        new Rule(this::reportWanted, this::fetchReports),
+        new Rule(this::nothingInHand, () -> { }),
+        new Rule(this::mayNotRunAgain, this::giveUp),
+        new Rule(this::nobodyReady, this::hold),
+        new Rule(this::hopeless, this::giveUp),
+        new Rule(() -> true, this::send),
+    };
+
+    public Dispatcher(Settings s, long seed, Outlet out) {
+        if (s.profiles.length == 0) {
+            throw new IllegalArgumentException("settings without profiles");
+        }
+        this.out = out;
+        chance = new SplittableRandom(seed);
+        profiles = s.profiles;
+        allowance = s.allowance;
+        excess = s.excessUtility;
+        byWork = s.utilityByWork;
+        zone = s.zone;
+        dispatchers = Math.max(1, s.dispatchers);
+        listOnRequest = s.listOnRequest;
+        fetchesReports = s.reportsByProbe && s.mayProbe;
+        byPriority = s.order == Settings.Order.PRIORITY;
+        tellsStart = s.tellsStart;
+        mayCopy = s.mayCopy;
+        mostTries = Math.max(1, s.mostAssignments);
+        longestAdvice = s.mayAdvise ? s.maxAdvice : 0;
+        tick = Math.max(s.tick, 0.1);
+        askSpan = s.askWithin > 0 ? s.askWithin : 1000 * tick;
+        coldFrom = s.coldFrom;
+        warmWithin = s.warmWithin;
+        budgetSpan = s.fallWindow;
+        budgetShare = COLD_USE * s.overloadFactor * s.fallWindow / dispatchers;
+        crossFee = s.crossFee;
+        askGap = askSpan / 20;
+        profileWork = new double[profiles.length];
+        profileSeen = new double[profiles.length];
+        for (int p = 0; p < profiles.length; p++) {
+            profileWork[p] = Math.max(profiles[p].dueTime, tick);
+            mixWork += profileWork[p] / profiles.length;
+            meanWorth += profiles[p].utility / profiles.length;
+        }
+        tenantRate = new double[allowance.length];
+        tenantAt = new double[allowance.length];
+    }
+
+    // ---- Inputs: the list ----
+
+    /** A list, or changes to the one held, begins; a whole one names every worker there is. */
+    public void listBegins(double at, boolean whole) {
+        now = at;
+        if (whole) {
+            Arrays.fill(named, 0, workers, false);
+        }
+    }
+
+    public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize, double started) {
+        grow(w, ofKind);
+        boolean again = started > startedAt[w];
+        named[w] = true;
+        state[w] = newState;
+        zoneOf[w] = inZone;
+        kindOf[w] = Math.max(0, ofKind);
+        cellOf[w] = inCell;
+        if (again) {
+            startedAt[w] = started;
+            heardAt[w] = Double.NaN;
+            shunUntil[w] = 0;
+            fail[w] = 0;
+        }
+    }
+
+    /** The list is complete. A remembered one was not asked for, so it answers nothing. */
+    public void listEnds(double at, boolean whole, boolean remembered) {
+        now = at;
+        if (whole) {
+            for (int w = 0; w < workers; w++) {
+                state[w] = named[w] ? state[w] : GONE;
+            }
+        }
+        if (!remembered) {
+            watching = true;
+            asked = false;
+            askGap = askSpan / 20;
+        }
+        for (Task t : hand) {
+            t.lookAt = now;
+        }
+        settle();
+    }
+
+    /** A call for the list failed, or the changes stopped coming: ask again, later each time. */
+    public void listFailed(double at) {
+        now = at;
+        watching = false;
+        asked = false;
+        askAt = now + askGap * (0.5 + chance.nextDouble());
+        askGap = Math.min(2 * askGap, askSpan / 2);
+        settle();
+    }
+
+    // ---- Inputs: tasks ----
+
+    public void arrived(double at, Task t) {
+        now = at;
+        t.arrived = now;
+        int p = t.profile.index;
+        t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? t.hint : profileWork[p];
+        if (t.hint > 0) {
+            mixWork += (t.work - mixWork) / SAMPLES;
+        }
+        t.due = Math.min(t.expiry, now + t.profile.dueTime + t.profile.stretch * t.work);
+        t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
+        meanWorth += (t.worth - meanWorth) / SAMPLES;
+        keep(t);
+        settle();
+    }
+
+    public void ended(double at, Assignment a, Outcome how, boolean over, double[] report) {
+        now = at;
+        if (!a.over) {
+            a.over = true;
+            unlink(a);
+            a.task.out--;
+        }
+        Task t = a.task;
+        if (t.ran == a && how.neverRan()) {
+            t.ran = null;
+            for (int i = t.tries - 1; i >= 0; i--) {
+                t.ran = t.sent[i].over && t.sent[i].neverRan ? t.ran : t.sent[i];
+            }
+        }
+        a.neverRan = how.neverRan();
+        judge(a, how);
+        reported(a.worker, report);
+        if (over) {
+            t.ended = true;
+        } else if (!t.ended && t.out == 0) {
+            keep(t);
+        }
+        settle();
+    }
+
+    public void started(double at, Assignment a) {
+        now = at;
+        a.startedAt = Double.isNaN(a.startedAt) ? now : a.startedAt;
+        settle();
+    }
+
+    /** A streamed answer has begun: the assignment is the client's from here. */
+    public void accepted(double at, Assignment a) {
+        now = at;
+        a.task.ended = true;
+        settle();
+    }
+
+    public void progressed(double at, Assignment a, double share) {
+        now = at;
+        settle();
+    }
+
+    /** The client left; nothing is owed any more. */
+    public void left(double at, Task t) {
+        now = at;
+        t.ended = true;
+        settle();
+    }
+
+    public void probed(double at, int w, boolean ok, double elapsed, double[] report) {
+        now = at;
+        probing[w] = false;
+        reported(w, report);
+        settle();
+    }
+
+    public void wake(double at) {
+        now = at;
+        wakeAt = now >= wakeAt ? Double.POSITIVE_INFINITY : wakeAt;
+        settle();
+    }
+
+    // ---- The rules ----
+
+    private void settle() {
+        boolean fired = true;
+        while (fired) {
+            fired = false;
+            nextTask();
+            for (int i = 0; i < rules.length && !fired; i++) {
+                if (rules[i].when.getAsBoolean()) {
+                    rules[i].then.run();
+                    fired = task != null || i < 2;
+                    break;
+                }
+            }
+        }
+        planWake();
+    }
+
+    private void nextTask() {
+        task = null;
+        for (int i = 0; i < hand.size() && task == null; i++) {
+            Task t = hand.get(i);
+            if (t.ended) {
+                drop(i--);
+            } else if (t.lookAt <= now) {
+                task = t;
+            }
+        }
+        best = -1;
+    }
+
+    private void drop(int i) {
+        hand.get(i).held = false;
+        hand.remove(i);
+    }
+
+    private boolean listWanted() {
+        return listOnRequest && !watching && !asked && now >= askAt;
+    }
+
+    private void askForList() {
+        asked = true;
+        out.watchList();
+    }
+
+    private boolean reportWanted() {
+        if (!fetchesReports) {
+            return false;
+        }
+        for (int w = 0; w < workers; w++) {
+            if (state[w] == RUNNING && !probing[w] && now >= probedAt[w] + period()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void fetchReports() {
+        for (int w = 0; w < workers; w++) {
+            if (state[w] == RUNNING && !probing[w] && now >= probedAt[w] + period()) {
+                probing[w] = true;
+                probedAt[w] = now;
+                out.probe(w);
+            }
+        }
+    }
+
+    /** T_p, the period of fetching reports and of renewing the tables of X. */
+    private double period() {
+        return 2.5 * mixWork;
+    }
+
+    private boolean nothingInHand() {
+        return task == null;
+    }
+
+    /** Guards rule two: what may have run goes out again only as its profile allows. */
+    private boolean mayNotRunAgain() {
+        return task.tries >= mostTries || now >= task.expiry || task.ran != null
+            && (task.profile.effect == Profile.Effect.SIDE_EFFECTING
+                || task.profile.effect == Profile.Effect.FINGERPRINTED
+                    && now >= task.ran.sentAt + task.profile.window);
+    }
+
+    private boolean nobodyReady() {
+        weigh();
+        return !anyReady && now + task.work < task.due;
+    }
+
+    /** Nobody may take it just now: look again shortly. */
+    private void hold() {
+        task.lookAt = now + Math.max(tick, mixWork / 8);
+    }
+
+    private boolean hopeless() {
+        return best < 0 || bestChance < HOPELESS;
+    }
+
+    private void giveUp() {
+        Task t = task;
+        t.ended = true;
+        drop(hand.indexOf(t));
+        boolean harmless = t.ran == null || t.profile.effect == Profile.Effect.IDEMPOTENT
+            || t.profile.effect == Profile.Effect.FINGERPRINTED && t.profile.scope == Profile.Scope.ALL;
+        if (harmless) {
+            out.bounce(t, longestAdvice);
+        } else {
+            out.abandon(t);
+        }
+    }
+
+    private void send() {
+        Task t = task;
+        int w = best;
+        drop(hand.indexOf(t));
+        double run = t.work / pace(w);
+        Assignment a = new Assignment(t, w, t.tries, now, run, waitAt(w, regionOf(w)));
+        if (t.tries == t.sent.length) {
+            t.sent = Arrays.copyOf(t.sent, 2 * t.tries);
+        }
+        t.sent[t.tries++] = a;
+        t.out++;
+        t.ran = t.ran == null ? a : t.ran;
+        sentIn[w][regionOf(w)]++;
+        spend(w, t.work);
+        link(a);
+        out.send(a, 0);
+    }
+
+    private void keep(Task t) {
+        t.lookAt = now;
+        if (!t.held) {
+            t.held = true;
+            hand.add(t);
+        }
+    }
+
+    private void planWake() {
+        double next = listOnRequest && !watching && !asked ? askAt : Double.POSITIVE_INFINITY;
+        for (int i = 0; i < hand.size(); i++) {
+            next = Math.min(next, hand.get(i).lookAt);
+        }
+        if (fetchesReports) {
+            for (int w = 0; w < workers; w++) {
+                if (state[w] == RUNNING && !probing[w]) {
+                    next = Math.min(next, probedAt[w] + period());
+                }
+            }
+        }
+        if (next < wakeAt) {
+            wakeAt = Math.max(next, now + tick);
+            out.wakeAfter(wakeAt - now);
+        }
+    }
+
+    // ---- The location rule ----
+
+    /** Scores every ready worker for the task and picks at random among those near the best. */
+    private void weigh() {
+        double top = Double.NEGATIVE_INFINITY;
+        anyReady = false;
+        for (int w = 0; w < workers; w++) {
+            value[w] = Double.NEGATIVE_INFINITY;
+            if (!ready(w, task)) {
+                continue;
+            }
+            anyReady = true;
+            double c = inTime(task, w) * trust(w);
+            for (int i = 0; i < task.tries; i++) {
+                c = task.sent[i].worker == w ? c / 2 : c;
+            }
+            // Departure: a crossing costs its fee, in shares of what this task is worth.
+            value[w] = c - (zoneOf[w] == zone ? 0 : crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR));
+            top = Math.max(top, value[w]);
+        }
+        int near = 0;
+        for (int w = 0; w < workers; w++) {
+            near += anyReady && value[w] >= top - NEAR ? 1 : 0;
+        }
+        int pick = near == 0 ? -1 : chance.nextInt(near);
+        best = -1;
+        for (int w = 0; w < workers && pick >= 0; w++) {
+            if (value[w] >= top - NEAR && pick-- == 0) {
+                best = w;
+            }
+        }
+        bestChance = best < 0 ? 0 : top;
+    }
+
+    /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
+    private boolean ready(int w, Task t) {
+        return state[w] == RUNNING && now >= shunUntil[w]
+            && (t.profile.kind < 0 || kindOf[w] == t.profile.kind)
+            && t.width <= slotsOf(w) && t.memory <= slotsOf(w)
+            && inGroup(w, t) && inBudget(w, t.work);
+    }
+
+    private boolean inGroup(int w, Task t) {
+        if (t.ran == null || t.profile.effect != Profile.Effect.FINGERPRINTED) {
+            return true;
+        }
+        int first = t.ran.worker;
+        return switch (t.profile.scope) {
+            case ALL -> true;
+            case ZONE -> zoneOf[w] == zoneOf[first];
+            case CELL -> cellOf[w] == cellOf[first];
+        };
+    }
+
+    /** The design's score: the sum over k up to l of P(X at most l - k) p(k given O). */
+    private double inTime(Task t, int w) {
+        double allowed = Math.min(t.due, t.expiry) - now - t.work / pace(w);
+        if (allowed < 0) {
+            return 0;
+        }
+        int r = regionOf(w);
+        double sum = 0;
+        double all = 0;
+        double common = POOLED / (K + poolSum[r]);
+        for (int k = 0; k < K; k++) {
+            double p = 1 + pairs[w][r][k] + pool[r][k] * common;
+            double wait = waitAt(w, k);
+            all += p;
+            if (wait <= allowed) {
+                sum += p * (byPriority ? notOvertaken(w, t.profile.prio, wait, allowed - wait) : 1);
+            }
+        }
+        return sum / all;
+    }
+
+    /** Queued work believed at the worker, in shares of its slots, as a region. */
+    private int regionOf(int w) {
+        double n = (Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]) + own[w];
+        return region(n / slotsOf(w));
+    }
+
+    static int region(double load) {
+        int k = 0;
+        while (k < TH.length && load >= TH[k]) {
+            k++;
+        }
+        return k;
+    }
+
+    /** The wait that a region's midpoint means; a worker has several servers, so a free slot means none. */
+    private double waitAt(int w, int k) {
+        if (k < 2) {
+            return 0;
+        }
+        double mid = k == K - 1 ? 1.25 * TH[k - 1] : (TH[k - 1] + TH[k]) / 2;
+        return mixWork / pace(w) * (mid - 1 + 1 / slotsOf(w));
+    }
+
+    private double slotsOf(int w) {
+        return slots[w] > 0 ? slots[w] : Math.max(2, kindSlots[kindOf[w]]);
+    }
+
+    /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
+    private double pace(int w) {
+        int k = kindOf[w];
+        double lean = 8 * mixWork;
+        double kind = (kindWork[k] + lean) / (kindRun[k] + lean);
+        return (workDone[w] + lean * kind) / (runTime[w] + lean) * warmth(w);
+    }
+
+    private double warmth(int w) {
+        double age = now - startedAt[w];
+        return age >= warmWithin || age < 0 && startedAt[w] <= 0 ? 1
+            : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
+    }
+
+    // ---- Health ----
+
+    private double trust(int w) {
+        double t = 1 - failNow(w);
+        Assignment a = oldest[w];
+        if (a != null) {
+            double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
+            t = late > 1 ? t / late : t;
+        }
+        return t;
+    }
+
+    private double failNow(int w) {
+        return fail[w] * Math.exp(-(now - failAt[w]) / (SAMPLES * tick * 20));
+    }
+
+    private void judge(Assignment a, Outcome how) {
+        int w = a.worker;
+        double f = failNow(w);
+        switch (how) {
+            case OK -> {
+                fail[w] = f * 0.8;
+                shunSpan[w] = 0;
+                learnRun(a);
+            }
+            case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
+            case FULL, UNREACHABLE -> {
+                fail[w] = f;
+                shunSpan[w] = Math.min(Math.max(mixWork, 2 * shunSpan[w]), 16 * mixWork);
+                shunUntil[w] = now + shunSpan[w];
+            }
+            default -> fail[w] = f;
+        }
+        failAt[w] = now;
+    }
+
+    /** Learns speed and work from a running time: told from the start note, else from sends believed to meet no wait. */
+    private void learnRun(Assignment a) {
+        boolean told = !Double.isNaN(a.startedAt);
+        if (!told && (tellsStart || a.wait > 0)) {
+            return;
+        }
+        double run = Math.max(tick, now - (told ? a.startedAt : a.sentAt));
+        int w = a.worker;
+        int k = kindOf[w];
+        int p = a.task.profile.index;
+        double warm = warmth(w);
+        if (a.task.hint <= 0) {
+            double n = Math.min(++profileSeen[p], SAMPLES);
+            profileWork[p] += (run * pace(w) - profileWork[p]) / n;
+            mixWork += (a.task.work - mixWork) / SAMPLES;
+        }
+        double keep = 1 - 2.0 / SAMPLES;
+        workDone[w] = workDone[w] * keep + a.task.work;
+        runTime[w] = runTime[w] * keep + run * warm;
+        keep = 1 - 1.0 / (8 * SAMPLES);
+        kindWork[k] = kindWork[k] * keep + a.task.work;
+        kindRun[k] = kindRun[k] * keep + run * warm;
+    }
+
+    // ---- Reports ----
+
+    private void reported(int w, double[] r) {
+        if (r == null) {
+            return;
+        }
+        double[] last = lastReport[w];
+        if (Arrays.equals(r, last) && now - heardAt[w] < 4 * mixWork) {
+            return;
+        }
+        System.arraycopy(r, 0, last, 0, r.length);
+        if (r[Report.FREE_SLOTS] >= 0 && r[Report.FREE_SLOTS] < 1e6) {
+            slots[w] = Math.max(slots[w], Math.rint(r[Report.FREE_SLOTS]));
+            kindSlots[kindOf[w]] = Math.max(kindSlots[kindOf[w]], slots[w]);
+        }
+        double n = jobs(w, r);
+        if (Double.isNaN(n)) {
+            return;
+        }
+        smoothOwn(w);
+        heardAt[w] = now;
+        others[w] = Math.max(0, n - ownSmooth[w]);
+        meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
+        int k = region(Math.max(n, others[w] + own[w]) / slotsOf(w));
+        for (int i = 0; i < K; i++) {
+            if (sentIn[w][i] > 0) {
+                pairs[w][i][k] += sentIn[w][i];
+                pool[i][k] += sentIn[w][i];
+                poolSum[i] += sentIn[w][i];
+                sentIn[w][i] = 0;
+                halve(pairs[w][i]);
+                if (poolSum[i] > 8 * SAMPLES) {
+                    halve(pool[i]);
+                    poolSum[i] = sum(pool[i]);
+                }
+            }
+        }
+    }
+
+    /** Jobs at the worker as its report has them: waiting and in flight, else busy slots, else utilisation. */
+    private double jobs(int w, double[] r) {
+        double busy = sane(r[Report.IN_FLIGHT]) ? r[Report.IN_FLIGHT]
+            : sane(r[Report.FREE_SLOTS]) ? Math.max(0, slotsOf(w) - r[Report.FREE_SLOTS])
+            : sane(r[Report.UTILISATION]) ? r[Report.UTILISATION] * slotsOf(w) : Double.NaN;
+        return sane(r[Report.QUEUE]) ? r[Report.QUEUE] + (Double.isNaN(busy) ? 0 : busy) : busy;
+    }
+
+    private static boolean sane(double v) {
+        return v >= 0 && v < 1e6;
+    }
+
+    private static void halve(double[] counts) {
+        if (sum(counts) > SAMPLES) {
+            for (int i = 0; i < counts.length; i++) {
+                counts[i] /= 2;
+            }
+        }
+    }
+
+    private static double sum(double[] v) {
+        double s = 0;
+        for (double x : v) {
+            s += x;
+        }
+        return s;
+    }
+
+    // ---- X: later work that runs first, on priority workers ----
+
+    private int bin(double run) {
+        return Math.min(BINS - 1, Math.max(1, (int) Math.rint(run / mixWork * BINS_PER_RUN)));
+    }
+
+    private double notOvertaken(int w, int prio, double k, double x) {
+        return 1;
+    }
+
+    /**
+     * P(X at most x given k) in bins: a Poisson number of busy periods at lambda. Their sum has the known form
+     * P(X = y) = k / (k + y) times P(compound Poisson work over k + y = y), which Panjer's recursion gives.
+     */
+    static double withinBusyPeriods(int k, int x, double lambda, double[] run) {
+        if (k == 0 || lambda <= 0) {
+            return 1;
+        }
+        double sum = 0;
+        double[] f = new double[x + 1];
+        for (int y = 0; y <= x; y++) {
+            double mean = lambda * (k + y);
+            f[0] = Math.exp(-mean * (1 - run[0]));
+            for (int i = 1; i <= y; i++) {
+                double s = 0;
+                for (int j = 1; j <= i && j < run.length; j++) {
+                    s += j * run[j] * f[i - j];
+                }
+                f[i] = mean / i * s;
+            }
+            sum += f[y] * k / (k + y);
+        }
+        return Math.min(1, sum);
+    }
+
+    // ---- The cold budget ----
+
+    private boolean inBudget(int w, double work) {
+        if (warmth(w) >= 1 && !Double.isNaN(heardAt[w])) {
+            return true;
+        }
+        return coldLevelNow(w) + work <= budget(w) / 2;
+    }
+
+    /** Work that we may send a cold worker in one window. Half may go at once, half refills over the window. */
+    private double budget(int w) {
+        return budgetShare * warmth(w) * slotsOf(w) * pace(w) / warmth(w);
+    }
+
+    private double coldLevelNow(int w) {
+        return Math.max(0, coldLevel[w] - (now - coldAt[w]) * budget(w) / 2 / budgetSpan);
+    }
+
+    private void spend(int w, double work) {
+        coldLevel[w] = coldLevelNow(w) + work;
+        coldAt[w] = now;
+    }
+
+    // ---- Tenants ----
+
+    /** What the task's utility is cut to when its tenant is beyond its allowance, in expectation. */
+    private double withinShare(Task t) {
+        if (t.tenant < 0) {
+            return 1;
+        }
+        int i = t.tenant;
+        double span = 1000;
+        double past = Math.min(1, (now - tenantAt[i]) / (5 * span));
+        tenantRate[i] = tenantRate[i] * (1 - past) + 1 / 5.0;
+        tenantAt[i] = now;
+        double share = allowance[i] / (tenantRate[i] * dispatchers);
+        return share >= 1 ? 1 : share + (1 - share) * excess;
+    }
+
+    // ---- Our own unfinished sends ----
+
+    private void link(Assignment a) {
+        int w = a.worker;
+        smoothOwn(w);
+        own[w] += a.task.width;
+        a.before = newest[w];
+        if (newest[w] == null) {
+            oldest[w] = a;
+        } else {
+            newest[w].after = a;
+        }
+        newest[w] = a;
+    }
+
+    private void unlink(Assignment a) {
+        int w = a.worker;
+        smoothOwn(w);
+        own[w] = Math.max(0, own[w] - a.task.width);
+        if (a.before == null) {
+            oldest[w] = a.after;
+        } else {
+            a.before.after = a.after;
+        }
+        if (a.after == null) {
+            newest[w] = a.before;
+        } else {
+            a.after.before = a.before;
+        }
+        a.before = null;
+        a.after = null;
+    }
+
+    /** A report is about this old when it comes, so own sends are taken off it as they were on average then. */
+    private void smoothOwn(int w) {
+        double past = 1 - Math.exp(-(now - ownAt[w]) / (2 * mixWork));
+        ownSmooth[w] += (own[w] - ownSmooth[w]) * past;
+        ownAt[w] = now;
+    }
+
+    private void grow(int w, int kind) {
+        if (kind >= kindSlots.length) {
+            kindSlots = Arrays.copyOf(kindSlots, kind + 1);
+            kindWork = Arrays.copyOf(kindWork, kind + 1);
+            kindRun = Arrays.copyOf(kindRun, kind + 1);
+        }
+        if (w >= state.length) {
+            int n = 2 * w;
+            state = Arrays.copyOf(state, n);
+            zoneOf = Arrays.copyOf(zoneOf, n);
+            kindOf = Arrays.copyOf(kindOf, n);
+            cellOf = Arrays.copyOf(cellOf, n);
+            named = Arrays.copyOf(named, n);
+            probing = Arrays.copyOf(probing, n);
+            startedAt = Arrays.copyOf(startedAt, n);
+            slots = Arrays.copyOf(slots, n);
+            own = Arrays.copyOf(own, n);
+            ownSmooth = Arrays.copyOf(ownSmooth, n);
+            ownAt = Arrays.copyOf(ownAt, n);
+            others = Arrays.copyOf(others, n);
+            heardAt = Arrays.copyOf(heardAt, n);
+            workDone = Arrays.copyOf(workDone, n);
+            runTime = Arrays.copyOf(runTime, n);
+            fail = Arrays.copyOf(fail, n);
+            failAt = Arrays.copyOf(failAt, n);
+            shunUntil = Arrays.copyOf(shunUntil, n);
+            shunSpan = Arrays.copyOf(shunSpan, n);
+            coldLevel = Arrays.copyOf(coldLevel, n);
+            coldAt = Arrays.copyOf(coldAt, n);
+            probedAt = Arrays.copyOf(probedAt, n);
+            value = Arrays.copyOf(value, n);
+            lastReport = Arrays.copyOf(lastReport, n);
+            pairs = Arrays.copyOf(pairs, n);
+            sentIn = Arrays.copyOf(sentIn, n);
+            oldest = Arrays.copyOf(oldest, n);
+            newest = Arrays.copyOf(newest, n);
+        }
+        for (; workers <= w; workers++) {
+            lastReport[workers] = new double[Report.SIZE];
+            sentIn[workers] = new int[K];
+            pairs[workers] = new double[K][K];
+            heardAt[workers] = Double.NaN;
+            probedAt[workers] = Double.NEGATIVE_INFINITY;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Profile.java
@@ -0,0 +1,22 @@
+package gingerspool.dispatch;
+
+/** What the settings say of one sort of task. */
+public final class Profile {
+    public enum Effect { IDEMPOTENT, FINGERPRINTED, SIDE_EFFECTING }
+
+    public enum Scope { ALL, ZONE, CELL }
+
+    public int index;
+    public String name = "";
+    public double dueTime;
+    public double expiry;
+    public double stretch = 1;
+    public double utility = 1;
+    public double tardyUtility;
+    public Effect effect = Effect.SIDE_EFFECTING;
+    public Scope scope = Scope.ALL;
+    public double window;
+    public int prio;
+    /** Machine kind that it needs, or -1. */
+    public int kind = -1;
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -0,0 +1,38 @@
+package gingerspool.dispatch;
+
+/** What a deployment tells a dispatcher at its start, in our words. Times in milliseconds, rates a second. */
+public final class Settings {
+    public enum Order { FIRST_COME, BACKFILL, PRIORITY }
+
+    public Profile[] profiles = new Profile[0];
+    public double[] allowance = new double[0];
+    public double excessUtility = 1;
+    public boolean utilityByWork;
+    public int zone = -1;
+    public int me;
+    public int dispatchers = 1;
+    public boolean listOnRequest;
+    public boolean reportsByProbe;
+    public boolean reportsInAnswers;
+    public Order order = Order.FIRST_COME;
+    public boolean tellsStart;
+    public boolean mayProbe;
+    public boolean mayCancel;
+    public boolean mayCopy;
+    public boolean mayTell;
+    public boolean mayAdvise;
+    public double maxAdvice;
+    public int mostAssignments = 1;
+    public double connectTimeout;
+    public double askWithin;
+    public double coldFrom = 1;
+    public double warmWithin;
+    public double drainGrace;
+    public double fallWindow;
+    public double overloadFactor = 1;
+    public double tick = 1;
+    public double crossFee;
+    public double wasteFee;
+    public double probeFee;
+    public double lateFee;
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -0,0 +1,48 @@
+package gingerspool.dispatch;
+
+/** One client request in our hands. Holds facts only; the Dispatcher decides. */
+public final class Task {
+    /** What the door calls it; never looked at inside. */
+    public final String id;
+    public Profile profile;
+    /** Index of the tenant, or -1. */
+    public int tenant = -1;
+    /** When the client gives up on this try. */
+    public double expiry;
+    /** Expected work on a standard core, or 0 when not told. */
+    public double hint;
+    public int width = 1;
+    public double memory;
+    public boolean repeat;
+
+    double arrived;
+    double due;
+    double work;
+    double worth;
+    double lookAt;
+    boolean held;
+    boolean ended;
+    Assignment[] sent = new Assignment[1];
+    int tries;
+    int out;
+    /** The earliest assignment that may have run, if any. */
+    Assignment ran;
+
+    public Task(String id) {
+        this.id = id;
+    }
+
+    /** The assignment with this number, or null. */
+    public Assignment assignment(int n) {
+        return n >= 0 && n < tries ? sent[n] : null;
+    }
+
+    /** How many assignments have no outcome yet. */
+    public int outstanding() {
+        return out;
+    }
+
+    public boolean ended() {
+        return ended;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/simhost/Fields.java
@@ -0,0 +1,157 @@
+package gingerspool.simhost;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The fields of the line being read, under their wire names. One is reused for every event but CONFIGURE and PAGE. */
+final class Fields {
+    private String[] names = new String[24];
+    private Object[] texts = new Object[24];
+    private double[] numbers = new double[24];
+    private long[] wholes = new long[24];
+    private int count;
+
+    /** Reads an object's fields up to its end; the parser stands on the object's start. */
+    void read(JsonParser in) throws IOException, WireException {
+        count = 0;
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            if (count == names.length) {
+                throw new WireException("more than " + count + " fields");
+            }
+            names[count] = in.currentName();
+            texts[count] = null;
+            numbers[count] = Double.NaN;
+            JsonToken t = in.nextToken();
+            switch (t) {
+                case VALUE_STRING -> texts[count] = in.getText();
+                case VALUE_NUMBER_INT -> {
+                    numbers[count] = in.getDoubleValue();
+                    wholes[count] = in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? in.getBigIntegerValue().longValue() : in.getLongValue();
+                }
+                case VALUE_NUMBER_FLOAT -> {
+                    numbers[count] = in.getDoubleValue();
+                    wholes[count] = (long) numbers[count];
+                }
+                case VALUE_TRUE -> texts[count] = Boolean.TRUE;
+                case VALUE_FALSE -> texts[count] = Boolean.FALSE;
+                case VALUE_NULL -> count--;
+                default -> texts[count] = tree(in);
+            }
+            count++;
+        }
+    }
+
+    /** A whole JSON value as maps, lists, text, numbers and marks; for settings and lists, which come seldom. */
+    static Object tree(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new HashMap<>();
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    map.put(name, tree(in));
+                }
+                return map;
+            }
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(tree(in));
+                }
+                return list;
+            }
+            case VALUE_STRING -> {
+                return in.getText();
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return in.getDoubleValue();
+            }
+            case VALUE_TRUE -> {
+                return Boolean.TRUE;
+            }
+            case VALUE_FALSE -> {
+                return Boolean.FALSE;
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+
+    private int find(String name) {
+        for (int i = 0; i < count; i++) {
+            if (names[i].equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    String text(String name) throws WireException {
+        String t = textOr(name, null);
+        if (t == null) {
+            throw new WireException("field " + name + " is missing");
+        }
+        return t;
+    }
+
+    String textOr(String name, String other) throws WireException {
+        int i = find(name);
+        if (i < 0) {
+            return other;
+        }
+        if (texts[i] instanceof String s) {
+            return s;
+        }
+        if (numbers[i] == 0 && other == null) {
+            return null;
+        }
+        throw new WireException("field " + name + " is not text");
+    }
+
+    double number(String name) throws WireException {
+        int i = find(name);
+        if (i < 0) {
+            throw new WireException("field " + name + " is missing");
+        }
+        return numberOr(name, 0);
+    }
+
+    double numberOr(String name, double other) throws WireException {
+        int i = find(name);
+        if (i < 0) {
+            return other;
+        }
+        if (texts[i] != null) {
+            throw new WireException("field " + name + " is not a number");
+        }
+        return numbers[i];
+    }
+
+    long whole(String name) throws WireException {
+        number(name);
+        return wholes[find(name)];
+    }
+
+    boolean mark(String name) throws WireException {
+        int i = find(name);
+        if (i < 0) {
+            return false;
+        }
+        if (texts[i] instanceof Boolean b) {
+            return b;
+        }
+        throw new WireException("field " + name + " is not a mark");
+    }
+
+    Object valueOr(String name, Object other) {
+        int i = find(name);
+        return i < 0 ? other : texts[i];
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -0,0 +1,376 @@
+package gingerspool.simhost;
+
+import gingerspool.dispatch.Assignment;
+import gingerspool.dispatch.Dispatcher;
+import gingerspool.dispatch.Outcome;
+import gingerspool.dispatch.Outlet;
+import gingerspool.dispatch.Profile;
+import gingerspool.dispatch.Report;
+import gingerspool.dispatch.Settings;
+import gingerspool.dispatch.Task;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One scheduler of the simulator: a Dispatcher, and the names under which the wire knows what it holds. */
+final class Instance implements Outlet {
+    private final String id;
+    private final StringBuilder reply;
+    private final Dispatcher dispatcher;
+    private final Map<String, Task> tasks = new HashMap<>();
+    private final Map<String, Integer> workers = new HashMap<>();
+    private final List<String> workerNames = new ArrayList<>();
+    private final Map<String, Profile> profiles = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> kinds = new HashMap<>();
+    private final int[] reportPlace;
+    private final String[] reportNames;
+    private final double[] report = new double[Report.SIZE];
+
+    Instance(String id, long seed, Object settings, StringBuilder reply) {
+        this.id = id;
+        this.reply = reply;
+        Settings s = new Settings();
+        readNames(settings, s);
+        readProfiles(settings, s);
+        readLimits(settings, s);
+        List<?> names = Tree.list(settings, "loadInfo", "names");
+        reportNames = new String[names.size()];
+        reportPlace = new int[names.size()];
+        for (int i = 0; i < reportNames.length; i++) {
+            reportNames[i] = String.valueOf(names.get(i));
+            reportPlace[i] = place(reportNames[i], settings);
+        }
+        dispatcher = new Dispatcher(s, seed, this);
+    }
+
+    private static int place(String name, Object settings) {
+        return switch (name) {
+            case "concurrent" -> Report.IN_FLIGHT;
+            case "depth" -> Report.QUEUE;
+            case "load_share" -> Report.UTILISATION;
+            case "tps" -> Report.RATE;
+            case "err_ps" -> Report.ERRORS;
+            case "x0", "x1" -> switch (Tree.text("", settings, "specifics", name.equals("x0") ? "reportX0" : "reportX1")) {
+                case "free slots" -> Report.FREE_SLOTS;
+                case "free memory" -> Report.FREE_MEMORY;
+                default -> -1;
+            };
+            default -> -1;
+        };
+    }
+
+    private void readNames(Object settings, Settings s) {
+        for (Object z : Tree.list(settings, "localities")) {
+            zones.putIfAbsent(String.valueOf(z), zones.size());
+        }
+        for (Object k : Tree.list(settings, "flavors")) {
+            kinds.putIfAbsent(String.valueOf(k), kinds.size());
+        }
+        s.zone = zones.getOrDefault(Tree.text("", settings, "locality"), -1);
+        s.me = (int) Tree.number(0, settings, "myNumber");
+        s.dispatchers = (int) Tree.number(1, settings, "groupSize");
+        List<?> list = Tree.list(settings, "tenants");
+        s.allowance = new double[list.size()];
+        for (int i = 0; i < s.allowance.length; i++) {
+            tenants.put(Tree.text("", list.get(i), "name"), i);
+            s.allowance[i] = Tree.number(0, list.get(i), "allowancePerS");
+        }
+    }
+
+    private void readProfiles(Object settings, Settings s) {
+        List<?> list = Tree.list(settings, "profiles");
+        s.profiles = new Profile[list.size()];
+        List<?> kind = Tree.list(settings, "specifics", "classKind");
+        List<?> prio = Tree.list(settings, "specifics", "classPriority");
+        List<?> stretch = Tree.list(settings, "specifics", "classStretch");
+        for (int i = 0; i < s.profiles.length; i++) {
+            Object c = list.get(i);
+            Profile p = new Profile();
+            p.index = i;
+            p.name = Tree.text("", c, "name");
+            p.dueTime = Tree.number(0, c, "dueTimeMs");
+            p.expiry = Tree.number(0, c, "expiryMs");
+            p.utility = Tree.number(1, c, "utility");
+            p.tardyUtility = Tree.number(0, c, "tardyUtility");
+            p.window = Tree.number(0, c, "windowMs");
+            p.effect = switch (Tree.text("", c, "effect")) {
+                case "safe" -> Profile.Effect.IDEMPOTENT;
+                case "keyed" -> Profile.Effect.FINGERPRINTED;
+                default -> Profile.Effect.SIDE_EFFECTING;
+            };
+            p.scope = switch (Tree.text("", c, "dedupScope")) {
+                case "all" -> Profile.Scope.ALL;
+                case "zone" -> Profile.Scope.ZONE;
+                default -> Profile.Scope.CELL;
+            };
+            p.kind = (int) place(kind, i, -1);
+            p.prio = (int) place(prio, i, 0);
+            p.stretch = Tree.number(place(stretch, i, 0), c, "aimStretch");
+            s.profiles[i] = p;
+            profiles.put(p.name, p);
+        }
+    }
+
+    private static double place(List<?> list, int i, double other) {
+        return i < list.size() && list.get(i) instanceof Number n ? n.doubleValue() : other;
+    }
+
+    private static void readLimits(Object settings, Settings s) {
+        s.excessUtility = Tree.number(1, settings, "excessUtility");
+        s.utilityByWork = Tree.text("", settings, "utilityBy").equals("work");
+        s.listOnRequest = Tree.text("", settings, "discovery").equals("ask");
+        s.reportsByProbe = Tree.text("", settings, "loadInfo", "via").equals("pull");
+        s.reportsInAnswers = Tree.text("", settings, "loadInfo", "via").equals("piggyback");
+        s.order = switch (Tree.text("", settings, "specifics", "queueOrder")) {
+            case "priority" -> Settings.Order.PRIORITY;
+            case "backfill" -> Settings.Order.BACKFILL;
+            default -> Settings.Order.FIRST_COME;
+        };
+        s.tellsStart = Tree.mark(settings, "specifics", "tellsStart");
+        Object limits = Tree.at(settings, "limits");
+        s.mayProbe = Tree.mark(limits, "probes");
+        s.mayCancel = Tree.mark(limits, "cancelling");
+        s.mayCopy = Tree.mark(limits, "mayDuplicate");
+        s.mayTell = Tree.mark(limits, "mayTell");
+        s.mayAdvise = Tree.mark(limits, "retryAfter");
+        s.maxAdvice = Tree.number(0, limits, "maxRetryAfterMs");
+        s.mostAssignments = (int) Tree.number(1, limits, "mostAssignments");
+        s.connectTimeout = Tree.number(0, limits, "connectTimeoutMs");
+        Object rules = Tree.at(settings, "obligations");
+        s.askWithin = Tree.number(0, rules, "askWithinMs");
+        s.coldFrom = Tree.number(1, rules, "coldFrom");
+        s.warmWithin = Tree.number(0, rules, "warmWithinMs");
+        s.drainGrace = Tree.number(0, rules, "drainGraceMs");
+        s.fallWindow = Tree.number(0, rules, "fallMs");
+        s.overloadFactor = Tree.number(1, rules, "overloadFactor");
+        s.tick = Tree.number(1, settings, "tickMs");
+        Object fees = Tree.at(settings, "fees");
+        s.crossFee = Tree.number(0, fees, "crossZone");
+        s.wasteFee = Tree.number(0, fees, "waste");
+        s.probeFee = Tree.number(0, fees, "probe");
+        s.lateFee = Tree.number(0, fees, "lateFail");
+    }
+
+    // ---- Events ----
+
+    void event(String name, double at, Fields f, List<?>[] pages) throws WireException {
+        switch (name) {
+            case "INGRESS" -> arrived(at, f);
+            case "RESPONSE" -> ended(at, f);
+            case "HINT_UPDATE" -> note(at, f);
+            case "HEALTH" -> dispatcher.probed(at, worker(f), f.text("how").equals("ok"),
+                f.numberOr("elapsedMs", 0), report(f));
+            case "FIRED" -> dispatcher.wake(at);
+            case "ABANDONED" -> {
+                Task t = tasks.get(f.text("xid"));
+                if (t != null) {
+                    dispatcher.left(at, t);
+                    forget(t);
+                }
+            }
+            case "FLEET" -> fleet(at, f, pages);
+            case "ACCEPTED" -> {
+                Assignment a = assignment(f);
+                if (a != null) {
+                    dispatcher.accepted(at, a);
+                }
+            }
+            case "NEIGHBOUR_SAYS" -> {
+                f.whole("who");
+                f.text("payload");
+            }
+            default -> throw new WireException("unknown event");
+        }
+    }
+
+    private void arrived(double at, Fields f) throws WireException {
+        Task t = new Task(f.text("xid"));
+        t.profile = profiles.get(f.text("kind"));
+        if (t.profile == null) {
+            throw new WireException("field kind names no profile: " + f.text("kind"));
+        }
+        String owner = f.textOr("owner", null);
+        t.tenant = owner == null ? -1 : tenants.getOrDefault(owner, -1);
+        t.expiry = f.number("notAfterMs");
+        t.hint = f.numberOr("workMs", 0);
+        t.width = (int) f.numberOr("width", 1);
+        t.memory = f.numberOr("memNeeded", 0);
+        t.repeat = f.mark("repeat");
+        tasks.put(t.id, t);
+        dispatcher.arrived(at, t);
+        forget(t);
+    }
+
+    private void ended(double at, Fields f) throws WireException {
+        Assignment a = assignment(f);
+        String how = f.text("how");
+        Outcome outcome = switch (how) {
+            case "ok" -> Outcome.OK;
+            case "error" -> Outcome.ERROR;
+            case "full" -> Outcome.FULL;
+            case "timeout" -> Outcome.TIMEOUT;
+            case "connect_failed" -> Outcome.UNREACHABLE;
+            case "reset" -> Outcome.RESET;
+            case "cancelled" -> Outcome.CANCELLED;
+            case "moot" -> Outcome.MOOT;
+            default -> throw new WireException("field how is no outcome: " + how);
+        };
+        if (a == null) {
+            throw new WireException("no such assignment: " + f.text("xid"));
+        }
+        dispatcher.ended(at, a, outcome, f.mark("over"), report(f));
+        forget(a.task);
+    }
+
+    private void note(double at, Fields f) throws WireException {
+        Assignment a = assignment(f);
+        if (a == null) {
+            return;
+        }
+        if (f.number("topic") == 1) {
+            dispatcher.started(at, a);
+        } else {
+            dispatcher.progressed(at, a, f.numberOr("amount", 0));
+        }
+    }
+
+    private void fleet(double at, Fields f, List<?>[] pages) throws WireException {
+        String form = f.text("form");
+        if (form.equals("refused")) {
+            dispatcher.listFailed(at);
+            return;
+        }
+        boolean whole = !form.equals("changes");
+        int page = (int) f.numberOr("page", 0);
+        if (page < 0 || page >= pages.length || pages[page] == null) {
+            throw new WireException("no such page: " + page);
+        }
+        dispatcher.listBegins(at, whole);
+        for (Object entry : pages[page]) {
+            String name = Tree.text(null, entry, "worker");
+            if (name == null) {
+                throw new WireException("field worker of a list entry is missing");
+            }
+            int state = switch (Tree.text("", entry, "stageState")) {
+                case "Running" -> Dispatcher.RUNNING;
+                case "Stopping" -> Dispatcher.DRAINING;
+                default -> Dispatcher.GONE;
+            };
+            dispatcher.listed(workers.computeIfAbsent(name, this::newWorker),
+                zones.getOrDefault(Tree.text("", entry, "site"), -1),
+                kinds.getOrDefault(Tree.text("", entry, "classOfHost"), 0),
+                (int) Tree.number(0, entry, "bay"), state, Tree.number(1, entry, "capacityHint"),
+                Tree.number(0, entry, "readyAtMs"));
+        }
+        dispatcher.listEnds(at, whole, form.equals("remembered"));
+    }
+
+    private int newWorker(String name) {
+        workerNames.add(name);
+        return workerNames.size() - 1;
+    }
+
+    private int worker(Fields f) throws WireException {
+        Integer w = workers.get(f.text("worker"));
+        if (w == null) {
+            throw new WireException("field worker names none in the list: " + f.text("worker"));
+        }
+        return w;
+    }
+
+    private Assignment assignment(Fields f) throws WireException {
+        Task t = tasks.get(f.text("xid"));
+        return t == null ? null : t.assignment((int) f.numberOr("n", 0));
+    }
+
+    /** A task is kept until it has its answer and nothing is out. */
+    private void forget(Task t) {
+        if (t.ended() && t.outstanding() == 0) {
+            tasks.remove(t.id);
+        }
+    }
+
+    private double[] report(Fields f) throws WireException {
+        Object metrics = f.valueOr("metrics", null);
+        if (metrics == null) {
+            return null;
+        }
+        java.util.Arrays.fill(report, Double.NaN);
+        for (int i = 0; i < reportPlace.length; i++) {
+            if (reportPlace[i] >= 0) {
+                report[reportPlace[i]] = Tree.number(Double.NaN, metrics, reportNames[i]);
+            }
+        }
+        return report;
+    }
+
+    // ---- Actions ----
+
+    private StringBuilder line(String name) {
+        return reply.append("{\"").append(name).append("\":{\"schedulerId\":\"").append(id).append('"');
+    }
+
+    private StringBuilder taskLine(String name, Task t) {
+        return line(name).append(",\"xid\":\"").append(t.id).append('"');
+    }
+
+    private void span(String name, double ms) {
+        if (ms != 0) {
+            reply.append(",\"").append(name).append("\":").append(Math.rint(ms * 1000) / 1000);
+        }
+    }
+
+    private void end() {
+        reply.append("}}\n");
+    }
+
+    @Override
+    public void send(Assignment a, double timeout) {
+        taskLine("ROUTE", a.task).append(",\"worker\":\"").append(workerNames.get(a.worker)).append('"');
+        span("timeoutMs", timeout);
+        end();
+    }
+
+    @Override
+    public void bounce(Task t, double pause) {
+        taskLine("NOT_NOW", t);
+        span("pauseMs", pause);
+        end();
+        forget(t);
+    }
+
+    @Override
+    public void abandon(Task t) {
+        taskLine("FINISH_ERROR", t);
+        end();
+        forget(t);
+    }
+
+    @Override
+    public void cancel(Assignment a) {
+        taskLine("REVOKE", a.task).append(",\"n\":").append(a.number);
+        end();
+    }
+
+    @Override
+    public void probe(int worker) {
+        line("ASK_LOAD").append(",\"worker\":\"").append(workerNames.get(worker)).append('"');
+        end();
+    }
+
+    @Override
+    public void watchList() {
+        line("STREAM_CHANGES").append(",\"active\":true");
+        end();
+    }
+
+    @Override
+    public void wakeAfter(double span) {
+        line("NOTIFY_ME");
+        reply.append(",\"spanMs\":").append(Math.max(0.001, Math.rint(span * 1000) / 1000)).append(",\"cookie\":0");
+        end();
+    }
+}
