Truncate the pair row below our own unfinished sends, count pooled pairs in full

Cause: rows of the pair table that were never visited are flat, so an overloaded worker in an unseen region looked better than a half busy one. What we sent ourselves and had no answer for is certain work, so regions below it can be left out of the sum (truncation is open in the design).

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -25,8 +25,6 @@
     private static final double NEAR = 0.02;
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
     private static final int SAMPLES = 64;
-    /** How many samples the fleet's common pair table is worth beside a worker's own. */
-    private static final double POOLED = 2 * K;
     /** Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running time. */
     private static final int BINS = 24;
     private static final double BINS_PER_RUN = 4;
@@ -522,9 +520,8 @@
         int r = regionOf(w);
         double sum = 0;
         double all = 0;
-        double common = POOLED / (K + poolSum[r]);
-        for (int k = 0; k < K; k++) {
-            double p = 1 + pairs[w][r][k] + pool[r][k] * common;
+        for (int k = region(own[w] / slotsOf(w)); k < K; k++) {
+            double p = 1 + pairs[w][r][k] + pool[r][k];
             double wait = waitAt(w, k);
             all += p;
             if (wait <= allowed) {
