Tried: others' hidden queue like our own where a report is at its top

Cause looked for: with busy slots or utilisation alone a full worker's queue can't be seen. Our own count times the dispatchers is too crude where traffic is unlike over the places.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -66,6 +66,7 @@
     private int[] cellOf = new int[ROOM];
     private boolean[] named = new boolean[ROOM];
     private boolean[] probing = new boolean[ROOM];
+    private boolean[] full = new boolean[ROOM];
     private double[] startedAt = new double[ROOM];
     private double[] slots = new double[ROOM];
     private double[] own = new double[ROOM];
@@ -534,6 +535,10 @@
     /** Queued work believed at the worker, in shares of its slots, as a region. */
     private int regionOf(int w) {
         double n = (Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]) + own[w];
+        if (full[w]) {
+            // Guards against a queue that no report shows: the others' part of it is taken to be like ours.
+            n = Math.max(n, own[w] * dispatchers);
+        }
         return region(n / slotsOf(w));
     }
 
@@ -654,6 +659,7 @@
         smoothOwn(w);
         heardAt[w] = now;
         others[w] = Math.max(0, n - ownSmooth[w]);
+        full[w] = !sane(r[Report.QUEUE]) && !sane(r[Report.IN_FLIGHT]) && n > slotsOf(w) - 0.5;
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
         int k = region(Math.max(n, others[w] + own[w]) / slotsOf(w));
         for (int i = 0; i < K; i++) {
@@ -827,6 +833,7 @@
             cellOf = Arrays.copyOf(cellOf, n);
             named = Arrays.copyOf(named, n);
             probing = Arrays.copyOf(probing, n);
+            full = Arrays.copyOf(full, n);
             startedAt = Arrays.copyOf(startedAt, n);
             slots = Arrays.copyOf(slots, n);
             own = Arrays.copyOf(own, n);
