--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -66,8 +66,8 @@
     private int[] cellOf = new int[ROOM];
     private boolean[] named = new boolean[ROOM];
     private boolean[] probing = new boolean[ROOM];
-    private boolean[] full = new boolean[ROOM];
     private double[] startedAt = new double[ROOM];
+    private double[] size = new double[ROOM];
     private double[] slots = new double[ROOM];
     private double[] own = new double[ROOM];
     private double[] ownSmooth = new double[ROOM];
@@ -99,6 +99,8 @@
     private final double[] profileWork;
     private final double[] profileSeen;
     private double mixWork;
+    /** Pace that counts as a standard core's. */
+    private double unit = 1;
     private double meanWorth;
     private double meanOthers;
     private final double[] tenantRate;
@@ -160,7 +162,7 @@
         profileWork = new double[profiles.length];
         profileSeen = new double[profiles.length];
         for (int p = 0; p < profiles.length; p++) {
-            profileWork[p] = Math.max(profiles[p].dueTime, tick);
+            profileWork[p] = Math.max(1.5 * profiles[p].dueTime, tick);
             mixWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
         }
@@ -186,6 +188,7 @@
         zoneOf[w] = inZone;
         kindOf[w] = Math.max(0, ofKind);
         cellOf[w] = inCell;
+        size[w] = ofSize > 0 ? ofSize : 1;
         if (again) {
             startedAt[w] = started;
             heardAt[w] = Double.NaN;
@@ -535,10 +538,6 @@
     /** Queued work believed at the worker, in shares of its slots, as a region. */
     private int regionOf(int w) {
         double n = (Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]) + own[w];
-        if (full[w]) {
-            // Guards against a queue that no report shows: the others' part of it is taken to be like ours.
-            n = Math.max(n, own[w] * dispatchers);
-        }
         return region(n / slotsOf(w));
     }
 
@@ -560,15 +559,20 @@
     }
 
     private double slotsOf(int w) {
-        return slots[w] > 0 ? slots[w] : Math.max(2, kindSlots[kindOf[w]]);
+        double kind = kindSlots[kindOf[w]];
+        return kind > 0 ? Math.max(slots[w], Math.rint(0.8 * kind)) : Math.max(1, Math.rint(size[w]));
     }
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
     private double pace(int w) {
-        int k = kindOf[w];
-        double lean = 8 * mixWork;
-        double kind = (kindWork[k] + lean) / (kindRun[k] + lean);
-        return (workDone[w] + lean * kind) / (runTime[w] + lean) * warmth(w);
+        double lean = 16 * mixWork;
+        double kind = kindPace(kindOf[w]);
+        return (workDone[w] + lean * kind) / (runTime[w] + lean) * warmth(w) / unit;
+    }
+
+    private double kindPace(int k) {
+        double lean = 16 * mixWork;
+        return (kindWork[k] + lean) / (kindRun[k] + lean);
     }
 
     private double warmth(int w) {
@@ -625,7 +629,12 @@
         int p = a.task.profile.index;
         double warm = warmth(w);
         if (a.task.hint <= 0) {
-            double n = Math.min(++profileSeen[p], SAMPLES);
+            // Without hints only the workers' relation can be seen: the fastest kind counts as the standard core.
+            unit = 0;
+            for (int i = 0; i < kindWork.length; i++) {
+                unit = Math.max(unit, kindPace(i));
+            }
+            double n = Math.min(++profileSeen[p] + 8, 4 * SAMPLES);
             profileWork[p] += (run * pace(w) - profileWork[p]) / n;
             mixWork += (a.task.work - mixWork) / SAMPLES;
         }
@@ -659,7 +668,6 @@
         smoothOwn(w);
         heardAt[w] = now;
         others[w] = Math.max(0, n - ownSmooth[w]);
-        full[w] = !sane(r[Report.QUEUE]) && !sane(r[Report.IN_FLIGHT]) && n > slotsOf(w) - 0.5;
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
         int k = region(Math.max(n, others[w] + own[w]) / slotsOf(w));
         for (int i = 0; i < K; i++) {
@@ -833,8 +841,8 @@
             cellOf = Arrays.copyOf(cellOf, n);
             named = Arrays.copyOf(named, n);
             probing = Arrays.copyOf(probing, n);
-            full = Arrays.copyOf(full, n);
             startedAt = Arrays.copyOf(startedAt, n);
+            size = Arrays.copyOf(size, n);
             slots = Arrays.copyOf(slots, n);
             own = Arrays.copyOf(own, n);
             ownSmooth = Arrays.copyOf(ownSmooth, n);
