--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -113,6 +113,7 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
+    private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
     private double askAt = Double.NEGATIVE_INFINITY;
@@ -270,7 +271,10 @@
 
     public void started(double at, Assignment a) {
         now = at;
-        a.startedAt = Double.isNaN(a.startedAt) ? now : a.startedAt;
+        if (Double.isNaN(a.startedAt)) {
+            a.startedAt = now;
+            heardWait(a.worker, now - a.sentAt);
+        }
         settle();
     }
 
@@ -538,6 +542,12 @@
     /** Queued work believed at the worker, in shares of its slots, as a region. */
     private int regionOf(int w) {
         double n = (Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]) + own[w];
+        for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
+            if (Double.isNaN(a.startedAt)) {
+                n = Math.max(n, jobsAtWait(w, now - a.sentAt));
+                break;
+            }
+        }
         return region(n / slotsOf(w));
     }
 
@@ -665,9 +675,30 @@
         if (Double.isNaN(n)) {
             return;
         }
+        heard(w, n);
+    }
+
+    /** A wait told by a start note shows a queue that reports of busy slots or utilisation end short of. */
+    private void heardWait(int w, double wait) {
+        double n = jobsAtWait(w, wait);
+        if (n > slotsOf(w)) {
+            heard(w, n);
+        }
+    }
+
+    /** How many jobs at the worker this wait speaks for; connecting and the way take the first part of a mean run. */
+    private double jobsAtWait(int w, double wait) {
+        return slotsOf(w) * (1 + (wait * pace(w) / mixWork - 0.25));
+    }
+
+    private void heard(int w, double n) {
         smoothOwn(w);
         heardAt[w] = now;
+        double before = others[w];
         others[w] = Math.max(0, n - ownSmooth[w]);
+        if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
+            others[w] = Math.max(others[w], 0.8 * before);
+        }
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
         int k = region(Math.max(n, others[w] + own[w]) / slotsOf(w));
         for (int i = 0; i < K; i++) {
@@ -687,6 +718,7 @@
 
     /** Jobs at the worker as its report has them: waiting and in flight, else busy slots, else utilisation. */
     private double jobs(int w, double[] r) {
+        reportsQueue |= sane(r[Report.QUEUE]) || sane(r[Report.IN_FLIGHT]);
         double busy = sane(r[Report.IN_FLIGHT]) ? r[Report.IN_FLIGHT]
             : sane(r[Report.FREE_SLOTS]) ? Math.max(0, slotsOf(w) - r[Report.FREE_SLOTS])
             : sane(r[Report.UTILISATION]) ? r[Report.UTILISATION] * slotsOf(w) : Double.NaN;
