--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -7,7 +7,7 @@
     public final int number;
     final double sentAt;
     /** Running time expected there, and the wait believed in when it was sent. */
-    final double run;
+    double run;
     final double wait;
     double startedAt = Double.NaN;
     boolean over;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -19,7 +19,7 @@
 
     /** Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open. */
     private static final int ROOM = 32;
-    private static final double[] TH = {0.5, 1, 1.25, 1.5, 2, 3, 5};
+    private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5};
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
@@ -114,6 +114,7 @@
     private double bestChance;
     private boolean anyReady;
     private boolean reportsQueue;
+    private double[] freeAt = new double[ROOM];
     private boolean watching;
     private boolean asked;
     private double askAt = Double.NEGATIVE_INFINITY;
@@ -287,6 +288,9 @@
 
     public void progressed(double at, Assignment a, double share) {
         now = at;
+        if (share > 0 && share <= 1 && !Double.isNaN(a.startedAt)) {
+            a.run = (now - a.startedAt) / share;
+        }
         settle();
     }
 
@@ -528,7 +532,7 @@
         int r = regionOf(w);
         double sum = 0;
         double all = 0;
-        for (int k = region(own[w] / slotsOf(w)); k < K; k++) {
+        for (int k = region(load(w, 0)); k < K; k++) {
             double p = 1 + pairs[w][r][k] + pool[r][k];
             double wait = waitAt(w, k);
             all += p;
@@ -539,16 +543,63 @@
         return sum / all;
     }
 
-    /** Queued work believed at the worker, in shares of its slots, as a region. */
+    /** O: the work believed ahead of a new job at the worker, as a region. */
     private int regionOf(int w) {
-        double n = (Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]) + own[w];
+        double load = load(w, Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]);
         for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
             if (Double.isNaN(a.startedAt)) {
-                n = Math.max(n, jobsAtWait(w, now - a.sentAt));
+                load = Math.max(load, loadAtWait(w, now - a.sentAt));
                 break;
             }
         }
-        return region(n / slotsOf(w));
+        return region(load);
+    }
+
+    /**
+     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean running time, laid
+     * on the worker's slots in turn: below 1 the share of busy slots, from 1 on the wait in mean running times.
+     */
+    private double load(int w, double ofOthers) {
+        int n = (int) slotsOf(w);
+        double mean = mixWork / pace(w);
+        if (freeAt.length < n) {
+            freeAt = new double[2 * n];
+        }
+        Arrays.fill(freeAt, 0, n, 0);
+        for (Assignment a = oldest[w]; a != null; a = a.after) {
+            if (!tellsStart || !Double.isNaN(a.startedAt)) {
+                lay(n, rest(a));
+            }
+        }
+        for (double o = ofOthers; o > 0; o--) {
+            lay(n, mean * Math.min(1, o));
+        }
+        for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
+            if (Double.isNaN(a.startedAt)) {
+                lay(n, a.run);
+            }
+        }
+        double wait = freeAt[0];
+        int busy = 0;
+        for (int i = 0; i < n; i++) {
+            wait = Math.min(wait, freeAt[i]);
+            busy += freeAt[i] > 0 ? 1 : 0;
+        }
+        return wait > 0 ? 1 + wait / mean : (double) busy / n;
+    }
+
+    private void lay(int n, double run) {
+        int first = 0;
+        for (int i = 1; i < n; i++) {
+            first = freeAt[i] < freeAt[first] ? i : first;
+        }
+        freeAt[first] += run;
+    }
+
+    /** Running time still expected of an assignment: a job without a hint hardly gets nearer its end by running. */
+    private double rest(Assignment a) {
+        double since = Double.isNaN(a.startedAt) ? a.sentAt + a.wait : a.startedAt;
+        return Math.max(a.run - Math.max(0, now - since), a.run * (a.task.hint > 0 ? 0.25 : 0.75));
     }
 
     static int region(double load) {
@@ -565,7 +616,7 @@
             return 0;
         }
         double mid = k == K - 1 ? 1.25 * TH[k - 1] : (TH[k - 1] + TH[k]) / 2;
-        return mixWork / pace(w) * (mid - 1 + 1 / slotsOf(w));
+        return mixWork / pace(w) * (mid - 1);
     }
 
     private double slotsOf(int w) {
@@ -680,15 +731,15 @@
 
     /** A wait told by a start note shows a queue that reports of busy slots or utilisation end short of. */
     private void heardWait(int w, double wait) {
-        double n = jobsAtWait(w, wait);
+        double n = (loadAtWait(w, wait) - 1) * slotsOf(w) + slotsOf(w) - 1;
         if (n > slotsOf(w)) {
             heard(w, n);
         }
     }
 
-    /** How many jobs at the worker this wait speaks for; connecting and the way take the first part of a mean run. */
-    private double jobsAtWait(int w, double wait) {
-        return slotsOf(w) * (1 + (wait * pace(w) / mixWork - 0.25));
+    /** The load that a wait speaks for; connecting and the way take the first part of a mean run. */
+    private double loadAtWait(int w, double wait) {
+        return 1 + wait * pace(w) / mixWork - 0.25;
     }
 
     private void heard(int w, double n) {
@@ -700,7 +751,8 @@
             others[w] = Math.max(others[w], 0.8 * before);
         }
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
-        int k = region(Math.max(n, others[w] + own[w]) / slotsOf(w));
+        int k = region(n < slotsOf(w) ? n / slotsOf(w) : (n + 1) / slotsOf(w));
+        k = Math.max(k, region(load(w, others[w])));
         for (int i = 0; i < K; i++) {
             if (sentIn[w][i] > 0) {
                 pairs[w][i][k] += sentIn[w][i];
