--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -114,7 +114,6 @@
     private double bestChance;
     private boolean anyReady;
     private boolean reportsQueue;
-    private double[] freeAt = new double[ROOM];
     private boolean watching;
     private boolean asked;
     private double askAt = Double.NEGATIVE_INFINITY;
@@ -556,44 +555,28 @@
     }
 
     /**
-     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean running time, laid
-     * on the worker's slots in turn: below 1 the share of busy slots, from 1 on the wait in mean running times.
+     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean running time: below
+     * 1 the share of busy slots, from 1 on the wait in mean running times. The next slot falls free as the first of
+     * the running jobs ends; what waits is shared by the slots whose jobs end within a mean running time.
      */
     private double load(int w, double ofOthers) {
-        int n = (int) slotsOf(w);
+        double n = slotsOf(w);
         double mean = mixWork / pace(w);
-        if (freeAt.length < n) {
-            freeAt = new double[2 * n];
-        }
-        Arrays.fill(freeAt, 0, n, 0);
+        double busy = Math.min(n, ofOthers);
+        double ending = busy / mean;
+        double turning = busy;
+        double queue = (ofOthers - busy) * mean;
         for (Assignment a = oldest[w]; a != null; a = a.after) {
-            if (!tellsStart || !Double.isNaN(a.startedAt)) {
-                lay(n, rest(a));
-            }
-        }
-        for (double o = ofOthers; o > 0; o--) {
-            lay(n, mean * Math.min(1, o));
-        }
-        for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
-            if (Double.isNaN(a.startedAt)) {
-                lay(n, a.run);
+            double rest = rest(a);
+            if (busy + 1 <= n && (!tellsStart || !Double.isNaN(a.startedAt) || now - a.sentAt < mean / 4)) {
+                busy++;
+                ending += 1 / rest;
+                turning += Math.min(1, mean / rest);
+            } else {
+                queue += rest;
             }
         }
-        double wait = freeAt[0];
-        int busy = 0;
-        for (int i = 0; i < n; i++) {
-            wait = Math.min(wait, freeAt[i]);
-            busy += freeAt[i] > 0 ? 1 : 0;
-        }
-        return wait > 0 ? 1 + wait / mean : (double) busy / n;
-    }
-
-    private void lay(int n, double run) {
-        int first = 0;
-        for (int i = 1; i < n; i++) {
-            first = freeAt[i] < freeAt[first] ? i : first;
-        }
-        freeAt[first] += run;
+        return queue == 0 && busy + 1 <= n ? busy / n : 1 + (1 / ending + queue / Math.max(0.25, turning)) / mean;
     }
 
     /** Running time still expected of an assignment: a job without a hint hardly gets nearer its end by running. */
