--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -98,6 +98,12 @@
     private double[] kindRun = new double[0];
     private final double[] profileWork;
     private final double[] profileSeen;
+    private final double[] hintsSeen;
+    private final double[] hintLog;
+    private final double[] hintBend;
+    private final double[] runLog;
+    private double hintVar = 16;
+    private double hintRun = 8;
     private double mixWork;
     /** Pace that counts as a standard core's. */
     private double unit = 1;
@@ -162,6 +168,10 @@
         askGap = askSpan / 20;
         profileWork = new double[profiles.length];
         profileSeen = new double[profiles.length];
+        hintsSeen = new double[profiles.length];
+        hintLog = new double[profiles.length];
+        hintBend = new double[profiles.length];
+        runLog = new double[profiles.length];
         for (int p = 0; p < profiles.length; p++) {
             profileWork[p] = Math.max(1.5 * profiles[p].dueTime, tick);
             mixWork += profileWork[p] / profiles.length;
@@ -233,10 +243,7 @@
         now = at;
         t.arrived = now;
         int p = t.profile.index;
-        t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? t.hint : profileWork[p];
-        if (t.hint > 0) {
-            mixWork += (t.work - mixWork) / SAMPLES;
-        }
+        t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? fromHint(p, t.hint) : profileWork[p];
         t.due = Math.min(t.expiry, now + t.profile.dueTime + t.profile.stretch * t.work);
         t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
@@ -244,6 +251,31 @@
         settle();
     }
 
+    /** Work to expect at this hint: hints are rough, so far ones are drawn to the profile's mean as runs have shown. */
+    private double fromHint(int p, double hint) {
+        double n = Math.min(++hintsSeen[p], 4 * SAMPLES);
+        double x = Math.log(hint);
+        profileWork[p] += (hint - profileWork[p]) / n;
+        hintLog[p] += (x - hintLog[p]) / n;
+        double power = Math.max(0, Math.min(1, hintRun / hintVar));
+        double bend = Math.exp(power * (x - hintLog[p]));
+        hintBend[p] += (bend - hintBend[p]) / n;
+        double work = profileWork[p] * bend / hintBend[p];
+        mixWork += (work - mixWork) / (2 * SAMPLES);
+        return work;
+    }
+
+    /** Learns how far hints can be believed, from a running time in standard work. */
+    private void learnHint(int p, double hint, double work) {
+        double y = Math.log(work);
+        double n = Math.min(++profileSeen[p], 4 * SAMPLES);
+        runLog[p] += (y - runLog[p]) / n;
+        double x = Math.log(hint) - hintLog[p];
+        double keep = 1 - 1.0 / (8 * SAMPLES);
+        hintVar = hintVar * keep + x * x;
+        hintRun = hintRun * keep + x * (y - runLog[p]);
+    }
+
     public void ended(double at, Assignment a, Outcome how, boolean over, double[] report) {
         now = at;
         if (!a.over) {
@@ -681,6 +713,8 @@
             double n = Math.min(++profileSeen[p] + 8, 4 * SAMPLES);
             profileWork[p] += (run * pace(w) - profileWork[p]) / n;
             mixWork += (a.task.work - mixWork) / SAMPLES;
+        } else {
+            learnHint(p, a.task.hint, run * pace(w));
         }
         double keep = 1 - 2.0 / SAMPLES;
         workDone[w] = workDone[w] * keep + a.task.work;
