--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -574,9 +574,19 @@
         return sum / all;
     }
 
+    /** The others' jobs there: what was heard fades to the others' mean as it ages, an unheard worker's is the mean. */
+    private double othersNow(int w) {
+        double mean = meanOthers * slotsOf(w);
+        return Double.isNaN(heardAt[w]) ? mean : mean + (others[w] - mean) * Math.exp((heardAt[w] - now) / fadeSpan());
+    }
+
+    private double fadeSpan() {
+        return 8 * mixWork;
+    }
+
     /** O: the work believed ahead of a new job at the worker, as a region. */
     private int regionOf(int w) {
-        double load = load(w, Double.isNaN(heardAt[w]) ? meanOthers * slotsOf(w) : others[w]);
+        double load = load(w, othersNow(w));
         for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
             if (Double.isNaN(a.startedAt)) {
                 load = Math.max(load, loadAtWait(w, now - a.sentAt));
