--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -45,6 +45,7 @@
     private final int dispatchers;
     private final boolean listOnRequest;
     private final boolean fetchesReports;
+    private final boolean fetchesAll;
     private final boolean byPriority;
     private final boolean tellsStart;
     private final boolean mayCopy;
@@ -83,6 +84,7 @@
     private double[] coldLevel = new double[ROOM];
     private double[] coldAt = new double[ROOM];
     private double[] probedAt = new double[ROOM];
+    private double[] answeredAt = new double[ROOM];
     private double[] value = new double[ROOM];
     private double[][] lastReport = new double[ROOM][];
     private double[][][] pairs = new double[ROOM][][];
@@ -152,7 +154,8 @@
         zone = s.zone;
         dispatchers = Math.max(1, s.dispatchers);
         listOnRequest = s.listOnRequest;
-        fetchesReports = s.reportsByProbe && s.mayProbe;
+        fetchesReports = s.mayProbe && (s.reportsByProbe || s.reportsInAnswers);
+        fetchesAll = s.reportsByProbe;
         byPriority = s.order == Settings.Order.PRIORITY;
         tellsStart = s.tellsStart;
         mayCopy = s.mayCopy;
@@ -395,7 +398,7 @@
             return false;
         }
         for (int w = 0; w < workers; w++) {
-            if (state[w] == RUNNING && !probing[w] && now >= probedAt[w] + period()) {
+            if (state[w] == RUNNING && !probing[w] && now >= fetchAt(w)) {
                 return true;
             }
         }
@@ -404,7 +407,7 @@
 
     private void fetchReports() {
         for (int w = 0; w < workers; w++) {
-            if (state[w] == RUNNING && !probing[w] && now >= probedAt[w] + period()) {
+            if (state[w] == RUNNING && !probing[w] && now >= fetchAt(w)) {
                 probing[w] = true;
                 probedAt[w] = now;
                 out.probe(w);
@@ -412,6 +415,11 @@
         }
     }
 
+    /** Where answers carry reports too, only a worker not heard of for a period is asked. */
+    private double fetchAt(int w) {
+        return period() + (fetchesAll || !(answeredAt[w] > probedAt[w]) ? probedAt[w] : answeredAt[w]);
+    }
+
     /** T_p, the period of fetching reports and of renewing the tables of X. */
     private double period() {
         return 2.5 * mixWork;
@@ -490,7 +498,7 @@
         if (fetchesReports) {
             for (int w = 0; w < workers; w++) {
                 if (state[w] == RUNNING && !probing[w]) {
-                    next = Math.min(next, probedAt[w] + period());
+                    next = Math.min(next, fetchAt(w));
                 }
             }
         }
@@ -741,6 +749,7 @@
             return;
         }
         double[] last = lastReport[w];
+        answeredAt[w] = now;
         if (Arrays.equals(r, last) && now - heardAt[w] < 4 * mixWork) {
             return;
         }
@@ -969,6 +978,7 @@
             coldLevel = Arrays.copyOf(coldLevel, n);
             coldAt = Arrays.copyOf(coldAt, n);
             probedAt = Arrays.copyOf(probedAt, n);
+            answeredAt = Arrays.copyOf(answeredAt, n);
             value = Arrays.copyOf(value, n);
             lastReport = Arrays.copyOf(lastReport, n);
             pairs = Arrays.copyOf(pairs, n);
