--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -339,9 +339,6 @@
         now = at;
         probing[w] = false;
         reported(w, report);
-        if (ok) {
-            heardWait(w, elapsed);
-        }
         settle();
     }
 
@@ -604,7 +601,7 @@
                 break;
             }
         }
-        return region(probing[w] ? Math.max(load, loadAtWait(w, now - probedAt[w])) : load);
+        return region(load);
     }
 
     /**
