Count pairs against the wait that a send met, where start notes tell it

Cause: the next report after a send holds that very send and later ones, so an idle worker's row filled with half-full regions.

--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -10,6 +10,8 @@
     double run;
     final double wait;
     double startedAt = Double.NaN;
+    /** Region of queued work believed at the worker when this was sent. */
+    int region;
     boolean over;
     boolean cancelled;
     boolean neverRan;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -75,6 +75,7 @@
     private double[] ownAt = new double[ROOM];
     private double[] others = new double[ROOM];
     private double[] heardAt = new double[ROOM];
+    private double[] pairedAt = new double[ROOM];
     private double[] workDone = new double[ROOM];
     private double[] runTime = new double[ROOM];
     private double[] fail = new double[ROOM];
@@ -94,7 +95,6 @@
 
     // What is learned of the fleet as a whole.
     private final double[][] pool = new double[K][K];
-    private final double[] poolSum = new double[K];
     private double[] kindSlots = new double[0];
     private double[] kindWork = new double[0];
     private double[] kindRun = new double[0];
@@ -308,6 +308,8 @@
         now = at;
         if (Double.isNaN(a.startedAt)) {
             a.startedAt = now;
+            double load = loadAtWait(a.worker, now - a.sentAt);
+            count(a.worker, a.region, load < 1 ? Math.min(1, a.region) : region(load), 1);
             heardWait(a.worker, now - a.sentAt);
         }
         settle();
@@ -476,7 +478,10 @@
         t.sent[t.tries++] = a;
         t.out++;
         t.ran = t.ran == null ? a : t.ran;
-        sentIn[w][regionOf(w)]++;
+        a.region = regionOf(w);
+        if (!tellsStart) {
+            sentIn[w][a.region]++;
+        }
         spend(w, t.work);
         link(a);
         out.send(a, 0);
@@ -610,6 +615,10 @@
      * the running jobs ends; what waits is shared by the slots whose jobs end within a mean running time.
      */
     private double load(int w, double ofOthers) {
+        return load(w, ofOthers, now);
+    }
+
+    private double load(int w, double ofOthers, double sentUntil) {
         double n = slotsOf(w);
         double mean = mixWork / pace(w);
         double busy = Math.min(n, ofOthers);
@@ -617,6 +626,9 @@
         double turning = busy;
         double queue = (ofOthers - busy) * mean;
         for (Assignment a = oldest[w]; a != null; a = a.after) {
+            if (a.sentAt > sentUntil) {
+                break;
+            }
             double rest = rest(a);
             if (busy + 1 <= n && (!tellsStart || !Double.isNaN(a.startedAt) || now - a.sentAt < mean / 4)) {
                 busy++;
@@ -703,6 +715,9 @@
             case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
             case FULL, UNREACHABLE -> {
                 fail[w] = f;
+                if (tellsStart && how == Outcome.FULL) {
+                    count(w, a.region, K - 1, 1);
+                }
                 shunSpan[w] = Math.min(Math.max(mixWork, 2 * shunSpan[w]), 16 * mixWork);
                 shunUntil[w] = now + shunSpan[w];
             }
@@ -787,20 +802,22 @@
             others[w] = Math.max(others[w], 0.8 * before);
         }
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
-        int k = region(n < slotsOf(w) ? n / slotsOf(w) : (n + 1) / slotsOf(w));
-        k = Math.max(k, region(load(w, others[w])));
+        // What we sent since the last report is not what those sends met, so it is left out.
+        int k = region(load(w, others[w], pairedAt[w]));
         for (int i = 0; i < K; i++) {
-            if (sentIn[w][i] > 0) {
-                pairs[w][i][k] += sentIn[w][i];
-                pool[i][k] += sentIn[w][i];
-                poolSum[i] += sentIn[w][i];
-                sentIn[w][i] = 0;
-                halve(pairs[w][i]);
-                if (poolSum[i] > 8 * SAMPLES) {
-                    halve(pool[i]);
-                    poolSum[i] = sum(pool[i]);
-                }
-            }
+            count(w, i, k, sentIn[w][i]);
+            sentIn[w][i] = 0;
+        }
+        pairedAt[w] = now;
+    }
+
+    /** Counts pairs of the region believed at a send and the one reported next, or told by the wait it met. */
+    private void count(int w, int believed, int told, int times) {
+        if (times > 0) {
+            pairs[w][believed][told] += times;
+            pool[believed][told] += times;
+            halve(pairs[w][believed], SAMPLES);
+            halve(pool[believed], 8 * SAMPLES);
         }
     }
 
@@ -817,8 +834,8 @@
         return v >= 0 && v < 1e6;
     }
 
-    private static void halve(double[] counts) {
-        if (sum(counts) > SAMPLES) {
+    private static void halve(double[] counts, double most) {
+        if (sum(counts) > most) {
             for (int i = 0; i < counts.length; i++) {
                 counts[i] /= 2;
             }
@@ -969,6 +986,7 @@
             ownAt = Arrays.copyOf(ownAt, n);
             others = Arrays.copyOf(others, n);
             heardAt = Arrays.copyOf(heardAt, n);
+            pairedAt = Arrays.copyOf(pairedAt, n);
             workDone = Arrays.copyOf(workDone, n);
             runTime = Arrays.copyOf(runTime, n);
             fail = Arrays.copyOf(fail, n);
