Give up below a chance that rises as fewer tasks meet a free slot

Cause: with every worker busy, a task sent at a low chance ends late and makes those behind it late too.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -32,6 +32,8 @@
     private static final double COLD_USE = 0.5;
     /** A task whose best chance is lower than this is given up. */
     private static final double HOPELESS = 0.08;
+    /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
+    private static final double PRESSED = 0.6;
 
     private final Outlet out;
     private final SplittableRandom chance;
@@ -75,7 +77,6 @@
     private double[] ownAt = new double[ROOM];
     private double[] others = new double[ROOM];
     private double[] heardAt = new double[ROOM];
-    private double[] pairedAt = new double[ROOM];
     private double[] workDone = new double[ROOM];
     private double[] runTime = new double[ROOM];
     private double[] fail = new double[ROOM];
@@ -111,6 +112,9 @@
     private double unit = 1;
     private double meanWorth;
     private double meanOthers;
+    private double meanDensity;
+    /** Share of tasks that met no free slot lately. */
+    private double press;
     private final double[] tenantRate;
     private final double[] tenantAt;
 
@@ -180,6 +184,7 @@
             mixWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
         }
+        meanDensity = meanWorth / mixWork;
         tenantRate = new double[allowance.length];
         tenantAt = new double[allowance.length];
     }
@@ -450,7 +455,15 @@
     }
 
     private boolean hopeless() {
-        return best < 0 || bestChance < HOPELESS;
+        if (best < 0) {
+            return true;
+        }
+        double density = Math.max(task.worth / task.work, NEAR * meanDensity);
+        double weight = Math.max(0.5, Math.min(1.5, Math.sqrt(meanDensity / density)));
+        double waits = regionOf(best) > 1 ? 1 : 0;
+        meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
+        press += (waits - press) / SAMPLES;
+        return bestChance < (HOPELESS + PRESSED * press * press) * weight;
     }
 
     private void giveUp() {
@@ -615,10 +628,6 @@
      * the running jobs ends; what waits is shared by the slots whose jobs end within a mean running time.
      */
     private double load(int w, double ofOthers) {
-        return load(w, ofOthers, now);
-    }
-
-    private double load(int w, double ofOthers, double sentUntil) {
         double n = slotsOf(w);
         double mean = mixWork / pace(w);
         double busy = Math.min(n, ofOthers);
@@ -626,9 +635,6 @@
         double turning = busy;
         double queue = (ofOthers - busy) * mean;
         for (Assignment a = oldest[w]; a != null; a = a.after) {
-            if (a.sentAt > sentUntil) {
-                break;
-            }
             double rest = rest(a);
             if (busy + 1 <= n && (!tellsStart || !Double.isNaN(a.startedAt) || now - a.sentAt < mean / 4)) {
                 busy++;
@@ -802,13 +808,11 @@
             others[w] = Math.max(others[w], 0.8 * before);
         }
         meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
-        // What we sent since the last report is not what those sends met, so it is left out.
-        int k = region(load(w, others[w], pairedAt[w]));
+        int k = region(load(w, others[w]));
         for (int i = 0; i < K; i++) {
             count(w, i, k, sentIn[w][i]);
             sentIn[w][i] = 0;
         }
-        pairedAt[w] = now;
     }
 
     /** Counts pairs of the region believed at a send and the one reported next, or told by the wait it met. */
@@ -986,7 +990,6 @@
             ownAt = Arrays.copyOf(ownAt, n);
             others = Arrays.copyOf(others, n);
             heardAt = Arrays.copyOf(heardAt, n);
-            pairedAt = Arrays.copyOf(pairedAt, n);
             workDone = Arrays.copyOf(workDone, n);
             runTime = Arrays.copyOf(runTime, n);
             fail = Arrays.copyOf(fail, n);
