--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -12,6 +12,8 @@
     double startedAt = Double.NaN;
     /** Region of queued work believed at the worker when this was sent. */
     int region;
+    /** Whether a fresh report had a free slot when this was sent. */
+    boolean metFree;
     boolean over;
     boolean cancelled;
     boolean neverRan;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -86,6 +86,8 @@
     private double[] coldLevel = new double[ROOM];
     private double[] coldAt = new double[ROOM];
     private double[] probedAt = new double[ROOM];
+    private double[] lag = new double[ROOM];
+    private double[] lagAt = new double[ROOM];
     private double[] answeredAt = new double[ROOM];
     private double[] value = new double[ROOM];
     private double[][] lastReport = new double[ROOM][];
@@ -492,6 +494,7 @@
         t.out++;
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
+        a.metFree = a.region < 2 && now - heardAt[w] < 4 * mixWork && lastReport[w][Report.FREE_SLOTS] > 0.5;
         if (!tellsStart) {
             sentIn[w][a.region]++;
         }
@@ -619,7 +622,9 @@
                 break;
             }
         }
-        return region(load);
+        double mean = mixWork / pace(w);
+        double unseen = tellsStart ? 0 : lag[w] * Math.exp((lagAt[w] - now) / fadeSpan()) / mean - 0.5;
+        return region(unseen > 0 ? Math.max(load, 1 + unseen) : load);
     }
 
     /**
@@ -717,6 +722,9 @@
                 fail[w] = f * 0.8;
                 shunSpan[w] = 0;
                 learnRun(a);
+                // Guards against queues that neither reports nor start notes show: answers come later than runs take.
+                lag[w] += (now - a.sentAt - a.run - lag[w]) / 6;
+                lagAt[w] = now;
             }
             case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
             case FULL, UNREACHABLE -> {
@@ -735,7 +743,7 @@
     /** Learns speed and work from a running time: told from the start note, else from sends believed to meet no wait. */
     private void learnRun(Assignment a) {
         boolean told = !Double.isNaN(a.startedAt);
-        if (!told && (tellsStart || a.wait > 0)) {
+        if (!told && (tellsStart || !a.metFree)) {
             return;
         }
         double run = Math.max(tick, now - (told ? a.startedAt : a.sentAt));
@@ -999,6 +1007,8 @@
             coldLevel = Arrays.copyOf(coldLevel, n);
             coldAt = Arrays.copyOf(coldAt, n);
             probedAt = Arrays.copyOf(probedAt, n);
+            lag = Arrays.copyOf(lag, n);
+            lagAt = Arrays.copyOf(lagAt, n);
             answeredAt = Arrays.copyOf(answeredAt, n);
             value = Arrays.copyOf(value, n);
             lastReport = Arrays.copyOf(lastReport, n);
