--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -86,8 +86,6 @@
     private double[] coldLevel = new double[ROOM];
     private double[] coldAt = new double[ROOM];
     private double[] probedAt = new double[ROOM];
-    private double[] lag = new double[ROOM];
-    private double[] lagAt = new double[ROOM];
     private double[] answeredAt = new double[ROOM];
     private double[] value = new double[ROOM];
     private double[][] lastReport = new double[ROOM][];
@@ -495,7 +493,7 @@
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
         a.metFree = a.region < 2 && now - heardAt[w] < 4 * mixWork && lastReport[w][Report.FREE_SLOTS] > 0.5;
-        if (!tellsStart) {
+        if (!tellsStart && !(waitsUnseen() && a.region > 1)) {
             sentIn[w][a.region]++;
         }
         spend(w, t.work);
@@ -622,9 +620,7 @@
                 break;
             }
         }
-        double mean = mixWork / pace(w);
-        double unseen = tellsStart ? 0 : lag[w] * Math.exp((lagAt[w] - now) / fadeSpan()) / mean - 0.5;
-        return region(unseen > 0 ? Math.max(load, 1 + unseen) : load);
+        return region(load);
     }
 
     /**
@@ -722,9 +718,10 @@
                 fail[w] = f * 0.8;
                 shunSpan[w] = 0;
                 learnRun(a);
-                // Guards against queues that neither reports nor start notes show: answers come later than runs take.
-                lag[w] += (now - a.sentAt - a.run - lag[w]) / 6;
-                lagAt[w] = now;
+                if (a.region > 1 && waitsUnseen()) {
+                    double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
+                    count(w, a.region, wait > 0.5 ? region(1 + wait) : 1, 1);
+                }
             }
             case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
             case FULL, UNREACHABLE -> {
@@ -823,6 +820,11 @@
         }
     }
 
+    /** Guards against queues that neither reports nor start notes show: there, how late answers come is counted. */
+    private boolean waitsUnseen() {
+        return !tellsStart && !reportsQueue;
+    }
+
     /** Counts pairs of the region believed at a send and the one reported next, or told by the wait it met. */
     private void count(int w, int believed, int told, int times) {
         if (times > 0) {
@@ -1007,8 +1009,6 @@
             coldLevel = Arrays.copyOf(coldLevel, n);
             coldAt = Arrays.copyOf(coldAt, n);
             probedAt = Arrays.copyOf(probedAt, n);
-            lag = Arrays.copyOf(lag, n);
-            lagAt = Arrays.copyOf(lagAt, n);
             answeredAt = Arrays.copyOf(answeredAt, n);
             value = Arrays.copyOf(value, n);
             lastReport = Arrays.copyOf(lastReport, n);
