The score as a mean over likely running times, each with its own allowed wait

Cause: running times are known only in expectation (spread over twice the mean), and a short task of a profile has far less time to wait than the mean one.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -23,6 +23,8 @@
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
+    /** Where running times are looked at, in standard deviations of their logarithm. */
+    private static final double[] LIKELY = {-1.15, -0.32, 0.32, 1.15};
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
     private static final int SAMPLES = 64;
     /** Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running time. */
@@ -105,6 +107,9 @@
     private final double[] hintLog;
     private final double[] hintBend;
     private final double[] runLog;
+    private final double[] runVar;
+    private final double[] allowed = new double[LIKELY.length];
+    private final double[] weight = new double[LIKELY.length];
     private double hintVar = 16;
     private double hintRun = 8;
     private double mixWork;
@@ -179,8 +184,11 @@
         hintLog = new double[profiles.length];
         hintBend = new double[profiles.length];
         runLog = new double[profiles.length];
+        runVar = new double[profiles.length];
         for (int p = 0; p < profiles.length; p++) {
+            runVar[p] = 0.5;
             profileWork[p] = Math.max(1.5 * profiles[p].dueTime, tick);
+            runLog[p] = Math.log(profileWork[p]) - runVar[p] / 2;
             mixWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
         }
@@ -282,6 +290,8 @@
         double keep = 1 - 1.0 / (8 * SAMPLES);
         hintVar = hintVar * keep + x * x;
         hintRun = hintRun * keep + x * (y - runLog[p]);
+        double off = y - runLog[p] - x * Math.max(0, Math.min(1, hintRun / hintVar));
+        runVar[p] += (off * off - runVar[p]) / (n + 8);
     }
 
     public void ended(double at, Assignment a, Outcome how, boolean over, double[] report) {
@@ -581,24 +591,37 @@
         };
     }
 
-    /** The design's score: the sum over k up to l of P(X at most l - k) p(k given O). */
+    /**
+     * The design's score: the sum over k up to l of P(X at most l - k) p(k given O). Departure: the running time is only
+     * expected, so the score is the mean over some of its likely values, each with the l that it gives.
+     */
     private double inTime(Task t, int w) {
-        double allowed = Math.min(t.due, t.expiry) - now - t.work / pace(w);
-        if (allowed < 0) {
-            return 0;
-        }
         int r = regionOf(w);
-        double sum = 0;
+        double left = Math.min(t.due, t.expiry) - now;
+        double pace = pace(w);
+        double spread = Math.sqrt(runVar[t.profile.index]);
+        double fits = 0;
+        double shares = 0;
+        for (int q = 0; q < LIKELY.length; q++) {
+            double work = t.work * Math.exp(spread * (LIKELY[q] - spread / 2));
+            double due = left + t.profile.stretch * (work - t.work);
+            allowed[q] = Math.min(due, t.expiry - now) - work / pace;
+            weight[q] = byWork ? work : 1;
+            shares += weight[q];
+        }
         double all = 0;
         for (int k = region(load(w, 0)); k < K; k++) {
             double p = 1 + pairs[w][r][k] + pool[r][k];
             double wait = waitAt(w, k);
             all += p;
-            if (wait <= allowed) {
-                sum += p * (byPriority ? notOvertaken(w, t.profile.prio, wait, allowed - wait) : 1);
+            for (int q = 0; q < LIKELY.length; q++) {
+                if (wait <= allowed[q]) {
+                    double x = byPriority ? notOvertaken(w, t.profile.prio, wait, allowed[q] - wait) : 1;
+                    fits += p * x * weight[q] / shares;
+                }
             }
         }
-        return sum / all;
+        return fits / all;
     }
 
     /** The others' jobs there: what was heard fades to the others' mean as it ages, an unheard worker's is the mean. */
@@ -756,6 +779,9 @@
             }
             double n = Math.min(++profileSeen[p] + 8, 4 * SAMPLES);
             profileWork[p] += (run * pace(w) - profileWork[p]) / n;
+            double off = Math.log(run * pace(w)) - runLog[p];
+            runLog[p] += off / n;
+            runVar[p] += (off * off - runVar[p]) / n;
             mixWork += (a.task.work - mixWork) / SAMPLES;
         } else {
             learnHint(p, a.task.hint, run * pace(w));
