--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -857,7 +857,7 @@
             pairs[w][believed][told] += times;
             pool[believed][told] += times;
             halve(pairs[w][believed], SAMPLES);
-            halve(pool[believed], 8 * SAMPLES);
+            halve(pool[believed], 2 * SAMPLES);
         }
     }
 
