--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -503,7 +503,7 @@
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
         a.metFree = a.region < 2 && now - heardAt[w] < 4 * mixWork && lastReport[w][Report.FREE_SLOTS] > 0.5;
-        if (!tellsStart && !(waitsUnseen() && a.region > 1)) {
+        if (!tellsStart && !waitsUnseen()) {
             sentIn[w][a.region]++;
         }
         spend(w, t.work);
@@ -741,9 +741,9 @@
                 fail[w] = f * 0.8;
                 shunSpan[w] = 0;
                 learnRun(a);
-                if (a.region > 1 && waitsUnseen()) {
+                if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
-                    count(w, a.region, wait > 0.5 ? region(1 + wait) : 1, 1);
+                    count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
                 }
             }
             case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
@@ -857,7 +857,7 @@
             pairs[w][believed][told] += times;
             pool[believed][told] += times;
             halve(pairs[w][believed], SAMPLES);
-            halve(pool[believed], 2 * SAMPLES);
+            halve(pool[believed], 8 * SAMPLES);
         }
     }
 
