--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -120,6 +120,8 @@
     private double meanDensity;
     /** Share of tasks that met no free slot lately. */
     private double press;
+    /** Share of answers that came after the due time lately. */
+    private double late;
     private final double[] tenantRate;
     private final double[] tenantAt;
 
@@ -473,7 +475,8 @@
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
-        return bestChance < (HOPELESS + PRESSED * press * press) * weight;
+        double strain = Math.max(press, Math.min(1, 2.5 * (late - 0.1)));
+        return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
     private void giveUp() {
@@ -741,6 +744,7 @@
                 fail[w] = f * 0.8;
                 shunSpan[w] = 0;
                 learnRun(a);
+                late += ((now > a.task.due ? 1 : 0) - late) / SAMPLES;
                 if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
