--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -7,10 +7,10 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that carries
- * the time (listed, arrived, ended, started, reported, wake ...), and it acts through Outlet, nowhere else.
+ * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that
+ * carries the time (listed, arrived, ended, started, probed, wake ...), and it acts through Outlet, nowhere else.
  * After every input the rules below are gone through in order until none fires. Workers are dense indexes given
- * by the caller; tasks and assignments are objects. Times are milliseconds. docs/design.md explains the mechanism.
+ * by the caller; tasks and assignments are objects. Times are milliseconds. docs/design.md tells the mechanism.
  */
 public final class Dispatcher {
     public static final int GONE = 0;
@@ -18,7 +18,6 @@
     public static final int RUNNING = 2;
 
     /** Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open. */
-    private static final int ROOM = 32;
     private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5};
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
@@ -28,7 +27,7 @@
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
     private static final int SAMPLES = 64;
     /** Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running time. */
-    private static final int BINS = 24;
+    private static final int BINS = 16;
     private static final double BINS_PER_RUN = 4;
     /** The part of our share of a cold worker's budget that we use. */
     private static final double COLD_USE = 0.5;
@@ -63,44 +62,10 @@
     private final double budgetShare;
     private final double crossFee;
 
-    // Workers, by dense index.
-    private int workers;
-    private int[] state = new int[ROOM];
-    private int[] zoneOf = new int[ROOM];
-    private int[] kindOf = new int[ROOM];
-    private int[] cellOf = new int[ROOM];
-    private boolean[] named = new boolean[ROOM];
-    private boolean[] probing = new boolean[ROOM];
-    private double[] startedAt = new double[ROOM];
-    private double[] size = new double[ROOM];
-    private double[] slots = new double[ROOM];
-    private double[] own = new double[ROOM];
-    private double[] ownSmooth = new double[ROOM];
-    private double[] ownAt = new double[ROOM];
-    private double[] others = new double[ROOM];
-    private double[] heardAt = new double[ROOM];
-    private double[] workDone = new double[ROOM];
-    private double[] runTime = new double[ROOM];
-    private double[] fail = new double[ROOM];
-    private double[] failAt = new double[ROOM];
-    private double[] shunUntil = new double[ROOM];
-    private double[] shunSpan = new double[ROOM];
-    private double[] coldLevel = new double[ROOM];
-    private double[] coldAt = new double[ROOM];
-    private double[] probedAt = new double[ROOM];
-    private double[] answeredAt = new double[ROOM];
-    private double[] value = new double[ROOM];
-    private double[][] lastReport = new double[ROOM][];
-    private double[][][] pairs = new double[ROOM][][];
-    private int[][] sentIn = new int[ROOM][];
-    private Assignment[] oldest = new Assignment[ROOM];
-    private Assignment[] newest = new Assignment[ROOM];
+    private final Workers fleet;
 
     // What is learned of the fleet as a whole.
     private final double[][] pool = new double[K][K];
-    private double[] kindSlots = new double[0];
-    private double[] kindWork = new double[0];
-    private double[] kindRun = new double[0];
     private final double[] profileWork;
     private final double[] profileSeen;
     private final double[] hintsSeen;
@@ -180,6 +145,7 @@
         budgetShare = COLD_USE * s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
         askGap = askSpan / 20;
+        fleet = new Workers(K, BINS + 1, profiles.length);
         profileWork = new double[profiles.length];
         profileSeen = new double[profiles.length];
         hintsSeen = new double[profiles.length];
@@ -205,24 +171,25 @@
     public void listBegins(double at, boolean whole) {
         now = at;
         if (whole) {
-            Arrays.fill(named, 0, workers, false);
+            Arrays.fill(fleet.named, 0, fleet.count, false);
         }
     }
 
+    /** One entry of the list; the state is GONE, DRAINING or RUNNING. */
     public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize, double started) {
-        grow(w, ofKind);
-        boolean again = started > startedAt[w];
-        named[w] = true;
-        state[w] = newState;
-        zoneOf[w] = inZone;
-        kindOf[w] = Math.max(0, ofKind);
-        cellOf[w] = inCell;
-        size[w] = ofSize > 0 ? ofSize : 1;
+        fleet.reach(w, ofKind);
+        boolean again = started > fleet.startedAt[w];
+        fleet.named[w] = true;
+        fleet.state[w] = newState;
+        fleet.zoneOf[w] = inZone;
+        fleet.kindOf[w] = Math.max(0, ofKind);
+        fleet.cellOf[w] = inCell;
+        fleet.size[w] = ofSize > 0 ? ofSize : 1;
         if (again) {
-            startedAt[w] = started;
-            heardAt[w] = Double.NaN;
-            shunUntil[w] = 0;
-            fail[w] = 0;
+            fleet.startedAt[w] = started;
+            fleet.heardAt[w] = Double.NaN;
+            fleet.shunUntil[w] = 0;
+            fleet.fail[w] = 0;
         }
     }
 
@@ -230,8 +197,8 @@
     public void listEnds(double at, boolean whole, boolean remembered) {
         now = at;
         if (whole) {
-            for (int w = 0; w < workers; w++) {
-                state[w] = named[w] ? state[w] : GONE;
+            for (int w = 0; w < fleet.count; w++) {
+                fleet.state[w] = fleet.named[w] ? fleet.state[w] : GONE;
             }
         }
         if (!remembered) {
@@ -269,7 +236,7 @@
         settle();
     }
 
-    /** Work to expect at this hint: hints are rough, so far ones are drawn to the profile's mean as runs have shown. */
+    /** Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs have shown. */
     private double fromHint(int p, double hint) {
         double n = Math.min(++hintsSeen[p], 4 * SAMPLES);
         double x = Math.log(hint);
@@ -356,7 +323,7 @@
 
     public void probed(double at, int w, boolean ok, double elapsed, double[] report) {
         now = at;
-        probing[w] = false;
+        fleet.probing[w] = false;
         reported(w, report);
         settle();
     }
@@ -416,8 +383,8 @@
         if (!fetchesReports) {
             return false;
         }
-        for (int w = 0; w < workers; w++) {
-            if (state[w] == RUNNING && !probing[w] && now >= fetchAt(w)) {
+        for (int w = 0; w < fleet.count; w++) {
+            if (fleet.state[w] == RUNNING && !fleet.probing[w] && now >= fetchAt(w)) {
                 return true;
             }
         }
@@ -425,10 +392,10 @@
     }
 
     private void fetchReports() {
-        for (int w = 0; w < workers; w++) {
-            if (state[w] == RUNNING && !probing[w] && now >= fetchAt(w)) {
-                probing[w] = true;
-                probedAt[w] = now;
+        for (int w = 0; w < fleet.count; w++) {
+            if (fleet.state[w] == RUNNING && !fleet.probing[w] && now >= fetchAt(w)) {
+                fleet.probing[w] = true;
+                fleet.probedAt[w] = now;
                 out.probe(w);
             }
         }
@@ -436,7 +403,7 @@
 
     /** Where answers carry reports too, only a worker not heard of for a period is asked. */
     private double fetchAt(int w) {
-        return period() + (fetchesAll || !(answeredAt[w] > probedAt[w]) ? probedAt[w] : answeredAt[w]);
+        return period() + (fetchesAll ? fleet.probedAt[w] : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
     }
 
     /** T_p, the period of fetching reports and of renewing the tables of X. */
@@ -505,10 +472,12 @@
         t.out++;
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
-        a.metFree = a.region < 2 && now - heardAt[w] < 4 * mixWork && lastReport[w][Report.FREE_SLOTS] > 0.5;
+        a.metFree = a.region < 2 && now - fleet.heardAt[w] < 4 * mixWork
+            && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5;
         if (!tellsStart && !waitsUnseen()) {
-            sentIn[w][a.region]++;
+            fleet.sentIn[w][a.region]++;
         }
+        sendRate(w, 1);
         spend(w, t.work);
         link(a);
         out.send(a, 0);
@@ -528,8 +497,8 @@
             next = Math.min(next, hand.get(i).lookAt);
         }
         if (fetchesReports) {
-            for (int w = 0; w < workers; w++) {
-                if (state[w] == RUNNING && !probing[w]) {
+            for (int w = 0; w < fleet.count; w++) {
+                if (fleet.state[w] == RUNNING && !fleet.probing[w]) {
                     next = Math.min(next, fetchAt(w));
                 }
             }
@@ -545,9 +514,10 @@
     /** Scores every ready worker for the task and picks at random among those near the best. */
     private void weigh() {
         double top = Double.NEGATIVE_INFINITY;
+        double crossing = crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR);
         anyReady = false;
-        for (int w = 0; w < workers; w++) {
-            value[w] = Double.NEGATIVE_INFINITY;
+        for (int w = 0; w < fleet.count; w++) {
+            fleet.value[w] = Double.NEGATIVE_INFINITY;
             if (!ready(w, task)) {
                 continue;
             }
@@ -557,17 +527,17 @@
                 c = task.sent[i].worker == w ? c / 2 : c;
             }
             // Departure: a crossing costs its fee, in shares of what this task is worth.
-            value[w] = c - (zoneOf[w] == zone ? 0 : crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR));
-            top = Math.max(top, value[w]);
+            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing);
+            top = Math.max(top, fleet.value[w]);
         }
         int near = 0;
-        for (int w = 0; w < workers; w++) {
-            near += anyReady && value[w] >= top - NEAR ? 1 : 0;
+        for (int w = 0; w < fleet.count; w++) {
+            near += anyReady && fleet.value[w] >= top - NEAR ? 1 : 0;
         }
         int pick = near == 0 ? -1 : chance.nextInt(near);
         best = -1;
-        for (int w = 0; w < workers && pick >= 0; w++) {
-            if (value[w] >= top - NEAR && pick-- == 0) {
+        for (int w = 0; w < fleet.count && pick >= 0; w++) {
+            if (fleet.value[w] >= top - NEAR && pick-- == 0) {
                 best = w;
             }
         }
@@ -576,8 +546,8 @@
 
     /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
-        return state[w] == RUNNING && now >= shunUntil[w]
-            && (t.profile.kind < 0 || kindOf[w] == t.profile.kind)
+        return fleet.state[w] == RUNNING && now >= fleet.shunUntil[w]
+            && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
             && t.width <= slotsOf(w) && t.memory <= slotsOf(w)
             && inGroup(w, t) && inBudget(w, t.work);
     }
@@ -589,14 +559,14 @@
         int first = t.ran.worker;
         return switch (t.profile.scope) {
             case ALL -> true;
-            case ZONE -> zoneOf[w] == zoneOf[first];
-            case CELL -> cellOf[w] == cellOf[first];
+            case ZONE -> fleet.zoneOf[w] == fleet.zoneOf[first];
+            case CELL -> fleet.cellOf[w] == fleet.cellOf[first];
         };
     }
 
     /**
-     * The design's score: the sum over k up to l of P(X at most l - k) p(k given O). Departure: the running time is only
-     * expected, so the score is the mean over some of its likely values, each with the l that it gives.
+     * The design's score: the sum over k up to l of P(X at most l - k) p(k given O). Departure: the running time is
+     * only expected, so the score is the mean over some of its likely values, each with the l that it gives.
      */
     private double inTime(Task t, int w) {
         int r = regionOf(w);
@@ -614,12 +584,12 @@
         }
         double all = 0;
         for (int k = region(load(w, 0)); k < K; k++) {
-            double p = 1 + pairs[w][r][k] + pool[r][k];
+            double p = 1 + fleet.pairs[w][r][k] + pool[r][k];
             double wait = waitAt(w, k);
             all += p;
             for (int q = 0; q < LIKELY.length; q++) {
                 if (wait <= allowed[q]) {
-                    double x = byPriority ? notOvertaken(w, t.profile.prio, wait, allowed[q] - wait) : 1;
+                    double x = byPriority ? notOvertaken(w, t.profile, k, wait, allowed[q] - wait) : 1;
                     fits += p * x * weight[q] / shares;
                 }
             }
@@ -630,7 +600,7 @@
     /** The others' jobs there: what was heard fades to the others' mean as it ages, an unheard worker's is the mean. */
     private double othersNow(int w) {
         double mean = meanOthers * slotsOf(w);
-        return Double.isNaN(heardAt[w]) ? mean : mean + (others[w] - mean) * Math.exp((heardAt[w] - now) / fadeSpan());
+        return Double.isNaN(fleet.heardAt[w]) ? mean : mean + (fleet.others[w] - mean) * Math.exp((fleet.heardAt[w] - now) / fadeSpan());
     }
 
     private double fadeSpan() {
@@ -640,7 +610,7 @@
     /** O: the work believed ahead of a new job at the worker, as a region. */
     private int regionOf(int w) {
         double load = load(w, othersNow(w));
-        for (Assignment a = tellsStart ? oldest[w] : null; a != null; a = a.after) {
+        for (Assignment a = tellsStart ? fleet.oldest[w] : null; a != null; a = a.after) {
             if (Double.isNaN(a.startedAt)) {
                 load = Math.max(load, loadAtWait(w, now - a.sentAt));
                 break;
@@ -661,7 +631,7 @@
         double ending = busy / mean;
         double turning = busy;
         double queue = (ofOthers - busy) * mean;
-        for (Assignment a = oldest[w]; a != null; a = a.after) {
+        for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
             double rest = rest(a);
             if (busy + 1 <= n && (!tellsStart || !Double.isNaN(a.startedAt) || now - a.sentAt < mean / 4)) {
                 busy++;
@@ -698,25 +668,25 @@
     }
 
     private double slotsOf(int w) {
-        double kind = kindSlots[kindOf[w]];
-        return kind > 0 ? Math.max(slots[w], Math.rint(0.8 * kind)) : Math.max(1, Math.rint(size[w]));
+        double kind = fleet.kindSlots[fleet.kindOf[w]];
+        return kind > 0 ? Math.max(fleet.slots[w], Math.rint(0.8 * kind)) : Math.max(1, Math.rint(fleet.size[w]));
     }
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
     private double pace(int w) {
         double lean = 16 * mixWork;
-        double kind = kindPace(kindOf[w]);
-        return (workDone[w] + lean * kind) / (runTime[w] + lean) * warmth(w) / unit;
+        double kind = kindPace(fleet.kindOf[w]);
+        return (fleet.workDone[w] + lean * kind) / (fleet.runTime[w] + lean) * warmth(w) / unit;
     }
 
     private double kindPace(int k) {
         double lean = 16 * mixWork;
-        return (kindWork[k] + lean) / (kindRun[k] + lean);
+        return (fleet.kindWork[k] + lean) / (fleet.kindRun[k] + lean);
     }
 
     private double warmth(int w) {
-        double age = now - startedAt[w];
-        return age >= warmWithin || age < 0 && startedAt[w] <= 0 ? 1
+        double age = now - fleet.startedAt[w];
+        return age >= warmWithin || age < 0 && fleet.startedAt[w] <= 0 ? 1
             : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
     }
 
@@ -724,7 +694,7 @@
 
     private double trust(int w) {
         double t = 1 - failNow(w);
-        Assignment a = oldest[w];
+        Assignment a = fleet.oldest[w];
         if (a != null) {
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
             t = late > 1 ? t / late : t;
@@ -733,7 +703,7 @@
     }
 
     private double failNow(int w) {
-        return fail[w] * Math.exp(-(now - failAt[w]) / (SAMPLES * tick * 20));
+        return fleet.fail[w] * Math.exp(-(now - fleet.failAt[w]) / (SAMPLES * tick * 20));
     }
 
     private void judge(Assignment a, Outcome how) {
@@ -741,8 +711,8 @@
         double f = failNow(w);
         switch (how) {
             case OK -> {
-                fail[w] = f * 0.8;
-                shunSpan[w] = 0;
+                fleet.fail[w] = f * 0.8;
+                fleet.shunSpan[w] = 0;
                 learnRun(a);
                 late += ((now > a.task.due ? 1 : 0) - late) / SAMPLES;
                 if (waitsUnseen()) {
@@ -750,18 +720,24 @@
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
                 }
             }
-            case ERROR, RESET -> fail[w] = f + 0.3 * (1 - f);
+            case ERROR, RESET -> fleet.fail[w] = f + 0.3 * (1 - f);
             case FULL, UNREACHABLE -> {
-                fail[w] = f;
+                fleet.fail[w] = f;
                 if (tellsStart && how == Outcome.FULL) {
                     count(w, a.region, K - 1, 1);
                 }
-                shunSpan[w] = Math.min(Math.max(mixWork, 2 * shunSpan[w]), 16 * mixWork);
-                shunUntil[w] = now + shunSpan[w];
+                fleet.shunSpan[w] = Math.min(Math.max(mixWork, 2 * fleet.shunSpan[w]), 16 * mixWork);
+                fleet.shunUntil[w] = now + fleet.shunSpan[w];
             }
-            default -> fail[w] = f;
+            default -> fleet.fail[w] = f;
+        }
+        fleet.failAt[w] = now;
+        if (byPriority) {
+            fleet.mixRun[w][how == Outcome.FULL ? 0 : bin(a.run)]++;
+            fleet.mixProfile[w][a.task.profile.index]++;
+            halve(fleet.mixRun[w], SAMPLES);
+            halve(fleet.mixProfile[w], SAMPLES);
         }
-        failAt[w] = now;
     }
 
     /** Learns speed and work from a running time: told from the start note, else from sends believed to meet no wait. */
@@ -772,13 +748,13 @@
         }
         double run = Math.max(tick, now - (told ? a.startedAt : a.sentAt));
         int w = a.worker;
-        int k = kindOf[w];
+        int k = fleet.kindOf[w];
         int p = a.task.profile.index;
         double warm = warmth(w);
         if (a.task.hint <= 0) {
             // Without hints only the workers' relation can be seen: the fastest kind counts as the standard core.
             unit = 0;
-            for (int i = 0; i < kindWork.length; i++) {
+            for (int i = 0; i < fleet.kindWork.length; i++) {
                 unit = Math.max(unit, kindPace(i));
             }
             double n = Math.min(++profileSeen[p] + 8, 4 * SAMPLES);
@@ -791,11 +767,11 @@
             learnHint(p, a.task.hint, run * pace(w));
         }
         double keep = 1 - 2.0 / SAMPLES;
-        workDone[w] = workDone[w] * keep + a.task.work;
-        runTime[w] = runTime[w] * keep + run * warm;
+        fleet.workDone[w] = fleet.workDone[w] * keep + a.task.work;
+        fleet.runTime[w] = fleet.runTime[w] * keep + run * warm;
         keep = 1 - 1.0 / (8 * SAMPLES);
-        kindWork[k] = kindWork[k] * keep + a.task.work;
-        kindRun[k] = kindRun[k] * keep + run * warm;
+        fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
+        fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
     }
 
     // ---- Reports ----
@@ -804,16 +780,17 @@
         if (r == null) {
             return;
         }
-        double[] last = lastReport[w];
-        answeredAt[w] = now;
-        if (Arrays.equals(r, last) && now - heardAt[w] < 4 * mixWork) {
+        double[] last = fleet.lastReport[w];
+        fleet.answeredAt[w] = now;
+        if (Arrays.equals(r, last) && now - fleet.heardAt[w] < 4 * mixWork) {
             return;
         }
         System.arraycopy(r, 0, last, 0, r.length);
         if (r[Report.FREE_SLOTS] >= 0 && r[Report.FREE_SLOTS] < 1e6) {
-            slots[w] = Math.max(slots[w], Math.rint(r[Report.FREE_SLOTS]));
-            kindSlots[kindOf[w]] = Math.max(kindSlots[kindOf[w]], slots[w]);
+            fleet.slots[w] = Math.max(fleet.slots[w], Math.rint(r[Report.FREE_SLOTS]));
+            fleet.kindSlots[fleet.kindOf[w]] = Math.max(fleet.kindSlots[fleet.kindOf[w]], fleet.slots[w]);
         }
+        fleet.reportedRate[w] = r[Report.RATE];
         double n = jobs(w, r);
         if (Double.isNaN(n)) {
             return;
@@ -836,17 +813,17 @@
 
     private void heard(int w, double n) {
         smoothOwn(w);
-        heardAt[w] = now;
-        double before = others[w];
-        others[w] = Math.max(0, n - ownSmooth[w]);
+        fleet.heardAt[w] = now;
+        double before = fleet.others[w];
+        fleet.others[w] = Math.max(0, n - fleet.ownSmooth[w]);
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
-            others[w] = Math.max(others[w], 0.8 * before);
+            fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
         }
-        meanOthers += (others[w] / slotsOf(w) - meanOthers) / SAMPLES;
-        int k = region(load(w, others[w]));
+        meanOthers += (fleet.others[w] / slotsOf(w) - meanOthers) / SAMPLES;
+        int k = region(load(w, fleet.others[w]));
         for (int i = 0; i < K; i++) {
-            count(w, i, k, sentIn[w][i]);
-            sentIn[w][i] = 0;
+            count(w, i, k, fleet.sentIn[w][i]);
+            fleet.sentIn[w][i] = 0;
         }
     }
 
@@ -858,9 +835,9 @@
     /** Counts pairs of the region believed at a send and the one reported next, or told by the wait it met. */
     private void count(int w, int believed, int told, int times) {
         if (times > 0) {
-            pairs[w][believed][told] += times;
+            fleet.pairs[w][believed][told] += times;
             pool[believed][told] += times;
-            halve(pairs[w][believed], SAMPLES);
+            halve(fleet.pairs[w][believed], SAMPLES);
             halve(pool[believed], 8 * SAMPLES);
         }
     }
@@ -897,24 +874,47 @@
     // ---- X: later work that runs first, on priority workers ----
 
     private int bin(double run) {
-        return Math.min(BINS - 1, Math.max(1, (int) Math.rint(run / mixWork * BINS_PER_RUN)));
+        return Math.min(BINS, Math.max(1, (int) Math.rint(run / mixWork * BINS_PER_RUN)));
     }
 
-    private double notOvertaken(int w, int prio, double k, double x) {
-        return 1;
+    /** P(X at most x given a wait of k), from a table that is renewed every T_p. */
+    private double notOvertaken(int w, Profile p, int region, double wait, double x) {
+        if (wait <= 0) {
+            return 1;
+        }
+        if (fleet.overtaken[w] == null || now >= fleet.overtakenAt[w] + period()) {
+            fleet.overtaken[w] = fleet.overtaken[w] == null ? new double[profiles.length][K][BINS + 1] : fleet.overtaken[w];
+            fleet.overtakenAt[w] = now;
+            double[] run = new double[BINS + 1];
+            double all = sum(fleet.mixRun[w]) + BINS + 1;
+            for (int i = 0; i <= BINS; i++) {
+                run[i] = (fleet.mixRun[w][i] + 1) / all;
+            }
+            for (Profile q : profiles) {
+                double higher = 0;
+                for (Profile o : profiles) {
+                    higher += o.prio > q.prio ? fleet.mixProfile[w][o.index] + 1 : 0;
+                }
+                double rate = sane(fleet.reportedRate[w]) ? fleet.reportedRate[w] / 1000 : sendRate(w, 0) * dispatchers;
+                double lambda = rate * higher / (sum(fleet.mixProfile[w]) + profiles.length) / slotsOf(w);
+                for (int k = 0; k < K; k++) {
+                    int bins = Math.max(1, bin(waitAt(w, k)));
+                    busyPeriods(bins, lambda * mixWork / BINS_PER_RUN, run, fleet.overtaken[w][q.index][k]);
+                }
+            }
+        }
+        double[] within = fleet.overtaken[w][p.index][region];
+        return within[Math.min(BINS, (int) (x / mixWork * BINS_PER_RUN))];
     }
 
     /**
-     * P(X at most x given k) in bins: a Poisson number of busy periods at lambda. Their sum has the known form
-     * P(X = y) = k / (k + y) times P(compound Poisson work over k + y = y), which Panjer's recursion gives.
+     * Fills in P(X at most x given k) for each x, in bins: a Poisson number of busy periods at lambda. Their sum has a
+     * known form, P(X = y) = k / (k + y) P(compound Poisson work over k + y = y), which Panjer's recursion gives.
      */
-    static double withinBusyPeriods(int k, int x, double lambda, double[] run) {
-        if (k == 0 || lambda <= 0) {
-            return 1;
-        }
+    static void busyPeriods(int k, double lambda, double[] run, double[] within) {
         double sum = 0;
-        double[] f = new double[x + 1];
-        for (int y = 0; y <= x; y++) {
+        double[] f = new double[within.length];
+        for (int y = 0; y < within.length; y++) {
             double mean = lambda * (k + y);
             f[0] = Math.exp(-mean * (1 - run[0]));
             for (int i = 1; i <= y; i++) {
@@ -925,14 +925,22 @@
                 f[i] = mean / i * s;
             }
             sum += f[y] * k / (k + y);
+            within[y] = Math.min(1, sum);
         }
-        return Math.min(1, sum);
+    }
+
+    /** Our sends to the worker a millisecond, counting so many more now. */
+    private double sendRate(int w, int more) {
+        double span = SAMPLES * mixWork;
+        fleet.sendRate[w] = fleet.sendRate[w] * Math.exp((fleet.rateAt[w] - now) / span) + more / span;
+        fleet.rateAt[w] = now;
+        return fleet.sendRate[w];
     }
 
     // ---- The cold budget ----
 
     private boolean inBudget(int w, double work) {
-        if (warmth(w) >= 1 && !Double.isNaN(heardAt[w])) {
+        if (warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
             return true;
         }
         return coldLevelNow(w) + work <= budget(w) / 2;
@@ -944,12 +952,12 @@
     }
 
     private double coldLevelNow(int w) {
-        return Math.max(0, coldLevel[w] - (now - coldAt[w]) * budget(w) / 2 / budgetSpan);
+        return Math.max(0, fleet.coldLevel[w] - (now - fleet.coldAt[w]) * budget(w) / 2 / budgetSpan);
     }
 
     private void spend(int w, double work) {
-        coldLevel[w] = coldLevelNow(w) + work;
-        coldAt[w] = now;
+        fleet.coldLevel[w] = coldLevelNow(w) + work;
+        fleet.coldAt[w] = now;
     }
 
     // ---- Tenants ----
@@ -973,27 +981,27 @@
     private void link(Assignment a) {
         int w = a.worker;
         smoothOwn(w);
-        own[w] += a.task.width;
-        a.before = newest[w];
-        if (newest[w] == null) {
-            oldest[w] = a;
+        fleet.own[w] += a.task.width;
+        a.before = fleet.newest[w];
+        if (fleet.newest[w] == null) {
+            fleet.oldest[w] = a;
         } else {
-            newest[w].after = a;
+            fleet.newest[w].after = a;
         }
-        newest[w] = a;
+        fleet.newest[w] = a;
     }
 
     private void unlink(Assignment a) {
         int w = a.worker;
         smoothOwn(w);
-        own[w] = Math.max(0, own[w] - a.task.width);
+        fleet.own[w] = Math.max(0, fleet.own[w] - a.task.width);
         if (a.before == null) {
-            oldest[w] = a.after;
+            fleet.oldest[w] = a.after;
         } else {
             a.before.after = a.after;
         }
         if (a.after == null) {
-            newest[w] = a.before;
+            fleet.newest[w] = a.before;
         } else {
             a.after.before = a.before;
         }
@@ -1003,56 +1011,8 @@
 
     /** A report is about this old when it comes, so own sends are taken off it as they were on average then. */
     private void smoothOwn(int w) {
-        double past = 1 - Math.exp(-(now - ownAt[w]) / (2 * mixWork));
-        ownSmooth[w] += (own[w] - ownSmooth[w]) * past;
-        ownAt[w] = now;
-    }
-
-    private void grow(int w, int kind) {
-        if (kind >= kindSlots.length) {
-            kindSlots = Arrays.copyOf(kindSlots, kind + 1);
-            kindWork = Arrays.copyOf(kindWork, kind + 1);
-            kindRun = Arrays.copyOf(kindRun, kind + 1);
-        }
-        if (w >= state.length) {
-            int n = 2 * w;
-            state = Arrays.copyOf(state, n);
-            zoneOf = Arrays.copyOf(zoneOf, n);
-            kindOf = Arrays.copyOf(kindOf, n);
-            cellOf = Arrays.copyOf(cellOf, n);
-            named = Arrays.copyOf(named, n);
-            probing = Arrays.copyOf(probing, n);
-            startedAt = Arrays.copyOf(startedAt, n);
-            size = Arrays.copyOf(size, n);
-            slots = Arrays.copyOf(slots, n);
-            own = Arrays.copyOf(own, n);
-            ownSmooth = Arrays.copyOf(ownSmooth, n);
-            ownAt = Arrays.copyOf(ownAt, n);
-            others = Arrays.copyOf(others, n);
-            heardAt = Arrays.copyOf(heardAt, n);
-            workDone = Arrays.copyOf(workDone, n);
-            runTime = Arrays.copyOf(runTime, n);
-            fail = Arrays.copyOf(fail, n);
-            failAt = Arrays.copyOf(failAt, n);
-            shunUntil = Arrays.copyOf(shunUntil, n);
-            shunSpan = Arrays.copyOf(shunSpan, n);
-            coldLevel = Arrays.copyOf(coldLevel, n);
-            coldAt = Arrays.copyOf(coldAt, n);
-            probedAt = Arrays.copyOf(probedAt, n);
-            answeredAt = Arrays.copyOf(answeredAt, n);
-            value = Arrays.copyOf(value, n);
-            lastReport = Arrays.copyOf(lastReport, n);
-            pairs = Arrays.copyOf(pairs, n);
-            sentIn = Arrays.copyOf(sentIn, n);
-            oldest = Arrays.copyOf(oldest, n);
-            newest = Arrays.copyOf(newest, n);
-        }
-        for (; workers <= w; workers++) {
-            lastReport[workers] = new double[Report.SIZE];
-            sentIn[workers] = new int[K];
-            pairs[workers] = new double[K][K];
-            heardAt[workers] = Double.NaN;
-            probedAt[workers] = Double.NEGATIVE_INFINITY;
-        }
+        double past = 1 - Math.exp(-(now - fleet.ownAt[w]) / (2 * mixWork));
+        fleet.ownSmooth[w] += (fleet.own[w] - fleet.ownSmooth[w]) * past;
+        fleet.ownAt[w] = now;
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -0,0 +1,136 @@
+package gingerspool.dispatch;
+
+import java.util.Arrays;
+
+/** What a Dispatcher knows of each worker, in parallel arrays under a dense index. No decisions here. */
+final class Workers {
+    private static final int ROOM = 32;
+
+    int count;
+    /** GONE, DRAINING or RUNNING. */
+    int[] state = new int[ROOM];
+    int[] zoneOf = new int[ROOM];
+    int[] kindOf = new int[ROOM];
+    int[] cellOf = new int[ROOM];
+    boolean[] named = new boolean[ROOM];
+    boolean[] probing = new boolean[ROOM];
+    double[] startedAt = new double[ROOM];
+    /** What the list says of its size, 0 if nothing. */
+    double[] size = new double[ROOM];
+    double[] slots = new double[ROOM];
+    /** Our unfinished sends, in slots, now and smoothed over about a report's age. */
+    double[] own = new double[ROOM];
+    double[] ownSmooth = new double[ROOM];
+    double[] ownAt = new double[ROOM];
+    /** Jobs of others, as last heard. */
+    double[] others = new double[ROOM];
+    /** When load was last heard; NaN: never. */
+    double[] heardAt = new double[ROOM];
+    /** Work done and running time taken, over the last jobs. */
+    double[] workDone = new double[ROOM];
+    double[] runTime = new double[ROOM];
+    /** Share of errors lately, and when it was set. */
+    double[] fail = new double[ROOM];
+    double[] failAt = new double[ROOM];
+    double[] shunUntil = new double[ROOM];
+    double[] shunSpan = new double[ROOM];
+    /** Work counted against the cold budget, and when. */
+    double[] coldLevel = new double[ROOM];
+    double[] coldAt = new double[ROOM];
+    double[] probedAt = new double[ROOM];
+    double[] answeredAt = new double[ROOM];
+    double[] value = new double[ROOM];
+    double[][] lastReport = new double[ROOM][];
+    /** Counts of the region believed at a send against the one told. */
+    double[][][] pairs = new double[ROOM][][];
+    /** Sends by believed region that wait for the next report. */
+    int[][] sentIn = new int[ROOM][];
+    double[] sendRate = new double[ROOM];
+    double[] rateAt = new double[ROOM];
+    double[] reportedRate = new double[ROOM];
+    double[] overtakenAt = new double[ROOM];
+    /** Mixes of running times (in bins) and profiles over the last jobs there. */
+    double[][] mixRun = new double[ROOM][];
+    double[][] mixProfile = new double[ROOM][];
+    /** Tables of X: by profile, region and bin. */
+    double[][][][] overtaken = new double[ROOM][][][];
+    /** Ends of the list of unfinished sends, in order of sending. */
+    Assignment[] oldest = new Assignment[ROOM];
+    Assignment[] newest = new Assignment[ROOM];
+    /** The same by machine kind: slots at most, work done and running time. */
+    double[] kindSlots = new double[0];
+    double[] kindWork = new double[0];
+    double[] kindRun = new double[0];
+
+    private final int regions;
+    private final int bins;
+    private final int profiles;
+
+    Workers(int regions, int bins, int profiles) {
+        this.regions = regions;
+        this.bins = bins;
+        this.profiles = profiles;
+    }
+
+    /** Makes room for this worker and this kind. */
+    void reach(int w, int kind) {
+        if (kind >= kindSlots.length) {
+            kindSlots = Arrays.copyOf(kindSlots, kind + 1);
+            kindWork = Arrays.copyOf(kindWork, kind + 1);
+            kindRun = Arrays.copyOf(kindRun, kind + 1);
+        }
+        if (w >= state.length) {
+            widen(2 * w);
+        }
+        for (; count <= w; count++) {
+            lastReport[count] = new double[Report.SIZE];
+            sentIn[count] = new int[regions];
+            pairs[count] = new double[regions][regions];
+            mixRun[count] = new double[bins];
+            mixProfile[count] = new double[profiles];
+            reportedRate[count] = Double.NaN;
+            heardAt[count] = Double.NaN;
+            probedAt[count] = Double.NEGATIVE_INFINITY;
+        }
+    }
+
+    private void widen(int n) {
+        state = Arrays.copyOf(state, n);
+        zoneOf = Arrays.copyOf(zoneOf, n);
+        kindOf = Arrays.copyOf(kindOf, n);
+        cellOf = Arrays.copyOf(cellOf, n);
+        named = Arrays.copyOf(named, n);
+        probing = Arrays.copyOf(probing, n);
+        startedAt = Arrays.copyOf(startedAt, n);
+        size = Arrays.copyOf(size, n);
+        slots = Arrays.copyOf(slots, n);
+        own = Arrays.copyOf(own, n);
+        ownSmooth = Arrays.copyOf(ownSmooth, n);
+        ownAt = Arrays.copyOf(ownAt, n);
+        others = Arrays.copyOf(others, n);
+        heardAt = Arrays.copyOf(heardAt, n);
+        workDone = Arrays.copyOf(workDone, n);
+        runTime = Arrays.copyOf(runTime, n);
+        fail = Arrays.copyOf(fail, n);
+        failAt = Arrays.copyOf(failAt, n);
+        shunUntil = Arrays.copyOf(shunUntil, n);
+        shunSpan = Arrays.copyOf(shunSpan, n);
+        coldLevel = Arrays.copyOf(coldLevel, n);
+        coldAt = Arrays.copyOf(coldAt, n);
+        probedAt = Arrays.copyOf(probedAt, n);
+        answeredAt = Arrays.copyOf(answeredAt, n);
+        value = Arrays.copyOf(value, n);
+        lastReport = Arrays.copyOf(lastReport, n);
+        pairs = Arrays.copyOf(pairs, n);
+        sentIn = Arrays.copyOf(sentIn, n);
+        sendRate = Arrays.copyOf(sendRate, n);
+        rateAt = Arrays.copyOf(rateAt, n);
+        reportedRate = Arrays.copyOf(reportedRate, n);
+        overtakenAt = Arrays.copyOf(overtakenAt, n);
+        mixRun = Arrays.copyOf(mixRun, n);
+        mixProfile = Arrays.copyOf(mixProfile, n);
+        overtaken = Arrays.copyOf(overtaken, n);
+        oldest = Arrays.copyOf(oldest, n);
+        newest = Arrays.copyOf(newest, n);
+    }
+}
