Tests of the module and the wire host; outcomes that prove a task never ran count again

A test showed that 'full' and 'unreachable' were read as may-have-run for the last assignment, so side-effecting tasks were abandoned instead of sent again, and that a start time of 0 was taken as cold at a small clock.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -8,9 +8,9 @@
 
 /**
  * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that
- * carries the time (listed, arrived, ended, started, probed, wake ...), and it acts through Outlet, nowhere else.
- * After every input the rules below are gone through in order until none fires. Workers are dense indexes given
- * by the caller; tasks and assignments are objects. Times are milliseconds. docs/design.md tells the mechanism.
+ * carries the time (listed, arrived, ended, started, probed, wake ...), and it acts only through Outlet.
+ * After every input the rules below are gone through in order until none fires. Workers are dense indexes
+ * given by the caller; tasks and assignments are objects. Times are milliseconds. See docs/design.md.
  */
 public final class Dispatcher {
     public static final int GONE = 0;
@@ -176,7 +176,8 @@
     }
 
     /** One entry of the list; the state is GONE, DRAINING or RUNNING. */
-    public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize, double started) {
+    public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize,
+            double started) {
         fleet.reach(w, ofKind);
         boolean again = started > fleet.startedAt[w];
         fleet.named[w] = true;
@@ -236,7 +237,7 @@
         settle();
     }
 
-    /** Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs have shown. */
+    /** Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs show. */
     private double fromHint(int p, double hint) {
         double n = Math.min(++hintsSeen[p], 4 * SAMPLES);
         double x = Math.log(hint);
@@ -271,13 +272,13 @@
             a.task.out--;
         }
         Task t = a.task;
-        if (t.ran == a && how.neverRan()) {
+        a.neverRan = how.neverRan();
+        if (t.ran == a && a.neverRan) {
             t.ran = null;
             for (int i = t.tries - 1; i >= 0; i--) {
-                t.ran = t.sent[i].over && t.sent[i].neverRan ? t.ran : t.sent[i];
+                t.ran = t.sent[i].neverRan ? t.ran : t.sent[i];
             }
         }
-        a.neverRan = how.neverRan();
         judge(a, how);
         reported(a.worker, report);
         if (over) {
@@ -565,10 +566,10 @@
     }
 
     /**
-     * The design's score: the sum over k up to l of P(X at most l - k) p(k given O). Departure: the running time is
-     * only expected, so the score is the mean over some of its likely values, each with the l that it gives.
+     * The design's score: the sum over k up to l of P(X at most l - k) p(k given O). Departure: the running
+     * time is only expected, so the score is the mean over likely values of it, each with its own l.
      */
-    private double inTime(Task t, int w) {
+    double inTime(Task t, int w) {
         int r = regionOf(w);
         double left = Math.min(t.due, t.expiry) - now;
         double pace = pace(w);
@@ -597,10 +598,11 @@
         return fits / all;
     }
 
-    /** The others' jobs there: what was heard fades to the others' mean as it ages, an unheard worker's is the mean. */
-    private double othersNow(int w) {
+    /** The others' jobs there: what was heard fades to their mean as it ages; unheard, it is the mean. */
+    double othersNow(int w) {
         double mean = meanOthers * slotsOf(w);
-        return Double.isNaN(fleet.heardAt[w]) ? mean : mean + (fleet.others[w] - mean) * Math.exp((fleet.heardAt[w] - now) / fadeSpan());
+        double fresh = Double.isNaN(fleet.heardAt[w]) ? 0 : Math.exp((fleet.heardAt[w] - now) / fadeSpan());
+        return mean + (fleet.others[w] - mean) * fresh;
     }
 
     private double fadeSpan() {
@@ -608,7 +610,7 @@
     }
 
     /** O: the work believed ahead of a new job at the worker, as a region. */
-    private int regionOf(int w) {
+    int regionOf(int w) {
         double load = load(w, othersNow(w));
         for (Assignment a = tellsStart ? fleet.oldest[w] : null; a != null; a = a.after) {
             if (Double.isNaN(a.startedAt)) {
@@ -620,11 +622,11 @@
     }
 
     /**
-     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean running time: below
-     * 1 the share of busy slots, from 1 on the wait in mean running times. The next slot falls free as the first of
-     * the running jobs ends; what waits is shared by the slots whose jobs end within a mean running time.
+     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean running
+     * time: below 1 the share of busy slots, from 1 on the wait in mean running times. The next slot is free
+     * as the first running job ends; what waits is shared by slots whose jobs end within a mean running time.
      */
-    private double load(int w, double ofOthers) {
+    double load(int w, double ofOthers) {
         double n = slotsOf(w);
         double mean = mixWork / pace(w);
         double busy = Math.min(n, ofOthers);
@@ -641,10 +643,11 @@
                 queue += rest;
             }
         }
-        return queue == 0 && busy + 1 <= n ? busy / n : 1 + (1 / ending + queue / Math.max(0.25, turning)) / mean;
+        return queue == 0 && busy + 1 <= n ? busy / n
+            : 1 + (1 / ending + queue / Math.max(0.25, turning)) / mean;
     }
 
-    /** Running time still expected of an assignment: a job without a hint hardly gets nearer its end by running. */
+    /** Running time still expected: a job without a hint hardly gets nearer its end by running. */
     private double rest(Assignment a) {
         double since = Double.isNaN(a.startedAt) ? a.sentAt + a.wait : a.startedAt;
         return Math.max(a.run - Math.max(0, now - since), a.run * (a.task.hint > 0 ? 0.25 : 0.75));
@@ -667,13 +670,14 @@
         return mixWork / pace(w) * (mid - 1);
     }
 
-    private double slotsOf(int w) {
+    double slotsOf(int w) {
         double kind = fleet.kindSlots[fleet.kindOf[w]];
-        return kind > 0 ? Math.max(fleet.slots[w], Math.rint(0.8 * kind)) : Math.max(1, Math.rint(fleet.size[w]));
+        return kind > 0 ? Math.max(fleet.slots[w], Math.rint(0.8 * kind))
+            : Math.max(1, Math.rint(fleet.size[w]));
     }
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
-    private double pace(int w) {
+    double pace(int w) {
         double lean = 16 * mixWork;
         double kind = kindPace(fleet.kindOf[w]);
         return (fleet.workDone[w] + lean * kind) / (fleet.runTime[w] + lean) * warmth(w) / unit;
@@ -686,7 +690,7 @@
 
     private double warmth(int w) {
         double age = now - fleet.startedAt[w];
-        return age >= warmWithin || age < 0 && fleet.startedAt[w] <= 0 ? 1
+        return age >= warmWithin || fleet.startedAt[w] <= 0 ? 1
             : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
     }
 
@@ -740,7 +744,7 @@
         }
     }
 
-    /** Learns speed and work from a running time: told from the start note, else from sends believed to meet no wait. */
+    /** Learns speed and work from a running time: by the start note, else by sends that met a free slot. */
     private void learnRun(Assignment a) {
         boolean told = !Double.isNaN(a.startedAt);
         if (!told && (tellsStart || !a.metFree)) {
@@ -752,7 +756,7 @@
         int p = a.task.profile.index;
         double warm = warmth(w);
         if (a.task.hint <= 0) {
-            // Without hints only the workers' relation can be seen: the fastest kind counts as the standard core.
+            // Without hints only the workers' relation can be seen: the fastest kind is the standard core.
             unit = 0;
             for (int i = 0; i < fleet.kindWork.length; i++) {
                 unit = Math.max(unit, kindPace(i));
@@ -827,13 +831,13 @@
         }
     }
 
-    /** Guards against queues that neither reports nor start notes show: there, how late answers come is counted. */
+    /** Guards against queues that neither reports nor start notes show: there, lateness is counted. */
     private boolean waitsUnseen() {
         return !tellsStart && !reportsQueue;
     }
 
-    /** Counts pairs of the region believed at a send and the one reported next, or told by the wait it met. */
-    private void count(int w, int believed, int told, int times) {
+    /** Counts pairs of the region believed at a send and the one reported next, or told by its wait. */
+    void count(int w, int believed, int told, int times) {
         if (times > 0) {
             fleet.pairs[w][believed][told] += times;
             pool[believed][told] += times;
@@ -842,7 +846,7 @@
         }
     }
 
-    /** Jobs at the worker as its report has them: waiting and in flight, else busy slots, else utilisation. */
+    /** Jobs at the worker as reported: waiting and in flight, else busy slots, else utilisation. */
     private double jobs(int w, double[] r) {
         reportsQueue |= sane(r[Report.QUEUE]) || sane(r[Report.IN_FLIGHT]);
         double busy = sane(r[Report.IN_FLIGHT]) ? r[Report.IN_FLIGHT]
@@ -883,7 +887,9 @@
             return 1;
         }
         if (fleet.overtaken[w] == null || now >= fleet.overtakenAt[w] + period()) {
-            fleet.overtaken[w] = fleet.overtaken[w] == null ? new double[profiles.length][K][BINS + 1] : fleet.overtaken[w];
+            if (fleet.overtaken[w] == null) {
+                fleet.overtaken[w] = new double[profiles.length][K][BINS + 1];
+            }
             fleet.overtakenAt[w] = now;
             double[] run = new double[BINS + 1];
             double all = sum(fleet.mixRun[w]) + BINS + 1;
@@ -895,7 +901,8 @@
                 for (Profile o : profiles) {
                     higher += o.prio > q.prio ? fleet.mixProfile[w][o.index] + 1 : 0;
                 }
-                double rate = sane(fleet.reportedRate[w]) ? fleet.reportedRate[w] / 1000 : sendRate(w, 0) * dispatchers;
+                double rate = sane(fleet.reportedRate[w]) ? fleet.reportedRate[w] / 1000
+                    : sendRate(w, 0) * dispatchers;
                 double lambda = rate * higher / (sum(fleet.mixProfile[w]) + profiles.length) / slotsOf(w);
                 for (int k = 0; k < K; k++) {
                     int bins = Math.max(1, bin(waitAt(w, k)));
@@ -908,8 +915,8 @@
     }
 
     /**
-     * Fills in P(X at most x given k) for each x, in bins: a Poisson number of busy periods at lambda. Their sum has a
-     * known form, P(X = y) = k / (k + y) P(compound Poisson work over k + y = y), which Panjer's recursion gives.
+     * Fills in P(X at most x given k) for each x, in bins: a Poisson number of busy periods at lambda. Their
+     * sum has a known form: P(X = y) = k / (k + y) P(compound Poisson work over k + y = y).
      */
     static void busyPeriods(int k, double lambda, double[] run, double[] within) {
         double sum = 0;
@@ -939,16 +946,16 @@
 
     // ---- The cold budget ----
 
-    private boolean inBudget(int w, double work) {
-        if (warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
+    boolean inBudget(int w, double work) {
+        if (budgetSpan <= 0 || warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
             return true;
         }
         return coldLevelNow(w) + work <= budget(w) / 2;
     }
 
-    /** Work that we may send a cold worker in one window. Half may go at once, half refills over the window. */
+    /** Work that we may send a cold worker in one window: half at once, half refills over the window. */
     private double budget(int w) {
-        return budgetShare * warmth(w) * slotsOf(w) * pace(w) / warmth(w);
+        return budgetShare * slotsOf(w) * pace(w);
     }
 
     private double coldLevelNow(int w) {
@@ -963,7 +970,7 @@
     // ---- Tenants ----
 
     /** What the task's utility is cut to when its tenant is beyond its allowance, in expectation. */
-    private double withinShare(Task t) {
+    double withinShare(Task t) {
         if (t.tenant < 0) {
             return 1;
         }
@@ -1009,7 +1016,7 @@
         a.after = null;
     }
 
-    /** A report is about this old when it comes, so own sends are taken off it as they were on average then. */
+    /** A report is old when it comes, so own sends are taken off it as they were on average then. */
     private void smoothOwn(int w) {
         double past = 1 - Math.exp(-(now - fleet.ownAt[w]) / (2 * mixWork));
         fleet.ownSmooth[w] += (fleet.own[w] - fleet.ownSmooth[w]) * past;
--- a/src/main/java/gingerspool/simhost/Fields.java
+++ b/src/main/java/gingerspool/simhost/Fields.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The fields of the line being read, under their wire names. One is reused for every event but CONFIGURE and PAGE. */
+/** The fields of the line being read, under their wire names; one is reused for all lines. */
 final class Fields {
     private String[] names = new String[24];
     private Object[] texts = new Object[24];
@@ -47,7 +47,7 @@
         }
     }
 
-    /** A whole JSON value as maps, lists, text, numbers and marks; for settings and lists, which come seldom. */
+    /** A whole JSON value as maps, lists, text, numbers and marks; for what comes seldom. */
     static Object tree(JsonParser in) throws IOException {
         switch (in.currentToken()) {
             case START_OBJECT -> {
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -9,8 +9,10 @@
 import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** One scheduler of the simulator: a Dispatcher, and the names under which the wire knows what it holds. */
@@ -53,7 +55,7 @@
             case "load_share" -> Report.UTILISATION;
             case "tps" -> Report.RATE;
             case "err_ps" -> Report.ERRORS;
-            case "x0", "x1" -> switch (Tree.text("", settings, "specifics", name.equals("x0") ? "reportX0" : "reportX1")) {
+            case "x0", "x1" -> switch (meaning(name, settings)) {
                 case "free slots" -> Report.FREE_SLOTS;
                 case "free memory" -> Report.FREE_MEMORY;
                 default -> -1;
@@ -62,6 +64,10 @@
         };
     }
 
+    private static String meaning(String name, Object settings) {
+        return Tree.text("", settings, "specifics", "report" + name.toUpperCase(Locale.ROOT));
+    }
+
     private void readNames(Object settings, Settings s) {
         for (Object z : Tree.list(settings, "localities")) {
             zones.putIfAbsent(String.valueOf(z), zones.size());
@@ -298,7 +304,7 @@
         if (metrics == null) {
             return null;
         }
-        java.util.Arrays.fill(report, Double.NaN);
+        Arrays.fill(report, Double.NaN);
         for (int i = 0; i < reportPlace.length; i++) {
             if (reportPlace[i] >= 0) {
                 report[reportPlace[i]] = Tree.number(Double.NaN, metrics, reportNames[i]);
@@ -370,7 +376,8 @@
     @Override
     public void wakeAfter(double span) {
         line("NOTIFY_ME");
-        reply.append(",\"spanMs\":").append(Math.max(0.001, Math.rint(span * 1000) / 1000)).append(",\"cookie\":0");
+        span("spanMs", Math.max(0.001, span));
+        reply.append(",\"cookie\":0");
         end();
     }
 }
--- a/src/main/java/gingerspool/simhost/SimHost.java
+++ b/src/main/java/gingerspool/simhost/SimHost.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Speaks the simulator's wire: batches of events in, a reply for each, and a Dispatcher for each instance between. */
+/** Speaks the simulator's wire: batches of events in, a reply to each, a Dispatcher for each instance. */
 public final class SimHost {
     private static final int PAGES = 16;
 
@@ -90,7 +90,8 @@
     private void handle() throws WireException {
         if (event.equals("PAGE")) {
             double page = fields.numberOr("page", 0);
-            if (page < 0 || page >= PAGES || !(fields.valueOr("nodesList", List.of()) instanceof List<?> entries)) {
+            Object list = fields.valueOr("nodesList", List.of());
+            if (page < 0 || page >= PAGES || !(list instanceof List<?> entries)) {
                 throw new WireException("page or nodesList is out of shape");
             }
             pages[(int) page] = entries;
@@ -123,7 +124,8 @@
             instance.event(event, at, fields, pages);
         } catch (RuntimeException e) {
             StackTraceElement[] where = e.getStackTrace();
-            fault(id, "the decision code broke at " + event + ": " + e + (where.length > 0 ? " at " + where[0] : ""));
+            fault(id, "the decision code broke at " + event + ": " + e
+                + (where.length > 0 ? " at " + where[0] : ""));
         }
     }
 
--- a/src/main/java/gingerspool/simhost/Tree.java
+++ b/src/main/java/gingerspool/simhost/Tree.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Looks into a tree of maps and lists that came as JSON; what is absent or of another sort gives the fallback. */
+/** Looks into maps and lists that came as JSON; what is absent or of another sort gives the fallback. */
 final class Tree {
     private Tree() { }
 
--- /dev/null
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -0,0 +1,126 @@
+package gingerspool.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Builds the states that the tests need and writes down what a Dispatcher does. */
+final class Bench implements Outlet {
+    final List<String> acts = new ArrayList<>();
+    final List<Assignment> sent = new ArrayList<>();
+    final Settings settings = new Settings();
+    Dispatcher d;
+
+    /** Two slots a worker, three dispatchers, one profile of this effect: due 100 + 2 x work, expiry 5000. */
+    static Bench of(Profile.Effect... effects) {
+        Bench b = new Bench();
+        b.settings.profiles = new Profile[effects.length];
+        for (int i = 0; i < effects.length; i++) {
+            Profile p = new Profile();
+            p.index = i;
+            p.dueTime = 100;
+            p.stretch = 2;
+            p.expiry = 5000;
+            p.window = 1000;
+            p.effect = effects[i];
+            b.settings.profiles[i] = p;
+        }
+        b.settings.zone = 0;
+        b.settings.dispatchers = 3;
+        b.settings.mostAssignments = 4;
+        b.settings.askWithin = 10000;
+        b.settings.coldFrom = 0.25;
+        b.settings.warmWithin = 10000;
+        b.settings.fallWindow = 1000;
+        b.settings.overloadFactor = 3;
+        b.settings.drainGrace = 500;
+        b.settings.mayAdvise = true;
+        b.settings.maxAdvice = 2000;
+        return b;
+    }
+
+    /** Starts the dispatcher with so many running workers of size 2, all long started and heard idle. */
+    Bench start(int workers) {
+        d = new Dispatcher(settings, 7, this);
+        list(0, true, workers, Dispatcher.RUNNING, 0);
+        for (int w = 0; w < workers; w++) {
+            d.probed(0, w, true, 1, report(Double.NaN, 2));
+        }
+        acts.clear();
+        return this;
+    }
+
+    void list(double at, boolean whole, int workers, int state, double startedAt) {
+        d.listBegins(at, whole);
+        for (int w = 0; w < workers; w++) {
+            d.listed(w, w % 2, 0, w / 2, state, 2, startedAt);
+        }
+        d.listEnds(at, whole, false);
+    }
+
+    static double[] report(double queue, double freeSlots) {
+        double[] r = new double[Report.SIZE];
+        Arrays.fill(r, Double.NaN);
+        r[Report.QUEUE] = queue;
+        r[Report.FREE_SLOTS] = freeSlots;
+        return r;
+    }
+
+    Task task(int profile, double at, double hint) {
+        Task t = new Task("t" + acts.size());
+        t.profile = settings.profiles[profile];
+        t.expiry = at + t.profile.expiry;
+        t.hint = hint;
+        return t;
+    }
+
+    Task arrive(int profile, double at) {
+        Task t = task(profile, at, 100);
+        d.arrived(at, t);
+        return t;
+    }
+
+    Assignment last() {
+        return sent.get(sent.size() - 1);
+    }
+
+    int count(String act) {
+        return (int) acts.stream().filter(a -> a.startsWith(act)).count();
+    }
+
+    @Override
+    public void send(Assignment a, double timeout) {
+        sent.add(a);
+        acts.add("send " + a.worker);
+    }
+
+    @Override
+    public void bounce(Task t, double pause) {
+        acts.add("bounce " + pause);
+    }
+
+    @Override
+    public void abandon(Task t) {
+        acts.add("abandon");
+    }
+
+    @Override
+    public void cancel(Assignment a) {
+        acts.add("cancel");
+    }
+
+    @Override
+    public void probe(int worker) {
+        acts.add("probe " + worker);
+    }
+
+    @Override
+    public void watchList() {
+        acts.add("watch");
+    }
+
+    @Override
+    public void wakeAfter(double span) {
+        acts.add("wake " + span);
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -0,0 +1,304 @@
+package gingerspool.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.dispatch.Profile.Effect;
+import gingerspool.dispatch.Profile.Scope;
+import java.util.Arrays;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class DispatcherTest {
+    private static final Effect SAFE = Effect.IDEMPOTENT;
+    private static final Effect MARKED = Effect.FINGERPRINTED;
+    private static final Effect ONCE = Effect.SIDE_EFFECTING;
+
+    @Test
+    public void scoreOfAnUnseenRowIsTheShareOfRegionsWithinTheAllowedWait() {
+        Bench b = Bench.of(SAFE).start(1);
+        Task t = b.task(0, 0, 0);
+        t.work = 150;
+        t.due = 100 + 2 * 150;
+        // Mean 150, spread sqrt(0.5): likely works 52, 93, 146, 263, allowed waits 152, 193, 246, 363.
+        // Waits at midpoints 0, 0, 11, 37, 71, 120, 187, 300, 487, 788: 6, 7, 7 and 8 of 10 regions fit.
+        assertEquals(b.d.inTime(t, 0), (6 + 7 + 7 + 8) / 40.0, 1e-9);
+    }
+
+    @Test
+    public void scoreFollowsThePairsCounted() {
+        Bench b = Bench.of(SAFE).start(2);
+        Task t = b.task(0, 0, 0);
+        t.work = 150;
+        t.due = 400;
+        b.d.count(0, 0, 0, 30);
+        b.d.count(1, 0, 9, 30);
+        assertTrue(b.d.inTime(t, 0) > b.d.inTime(t, 1) + 0.2);
+    }
+
+    @Test
+    public void laterWorkFollowsTheBusyPeriodLaw() {
+        double[] run = new double[17];
+        run[1] = 1;
+        double[] within = new double[17];
+        double lambda = 0.3;
+        Dispatcher.busyPeriods(1, lambda, run, within);
+        // Unit jobs behind one unit of work: Borel's law, P(0) = e^-a, P(1) = a e^-2a, P(2) = 3/2 a^2 e^-3a.
+        assertEquals(within[0], Math.exp(-lambda), 1e-12);
+        assertEquals(within[1] - within[0], lambda * Math.exp(-2 * lambda), 1e-12);
+        assertEquals(within[2] - within[1], 1.5 * lambda * lambda * Math.exp(-3 * lambda), 1e-12);
+    }
+
+    @Test
+    public void jobsOfNoRunningTimeOvertakeNobody() {
+        double[] run = new double[17];
+        run[0] = 1;
+        double[] within = new double[17];
+        Dispatcher.busyPeriods(4, 0.5, run, within);
+        assertEquals(within[0], 1, 1e-12);
+    }
+
+    @Test
+    public void onPriorityWorkersOnlyHigherPriorityCostsChance() {
+        Bench b = Bench.of(SAFE, SAFE);
+        b.settings.order = Settings.Order.PRIORITY;
+        b.settings.profiles[1].prio = 1;
+        b.start(1);
+        for (int i = 0; i < 3; i++) {
+            b.arrive(1, i);
+        }
+        b.d.wake(500);
+        Task low = b.task(0, 500, 0);
+        Task high = b.task(1, 500, 0);
+        low.work = 100;
+        high.work = 100;
+        low.due = 1000;
+        high.due = 1000;
+        assertTrue(b.d.inTime(low, 0) < b.d.inTime(high, 0));
+    }
+
+    @Test
+    public void ownUnfinishedSendsRaiseTheWork() {
+        Bench b = Bench.of(SAFE).start(1);
+        double before = b.d.load(0, 0);
+        b.arrive(0, 1);
+        double one = b.d.load(0, 0);
+        b.arrive(0, 2);
+        assertEquals(before, 0.0);
+        assertEquals(one, 0.5);
+        assertTrue(b.d.load(0, 0) > 1);
+    }
+
+    /** Found on the first day: rows never visited are flat, so a worker full of our own sends looked good. */
+    @Test
+    public void regionsBelowOurOwnSendsAreLeftOut() {
+        Bench b = Bench.of(SAFE).start(2);
+        for (int i = 0; i < 12; i++) {
+            b.arrive(0, 1);
+        }
+        assertEquals(b.count("send 0"), 6, 1);
+        assertEquals(b.count("send 1"), 6, 1);
+    }
+
+    /** Found on catania-trascrizioni: a worker once heard full was believed full for 28 s. */
+    @Test
+    public void whatWasHeardFadesToTheMean() {
+        Bench b = Bench.of(SAFE).start(4);
+        b.d.probed(10, 3, true, 1, Bench.report(6, 0));
+        double full = b.d.othersNow(3);
+        b.d.wake(60000);
+        assertTrue(full > 7);
+        assertTrue(b.d.othersNow(3) < 1);
+    }
+
+    /** Found on both sites with hints: a hint far from the mean says less than it seems. */
+    @Test
+    public void farHintsAreDrawnToTheMean() {
+        Bench b = Bench.of(SAFE).start(4);
+        for (int i = 0; i < 20; i++) {
+            b.d.arrived(i, b.task(0, i, 100));
+        }
+        Task t = b.task(0, 30, 1600);
+        b.d.arrived(30, t);
+        assertTrue(t.work > 150 && t.work < 1000, "work " + t.work);
+    }
+
+    @Test
+    public void absurdReportsCountAsNotHeard() {
+        Bench b = Bench.of(SAFE).start(2);
+        double[] r = new double[Report.SIZE];
+        for (double v : new double[] {-1, 1e18, Double.NaN, Double.POSITIVE_INFINITY}) {
+            Arrays.fill(r, v);
+            b.d.probed(5, 0, true, 1, r);
+            b.d.probed(5, 1, false, -5, null);
+        }
+        assertEquals(b.d.slotsOf(0), 2.0);
+        b.d.arrived(6, b.task(0, 6, Double.MAX_VALUE));
+        b.d.arrived(6, b.task(0, 6, -3));
+        assertEquals(b.count("send"), 2);
+    }
+
+    @Test
+    public void aColdWorkerGetsNoMoreThanItsShare() {
+        Bench b = Bench.of(SAFE).start(1);
+        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
+        double work = 0;
+        for (int i = 0; i < 50; i++) {
+            b.arrive(0, 20000 + i);
+        }
+        for (Assignment a : b.sent) {
+            work += a.task.work;
+        }
+        // A third of 3 x a quarter of its capacity (2 slots) x 1000 ms.
+        assertTrue(work <= 500, "work " + work);
+        assertFalse(b.d.inBudget(0, 1000));
+    }
+
+    @Test
+    public void nothingGoesToDrainingOrGoneWorkers() {
+        Bench b = Bench.of(SAFE).start(2);
+        b.list(100, false, 1, Dispatcher.DRAINING, 0);
+        for (int i = 0; i < 10; i++) {
+            b.arrive(0, 100);
+        }
+        assertEquals(b.count("send 0"), 0);
+        b.d.listBegins(200, true);
+        b.d.listEnds(200, true, false);
+        int before = b.count("send");
+        b.arrive(0, 201);
+        assertEquals(b.count("send"), before);
+    }
+
+    @Test
+    public void theListIsAskedForAgainLongBeforeWeAreDeemedTold() {
+        Bench b = Bench.of(SAFE);
+        b.settings.listOnRequest = true;
+        b.d = new Dispatcher(b.settings, 7, b);
+        b.d.listBegins(0, true);
+        b.d.listed(0, 0, 0, 0, Dispatcher.RUNNING, 2, 0);
+        b.d.listEnds(0, true, true);
+        assertEquals(b.count("watch"), 1);
+        double at = 0;
+        for (int i = 0; i < 12; i++) {
+            b.d.listFailed(at);
+            b.d.wake(at + b.settings.askWithin * 0.76);
+            assertEquals(b.count("watch"), i + 2);
+            at += b.settings.askWithin * 0.76;
+        }
+    }
+
+    @DataProvider
+    public Object[][] afterAnOutcome() {
+        return new Object[][] {
+            {SAFE, Outcome.ERROR, "send"}, {SAFE, Outcome.FULL, "send"},
+            {MARKED, Outcome.RESET, "send"}, {MARKED, Outcome.UNREACHABLE, "send"},
+            {ONCE, Outcome.FULL, "send"}, {ONCE, Outcome.UNREACHABLE, "send"}, {ONCE, Outcome.MOOT, "send"},
+            {ONCE, Outcome.ERROR, "abandon"}, {ONCE, Outcome.RESET, "abandon"},
+            {ONCE, Outcome.TIMEOUT, "abandon"}, {ONCE, Outcome.CANCELLED, "abandon"},
+        };
+    }
+
+    @Test(dataProvider = "afterAnOutcome")
+    public void eachEffectGoesOnAsItMay(Effect effect, Outcome how, String next) {
+        Bench b = Bench.of(effect).start(4);
+        b.arrive(0, 1);
+        b.acts.clear();
+        b.d.ended(20, b.last(), how, false, null);
+        assertEquals(b.count(next), 1, b.acts.toString());
+        assertEquals(b.count("send") + b.count("abandon") + b.count("bounce"), 1);
+    }
+
+    @Test
+    public void aFingerprintedTaskStaysInItsGroupAndWindow() {
+        Bench b = Bench.of(MARKED);
+        b.settings.profiles[0].scope = Scope.ZONE;
+        b.start(4);
+        b.arrive(0, 1);
+        int first = b.last().worker;
+        b.d.ended(20, b.last(), Outcome.ERROR, false, null);
+        assertEquals(b.last().number, 1);
+        assertEquals(b.last().worker % 2, first % 2);
+        b.d.ended(1002, b.last(), Outcome.ERROR, false, null);
+        assertEquals(b.count("abandon"), 1);
+        assertEquals(b.count("bounce"), 0);
+    }
+
+    @Test
+    public void whatNeverRanIsBouncedWithAdvice() {
+        Bench b = Bench.of(ONCE).start(1);
+        b.arrive(0, 1);
+        b.d.ended(20, b.last(), Outcome.FULL, false, null);
+        b.list(21, false, 1, Dispatcher.DRAINING, 0);
+        b.d.wake(4000);
+        assertEquals(b.count("bounce 2000.0"), 1);
+        assertEquals(b.count("abandon"), 0);
+    }
+
+    @Test
+    public void oneFinalAnswerAndNothingAfterIt() {
+        Bench b = Bench.of(SAFE).start(2);
+        Task t = b.arrive(0, 1);
+        b.d.left(30, t);
+        b.acts.clear();
+        b.d.ended(40, b.last(), Outcome.ERROR, false, null);
+        b.d.wake(50);
+        assertEquals(b.count("send") + b.count("bounce") + b.count("abandon"), 0);
+        assertTrue(t.ended());
+        assertEquals(t.outstanding(), 0);
+    }
+
+    @Test
+    public void noMoreAssignmentsThanAllowed() {
+        Bench b = Bench.of(SAFE).start(4);
+        b.arrive(0, 1);
+        for (int i = 0; i < 4; i++) {
+            b.d.ended(2 + i, b.last(), Outcome.ERROR, false, null);
+        }
+        assertEquals(b.count("send"), 4);
+        assertEquals(b.count("bounce"), 1);
+    }
+
+    @Test
+    public void aWorkerThatFailsFastIsLeftForTheOthers() {
+        Bench b = Bench.of(ONCE).start(2);
+        int failed = 0;
+        for (int i = 0; i < 40; i++) {
+            b.arrive(0, i * 50);
+            boolean bad = b.last().worker == 0;
+            failed += bad ? 1 : 0;
+            b.d.ended(i * 50 + 10, b.last(), bad ? Outcome.ERROR : Outcome.OK, !bad, null);
+        }
+        assertTrue(failed < 8, "failed " + failed);
+    }
+
+    @Test
+    public void aTenantBeyondItsAllowanceIsWorthLess() {
+        Bench b = Bench.of(SAFE);
+        b.settings.allowance = new double[] {3, 3000};
+        b.settings.excessUtility = 0.2;
+        b.start(4);
+        double[] worth = new double[2];
+        for (int i = 0; i < 400; i++) {
+            Task t = b.task(0, i * 20, 100);
+            t.tenant = i % 2;
+            b.d.arrived(i * 20, t);
+            worth[i % 2] = t.worth;
+        }
+        assertTrue(worth[0] < 0.3 * worth[1], worth[0] + " " + worth[1]);
+    }
+
+    @Test
+    public void theSameEventsGiveTheSameActions() {
+        Bench[] two = {Bench.of(SAFE).start(8), Bench.of(SAFE).start(8)};
+        for (Bench b : two) {
+            for (int i = 0; i < 60; i++) {
+                b.arrive(0, i * 5);
+                b.d.ended(i * 5 + 3, b.last(), i % 9 == 0 ? Outcome.ERROR : Outcome.OK, i % 9 != 0, null);
+            }
+        }
+        assertEquals(two[0].acts, two[1].acts);
+        assertNotEquals(two[0].count("send 0"), 60);
+    }
+}
