--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -18,7 +18,7 @@
     public static final int RUNNING = 2;
 
     /** Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open. */
-    private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5};
+    private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5, 7, 10, 14, 20};
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
