Joining a queue costs up to a quarter of score

Cause: the score counts only the task's own chance, so tasks with long allowed waits fill the fast workers and those behind them come late.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -524,6 +524,7 @@
             }
             anyReady = true;
             double c = inTime(task, w) * trust(w);
+            c -= 0.25 * (1 - 1 / Math.max(1, load(w, othersNow(w))));
             for (int i = 0; i < task.tries; i++) {
                 c = task.sent[i].worker == w ? c / 2 : c;
             }
