--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -31,6 +31,8 @@
     private static final double BINS_PER_RUN = 4;
     /** The part of our share of a cold worker's budget that we use. */
     private static final double COLD_USE = 0.5;
+    /** What a queue costs in score, since a task that joins it makes those behind it wait. */
+    private static final double CROWDED = 0.2;
     /** A task whose best chance is lower than this is given up. */
     private static final double HOPELESS = 0.08;
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
@@ -524,7 +526,8 @@
             }
             anyReady = true;
             double c = inTime(task, w) * trust(w);
-            c -= 0.25 * (1 - 1 / Math.max(1, load(w, othersNow(w))));
+            double load = load(w, othersNow(w));
+            c -= CROWDED * (load < 1 ? load / 2 : 1.5 - 1 / load);
             for (int i = 0; i < task.tries; i++) {
                 c = task.sent[i].worker == w ? c / 2 : c;
             }
