--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -245,7 +245,7 @@
         double x = Math.log(hint);
         profileWork[p] += (hint - profileWork[p]) / n;
         hintLog[p] += (x - hintLog[p]) / n;
-        double power = Math.max(0, Math.min(1, hintRun / hintVar));
+        double power = hintPower();
         double bend = Math.exp(power * (x - hintLog[p]));
         hintBend[p] += (bend - hintBend[p]) / n;
         double work = profileWork[p] * bend / hintBend[p];
@@ -253,6 +253,10 @@
         return work;
     }
 
+    private double hintPower() {
+        return Math.max(0, Math.min(1, hintRun / hintVar));
+    }
+
     /** Learns how far hints can be believed, from a running time in standard work. */
     private void learnHint(int p, double hint, double work) {
         double y = Math.log(work);
@@ -262,7 +266,7 @@
         double keep = 1 - 1.0 / (8 * SAMPLES);
         hintVar = hintVar * keep + x * x;
         hintRun = hintRun * keep + x * (y - runLog[p]);
-        double off = y - runLog[p] - x * Math.max(0, Math.min(1, hintRun / hintVar));
+        double off = y - runLog[p] - x * hintPower();
         runVar[p] += (off * off - runVar[p]) / (n + 8);
     }
 
@@ -682,9 +686,7 @@
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
     double pace(int w) {
-        double lean = 16 * mixWork;
-        double kind = kindPace(fleet.kindOf[w]);
-        return (fleet.workDone[w] + lean * kind) / (fleet.runTime[w] + lean) * warmth(w) / unit;
+        return kindPace(fleet.kindOf[w]) * Math.exp(fleet.swift[w]) * warmth(w) / unit;
     }
 
     private double kindPace(int k) {
@@ -750,11 +752,11 @@
 
     /** Learns speed and work from a running time: by the start note, else by sends that met a free slot. */
     private void learnRun(Assignment a) {
-        boolean told = !Double.isNaN(a.startedAt);
-        if (!told && (tellsStart || !a.metFree)) {
+        boolean noted = !Double.isNaN(a.startedAt);
+        if (!noted && (tellsStart || !a.metFree)) {
             return;
         }
-        double run = Math.max(tick, now - (told ? a.startedAt : a.sentAt));
+        double run = Math.max(tick, now - (noted ? a.startedAt : a.sentAt));
         int w = a.worker;
         int k = fleet.kindOf[w];
         int p = a.task.profile.index;
@@ -774,10 +776,11 @@
         } else {
             learnHint(p, a.task.hint, run * pace(w));
         }
-        double keep = 1 - 2.0 / SAMPLES;
-        fleet.workDone[w] = fleet.workDone[w] * keep + a.task.work;
-        fleet.runTime[w] = fleet.runTime[w] * keep + run * warm;
-        keep = 1 - 1.0 / (8 * SAMPLES);
+        // In logarithms, since running times are spread so widely that sums follow the few longest.
+        double told = runLog[p] + (a.task.hint > 0 ? hintPower() * (Math.log(a.task.hint) - hintLog[p]) : 0);
+        double off = told - Math.log(run * warm * kindPace(k) / unit);
+        fleet.swift[w] += (off - fleet.swift[w]) * 2 / SAMPLES;
+        double keep = 1 - 1.0 / (8 * SAMPLES);
         fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
         fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
     }
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -26,9 +26,8 @@
     double[] others = new double[ROOM];
     /** When load was last heard; NaN: never. */
     double[] heardAt = new double[ROOM];
-    /** Work done and running time taken, over the last jobs. */
-    double[] workDone = new double[ROOM];
-    double[] runTime = new double[ROOM];
+    /** Logarithm of its pace over its kind's. */
+    double[] swift = new double[ROOM];
     /** Share of errors lately, and when it was set. */
     double[] fail = new double[ROOM];
     double[] failAt = new double[ROOM];
@@ -109,8 +108,7 @@
         ownAt = Arrays.copyOf(ownAt, n);
         others = Arrays.copyOf(others, n);
         heardAt = Arrays.copyOf(heardAt, n);
-        workDone = Arrays.copyOf(workDone, n);
-        runTime = Arrays.copyOf(runTime, n);
+        swift = Arrays.copyOf(swift, n);
         fail = Arrays.copyOf(fail, n);
         failAt = Arrays.copyOf(failAt, n);
         shunUntil = Arrays.copyOf(shunUntil, n);
