--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -29,6 +29,8 @@
     /** Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running time. */
     private static final int BINS = 16;
     private static final double BINS_PER_RUN = 4;
+    /** The part of all dispatchers' budget for a cold worker that one task may be. */
+    private static final double COLD_GRAIN = 1.0 / 6;
     /** The part of our share of a cold worker's budget that we use. */
     private static final double COLD_USE = 0.5;
     /** What a queue costs in score, since a task that joins it makes those behind it wait. */
@@ -193,6 +195,8 @@
             fleet.heardAt[w] = Double.NaN;
             fleet.shunUntil[w] = 0;
             fleet.fail[w] = 0;
+            fleet.coldLevel[w] = chance.nextDouble() * mixWork;
+            fleet.coldAt[w] = now;
         }
     }
 
@@ -957,7 +961,11 @@
         if (budgetSpan <= 0 || warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
             return true;
         }
-        return coldLevelNow(w) + work <= budget(w) / 2;
+        // Among many dispatchers a share is less than one task; then one goes when the level has run down, in a phase
+        // of chance, if it is a small part of what all may send. Guards against new workers idling until warm.
+        double level = coldLevelNow(w);
+        return level + work <= budget(w) / 2
+            || level <= 0 && work <= budget(w) * dispatchers / COLD_USE * COLD_GRAIN;
     }
 
     /** Work that we may send a cold worker in one window: half at once, half refills over the window. */
