--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -535,7 +535,9 @@
             anyReady = true;
             double c = inTime(task, w) * trust(w);
             double load = load(w, othersNow(w));
-            c -= CROWDED * (load < 1 ? load / 2 : 1.5 - 1 / load);
+            // Where queues are hidden our own sends pile up first at slow workers, so busy slots cost score too.
+            double busy = waitsUnseen() ? Math.min(1, load) / 2 : 0;
+            c -= CROWDED * (busy + (load < 1 ? 0 : 1 - 1 / load));
             for (int i = 0; i < task.tries; i++) {
                 c = task.sent[i].worker == w ? c / 2 : c;
             }
