--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -65,7 +65,6 @@
     private final double budgetSpan;
     private final double budgetShare;
     private final double crossFee;
-    private final double fairness;
 
     private final Workers fleet;
 
@@ -92,9 +91,6 @@
     private double press;
     /** Share of answers that came after the due time lately. */
     private double late;
-    /** Share of tasks answered in time lately, by profile and in all. */
-    private final double[] finished;
-    private double finishedAll = 1;
     private final double[] tenantRate;
     private final double[] tenantAt;
 
@@ -152,9 +148,6 @@
         budgetSpan = s.fallWindow;
         budgetShare = COLD_USE * s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
-        fairness = Math.min(1, 5 * s.worstProfileShare);
-        finished = new double[profiles.length];
-        Arrays.fill(finished, 1);
         askGap = askSpan / 20;
         fleet = new Workers(K, BINS + 1, profiles.length);
         profileWork = new double[profiles.length];
@@ -460,16 +453,12 @@
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
-        // Guards the worst-served profile, where it counts: tasks of short running times fail first in queues.
-        int p = task.profile.index;
-        weight *= 1 + fairness * (finished[p] / Math.max(0.1, finishedAll) - 1);
         double strain = Math.max(press, Math.min(1, 2.5 * (late - 0.1)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
     private void giveUp() {
         Task t = task;
-        score(t, 0);
         t.ended = true;
         drop(hand.indexOf(t));
         boolean harmless = t.ran == null || t.profile.effect == Profile.Effect.IDEMPOTENT
@@ -719,11 +708,6 @@
 
     // ---- Health ----
 
-    private void score(Task t, double inTime) {
-        finished[t.profile.index] += (inTime - finished[t.profile.index]) / SAMPLES;
-        finishedAll += (inTime - finishedAll) / SAMPLES;
-    }
-
     private double trust(int w) {
         double t = 1 - failNow(w);
         Assignment a = fleet.oldest[w];
@@ -747,7 +731,6 @@
                 fleet.shunSpan[w] = 0;
                 learnRun(a);
                 late += ((now > a.task.due ? 1 : 0) - late) / SAMPLES;
-                score(a.task, now > a.task.due ? 0 : 1);
                 if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -31,8 +31,6 @@
     public double fallWindow;
     public double overloadFactor = 1;
     public double tick = 1;
-    /** How much of the goal the worst-served profile makes up. */
-    public double worstProfileShare;
     public double crossFee;
     public double wasteFee;
     public double probeFee;
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -153,7 +153,6 @@
         s.fallWindow = Tree.number(0, rules, "fallMs");
         s.overloadFactor = Tree.number(1, rules, "overloadFactor");
         s.tick = Tree.number(1, settings, "tickMs");
-        s.worstProfileShare = Tree.number(0, settings, "goal", "worstClass");
         Object fees = Tree.at(settings, "fees");
         s.crossFee = Tree.number(0, fees, "crossZone");
         s.wasteFee = Tree.number(0, fees, "waste");
