--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -84,6 +84,8 @@
     private double mixWork;
     /** Pace that counts as a standard core's. */
     private double unit = 1;
+    /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
+    private double tide;
     private double meanWorth;
     private double meanOthers;
     private double meanDensity;
@@ -692,7 +694,7 @@
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
     double pace(int w) {
-        return kindPace(fleet.kindOf[w]) * Math.exp(fleet.swift[w]) * warmth(w) / unit;
+        return kindPace(fleet.kindOf[w]) * Math.exp(tide + fleet.swift[w]) * warmth(w) / unit;
     }
 
     private double kindPace(int k) {
@@ -783,9 +785,11 @@
             learnHint(p, a.task.hint, run * pace(w));
         }
         // In logarithms, since running times are spread so widely that sums follow the few longest.
-        double told = runLog[p] + (a.task.hint > 0 ? hintPower() * (Math.log(a.task.hint) - hintLog[p]) : 0);
+        double told = a.task.hint > 0 ? Math.log(a.task.work) - runVar[p] / 2 : runLog[p];
         double off = told - Math.log(run * warm * kindPace(k) / unit);
-        fleet.swift[w] += (off - fleet.swift[w]) * 2 / SAMPLES;
+        // Guards against a slowdown of all, which one worker's few answers show much too late.
+        tide += (off - tide) * 2 / SAMPLES - tide / (4 * SAMPLES);
+        fleet.swift[w] += (off - tide - fleet.swift[w]) * 2 / SAMPLES;
         double keep = 1 - 1.0 / (8 * SAMPLES);
         fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
         fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
