--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -788,7 +788,7 @@
         double told = a.task.hint > 0 ? Math.log(a.task.work) - runVar[p] / 2 : runLog[p];
         double off = told - Math.log(run * warm * kindPace(k) / unit);
         // Guards against a slowdown of all, which one worker's few answers show much too late.
-        tide += warm < 1 ? 0 : (off - tide) * 2 / SAMPLES - tide / (4 * SAMPLES);
+        tide += a.task.hint > 0 ? (off - tide) * 2 / SAMPLES - tide / (4 * SAMPLES) : 0;
         fleet.swift[w] += (off - tide - fleet.swift[w]) * 2 / SAMPLES;
         double keep = 1 - 1.0 / (8 * SAMPLES);
         fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
