--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -444,7 +444,7 @@
         Assignment a = stuck;
         double left = a.task.due - now - a.run / 2;
         boolean back = left < 0;
-        if (!back && a.task.profile.effect == Profile.Effect.IDEMPOTENT && a.task.tries < mostTries) {
+        if (false) {
             Task in = task;
             task = a.task;
             weigh();
