--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -15,8 +15,6 @@
     /** Whether a fresh report had a free slot when this was sent. */
     boolean metFree;
     boolean over;
-    /** When it is looked at again if it has not started. */
-    double checkAt;
     boolean cancelled;
     boolean neverRan;
     Assignment before;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -33,8 +33,6 @@
     private static final double COLD_GRAIN = 1.0 / 6;
     /** The part of our share of a cold worker's budget that we use. */
     private static final double COLD_USE = 0.5;
-    /** The chance another worker must offer for a task that waits unstarted. */
-    private static final double ELSEWHERE = 0.6;
     /** What a queue costs in score, since a task that joins it makes those behind it wait. */
     private static final double CROWDED = 0.2;
     /** A task whose best chance is lower than this is given up. */
@@ -57,7 +55,7 @@
     private final boolean fetchesAll;
     private final boolean byPriority;
     private final boolean tellsStart;
-    private final boolean recalls;
+    private final boolean mayCopy;
     private final int mostTries;
     private final double longestAdvice;
     private final double askSpan;
@@ -105,7 +103,6 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
-    private Assignment stuck;
     private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
@@ -119,7 +116,6 @@
     private final Rule[] rules = {
         new Rule(this::listWanted, this::askForList),
         new Rule(this::reportWanted, this::fetchReports),
-        new Rule(this::someoneStuck, this::recall),
         new Rule(this::nothingInHand, () -> { }),
         new Rule(this::mayNotRunAgain, this::giveUp),
         new Rule(this::nobodyReady, this::hold),
@@ -144,7 +140,7 @@
         fetchesAll = s.reportsByProbe;
         byPriority = s.order == Settings.Order.PRIORITY;
         tellsStart = s.tellsStart;
-        recalls = s.mayCancel && s.tellsStart;
+        mayCopy = s.mayCopy;
         mostTries = Math.max(1, s.mostAssignments);
         longestAdvice = s.mayAdvise ? s.maxAdvice : 0;
         tick = Math.max(s.tick, 0.1);
@@ -361,7 +357,7 @@
             for (int i = 0; i < rules.length && !fired; i++) {
                 if (rules[i].when.getAsBoolean()) {
                     rules[i].then.run();
-                    fired = task != null || i < 3;
+                    fired = task != null || i < 2;
                     break;
                 }
             }
@@ -428,37 +424,6 @@
         return 2.5 * mixWork;
     }
 
-    /** An assignment that has not started after half its allowed wait, where start notes would tell. */
-    private boolean someoneStuck() {
-        stuck = null;
-        for (int w = 0; recalls && w < fleet.count && stuck == null; w++) {
-            for (Assignment a = fleet.oldest[w]; a != null && stuck == null; a = a.after) {
-                stuck = Double.isNaN(a.startedAt) && !a.cancelled && now >= a.checkAt ? a : null;
-            }
-        }
-        return stuck != null;
-    }
-
-    /** Calls it back if it can't be in time there any more, or if it may run elsewhere and does better there. */
-    private void recall() {
-        Assignment a = stuck;
-        double left = a.task.due - now - a.run / 2;
-        boolean back = left < 0;
-        if (false) {
-            Task in = task;
-            task = a.task;
-            weigh();
-            back = best >= 0 && best != a.worker && bestChance > ELSEWHERE;
-            task = in;
-            best = -1;
-        }
-        a.checkAt = now + Math.max(4 * tick, left / 2);
-        if (back && !a.task.ended) {
-            a.cancelled = true;
-            out.cancel(a);
-        }
-    }
-
     private boolean nothingInHand() {
         return task == null;
     }
@@ -525,7 +490,6 @@
         if (!tellsStart && !waitsUnseen()) {
             fleet.sentIn[w][a.region]++;
         }
-        a.checkAt = now + Math.max(4 * tick, (t.due - now - run) / 2);
         sendRate(w, 1);
         spend(w, t.work);
         link(a);
@@ -552,11 +516,6 @@
                 }
             }
         }
-        for (int w = 0; recalls && w < fleet.count; w++) {
-            for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
-                next = Double.isNaN(a.startedAt) && !a.cancelled ? Math.min(next, a.checkAt) : next;
-            }
-        }
         if (next < wakeAt) {
             wakeAt = Math.max(next, now + tick);
             out.wakeAfter(wakeAt - now);
