--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -103,6 +103,7 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
+    private double behindAll;
     private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
@@ -717,7 +718,13 @@
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
             t = late > 1 ? t / late : t;
         }
-        return t;
+        // Guards against a slow worker whose pace can't be learned, since no answer of it met a free slot.
+        return t * Math.exp(Math.min(0, behindAll + 0.6 - behindNow(w)));
+    }
+
+    /** Logarithm of how late the worker's answers come against what was expected; fades to the fleet's. */
+    private double behindNow(int w) {
+        return behindAll + (fleet.behind[w] - behindAll) * Math.exp((fleet.behindAt[w] - now) / (4 * fadeSpan()));
     }
 
     private double failNow(int w) {
@@ -727,6 +734,12 @@
     private void judge(Assignment a, Outcome how) {
         int w = a.worker;
         double f = failNow(w);
+        if (waitsUnseen() && (how == Outcome.OK || how == Outcome.TIMEOUT)) {
+            double x = Math.log(Math.max(tick, now - a.sentAt) / (a.run + a.wait));
+            fleet.behind[w] = behindNow(w) + (Math.max(-1.5, Math.min(2, x)) - behindNow(w)) / 8;
+            fleet.behindAt[w] = now;
+            behindAll += (Math.max(-1.5, Math.min(2, x)) - behindAll) / SAMPLES;
+        }
         switch (how) {
             case OK -> {
                 fleet.fail[w] = f * 0.8;
