--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -38,7 +38,7 @@
     /** A task whose best chance is lower than this is given up. */
     private static final double HOPELESS = 0.08;
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
-    private static final double PRESSED = 0.6;
+    private static final double PRESSED = 0.8;
 
     private final Outlet out;
     private final SplittableRandom chance;
@@ -103,7 +103,6 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
-    private double behindAll;
     private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
@@ -718,13 +717,7 @@
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
             t = late > 1 ? t / late : t;
         }
-        // Guards against a slow worker whose pace can't be learned, since no answer of it met a free slot.
-        return t * Math.exp(Math.min(0, behindAll + 0.6 - behindNow(w)));
-    }
-
-    /** Logarithm of how late the worker's answers come against what was expected; fades to the fleet's. */
-    private double behindNow(int w) {
-        return behindAll + (fleet.behind[w] - behindAll) * Math.exp((fleet.behindAt[w] - now) / (4 * fadeSpan()));
+        return t;
     }
 
     private double failNow(int w) {
@@ -734,12 +727,6 @@
     private void judge(Assignment a, Outcome how) {
         int w = a.worker;
         double f = failNow(w);
-        if (waitsUnseen() && (how == Outcome.OK || how == Outcome.TIMEOUT)) {
-            double x = Math.log(Math.max(tick, now - a.sentAt) / (a.run + a.wait));
-            fleet.behind[w] = behindNow(w) + (Math.max(-1.5, Math.min(2, x)) - behindNow(w)) / 8;
-            fleet.behindAt[w] = now;
-            behindAll += (Math.max(-1.5, Math.min(2, x)) - behindAll) / SAMPLES;
-        }
         switch (how) {
             case OK -> {
                 fleet.fail[w] = f * 0.8;
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -28,9 +28,6 @@
     double[] heardAt = new double[ROOM];
     /** Logarithm of its pace over its kind's. */
     double[] swift = new double[ROOM];
-    /** Logarithm of how late its answers come, and when it was set. */
-    double[] behind = new double[ROOM];
-    double[] behindAt = new double[ROOM];
     /** Share of errors lately, and when it was set. */
     double[] fail = new double[ROOM];
     double[] failAt = new double[ROOM];
@@ -112,8 +109,6 @@
         others = Arrays.copyOf(others, n);
         heardAt = Arrays.copyOf(heardAt, n);
         swift = Arrays.copyOf(swift, n);
-        behind = Arrays.copyOf(behind, n);
-        behindAt = Arrays.copyOf(behindAt, n);
         fail = Arrays.copyOf(fail, n);
         failAt = Arrays.copyOf(failAt, n);
         shunUntil = Arrays.copyOf(shunUntil, n);
