A later try's due time counts from its first try, told by its expiry

Cause: in overload clients come back up to twice; their expiry still counts from the first try, so its age can be read from it, and a task whose due time has passed is worth nothing. We served those like new ones.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -72,6 +72,8 @@
     private final double[][] pool = new double[K][K];
     private final double[] profileWork;
     private final double[] profileSeen;
+    /** Least time that a task of the profile had been under way when it came. */
+    private final double[] youngest;
     private final double[] hintsSeen;
     private final double[] hintLog;
     private final double[] hintBend;
@@ -155,6 +157,8 @@
         profileWork = new double[profiles.length];
         profileSeen = new double[profiles.length];
         hintsSeen = new double[profiles.length];
+        youngest = new double[profiles.length];
+        Arrays.fill(youngest, Double.POSITIVE_INFINITY);
         hintLog = new double[profiles.length];
         hintBend = new double[profiles.length];
         runLog = new double[profiles.length];
@@ -238,7 +242,11 @@
         t.arrived = now;
         int p = t.profile.index;
         t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? fromHint(p, t.hint) : profileWork[p];
-        t.due = Math.min(t.expiry, now + t.profile.dueTime + t.profile.stretch * t.work);
+        // Guards against serving a client's later try after the due time of its first: the expiry tells its age.
+        double age = now - t.expiry + t.profile.expiry;
+        youngest[p] = Math.min(youngest[p], age);
+        t.due = now - Math.max(0, age - youngest[p]) + t.profile.dueTime + t.profile.stretch * t.work;
+        t.due = Math.min(t.expiry, t.due);
         t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
         keep(t);
