--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -242,7 +242,7 @@
         t.arrived = now;
         int p = t.profile.index;
         t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? fromHint(p, t.hint) : profileWork[p];
-        // Guards against serving a client's later try after the due time of its first: the expiry tells its age.
+        // Guards against serving a later try after the due time of the first: the expiry tells its age.
         double age = now - t.expiry + t.profile.expiry;
         youngest[p] = Math.min(youngest[p], age);
         t.due = now - Math.max(0, age - youngest[p]) + t.profile.dueTime + t.profile.stretch * t.work;
@@ -975,8 +975,8 @@
         if (budgetSpan <= 0 || warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
             return true;
         }
-        // Among many dispatchers a share is less than one task; then one goes when the level has run down, in a phase
-        // of chance, if it is a small part of what all may send. Guards against new workers idling until warm.
+        // Guards against new workers idling until warm: among many dispatchers a share is under one task, so
+        // one goes when the level has run down, in a phase of chance, if it is a small part of the whole.
         double level = coldLevelNow(w);
         return level + work <= budget(w) / 2
             || level <= 0 && work <= budget(w) * dispatchers / COLD_USE * COLD_GRAIN;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -23,8 +23,8 @@
         t.work = 150;
         t.due = 100 + 2 * 150;
         // Mean 150, spread sqrt(0.5): likely works 52, 93, 146, 263, allowed waits 152, 193, 246, 363.
-        // Waits at midpoints 0, 0, 11, 37, 71, 120, 187, 300, 487, 788: 6, 7, 7 and 8 of 10 regions fit.
-        assertEquals(b.d.inTime(t, 0), (6 + 7 + 7 + 8) / 40.0, 1e-9);
+        // Waits at midpoints 0, 0, 11, 37, 71, 120, 187, 300, 487 and more: 6, 7, 7 and 8 of 14 regions fit.
+        assertEquals(b.d.inTime(t, 0), (6 + 7 + 7 + 8) / 56.0, 1e-9);
     }
 
     @Test
@@ -95,11 +95,11 @@
     @Test
     public void regionsBelowOurOwnSendsAreLeftOut() {
         Bench b = Bench.of(SAFE).start(2);
-        for (int i = 0; i < 12; i++) {
+        for (int i = 0; i < 6; i++) {
             b.arrive(0, 1);
         }
-        assertEquals(b.count("send 0"), 6, 1);
-        assertEquals(b.count("send 1"), 6, 1);
+        assertEquals(b.count("send 0"), 3);
+        assertEquals(b.count("send 1"), 3);
     }
 
     /** Found on catania-trascrizioni: a worker once heard full was believed full for 28 s. */
@@ -301,4 +301,76 @@
         assertEquals(two[0].acts, two[1].acts);
         assertNotEquals(two[0].count("send 0"), 60);
     }
+
+    /** Found on palermo-archivi's overload: later tries were served after the due time of the first. */
+    @Test
+    public void aLaterTryIsDueFromItsFirst() {
+        Bench b = Bench.of(SAFE).start(2);
+        b.arrive(0, 1000);
+        Task again = b.task(0, 1000, 100);
+        b.d.arrived(3000, again);
+        assertTrue(again.due < 3000);
+        assertEquals(b.count("bounce"), 1);
+        assertEquals(b.count("send"), 1);
+    }
+
+    /** Found in incident ie2c056: with many dispatchers new workers idled until they were warm. */
+    @Test
+    public void amongManyDispatchersAColdWorkerStillGetsSingleTasks() {
+        Bench b = Bench.of(SAFE);
+        b.settings.dispatchers = 20;
+        b.settings.overloadFactor = 4;
+        b.start(1);
+        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
+        for (int i = 0; i < 400; i++) {
+            Task t = b.task(0, 20000 + i * 10, 40);
+            b.d.arrived(20000 + i * 10, t);
+        }
+        double work = b.sent.stream().mapToDouble(a -> a.task.work).sum();
+        // At most our part, 1/20, of 4 x capacity (2 slots, at most half warm) over 4 s, and one task more.
+        assertTrue(b.count("send") >= 1);
+        assertTrue(work <= 4 * 2 * 0.55 * 4000 / 20 + 40, "work " + work);
+    }
+
+    /** Found in incident ic80c1a: all workers slowed at once, each one's few answers showed it late. */
+    @Test
+    public void aSlowdownOfAllShowsInEveryWorkersPace() {
+        Bench b = Bench.of(SAFE);
+        b.settings.tellsStart = true;
+        b.start(30);
+        double before = b.d.pace(29);
+        for (int i = 0; i < 60; i++) {
+            b.d.arrived(i * 500, b.task(0, i * 500, 100));
+            Assignment a = b.last();
+            b.d.started(i * 500 + 1, a);
+            b.d.ended(i * 500 + 401, a, Outcome.OK, true, null);
+        }
+        assertTrue(b.d.pace(29) < 0.6 * before, before + " " + b.d.pace(29));
+    }
+
+    /** Found on palermo-archivi's big-1: where no report shows a queue, fuller workers looked as good. */
+    @Test
+    public void whereQueuesAreHiddenTheEmptierWorkerIsTaken() {
+        Bench b = Bench.of(SAFE).start(2);
+        for (int w = 0; w < 2; w++) {
+            b.d.probed(10, w, true, 1, Bench.report(Double.NaN, 10));
+            b.d.probed(700, w, true, 1, Bench.report(Double.NaN, w == 0 ? 4 : 10));
+        }
+        for (int i = 0; i < 3; i++) {
+            b.arrive(0, 701);
+        }
+        assertEquals(b.count("send 1"), 3);
+    }
+
+    /** Found in overload: tasks sent at a poor chance end late and make those behind them late. */
+    @Test
+    public void whenNobodyHasAFreeSlotPoorChancesAreGivenUp() {
+        Bench b = Bench.of(SAFE).start(2);
+        for (int i = 0; i < 300; i++) {
+            b.arrive(0, i);
+        }
+        int sent = b.count("send");
+        assertEquals(b.count("bounce"), 300 - sent);
+        assertTrue(sent < 40, "sent " + sent);
+    }
 }
