--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -459,7 +459,7 @@
             return true;
         }
         double density = Math.max(task.worth / task.work, NEAR * meanDensity);
-        double weight = Math.max(0.5, Math.min(1.5, Math.sqrt(meanDensity / density)));
+        double weight = Math.max(0.5, Math.min(1.1, Math.sqrt(meanDensity / density)));
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
