--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -55,7 +55,6 @@
     private final boolean fetchesAll;
     private final boolean byPriority;
     private final boolean tellsStart;
-    private final boolean mayCopy;
     private final int mostTries;
     private final double longestAdvice;
     private final double askSpan;
@@ -142,7 +141,6 @@
         fetchesAll = s.reportsByProbe;
         byPriority = s.order == Settings.Order.PRIORITY;
         tellsStart = s.tellsStart;
-        mayCopy = s.mayCopy;
         mostTries = Math.max(1, s.mostAssignments);
         longestAdvice = s.mayAdvise ? s.maxAdvice : 0;
         tick = Math.max(s.tick, 0.1);
@@ -342,7 +340,7 @@
         settle();
     }
 
-    public void probed(double at, int w, boolean ok, double elapsed, double[] report) {
+    public void probed(double at, int w, double[] report) {
         now = at;
         fleet.probing[w] = false;
         reported(w, report);
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -9,7 +9,6 @@
     public double excessUtility = 1;
     public boolean utilityByWork;
     public int zone = -1;
-    public int me;
     public int dispatchers = 1;
     public boolean listOnRequest;
     public boolean reportsByProbe;
@@ -17,22 +16,14 @@
     public Order order = Order.FIRST_COME;
     public boolean tellsStart;
     public boolean mayProbe;
-    public boolean mayCancel;
-    public boolean mayCopy;
-    public boolean mayTell;
     public boolean mayAdvise;
     public double maxAdvice;
     public int mostAssignments = 1;
-    public double connectTimeout;
     public double askWithin;
     public double coldFrom = 1;
     public double warmWithin;
-    public double drainGrace;
     public double fallWindow;
     public double overloadFactor = 1;
     public double tick = 1;
     public double crossFee;
-    public double wasteFee;
-    public double probeFee;
-    public double lateFee;
 }
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -76,7 +76,6 @@
             kinds.putIfAbsent(String.valueOf(k), kinds.size());
         }
         s.zone = zones.getOrDefault(Tree.text("", settings, "locality"), -1);
-        s.me = (int) Tree.number(0, settings, "myNumber");
         s.dispatchers = (int) Tree.number(1, settings, "groupSize");
         List<?> list = Tree.list(settings, "tenants");
         s.allowance = new double[list.size()];
@@ -138,26 +137,18 @@
         s.tellsStart = Tree.mark(settings, "specifics", "tellsStart");
         Object limits = Tree.at(settings, "limits");
         s.mayProbe = Tree.mark(limits, "probes");
-        s.mayCancel = Tree.mark(limits, "cancelling");
-        s.mayCopy = Tree.mark(limits, "mayDuplicate");
-        s.mayTell = Tree.mark(limits, "mayTell");
         s.mayAdvise = Tree.mark(limits, "retryAfter");
         s.maxAdvice = Tree.number(0, limits, "maxRetryAfterMs");
         s.mostAssignments = (int) Tree.number(1, limits, "mostAssignments");
-        s.connectTimeout = Tree.number(0, limits, "connectTimeoutMs");
         Object rules = Tree.at(settings, "obligations");
         s.askWithin = Tree.number(0, rules, "askWithinMs");
         s.coldFrom = Tree.number(1, rules, "coldFrom");
         s.warmWithin = Tree.number(0, rules, "warmWithinMs");
-        s.drainGrace = Tree.number(0, rules, "drainGraceMs");
         s.fallWindow = Tree.number(0, rules, "fallMs");
         s.overloadFactor = Tree.number(1, rules, "overloadFactor");
         s.tick = Tree.number(1, settings, "tickMs");
         Object fees = Tree.at(settings, "fees");
         s.crossFee = Tree.number(0, fees, "crossZone");
-        s.wasteFee = Tree.number(0, fees, "waste");
-        s.probeFee = Tree.number(0, fees, "probe");
-        s.lateFee = Tree.number(0, fees, "lateFail");
     }
 
     // ---- Events ----
@@ -167,8 +158,7 @@
             case "INGRESS" -> arrived(at, f);
             case "RESPONSE" -> ended(at, f);
             case "HINT_UPDATE" -> note(at, f);
-            case "HEALTH" -> dispatcher.probed(at, worker(f), f.text("how").equals("ok"),
-                f.numberOr("elapsedMs", 0), report(f));
+            case "HEALTH" -> dispatcher.probed(at, worker(f), report(f));
             case "FIRED" -> dispatcher.wake(at);
             case "ABANDONED" -> {
                 Task t = tasks.get(f.text("xid"));
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -33,7 +33,6 @@
         b.settings.warmWithin = 10000;
         b.settings.fallWindow = 1000;
         b.settings.overloadFactor = 3;
-        b.settings.drainGrace = 500;
         b.settings.mayAdvise = true;
         b.settings.maxAdvice = 2000;
         return b;
@@ -44,7 +43,7 @@
         d = new Dispatcher(settings, 7, this);
         list(0, true, workers, Dispatcher.RUNNING, 0);
         for (int w = 0; w < workers; w++) {
-            d.probed(0, w, true, 1, report(Double.NaN, 2));
+            d.probed(0, w, report(Double.NaN, 2));
         }
         acts.clear();
         return this;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -106,7 +106,7 @@
     @Test
     public void whatWasHeardFadesToTheMean() {
         Bench b = Bench.of(SAFE).start(4);
-        b.d.probed(10, 3, true, 1, Bench.report(6, 0));
+        b.d.probed(10, 3, Bench.report(6, 0));
         double full = b.d.othersNow(3);
         b.d.wake(60000);
         assertTrue(full > 7);
@@ -131,8 +131,8 @@
         double[] r = new double[Report.SIZE];
         for (double v : new double[] {-1, 1e18, Double.NaN, Double.POSITIVE_INFINITY}) {
             Arrays.fill(r, v);
-            b.d.probed(5, 0, true, 1, r);
-            b.d.probed(5, 1, false, -5, null);
+            b.d.probed(5, 0, r);
+            b.d.probed(5, 1, null);
         }
         assertEquals(b.d.slotsOf(0), 2.0);
         b.d.arrived(6, b.task(0, 6, Double.MAX_VALUE));
@@ -353,8 +353,8 @@
     public void whereQueuesAreHiddenTheEmptierWorkerIsTaken() {
         Bench b = Bench.of(SAFE).start(2);
         for (int w = 0; w < 2; w++) {
-            b.d.probed(10, w, true, 1, Bench.report(Double.NaN, 10));
-            b.d.probed(700, w, true, 1, Bench.report(Double.NaN, w == 0 ? 4 : 10));
+            b.d.probed(10, w, Bench.report(Double.NaN, 10));
+            b.d.probed(700, w, Bench.report(Double.NaN, w == 0 ? 4 : 10));
         }
         for (int i = 0; i < 3; i++) {
             b.arrive(0, 701);
