--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -197,6 +197,7 @@
         if (again) {
             fleet.startedAt[w] = started;
             fleet.heardAt[w] = Double.NaN;
+            fleet.answeredAt[w] = 0;
             fleet.shunUntil[w] = 0;
             fleet.fail[w] = 0;
             fleet.coldLevel[w] = chance.nextDouble() * mixWork;
@@ -491,8 +492,8 @@
         t.out++;
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
-        a.metFree = a.region < 2 && now - fleet.heardAt[w] < 4 * mixWork
-            && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5;
+        a.metFree = a.region < 2 && (Double.isNaN(fleet.heardAt[w]) ? fleet.own[w] == 0
+            : now - fleet.heardAt[w] < 4 * mixWork && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5);
         if (!tellsStart && !waitsUnseen()) {
             fleet.sentIn[w][a.region]++;
         }
@@ -737,6 +738,7 @@
             case OK -> {
                 fleet.fail[w] = f * 0.8;
                 fleet.shunSpan[w] = 0;
+                fleet.answeredAt[w] = now;
                 learnRun(a);
                 late += ((now > a.task.due ? 1 : 0) - late) / SAMPLES;
                 if (waitsUnseen()) {
@@ -970,7 +972,8 @@
     // ---- The cold budget ----
 
     boolean inBudget(int w, double work) {
-        if (budgetSpan <= 0 || warmth(w) >= 1 && !Double.isNaN(fleet.heardAt[w])) {
+        // Guards sites without reports: there a worker that answered counts as heard.
+        if (budgetSpan <= 0 || warmth(w) >= 1 && fleet.answeredAt[w] > 0) {
             return true;
         }
         // Guards against new workers idling until warm: among many dispatchers a share is under one task, so
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -43,7 +43,7 @@
         d = new Dispatcher(settings, 7, this);
         list(0, true, workers, Dispatcher.RUNNING, 0);
         for (int w = 0; w < workers; w++) {
-            d.probed(0, w, report(Double.NaN, 2));
+            d.probed(1, w, report(Double.NaN, 2));
         }
         acts.clear();
         return this;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -373,4 +373,16 @@
         assertEquals(b.count("bounce"), 300 - sent);
         assertTrue(sent < 40, "sent " + sent);
     }
+
+    /** Found on a copy of a site file without reports: warm workers stayed under the cold budget for good. */
+    @Test
+    public void withoutReportsAWorkerThatAnsweredCountsAsHeard() {
+        Bench b = Bench.of(SAFE);
+        b.d = new Dispatcher(b.settings, 7, b);
+        b.list(100, true, 1, Dispatcher.RUNNING, 0);
+        assertFalse(b.d.inBudget(0, 5000));
+        b.arrive(0, 101);
+        b.d.ended(150, b.last(), Outcome.OK, true, null);
+        assertTrue(b.d.inBudget(0, 5000));
+    }
 }
