--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -104,6 +104,7 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
+    private boolean reportsCome;
     private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
@@ -492,7 +493,7 @@
         t.out++;
         t.ran = t.ran == null ? a : t.ran;
         a.region = regionOf(w);
-        a.metFree = a.region < 2 && (Double.isNaN(fleet.heardAt[w]) ? fleet.own[w] == 0
+        a.metFree = a.region < 2 && (!reportsCome ? fleet.own[w] == 0
             : now - fleet.heardAt[w] < 4 * mixWork && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5);
         if (!tellsStart && !waitsUnseen()) {
             fleet.sentIn[w][a.region]++;
@@ -809,6 +810,7 @@
         if (r == null) {
             return;
         }
+        reportsCome = true;
         double[] last = fleet.lastReport[w];
         fleet.answeredAt[w] = now;
         if (Arrays.equals(r, last) && now - fleet.heardAt[w] < 4 * mixWork) {
