--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -975,8 +975,7 @@
 
     boolean inBudget(int w, double work) {
         // Guards sites without reports: there a worker that answered counts as heard.
-        boolean heard = !Double.isNaN(fleet.heardAt[w]) || !reportsCome && fleet.answeredAt[w] > 0;
-        if (budgetSpan <= 0 || warmth(w) >= 1 && heard) {
+        if (budgetSpan <= 0 || warmth(w) >= 1 && fleet.answeredAt[w] > 0) {
             return true;
         }
         // Guards against new workers idling until warm: among many dispatchers a share is under one task, so
