--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -22,6 +22,8 @@
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
+    /** How many workers are asked for a report when a task finds only old ones. */
+    private static final int ASKED = 2;
     /** Where running times are looked at, in standard deviations of their logarithm. */
     private static final double[] LIKELY = {-1.15, -0.32, 0.32, 1.15};
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
@@ -117,10 +119,10 @@
     /** The rules, in order. Those on a task look at the first task in hand that is due for a look. */
     private final Rule[] rules = {
         new Rule(this::listWanted, this::askForList),
-        new Rule(this::reportWanted, this::fetchReports),
         new Rule(this::nothingInHand, () -> { }),
         new Rule(this::mayNotRunAgain, this::giveUp),
         new Rule(this::nobodyReady, this::hold),
+        new Rule(this::reportsWanted, this::fetchReports),
         new Rule(this::hopeless, this::giveUp),
         new Rule(() -> true, this::send),
     };
@@ -346,6 +348,9 @@
         now = at;
         fleet.probing[w] = false;
         reported(w, report);
+        for (Task t : hand) {
+            t.lookAt = t.asked == null || answersOut(t) ? t.lookAt : now;
+        }
         settle();
     }
 
@@ -365,7 +370,7 @@
             for (int i = 0; i < rules.length && !fired; i++) {
                 if (rules[i].when.getAsBoolean()) {
                     rules[i].then.run();
-                    fired = task != null || i < 2;
+                    fired = task != null || i < 1;
                     break;
                 }
             }
@@ -400,33 +405,6 @@
         out.watchList();
     }
 
-    private boolean reportWanted() {
-        if (!fetchesReports) {
-            return false;
-        }
-        for (int w = 0; w < fleet.count; w++) {
-            if (fleet.state[w] == RUNNING && !fleet.probing[w] && now >= fetchAt(w)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private void fetchReports() {
-        for (int w = 0; w < fleet.count; w++) {
-            if (fleet.state[w] == RUNNING && !fleet.probing[w] && now >= fetchAt(w)) {
-                fleet.probing[w] = true;
-                fleet.probedAt[w] = now;
-                out.probe(w);
-            }
-        }
-    }
-
-    /** Where answers carry reports too, only a worker not heard of for a period is asked. */
-    private double fetchAt(int w) {
-        return period() + (fetchesAll ? fleet.probedAt[w] : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
-    }
-
     /** T_p, the period of fetching reports and of renewing the tables of X. */
     private double period() {
         return 2.5 * mixWork;
@@ -467,6 +445,48 @@
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
+    /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
+    private boolean reportsWanted() {
+        return fetchesReports && task.asked == null && best >= 0 && old(best);
+    }
+
+    private boolean old(int w) {
+        return now >= period() + (fetchesAll ? fleet.probedAt[w]
+            : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
+    }
+
+    /** Guards against fetching what no task needs: a few of the best with old reports are asked. */
+    private void fetchReports() {
+        task.asked = new int[ASKED];
+        Arrays.fill(task.asked, best);
+        for (int i = 0; i < ASKED; i++) {
+            double top = Double.NEGATIVE_INFINITY;
+            for (int w = 0; w < fleet.count; w++) {
+                double v = fleet.value[w] + NEAR * chance.nextDouble();
+                if (v > top && old(w)) {
+                    top = v;
+                    task.asked[i] = w;
+                }
+            }
+            int w = task.asked[i];
+            if (!fleet.probing[w] && top > Double.NEGATIVE_INFINITY) {
+                fleet.probing[w] = true;
+                fleet.probedAt[w] = now;
+                out.probe(w);
+            }
+        }
+        task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
+    }
+
+    private boolean answersOut(Task t) {
+        for (int i = 0; t.asked != null && i < t.asked.length; i++) {
+            if (fleet.probing[t.asked[i]]) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void giveUp() {
         Task t = task;
         t.ended = true;
@@ -517,13 +537,6 @@
         for (int i = 0; i < hand.size(); i++) {
             next = Math.min(next, hand.get(i).lookAt);
         }
-        if (fetchesReports) {
-            for (int w = 0; w < fleet.count; w++) {
-                if (fleet.state[w] == RUNNING && !fleet.probing[w]) {
-                    next = Math.min(next, fetchAt(w));
-                }
-            }
-        }
         if (next < wakeAt) {
             wakeAt = Math.max(next, now + tick);
             out.wakeAfter(wakeAt - now);
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -21,6 +21,8 @@
     double worth;
     double lookAt;
     boolean held;
+    /** Workers asked for a report on its behalf, if any. */
+    int[] asked;
     boolean ended;
     Assignment[] sent = new Assignment[1];
     int tries;
