Buddy sets: each dispatcher weighs no more workers than its traffic keeps it informed of

Cause: one of hundreds of dispatchers hears of a worker every 5 to 15 s; the best of 60 noisy scores is mostly wrong and far away.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -24,6 +24,10 @@
     private static final double NEAR = 0.02;
     /** How many workers are asked for a report when a task finds only old ones. */
     private static final int ASKED = 2;
+    /** The least size of a buddy set. */
+    private static final int BUDDIES = 6;
+    /** How much farther back in our order of workers those of other places come. */
+    private static final double FAR = 4;
     /** Where running times are looked at, in standard deviations of their logarithm. */
     private static final double[] LIKELY = {-1.15, -0.32, 0.32, 1.15};
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
@@ -96,6 +100,9 @@
     private double press;
     /** Share of answers that came after the due time lately. */
     private double late;
+    /** Time between tasks that come to us. */
+    private double gap;
+    private double lastArrival;
     private final double[] tenantRate;
     private final double[] tenantAt;
 
@@ -172,6 +179,7 @@
             meanWorth += profiles[p].utility / profiles.length;
         }
         meanDensity = meanWorth / mixWork;
+        gap = fadeSpan() / BUDDIES;
         tenantRate = new double[allowance.length];
         tenantAt = new double[allowance.length];
     }
@@ -190,6 +198,8 @@
     public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize,
             double started) {
         fleet.reach(w, ofKind);
+        // Each dispatcher has an order of its own, so that they don't all lean on the same few workers.
+        fleet.rank[w] = fleet.rank[w] > 0 ? fleet.rank[w] : chance.nextDouble() * (inZone == zone ? 1 : FAR);
         boolean again = started > fleet.startedAt[w];
         fleet.named[w] = true;
         fleet.state[w] = newState;
@@ -224,6 +234,7 @@
         for (Task t : hand) {
             t.lookAt = now;
         }
+        fleet.order();
         settle();
     }
 
@@ -242,6 +253,8 @@
     public void arrived(double at, Task t) {
         now = at;
         t.arrived = now;
+        gap += (Math.min(now - lastArrival, gap * SAMPLES) - gap) / SAMPLES;
+        lastArrival = now;
         int p = t.profile.index;
         t.work = t.hint > 0 && t.hint < t.profile.expiry * SAMPLES ? fromHint(p, t.hint) : profileWork[p];
         // Guards against serving a later try after the due time of the first: the expiry tells its age.
@@ -549,20 +562,24 @@
     private void weigh() {
         double top = Double.NEGATIVE_INFINITY;
         double crossing = crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR);
+        // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
+        double room = Math.max(BUDDIES, fadeSpan() / gap);
         anyReady = false;
-        for (int w = 0; w < fleet.count; w++) {
+        for (int i = 0; i < fleet.count; i++) {
+            int w = fleet.order[i];
             fleet.value[w] = Double.NEGATIVE_INFINITY;
-            if (!ready(w, task)) {
+            if (room <= 0 || !ready(w, task)) {
                 continue;
             }
+            room--;
             anyReady = true;
             double c = inTime(task, w) * trust(w);
             double load = load(w, othersNow(w));
             // Where reports hide queues our own sends pile up first at slow workers, so busy slots cost too.
             double busy = reportsQueue ? 0 : Math.min(1, load) / 2;
             c -= CROWDED * (busy + (load < 1 ? 0 : 1 - 1 / load));
-            for (int i = 0; i < task.tries; i++) {
-                c = task.sent[i].worker == w ? c / 2 : c;
+            for (int j = 0; j < task.tries; j++) {
+                c = task.sent[j].worker == w ? c / 2 : c;
             }
             // Departure: a crossing costs its fee, in shares of what this task is worth.
             fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing);
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -1,6 +1,7 @@
 package gingerspool.dispatch;
 
 import java.util.Arrays;
+import java.util.Comparator;
 
 /** What a Dispatcher knows of each worker, in parallel arrays under a dense index. No decisions here. */
 final class Workers {
@@ -61,6 +62,10 @@
     double[] kindWork = new double[0];
     double[] kindRun = new double[0];
 
+    /** A place in this dispatcher's own order of workers, 0 if none yet, and the workers in that order. */
+    double[] rank = new double[ROOM];
+    Integer[] order = new Integer[0];
+
     private final int regions;
     private final int bins;
     private final int profiles;
@@ -93,7 +98,14 @@
         }
     }
 
+    void order() {
+        order = new Integer[count];
+        Arrays.setAll(order, i -> i);
+        Arrays.sort(order, Comparator.comparingDouble(w -> rank[w]));
+    }
+
     private void widen(int n) {
+        rank = Arrays.copyOf(rank, n);
         state = Arrays.copyOf(state, n);
         zoneOf = Arrays.copyOf(zoneOf, n);
         kindOf = Arrays.copyOf(kindOf, n);
