--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -25,7 +25,7 @@
     /** How many workers are asked for a report when a task finds only old ones. */
     private static final int ASKED = 2;
     /** The least size of a buddy set. */
-    private static final int BUDDIES = 6;
+    private static final int BUDDIES = 4;
     /** How much farther back in our order of workers those of other places come. */
     private static final double FAR = 4;
     /** Where running times are looked at, in standard deviations of their logarithm. */
@@ -199,7 +199,8 @@
             double started) {
         fleet.reach(w, ofKind);
         // Each dispatcher has an order of its own, so that they don't all lean on the same few workers.
-        fleet.rank[w] = fleet.rank[w] > 0 ? fleet.rank[w] : chance.nextDouble() * (inZone == zone ? 1 : FAR);
+        fleet.rank[w] = fleet.rank[w] > 0 ? fleet.rank[w] : -Math.log(chance.nextDouble())
+            / Math.max(0.1, ofSize) * (inZone == zone ? 1 : FAR);
         boolean again = started > fleet.startedAt[w];
         fleet.named[w] = true;
         fleet.state[w] = newState;
