--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -178,7 +178,8 @@
             mixWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
         }
-        meanDensity = meanWorth / mixWork;
+        meanDensity = byWork ? meanWorth : meanWorth / mixWork;
+        meanWorth *= byWork ? mixWork : 1;
         gap = fadeSpan() / BUDDIES;
         tenantRate = new double[allowance.length];
         tenantAt = new double[allowance.length];
