--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -22,8 +22,6 @@
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
-    /** How many workers are asked for a report when a task finds only old ones. */
-    private static final int ASKED = 2;
     /** The least size of a buddy set. */
     private static final int BUDDIES = 4;
     /** How much farther back in our order of workers those of other places come. */
@@ -129,7 +127,7 @@
         new Rule(this::nothingInHand, () -> { }),
         new Rule(this::mayNotRunAgain, this::giveUp),
         new Rule(this::nobodyReady, this::hold),
-        new Rule(this::reportsWanted, this::fetchReports),
+        new Rule(this::reportWanted, this::fetchReport),
         new Rule(this::hopeless, this::giveUp),
         new Rule(() -> true, this::send),
     };
@@ -364,7 +362,7 @@
         fleet.probing[w] = false;
         reported(w, report);
         for (Task t : hand) {
-            t.lookAt = t.asked == null || answersOut(t) ? t.lookAt : now;
+            t.lookAt = t.asked == w ? now : t.lookAt;
         }
         settle();
     }
@@ -461,8 +459,8 @@
     }
 
     /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
-    private boolean reportsWanted() {
-        return fetchesReports && task.asked == null && best >= 0 && old(best);
+    private boolean reportWanted() {
+        return fetchesReports && task.asked < 0 && best >= 0 && old(best);
     }
 
     private boolean old(int w) {
@@ -470,38 +468,17 @@
             : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
     }
 
-    /** Guards against fetching what no task needs: a few of the best with old reports are asked. */
-    private void fetchReports() {
-        task.asked = new int[ASKED];
-        Arrays.fill(task.asked, best);
-        for (int i = 0; i < ASKED; i++) {
-            double top = Double.NEGATIVE_INFINITY;
-            for (int w = 0; w < fleet.count; w++) {
-                double v = fleet.value[w] + NEAR * chance.nextDouble();
-                if (v > top && old(w)) {
-                    top = v;
-                    task.asked[i] = w;
-                }
-            }
-            int w = task.asked[i];
-            if (!fleet.probing[w] && top > Double.NEGATIVE_INFINITY) {
-                fleet.probing[w] = true;
-                fleet.probedAt[w] = now;
-                out.probe(w);
-            }
+    /** Guards against fetching what no task needs: only the worker that would get it is asked. */
+    private void fetchReport() {
+        task.asked = best;
+        if (!fleet.probing[best]) {
+            fleet.probing[best] = true;
+            fleet.probedAt[best] = now;
+            out.probe(best);
         }
         task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
     }
 
-    private boolean answersOut(Task t) {
-        for (int i = 0; t.asked != null && i < t.asked.length; i++) {
-            if (fleet.probing[t.asked[i]]) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private void giveUp() {
         Task t = task;
         t.ended = true;
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -21,8 +21,8 @@
     double worth;
     double lookAt;
     boolean held;
-    /** Workers asked for a report on its behalf, if any. */
-    int[] asked;
+    /** The worker asked for a report on its behalf, or -1. */
+    int asked = -1;
     boolean ended;
     Assignment[] sent = new Assignment[1];
     int tries;
