--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -479,6 +479,11 @@
         task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
     }
 
+    /** Weight of the newest task in what shows strain: where few come to us they must tell it sooner. */
+    private double newest() {
+        return Math.max(1.0 / SAMPLES, Math.min(3.0 / SAMPLES, gap / fadeSpan()));
+    }
+
     private void giveUp() {
         Task t = task;
         t.ended = true;
@@ -750,7 +755,7 @@
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
                 learnRun(a);
-                late += ((now > a.task.due ? 1 : 0) - late) / SAMPLES;
+                late += ((now > a.task.due ? 1 : 0) - late) * newest();
                 if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
