--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -454,7 +454,7 @@
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
-        double strain = Math.max(press, Math.min(1, 2.5 * (late - 0.1)));
+        double strain = Math.max(press, Math.min(1, 2.5 * (lateNow() - 0.1)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
@@ -484,6 +484,18 @@
         return Math.max(1.0 / SAMPLES, Math.min(3.0 / SAMPLES, gap / fadeSpan()));
     }
 
+    /** Guards against learning of a jam only when its late answers come: what is out past its due time is late. */
+    private double lateNow() {
+        double overdue = 0;
+        for (int w = 0; w < fleet.count; w++) {
+            for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
+                overdue += now > a.task.due ? 1 : 0;
+            }
+        }
+        double seen = 1 / newest();
+        return (late * seen + overdue) / (seen + overdue);
+    }
+
     private void giveUp() {
         Task t = task;
         t.ended = true;
