--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -895,7 +895,7 @@
             fleet.pairs[w][believed][told] += times;
             pool[believed][told] += times;
             halve(fleet.pairs[w][believed], SAMPLES);
-            halve(pool[believed], 8 * SAMPLES);
+            halve(pool[believed], SAMPLES);
         }
     }
 
