--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -564,10 +564,12 @@
         for (int i = 0; i < fleet.count; i++) {
             int w = fleet.order[i];
             fleet.value[w] = Double.NEGATIVE_INFINITY;
-            if (room <= 0 || !ready(w, task)) {
+            // Guards against new workers idling: cold ones are open to all, since each has a share of them.
+            boolean warm = warmth(w) >= 1;
+            if (room <= 0 && warm || !ready(w, task)) {
                 continue;
             }
-            room--;
+            room -= warm ? 1 : 0;
             anyReady = true;
             double c = inTime(task, w) * trust(w);
             double load = load(w, othersNow(w));
