--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -872,9 +872,9 @@
 
     private void heard(int w, double n) {
         smoothOwn(w);
+        double before = othersNow(w);
         fleet.heardAt[w] = now;
-        double before = fleet.others[w];
-        fleet.others[w] = Math.max(0, n - fleet.ownSmooth[w]);
+        fleet.others[w] = (before + Math.max(0, n - fleet.ownSmooth[w])) / 2;
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
             fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
         }
