--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -874,7 +874,7 @@
         smoothOwn(w);
         double before = othersNow(w);
         fleet.heardAt[w] = now;
-        fleet.others[w] = (before + Math.max(0, n - fleet.ownSmooth[w])) / 2;
+        fleet.others[w] = before + (Math.max(0, n - fleet.ownSmooth[w]) - before) / 3;
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
             fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
         }
