--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -454,7 +454,9 @@
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
-        double strain = Math.max(press, Math.min(1, 2.5 * (lateNow() - 0.1)));
+        // Guards against turning tasks away in vain: believed queues count in full only where answers are late.
+        double missed = lateNow();
+        double strain = Math.max(press * Math.min(1, 10 * missed), Math.min(1, 2.5 * (missed - 0.1)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
