--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -42,7 +42,7 @@
     /** A task whose best chance is lower than this is given up. */
     private static final double HOPELESS = 0.08;
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
-    private static final double PRESSED = 0.8;
+    private static final double PRESSED = 0.6;
 
     private final Outlet out;
     private final SplittableRandom chance;
