--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -456,7 +456,7 @@
         press += (waits - press) / SAMPLES;
         // Guards against turning tasks away in vain: believed queues count in full only where answers are late.
         double missed = lateNow();
-        double strain = Math.max(press * Math.min(1, 10 * missed), Math.min(1, 2.5 * (missed - 0.1)));
+        double strain = Math.max(press * Math.min(1, 10 * missed), Math.min(1, 5 * (missed - 0.16)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
