--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -487,7 +487,7 @@
     }
 
     /** Guards against learning of a jam only when its late answers come: what is out past its due time is late. */
-    private double lateNow() {
+    double lateNow() {
         double overdue = 0;
         for (int w = 0; w < fleet.count; w++) {
             for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
@@ -876,6 +876,7 @@
         smoothOwn(w);
         double before = othersNow(w);
         fleet.heardAt[w] = now;
+        // Guards against flocking: all dispatchers follow the same old reports, so one moves a belief only so far.
         fleet.others[w] = before + (Math.max(0, n - fleet.ownSmooth[w]) - before) / 3;
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
             fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
