--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -828,7 +828,8 @@
         double off = told - Math.log(run * warm * kindPace(k) / unit);
         // Guards against a slowdown of all, which one worker's few answers show much too late.
         tide += a.task.hint > 0 ? (off - tide) * 2 / SAMPLES - tide / (4 * SAMPLES) : 0;
-        fleet.swift[w] += (off - tide - fleet.swift[w]) * 2 / SAMPLES;
+        double share = a.task.hint > 0 ? newest() : 1.0 / SAMPLES;
+        fleet.swift[w] += (off - tide - fleet.swift[w]) * 2 * share;
         double keep = 1 - 1.0 / (8 * SAMPLES);
         fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
         fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -473,4 +473,24 @@
         b.arrive(0, 3);
         assertEquals(b.count("send 0"), 2);
     }
+
+    /** Found on the grown siracusa-indici: 64 samples of one worker were more than a day held. */
+    @Test
+    public void whereFewTasksComeAWorkersOwnPaceShowsSoon() {
+        Bench b = Bench.of(SAFE);
+        b.settings.tellsStart = true;
+        b.start(2);
+        for (int i = 0; i < 24; i++) {
+            double at = 2000 * (i + 1);
+            b.d.listBegins(at, false);
+            for (int w = 0; w < 2; w++) {
+                b.d.listed(w, 0, 0, 0, w == i / 12 ? Dispatcher.RUNNING : Dispatcher.DRAINING, 2, 0);
+            }
+            b.d.listEnds(at, false, false);
+            b.d.arrived(at, b.task(0, at, 100));
+            b.d.started(at + 1, b.last());
+            b.d.ended(at + (i < 12 ? 401 : 101), b.last(), Outcome.OK, true, null);
+        }
+        assertTrue(b.d.pace(0) < 0.55 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
+    }
 }
