--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -491,6 +491,6 @@
             b.d.started(at + 1, b.last());
             b.d.ended(at + (i < 12 ? 401 : 101), b.last(), Outcome.OK, true, null);
         }
-        assertTrue(b.d.pace(0) < 0.55 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
+        assertTrue(b.d.pace(0) < 0.37 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
     }
 }
