--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -454,7 +454,7 @@
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
-        // Guards against turning tasks away in vain: believed queues count in full only where answers are late.
+        // Guards against turning tasks away in vain: believed queues count in full where answers are late.
         double missed = lateNow();
         double strain = Math.max(press * Math.min(1, 10 * missed), Math.min(1, 5 * (missed - 0.16)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
@@ -462,7 +462,8 @@
 
     /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
     private boolean reportWanted() {
-        return fetchesReports && task.asked < 0 && best >= 0 && old(best);
+        // Guards rule one: near its due time, which is never after its expiry, a task does not wait.
+        return fetchesReports && task.asked < 0 && best >= 0 && old(best) && now + 4 * tick < task.due;
     }
 
     private boolean old(int w) {
@@ -486,7 +487,7 @@
         return Math.max(1.0 / SAMPLES, Math.min(3.0 / SAMPLES, gap / fadeSpan()));
     }
 
-    /** Guards against learning of a jam only when its late answers come: what is out past its due time is late. */
+    /** Guards against learning of a jam by its late answers only: what is out past its due time is late. */
     double lateNow() {
         double overdue = 0;
         for (int w = 0; w < fleet.count; w++) {
@@ -877,7 +878,7 @@
         smoothOwn(w);
         double before = othersNow(w);
         fleet.heardAt[w] = now;
-        // Guards against flocking: all dispatchers follow the same old reports, so one moves a belief only so far.
+        // Guards against flocking after reports that all dispatchers follow: one moves a belief only so far.
         fleet.others[w] = before + (Math.max(0, n - fleet.ownSmooth[w]) - before) / 3;
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
             fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -417,6 +417,11 @@
         assertEquals(b.count("send"), 0);
         b.d.probed(5002, Integer.parseInt(b.acts.get(b.acts.size() - 2).substring(6)), Bench.report(0, 2));
         assertEquals(b.count("send"), 1);
+        Task late = b.task(0, 0, 100);
+        late.expiry = 9003;
+        b.d.arrived(9000, late);
+        assertEquals(b.count("probe"), 1);
+        assertTrue(late.ended || late.tries == 1);
     }
 
     /** Found on all grown sites: hundreds of dispatchers flocked after the same old report. */
