--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -303,7 +303,8 @@
         now = at;
         if (!a.over) {
             a.over = true;
-            unlink(a);
+            smoothOwn(a.worker);
+            fleet.unlink(a);
             a.task.out--;
         }
         Task t = a.task;
@@ -532,7 +533,8 @@
         }
         sendRate(w, 1);
         spend(w, t.work);
-        link(a);
+        smoothOwn(w);
+        fleet.link(a);
         out.send(a, 0);
     }
 
@@ -1050,37 +1052,6 @@
 
     // ---- Our own unfinished sends ----
 
-    private void link(Assignment a) {
-        int w = a.worker;
-        smoothOwn(w);
-        fleet.own[w] += a.task.width;
-        a.before = fleet.newest[w];
-        if (fleet.newest[w] == null) {
-            fleet.oldest[w] = a;
-        } else {
-            fleet.newest[w].after = a;
-        }
-        fleet.newest[w] = a;
-    }
-
-    private void unlink(Assignment a) {
-        int w = a.worker;
-        smoothOwn(w);
-        fleet.own[w] = Math.max(0, fleet.own[w] - a.task.width);
-        if (a.before == null) {
-            fleet.oldest[w] = a.after;
-        } else {
-            a.before.after = a.after;
-        }
-        if (a.after == null) {
-            fleet.newest[w] = a.before;
-        } else {
-            a.after.before = a.before;
-        }
-        a.before = null;
-        a.after = null;
-    }
-
     /** A report is old when it comes, so own sends are taken off it as they were on average then. */
     private void smoothOwn(int w) {
         double past = 1 - Math.exp(-(now - fleet.ownAt[w]) / (2 * mixWork));
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -98,6 +98,37 @@
         }
     }
 
+    /** Adds an unfinished send to those of its worker. */
+    void link(Assignment a) {
+        int w = a.worker;
+        own[w] += a.task.width;
+        a.before = newest[w];
+        if (newest[w] == null) {
+            oldest[w] = a;
+        } else {
+            newest[w].after = a;
+        }
+        newest[w] = a;
+    }
+
+    void unlink(Assignment a) {
+        int w = a.worker;
+        own[w] = Math.max(0, own[w] - a.task.width);
+        if (a.before == null) {
+            oldest[w] = a.after;
+        } else {
+            a.before.after = a.after;
+        }
+        if (a.after == null) {
+            newest[w] = a.before;
+        } else {
+            a.after.before = a.before;
+        }
+        a.before = null;
+        a.after = null;
+    }
+
+    /** Sorts the workers by rank. */
     void order() {
         order = new Integer[count];
         Arrays.setAll(order, i -> i);
