--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -1,5 +1,6 @@
 package gingerspool;
 
+import gingerspool.daemon.Daemon;
 import gingerspool.simhost.SimHost;
 
 /** Picks the subcommand. */
@@ -7,10 +8,14 @@
     private Main() { }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar gingerspool.jar simhost");
-            System.exit(2);
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> System.exit(Daemon.serve(System.getenv()));
+            case "simhost" -> System.exit(SimHost.run(System.in, System.out, System.err));
+            default -> {
+                System.err.println("usage: java -jar gingerspool.jar serve | simhost");
+                System.exit(2);
+            }
         }
-        System.exit(SimHost.run(System.in, System.out, System.err));
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/ConfigurationException.java
@@ -0,0 +1,10 @@
+package gingerspool.daemon;
+
+/** The configuration can't be used; the text names the key at fault. */
+public final class ConfigurationException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    ConfigurationException(String key, String fault) {
+        super(key + " " + fault);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -0,0 +1,113 @@
+package gingerspool.daemon;
+
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Door;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One scheduler process, from its start to its end. */
+public final class Daemon {
+    private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
+    /** Descriptors kept for what is neither a client's nor a worker's, and the part of the rest for workers. */
+    private static final int RESERVE = 48;
+    private static final int WORKER_SHARE = 4;
+    /** The part of clients' descriptors that tasks may hold, so that call-backs and health checks get in. */
+    private static final double TASK_SHARE = 0.8;
+    private static final double SUMMARY_EVERY = 10_000;
+    /** After SIGTERM: clients go on coming for this long; what is not answered by the latter is abandoned. */
+    private static final double STILL_COMING = 700;
+    private static final double LEAVE_WITHIN = 3400;
+    private static final double LOOK_EVERY = 20;
+
+    private final NodeConfiguration node;
+    private final Loop loop;
+    private final Scheduler scheduler;
+    private final Door door;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private volatile int exitCode;
+    private double leaveBy = Double.POSITIVE_INFINITY;
+
+    private Daemon(NodeConfiguration node) throws IOException {
+        this.node = node;
+        int toWorkers = (node.sockets - RESERVE) / WORKER_SHARE;
+        int toClients = node.sockets - RESERVE - toWorkers;
+        loop = new Loop();
+        scheduler = new Scheduler(loop, node, (int) (TASK_SHARE * toClients), toWorkers);
+        door = new Door(loop, node.listen, toClients, scheduler);
+    }
+
+    /** Serves until it is told to stop; returns the exit code. */
+    public static int serve(Map<String, String> environment) {
+        try {
+            Daemon daemon = new Daemon(NodeConfiguration.read(environment));
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+            daemon.loop.enter(daemon::begin);
+            daemon.ended.await();
+            return daemon.exitCode;
+        } catch (ConfigurationException e) {
+            LOG.error("configuration: {}", e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            LOG.error("can't start: {}", e.getMessage());
+            return 1;
+        } catch (InterruptedException e) {
+            return 1;
+        }
+    }
+
+    private void begin() {
+        try {
+            scheduler.begin(node.known);
+            door.open();
+            LOG.info("{} listens on {}", node.name, node.listen);
+            summarise();
+        } catch (BadMessage e) {
+            LOG.error("configuration: known is {}", e.getMessage());
+            exitCode = 2;
+            ended.countDown();
+        }
+    }
+
+    private void summarise() {
+        LOG.info("{}, {} at the door; timers late by {} ms at most", scheduler.summary(), door.connections(),
+            Math.round(loop.latestSince()));
+        loop.after(SUMMARY_EVERY, this::summarise);
+    }
+
+    /** On SIGTERM, from the virtual machine's own thread: it ends when this returns. */
+    private void stop() {
+        loop.enter(this::leave);
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void leave() {
+        LOG.info("leaving, {} tasks in hand", scheduler.tasks());
+        leaveBy = loop.now() + LEAVE_WITHIN;
+        door.leave();
+        loop.after(STILL_COMING, () -> {
+            door.shut();
+            lookForEnd();
+        });
+    }
+
+    private void lookForEnd() {
+        if (loop.now() >= leaveBy && scheduler.tasks() > 0) {
+            LOG.warn("abandoning {} tasks that are still in hand", scheduler.tasks());
+            scheduler.abandonAll();
+            leaveBy = Double.POSITIVE_INFINITY;
+        }
+        if (door.connections() == 0) {
+            LOG.info("left; {}", scheduler.summary());
+            ended.countDown();
+        } else {
+            loop.after(LOOK_EVERY, this::lookForEnd);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/Loop.java
@@ -0,0 +1,102 @@
+package gingerspool.daemon;
+
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.ArrayDeque;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread that all completion handlers and timers end on; what they start is done in turns of its own. */
+public final class Loop implements Turns {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    /** A timer that fires later than this, in milliseconds, is told in the log. */
+    private static final double TOO_LATE = 50;
+
+    private final ScheduledThreadPoolExecutor thread;
+    private final AsynchronousChannelGroup group;
+    private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
+    private final double base = System.currentTimeMillis();
+    private final long baseNanos = System.nanoTime();
+    private boolean inTurn;
+    private double latest;
+
+    public Loop() throws IOException {
+        thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "loop"));
+        thread.setRemoveOnCancelPolicy(true);
+        group = AsynchronousChannelGroup.withThreadPool(thread);
+    }
+
+    @Override
+    public void turn(Runnable what) {
+        turns.add(what);
+        if (inTurn) {
+            return;
+        }
+        inTurn = true;
+        try {
+            for (Runnable next = turns.poll(); next != null; next = turns.poll()) {
+                run(next);
+            }
+        } finally {
+            inTurn = false;
+        }
+    }
+
+    /** Guards the loop: whatever breaks, the other tasks go on. */
+    private static void run(Runnable next) {
+        try {
+            next.run();
+        } catch (RuntimeException e) {
+            LOG.error("a turn broke", e);
+        }
+    }
+
+    /** The same from any thread. */
+    public void enter(Runnable what) {
+        thread.execute(() -> turn(what));
+    }
+
+    @Override
+    public Future<?> after(double span, Runnable what) {
+        long nanos = (long) (span * 1e6);
+        long due = System.nanoTime() + nanos;
+        return thread.schedule(() -> {
+            double late = (System.nanoTime() - due) / 1e6;
+            latest = Math.max(latest, late);
+            if (late > TOO_LATE) {
+                LOG.warn("a timer fired {} ms late", Math.round(late));
+            }
+            turn(what);
+        }, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** The most that a timer was late by since this was last asked. */
+    double latestSince() {
+        double worst = latest;
+        latest = 0;
+        return worst;
+    }
+
+    @Override
+    public double now() {
+        return base + (System.nanoTime() - baseNanos) / 1e6;
+    }
+
+    @Override
+    public AsynchronousChannelGroup group() {
+        return group;
+    }
+
+    public void stop() {
+        try {
+            group.shutdownNow();
+        } catch (IOException e) {
+            LOG.warn("can't close the channels: {}", e.getMessage());
+        }
+        thread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -0,0 +1,73 @@
+package gingerspool.daemon;
+
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** What one daemon is told at its start: the file that GW_CONFIG names, and GW_* variables for what it leaves out. */
+public final class NodeConfiguration {
+    public final String name;
+    public final InetSocketAddress listen;
+    public final InetSocketAddress discovery;
+    public final long seed;
+    public final int sockets;
+    /** The list of workers as last held, in discovery's form, or null. */
+    public final Object known;
+    public final Configuration deployment;
+
+    public static NodeConfiguration read(Map<String, String> environment) throws ConfigurationException {
+        String file = environment.get("GW_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigurationException("GW_CONFIG", "is not set");
+        }
+        try {
+            return new NodeConfiguration(Json.read(Files.readString(Path.of(file))), environment);
+        } catch (IOException | RuntimeException e) {
+            throw new ConfigurationException("GW_CONFIG", "names a file that can't be read: " + e);
+        } catch (BadMessage e) {
+            throw new ConfigurationException("GW_CONFIG", "names a file that is " + e.getMessage());
+        }
+    }
+
+    NodeConfiguration(Object tree, Map<String, String> environment) throws ConfigurationException {
+        Key all = new Key("", tree);
+        if (!(tree instanceof Map)) {
+            throw new ConfigurationException("GW_CONFIG", "names a file that holds no object");
+        }
+        name = all.at("name").text(environment.getOrDefault("GW_NAME", "gingerspool"));
+        listen = address(all.at("listen"), environment.get("GW_LISTEN"));
+        discovery = address(all.at("discovery"), environment.get("GW_DISCOVERY"));
+        seed = seed(all.at("seed"));
+        sockets = all.at("limits").object().at("sockets").whole(1024);
+        if (sockets < 64) {
+            throw all.at("limits").at("sockets").fault("is under 64, too few to serve with");
+        }
+        known = all.at("known").object().raw();
+        deployment = new Configuration(all.at("settings").raw());
+    }
+
+    private static InetSocketAddress address(Key key, String other) throws ConfigurationException {
+        String text = key.text(other);
+        if (text == null) {
+            throw key.fault("is missing");
+        }
+        try {
+            return Address.read(text);
+        } catch (BadMessage e) {
+            throw key.fault("is " + e.getMessage());
+        }
+    }
+
+    private static long seed(Key key) throws ConfigurationException {
+        try {
+            return Long.parseUnsignedLong(key.needed().text(""), 16);
+        } catch (NumberFormatException e) {
+            throw key.fault("is not a number of up to 16 hex digits");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -0,0 +1,311 @@
+package gingerspool.daemon;
+
+import gingerspool.dispatch.Assignment;
+import gingerspool.dispatch.Dispatcher;
+import gingerspool.dispatch.Outcome;
+import gingerspool.dispatch.Outlet;
+import gingerspool.dispatch.Task;
+import gingerspool.store.Errand;
+import gingerspool.store.Hand;
+import gingerspool.store.HeldTask;
+import gingerspool.store.Pool;
+import gingerspool.store.Roster;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Door;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import gingerspool.wire.Outbound;
+import gingerspool.wire.ToWorker;
+import gingerspool.wire.Turns;
+import gingerspool.wire.Watch;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The Dispatcher on sockets: hands it what comes in, and carries out what it decides. Decides nothing itself. */
+final class Scheduler implements Outlet, Door.Desk, Watch.Follower, Errand.Home {
+    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+    /** The part of the heap that tasks' bodies may fill. */
+    private static final int BODY_SHARE = 4;
+    /** How far ahead of its expiry a task's answer is due here, in times that answers may be late by. */
+    private static final double AHEAD = 4;
+
+    private final Turns turns;
+    private final Configuration deployment;
+    private final InetSocketAddress discovery;
+    private final Dispatcher dispatcher;
+    private final Hand hand;
+    private final Pool pool;
+    private final Roster roster = new Roster();
+    private final double ahead;
+    private Watch watch;
+    private long version;
+    private boolean remembered;
+    private int finished;
+    private int bounced;
+    private int abandoned;
+    private int left;
+
+    Scheduler(Turns turns, NodeConfiguration node, int mostTasks, int mostToWorkers) {
+        this.turns = turns;
+        deployment = node.deployment;
+        discovery = node.discovery;
+        hand = new Hand(Math.min(mostTasks, deployment.mostTasks), Runtime.getRuntime().maxMemory() / BODY_SHARE);
+        pool = new Pool(turns, deployment.connectWithin, deployment.connectionIdle, mostToWorkers);
+        ahead = AHEAD * Math.max(deployment.settings.tick, deployment.answerGrace);
+        dispatcher = new Dispatcher(deployment.settings, node.seed, this);
+    }
+
+    /** Begins with the list as last held, which may be old or null, and asks for the present one. */
+    void begin(Object known) throws BadMessage {
+        if (known != null) {
+            remembered = true;
+            Watch.tell(known, this);
+            remembered = false;
+        }
+        dispatcher.wake(turns.now());
+    }
+
+    // ---- The list ----
+
+    @Override
+    public void listBegins(long newVersion, boolean whole) {
+        version = newVersion;
+        dispatcher.listBegins(turns.now(), whole);
+    }
+
+    @Override
+    public void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state, double size,
+        double started) {
+        int w = roster.index(host);
+        if (roster.moves(w, dial)) {
+            pool.empty(w);
+        }
+        pool.keep(w, state == Dispatcher.RUNNING);
+        dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0), cell,
+            roster.address(w) == null ? Dispatcher.GONE : state, size, started);
+    }
+
+    @Override
+    public void listEnds(boolean whole) {
+        dispatcher.listEnds(turns.now(), whole, remembered);
+    }
+
+    @Override
+    public void watchEnded(String why) {
+        LOG.warn("the watch on the list of workers {}", why);
+        dispatcher.listFailed(turns.now());
+    }
+
+    @Override
+    public void watchList() {
+        if (watch != null) {
+            watch.close();
+        }
+        watch = Watch.open(turns, discovery, version, deployment.connectWithin, this);
+    }
+
+    // ---- Tasks come and go ----
+
+    @Override
+    public boolean knowsProfile(String name) {
+        return deployment.profiles.containsKey(name);
+    }
+
+    @Override
+    public boolean inHand(String id) {
+        return hand.find(id) != null;
+    }
+
+    @Override
+    public boolean hasRoomFor(int bytes) {
+        return hand.hasRoomFor(bytes);
+    }
+
+    @Override
+    public void arrived(Inbound client, String id, String profile, String tenant, double timeLeft, double hint,
+        double width, double memory, boolean repeat, Message request) {
+        HeldTask t = new HeldTask(id, client, request);
+        t.profile = deployment.profiles.get(profile);
+        t.tenant = tenant == null ? -1 : deployment.tenants.getOrDefault(tenant, -1);
+        double wait = Double.isNaN(timeLeft) ? t.profile.expiry : timeLeft;
+        double at = turns.now();
+        t.expiry = at + wait - Math.min(ahead, wait / 2);
+        t.hint = hint;
+        t.width = (int) Math.max(1, width);
+        t.memory = memory;
+        t.repeat = repeat;
+        hand.add(t);
+        client.whenGone(() -> gone(t));
+        dispatcher.arrived(at, t);
+        hand.release(t);
+    }
+
+    private void gone(HeldTask t) {
+        t.client = null;
+        left++;
+        dispatcher.left(turns.now(), t);
+        hand.release(t);
+    }
+
+    @Override
+    public void bounce(Task task, double pause) {
+        HeldTask t = (HeldTask) task;
+        bounced++;
+        Door.bounced(t.client, pause);
+        answered(t);
+    }
+
+    @Override
+    public void abandon(Task task) {
+        HeldTask t = (HeldTask) task;
+        abandoned++;
+        Door.abandoned(t.client);
+        answered(t);
+    }
+
+    private void answered(HeldTask t) {
+        t.client = null;
+        hand.release(t);
+    }
+
+    // ---- Assignments ----
+
+    @Override
+    public void send(Assignment a, double timeout) {
+        HeldTask t = (HeldTask) a.task;
+        Errand errand = new Errand(a, deployment.reports, this);
+        t.errands.add(errand);
+        double now = turns.now();
+        double wait = timeout > 0 ? Math.min(timeout, t.expiry - now) : t.expiry - now;
+        if (wait <= 0 || t.ended()) {
+            turns.turn(() -> errand.fail(Outcome.MOOT));
+            return;
+        }
+        InetSocketAddress address = roster.address(a.worker);
+        try {
+            Outbound connection = pool.take(a.worker, address);
+            Future<?> alarm = turns.after(wait, () -> errand.giveUp(Outcome.TIMEOUT));
+            errand.begin(connection, alarm);
+            connection.ask(ToWorker.request(t.request, address, wait), 0, errand);
+        } catch (IOException e) {
+            LOG.warn("no connection to {}: {}", roster.name(a.worker), e.getMessage());
+            turns.turn(() -> errand.fail(Outcome.UNREACHABLE));
+        }
+    }
+
+    @Override
+    public void cancel(Assignment a) {
+        Errand errand = ((HeldTask) a.task).errands.get(a.number);
+        turns.turn(() -> errand.giveUp(Outcome.CANCELLED));
+    }
+
+    @Override
+    public void giveUp(Errand errand) {
+        int w = errand.assignment.worker;
+        try {
+            byte[] request = ToWorker.giveUp(errand.task.id, roster.address(w));
+            pool.take(w, roster.address(w)).ask(request, deployment.connectWithin, null);
+        } catch (IOException e) {
+            LOG.warn("can't tell {} to give up a task: {}", roster.name(w), e.getMessage());
+        }
+    }
+
+    @Override
+    public void told(String id, String from, String state, double share, String result, Object load) {
+        HeldTask t = hand.find(id);
+        Errand errand = t == null ? null : outAt(t, roster.find(from));
+        if (errand == null) {
+            return;
+        }
+        Outcome how = ToWorker.outcome(state);
+        if (how != null) {
+            end(errand, how, result, load);
+        } else if (state.equals("started")) {
+            dispatcher.started(turns.now(), errand.assignment);
+        } else if (state.equals("running")) {
+            dispatcher.progressed(turns.now(), errand.assignment, share);
+        }
+    }
+
+    private void end(Errand errand, Outcome how, String result, Object load) {
+        HeldTask t = errand.task;
+        if (how == Outcome.OK && t.client != null) {
+            finished++;
+            Door.finished(t.client, result);
+            t.client = null;
+        }
+        errand.told(how == Outcome.FULL && repeats(errand) ? Outcome.RESET : how, deployment.reports.read(load));
+    }
+
+    /** Guards rule two: a worker's word that it handed a task back may be a repeat of what it said of an earlier one. */
+    private static boolean repeats(Errand errand) {
+        for (Errand e : errand.task.errands) {
+            if (e != errand && e.endedByCallBack() && e.assignment.worker == errand.assignment.worker) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The task's errand that is out at this worker, or null: what is late, repeated or of others counts for nothing. */
+    private static Errand outAt(HeldTask t, int worker) {
+        for (Errand e : t.errands) {
+            if (!e.isOver() && e.assignment.worker == worker) {
+                return e;
+            }
+        }
+        return null;
+    }
+
+    @Override
+    public void ended(Errand errand, Outcome how, double[] report) {
+        HeldTask t = errand.task;
+        boolean over = t.ended() || how == Outcome.OK;
+        dispatcher.ended(turns.now(), errand.assignment, how, over, report);
+        hand.release(t);
+    }
+
+    @Override
+    public void probe(int worker) {
+        // The protocol has no probe, so it ends at once without a report.
+        turns.turn(() -> dispatcher.probed(turns.now(), worker, null));
+    }
+
+    @Override
+    public void wakeAfter(double span) {
+        turns.after(Math.max(span, 0.01), () -> dispatcher.wake(turns.now()));
+    }
+
+    // ---- The end ----
+
+    /** Abandons what is still in hand: better this answer than none. */
+    void abandonAll() {
+        for (HeldTask t : hand.all()) {
+            if (t.client != null) {
+                Inbound client = t.client;
+                t.client = null;
+                abandoned++;
+                Door.abandoned(client);
+                dispatcher.left(turns.now(), t);
+            }
+        }
+    }
+
+    int tasks() {
+        return hand.size();
+    }
+
+    /** Counts since the last call, in words. */
+    String summary() {
+        String text = finished + " finished, " + bounced + " bounced, " + abandoned + " abandoned, " + left
+            + " left by their client; " + hand.size() + " in hand, " + pool.size() + " connections to workers";
+        finished = 0;
+        bounced = 0;
+        abandoned = 0;
+        left = 0;
+        return text;
+    }
+}
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -1,7 +1,7 @@
 package gingerspool.dispatch;
 
-/** One client request in our hands. Holds facts only; the Dispatcher decides. */
-public final class Task {
+/** One client request in our hands. Holds facts only; the Dispatcher decides. A host may add its own. */
+public class Task {
     /** What the door calls it; never looked at inside. */
     public final String id;
     public Profile profile;
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -1,18 +1,18 @@
 package gingerspool.simhost;
 
+import gingerspool.daemon.Configuration;
+import gingerspool.daemon.ConfigurationException;
 import gingerspool.dispatch.Assignment;
 import gingerspool.dispatch.Dispatcher;
 import gingerspool.dispatch.Outcome;
 import gingerspool.dispatch.Outlet;
-import gingerspool.dispatch.Profile;
 import gingerspool.dispatch.Report;
-import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
+import gingerspool.wire.Tree;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 
 /** One scheduler of the simulator: a Dispatcher, and the names under which the wire knows what it holds. */
@@ -23,132 +23,14 @@
     private final Map<String, Task> tasks = new HashMap<>();
     private final Map<String, Integer> workers = new HashMap<>();
     private final List<String> workerNames = new ArrayList<>();
-    private final Map<String, Profile> profiles = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
-    private final Map<String, Integer> zones = new HashMap<>();
-    private final Map<String, Integer> kinds = new HashMap<>();
-    private final int[] reportPlace;
-    private final String[] reportNames;
+    private final Configuration deployment;
     private final double[] report = new double[Report.SIZE];
 
-    Instance(String id, long seed, Object settings, StringBuilder reply) {
+    Instance(String id, long seed, Object settings, StringBuilder reply) throws ConfigurationException {
         this.id = id;
         this.reply = reply;
-        Settings s = new Settings();
-        readNames(settings, s);
-        readProfiles(settings, s);
-        readLimits(settings, s);
-        List<?> names = Tree.list(settings, "loadInfo", "names");
-        reportNames = new String[names.size()];
-        reportPlace = new int[names.size()];
-        for (int i = 0; i < reportNames.length; i++) {
-            reportNames[i] = String.valueOf(names.get(i));
-            reportPlace[i] = place(reportNames[i], settings);
-        }
-        dispatcher = new Dispatcher(s, seed, this);
-    }
-
-    private static int place(String name, Object settings) {
-        return switch (name) {
-            case "concurrent" -> Report.IN_FLIGHT;
-            case "depth" -> Report.QUEUE;
-            case "load_share" -> Report.UTILISATION;
-            case "tps" -> Report.RATE;
-            case "err_ps" -> Report.ERRORS;
-            case "x0", "x1" -> switch (meaning(name, settings)) {
-                case "free slots" -> Report.FREE_SLOTS;
-                case "free memory" -> Report.FREE_MEMORY;
-                default -> -1;
-            };
-            default -> -1;
-        };
-    }
-
-    private static String meaning(String name, Object settings) {
-        return Tree.text("", settings, "specifics", "report" + name.toUpperCase(Locale.ROOT));
-    }
-
-    private void readNames(Object settings, Settings s) {
-        for (Object z : Tree.list(settings, "localities")) {
-            zones.putIfAbsent(String.valueOf(z), zones.size());
-        }
-        for (Object k : Tree.list(settings, "flavors")) {
-            kinds.putIfAbsent(String.valueOf(k), kinds.size());
-        }
-        s.zone = zones.getOrDefault(Tree.text("", settings, "locality"), -1);
-        s.dispatchers = (int) Tree.number(1, settings, "groupSize");
-        List<?> list = Tree.list(settings, "tenants");
-        s.allowance = new double[list.size()];
-        for (int i = 0; i < s.allowance.length; i++) {
-            tenants.put(Tree.text("", list.get(i), "name"), i);
-            s.allowance[i] = Tree.number(0, list.get(i), "allowancePerS");
-        }
-    }
-
-    private void readProfiles(Object settings, Settings s) {
-        List<?> list = Tree.list(settings, "profiles");
-        s.profiles = new Profile[list.size()];
-        List<?> kind = Tree.list(settings, "specifics", "classKind");
-        List<?> prio = Tree.list(settings, "specifics", "classPriority");
-        List<?> stretch = Tree.list(settings, "specifics", "classStretch");
-        for (int i = 0; i < s.profiles.length; i++) {
-            Object c = list.get(i);
-            Profile p = new Profile();
-            p.index = i;
-            p.name = Tree.text("", c, "name");
-            p.dueTime = Tree.number(0, c, "dueTimeMs");
-            p.expiry = Tree.number(0, c, "expiryMs");
-            p.utility = Tree.number(1, c, "utility");
-            p.tardyUtility = Tree.number(0, c, "tardyUtility");
-            p.window = Tree.number(0, c, "windowMs");
-            p.effect = switch (Tree.text("", c, "effect")) {
-                case "safe" -> Profile.Effect.IDEMPOTENT;
-                case "keyed" -> Profile.Effect.FINGERPRINTED;
-                default -> Profile.Effect.SIDE_EFFECTING;
-            };
-            p.scope = switch (Tree.text("", c, "dedupScope")) {
-                case "all" -> Profile.Scope.ALL;
-                case "zone" -> Profile.Scope.ZONE;
-                default -> Profile.Scope.CELL;
-            };
-            p.kind = (int) place(kind, i, -1);
-            p.prio = (int) place(prio, i, 0);
-            p.stretch = Tree.number(place(stretch, i, 0), c, "aimStretch");
-            s.profiles[i] = p;
-            profiles.put(p.name, p);
-        }
-    }
-
-    private static double place(List<?> list, int i, double other) {
-        return i < list.size() && list.get(i) instanceof Number n ? n.doubleValue() : other;
-    }
-
-    private static void readLimits(Object settings, Settings s) {
-        s.excessUtility = Tree.number(1, settings, "excessUtility");
-        s.utilityByWork = Tree.text("", settings, "utilityBy").equals("work");
-        s.listOnRequest = Tree.text("", settings, "discovery").equals("ask");
-        s.reportsByProbe = Tree.text("", settings, "loadInfo", "via").equals("pull");
-        s.reportsInAnswers = Tree.text("", settings, "loadInfo", "via").equals("piggyback");
-        s.order = switch (Tree.text("", settings, "specifics", "queueOrder")) {
-            case "priority" -> Settings.Order.PRIORITY;
-            case "backfill" -> Settings.Order.BACKFILL;
-            default -> Settings.Order.FIRST_COME;
-        };
-        s.tellsStart = Tree.mark(settings, "specifics", "tellsStart");
-        Object limits = Tree.at(settings, "limits");
-        s.mayProbe = Tree.mark(limits, "probes");
-        s.mayAdvise = Tree.mark(limits, "retryAfter");
-        s.maxAdvice = Tree.number(0, limits, "maxRetryAfterMs");
-        s.mostAssignments = (int) Tree.number(1, limits, "mostAssignments");
-        Object rules = Tree.at(settings, "obligations");
-        s.askWithin = Tree.number(0, rules, "askWithinMs");
-        s.coldFrom = Tree.number(1, rules, "coldFrom");
-        s.warmWithin = Tree.number(0, rules, "warmWithinMs");
-        s.fallWindow = Tree.number(0, rules, "fallMs");
-        s.overloadFactor = Tree.number(1, rules, "overloadFactor");
-        s.tick = Tree.number(1, settings, "tickMs");
-        Object fees = Tree.at(settings, "fees");
-        s.crossFee = Tree.number(0, fees, "crossZone");
+        deployment = new Configuration(settings);
+        dispatcher = new Dispatcher(deployment.settings, seed, this);
     }
 
     // ---- Events ----
@@ -184,12 +66,12 @@
 
     private void arrived(double at, Fields f) throws WireException {
         Task t = new Task(f.text("xid"));
-        t.profile = profiles.get(f.text("kind"));
+        t.profile = deployment.profiles.get(f.text("kind"));
         if (t.profile == null) {
             throw new WireException("field kind names no profile: " + f.text("kind"));
         }
         String owner = f.textOr("owner", null);
-        t.tenant = owner == null ? -1 : tenants.getOrDefault(owner, -1);
+        t.tenant = owner == null ? -1 : deployment.tenants.getOrDefault(owner, -1);
         t.expiry = f.number("notAfterMs");
         t.hint = f.numberOr("workMs", 0);
         t.width = (int) f.numberOr("width", 1);
@@ -256,8 +138,8 @@
                 default -> Dispatcher.GONE;
             };
             dispatcher.listed(workers.computeIfAbsent(name, this::newWorker),
-                zones.getOrDefault(Tree.text("", entry, "site"), -1),
-                kinds.getOrDefault(Tree.text("", entry, "classOfHost"), 0),
+                deployment.zones.getOrDefault(Tree.text("", entry, "site"), -1),
+                deployment.kinds.getOrDefault(Tree.text("", entry, "classOfHost"), 0),
                 (int) Tree.number(0, entry, "bay"), state, Tree.number(1, entry, "capacityHint"),
                 Tree.number(0, entry, "readyAtMs"));
         }
@@ -295,11 +177,11 @@
             return null;
         }
         Arrays.fill(report, Double.NaN);
-        for (int i = 0; i < reportPlace.length; i++) {
-            if (reportPlace[i] >= 0) {
-                report[reportPlace[i]] = Tree.number(Double.NaN, metrics, reportNames[i]);
+        deployment.reportPlaces.forEach((name, place) -> {
+            if (place >= 0) {
+                report[place] = Tree.number(Double.NaN, metrics, name);
             }
-        }
+        });
         return report;
     }
 
--- a/src/main/java/gingerspool/simhost/SimHost.java
+++ b/src/main/java/gingerspool/simhost/SimHost.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import gingerspool.daemon.ConfigurationException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -107,7 +108,7 @@
             instances.remove(id);
             try {
                 instances.put(id, new Instance(id, seed, settings, reply));
-            } catch (RuntimeException e) {
+            } catch (ConfigurationException | RuntimeException e) {
                 fault(id, "these settings can't be used: " + e.getMessage());
             }
             return;
--- /dev/null
+++ b/src/main/java/gingerspool/store/Errand.java
@@ -0,0 +1,108 @@
+package gingerspool.store;
+
+import gingerspool.dispatch.Assignment;
+import gingerspool.dispatch.Outcome;
+import gingerspool.wire.LoadReport;
+import gingerspool.wire.Message;
+import gingerspool.wire.Outbound;
+import gingerspool.wire.ToWorker;
+import java.util.concurrent.Future;
+
+/** One assignment under way. Every race between its possible ends is decided in end(): the first one counts. */
+public final class Errand implements Outbound.Caller {
+    /** Who is told how it ended. */
+    public interface Home {
+        void ended(Errand errand, Outcome how, double[] report);
+
+        /** The worker has the task and is to be told to let it go. */
+        void giveUp(Errand errand);
+    }
+
+    public final Assignment assignment;
+    public final HeldTask task;
+    private final LoadReport reports;
+    private final Home home;
+    /** Carries the request until the worker has answered it. */
+    private Outbound connection;
+    private Future<?> alarm;
+    private boolean taken;
+    private boolean over;
+    private boolean byCallBack;
+
+    public Errand(Assignment assignment, LoadReport reports, Home home) {
+        this.assignment = assignment;
+        this.reports = reports;
+        this.home = home;
+        task = (HeldTask) assignment.task;
+    }
+
+    /** Begins: the connection may be null where there was none to be had. */
+    public void begin(Outbound connection, Future<?> alarm) {
+        this.connection = connection;
+        this.alarm = alarm;
+    }
+
+    public boolean isOver() {
+        return over;
+    }
+
+    /** Whether it ended by a call-back, of which repeats may still come. */
+    public boolean endedByCallBack() {
+        return byCallBack;
+    }
+
+    @Override
+    public void answered(Message answer) {
+        connection = null;
+        Outcome how = ToWorker.outcome(answer);
+        if (how == null) {
+            taken = true;
+        } else {
+            end(how, reports.read(ToWorker.load(answer)));
+        }
+    }
+
+    @Override
+    public void broke(boolean allWritten) {
+        connection = null;
+        if (!taken) {
+            end(allWritten ? Outcome.RESET : Outcome.UNREACHABLE, null);
+        }
+    }
+
+    /** A call-back told its end. */
+    public void told(Outcome how, double[] report) {
+        byCallBack = !over;
+        end(how, report);
+    }
+
+    /** The wait is over, by the clock or by decision: gives it up on the wire before anything else is done. */
+    public void giveUp(Outcome how) {
+        if (over) {
+            return;
+        }
+        if (connection != null) {
+            connection.drop();
+            connection = null;
+        } else if (taken) {
+            home.giveUp(this);
+        }
+        end(how, null);
+    }
+
+    /** It could not even begin. */
+    public void fail(Outcome how) {
+        end(how, null);
+    }
+
+    private void end(Outcome how, double[] report) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        home.ended(this, how, report);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/store/HeldTask.java
@@ -0,0 +1,26 @@
+package gingerspool.store;
+
+import gingerspool.dispatch.Task;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A task in hand, with its client's connection, its request and its errands. */
+public final class HeldTask extends Task {
+    public final Message request;
+    /** Null once the client has its answer or has gone. */
+    public Inbound client;
+    /** By number of the assignment. */
+    public final List<Errand> errands = new ArrayList<>(1);
+
+    public HeldTask(String id, Inbound client, Message request) {
+        super(id);
+        this.client = client;
+        this.request = request;
+    }
+
+    public int size() {
+        return request.body().length;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -0,0 +1,102 @@
+package gingerspool.store;
+
+import gingerspool.wire.Outbound;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Our connections to workers: those at rest are kept by worker for a while and used again, the latest first. */
+public final class Pool {
+    /** A resting connection is closed after this part of the time that workers allow. */
+    private static final double KEPT = 0.6;
+
+    private final Turns turns;
+    private final double connectWithin;
+    private final double restsFor;
+    private final int most;
+    private final List<Berth> berths = new ArrayList<>();
+    /** The longest at rest first. */
+    private final Set<Outbound> resting = new LinkedHashSet<>();
+    private int count;
+
+    public Pool(Turns turns, double connectWithin, double idleMost, int most) {
+        this.turns = turns;
+        this.connectWithin = connectWithin;
+        this.restsFor = KEPT * idleMost;
+        this.most = most;
+    }
+
+    /** The connections to one worker. */
+    private final class Berth implements Outbound.Owner {
+        private final Deque<Outbound> free = new ArrayDeque<>();
+        private boolean kept = true;
+
+        @Override
+        public void free(Outbound connection) {
+            if (kept && restsFor > 0) {
+                free.push(connection);
+                resting.add(connection);
+                connection.closeAfter(restsFor);
+            } else {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void closed(Outbound connection) {
+            count--;
+            free.remove(connection);
+            resting.remove(connection);
+        }
+    }
+
+    /** A connection to this worker, at rest or new; it must be used at once. */
+    public Outbound take(int worker, InetSocketAddress address) throws IOException {
+        while (berths.size() <= worker) {
+            berths.add(new Berth());
+        }
+        Berth berth = berths.get(worker);
+        Outbound connection = berth.free.poll();
+        if (connection != null) {
+            resting.remove(connection);
+            return connection;
+        }
+        if (count >= most && !resting.isEmpty()) {
+            resting.iterator().next().close();
+        }
+        if (count >= most) {
+            throw new IOException("all " + most + " connections to workers are busy");
+        }
+        connection = Outbound.open(turns, address, connectWithin, berth);
+        count++;
+        return connection;
+    }
+
+    /** Whether connections to this worker are kept when they come to rest; if not, those at rest are closed. */
+    public void keep(int worker, boolean kept) {
+        if (worker >= berths.size()) {
+            return;
+        }
+        berths.get(worker).kept = kept;
+        if (!kept) {
+            empty(worker);
+        }
+    }
+
+    /** Closes the connections to this worker that are at rest. */
+    public void empty(int worker) {
+        if (worker < berths.size()) {
+            List.copyOf(berths.get(worker).free).forEach(Outbound::close);
+        }
+    }
+
+    public int size() {
+        return count;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/store/Roster.java
@@ -0,0 +1,44 @@
+package gingerspool.store;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The workers that the list has named, under the dense index that the Dispatcher knows them by. */
+public final class Roster {
+    private final Map<String, Integer> indexes = new HashMap<>();
+    private final List<String> names = new ArrayList<>();
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+
+    /** The index of this worker, a new one if it has none. */
+    public int index(String name) {
+        Integer known = indexes.putIfAbsent(name, names.size());
+        if (known != null) {
+            return known;
+        }
+        names.add(name);
+        addresses.add(null);
+        return names.size() - 1;
+    }
+
+    /** The index of this worker, or -1. */
+    public int find(String name) {
+        return indexes.getOrDefault(name, -1);
+    }
+
+    public String name(int worker) {
+        return names.get(worker);
+    }
+
+    /** Where it listens, or null if that was never told. */
+    public InetSocketAddress address(int worker) {
+        return addresses.get(worker);
+    }
+
+    /** Notes where it listens; tells whether that has changed. */
+    public boolean moves(int worker, InetSocketAddress address) {
+        return address != null && !address.equals(addresses.set(worker, address));
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -0,0 +1,206 @@
+package gingerspool.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Where clients and call-backs come in: owns their connections and turns requests into calls. */
+public final class Door implements Inbound.Door, Listener.Owner {
+    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+
+    /** Who is behind the door. */
+    public interface Desk {
+        boolean knowsProfile(String name);
+
+        boolean inHand(String id);
+
+        /** Whether another task can be taken, by its size. */
+        boolean hasRoomFor(int bytes);
+
+        void arrived(Inbound client, String id, String profile, String tenant, double timeLeft, double hint,
+            double width, double memory, boolean repeat, Message request);
+
+        /** A worker's word on an assignment; load is its report, or null. */
+        void told(String id, String from, String state, double share, String result, Object load);
+    }
+
+    private final Turns turns;
+    private final Desk desk;
+    private final int most;
+    private final Listener listener;
+    private final Set<Inbound> all = new LinkedHashSet<>();
+    /** The longest idle first. */
+    private final Set<Inbound> idle = new LinkedHashSet<>();
+    private boolean leaving;
+
+    /** Listens at once; holds so many connections at the most. */
+    public Door(Turns turns, SocketAddress at, int most, Desk desk) throws IOException {
+        this.turns = turns;
+        this.desk = desk;
+        this.most = most;
+        listener = new Listener(turns, at, this);
+    }
+
+    public SocketAddress address() throws IOException {
+        return listener.address();
+    }
+
+    public void open() {
+        listener.acceptOn();
+    }
+
+    public int connections() {
+        return all.size();
+    }
+
+    // ---- Connections ----
+
+    /** Guards the limit on descriptors: at the most, the longest idle connection makes room for a new one. */
+    @Override
+    public boolean hasRoom() {
+        if (all.size() >= most && !idle.isEmpty()) {
+            idle.iterator().next().close();
+        }
+        return all.size() < most;
+    }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel) {
+        Inbound connection = new Inbound(turns, channel, this);
+        all.add(connection);
+        if (leaving) {
+            connection.endAfterAnswer();
+        }
+        connection.start();
+    }
+
+    @Override
+    public void idle(Inbound connection, boolean is) {
+        if (is) {
+            idle.add(connection);
+            if (all.size() >= most) {
+                listener.acceptOn();
+            }
+        } else {
+            idle.remove(connection);
+        }
+    }
+
+    @Override
+    public void closed(Inbound connection) {
+        all.remove(connection);
+        idle.remove(connection);
+        listener.acceptOn();
+    }
+
+    /** From now on every answer is its connection's last. */
+    public void leave() {
+        leaving = true;
+        all.forEach(Inbound::endAfterAnswer);
+    }
+
+    /** No more connections, and none without a request on it. */
+    public void shut() {
+        listener.close();
+        List.copyOf(idle).forEach(Inbound::close);
+    }
+
+    // ---- Requests ----
+
+    @Override
+    public void asked(Inbound from, Message request) {
+        String target = request.target();
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        try {
+            switch (path) {
+                case "/healthz" -> {
+                    allow(request, "GET");
+                    from.answer(leaving ? 503 : 200, List.of(), leaving ? "leaving\n" : "ready\n");
+                }
+                case "/callback" -> {
+                    allow(request, "POST");
+                    callback(request);
+                    from.answer(200, List.of(), "");
+                }
+                default -> task(from, request, path);
+            }
+        } catch (BadMessage e) {
+            LOG.info("turned down with {}: {}", e.status, e.getMessage());
+            from.answer(e.status, List.of(), e.getMessage() + "\n");
+        }
+    }
+
+    private static void allow(Message request, String method) throws BadMessage {
+        if (!request.method().equals(method)) {
+            throw new BadMessage(405, "method must be " + method);
+        }
+    }
+
+    private void callback(Message request) throws BadMessage {
+        byte[] body = request.body();
+        Object call = Json.read(body, 0, body.length);
+        String id = Tree.text("", call, "id");
+        String from = Tree.text("", call, "from");
+        String state = Tree.text("", call, "state");
+        if (id.isEmpty() || from.isEmpty() || state.isEmpty()) {
+            throw new BadMessage(400, "a call-back needs id, from and state");
+        }
+        desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
+            Tree.at(call, "load"));
+    }
+
+    private void task(Inbound client, Message request, String path) throws BadMessage {
+        String profile = request.field("x-service-class");
+        int slash = path.indexOf('/', 1);
+        String first = slash < 0 ? path.substring(1) : path.substring(1, slash);
+        if (profile == null && !desk.knowsProfile(first) || profile != null && desk.knowsProfile(profile)
+            && !profile.equals(first)) {
+            throw new BadMessage(404, "no such path");
+        }
+        allow(request, "POST");
+        profile = profile == null ? first : profile;
+        if (!desk.knowsProfile(profile)) {
+            throw new BadMessage(400, "unknown class");
+        }
+        String id = request.field("x-correlation-id");
+        if (id == null || id.length() > 128 || !Message.isToken(id)) {
+            throw new BadMessage(400, "X-Correlation-Id is missing or unusable");
+        }
+        if (desk.inHand(id)) {
+            throw new BadMessage(400, "X-Correlation-Id is in use");
+        }
+        double timeLeft = Facts.field(request, "x-time-left-ms", Double.NaN);
+        double hint = Facts.field(request, "x-weight-hint", 0);
+        double width = Facts.fact(request, "x-facts", "width", 1);
+        double memory = Facts.fact(request, "x-facts", "memNeeded", 0);
+        if (!desk.hasRoomFor(request.body().length)) {
+            client.answer(503, List.of(), "too many tasks in hand\n");
+            return;
+        }
+        desk.arrived(client, id, profile, request.field("x-account"), timeLeft, hint, width, memory,
+            "1".equals(request.field("x-repeat")), request);
+    }
+
+    // ---- Answers ----
+
+    public static void finished(Inbound client, String result) {
+        client.answer(200, List.of(), result.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Trying again is harmless, best after this pause in milliseconds (0: no advice). */
+    public static void bounced(Inbound client, double pause) {
+        client.answer(503, pause > 0 ? List.of("Retry-After: " + Math.rint(pause) / 1000) : List.of(), "bounced\n");
+    }
+
+    /** No promise about the effect. */
+    public static void abandoned(Inbound client) {
+        client.answer(500, List.of(), "abandoned\n");
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -0,0 +1,169 @@
+package gingerspool.wire;
+
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** A connection that a client or a worker's call-back came on: reads requests and writes an answer to each in turn. */
+public final class Inbound extends Connection {
+    /** How long a peer may take over one message, an answer, or its own end. */
+    private static final double STALLED = 10_000;
+    private static final double IDLE = 120_000;
+    private static final double LINGER = 1000;
+    private static final byte[] GO_ON = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    /** Who takes the requests. */
+    public interface Door {
+        /** A whole request; the connection is then owed one answer. */
+        void asked(Inbound from, Message request);
+
+        /** It has become free to be closed, or is so no longer. */
+        void idle(Inbound connection, boolean idle);
+
+        void closed(Inbound connection);
+    }
+
+    private enum State { IDLE, READING, ASKED, ANSWERING, ENDING }
+
+    private final Door door;
+    private State state = State.IDLE;
+    private Message message = Message.request();
+    private boolean lastAnswer;
+    private boolean lastRequest;
+    private Runnable whenGone;
+
+    public Inbound(Turns turns, AsynchronousSocketChannel channel, Door door) {
+        super(turns, channel);
+        this.door = door;
+    }
+
+    /** Begins to read; separate from making it so that the owner knows it first. */
+    public void start() {
+        rest();
+        readOn();
+    }
+
+    /** What to do if the peer goes away before its answer. */
+    public void whenGone(Runnable then) {
+        whenGone = then;
+    }
+
+    private void rest() {
+        state = State.IDLE;
+        message = Message.request();
+        alarm(IDLE, this::close);
+        door.idle(this, true);
+    }
+
+    @Override
+    int received(byte[] b, int from, int to) {
+        switch (state) {
+            case ENDING -> {
+                return to - from;
+            }
+            case ASKED, ANSWERING -> {
+                return 0;
+            }
+            default -> { }
+        }
+        if (state == State.IDLE) {
+            state = State.READING;
+            alarm(STALLED, this::close);
+            door.idle(this, false);
+        }
+        try {
+            boolean head = message.headRead();
+            int taken = message.take(b, from, to);
+            if (message.done()) {
+                state = State.ASKED;
+                alarm(0, null);
+                lastRequest = !message.keepsAlive();
+                door.asked(this, message);
+            } else if (!head && message.wantsContinue()) {
+                write(GO_ON);
+            }
+            return taken;
+        } catch (BadMessage e) {
+            state = State.ASKED;
+            lastRequest = true;
+            answer(e.status, List.of(), e.getMessage());
+            return to - from;
+        }
+    }
+
+    public void answer(int status, List<String> fields, String text) {
+        answer(status, fields, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers the request at hand, once; an answer to a peer that has gone is dropped. */
+    public void answer(int status, List<String> fields, byte[] body) {
+        if (!isOpen() || state != State.ASKED) {
+            return;
+        }
+        state = State.ANSWERING;
+        whenGone = null;
+        alarm(STALLED, this::close);
+        lastRequest |= lastAnswer;
+        StringBuilder head = new StringBuilder(160).append("HTTP/1.1 ").append(status).append(' ')
+            .append(reason(status)).append("\r\nContent-Length: ").append(body.length).append("\r\n");
+        for (String f : fields) {
+            head.append(f).append("\r\n");
+        }
+        head.append(lastRequest ? "Connection: close\r\n\r\n" : "\r\n");
+        write(joined(head, body));
+    }
+
+    static byte[] joined(CharSequence head, byte[] body) {
+        byte[] top = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = new byte[top.length + body.length];
+        System.arraycopy(top, 0, all, 0, top.length);
+        System.arraycopy(body, 0, all, top.length, body.length);
+        return all;
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 413 -> "Content Too Large";
+            case 431 -> "Request Header Fields Too Large";
+            case 500 -> "Internal Server Error";
+            case 501 -> "Not Implemented";
+            case 503 -> "Service Unavailable";
+            default -> "Status";
+        };
+    }
+
+    @Override
+    void sent() {
+        if (state != State.ANSWERING) {
+            return;
+        }
+        if (lastRequest) {
+            // Guards the answer: closing with something unread would reset it on its way.
+            state = State.ENDING;
+            alarm(LINGER, this::close);
+            endOutput();
+            takeIn();
+        } else {
+            rest();
+            takeIn();
+        }
+        readOn();
+    }
+
+    /** From now on each answer is the last one. */
+    public void endAfterAnswer() {
+        lastAnswer = true;
+    }
+
+    @Override
+    void closed(boolean allWritten) {
+        door.closed(this);
+        if (whenGone != null) {
+            whenGone.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/Json.java
@@ -0,0 +1,189 @@
+package gingerspool.wire;
+
+import java.nio.charset.CharacterCodingException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads one JSON value as maps, lists, text, numbers and marks. */
+public final class Json {
+    private static final int DEEPEST = 64;
+
+    private final String text;
+    private int at;
+
+    private Json(String text) {
+        this.text = text;
+    }
+
+    public static Object read(byte[] bytes, int from, int to) throws BadMessage {
+        try {
+            return read(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes, from, to - from)).toString());
+        } catch (CharacterCodingException e) {
+            throw new BadMessage(400, "not UTF-8");
+        }
+    }
+
+    public static Object read(String text) throws BadMessage {
+        Json json = new Json(text);
+        Object value = json.value(0);
+        json.space();
+        if (json.at < text.length()) {
+            throw json.bad("the end");
+        }
+        return value;
+    }
+
+    private BadMessage bad(String wanted) {
+        return new BadMessage(400, "not JSON: " + wanted + " wanted at character " + at);
+    }
+
+    private void space() {
+        while (at < text.length() && " \t\r\n".indexOf(text.charAt(at)) >= 0) {
+            at++;
+        }
+    }
+
+    /** The next character after white space, or 0 at the end. */
+    private char peek() {
+        space();
+        return at < text.length() ? text.charAt(at) : 0;
+    }
+
+    private boolean skip(char c) {
+        if (peek() == c) {
+            at++;
+            return true;
+        }
+        return false;
+    }
+
+    private void want(char c) throws BadMessage {
+        if (!skip(c)) {
+            throw bad("'" + c + "'");
+        }
+    }
+
+    private Object value(int depth) throws BadMessage {
+        if (depth > DEEPEST) {
+            throw bad("less nesting");
+        }
+        return switch (peek()) {
+            case '{' -> object(depth);
+            case '[' -> array(depth);
+            case '"' -> string();
+            case 't' -> word("true", Boolean.TRUE);
+            case 'f' -> word("false", Boolean.FALSE);
+            case 'n' -> word("null", null);
+            default -> number();
+        };
+    }
+
+    private Object word(String word, Object value) throws BadMessage {
+        if (!text.startsWith(word, at)) {
+            throw bad(word);
+        }
+        at += word.length();
+        return value;
+    }
+
+    private Map<String, Object> object(int depth) throws BadMessage {
+        Map<String, Object> map = new HashMap<>();
+        want('{');
+        if (skip('}')) {
+            return map;
+        }
+        do {
+            if (peek() != '"') {
+                throw bad("a name");
+            }
+            String name = string();
+            want(':');
+            map.put(name, value(depth + 1));
+        } while (skip(','));
+        want('}');
+        return map;
+    }
+
+    private List<Object> array(int depth) throws BadMessage {
+        List<Object> list = new ArrayList<>();
+        want('[');
+        if (skip(']')) {
+            return list;
+        }
+        do {
+            list.add(value(depth + 1));
+        } while (skip(','));
+        want(']');
+        return list;
+    }
+
+    private String string() throws BadMessage {
+        int from = ++at;
+        StringBuilder out = null;
+        while (at < text.length()) {
+            char c = text.charAt(at);
+            if (c == '"') {
+                String rest = text.substring(from, at++);
+                return out == null ? rest : out.append(rest).toString();
+            }
+            if (c < ' ') {
+                throw bad("no control character");
+            }
+            at++;
+            if (c == '\\') {
+                out = out == null ? new StringBuilder() : out;
+                out.append(text, from, at - 1).append(escaped());
+                from = at;
+            }
+        }
+        throw bad("'\"'");
+    }
+
+    private char escaped() throws BadMessage {
+        char c = at < text.length() ? text.charAt(at++) : 0;
+        switch (c) {
+            case '"', '\\', '/' -> {
+                return c;
+            }
+            case 'b' -> {
+                return '\b';
+            }
+            case 'f' -> {
+                return '\f';
+            }
+            case 'n' -> {
+                return '\n';
+            }
+            case 'r' -> {
+                return '\r';
+            }
+            case 't' -> {
+                return '\t';
+            }
+            case 'u' -> {
+                if (at + 4 <= text.length()) {
+                    at += 4;
+                    return (char) Message.number(text.substring(at - 4, at), 16);
+                }
+                throw bad("four digits");
+            }
+            default -> throw bad("an escape");
+        }
+    }
+
+    private Double number() throws BadMessage {
+        int from = at;
+        while (at < text.length() && "+-.0123456789eE".indexOf(text.charAt(at)) >= 0) {
+            at++;
+        }
+        String digits = text.substring(from, at);
+        if (!digits.matches("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")) {
+            throw bad("a value");
+        }
+        return Double.valueOf(digits);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -0,0 +1,85 @@
+package gingerspool.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The listening socket: accepts while its owner has room. */
+public final class Listener implements CompletionHandler<AsynchronousSocketChannel, Void> {
+    private static final Logger LOG = LoggerFactory.getLogger(Listener.class);
+    private static final int BACKLOG = 1024;
+    /** How long it waits after an accept that failed, as when there is no descriptor left. */
+    private static final double PAUSE = 100;
+
+    /** Who takes the connections. */
+    public interface Owner {
+        boolean hasRoom();
+
+        void accepted(AsynchronousSocketChannel channel);
+    }
+
+    private final Turns turns;
+    private final Owner owner;
+    private final AsynchronousServerSocketChannel channel;
+    private boolean accepting;
+
+    public Listener(Turns turns, SocketAddress at, Owner owner) throws IOException {
+        this.turns = turns;
+        this.owner = owner;
+        channel = AsynchronousServerSocketChannel.open(turns.group());
+        try {
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            channel.bind(at, BACKLOG);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    public SocketAddress address() throws IOException {
+        return channel.getLocalAddress();
+    }
+
+    /** Goes on accepting, if it does not and there is room. */
+    public void acceptOn() {
+        if (!accepting && channel.isOpen() && owner.hasRoom()) {
+            accepting = true;
+            channel.accept(null, this);
+        }
+    }
+
+    @Override
+    public void completed(AsynchronousSocketChannel accepted, Void none) {
+        turns.turn(() -> {
+            accepting = false;
+            owner.accepted(accepted);
+            acceptOn();
+        });
+    }
+
+    @Override
+    public void failed(Throwable why, Void none) {
+        turns.turn(() -> {
+            if (channel.isOpen()) {
+                LOG.warn("can't accept: {}", why.getMessage());
+                turns.after(PAUSE, () -> {
+                    accepting = false;
+                    acceptOn();
+                });
+            }
+        });
+    }
+
+    public void close() {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            LOG.warn("can't close the listening socket: {}", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -0,0 +1,158 @@
+package gingerspool.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+
+/** A connection that we opened: carries one request at a time, and never sends one again by itself. */
+public final class Outbound extends Connection {
+    /** Whose request it carries. */
+    public interface Caller {
+        /** The whole answer has come; called when the connection may be used again, or not. */
+        void answered(Message answer);
+
+        /** The connection ended first; tells whether the request's last byte had been written. */
+        void broke(boolean allWritten);
+    }
+
+    /** Who keeps it between requests. */
+    public interface Owner {
+        void free(Outbound connection);
+
+        void closed(Outbound connection);
+    }
+
+    private final Owner owner;
+    private boolean up;
+    private byte[] waiting;
+    private boolean begun;
+    private boolean whole;
+    private Caller caller;
+    private double patience;
+    private Message.Sink sink;
+    private Message answer;
+
+    private Outbound(Turns turns, AsynchronousSocketChannel channel, Owner owner) {
+        super(turns, channel);
+        this.owner = owner;
+    }
+
+    /** Starts to connect; fails at once only where there is no descriptor left. */
+    public static Outbound open(Turns turns, SocketAddress to, double within, Owner owner) throws IOException {
+        Outbound made = new Outbound(turns, AsynchronousSocketChannel.open(turns.group()), owner);
+        made.connect(to, within, made::connected);
+        return made;
+    }
+
+    /** Sends this request as soon as it is up; closes after so long a wait for the answer, 0 for never. */
+    public void ask(byte[] request, double patience, Caller from) {
+        ask(request, patience, from, null);
+    }
+
+    /** The same; the answer's body goes to the sink. */
+    void ask(byte[] request, double patience, Caller from, Message.Sink sink) {
+        caller = from;
+        this.patience = patience;
+        this.sink = sink;
+        answer = Message.answer(sink);
+        begun = false;
+        whole = false;
+        waiting = request;
+        if (up) {
+            begin();
+        }
+    }
+
+    private void connected() {
+        up = true;
+        if (waiting != null) {
+            begin();
+        }
+    }
+
+    private void begin() {
+        closeAfter(patience);
+        byte[] request = waiting;
+        waiting = null;
+        begun = true;
+        write(request);
+    }
+
+    /** Closes itself unless it is used again before this span ends; 0: never. */
+    public void closeAfter(double span) {
+        alarm(span, this::close);
+    }
+
+    /** Gives the request up by closing; its caller hears no more. */
+    public void drop() {
+        caller = null;
+        close();
+    }
+
+    /** The status of the answer that is coming in. */
+    int status() {
+        return answer.status();
+    }
+
+    @Override
+    void sent() {
+        whole = true;
+        finish();
+    }
+
+    @Override
+    int received(byte[] b, int from, int to) {
+        if (answer == null) {
+            // Nothing was asked, so nothing may come.
+            close();
+            return to - from;
+        }
+        try {
+            int taken = answer.take(b, from, to);
+            if (answer.done() && answer.status() < 200) {
+                answer = Message.answer(sink);
+            } else {
+                finish();
+            }
+            return taken;
+        } catch (BadMessage e) {
+            close();
+            return to - from;
+        }
+    }
+
+    /** An answer counts once the request is written whole; one that comes sooner ends the connection. */
+    private void finish() {
+        if (answer == null || !answer.done()) {
+            return;
+        }
+        Message done = answer;
+        Caller to = caller;
+        answer = null;
+        caller = null;
+        boolean keep = whole && done.keepsAlive();
+        if (keep) {
+            owner.free(this);
+        } else {
+            close();
+        }
+        if (to != null) {
+            to.answered(done);
+        }
+    }
+
+    @Override
+    void closed(boolean allWritten) {
+        owner.closed(this);
+        Caller to = caller;
+        caller = null;
+        if (to == null) {
+            return;
+        }
+        if (answer != null && answer.headRead() && answer.endsWithClose()) {
+            to.answered(answer);
+        } else {
+            to.broke(begun && allWritten);
+        }
+    }
+}
