Hints, facts, probes and pushed lists on sockets; a held task is not parked past its due time

Seen: every task bounced at once, two in hand until their clients left. Checked: request heads in the log at debug level. X-Weight-Hint is in microseconds (52197 for a profile of 150 ms), read as milliseconds, so all looked hopeless; X-Facts names slots and memory, not width and memNeeded. The two lost: Dispatcher.hold waits an eighth of the mean work, here 6 s, past the expiry; it now ends at the last moment at which the task could be in time. Probes are GET /load, answered with X-Backend-Load.

--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -32,6 +32,10 @@
     /** How far ahead of its expiry a task's answer is due here, in times that answers may be late by. */
     private static final double AHEAD = 4;
 
+    /** How soon a watch that is ours to keep is opened again, at first and at most. */
+    private static final double WATCH_PAUSE = 100;
+    private static final double WATCH_PAUSE_MOST = 1600;
+
     private final Turns turns;
     private final Configuration deployment;
     private final InetSocketAddress discovery;
@@ -41,6 +45,7 @@
     private final Roster roster = new Roster();
     private final double ahead;
     private Watch watch;
+    private double watchPause = WATCH_PAUSE;
     private long version;
     private boolean remembered;
     private int finished;
@@ -66,6 +71,9 @@
             remembered = false;
         }
         dispatcher.wake(turns.now());
+        if (!deployment.settings.listOnRequest) {
+            watchList();
+        }
     }
 
     // ---- The list ----
@@ -91,12 +99,19 @@
     @Override
     public void listEnds(boolean whole) {
         dispatcher.listEnds(turns.now(), whole, remembered);
+        watchPause = WATCH_PAUSE;
     }
 
     @Override
     public void watchEnded(String why) {
         LOG.warn("the watch on the list of workers {}", why);
-        dispatcher.listFailed(turns.now());
+        if (deployment.settings.listOnRequest) {
+            dispatcher.listFailed(turns.now());
+        } else {
+            // Guards the drain rule where the list is pushed: the module does not ask there, so the host must.
+            turns.after(watchPause, this::watchList);
+            watchPause = Math.min(2 * watchPause, WATCH_PAUSE_MOST);
+        }
     }
 
     @Override
@@ -270,8 +285,27 @@
 
     @Override
     public void probe(int worker) {
-        // The protocol has no probe, so it ends at once without a report.
-        turns.turn(() -> dispatcher.probed(turns.now(), worker, null));
+        try {
+            InetSocketAddress address = roster.address(worker);
+            pool.take(worker, address).ask(ToWorker.probe(address), deployment.connectWithin,
+                new Outbound.Caller() {
+                    @Override
+                    public void answered(Message answer) {
+                        probed(worker, deployment.reports.read(ToWorker.load(answer)));
+                    }
+
+                    @Override
+                    public void broke(boolean allWritten) {
+                        probed(worker, null);
+                    }
+                });
+        } catch (IOException e) {
+            turns.turn(() -> probed(worker, null));
+        }
+    }
+
+    private void probed(int worker, double[] report) {
+        dispatcher.probed(turns.now(), worker, report);
     }
 
     @Override
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -443,7 +443,9 @@
 
     /** Nobody may take it just now: look again shortly. */
     private void hold() {
-        task.lookAt = now + Math.max(tick, mixWork / 8);
+        // Guards rule one: absurd hints make that long, and a task may not be parked past its last chance.
+        double last = Math.max(now + tick, task.due - task.work);
+        task.lookAt = Math.min(now + Math.max(tick, mixWork / 8), last);
     }
 
     private boolean hopeless() {
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -118,6 +118,7 @@
         String target = request.target();
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
+        LOG.debug("{}", request);
         try {
             switch (path) {
                 case "/healthz" -> {
@@ -177,9 +178,10 @@
             throw new BadMessage(400, "X-Correlation-Id is in use");
         }
         double timeLeft = Facts.field(request, "x-time-left-ms", Double.NaN);
-        double hint = Facts.field(request, "x-weight-hint", 0);
-        double width = Facts.fact(request, "x-facts", "width", 1);
-        double memory = Facts.fact(request, "x-facts", "memNeeded", 0);
+        // Microseconds on a standard core; the simulator tells the same figure in milliseconds.
+        double hint = Facts.field(request, "x-weight-hint", 0) / 1000;
+        double width = Facts.fact(request, "x-facts", "slots", 1);
+        double memory = Facts.fact(request, "x-facts", "memory", 0);
         if (!desk.hasRoomFor(request.body().length)) {
             client.answer(503, List.of(), "too many tasks in hand\n");
             return;
--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -110,6 +110,12 @@
         return false;
     }
 
+    /** The head and the size of the body, for the log. */
+    @Override
+    public String toString() {
+        return String.join(" ", startLine) + " " + names + " " + values + " body of " + held;
+    }
+
     // ---- Reading ----
 
     /** Takes what it can of these bytes and returns how many; what is left must be offered again with more. */
--- a/src/main/java/gingerspool/wire/ToWorker.java
+++ b/src/main/java/gingerspool/wire/ToWorker.java
@@ -32,6 +32,11 @@
             + "\r\nContent-Length: 0\r\n\r\n", new byte[0]);
     }
 
+    /** Asks for a load report. */
+    public static byte[] probe(InetSocketAddress worker) {
+        return Inbound.joined("GET /load HTTP/1.1\r\nHost: " + Address.text(worker) + "\r\n\r\n", new byte[0]);
+    }
+
     /** Null where the worker has taken the task. Only its own word that it never ran counts as such. */
     public static Outcome outcome(Message answer) {
         int status = answer.status();
