--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -72,7 +72,7 @@
     }
 
     private void summarise() {
-        LOG.info("{}, {} at the door; timers late by {} ms at most", scheduler.summary(), door.connections(),
+        LOG.info("{}; {}; timers late by {} ms at most", scheduler.summary(), door.summary(),
             Math.round(loop.latestSince()));
         loop.after(SUMMARY_EVERY, this::summarise);
     }
--- a/src/main/java/gingerspool/daemon/Loop.java
+++ b/src/main/java/gingerspool/daemon/Loop.java
@@ -16,6 +16,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     /** A timer that fires later than this, in milliseconds, is told in the log. */
     private static final double TOO_LATE = 50;
+    /** At most once in so many nanoseconds. */
+    private static final long WARN_EVERY = 1_000_000_000;
 
     private final ScheduledThreadPoolExecutor thread;
     private final AsynchronousChannelGroup group;
@@ -23,6 +25,7 @@
     private final double base = System.currentTimeMillis();
     private final long baseNanos = System.nanoTime();
     private boolean inTurn;
+    private long warnedAt = baseNanos - WARN_EVERY;
     private double latest;
 
     public Loop() throws IOException {
@@ -69,7 +72,8 @@
         return thread.schedule(() -> {
             double late = (System.nanoTime() - due) / 1e6;
             latest = Math.max(latest, late);
-            if (late > TOO_LATE) {
+            if (late > TOO_LATE && System.nanoTime() - warnedAt > WARN_EVERY) {
+                warnedAt = System.nanoTime();
                 LOG.warn("a timer fired {} ms late", Math.round(late));
             }
             turn(what);
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -20,6 +20,8 @@
 import gingerspool.wire.Watch;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.Locale;
 import java.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,6 +34,7 @@
     /** How far ahead of its expiry a task's answer is due here, in times that answers may be late by. */
     private static final double AHEAD = 4;
 
+    private static final String[] STATES = {"gone", "draining", "running"};
     /** How long a client's wait may be where its profile does not say. */
     private static final double LONGEST_WAIT = 60_000;
     /** How soon a watch that is ours to keep is opened again, at first and at most. */
@@ -50,6 +53,7 @@
     private double watchPause = WATCH_PAUSE;
     private long version;
     private boolean remembered;
+    private final int[] outcomes = new int[Outcome.values().length];
     private int finished;
     private int bounced;
     private int abandoned;
@@ -94,6 +98,9 @@
             pool.empty(w);
         }
         pool.keep(w, state == Dispatcher.RUNNING);
+        if (roster.turns(w, state)) {
+            LOG.info("{} in {} is listed as {}", host, zone, STATES[state]);
+        }
         dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0), cell,
             roster.address(w) == null ? Dispatcher.GONE : state, size, started);
     }
@@ -281,6 +288,7 @@
     @Override
     public void ended(Errand errand, Outcome how, double[] report) {
         HeldTask t = errand.task;
+        outcomes[how.ordinal()]++;
         boolean over = t.ended() || how == Outcome.OK;
         dispatcher.ended(turns.now(), errand.assignment, how, over, report);
         hand.release(t);
@@ -344,12 +352,19 @@
 
     /** Counts since the last call, in words. */
     String summary() {
-        String text = finished + " finished, " + bounced + " bounced, " + abandoned + " abandoned, " + left
-            + " left by their client; " + hand.size() + " in hand, " + pool.size() + " connections to workers";
+        StringBuilder text = new StringBuilder().append(finished).append(" finished, ").append(bounced)
+            .append(" bounced, ").append(abandoned).append(" abandoned, ").append(left)
+            .append(" left by their client; ").append(hand.size()).append(" in hand; assignments:");
+        for (Outcome how : Outcome.values()) {
+            int n = outcomes[how.ordinal()];
+            text.append(n == 0 ? "" : " " + n + " " + how.name().toLowerCase(Locale.ROOT));
+        }
+        text.append("; ").append(pool.size()).append(" connections to workers");
+        Arrays.fill(outcomes, 0);
         finished = 0;
         bounced = 0;
         abandoned = 0;
         left = 0;
-        return text;
+        return text.toString();
     }
 }
--- a/src/main/java/gingerspool/store/Roster.java
+++ b/src/main/java/gingerspool/store/Roster.java
@@ -11,6 +11,7 @@
     private final Map<String, Integer> indexes = new HashMap<>();
     private final List<String> names = new ArrayList<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final List<Integer> states = new ArrayList<>();
 
     /** The index of this worker, a new one if it has none. */
     public int index(String name) {
@@ -20,6 +21,7 @@
         }
         names.add(name);
         addresses.add(null);
+        states.add(-1);
         return names.size() - 1;
     }
 
@@ -37,6 +39,11 @@
         return addresses.get(worker);
     }
 
+    /** Notes the state that it is listed in; tells whether that has changed. */
+    public boolean turns(int worker, int state) {
+        return states.set(worker, state) != state;
+    }
+
     /** Notes where it listens; tells whether that has changed. */
     public boolean moves(int worker, InetSocketAddress address) {
         return address != null && !address.equals(addresses.set(worker, address));
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -38,6 +38,8 @@
     /** The longest idle first. */
     private final Set<Inbound> idle = new LinkedHashSet<>();
     private boolean leaving;
+    private int turnedDown;
+    private int refused;
 
     /** Listens at once; holds so many connections at the most. */
     public Door(Turns turns, SocketAddress at, int most, Desk desk) throws IOException {
@@ -59,6 +61,15 @@
         return all.size();
     }
 
+    /** Counts since the last call, in words. */
+    public String summary() {
+        String text = all.size() + " connections at the door, " + turnedDown + " requests turned down, " + refused
+            + " refused for want of room";
+        turnedDown = 0;
+        refused = 0;
+        return text;
+    }
+
     // ---- Connections ----
 
     /** Guards the limit on descriptors: at the most, the longest idle connection makes room for a new one. */
@@ -137,11 +148,18 @@
                 default -> task(from, request, path);
             }
         } catch (BadMessage e) {
-            LOG.info("turned down with {}: {}", e.status, e.getMessage());
+            unreadable(e);
             from.answer(e.status, List.of(), e.getMessage() + "\n");
         }
     }
 
+    /** Counted and not told one by one, since anyone could fill the log. */
+    @Override
+    public void unreadable(BadMessage fault) {
+        turnedDown++;
+        LOG.debug("turned down with {}: {}", fault.status, fault.getMessage());
+    }
+
     private static void allow(Message request, String method) throws BadMessage {
         if (!request.method().equals(method)) {
             throw new BadMessage(405, "method must be " + method);
@@ -188,6 +206,7 @@
         double width = Facts.fact(request, "x-facts", "slots", 1);
         double memory = Facts.fact(request, "x-facts", "memory", 0);
         if (!desk.hasRoomFor(request.body().length)) {
+            refused++;
             client.answer(503, List.of(), "too many tasks in hand\n");
             return;
         }
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -20,6 +20,9 @@
         /** It has become free to be closed, or is so no longer. */
         void idle(Inbound connection, boolean idle);
 
+        /** What came could not be read, and is answered so. */
+        void unreadable(BadMessage fault);
+
         void closed(Inbound connection);
     }
 
@@ -86,6 +89,7 @@
         } catch (BadMessage e) {
             state = State.ASKED;
             lastRequest = true;
+            door.unreadable(e);
             answer(e.status, List.of(), e.getMessage());
             return to - from;
         }
--- a/src/main/java/gingerspool/wire/ToWorker.java
+++ b/src/main/java/gingerspool/wire/ToWorker.java
@@ -2,6 +2,7 @@
 
 import gingerspool.dispatch.Outcome;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 
 /** What is said to a worker, and what its answers mean. */
 public final class ToWorker {
@@ -16,7 +17,7 @@
         StringBuilder head = new StringBuilder(320).append(from.method()).append(' ').append(from.target())
             .append(" HTTP/1.1\r\nHost: ").append(Address.text(worker));
         for (String name : PASSED_ON) {
-            String value = from.field(name.toLowerCase(java.util.Locale.ROOT));
+            String value = from.field(name.toLowerCase(Locale.ROOT));
             if (value != null) {
                 head.append("\r\n").append(name).append(": ").append(value);
             }
--- a/src/test/java/gingerspool/store/StoreTest.java
+++ b/src/test/java/gingerspool/store/StoreTest.java
@@ -125,5 +125,7 @@
         assertTrue(roster.moves(0, Address.read("127.0.0.1:1")));
         assertFalse(roster.moves(0, Address.read("127.0.0.1:1")));
         assertFalse(roster.moves(0, null));
+        assertTrue(roster.turns(0, 2));
+        assertFalse(roster.turns(0, 2));
     }
 }
