--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 
 /**
- * The one place where a deployment's settings are read, checked and given defaults, for every host of the module:
- * what the Dispatcher is told, the names under which the outside knows it, and what a host needs besides.
+ * The one place where a deployment's settings are read, checked and given defaults, for every host of the
+ * module: what the Dispatcher is told, the names under which the outside knows it, what a host needs besides.
  */
 public final class Configuration {
     public final Settings settings = new Settings();
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -11,7 +11,7 @@
 /** One scheduler process, from its start to its end. */
 public final class Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
-    /** Descriptors kept for what is neither a client's nor a worker's, and the part of the rest for workers. */
+    /** Descriptors kept for neither clients nor workers, and the part of the rest that is for workers. */
     private static final int RESERVE = 48;
     private static final int WORKER_SHARE = 4;
     /** The part of clients' descriptors that tasks may hold, so that call-backs and health checks get in. */
--- a/src/main/java/gingerspool/daemon/Loop.java
+++ b/src/main/java/gingerspool/daemon/Loop.java
@@ -11,7 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The one thread that all completion handlers and timers end on; what they start is done in turns of its own. */
+/** The one thread that completion handlers and timers end on; what they start is done in turns of its own. */
 public final class Loop implements Turns {
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     /** A timer that fires later than this, in milliseconds, is told in the log. */
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -26,7 +26,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The Dispatcher on sockets: hands it what comes in, and carries out what it decides. Decides nothing itself. */
+/** The Dispatcher on sockets: hands it what comes in, carries out what it decides, decides nothing itself. */
 final class Scheduler implements Outlet, Door.Desk, Watch.Follower, Errand.Home {
     private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
     /** The part of the heap that tasks' bodies may fill. */
@@ -63,7 +63,8 @@
         this.turns = turns;
         deployment = node.deployment;
         discovery = node.discovery;
-        hand = new Hand(Math.min(mostTasks, deployment.mostTasks), Runtime.getRuntime().maxMemory() / BODY_SHARE);
+        hand = new Hand(Math.min(mostTasks, deployment.mostTasks),
+            Runtime.getRuntime().maxMemory() / BODY_SHARE);
         pool = new Pool(turns, deployment.connectWithin, deployment.connectionIdle, mostToWorkers);
         ahead = AHEAD * Math.max(deployment.settings.tick, deployment.answerGrace);
         dispatcher = new Dispatcher(deployment.settings, node.seed, this);
@@ -91,8 +92,8 @@
     }
 
     @Override
-    public void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state, double size,
-        double started) {
+    public void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state,
+        double size, double started) {
         int w = roster.index(host);
         if (roster.moves(w, dial)) {
             pool.empty(w);
@@ -101,8 +102,8 @@
         if (roster.turns(w, state)) {
             LOG.info("{} in {} is listed as {}", host, zone, STATES[state]);
         }
-        dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0), cell,
-            roster.address(w) == null ? Dispatcher.GONE : state, size, started);
+        dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0),
+            cell, roster.address(w) == null ? Dispatcher.GONE : state, size, started);
     }
 
     @Override
@@ -117,7 +118,7 @@
         if (deployment.settings.listOnRequest) {
             dispatcher.listFailed(turns.now());
         } else {
-            // Guards the drain rule where the list is pushed: the module does not ask there, so the host must.
+            // Guards the drain rule where the list is pushed: the module does not ask there, the host must.
             turns.after(watchPause, this::watchList);
             watchPause = Math.min(2 * watchPause, WATCH_PAUSE_MOST);
         }
@@ -149,8 +150,8 @@
     }
 
     @Override
-    public void arrived(Inbound client, String id, String profile, String tenant, double timeLeft, double hint,
-        double width, double memory, boolean repeat, Message request) {
+    public void arrived(Inbound client, String id, String profile, String tenant, double timeLeft,
+        double hint, double width, double memory, boolean repeat, Message request) {
         HeldTask t = new HeldTask(id, client, request);
         t.profile = deployment.profiles.get(profile);
         t.tenant = tenant == null ? -1 : deployment.tenants.getOrDefault(tenant, -1);
@@ -214,7 +215,8 @@
             Outbound connection = pool.take(a.worker, address);
             Future<?> alarm = turns.after(wait, () -> errand.giveUp(Outcome.TIMEOUT));
             errand.begin(connection, alarm);
-            connection.ask(ToWorker.request(t.request, address, wait), wait + deployment.connectWithin, errand);
+            connection.ask(ToWorker.request(t.request, address, wait), wait + deployment.connectWithin,
+                errand);
         } catch (IOException e) {
             LOG.warn("no connection to {}: {}", roster.name(a.worker), e.getMessage());
             turns.turn(() -> errand.fail(Outcome.UNREACHABLE));
@@ -262,10 +264,11 @@
             Door.finished(t.client, result);
             t.client = null;
         }
-        errand.told(how == Outcome.FULL && repeats(errand) ? Outcome.RESET : how, deployment.reports.read(load));
+        Outcome sure = how == Outcome.FULL && repeats(errand) ? Outcome.RESET : how;
+        errand.told(sure, deployment.reports.read(load));
     }
 
-    /** Guards rule two: a worker's word that it handed a task back may be a repeat of what it said of an earlier one. */
+    /** Guards rule two: that a task was handed back may be a repeat, said of an earlier assignment. */
     private static boolean repeats(Errand errand) {
         for (Errand e : errand.task.errands) {
             if (e != errand && e.endedByCallBack() && e.assignment.worker == errand.assignment.worker) {
@@ -275,7 +278,7 @@
         return false;
     }
 
-    /** The task's errand that is out at this worker, or null: what is late, repeated or of others counts for nothing. */
+    /** The task's errand that is out at this worker, or null: what is late or repeated counts for nothing. */
     private static Errand outAt(HeldTask t, int worker) {
         for (Errand e : t.errands) {
             if (!e.isOver() && e.assignment.worker == worker) {
--- a/src/main/java/gingerspool/store/Errand.java
+++ b/src/main/java/gingerspool/store/Errand.java
@@ -8,7 +8,7 @@
 import gingerspool.wire.ToWorker;
 import java.util.concurrent.Future;
 
-/** One assignment under way. Every race between its possible ends is decided in end(): the first one counts. */
+/** One assignment under way. Every race between its possible ends is decided in end(): the first counts. */
 public final class Errand implements Outbound.Caller {
     /** Who is told how it ended. */
     public interface Home {
@@ -76,7 +76,7 @@
         end(how, report);
     }
 
-    /** The wait is over, by the clock or by decision: gives it up on the wire before anything else is done. */
+    /** The wait is over, by the clock or by decision: gives it up on the wire before anything else. */
     public void giveUp(Outcome how) {
         if (over) {
             return;
--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** Our connections to workers: those at rest are kept by worker for a while and used again, the latest first. */
+/** Our connections to workers: those at rest are kept by worker for a while, the latest is used first. */
 public final class Pool {
     /** A resting connection is closed after this part of the time that workers allow. */
     private static final double KEPT = 0.6;
@@ -78,7 +78,7 @@
         return connection;
     }
 
-    /** Whether connections to this worker are kept when they come to rest; if not, those at rest are closed. */
+    /** Whether connections to this worker are kept at rest; if not, those that are get closed. */
     public void keep(int worker, boolean kept) {
         if (worker >= berths.size()) {
             return;
--- a/src/main/java/gingerspool/wire/Address.java
+++ b/src/main/java/gingerspool/wire/Address.java
@@ -14,7 +14,7 @@
         try {
             long port = Message.number(text.substring(colon + 1), 10);
             // Only literals get through, so that getByName never asks a name service.
-            if (port < 65536 && (ip.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") || ip.matches("\\[[0-9a-fA-F:.]+\\]"))) {
+            if (port < 65536 && ip.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]")) {
                 return new InetSocketAddress(InetAddress.getByName(ip), (int) port);
             }
         } catch (UnknownHostException e) {
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -12,7 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One TCP connection: its channel, the one buffer that is read into, and one alarm. All are given back in close().
+ * One TCP connection: its channel, the one buffer that is read into, and one alarm. close() gives all back.
  * Every callback comes in a turn of its own, also where an operation was done at once.
  */
 abstract class Connection {
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -63,8 +63,8 @@
 
     /** Counts since the last call, in words. */
     public String summary() {
-        String text = all.size() + " connections at the door, " + turnedDown + " requests turned down, " + refused
-            + " refused for want of room";
+        String text = all.size() + " connections at the door, " + turnedDown + " requests turned down, "
+            + refused + " refused for want of room";
         turnedDown = 0;
         refused = 0;
         return text;
@@ -222,7 +222,8 @@
 
     /** Trying again is harmless, best after this pause in milliseconds (0: no advice). */
     public static void bounced(Inbound client, double pause) {
-        client.answer(503, pause > 0 ? List.of("Retry-After: " + Math.rint(pause) / 1000) : List.of(), "bounced\n");
+        List<String> advice = pause > 0 ? List.of("Retry-After: " + Math.rint(pause) / 1000) : List.of();
+        client.answer(503, advice, "bounced\n");
     }
 
     /** No promise about the effect. */
--- a/src/main/java/gingerspool/wire/Facts.java
+++ b/src/main/java/gingerspool/wire/Facts.java
@@ -8,7 +8,8 @@
     static double number(String text) {
         try {
             String digits = text.strip();
-            return digits.matches("-?[0-9.]{1,20}([eE][+-]?[0-9]{1,3})?") ? Double.parseDouble(digits) : Double.NaN;
+            boolean plain = digits.matches("-?[0-9.]{1,20}([eE][+-]?[0-9]{1,3})?");
+            return plain ? Double.parseDouble(digits) : Double.NaN;
         } catch (NumberFormatException e) {
             return Double.NaN;
         }
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** A connection that a client or a worker's call-back came on: reads requests and writes an answer to each in turn. */
+/** A connection that a client or a call-back came on: reads requests and writes an answer to each in turn. */
 public final class Inbound extends Connection {
     /** How long a peer may take over one message, an answer, or its own end. */
     private static final double STALLED = 10_000;
--- a/src/main/java/gingerspool/wire/Json.java
+++ b/src/main/java/gingerspool/wire/Json.java
@@ -21,7 +21,8 @@
 
     public static Object read(byte[] bytes, int from, int to) throws BadMessage {
         try {
-            return read(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes, from, to - from)).toString());
+            ByteBuffer text = ByteBuffer.wrap(bytes, from, to - from);
+            return read(StandardCharsets.UTF_8.newDecoder().decode(text).toString());
         } catch (CharacterCodingException e) {
             throw new BadMessage(400, "not UTF-8");
         }
--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -118,7 +118,7 @@
 
     // ---- Reading ----
 
-    /** Takes what it can of these bytes and returns how many; what is left must be offered again with more. */
+    /** Takes what it can of these bytes and returns how many; the rest must be offered again with more. */
     public int take(byte[] b, int from, int to) throws BadMessage {
         int at = from;
         int before = -1;
@@ -288,8 +288,7 @@
             throw new BadMessage(413, "body too long");
         }
         if (held + n > body.length) {
-            int wanted = part == Part.LENGTH && body.length == 0 ? held + n : Math.max(held + n, 2 * body.length);
-            body = Arrays.copyOf(body, Math.min(BODY_MOST, wanted));
+            body = Arrays.copyOf(body, Math.min(BODY_MOST, Math.max(held + n, 2 * body.length)));
         }
         System.arraycopy(b, from, body, held, n);
         held += n;
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -38,7 +38,8 @@
     }
 
     /** Starts to connect; fails at once only where there is no descriptor left. */
-    public static Outbound open(Turns turns, SocketAddress to, double within, Owner owner) throws IOException {
+    public static Outbound open(Turns turns, SocketAddress to, double within, Owner owner)
+        throws IOException {
         Outbound made = new Outbound(turns, AsynchronousSocketChannel.open(turns.group()), owner);
         made.connect(to, within, made::connected);
         return made;
--- a/src/main/java/gingerspool/wire/ToWorker.java
+++ b/src/main/java/gingerspool/wire/ToWorker.java
@@ -22,8 +22,8 @@
                 head.append("\r\n").append(name).append(": ").append(value);
             }
         }
-        head.append("\r\nX-Time-Left-Ms: ").append((long) Math.max(1, timeLeft)).append("\r\nContent-Length: ")
-            .append(body.length).append("\r\n\r\n");
+        head.append("\r\nX-Time-Left-Ms: ").append((long) Math.max(1, timeLeft))
+            .append("\r\nContent-Length: ").append(body.length).append("\r\n\r\n");
         return Inbound.joined(head, body);
     }
 
@@ -35,7 +35,8 @@
 
     /** Asks for a load report. */
     public static byte[] probe(InetSocketAddress worker) {
-        return Inbound.joined("GET /load HTTP/1.1\r\nHost: " + Address.text(worker) + "\r\n\r\n", new byte[0]);
+        String head = "GET /load HTTP/1.1\r\nHost: " + Address.text(worker) + "\r\n\r\n";
+        return Inbound.joined(head, new byte[0]);
     }
 
     /** Null where the worker has taken the task. Only its own word that it never ran counts as such. */
--- a/src/main/java/gingerspool/wire/Watch.java
+++ b/src/main/java/gingerspool/wire/Watch.java
@@ -21,8 +21,8 @@
         void listBegins(long version, boolean whole);
 
         /** One entry; the state is one of the Dispatcher's. */
-        void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state, double size,
-            double started);
+        void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state,
+            double size, double started);
 
         void listEnds(boolean whole);
 
@@ -102,8 +102,8 @@
                 default -> Dispatcher.GONE;
             };
             follower.listed(host, dial(h), Tree.text("", h, "site"),
-                Tree.text("", h, "class"), (int) Tree.number(0, h, "block"), state, Tree.number(1, h, "share"),
-                Tree.number(0, h, "born_ms"));
+                Tree.text("", h, "class"), (int) Tree.number(0, h, "block"), state,
+                Tree.number(1, h, "share"), Tree.number(0, h, "born_ms"));
         }
         follower.listEnds(whole);
     }
--- a/src/test/java/gingerspool/daemon/ConfigurationTest.java
+++ b/src/test/java/gingerspool/daemon/ConfigurationTest.java
@@ -13,10 +13,11 @@
 import org.testng.annotations.Test;
 
 public class ConfigurationTest {
-    static final String SETTINGS = "{'profiles':[{'name':'p','effect':'safe','dueTimeMs':100,'expiryMs':5000}],"
-        + "'limits':{'mostAssignments':2,'maxOpen':9},'specifics':{'classStretch':[2],'reportX0':'free slots'}}";
-    static final String NODE = "{'name':'n1','listen':'127.0.0.1:0','discovery':'127.0.0.1:1','seed':'8c1f30d27a5be964',"
-        + "'limits':{'sockets':128},'settings':" + SETTINGS + "}";
+    static final String SETTINGS = "{'profiles':[{'name':'p','effect':'safe','dueTimeMs':100,"
+        + "'expiryMs':5000}],'limits':{'mostAssignments':2,'maxOpen':9},"
+        + "'specifics':{'classStretch':[2],'reportX0':'free slots'}}";
+    static final String NODE = "{'name':'n1','listen':'127.0.0.1:0','discovery':'127.0.0.1:1',"
+        + "'seed':'8c1f30d27a5be964','limits':{'sockets':128},'settings':" + SETTINGS + "}";
 
     static Object tree(String text) throws BadMessage {
         return Json.read(text.replace('\'', '"'));
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -22,7 +22,8 @@
 /** A whole daemon on loopback sockets; the test itself stands in for client, worker and discovery. */
 public class ServeTest {
     private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-    private static final String NEVER_RAN = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String NEVER_RAN = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n"
+        + "Content-Length: 0\r\n\r\n";
 
     private final List<Socket> clients = new ArrayList<>();
     private ServerSocket worker;
@@ -37,11 +38,13 @@
         discovery.setSoTimeout(5000);
     }
 
-    /** Starts with one worker known; the settings are those of the configuration's test, with this put in place. */
+    /** Starts with one worker known and the configuration of that test, with this put in place. */
     private void start(String sound, String other) throws Exception {
         String known = "'known':{'seq':7,'whole':true,'hosts':[{'host':'s-1','dial':'127.0.0.1:"
-            + worker.getLocalPort() + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,'born_ms':0}]},";
-        String node = ConfigurationTest.NODE.replace("127.0.0.1:1'", "127.0.0.1:" + discovery.getLocalPort() + "'")
+            + worker.getLocalPort() + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,"
+            + "'born_ms':0}]},";
+        String node = ConfigurationTest.NODE
+            .replace("127.0.0.1:1'", "127.0.0.1:" + discovery.getLocalPort() + "'")
             .replace("'settings'", known + "'settings'").replace("'safe'", "'unsafe'").replace(sound, other);
         daemon = new Daemon(new NodeConfiguration(ConfigurationTest.tree(node), Map.of()));
         daemon.loop.enter(daemon::begin);
@@ -77,14 +80,15 @@
     }
 
     private static String task(String id, int timeLeft) {
-        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: p\r\nX-Weight-Hint: 10000\r\nX-Time-Left-Ms: "
-            + timeLeft + "\r\nContent-Length: 2\r\n\r\nhi";
+        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: p\r\n"
+            + "X-Weight-Hint: 10000\r\nX-Time-Left-Ms: " + timeLeft + "\r\nContent-Length: 2\r\n\r\nhi";
     }
 
     private String callBack(String id, String from, String state) throws IOException {
         String body = "{\"id\":\"" + id + "\",\"from\":\"" + from + "\",\"state\":\"" + state
             + "\",\"result\":\"made \\u00e9\"}";
-        return Bench.read(say("POST /callback HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
+        return Bench.read(say("POST /callback HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n"
+            + body));
     }
 
     /** Takes the next connection at the worker, reads a request there and answers it. */
@@ -195,9 +199,11 @@
     public Object[][] bad() {
         String post = "POST /p HTTP/1.1\r\n";
         return new Object[][] {
-            {"nonsense\r\n\r\n", 400}, {"GET /p HTTP/1.1\r\n\r\n", 405}, {"POST /healthz HTTP/1.1\r\n\r\n", 405},
-            {"GET /callback HTTP/1.1\r\n\r\n", 405}, {"POST /q HTTP/1.1\r\n\r\n", 404}, {"GET / HTTP/1.1\r\n\r\n", 404},
-            {"POST /q HTTP/1.1\r\nX-Service-Class: p\r\n\r\n", 404}, {post + "X-Service-Class: q\r\n\r\n", 400},
+            {"nonsense\r\n\r\n", 400}, {"GET /p HTTP/1.1\r\n\r\n", 405},
+            {"POST /healthz HTTP/1.1\r\n\r\n", 405}, {"GET /callback HTTP/1.1\r\n\r\n", 405},
+            {"POST /q HTTP/1.1\r\n\r\n", 404}, {"GET / HTTP/1.1\r\n\r\n", 404},
+            {"POST /q HTTP/1.1\r\nX-Service-Class: p\r\n\r\n", 404},
+            {post + "X-Service-Class: q\r\n\r\n", 400},
             {post + "\r\n", 400}, {post + "X-Correlation-Id: a b\r\n\r\n", 400},
             {post + "X-Correlation-Id: a\r\nX-Time-Left-Ms: soon\r\n\r\n", 400},
             {post + "X-Correlation-Id: a\r\nX-Time-Left-Ms: -1\r\n\r\n", 400},
@@ -236,7 +242,8 @@
     public void idleConnectionsMakeWay() throws Exception {
         start("'sockets':128", "'sockets':64");
         for (int i = 0; i < 20; i++) {
-            assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "), "connection " + i);
+            String answer = Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n"));
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), "connection " + i);
         }
         assertTrue(daemon.door.connections() <= 12);
     }
@@ -254,7 +261,8 @@
         Bench.write(watch, line.substring(9) + "\r\n");
         watch.close();
         assertTrue(Bench.read(discovery.accept()).contains("since=8 "));
-        assertTrue(Bench.read(say(task("i1", 3000))).startsWith("HTTP/1.1 503 "), "a worker that is gone got a task");
+        String answer = Bench.read(say(task("i1", 3000)));
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), "a worker that is gone got a task");
     }
 
     @Test
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -9,7 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** Builds the states that the tests need, writes down what a Dispatcher does, and talks HTTP as a peer does. */
+/** Builds the states that tests need, writes down what a Dispatcher does, and talks HTTP as a peer does. */
 public final class Bench implements Outlet {
     final List<String> acts = new ArrayList<>();
     final List<Assignment> sent = new ArrayList<>();
--- a/src/test/java/gingerspool/store/StoreTest.java
+++ b/src/test/java/gingerspool/store/StoreTest.java
@@ -29,8 +29,8 @@
     }
 
     private static HeldTask task(String id, String body) throws BadMessage {
-        return new HeldTask(id, null, read(Message.request(), "POST /p HTTP/1.1\r\nContent-Length: " + body.length()
-            + "\r\n\r\n" + body));
+        return new HeldTask(id, null, read(Message.request(), "POST /p HTTP/1.1\r\nContent-Length: "
+            + body.length() + "\r\n\r\n" + body));
     }
 
     private static Message read(Message m, String text) throws BadMessage {
--- a/src/test/java/gingerspool/wire/WireTest.java
+++ b/src/test/java/gingerspool/wire/WireTest.java
@@ -31,7 +31,8 @@
     public Object[][] whole() {
         return new Object[][] {
             {POST + "Content-Length: 5\r\n\r\nhello", "hello"},
-            {POST + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nTrailer: t\r\n\r\n", "hello"},
+            {POST + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nTrailer: t\r\n\r\n",
+                "hello"},
             {"\r\n" + POST + "\r\n", ""},
         };
     }
@@ -65,15 +66,17 @@
             {"POST /p\r\n\r\n", 400}, {"POST  /p HTTP/1.1\r\n\r\n", 400}, {"POST p HTTP/1.1\r\n\r\n", 400},
             {"POST /p HTTP/2.0\r\n\r\n", 400}, {"P(ST /p HTTP/1.1\r\n\r\n", 400},
             {POST + "Name : v\r\n\r\n", 400}, {POST + "a: b\r\n folded\r\n\r\n", 400},
-            {POST + "no colon\r\n\r\n", 400}, {POST + "a: b\u0001\r\n\r\n", 400}, {POST + "a: b\nc: d\r\n\r\n", 400},
+            {POST + "no colon\r\n\r\n", 400}, {POST + "a: b\u0001\r\n\r\n", 400},
+            {POST + "a: b\nc: d\r\n\r\n", 400},
             {POST + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n", 400},
             {POST + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
             {POST + "Content-Length: -3\r\n\r\n", 400}, {POST + "Content-Length: 3, 3\r\n\r\n", 400},
             {POST + "Content-Length: 99999999999999999999\r\n\r\n", 400},
             {POST + "Content-Length: 65537\r\n\r\n", 413},
             {POST + "Transfer-Encoding: gzip, chunked\r\n\r\n", 501},
-            {chunked + "x\r\n", 400}, {chunked + "\r\n", 400}, {chunked + "2\r\nabc\r\n", 400}, {chunked + "2\n", 400},
-            {chunked + "1".repeat(300), 400}, {chunked + "10001\r\n" + "x".repeat(65537), 413},
+            {chunked + "x\r\n", 400}, {chunked + "\r\n", 400}, {chunked + "2\r\nabc\r\n", 400},
+            {chunked + "2\n", 400}, {chunked + "1".repeat(300), 400},
+            {chunked + "10001\r\n" + "x".repeat(65537), 413},
             {POST + "a: " + "x".repeat(17000), 431}, {POST + "a: " + "x".repeat(17000) + "\r\n\r\n", 431},
         };
     }
@@ -116,8 +119,9 @@
 
     @DataProvider
     public Object[][] notJson() {
-        return new Object[][] {{""}, {"{"}, {"[1,]"}, {"{\"a\" 1}"}, {"{a:1}"}, {"\"a"}, {"\"\\x\""}, {"\"\\u12\""},
-            {"\"a\nb\""}, {"01"}, {"1."}, {"--1"}, {"tru"}, {"1 2"}, {"NaN"}, {"[".repeat(100)}};
+        return new Object[][] {{""}, {"{"}, {"[1,]"}, {"{\"a\" 1}"}, {"{a:1}"}, {"\"a"}, {"\"\\x\""},
+            {"\"\\u12\""}, {"1e999"}, {"\"a\nb\""}, {"01"}, {"1."}, {"--1"}, {"tru"}, {"1 2"}, {"NaN"},
+            {"[".repeat(100)}};
     }
 
     @Test(dataProvider = "notJson")
@@ -136,7 +140,8 @@
     public void reportsAreUnderstoodUnderBothSetsOfNames() throws BadMessage {
         LoadReport reports = new LoadReport("free slots", "free memory");
         double[] header = reports.read("TEXT inflight=7, queue=2, util=0.61, x0=3, other=4");
-        double[] object = reports.read(Json.read("{\"concurrent\":7,\"depth\":2,\"load_share\":0.61,\"x0\":3}"));
+        double[] object = reports.read(Json.read("{\"concurrent\":7,\"depth\":2,\"load_share\":0.61,"
+            + "\"x0\":3}"));
         assertEquals(header, object);
         assertEquals(header[Report.UTILISATION], 0.61);
         assertEquals(header[Report.FREE_SLOTS], 3.0);
@@ -157,8 +162,9 @@
     public Object[][] answers() {
         return new Object[][] {
             {"202 Accepted", "", null}, {"500 Error", "", Outcome.ERROR}, {"200 OK", "", Outcome.ERROR},
-            {"503 No", "X-Unprocessed: 1\r\n", Outcome.FULL}, {"504 No", "X-Unprocessed: 1\r\n", Outcome.FULL},
-            {"503 No", "", Outcome.ERROR}, {"504 No", "X-Unprocessed: 0\r\n", Outcome.ERROR},
+            {"503 No", "X-Unprocessed: 1\r\n", Outcome.FULL},
+            {"504 No", "X-Unprocessed: 1\r\n", Outcome.FULL}, {"503 No", "", Outcome.ERROR},
+            {"504 No", "X-Unprocessed: 0\r\n", Outcome.ERROR},
             {"500 No", "X-Unprocessed: 1\r\n", Outcome.ERROR}, {"400 No", "", Outcome.ERROR},
         };
     }
@@ -166,7 +172,8 @@
     /** Guards rule two: only the protocol's own words say that a task never ran. */
     @Test(dataProvider = "answers")
     public void whatAnAnswerSaysOfAnAssignment(String status, String field, Outcome how) throws BadMessage {
-        Message m = read(Message.answer(null), "HTTP/1.1 " + status + "\r\n" + field + "Content-Length: 0\r\n\r\n");
+        Message m = read(Message.answer(null), "HTTP/1.1 " + status + "\r\n" + field
+            + "Content-Length: 0\r\n\r\n");
         assertEquals(ToWorker.outcome(m), how);
     }
 
@@ -180,11 +187,13 @@
 
     @Test
     public void aRequestGoesOnUnchanged() throws BadMessage {
-        Message m = read(Message.request(), POST + "X-Correlation-Id: i1\r\nX-Time-Left-Ms: 900\r\nX-Odd: 1\r\n"
-            + "Content-Length: 2\r\n\r\nok");
-        String sent = new String(ToWorker.request(m, Address.read("127.0.0.1:80"), 650.7), StandardCharsets.ISO_8859_1);
+        Message m = read(Message.request(), POST + "X-Correlation-Id: i1\r\nX-Time-Left-Ms: 900\r\n"
+            + "X-Odd: 1\r\nContent-Length: 2\r\n\r\nok");
+        byte[] request = ToWorker.request(m, Address.read("127.0.0.1:80"), 650.7);
+        String sent = new String(request, StandardCharsets.ISO_8859_1);
         assertTrue(sent.startsWith(POST) && sent.endsWith("\r\n\r\nok"), sent);
-        assertTrue(sent.contains("X-Correlation-Id: i1\r\n") && sent.contains("X-Time-Left-Ms: 650\r\n"), sent);
+        assertTrue(sent.contains("X-Correlation-Id: i1\r\n"), sent);
+        assertTrue(sent.contains("X-Time-Left-Ms: 650\r\n"), sent);
     }
 
     @Test
