--- a/src/main/java/gingerspool/daemon/NodeConfiguration.java
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** What a daemon is told at its start: the file that GW_CONFIG names, and GW_* variables for what it lacks. */
+/** What a daemon is told at its start: by the file that GW_CONFIG names, and by GW_* variables besides. */
 public final class NodeConfiguration {
     public final String name;
     public final InetSocketAddress listen;
