Out of descriptors the door closes idle connections and lowers its own limit

Seen by hand with a limit of 90 where 1,024 was told: 200 idle connections, /healthz timed out, 'can't accept' every 0.1 s; connections yielded only at the limit that was told (Door.hasRoom).

--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -32,7 +32,7 @@
 
     private final Turns turns;
     private final Desk desk;
-    private final int most;
+    private int most;
     private final Listener listener;
     private final Set<Inbound> all = new LinkedHashSet<>();
     /** The longest idle first. */
@@ -72,15 +72,22 @@
 
     // ---- Connections ----
 
-    /** Guards the limit on descriptors: at the most, the longest idle connection makes room for a new one. */
+    /** Guards the limit on descriptors: the longest idle connections make room for new ones. */
     @Override
     public boolean hasRoom() {
-        if (all.size() >= most && !idle.isEmpty()) {
+        while (all.size() >= most && !idle.isEmpty()) {
             idle.iterator().next().close();
         }
         return all.size() < most;
     }
 
+    /** Guards against a limit lower than the one we were told: an eighth of what we have makes way for good. */
+    @Override
+    public void outOfDescriptors() {
+        most = Math.max(1, all.size() * 7 / 8);
+        LOG.warn("out of descriptors: {} connections at the most from now on", most);
+    }
+
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
         Inbound connection = new Inbound(turns, channel, this);
@@ -175,6 +182,9 @@
         if (id.isEmpty() || from.isEmpty() || state.isEmpty()) {
             throw new BadMessage(400, "a call-back needs id, from and state");
         }
+        if (state.equals("done") && !(Tree.at(call, "result") instanceof String)) {
+            throw new BadMessage(400, "a call-back of done needs a result in text");
+        }
         LOG.debug("{} is {} at {}, load {}", id, state, from, Tree.at(call, "load"));
         desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
             Tree.at(call, "load"));
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -16,10 +16,15 @@
     /** How long it waits after an accept that failed, as when there is no descriptor left. */
     private static final double PAUSE = 100;
 
+    private static final String OUT_OF_DESCRIPTORS = "Too many open files";
+
     /** Who takes the connections. */
     public interface Owner {
         boolean hasRoom();
 
+        /** The process holds all the descriptors that it may. */
+        void outOfDescriptors();
+
         void accepted(AsynchronousSocketChannel channel);
     }
 
@@ -68,6 +73,9 @@
         turns.turn(() -> {
             if (channel.isOpen()) {
                 LOG.warn("can't accept: {}", why.getMessage());
+                if (OUT_OF_DESCRIPTORS.equals(why.getMessage())) {
+                    owner.outOfDescriptors();
+                }
                 turns.after(PAUSE, () -> {
                     accepting = false;
                     acceptOn();
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -211,6 +211,8 @@
             {post + "Content-Length: 70000\r\n\r\n", 413},
             {"POST /callback HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 400},
             {"POST /callback HTTP/1.1\r\nContent-Length: 2\r\n\r\n{{", 400},
+            {"POST /callback HTTP/1.1\r\nContent-Length: 38\r\n\r\n"
+                + "{\"id\":\"a\",\"from\":\"s-1\",\"state\":\"done\"}", 400},
         };
     }
 
@@ -221,6 +223,27 @@
         assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "));
     }
 
+    @Test
+    public void aClientThatAsksFirstIsToldToGoOn() throws Exception {
+        start();
+        Socket client = say("POST /callback HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertTrue(Bench.read(client).startsWith("HTTP/1.1 100 "));
+        Bench.write(client, "{}");
+        assertTrue(Bench.read(client).startsWith("HTTP/1.1 400 "));
+    }
+
+    /** Guards rule two: the second word that a task was handed back may be the first one's repeat. */
+    @Test
+    public void aTaskHandedBackTwiceByOneWorkerIsAbandoned() throws Exception {
+        start();
+        Socket client = say(task("i1", 3000).replace("X-Weight-Hint: 10000\r\n", ""));
+        Socket atWorker = work(TAKEN);
+        callBack("i1", "s-1", "returned");
+        assertTrue(Bench.read(atWorker).contains("X-Correlation-Id: i1\r\n"));
+        callBack("i1", "s-1", "returned");
+        assertTrue(Bench.read(client).startsWith("HTTP/1.1 500 "));
+    }
+
     @Test
     public void anIdInHandIsTurnedDown() throws Exception {
         start();
@@ -248,6 +271,18 @@
         assertTrue(daemon.door.connections() <= 12);
     }
 
+    /** Found with a limit lower than the one told: the door held what it had and answered nobody. */
+    @Test
+    public void outOfDescriptorsIdleConnectionsMakeWay() throws Exception {
+        start();
+        for (int i = 0; i < 16; i++) {
+            Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n"));
+        }
+        daemon.loop.enter(daemon.door::outOfDescriptors);
+        assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "));
+        assertTrue(daemon.door.connections() <= 14, daemon.door.connections() + " connections");
+    }
+
     /** Found on siracusa-indici: where the list is pushed nobody asked for it, and drains were missed. */
     @Test
     public void theListIsFollowedFromTheVersionKnown() throws Exception {
@@ -265,6 +300,22 @@
         assertTrue(answer.startsWith("HTTP/1.1 503 "), "a worker that is gone got a task");
     }
 
+    @Test
+    public void aWorkerThatDrainsLosesItsRestingConnectionsWhateverElseTheListSays() throws Exception {
+        start();
+        Socket watch = discovery.accept();
+        clients.add(watch);
+        Socket client = say(task("i1", 3000));
+        Socket atWorker = work(TAKEN);
+        callBack("i1", "s-1", "done");
+        Bench.read(client);
+        String line = "{\"seq\":8,\"whole\":false,\"hosts\":[{},7,{\"host\":\"s-2\",\"dial\":\"nowhere\"},"
+            + "{\"host\":\"s-1\",\"health\":\"DRAINING\"}]}\n";
+        Bench.write(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+        assertEquals(atWorker.getInputStream().read(), -1);
+    }
+
     @Test
     public void whoIsToLeaveAnswersWhatItHasAndEnds() throws Exception {
         start();
