--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -35,21 +35,10 @@
     /** The connections to one worker. */
     private final class Berth implements Outbound.Owner {
         private final Deque<Outbound> free = new ArrayDeque<>();
-        /** Those under way, the longest first. */
-        private final Set<Outbound> busy = new LinkedHashSet<>();
-        private double heardAt = Double.NEGATIVE_INFINITY;
         private boolean kept = true;
 
-        /** Guards against a machine cut off: its open connections swallow requests, only new ones fail at once. */
-        private boolean isSilent() {
-            double since = busy.isEmpty() ? Double.POSITIVE_INFINITY : busy.iterator().next().waitsSince();
-            return since > heardAt && turns.now() > since + connectWithin;
-        }
-
         @Override
         public void free(Outbound connection) {
-            heardAt = turns.now();
-            busy.remove(connection);
             if (kept && restsFor > 0) {
                 free.push(connection);
                 resting.add(connection);
@@ -62,7 +51,6 @@
         @Override
         public void closed(Outbound connection) {
             count--;
-            busy.remove(connection);
             free.remove(connection);
             resting.remove(connection);
         }
@@ -74,13 +62,9 @@
             berths.add(new Berth());
         }
         Berth berth = berths.get(worker);
-        if (berth.isSilent()) {
-            empty(worker);
-        }
         Outbound connection = berth.free.poll();
         if (connection != null) {
             resting.remove(connection);
-            berth.busy.add(connection);
             return connection;
         }
         if (count >= most && !resting.isEmpty()) {
@@ -91,7 +75,6 @@
         }
         connection = Outbound.open(turns, address, connectWithin, berth);
         count++;
-        berth.busy.add(connection);
         return connection;
     }
 
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -81,7 +81,7 @@
         return all.size() < most;
     }
 
-    /** Guards against a limit lower than the one we were told: an eighth of what we have makes way for good. */
+    /** Guards against a limit lower than the one told: an eighth of what we hold makes way for good. */
     @Override
     public void outOfDescriptors() {
         most = Math.max(1, all.size() * 7 / 8);
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -26,7 +26,6 @@
     private boolean up;
     private byte[] waiting;
     private boolean begun;
-    private double askedAt;
     private boolean whole;
     private Caller caller;
     private double patience;
@@ -77,15 +76,9 @@
         byte[] request = waiting;
         waiting = null;
         begun = true;
-        askedAt = turns.now();
         write(request);
     }
 
-    /** Since when it waits for an answer; infinite if it does not. */
-    public double waitsSince() {
-        return begun && answer != null ? askedAt : Double.POSITIVE_INFINITY;
-    }
-
     /** Closes itself unless it is used again before this span ends; 0: never. */
     public void closeAfter(double span) {
         alarm(span, this::close);
