--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -23,7 +23,7 @@
     private static final double LOOK_EVERY = 20;
 
     private final NodeConfiguration node;
-    private final Scheduler scheduler;
+    final Scheduler scheduler;
     final Loop loop;
     final Door door;
     final CountDownLatch ended = new CountDownLatch(1);
--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -50,10 +50,6 @@
 
     // ---- What was read ----
 
-    public boolean begun() {
-        return part != Part.HEAD || searched > 0;
-    }
-
     public boolean headRead() {
         return part != Part.HEAD;
     }
@@ -121,9 +117,11 @@
     /** Takes what it can of these bytes and returns how many; the rest must be offered again with more. */
     public int take(byte[] b, int from, int to) throws BadMessage {
         int at = from;
-        int before = -1;
-        while (at != before && part != Part.DONE) {
+        int before;
+        Part was;
+        do {
             before = at;
+            was = part;
             at = switch (part) {
                 case HEAD -> head(b, at, to);
                 case LENGTH, CHUNK -> data(b, at, to);
@@ -136,10 +134,7 @@
                 }
                 case DONE -> at;
             };
-            if (part == Part.HEAD && at == before || part != Part.HEAD && at == to) {
-                break;
-            }
-        }
+        } while (at != before || part != was);
         return at - from;
     }
 
--- a/src/main/java/gingerspool/wire/Tree.java
+++ b/src/main/java/gingerspool/wire/Tree.java
@@ -1,6 +1,5 @@
 package gingerspool.wire;
 
-import java.util.List;
 import java.util.Map;
 
 /** Looks into maps and lists that came as JSON; what is absent or of another sort gives the fallback. */
@@ -25,8 +24,4 @@
     public static boolean mark(Object tree, String... path) {
         return Boolean.TRUE.equals(at(tree, path));
     }
-
-    public static List<?> list(Object tree, String... path) {
-        return at(tree, path) instanceof List<?> l ? l : List.of();
-    }
 }
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -331,6 +331,16 @@
         assertFalse(daemon.door.connections() > 0);
     }
 
+    @Test
+    public void whatIsStillInHandAtTheEndIsAbandoned() throws Exception {
+        start();
+        Socket client = say(task("i1", 3000));
+        work(TAKEN);
+        daemon.loop.enter(daemon.scheduler::abandonAll);
+        assertTrue(Bench.read(client).startsWith("HTTP/1.1 500 "));
+        assertTrue(callBack("i1", "s-1", "done").startsWith("HTTP/1.1 200 "));
+    }
+
     @Test
     public void aListThatCannotBeReadEndsWithTwo() throws Exception {
         start("'hosts'", "'hasts'");
