--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -305,7 +305,7 @@
                 new Outbound.Caller() {
                     @Override
                     public void answered(Message answer) {
-                        probed(worker, deployment.reports.read(ToWorker.load(answer)));
+                        probed(worker, deployment.reports.read(ToWorker.probed(answer)));
                     }
 
                     @Override
--- a/src/main/java/gingerspool/wire/ToWorker.java
+++ b/src/main/java/gingerspool/wire/ToWorker.java
@@ -2,6 +2,7 @@
 
 import gingerspool.dispatch.Outcome;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
 /** What is said to a worker, and what its answers mean. */
@@ -58,7 +59,13 @@
         };
     }
 
+    /** The load report that came with an answer, in words. */
     public static String load(Message answer) {
         return answer.field("x-backend-load");
     }
+
+    /** The load report that a probe was answered with: its body, in the header's form. */
+    public static String probed(Message answer) {
+        return answer.status() == 200 ? new String(answer.body(), StandardCharsets.UTF_8) : null;
+    }
 }
--- a/src/test/java/gingerspool/wire/WireTest.java
+++ b/src/test/java/gingerspool/wire/WireTest.java
@@ -148,6 +148,19 @@
         assertTrue(Double.isNaN(header[Report.FREE_MEMORY]));
     }
 
+    /** Found on siracusa-indici: a probe's report is the body, and only headers were read. */
+    @Test
+    public void aProbesReportIsItsBody() throws BadMessage {
+        LoadReport reports = new LoadReport("free slots", "free memory");
+        String text = "TEXT depth=2.056, err_ps=0, x0=3";
+        String head = "Content-Length: " + text.length() + "\r\n\r\n";
+        Message answer = read(Message.answer(null), "HTTP/1.1 200 OK\r\n" + head + text);
+        double[] r = reports.read(ToWorker.probed(answer));
+        assertEquals(r[Report.QUEUE], 2.056);
+        assertEquals(r[Report.FREE_SLOTS], 3.0);
+        assertNull(ToWorker.probed(read(Message.answer(null), "HTTP/1.1 503 No\r\n" + head + text)));
+    }
+
     @Test
     public void absurdReportsAreNotTold() throws BadMessage {
         LoadReport reports = new LoadReport("free slots", "");
