--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -156,7 +156,7 @@
             }
         } catch (BadMessage e) {
             unreadable(e);
-            from.answer(e.status, List.of(), e.getMessage() + "\n");
+            from.answer(e.status, e.field == null ? List.of() : List.of(e.field), e.getMessage() + "\n");
         }
     }
 
@@ -169,7 +169,7 @@
 
     private static void allow(Message request, String method) throws BadMessage {
         if (!request.method().equals(method)) {
-            throw new BadMessage(405, "method must be " + method);
+            throw new BadMessage(405, "method must be " + method, "Allow: " + method);
         }
     }
 
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -219,7 +219,9 @@
     @Test(dataProvider = "bad")
     public void badInputIsAnsweredAndTheNextIsServed(String text, int status) throws Exception {
         start();
-        assertTrue(Bench.read(say(text)).startsWith("HTTP/1.1 " + status + " "));
+        String answer = Bench.read(say(text));
+        assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
+        assertEquals(answer.contains("\r\nAllow: "), status == 405, answer);
         assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "));
     }
 
