--- a/src/test/java/gingerspool/wire/WireTest.java
+++ b/src/test/java/gingerspool/wire/WireTest.java
@@ -209,6 +209,15 @@
         assertTrue(sent.contains("X-Time-Left-Ms: 650\r\n"), sent);
     }
 
+    /** Seen on real logs: the further figures come as slots and memory, one after the other. */
+    @Test
+    public void factsAreReadByName() throws BadMessage {
+        Message m = read(Message.request(), POST + "X-Facts: slots=2,memory=0.790\r\n\r\n");
+        assertEquals(Facts.fact(m, "x-facts", "slots", 1), 2.0);
+        assertEquals(Facts.fact(m, "x-facts", "memory", 0), 0.79);
+        assertEquals(Facts.fact(m, "x-facts", "other", 7), 7.0);
+    }
+
     @Test
     public void onlyNumericAddressesAreTaken() throws BadMessage {
         assertEquals(Address.text(Address.read("10.1.0.18:8080")), "10.1.0.18:8080");
