--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -4,9 +4,12 @@
 import gingerspool.wire.Door;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /** One scheduler process, from its start to its end. */
 public final class Daemon {
@@ -41,8 +44,11 @@
 
     /** Serves until it is told to stop; returns the exit code. */
     public static int serve(Map<String, String> environment) {
+        CompletableFuture<Daemon> made = new CompletableFuture<>();
+        onHangup(() -> made.thenAccept(d -> d.loop.enter(() -> d.reload(environment))));
         try {
             Daemon daemon = new Daemon(NodeConfiguration.read(environment));
+            made.complete(daemon);
             Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
             daemon.loop.enter(daemon::begin);
             daemon.ended.await();
@@ -58,6 +64,25 @@
         }
     }
 
+    /** Guards against SIGHUP ending the virtual machine, from its first moment on. */
+    private static void onHangup(Runnable then) {
+        Signal.handle(new Signal("HUP"), signal -> then.run());
+    }
+
+    /** On SIGHUP: `discovery` takes effect; a file that can't be used changes nothing. */
+    void reload(Map<String, String> environment) {
+        try {
+            NodeConfiguration read = NodeConfiguration.read(environment);
+            Set<String> changed = node.differences(read);
+            changed.remove("discovery");
+            LOG.info("configuration read again, the list is followed at {}; kept until the next start: {}",
+                read.discovery, changed);
+            scheduler.follow(read.discovery);
+        } catch (ConfigurationException e) {
+            LOG.error("configuration: {}; the old one stays", e.getMessage());
+        }
+    }
+
     void begin() {
         try {
             scheduler.begin(node.known);
--- a/src/main/java/gingerspool/daemon/NodeConfiguration.java
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -8,6 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** What a daemon is told at its start: by the file that GW_CONFIG names, and by GW_* variables besides. */
 public final class NodeConfiguration {
@@ -19,6 +22,7 @@
     /** The list of workers as last held, in discovery's form, or null. */
     public final Object known;
     public final Configuration deployment;
+    private final Map<?, ?> tree;
 
     public static NodeConfiguration read(Map<String, String> environment) throws ConfigurationException {
         String file = environment.get("GW_CONFIG");
@@ -36,9 +40,10 @@
 
     NodeConfiguration(Object tree, Map<String, String> environment) throws ConfigurationException {
         Key all = new Key("", tree);
-        if (!(tree instanceof Map)) {
+        if (!(tree instanceof Map<?, ?> keys)) {
             throw new ConfigurationException("GW_CONFIG", "names a file that holds no object");
         }
+        this.tree = keys;
         name = all.at("name").text(environment.getOrDefault("GW_NAME", "gingerspool"));
         listen = address(all.at("listen"), environment.get("GW_LISTEN"));
         discovery = address(all.at("discovery"), environment.get("GW_DISCOVERY"));
@@ -51,6 +56,15 @@
         deployment = new Configuration(all.at("settings").raw());
     }
 
+    /** The keys, of those at the top, whose values differ in the other one. */
+    Set<String> differences(NodeConfiguration other) {
+        Set<String> keys = new TreeSet<>();
+        tree.keySet().forEach(k -> keys.add((String) k));
+        other.tree.keySet().forEach(k -> keys.add((String) k));
+        keys.removeIf(k -> Objects.equals(tree.get(k), other.tree.get(k)));
+        return keys;
+    }
+
     private static InetSocketAddress address(Key key, String other) throws ConfigurationException {
         String text = key.text(other);
         if (text == null) {
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -43,7 +43,7 @@
 
     private final Turns turns;
     private final Configuration deployment;
-    private final InetSocketAddress discovery;
+    private InetSocketAddress discovery;
     private final Dispatcher dispatcher;
     private final Hand hand;
     private final Pool pool;
@@ -114,6 +114,7 @@
 
     @Override
     public void watchEnded(String why) {
+        watch = null;
         LOG.warn("the watch on the list of workers {}", why);
         if (deployment.settings.listOnRequest) {
             dispatcher.listFailed(turns.now());
@@ -124,12 +125,26 @@
         }
     }
 
+    /** There is one watch at most: the timers and calls that ask for one while it is open have it. */
     @Override
     public void watchList() {
-        if (watch != null) {
-            watch.close();
+        if (watch == null) {
+            watch = Watch.open(turns, discovery, version, deployment.connectWithin, this);
         }
-        watch = Watch.open(turns, discovery, version, deployment.connectWithin, this);
+    }
+
+    /** The list is to be followed at this address: at once, and whole, since versions are each its own. */
+    void follow(InetSocketAddress address) {
+        if (!address.equals(discovery)) {
+            discovery = address;
+            version = 0;
+            if (watch != null) {
+                watch.close();
+                watch = null;
+            }
+        }
+        watchPause = WATCH_PAUSE;
+        watchList();
     }
 
     // ---- Tasks come and go ----
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -2,15 +2,19 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.dispatch.Bench;
 import gingerspool.wire.BadMessage;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +33,7 @@
     private ServerSocket worker;
     private ServerSocket discovery;
     private Daemon daemon;
+    private String node;
 
     @BeforeMethod
     public void listen() throws IOException {
@@ -43,7 +48,7 @@
         String known = "'known':{'seq':7,'whole':true,'hosts':[{'host':'s-1','dial':'127.0.0.1:"
             + worker.getLocalPort() + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,"
             + "'born_ms':0}]},";
-        String node = ConfigurationTest.NODE
+        node = ConfigurationTest.NODE
             .replace("127.0.0.1:1'", "127.0.0.1:" + discovery.getLocalPort() + "'")
             .replace("'settings'", known + "'settings'").replace("'safe'", "'unsafe'").replace(sound, other);
         daemon = new Daemon(new NodeConfiguration(ConfigurationTest.tree(node), Map.of()));
@@ -56,7 +61,10 @@
 
     @AfterMethod
     public void stop() throws IOException {
-        daemon.loop.stop();
+        if (daemon != null) {
+            daemon.loop.stop();
+            daemon = null;
+        }
         for (Socket s : clients) {
             s.close();
         }
@@ -302,6 +310,86 @@
         assertTrue(answer.startsWith("HTTP/1.1 503 "), "a worker that is gone got a task");
     }
 
+    /** Takes the next call for the list that comes here. */
+    private String listCall(ServerSocket from) throws IOException {
+        Socket s = from.accept();
+        clients.add(s);
+        s.setSoTimeout(5000);
+        return Bench.read(s);
+    }
+
+    /** Has the configuration read again, with this in its file. */
+    private void reload(String text) throws IOException {
+        Path file = Files.createTempFile("configuration", ".json");
+        Files.writeString(file, text.replace('\'', '"'));
+        daemon.loop.enter(() -> daemon.reload(Map.of("GW_CONFIG", file.toString())));
+        assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "));
+        Files.delete(file);
+    }
+
+    /** A version of another discovery says nothing of what this one has told. */
+    @Test
+    public void aNewDiscoveryIsFollowedAtOnceAndTheOldWatchEnds() throws Exception {
+        start();
+        assertTrue(listCall(discovery).contains("since=7 "));
+        try (ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            other.setSoTimeout(5000);
+            String moved = node.replace(":" + discovery.getLocalPort() + "'",
+                ":" + other.getLocalPort() + "'");
+            reload(moved);
+            reload(moved);
+            assertTrue(listCall(other).contains("since=0 "));
+            assertEquals(clients.get(0).getInputStream().read(), -1);
+            daemon.loop.enter(daemon.scheduler::watchList);
+            clients.get(clients.size() - 1).close();
+            assertTrue(listCall(other).contains("since=0 "), "only a watch that ended is opened again");
+        }
+    }
+
+    @Test
+    public void aConfigurationThatCannotBeReadAgainChangesNothing() throws Exception {
+        start();
+        Socket watch = discovery.accept();
+        clients.add(watch);
+        Bench.read(watch);
+        reload("{'discovery':");
+        reload(node.replace("'seed'", "'sead'"));
+        reload(node);
+        Bench.write(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        watch.close();
+        assertTrue(listCall(discovery).contains("since=7 "));
+    }
+
+    /** Found in service: a signal came that Java programs end on. */
+    @Test
+    public void hangupDoesNotEndTheProgram() throws Exception {
+        Path file = Files.createTempFile("configuration", ".json");
+        Files.writeString(file, ConfigurationTest.NODE.replace('\'', '"').replace("127.0.0.1:1\"",
+            "127.0.0.1:" + discovery.getLocalPort() + "\""));
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder made = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
+            "gingerspool.Main", "serve");
+        made.environment().put("GW_CONFIG", file.toString());
+        Process process = made.redirectErrorStream(true).start();
+        try (BufferedReader log = process.inputReader()) {
+            skipTo(log, " listens on ");
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+            skipTo(log, "configuration read again");
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly().waitFor();
+            Files.delete(file);
+        }
+    }
+
+    private static void skipTo(BufferedReader log, String text) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertNotNull(line, text + " is not in the log");
+    }
+
     @Test
     public void aWorkerThatDrainsLosesItsRestingConnectionsWhateverElseTheListSays() throws Exception {
         start();
