--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -3,6 +3,7 @@
 import gingerspool.dispatch.Profile;
 import gingerspool.dispatch.Settings;
 import gingerspool.wire.LoadReport;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,6 +26,7 @@
     public final double connectionIdle;
     public final double connectWithin;
     public final int mostTasks;
+    public final double longestExpiry;
     /** How long after the expiry an answer still counts. */
     public final double answerGrace;
 
@@ -33,6 +35,7 @@
         Key all = new Key("settings", tree).needed().object();
         readNames(all);
         readProfiles(all);
+        longestExpiry = Arrays.stream(settings.profiles).mapToDouble(p -> p.expiry).max().orElse(0);
         readWorkers(all);
         Key limits = all.at("limits").object();
         readLimits(all, limits);
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -20,9 +20,13 @@
     /** The part of clients' descriptors that tasks may hold, so that call-backs and health checks get in. */
     private static final double TASK_SHARE = 0.8;
     private static final double SUMMARY_EVERY = 10_000;
-    /** After SIGTERM: clients go on coming for this long; what is not answered by the latter is abandoned. */
+    /** After SIGTERM clients come for this long; then the longest expiry may pass, or LONGEST if less. */
     private static final double STILL_COMING = 700;
-    private static final double LEAVE_WITHIN = 3400;
+    private static final double LONGEST = 3000;
+    /** What is not answered so long before the end of that is abandoned. */
+    private static final double SPARE = 300;
+    /** The part of the time to leave in which connections are kept: others may be restarting as well. */
+    private static final double KEPT = 0.75;
     private static final double LOOK_EVERY = 20;
 
     private final NodeConfiguration node;
@@ -31,7 +35,8 @@
     final Door door;
     final CountDownLatch ended = new CountDownLatch(1);
     volatile int exitCode;
-    private double leaveBy = Double.POSITIVE_INFINITY;
+    private double closeFrom;
+    private double leaveBy;
 
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
@@ -114,28 +119,33 @@
 
     void leave() {
         LOG.info("leaving, {} tasks in hand", scheduler.unanswered());
-        leaveBy = loop.now() + LEAVE_WITHIN;
+        double within = STILL_COMING + Math.min(LONGEST, node.deployment.longestExpiry) - SPARE;
+        closeFrom = loop.now() + KEPT * within;
+        leaveBy = loop.now() + within;
         door.leave();
-        loop.after(STILL_COMING, this::lookForEnd);
+        loop.after(STILL_COMING, () -> lookForEnd(loop.now()));
     }
 
     /** Guards what is in hand: call-backs must get in until the last task has its answer. */
-    void lookForEnd() {
-        door.closeIdle();
+    void lookForEnd(double now) {
+        boolean closing = now >= closeFrom;
+        if (closing) {
+            door.closeIdle();
+        }
         int unanswered = scheduler.unanswered();
-        if (unanswered > 0 && loop.now() >= leaveBy) {
+        if (unanswered > 0 && now >= leaveBy) {
             LOG.warn("abandoning {} tasks that are still in hand", unanswered);
             scheduler.abandonAll();
             unanswered = 0;
         }
-        if (unanswered == 0) {
+        if (unanswered == 0 && (closing || door.connections() == 0)) {
             door.shut();
         }
-        if (door.connections() == 0) {
+        if (unanswered == 0 && door.connections() == 0) {
             LOG.info("left; {}", scheduler.summary());
             ended.countDown();
         } else {
-            loop.after(LOOK_EVERY, this::lookForEnd);
+            loop.after(LOOK_EVERY, () -> lookForEnd(loop.now()));
         }
     }
 }
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -38,6 +38,7 @@
     /** The longest idle first. */
     private final Set<Inbound> idle = new LinkedHashSet<>();
     private boolean leaving;
+    private boolean closing;
     private int turnedDown;
     private int refused;
 
@@ -92,7 +93,7 @@
     public void accepted(AsynchronousSocketChannel channel) {
         Inbound connection = new Inbound(turns, channel, this);
         all.add(connection);
-        if (leaving) {
+        if (closing) {
             connection.endAfterAnswer();
         }
         connection.start();
@@ -117,14 +118,15 @@
         listener.acceptOn();
     }
 
-    /** From now on every answer is its connection's last. */
+    /** From now on nobody new is to be sent here; those who are here are served. */
     public void leave() {
         leaving = true;
-        all.forEach(Inbound::endAfterAnswer);
     }
 
-    /** Closes the connections without a request on them. */
+    /** Closes the connections without a request on them; the others' next answer is their last. */
     public void closeIdle() {
+        closing = true;
+        all.forEach(Inbound::endAfterAnswer);
         List.copyOf(idle).forEach(Inbound::close);
     }
 
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -413,7 +413,7 @@
         work(TAKEN);
         daemon.loop.enter(daemon::leave);
         assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 503 "));
-        daemon.loop.enter(daemon::lookForEnd);
+        daemon.loop.enter(() -> daemon.lookForEnd(daemon.loop.now() + 3000));
         callBack("i1", "s-1", "done");
         String answer = Bench.read(client);
         assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.contains("Connection: close\r\n"), answer);
@@ -421,6 +421,24 @@
         assertFalse(daemon.door.connections() > 0);
     }
 
+    /** Found in planned restarts: told to close, clients opened new connections while no one took any. */
+    @Test
+    public void whoIsToLeaveServesOnTheConnectionsThatItsClientsKeep() throws Exception {
+        start();
+        Socket client = say(task("i1", 3000));
+        Socket atWorker = work(TAKEN);
+        callBack("i1", "s-1", "done");
+        Bench.read(client);
+        daemon.loop.enter(daemon::leave);
+        daemon.loop.enter(() -> daemon.lookForEnd(daemon.loop.now() + 1500));
+        Bench.write(client, task("i2", 3000));
+        assertTrue(Bench.read(atWorker).contains("X-Correlation-Id: i2\r\n"));
+        Bench.write(atWorker, TAKEN);
+        callBack("i2", "s-1", "done");
+        String answer = Bench.read(client);
+        assertTrue(answer.startsWith("HTTP/1.1 200 ") && !answer.contains("close"), answer);
+    }
+
     @Test
     public void whatIsStillInHandAtTheEndIsAbandoned() throws Exception {
         start();
