--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -729,10 +729,12 @@
         return mixWork / pace(w) * (mid - 1);
     }
 
+    /** Free slots tell them once a worker of the kind was seen idle: until then the listed size counts. */
     double slotsOf(int w) {
-        double kind = fleet.kindSlots[fleet.kindOf[w]];
-        return kind > 0 ? Math.max(fleet.slots[w], Math.rint(0.8 * kind))
-            : Math.max(1, Math.rint(fleet.size[w]));
+        int k = fleet.kindOf[w];
+        double told = Math.max(fleet.slots[w], Math.rint(0.8 * fleet.kindSlots[k]));
+        return fleet.kindTold[k] >= SAMPLES ? Math.max(1, told)
+            : Math.max(told, Math.max(1, Math.rint(fleet.size[w])));
     }
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
@@ -855,6 +857,7 @@
         System.arraycopy(r, 0, last, 0, r.length);
         if (r[Report.FREE_SLOTS] >= 0 && r[Report.FREE_SLOTS] < 1e6) {
             fleet.slots[w] = Math.max(fleet.slots[w], Math.rint(r[Report.FREE_SLOTS]));
+            fleet.kindTold[fleet.kindOf[w]]++;
             fleet.kindSlots[fleet.kindOf[w]] = Math.max(fleet.kindSlots[fleet.kindOf[w]], fleet.slots[w]);
         }
         fleet.reportedRate[w] = r[Report.RATE];
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -499,6 +499,22 @@
         assertTrue(b.d.pace(0) < 0.37 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
     }
 
+    /** Found in planned restarts: begun anew on busy workers, a dispatcher took free slots for all there are. */
+    @Test
+    public void fewFreeSlotsAtFirstDoNotMakeAWorkerSmall() {
+        Bench b = Bench.of(SAFE);
+        b.d = new Dispatcher(b.settings, 7, b);
+        b.d.listBegins(0, true);
+        b.d.listed(0, 0, 0, 0, Dispatcher.RUNNING, 8, 0);
+        b.d.listEnds(0, true, false);
+        b.d.probed(1, 0, Bench.report(0, 1));
+        assertEquals(b.d.slotsOf(0), 8.0);
+        for (int i = 0; i < 64; i++) {
+            b.d.probed(2 + i, 0, Bench.report(i, 3));
+        }
+        assertEquals(b.d.slotsOf(0), 3.0, "what is told often counts");
+    }
+
     /** Found on sockets: hints in another unit made a held task wait six seconds, past its expiry. */
     @Test
     public void aHeldTaskIsLookedAtBeforeItIsTooLate() {
