--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -98,6 +98,8 @@
     private double press;
     /** Share of answers that came after the due time lately. */
     private double late;
+    /** How far due times can be believed: works and paces are learned from answers first. */
+    private double settled;
     /** Time between tasks that come to us. */
     private double gap;
     private double lastArrival;
@@ -459,7 +461,8 @@
         press += (waits - press) / SAMPLES;
         // Guards against turning tasks away in vain: believed queues count in full where answers are late.
         double missed = lateNow();
-        double strain = Math.max(press * Math.min(1, 10 * missed), Math.min(1, 5 * (missed - 0.16)));
+        double strain = Math.max(press * Math.min(1, 10 * missed),
+            settled * Math.min(1, 5 * (missed - 0.16)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
@@ -778,6 +781,7 @@
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
                 learnRun(a);
+                settled += (1 - settled) * newest() / 4;
                 late += ((now > a.task.due ? 1 : 0) - late) * newest();
                 if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -8,6 +8,7 @@
 import gingerspool.dispatch.Profile.Effect;
 import gingerspool.dispatch.Profile.Scope;
 import java.util.Arrays;
+import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -499,7 +500,7 @@
         assertTrue(b.d.pace(0) < 0.37 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
     }
 
-    /** Found in planned restarts: begun anew on busy workers, a dispatcher took free slots for all there are. */
+    /** Found in planned restarts: begun anew on busy workers, it took their few free slots for all. */
     @Test
     public void fewFreeSlotsAtFirstDoNotMakeAWorkerSmall() {
         Bench b = Bench.of(SAFE);
@@ -515,6 +516,21 @@
         assertEquals(b.d.slotsOf(0), 3.0, "what is told often counts");
     }
 
+    /** Found after each start: due times by works not yet learned passed, and free slots met bounces. */
+    @Test
+    public void theFirstLateAnswersDoNotCloseFreeSlots() {
+        Bench b = Bench.of(SAFE).start(20);
+        for (int i = 0; i < 20; i++) {
+            b.d.arrived(1, b.task(0, 1, 0));
+        }
+        List.copyOf(b.sent).forEach(a -> b.d.ended(450, a, Outcome.OK, true, null));
+        b.acts.clear();
+        for (int i = 0; i < 10; i++) {
+            b.d.arrived(451, b.task(0, 451, 0));
+        }
+        assertEquals(b.count("bounce"), 0);
+    }
+
     /** Found on sockets: hints in another unit made a held task wait six seconds, past its expiry. */
     @Test
     public void aHeldTaskIsLookedAtBeforeItIsTooLate() {
