--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -473,7 +473,11 @@
      * still to be learned, and only workers believed full show that lateness comes from queues.
      */
     private double heed() {
-        return Math.max(1 - Math.exp((firstArrival - now) / (2 * fadeSpan())), Math.min(1, 2 * full));
+        return Math.max(1 - Math.exp((firstArrival - now) / settleSpan()), Math.min(1, 2 * full));
+    }
+
+    private double settleSpan() {
+        return 2 * fadeSpan();
     }
 
     /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
@@ -747,10 +751,12 @@
         return mixWork / pace(w) * (mid - 1);
     }
 
+    /** Guards the first seconds: the free slots of busy workers are not all that they have. */
     double slotsOf(int w) {
         double kind = fleet.kindSlots[fleet.kindOf[w]];
-        return kind > 0 ? Math.max(fleet.slots[w], Math.rint(0.8 * kind))
-            : Math.max(1, Math.rint(fleet.size[w]));
+        double told = Math.max(fleet.slots[w], Math.rint(0.8 * kind));
+        return kind > 0 && now >= firstArrival + settleSpan() ? told
+            : Math.max(told, Math.max(1, Math.rint(fleet.size[w])));
     }
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -500,6 +500,21 @@
         assertTrue(b.d.pace(0) < 0.37 * b.d.pace(1), b.d.pace(0) + " " + b.d.pace(1));
     }
 
+    /** Found in planned restarts: begun anew on busy workers, it took their few free slots for all. */
+    @Test
+    public void fewFreeSlotsAtFirstDoNotMakeAWorkerSmall() {
+        Bench b = Bench.of(SAFE);
+        b.d = new Dispatcher(b.settings, 7, b);
+        b.d.listBegins(0, true);
+        b.d.listed(0, 0, 0, 0, Dispatcher.RUNNING, 8, 0);
+        b.d.listEnds(0, true, false);
+        b.arrive(0, 1);
+        b.d.probed(2, 0, Bench.report(0, 1));
+        assertEquals(b.d.slotsOf(0), 8.0);
+        b.d.probed(9000, 0, Bench.report(0, 3));
+        assertEquals(b.d.slotsOf(0), 3.0, "later what was told counts");
+    }
+
     /** Found after each start: due times by works not yet learned passed, and free slots met bounces. */
     @Test
     public void theFirstLateAnswersDoNotCloseFreeSlots() {
