--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -217,7 +217,7 @@
             fleet.heardAt[w] = Double.NaN;
             fleet.answeredAt[w] = 0;
             fleet.shunUntil[w] = 0;
-            fleet.fail[w] = 0;
+            Arrays.fill(fleet.fail[w], 0);
             fleet.coldLevel[w] = chance.nextDouble() * mixWork;
             fleet.coldAt[w] = now;
         }
@@ -604,7 +604,7 @@
             }
             room -= warm ? 1 : 0;
             anyReady = true;
-            double c = inTime(task, w) * trust(w);
+            double c = inTime(task, w) * trust(w, task.profile.index);
             double load = load(w, othersNow(w));
             weighed++;
             busyAll += load < 1 ? 0 : 1;
@@ -784,8 +784,8 @@
 
     // ---- Health ----
 
-    private double trust(int w) {
-        double t = 1 - failNow(w);
+    private double trust(int w, int p) {
+        double t = 1 - failNow(w, p);
         Assignment a = fleet.oldest[w];
         if (a != null) {
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
@@ -794,16 +794,30 @@
         return t;
     }
 
-    private double failNow(int w) {
-        return fleet.fail[w] * Math.exp(-(now - fleet.failAt[w]) / (SAMPLES * tick * 20));
+    /** Share of failures lately; the more in a row, the longer it is remembered. */
+    double failNow(int w, int p) {
+        double span = SAMPLES * tick * 20 * Math.max(1, fleet.failRow[w][p]);
+        return fleet.fail[w][p] * Math.exp((fleet.failAt[w][p] - now) / span);
+    }
+
+    /** An error counts for its profile, and for a third of that for the others, which may well go on. */
+    private void failed(int w, int profile) {
+        for (int p = 0; p < profiles.length; p++) {
+            double f = failNow(w, p);
+            fleet.failRow[w][p] += p == profile ? 1 : 0;
+            fleet.fail[w][p] = f + (p == profile ? 0.3 : 0.1) * (1 - f);
+            fleet.failAt[w][p] = now;
+        }
     }
 
     private void judge(Assignment a, Outcome how) {
         int w = a.worker;
-        double f = failNow(w);
+        int p = a.task.profile.index;
         switch (how) {
             case OK -> {
-                fleet.fail[w] = f * 0.8;
+                fleet.fail[w][p] = failNow(w, p) * 0.8;
+                fleet.failAt[w][p] = now;
+                fleet.failRow[w][p] = 0;
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
                 learnRun(a);
@@ -813,23 +827,21 @@
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
                 }
             }
-            case ERROR, RESET -> fleet.fail[w] = f + 0.3 * (1 - f);
+            case ERROR, RESET -> failed(w, p);
             case FULL, UNREACHABLE -> {
-                fleet.fail[w] = f;
                 if (tellsStart && how == Outcome.FULL) {
                     count(w, a.region, K - 1, 1);
                 }
                 fleet.shunSpan[w] = Math.min(Math.max(mixWork, 2 * fleet.shunSpan[w]), 16 * mixWork);
                 fleet.shunUntil[w] = now + fleet.shunSpan[w];
             }
-            default -> fleet.fail[w] = f;
+            default -> { }
         }
-        fleet.failAt[w] = now;
         if (byPriority) {
             fleet.mixRun[w][how == Outcome.FULL ? 0 : bin(a.run)]++;
-            fleet.mixProfile[w][a.task.profile.index]++;
-            halve(fleet.mixRun[w], SAMPLES);
-            halve(fleet.mixProfile[w], SAMPLES);
+            fleet.mixProfile[w][p]++;
+            Workers.halve(fleet.mixRun[w], SAMPLES);
+            Workers.halve(fleet.mixProfile[w], SAMPLES);
         }
     }
 
@@ -936,8 +948,8 @@
         if (times > 0) {
             fleet.pairs[w][believed][told] += times;
             pool[believed][told] += times;
-            halve(fleet.pairs[w][believed], SAMPLES);
-            halve(pool[believed], SAMPLES);
+            Workers.halve(fleet.pairs[w][believed], SAMPLES);
+            Workers.halve(pool[believed], SAMPLES);
         }
     }
 
@@ -954,22 +966,6 @@
         return v >= 0 && v < 1e6;
     }
 
-    private static void halve(double[] counts, double most) {
-        if (sum(counts) > most) {
-            for (int i = 0; i < counts.length; i++) {
-                counts[i] /= 2;
-            }
-        }
-    }
-
-    private static double sum(double[] v) {
-        double s = 0;
-        for (double x : v) {
-            s += x;
-        }
-        return s;
-    }
-
     // ---- X: later work that runs first, on priority workers ----
 
     private int bin(double run) {
@@ -987,7 +983,7 @@
             }
             fleet.overtakenAt[w] = now;
             double[] run = new double[BINS + 1];
-            double all = sum(fleet.mixRun[w]) + BINS + 1;
+            double all = Workers.sum(fleet.mixRun[w]) + BINS + 1;
             for (int i = 0; i <= BINS; i++) {
                 run[i] = (fleet.mixRun[w][i] + 1) / all;
             }
@@ -998,7 +994,8 @@
                 }
                 double rate = sane(fleet.reportedRate[w]) ? fleet.reportedRate[w] / 1000
                     : sendRate(w, 0) * dispatchers;
-                double lambda = rate * higher / (sum(fleet.mixProfile[w]) + profiles.length) / slotsOf(w);
+                double lambda = rate * higher / slotsOf(w)
+                    / (Workers.sum(fleet.mixProfile[w]) + profiles.length);
                 for (int k = 0; k < K; k++) {
                     int bins = Math.max(1, bin(waitAt(w, k)));
                     busyPeriods(bins, lambda * mixWork / BINS_PER_RUN, run, fleet.overtaken[w][q.index][k]);
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -29,9 +29,10 @@
     double[] heardAt = new double[ROOM];
     /** Logarithm of its pace over its kind's. */
     double[] swift = new double[ROOM];
-    /** Share of errors lately, and when it was set. */
-    double[] fail = new double[ROOM];
-    double[] failAt = new double[ROOM];
+    /** By profile: share of failures lately, when it was set, and failures in a row. */
+    double[][] fail = new double[ROOM][];
+    double[][] failAt = new double[ROOM][];
+    int[][] failRow = new int[ROOM][];
     double[] shunUntil = new double[ROOM];
     double[] shunSpan = new double[ROOM];
     /** Work counted against the cold budget, and when. */
@@ -92,6 +93,9 @@
             pairs[count] = new double[regions][regions];
             mixRun[count] = new double[bins];
             mixProfile[count] = new double[profiles];
+            fail[count] = new double[profiles];
+            failAt[count] = new double[profiles];
+            failRow[count] = new int[profiles];
             reportedRate[count] = Double.NaN;
             heardAt[count] = Double.NaN;
             probedAt[count] = Double.NEGATIVE_INFINITY;
@@ -135,6 +139,23 @@
         Arrays.sort(order, Comparator.comparingDouble(w -> rank[w]));
     }
 
+    /** Halves counts once they sum to more than this, so that new ones weigh more. */
+    static void halve(double[] counts, double most) {
+        if (sum(counts) > most) {
+            for (int i = 0; i < counts.length; i++) {
+                counts[i] /= 2;
+            }
+        }
+    }
+
+    static double sum(double[] v) {
+        double s = 0;
+        for (double x : v) {
+            s += x;
+        }
+        return s;
+    }
+
     private void widen(int n) {
         rank = Arrays.copyOf(rank, n);
         state = Arrays.copyOf(state, n);
@@ -154,6 +175,7 @@
         swift = Arrays.copyOf(swift, n);
         fail = Arrays.copyOf(fail, n);
         failAt = Arrays.copyOf(failAt, n);
+        failRow = Arrays.copyOf(failRow, n);
         shunUntil = Arrays.copyOf(shunUntil, n);
         shunSpan = Arrays.copyOf(shunSpan, n);
         coldLevel = Arrays.copyOf(coldLevel, n);
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -287,6 +287,20 @@
         assertTrue(failed < 8, "failed " + failed);
     }
 
+    /** Found on service days: workers that failed one profile's tasks only went on getting these. */
+    @Test
+    public void aProfileThatFailsAtAWorkerLeavesItForTheOthers() {
+        Bench b = Bench.of(SAFE, SAFE).start(1);
+        for (int i = 0; i < 12; i++) {
+            b.arrive(i % 2, 10 * i + 1);
+            b.d.ended(10 * i + 6, b.last(), i % 2 == 0 ? Outcome.ERROR : Outcome.OK, true, null);
+        }
+        assertTrue(b.d.failNow(0, 0) > 0.7, "failing " + b.d.failNow(0, 0));
+        assertTrue(b.d.failNow(0, 1) < 0.4, "sound " + b.d.failNow(0, 1));
+        b.d.wake(3 * 2560);
+        assertTrue(b.d.failNow(0, 0) > 0.3, "remembered " + b.d.failNow(0, 0));
+    }
+
     @Test
     public void aTenantBeyondItsAllowanceIsWorthLess() {
         Bench b = Bench.of(SAFE);
