--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -18,7 +18,7 @@
 
     private final Turns turns;
     private final double connectWithin;
-    private final double restsFor;
+    private final Rest rest;
     private final int most;
     private final List<Berth> berths = new ArrayList<>();
     /** The longest at rest first. */
@@ -28,7 +28,7 @@
     public Pool(Turns turns, double connectWithin, double idleMost, int most) {
         this.turns = turns;
         this.connectWithin = connectWithin;
-        this.restsFor = KEPT * idleMost;
+        rest = new Rest(KEPT * idleMost);
         this.most = most;
     }
 
@@ -39,15 +39,21 @@
 
         @Override
         public void free(Outbound connection) {
-            if (kept && restsFor > 0) {
+            double span = rest.span(turns.now());
+            if (kept && span > 0) {
                 free.push(connection);
                 resting.add(connection);
-                connection.closeAfter(restsFor);
+                connection.closeAfter(span);
             } else {
                 connection.close();
             }
         }
 
+        @Override
+        public void brokeAfterRest(double rested) {
+            rest.broke(turns.now(), rested);
+        }
+
         @Override
         public void closed(Outbound connection) {
             count--;
@@ -62,6 +68,11 @@
             berths.add(new Berth());
         }
         Berth berth = berths.get(worker);
+        // The latest one is on top: if it has rested too long, so have the others.
+        double span = rest.span(turns.now());
+        while (!berth.free.isEmpty() && berth.free.peek().restedFor() > span) {
+            berth.free.peek().close();
+        }
         Outbound connection = berth.free.poll();
         if (connection != null) {
             resting.remove(connection);
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -19,6 +19,9 @@
     public interface Owner {
         void free(Outbound connection);
 
+        /** Its peer ended it when a request came on it after so long a rest; closed() follows. */
+        void brokeAfterRest(double rested);
+
         void closed(Outbound connection);
     }
 
@@ -29,6 +32,9 @@
     private boolean whole;
     private Caller caller;
     private double patience;
+    /** When its last answer had come, or NaN; and how long it had rested before the request at hand. */
+    private double freeSince = Double.NaN;
+    private double rested = Double.NaN;
     private Message.Sink sink;
     private Message answer;
 
@@ -53,6 +59,7 @@
     /** The same; the answer's body goes to the sink. */
     void ask(byte[] request, double patience, Caller from, Message.Sink sink) {
         caller = from;
+        rested = restedFor();
         this.patience = patience;
         this.sink = sink;
         answer = Message.answer(sink);
@@ -72,7 +79,7 @@
     }
 
     private void begin() {
-        closeAfter(patience);
+        alarm(patience, this::tooLate);
         byte[] request = waiting;
         waiting = null;
         begun = true;
@@ -84,6 +91,17 @@
         alarm(span, this::close);
     }
 
+    /** How long it has carried nothing, or NaN if it never has carried anything. */
+    public double restedFor() {
+        return turns.now() - freeSince;
+    }
+
+    /** The answer takes too long: the connection is ours to end, whatever it had rested. */
+    private void tooLate() {
+        rested = Double.NaN;
+        close();
+    }
+
     /** Gives the request up by closing; its caller hears no more. */
     public void drop() {
         caller = null;
@@ -133,6 +151,7 @@
         caller = null;
         boolean keep = whole && done.keepsAlive();
         if (keep) {
+            freeSince = turns.now();
             owner.free(this);
         } else {
             close();
@@ -144,6 +163,9 @@
 
     @Override
     void closed(boolean allWritten) {
+        if (caller != null && begun && !answer.headRead() && rested >= 0) {
+            owner.brokeAfterRest(rested);
+        }
         owner.closed(this);
         Caller to = caller;
         caller = null;
--- a/src/main/java/gingerspool/wire/Watch.java
+++ b/src/main/java/gingerspool/wire/Watch.java
@@ -148,6 +148,9 @@
         free.close();
     }
 
+    @Override
+    public void brokeAfterRest(double rested) { }
+
     @Override
     public void closed(Outbound closed) { }
 }
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -131,6 +131,29 @@
         assertTrue(Bench.read(atWorker).contains("X-Correlation-Id: i2\r\n"));
     }
 
+    /** Found on service days: connections at rest were dropped without a word, and each cost a task. */
+    @Test
+    public void afterOneThatBreaksLongerRestedConnectionsAreNotUsed() throws Exception {
+        start();
+        Socket first = say(task("i1", 3000));
+        Socket older = work("");
+        say(task("i2", 3000));
+        Socket newer = work("");
+        Bench.write(older, TAKEN);
+        callBack("i1", "s-1", "done");
+        Bench.read(first);
+        Bench.write(newer, TAKEN);
+        callBack("i2", "s-1", "done");
+        Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n"));
+        Bench.write(first, task("i3", 3000));
+        assertTrue(Bench.read(newer).contains("X-Correlation-Id: i3\r\n"));
+        newer.close();
+        assertTrue(Bench.read(first).startsWith("HTTP/1.1 500 "));
+        Bench.write(first, task("i4", 3000));
+        work(TAKEN);
+        assertEquals(older.getInputStream().read(), -1);
+    }
+
     @Test
     public void aCallBackOfAnotherWorkerCountsForNothing() throws Exception {
         start();
--- a/src/test/java/gingerspool/store/StoreTest.java
+++ b/src/test/java/gingerspool/store/StoreTest.java
@@ -115,6 +115,19 @@
         assertTrue(hand.hasRoomFor(10));
     }
 
+    /** Found on service days: a quarter of the connections that had rested 0.1 s broke when used again. */
+    @Test
+    public void whatBreaksAfterARestShortensIt() {
+        Rest rest = new Rest(3000);
+        assertEquals(rest.span(9000), 3000.0);
+        rest.broke(9000, 200);
+        assertEquals(rest.span(9000), 100.0);
+        rest.broke(9000, 0);
+        assertTrue(rest.span(9000) > 0, "it can grow again");
+        rest.broke(9000, 1);
+        assertEquals(rest.span(9000 + 10 * 3000), 3000.0);
+    }
+
     @Test
     public void aWorkerKeepsItsIndexAndMayMove() throws BadMessage {
         Roster roster = new Roster();
