--- a/src/main/java/gingerspool/config/Check.java
+++ b/src/main/java/gingerspool/config/Check.java
@@ -68,12 +68,12 @@
                 + ", not before the time-out or expiry of the first one"
                 + OperatorFile.where(c.timesOut() ? c.said.timeout : c.profile.expiry) + ": none would go out");
         rule(c -> c.repeats() && c.timesOut() && c.goesAgainAfter(Outcome.TIMEOUT)
-                && !file.limits.cancels().value() && !file.limits.copies().value(), "timeout",
-            c -> c.said.timeout, c -> "lets assignments overlap: limits.cancels = false"
-                + OperatorFile.where(file.limits.cancels()) + ", so one that timed out may run on, and "
-                + "limits.copies = false" + OperatorFile.where(file.limits.copies()) + " bars that");
+                && !file.limits.cancels().value() && barred(c) != null, "timeout", c -> c.said.timeout,
+            c -> "lets assignments overlap: limits.cancels = false" + OperatorFile.where(file.limits.cancels())
+                + ", so one that timed out may run on, and " + barred(c));
         rule(c -> c.repeats() && sideEffecting(c) && c.policy.again() != null
-                && MAY_HAVE_RUN.stream().anyMatch(c.policy.again()::contains), "again", c -> c.said.again,
+                && MAY_HAVE_RUN.stream().anyMatch(how -> c.policy.again().contains(how)
+                    && (how != Outcome.TIMEOUT || c.timesOut())), "again", c -> c.said.again,
             c -> "repeats what may have run, and " + c.profile.name + " is side-effecting"
                 + OperatorFile.where(c.profile.effect));
         rule(c -> c.repeats() && sideEffecting(c) && c.policy.again() == null && c.timesOut(), "assignments",
@@ -82,11 +82,11 @@
                 + OperatorFile.where(c.said.timeout) + ": after it " + c.profile.name + ", which is side-effecting"
                 + OperatorFile.where(c.profile.effect) + ", may have run; set assignments = 1, or again = "
                 + "[\"unreachable\", \"full\"]");
-        rule(c -> c.said.timeout != null && c.policy.timeout() > c.profile.expiry.value(), "timeout",
+        rule(Check::tooLong, "timeout",
             c -> c.said.timeout, c -> "is " + Units.text(c.policy.timeout()) + ", beyond the expiry of "
                 + c.profile.name + ", " + Units.text(c.profile.expiry.value())
                 + OperatorFile.where(c.profile.expiry));
-        rule(c -> c.policy.timeout() <= c.profile.expiry.value() && chain(c) > c.profile.expiry.value(),
+        rule(c -> !tooLong(c) && chain(c) > c.profile.expiry.value(),
             "assignments", this::chainSaid, c -> "is " + c.policy.assignments() + ": with " + (c.timesOut()
                 ? "time-outs of " + Units.text(c.policy.timeout()) + OperatorFile.where(c.said.timeout) + " and "
                 : "") + "pauses" + OperatorFile.where(c.said.pause) + " that takes " + Units.text(chain(c))
@@ -105,6 +105,18 @@
         rules.add(new Rule(when, key, said, text));
     }
 
+    /** Why no two assignments of this task may run at a time, or null where they may. */
+    private String barred(Case c) {
+        return c.profile.effect() != Profile.Effect.IDEMPOTENT
+            ? c.profile.name + " is " + c.profile.effect.value() + OperatorFile.where(c.profile.effect)
+            : file.limits.copies().value() ? null
+            : "limits.copies = false" + OperatorFile.where(file.limits.copies()) + " bars that";
+    }
+
+    private static boolean tooLong(Case c) {
+        return c.said.timeout != null && c.policy.timeout() > c.profile.expiry.value();
+    }
+
     private static boolean copied(Case c) {
         return c.policy.copies() != null && c.policy.copies().most() > 1;
     }
@@ -116,6 +128,10 @@
     /** The longest that all assignments and the pauses between them may take, in milliseconds. */
     private static double chain(Case c) {
         Policy p = c.policy;
+        if (p.again() != null && p.again().isEmpty()) {
+            // Nothing goes again: one assignment, and copies that join it.
+            return c.timesOut() ? p.timeout() + (copied(c) ? (p.copies().most() - 1) * p.copies().after() : 0) : 0;
+        }
         double all = c.timesOut() ? p.assignments() * p.timeout() : 0;
         for (int n = 1; n < p.assignments() && p.pause() != null; n++) {
             all += p.pause().after(n);
--- a/src/main/java/gingerspool/config/Section.java
+++ b/src/main/java/gingerspool/config/Section.java
@@ -207,17 +207,23 @@
     void end() {
         entries.forEach((key, node) -> {
             if (!known.contains(key)) {
-                faults.add(new Fault(node.at, path(key), "is not a key here" + nearest(key, known)));
+                faults.add(new Fault(node.at, path(key), "is not a key here" + near(key, known, Integer.MAX_VALUE)));
             }
         });
     }
 
     /** ", did you mean ...?" with the word that takes the fewest changes, or nothing where none is near. */
     static String nearest(String word, Iterable<String> words) {
+        return near(word, words, Math.max(2, word.length() / 2) + 1);
+    }
+
+    private static String near(String word, Iterable<String> words, int under) {
         String best = null;
-        int least = Math.max(2, word.length() / 2) + 1;
+        int least = under;
+        String lower = word.toLowerCase(Locale.ROOT);
         for (String w : words) {
-            int d = distance(word.toLowerCase(Locale.ROOT), w);
+            boolean begins = word.length() > 1 && (w.startsWith(lower) || lower.startsWith(w));
+            int d = begins ? 1 : distance(lower, w);
             if (d < least) {
                 least = d;
                 best = w;
--- a/src/main/java/gingerspool/route/Limit.java
+++ b/src/main/java/gingerspool/route/Limit.java
@@ -35,7 +35,7 @@
     }
 
     /** How long until another may be taken, in milliseconds: 0 now, infinite when one in hand must end first. */
-    public double wait(double now) {
+    public double delay(double now) {
         double most = found != null ? found.limit() : bound.inHand();
         if (counts.inHand >= most) {
             return Double.POSITIVE_INFINITY;
--- a/src/main/java/gingerspool/route/Routes.java
+++ b/src/main/java/gingerspool/route/Routes.java
@@ -129,8 +129,8 @@
         }
         t.terms = e.terms;
         Limit ofTenant = e.perTenant == null ? null : e.perTenant.of(tenant == null ? "" : tenant, now);
-        double wait = Math.max(e.limit == null ? 0 : e.limit.wait(now),
-            ofTenant == null ? 0 : ofTenant.wait(now));
+        double wait = Math.max(e.limit == null ? 0 : e.limit.delay(now),
+            ofTenant == null ? 0 : ofTenant.delay(now));
         if (wait > 0) {
             e.turnedAway++;
             t.overLimit = true;
--- /dev/null
+++ b/src/test/java/gingerspool/route/TableTest.java
@@ -0,0 +1,93 @@
+package gingerspool.route;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+public class TableTest {
+    private static final String[] PARTS = {"a", "b", "*", "c"};
+    private static final String[] HOSTS = {"x.org", "a.x.org", "*.x.org", "*.org", "b.a.x.org", "*.a.x.org"};
+
+    private static String any(SplittableRandom r, String... from) {
+        int i = r.nextInt(from.length + 1);
+        return i == from.length ? null : from[i];
+    }
+
+    private static String path(SplittableRandom r, boolean pattern) {
+        StringBuilder p = new StringBuilder();
+        for (int i = r.nextInt(4); i >= 0; i--) {
+            p.append('/').append(PARTS[r.nextInt(pattern ? 3 : 4)]);
+        }
+        return p + (pattern && r.nextInt(3) == 0 ? "/**" : "");
+    }
+
+    private static List<Match> matches(SplittableRandom r, int most) {
+        List<Match> all = new ArrayList<>();
+        for (int n = r.nextInt(most); n > 0; n--) {
+            all.add(new Match(any(r, "p", "q"), r.nextInt(3) == 0 ? null : path(r, true), any(r, HOSTS),
+                any(r, "t", "u")));
+        }
+        return all;
+    }
+
+    /** The look-up must give what trying each in turn gives, whatever the routes and the task. */
+    @Test
+    public void theFirstThatTakesATaskIsFound() {
+        for (int seed = 0; seed < 3000; seed++) {
+            SplittableRandom r = new SplittableRandom(seed);
+            List<Match> all = matches(r, 12);
+            Table table = new Table();
+            all.forEach(table::add);
+            for (int i = 0; i < 30; i++) {
+                String profile = any(r, "p", "q");
+                String path = r.nextInt(9) == 0 ? null : path(r, false);
+                String host = any(r, "x.org", "A.x.ORG:80", "b.a.x.org", "y", "c.org.");
+                String tenant = any(r, "t", "u", "v");
+                int wanted = 0;
+                while (wanted < all.size() && !all.get(wanted).takes(profile, path, host, tenant)) {
+                    wanted++;
+                }
+                assertEquals(table.first(profile, path, host, tenant), wanted == all.size() ? -1 : wanted,
+                    "seed " + seed + ": " + profile + " " + path + " " + host + " " + tenant + " in " + all);
+            }
+        }
+    }
+
+    /** What one earlier match takes whole is told; what is told is taken whole. */
+    @Test
+    public void aMatchThatIsCoveredTakesNothingTheOtherLeaves() {
+        for (int seed = 0; seed < 3000; seed++) {
+            SplittableRandom r = new SplittableRandom(seed);
+            List<Match> all = matches(r, 6);
+            Table table = new Table();
+            all.forEach(table::add);
+            Match m = new Match(any(r, "p", "q"), r.nextInt(3) == 0 ? null : path(r, true), any(r, HOSTS),
+                any(r, "t", "u"));
+            int by = table.covering(m);
+            for (int i = 0; i < 60 && by >= 0; i++) {
+                String profile = any(r, "p", "q");
+                String path = path(r, false);
+                String host = any(r, "x.org", "a.x.org", "b.a.x.org", "y", "c.org");
+                String tenant = any(r, "t", "u", "v");
+                assertTrue(!m.takes(profile, path, host, tenant) || all.get(by).takes(profile, path, host, tenant),
+                    "seed " + seed);
+            }
+            if (by < 0) {
+                assertEquals(all.indexOf(m), -1, "seed " + seed + ": the same match takes all of it");
+            }
+        }
+    }
+
+    @Test
+    public void aPathOfManyPartsIsNoTrouble() {
+        Table table = new Table();
+        table.add(new Match(null, "/*/*/*/*/**", null, null));
+        table.add(new Match(null, "/a/*/a/*/a/*/a/*/a/*/a", null, null));
+        assertEquals(table.first("p", "/a".repeat(5000), "h".repeat(3000), "t"), 0);
+        assertEquals(table.first("p", "/".repeat(3), ".".repeat(300), ""), -1);
+    }
+}
