Every log line an event with fields; the module's rules as one ordered chain

Need: operators search logs by event; starts may not get slower by what the file needs.

Log lines use SLF4J's key-value calls, in JSON by logback where the file says so.

--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -9,9 +9,6 @@
     private Main() { }
 
     public static void main(String[] args) {
-        // Two providers are in the jar: naming one spares the search, and a complaint, at every start.
-        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
-        System.setProperty("slf4j.internal.verbosity", "WARN");
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> System.exit(Daemon.serve(System.getenv()));
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package gingerspool.daemon;
 
+import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Door;
 import java.io.IOException;
@@ -10,6 +11,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 import sun.misc.Signal;
 
 /** One scheduler process, from its start to its end. */
@@ -74,10 +76,10 @@
             daemon.ended.await();
             return daemon.exitCode;
         } catch (ConfigurationException e) {
-            LOG.error("configuration: {}", e.getMessage());
+            LOG.atError().addKeyValue("why", e.getMessage()).log("config.fault");
             return 2;
         } catch (IOException e) {
-            LOG.error("can't start: {}", e.getMessage());
+            LOG.atError().addKeyValue("why", e.getMessage()).log("start.failed");
             return 1;
         } catch (InterruptedException e) {
             return 1;
@@ -95,11 +97,11 @@
             NodeConfiguration read = NodeConfiguration.read(environment);
             Set<String> changed = node.differences(read);
             changed.remove("discovery");
-            LOG.info("configuration read again, the list is followed at {}; kept until the next start: {}",
-                read.discovery, changed);
+            LOG.atInfo().addKeyValue("discovery", read.discovery).addKeyValue("kept", changed)
+                .log("config.reloaded");
             scheduler.follow(read.discovery);
         } catch (ConfigurationException e) {
-            LOG.error("configuration: {}; the old one stays", e.getMessage());
+            LOG.atError().addKeyValue("why", e.getMessage()).log("config.refused");
         }
     }
 
@@ -107,18 +109,21 @@
         try {
             scheduler.begin(node.known);
             door.open();
-            LOG.info("{} listens on {}", node.name, node.listen);
+            LOG.atInfo().addKeyValue("name", node.name).addKeyValue("at", Address.text(node.listen))
+                .log("serving");
             summarise();
         } catch (BadMessage e) {
-            LOG.error("configuration: known is {}", e.getMessage());
+            LOG.atError().addKeyValue("why", "known is " + e.getMessage()).log("config.fault");
             exitCode = 2;
             ended.countDown();
         }
     }
 
     private void summarise() {
-        LOG.info("{}; {}; timers late by {} ms at most", scheduler.summary(), door.summary(),
-            Math.round(loop.latestSince()));
+        LoggingEventBuilder line = LOG.atInfo();
+        scheduler.summary(line);
+        door.summary(line);
+        line.addKeyValue("latest_timer_ms", Math.round(loop.latestSince())).log("summary");
         loop.after(SUMMARY_EVERY, this::summarise);
     }
 
@@ -133,7 +138,7 @@
     }
 
     void leave() {
-        LOG.info("leaving, {} tasks in hand", scheduler.unanswered());
+        LOG.atInfo().addKeyValue("in_hand", scheduler.unanswered()).log("leaving");
         double within = STILL_COMING + Math.min(LONGEST, node.deployment.longestExpiry) - SPARE;
         closeFrom = loop.now() + KEPT * within;
         leaveBy = loop.now() + within;
@@ -149,7 +154,7 @@
         }
         int unanswered = scheduler.unanswered();
         if (unanswered > 0 && now >= leaveBy) {
-            LOG.warn("abandoning {} tasks that are still in hand", unanswered);
+            LOG.atWarn().addKeyValue("tasks", unanswered).log("leaving.abandons");
             scheduler.abandonAll();
             unanswered = 0;
         }
@@ -157,7 +162,9 @@
             door.shut();
         }
         if (unanswered == 0 && door.connections() == 0) {
-            LOG.info("left; {}", scheduler.summary());
+            LoggingEventBuilder line = LOG.atInfo();
+            scheduler.summary(line);
+            line.log("left");
             ended.countDown();
         } else {
             loop.after(LOOK_EVERY, () -> lookForEnd(loop.now()));
--- a/src/main/java/gingerspool/daemon/LogForm.java
+++ b/src/main/java/gingerspool/daemon/LogForm.java
@@ -14,6 +14,8 @@
         if (!form.equals("json")) {
             return;
         }
+        // The jar names slf4j-simple only, which spares each start the search for another.
+        System.setProperty("slf4j.internal.verbosity", "WARN");
         System.setProperty("slf4j.provider", "ch.qos.logback.classic.spi.LogbackServiceProvider");
         if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
             context.reset();
--- a/src/main/java/gingerspool/daemon/Loop.java
+++ b/src/main/java/gingerspool/daemon/Loop.java
@@ -56,7 +56,7 @@
         try {
             next.run();
         } catch (RuntimeException e) {
-            LOG.error("a turn broke", e);
+            LOG.atError().setCause(e).log("loop.turn_broke");
         }
     }
 
@@ -74,7 +74,7 @@
             latest = Math.max(latest, late);
             if (late > TOO_LATE && System.nanoTime() - warnedAt > WARN_EVERY) {
                 warnedAt = System.nanoTime();
-                LOG.warn("a timer fired {} ms late", Math.round(late));
+                LOG.atWarn().addKeyValue("ms", Math.round(late)).log("loop.timer_late");
             }
             turn(what);
         }, nanos, TimeUnit.NANOSECONDS);
@@ -101,7 +101,7 @@
         try {
             group.shutdownNow();
         } catch (IOException e) {
-            LOG.warn("can't close the channels: {}", e.getMessage());
+            LOG.atWarn().addKeyValue("why", e.getMessage()).log("loop.close_failed");
         }
         thread.shutdownNow();
     }
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /** The Dispatcher on sockets: hands it what comes in, carries out what it decides, decides nothing itself. */
 final class Scheduler implements Outlet, Door.Desk, Watch.Follower, Errand.Home {
@@ -122,7 +123,8 @@
         }
         pool.keep(w, state == Dispatcher.RUNNING);
         if (roster.turns(w, state)) {
-            LOG.info("{} in {} is listed as {}", host, zone, STATES[state]);
+            LOG.atInfo().addKeyValue("worker", host).addKeyValue("zone", zone)
+                .addKeyValue("state", STATES[state]).log("worker.listed");
         }
         dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0),
             cell, roster.address(w) == null ? Dispatcher.GONE : state, size, started);
@@ -137,7 +139,7 @@
     @Override
     public void watchEnded(String why) {
         watch = null;
-        LOG.warn("the watch on the list of workers {}", why);
+        LOG.atWarn().addKeyValue("why", why).log("list.watch_ended");
         if (deployment.settings.listOnRequest) {
             dispatcher.listFailed(turns.now());
         } else {
@@ -269,7 +271,8 @@
             connection.ask(ToWorker.request(t.request, address, wait), wait + deployment.connectWithin,
                 errand);
         } catch (IOException e) {
-            LOG.warn("no connection to {}: {}", roster.name(a.worker), e.getMessage());
+            LOG.atWarn().addKeyValue("worker", roster.name(a.worker)).addKeyValue("why", e.getMessage())
+                .log("worker.no_connection");
             turns.turn(() -> errand.fail(Outcome.UNREACHABLE));
         }
     }
@@ -287,7 +290,8 @@
             byte[] request = ToWorker.giveUp(errand.task.id, roster.address(w));
             pool.take(w, roster.address(w)).ask(request, deployment.connectWithin, null);
         } catch (IOException e) {
-            LOG.warn("can't tell {} to give up a task: {}", roster.name(w), e.getMessage());
+            LOG.atWarn().addKeyValue("worker", roster.name(w)).addKeyValue("why", e.getMessage())
+                .log("worker.give_up_untold");
         }
     }
 
@@ -404,21 +408,24 @@
         return n;
     }
 
-    /** Counts since the last call, in words. */
-    String summary() {
-        StringBuilder text = new StringBuilder().append(finished).append(" finished, ").append(bounced)
-            .append(" bounced, ").append(abandoned).append(" abandoned, ").append(left)
-            .append(" left by their client; ").append(hand.size()).append(" in hand; assignments:");
+    /** Counts since the last call. */
+    void summary(LoggingEventBuilder line) {
+        line.addKeyValue("finished", finished).addKeyValue("bounced", bounced).addKeyValue("abandoned", abandoned)
+            .addKeyValue("left", left).addKeyValue("in_hand", hand.size());
         for (Outcome how : Outcome.values()) {
             int n = outcomes[how.ordinal()];
-            text.append(n == 0 ? "" : " " + n + " " + how.name().toLowerCase(Locale.ROOT));
+            if (n > 0) {
+                line.addKeyValue(how.name().toLowerCase(Locale.ROOT), n);
+            }
+        }
+        line.addKeyValue("to_workers", pool.size());
+        if (routes != null) {
+            routes.counts().forEach((name, n) -> line.addKeyValue("route." + name, n[0] + "+" + n[1]));
         }
-        text.append("; ").append(pool.size()).append(" connections to workers");
         Arrays.fill(outcomes, 0);
         finished = 0;
         bounced = 0;
         abandoned = 0;
         left = 0;
-        return text.toString();
     }
 }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.BooleanSupplier;
 
 /**
  * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that
@@ -123,22 +122,6 @@
     private double askGap;
     private double wakeAt = Double.POSITIVE_INFINITY;
 
-    private record Rule(BooleanSupplier when, Runnable then) { }
-
-    /** The rules, in order. Those on a task look at the first task in hand that is due for a look. */
-    private final Rule[] rules = {
-        new Rule(this::listWanted, this::askForList),
-        new Rule(this::nothingInHand, () -> { }),
-        new Rule(this::isOut, this::sendCopy),
-        new Rule(this::mayNotRunAgain, this::giveUp),
-        new Rule(this::budgetSpent, this::giveUp),
-        new Rule(this::restWanted, this::rest),
-        new Rule(this::nobodyReady, this::hold),
-        new Rule(this::reportWanted, this::fetchReport),
-        new Rule(this::hopeless, this::giveUp),
-        new Rule(() -> true, this::send),
-    };
-
     public Dispatcher(Settings s, long seed, Outlet out) {
         if (s.profiles.length == 0) {
             throw new IllegalArgumentException("settings without profiles");
@@ -403,21 +386,38 @@
     // ---- The rules ----
 
     private void settle() {
-        boolean fired = true;
-        while (fired) {
-            fired = false;
+        do {
             nextTask();
-            for (int i = 0; i < rules.length && !fired; i++) {
-                if (rules[i].when.getAsBoolean()) {
-                    rules[i].then.run();
-                    fired = task != null || i < 1;
-                    break;
-                }
-            }
-        }
+        } while (ruleFires());
         planWake();
     }
 
+    /** The rules, in order: the first whose condition holds acts. Those on a task look at the one due for a look. */
+    private boolean ruleFires() {
+        if (listWanted()) {
+            askForList();
+        } else if (nothingInHand()) {
+            return false;
+        } else if (isOut()) {
+            sendCopy();
+        } else if (mayNotRunAgain()) {
+            giveUp();
+        } else if (budgetSpent()) {
+            giveUp();
+        } else if (restWanted()) {
+            rest();
+        } else if (nobodyReady()) {
+            hold();
+        } else if (reportWanted()) {
+            fetchReport();
+        } else if (hopeless()) {
+            giveUp();
+        } else {
+            send();
+        }
+        return true;
+    }
+
     private void nextTask() {
         task = null;
         for (int i = 0; i < hand.size() && task == null; i++) {
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -40,7 +40,7 @@
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException e) {
-            LOG.debug("no TCP_NODELAY: {}", e.getMessage());
+            LOG.atDebug().addKeyValue("why", e.getMessage()).log("connection.no_delay");
         }
     }
 
@@ -68,7 +68,7 @@
         try {
             step.run();
         } catch (RuntimeException e) {
-            LOG.error("connection dropped, our code broke", e);
+            LOG.atError().setCause(e).log("connection.broke");
             close();
         }
     }
@@ -218,7 +218,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            LOG.warn("can't close a connection: {}", e.getMessage());
+            LOG.atWarn().addKeyValue("why", e.getMessage()).log("connection.close_failed");
         }
         if (unsent.isEmpty()) {
             closed(true);
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /** Where clients and call-backs come in: owns their connections and turns requests into calls. */
 public final class Door implements Inbound.Door, Listener.Owner {
@@ -62,13 +63,12 @@
         return all.size();
     }
 
-    /** Counts since the last call, in words. */
-    public String summary() {
-        String text = all.size() + " connections at the door, " + turnedDown + " requests turned down, "
-            + refused + " refused for want of room";
+    /** Counts since the last call. */
+    public void summary(LoggingEventBuilder line) {
+        line.addKeyValue("at_door", all.size()).addKeyValue("turned_down", turnedDown)
+            .addKeyValue("refused", refused);
         turnedDown = 0;
         refused = 0;
-        return text;
     }
 
     // ---- Connections ----
@@ -86,7 +86,7 @@
     @Override
     public void outOfDescriptors() {
         most = Math.max(1, all.size() * 7 / 8);
-        LOG.warn("out of descriptors: {} connections at the most from now on", most);
+        LOG.atWarn().addKeyValue("most", most).log("door.out_of_descriptors");
     }
 
     @Override
@@ -142,7 +142,7 @@
         String target = request.target();
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
-        LOG.debug("{}", request);
+        LOG.atDebug().addKeyValue("request", request).log("door.request");
         try {
             switch (path) {
                 case "/healthz" -> {
@@ -166,7 +166,8 @@
     @Override
     public void unreadable(BadMessage fault) {
         turnedDown++;
-        LOG.debug("turned down with {}: {}", fault.status, fault.getMessage());
+        LOG.atDebug().addKeyValue("status", fault.status).addKeyValue("why", fault.getMessage())
+            .log("door.turned_down");
     }
 
     private static void allow(Message request, String method) throws BadMessage {
@@ -187,7 +188,8 @@
         if (state.equals("done") && !(Tree.at(call, "result") instanceof String)) {
             throw new BadMessage(400, "a call-back of done needs a result in text");
         }
-        LOG.debug("{} is {} at {}, load {}", id, state, from, Tree.at(call, "load"));
+        LOG.atDebug().addKeyValue("task", id).addKeyValue("state", state).addKeyValue("worker", from)
+            .log("door.told");
         desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
             Tree.at(call, "load"));
     }
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -72,7 +72,7 @@
     public void failed(Throwable why, Void none) {
         turns.turn(() -> {
             if (channel.isOpen()) {
-                LOG.warn("can't accept: {}", why.getMessage());
+                LOG.atWarn().addKeyValue("why", why.getMessage()).log("listener.accept_failed");
                 if (OUT_OF_DESCRIPTORS.equals(why.getMessage())) {
                     owner.outOfDescriptors();
                 }
@@ -88,7 +88,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            LOG.warn("can't close the listening socket: {}", e.getMessage());
+            LOG.atWarn().addKeyValue("why", e.getMessage()).log("listener.close_failed");
         }
     }
 }
--- a/src/main/java/gingerspool/wire/Watch.java
+++ b/src/main/java/gingerspool/wire/Watch.java
@@ -93,7 +93,7 @@
         for (Object h : hosts) {
             String host = Tree.text("", h, "host");
             if (host.isEmpty()) {
-                LOG.warn("a list entry without host: {}", h);
+                LOG.atWarn().addKeyValue("entry", h).log("list.entry_without_host");
                 continue;
             }
             int state = switch (Tree.text("", h, "health")) {
@@ -113,7 +113,7 @@
         try {
             return Address.read(Tree.text("", entry, "dial"));
         } catch (BadMessage e) {
-            LOG.warn("a list entry without address: {}", entry);
+            LOG.atWarn().addKeyValue("entry", entry).log("list.entry_without_address");
             return null;
         }
     }
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -409,9 +409,9 @@
         made.environment().put("GW_CONFIG", file.toString());
         Process process = made.redirectErrorStream(true).start();
         try (BufferedReader log = process.inputReader()) {
-            skipTo(log, " listens on ");
+            skipTo(log, " serving");
             new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
-            skipTo(log, "configuration read again");
+            skipTo(log, "config.reloaded");
             assertTrue(process.isAlive());
         } finally {
             process.destroyForcibly().waitFor();
