--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # Everything goes through Maven; these are the short names.
 JAR = target/gingerspool.jar
+# The operator's file that `make run` starts with.
+FILE = deploy/example/alone.toml
 # The daemon's limits for the virtual machine are kept in one place, the deploy file.
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
@@ -16,6 +18,6 @@
 	mvn -B -q clean test-compile
 	@! grep -rnP '\t|^.{111,}|\s$$' --include=*.java src
 
-# Wants GW_CONFIG, the path of the configuration file; see README.md.
+# With GW_CONFIG, the path of the platform's configuration, as the platform starts it; else with the example file.
 run: build
-	$(RUN)
+	$(RUN) $(if $(GW_CONFIG),,--file $(FILE))
--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -1,11 +1,11 @@
 package gingerspool.cli;
 
 import gingerspool.config.Explain;
-import gingerspool.config.Fault;
 import gingerspool.config.OperatorFile;
-import gingerspool.daemon.FileDaemon;
 import gingerspool.daemon.Daemon;
+import gingerspool.daemon.FileDaemon;
 import gingerspool.simhost.SimHost;
+import gingerspool.toml.Fault;
 import java.io.PrintWriter;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
@@ -13,12 +13,12 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.AutoComplete;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import picocli.CommandLine;
 
 /** The command line. Exit codes: 0 done, 1 could not listen, 2 bad arguments or a bad file. */
 public final class Commands {
@@ -66,7 +66,8 @@
         }
     }
 
-    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Serves in the foreground. Without "
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+        description = "Serves in the foreground. Without "
         + "--file the platform's GW_CONFIG tells all; with it and without GW_CONFIG the file does.")
     static final class Serve implements Callable<Integer> {
         @Option(names = "--file", paramLabel = "FILE", description = "The operator's file.")
@@ -109,8 +110,8 @@
         }
     }
 
-    @Command(name = "explain", mixinStandardHelpOptions = true, description = "Shows the effective settings and "
-        + "policies, and for each value the file and line that set it.")
+    @Command(name = "explain", mixinStandardHelpOptions = true, description = "Shows the effective settings "
+        + "and policies, and for each value the file and line that set it.")
     static final class ExplainFile implements Callable<Integer> {
         @Spec
         CommandSpec spec;
@@ -151,8 +152,8 @@
                 return 2;
             }
             if (!read.profileNames().contains(profile)) {
-                spec.commandLine().getErr().println("--profile is " + profile + ", which is no profile of the file: "
-                    + String.join(", ", read.profileNames()));
+                spec.commandLine().getErr().println("--profile is " + profile
+                    + ", which is no profile of the file: " + String.join(", ", read.profileNames()));
                 return 2;
             }
             OperatorFile.RouteChoice choice =
--- a/src/main/java/gingerspool/config/Check.java
+++ b/src/main/java/gingerspool/config/Check.java
@@ -7,6 +7,11 @@
 import gingerspool.route.Match;
 import gingerspool.route.Policy;
 import gingerspool.route.Table;
+import gingerspool.toml.Fault;
+import gingerspool.toml.Place;
+import gingerspool.toml.Said;
+import gingerspool.toml.Section;
+import gingerspool.toml.Units;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -16,9 +21,9 @@
 import java.util.function.Predicate;
 
 /**
- * Holds an operator's file, read and merged, against the rules that no policy may break. Each rule looks at one
- * case, that is a profile's tasks by one route (or by none), after all layers; so what is sound in one file and
- * not in the merged whole is found, and told with both places.
+ * Holds an operator's file, read and merged, against the rules that no policy may break. Each rule looks at
+ * one case, that is a profile's tasks by one route (or by none), after all layers; so what is sound in one
+ * file and not in the merged whole is found, and told with both places.
  */
 final class Check {
     private static final List<Outcome> MAY_HAVE_RUN = List.of(Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT);
@@ -34,7 +39,8 @@
         }
 
         boolean goesAgainAfter(Outcome how) {
-            return policy.again() == null ? profile.effect() != Profile.Effect.SIDE_EFFECTING || how.neverRan()
+            return policy.again() == null ? profile.effect() != Profile.Effect.SIDE_EFFECTING
+                || how.neverRan()
                 : policy.again().contains(how);
         }
     }
@@ -58,18 +64,23 @@
             c -> "sends copies of " + c.profile.name + ", which is " + c.profile.effect.value()
                 + OperatorFile.where(c.profile.effect) + ": only what is idempotent may be copied");
         rule(c -> copied(c) && !file.limits.copies().value(), "copies", c -> c.said.copies,
-            c -> "overlaps assignments, which limits.copies = false" + OperatorFile.where(file.limits.copies())
+            c -> "overlaps assignments, which limits.copies = false"
+                + OperatorFile.where(file.limits.copies())
                 + " bars");
-        rule(c -> copied(c) && c.policy.copies().most() > c.policy.assignments(), "copies", c -> c.said.copies,
+        rule(c -> copied(c) && c.policy.copies().most() > c.policy.assignments(), "copies", c ->
+            c.said.copies,
             c -> "has most = " + c.policy.copies().most() + ", more than the assignments, "
                 + c.policy.assignments() + OperatorFile.where(c.said.assignments));
-        rule(c -> copied(c) && c.policy.copies().after() >= Math.min(c.policy.timeout(), c.profile.expiry.value()),
+        rule(c -> copied(c) && c.policy.copies().after() >= Math.min(c.policy.timeout(),
+            c.profile.expiry.value()),
             "copies", c -> c.said.copies, c -> "has after = " + Units.text(c.policy.copies().after())
                 + ", not before the time-out or expiry of the first one"
-                + OperatorFile.where(c.timesOut() ? c.said.timeout : c.profile.expiry) + ": none would go out");
+                + OperatorFile.where(c.timesOut() ? c.said.timeout : c.profile.expiry)
+                    + ": none would go out");
         rule(c -> c.repeats() && c.timesOut() && c.goesAgainAfter(Outcome.TIMEOUT)
                 && !file.limits.cancels().value() && barred(c) != null, "timeout", c -> c.said.timeout,
-            c -> "lets assignments overlap: limits.cancels = false" + OperatorFile.where(file.limits.cancels())
+            c -> "lets assignments overlap: limits.cancels = false"
+                + OperatorFile.where(file.limits.cancels())
                 + ", so one that timed out may run on, and " + barred(c));
         rule(c -> c.repeats() && sideEffecting(c) && c.policy.again() != null
                 && MAY_HAVE_RUN.stream().anyMatch(how -> c.policy.again().contains(how)
@@ -79,7 +90,8 @@
         rule(c -> c.repeats() && sideEffecting(c) && c.policy.again() == null && c.timesOut(), "assignments",
             c -> c.said.assignments != null ? c.said.assignments : c.said.timeout, c -> "is "
                 + c.policy.assignments() + " with a time-out of " + Units.text(c.policy.timeout())
-                + OperatorFile.where(c.said.timeout) + ": after it " + c.profile.name + ", which is side-effecting"
+                + OperatorFile.where(c.said.timeout) + ": after it " + c.profile.name
+                    + ", which is side-effecting"
                 + OperatorFile.where(c.profile.effect) + ", may have run; set assignments = 1, or again = "
                 + "[\"unreachable\", \"full\"]");
         rule(Check::tooLong, "timeout",
@@ -88,16 +100,17 @@
                 + OperatorFile.where(c.profile.expiry));
         rule(c -> !tooLong(c) && chain(c) > c.profile.expiry.value(),
             "assignments", this::chainSaid, c -> "is " + c.policy.assignments() + ": with " + (c.timesOut()
-                ? "time-outs of " + Units.text(c.policy.timeout()) + OperatorFile.where(c.said.timeout) + " and "
+                ? "time-outs of " + Units.text(c.policy.timeout()) + OperatorFile.where(c.said.timeout)
+                    + " and "
                 : "") + "pauses" + OperatorFile.where(c.said.pause) + " that takes " + Units.text(chain(c))
                 + ", beyond the expiry of " + c.profile.name + ", " + Units.text(c.profile.expiry.value())
                 + OperatorFile.where(c.profile.expiry));
         rule(c -> above(c.policy.tenantLimit(), c.policy.limit()) != null, "tenant_limit",
             c -> c.said.tenantLimit, c -> "has " + above(c.policy.tenantLimit(), c.policy.limit())
                 + ", above the route's own limit" + OperatorFile.where(c.said.limit));
-        rule(c -> c.policy.assignments() == 1 && c.said.repeats != null && c.said.assignments != null, "repeats",
-            c -> c.said.repeats, c -> "has no effect, since assignments = 1"
-                + OperatorFile.where(c.said.assignments));
+        rule(c -> c.policy.assignments() == 1 && c.said.repeats != null && c.said.assignments != null
+                && table(c, c.said.repeats) == table(c, c.said.assignments), "repeats", c -> c.said.repeats,
+            c -> "has no effect, since assignments = 1" + OperatorFile.where(c.said.assignments));
     }
 
     private void rule(Predicate<Case> when, String key, Function<Case, Said<?>> said,
@@ -130,7 +143,8 @@
         Policy p = c.policy;
         if (p.again() != null && p.again().isEmpty()) {
             // Nothing goes again: one assignment, and copies that join it.
-            return c.timesOut() ? p.timeout() + (copied(c) ? (p.copies().most() - 1) * p.copies().after() : 0) : 0;
+            return c.timesOut() ? p.timeout() + (copied(c) ? (p.copies().most() - 1) * p.copies().after()
+                : 0) : 0;
         }
         double all = c.timesOut() ? p.assignments() * p.timeout() : 0;
         for (int n = 1; n < p.assignments() && p.pause() != null; n++) {
@@ -159,7 +173,8 @@
 
     void run() {
         if (file.profiles.isEmpty() && file.deployment.isWhole()) {
-            faults.add(new Fault(new Place(file.files().get(0), 0), "profile", "is missing: no task could come"));
+            faults.add(new Fault(new Place(file.files().get(0), 0), "profile",
+                "is missing: no task could come"));
         }
         if (file.deployment.isWhole() && file.workers.isEmpty() && file.deployment.listPlace() == null) {
             faults.add(new Fault(new Place(file.files().get(0), 0), "worker",
@@ -195,14 +210,20 @@
         }
     }
 
-    /** The table that said it. */
+    /** The route, the profile or the defaults that said it, or null. */
+    private PolicyPart table(Case c, Said<?> said) {
+        return c.route != null && owns(c.route.policy, said) ? c.route.policy
+            : owns(c.profile.policy, said) ? c.profile.policy : owns(file.defaults, said) ? file.defaults
+                : null;
+    }
+
+    /** The path of the table at fault: the one that said it, else the one concerned. */
     private String owner(Case c, Said<?> said) {
-        boolean byRoute = c.route != null && said != null && said.at() != null && owns(c.route.policy, said);
-        boolean byProfile = said != null && owns(c.profile.policy, said);
-        return byRoute ? c.route.section.path + " (" + c.route.name + ")."
-            : byProfile ? "profile." + c.profile.name + "." : said != null && owns(file.defaults, said)
-            ? "defaults." : c.route != null ? c.route.section.path + " (" + c.route.name + ")."
-            : "profile." + c.profile.name + ".";
+        PolicyPart p = said == null ? null : table(c, said);
+        return p != null && p == file.defaults ? "defaults."
+            : c.route != null && (p == null || p == c.route.policy) ? c.route.section.path + " ("
+                + c.route.name
+            + ")." : "profile." + c.profile.name + ".";
     }
 
     private static boolean owns(PolicyPart p, Said<?> said) {
--- a/src/main/java/gingerspool/config/Deployment.java
+++ b/src/main/java/gingerspool/config/Deployment.java
@@ -1,5 +1,8 @@
 package gingerspool.config;
 
+import gingerspool.toml.Place;
+import gingerspool.toml.Said;
+import gingerspool.toml.Section;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -12,9 +15,9 @@
 import java.util.regex.Pattern;
 
 /**
- * What an operator's file says of an installation without the platform: [scheduler], [settings], [limits], and the
- * profiles, tenants and workers. tree() gives it in the form of the platform's configuration, so that there is one
- * reader of settings (daemon.Configuration) and one set of defaults.
+ * What an operator's file says of an installation without the platform: [scheduler], [settings], [limits],
+ * and the profiles, tenants and workers. tree() gives it in the form of the platform's configuration, so that
+ * there is one reader of settings (daemon.Configuration) and one set of defaults.
  */
 final class Deployment {
     private static final double DAY = 8.64e7;
@@ -110,6 +113,7 @@
 
     void readLimits(Section s) {
         put(limits, "maxOpen", s.whole("tasks", 20_000, 1, 10_000_000));
+        put(limits, "bodyBytes", s.size("bodies", null, 65536, 1e12));
         put(limits, "connIdleMs", s.span("connection_idle", 5000.0, 10, DAY));
         put(limits, "connectTimeoutMs", s.span("connect_within", 250.0, 1, 60_000));
         Said<Double> advice = s.span("advice", 1000.0, 0, DAY);
@@ -139,7 +143,8 @@
         for (OperatorFile.WorkerPart w : file.workers) {
             zones.add(w.zone());
             kinds.add(w.kind());
-            hosts.add(Map.of("host", w.name(), "dial", w.address(), "site", w.zone(), "class", w.kind(), "block",
+            hosts.add(Map.of("host", w.name(), "dial", w.address(), "site", w.zone(), "class", w.kind(),
+                "block",
                 (double) w.cell(), "health", "SERVING", "share", w.size(), "born_ms", 0.0));
         }
         if (!hosts.isEmpty()) {
--- a/src/main/java/gingerspool/config/Explain.java
+++ b/src/main/java/gingerspool/config/Explain.java
@@ -2,6 +2,8 @@
 
 import gingerspool.dispatch.Outcome;
 import gingerspool.route.Policy;
+import gingerspool.toml.Said;
+import gingerspool.toml.Units;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -24,7 +26,8 @@
                     lines.add("");
                     lines.add(line("route " + r.name + ", profile " + p.name + ": takes " + r.match,
                         r.at.toString()));
-                    policy(file.partFor(r, p), p, file.limits.assignments()).forEach(l -> lines.add("  " + l));
+                    policy(file.partFor(r, p), p, file.limits.assignments()).forEach(l -> lines.add("  "
+                        + l));
                 }
             }
         }
--- a/src/main/java/gingerspool/config/OperatorFile.java
+++ b/src/main/java/gingerspool/config/OperatorFile.java
@@ -4,6 +4,12 @@
 import gingerspool.route.Match;
 import gingerspool.route.Policy;
 import gingerspool.route.Routes;
+import gingerspool.toml.Fault;
+import gingerspool.toml.Layers;
+import gingerspool.toml.Place;
+import gingerspool.toml.Said;
+import gingerspool.toml.Section;
+import gingerspool.toml.Units;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -13,8 +19,8 @@
 import java.util.Map;
 
 /**
- * An operator's file, read with all that it includes and checked as a whole. Call read; if faults() is empty the
- * rest can be used. Nothing here throws on bad input. docs/configuration.md tells every key.
+ * An operator's file, read with all that it includes and checked as a whole. Call read; if faults() is empty
+ * the rest can be used. Nothing here throws on bad input. docs/configuration.md tells every key.
  */
 public final class OperatorFile {
     /** The most assignments that any task may have; the operators' own bound. */
@@ -80,8 +86,7 @@
         layers.read(file);
         files = layers.files();
         if (faults.isEmpty()) {
-            Place whole = new Place(file, 0);
-            readAll(new Section("", new Node(whole, layers.merged()), whole, faults, notes));
+            readAll(layers.section(file, notes));
             new Check(this, faults).run();
         }
         List<Fault> sorted = new ArrayList<>(new LinkedHashSet<>(faults));
@@ -195,7 +200,8 @@
         if (name == null || address == null) {
             s.fault("", "needs name and address");
         }
-        WorkerPart w = new WorkerPart(name == null ? "" : name.value(), address == null ? "" : address.value(),
+        WorkerPart w = new WorkerPart(name == null ? "" : name.value(), address == null ? ""
+            : address.value(),
             s.text("zone", "").value(), s.text("kind", "").value(), s.whole("cell", 0, 0, 1 << 20).value(),
             s.number("size", 1.0, 0.01, 1e6).value());
         if (address != null && !Deployment.isAddress(w.address)) {
@@ -282,7 +288,10 @@
         return rules;
     }
 
-    /** A limit or budget said by a route is that route's; else it is the profile's, whichever route a task takes. */
+    /**
+     * A limit or budget said by a route is that route's; else it is the profile's, whichever route a task
+     * takes.
+     */
     private static Routes.Rule rule(String name, String owner, Match match, Map<String, Policy> made,
         PolicyPart own) {
         return new Routes.Rule(name, match, made, own.limit == null ? null : owner,
--- a/src/main/java/gingerspool/config/PolicyPart.java
+++ b/src/main/java/gingerspool/config/PolicyPart.java
@@ -2,6 +2,9 @@
 
 import gingerspool.dispatch.Outcome;
 import gingerspool.route.Policy;
+import gingerspool.toml.Said;
+import gingerspool.toml.Section;
+import gingerspool.toml.Units;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -26,6 +26,8 @@
     public final double connectionIdle;
     public final double connectWithin;
     public final int mostTasks;
+    /** The most that the bodies of tasks in hand may hold together, in bytes; 0 where nothing is said. */
+    public final long mostBytes;
     public final double longestExpiry;
     /** How long after the expiry an answer still counts. */
     public final double answerGrace;
@@ -42,6 +44,7 @@
         connectionIdle = limits.at("connIdleMs").number(5000);
         connectWithin = Math.max(1, limits.at("connectTimeoutMs").number(250));
         mostTasks = Math.max(1, limits.at("maxOpen").whole(20_000));
+        mostBytes = (long) limits.at("bodyBytes").number(0);
         answerGrace = all.at("obligations").at("graceToAnswerMs").number(0);
         Key specifics = all.at("specifics").object();
         reports = new LoadReport(specifics.at("reportX0").text(""), specifics.at("reportX1").text(""));
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -39,7 +39,9 @@
     final CountDownLatch ended = new CountDownLatch(1);
     volatile int exitCode;
     /** What SIGHUP does, for tests. */
-    Runnable again = () -> { };
+    Runnable again;
+    /** How long the last reload of an operator's file held the loop, in milliseconds. */
+    volatile double appliedIn;
     private double closeFrom;
     private double leaveBy;
 
--- a/src/main/java/gingerspool/daemon/FileDaemon.java
+++ b/src/main/java/gingerspool/daemon/FileDaemon.java
@@ -1,9 +1,9 @@
 package gingerspool.daemon;
 
-import gingerspool.config.Fault;
 import gingerspool.config.OperatorFile;
 import gingerspool.dispatch.Profile;
 import gingerspool.route.Routes;
+import gingerspool.toml.Fault;
 import gingerspool.wire.BadMessage;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
@@ -16,9 +16,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A daemon with an operator's file: `serve --file`. Where the platform configures the process too (GW_CONFIG),
- * the file adds policies only; elsewhere it says all. It is read again on SIGHUP, beside the loop, and takes
- * effect as a whole between two turns or not at all.
+ * A daemon with an operator's file: `serve --file`. Where the platform configures the process too
+ * (GW_CONFIG), the file adds policies only; elsewhere it says all. It is read again on SIGHUP, beside the
+ * loop, and takes effect as a whole between two turns or not at all.
  */
 public final class FileDaemon {
     private final Path path;
@@ -69,7 +69,8 @@
                 + (read.faults().size() == 1 ? " fault" : " faults"));
         }
         if (alone && !read.isWhole()) {
-            throw new ConfigurationException(path.toString(), "has no scheduler.listen, and GW_CONFIG is not set");
+            throw new ConfigurationException(path.toString(),
+                "has no scheduler.listen, and GW_CONFIG is not set");
         }
         NodeConfiguration node = alone ? new NodeConfiguration(read.deployment(), environment)
             : NodeConfiguration.read(environment);
@@ -87,7 +88,9 @@
         }
     }
 
-    /** Guards the rules: policies were checked against the file's profiles, the platform's are those that run. */
+    /**
+     * Guards the rules: policies were checked against the file's profiles, the platform's are those that run.
+     */
     private static List<String> disagreements(OperatorFile read, Configuration platform) {
         List<String> all = new ArrayList<>();
         read.profileFacts().forEach((name, fact) -> {
@@ -147,8 +150,9 @@
         } catch (BadMessage e) {
             refuse(1, e.getMessage());
         }
+        daemon.appliedIn = daemon.loop.now() - from;
         log().atInfo().addKeyValue("file", path).addKeyValue("files", read.files().size())
-            .addKeyValue("routes", read.routeCount()).addKeyValue("ms", Math.round(daemon.loop.now() - from))
+            .addKeyValue("routes", read.routeCount()).addKeyValue("ms", Math.round(daemon.appliedIn))
             .log("file.applied");
     }
 
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -67,8 +67,9 @@
         this.turns = turns;
         deployment = node.deployment;
         discovery = node.discovery;
+        long mostBytes = Runtime.getRuntime().maxMemory() / BODY_SHARE;
         hand = new Hand(Math.min(mostTasks, deployment.mostTasks),
-            Runtime.getRuntime().maxMemory() / BODY_SHARE);
+            deployment.mostBytes > 0 ? Math.min(mostBytes, deployment.mostBytes) : mostBytes);
         pool = new Pool(turns, deployment.connectWithin, deployment.connectionIdle, mostToWorkers);
         ahead = AHEAD * Math.max(deployment.settings.tick, deployment.answerGrace);
         dispatcher = new Dispatcher(deployment.settings, node.seed, this);
@@ -410,7 +411,8 @@
 
     /** Counts since the last call. */
     void summary(LoggingEventBuilder line) {
-        line.addKeyValue("finished", finished).addKeyValue("bounced", bounced).addKeyValue("abandoned", abandoned)
+        line.addKeyValue("finished", finished).addKeyValue("bounced", bounced).addKeyValue("abandoned",
+            abandoned)
             .addKeyValue("left", left).addKeyValue("in_hand", hand.size());
         for (Outcome how : Outcome.values()) {
             int n = outcomes[how.ordinal()];
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -392,7 +392,10 @@
         planWake();
     }
 
-    /** The rules, in order: the first whose condition holds acts. Those on a task look at the one due for a look. */
+    /**
+     * The rules, in order: the first whose condition holds acts. Those on a task look at the one due for a
+     * look.
+     */
     private boolean ruleFires() {
         if (listWanted()) {
             askForList();
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -16,7 +16,9 @@
     public boolean repeat;
     /** What the operator allows it. */
     public Terms terms = Terms.PLAIN;
-    /** It came over a limit of the operator's: it is turned away at once, best to come again after `advice`. */
+    /**
+     * It came over a limit of the operator's: it is turned away at once, best to come again after `advice`.
+     */
     public boolean overLimit;
     /** Milliseconds, or 0 for none of its own. */
     public double advice;
--- a/src/main/java/gingerspool/dispatch/Terms.java
+++ b/src/main/java/gingerspool/dispatch/Terms.java
@@ -14,14 +14,17 @@
     final double firstPause;
     final double mostPause;
     final double jitter;
-    /** How many assignments may be out at once, and how long the last one must have been out before another. */
+    /**
+     * How many assignments may be out at once, and how long the last one must have been out before another.
+     */
     final int copies;
     final double copyAfter;
     final Purse purse;
     private final Set<Outcome> again;
 
     /** The purse may be null (no budget), and so may again (every outcome that the effect allows). */
-    public Terms(int assignments, double timeout, double firstPause, double mostPause, double jitter, int copies,
+    public Terms(int assignments, double timeout, double firstPause, double mostPause, double jitter,
+        int copies,
         double copyAfter, Purse purse, Set<Outcome> again) {
         this.assignments = assignments;
         this.timeout = timeout;
--- a/src/main/java/gingerspool/route/Limit.java
+++ b/src/main/java/gingerspool/route/Limit.java
@@ -34,7 +34,9 @@
         return counts.tokens;
     }
 
-    /** How long until another may be taken, in milliseconds: 0 now, infinite when one in hand must end first. */
+    /**
+     * How long until another may be taken, in milliseconds: 0 now, infinite when one in hand must end first.
+     */
     public double delay(double now) {
         double most = found != null ? found.limit() : bound.inHand();
         if (counts.inHand >= most) {
@@ -52,7 +54,9 @@
         }
     }
 
-    /** A task has its answer, so long after it came (milliseconds); finished tells whether a worker did it. */
+    /**
+     * A task has its answer, so long after it came (milliseconds); finished tells whether a worker did it.
+     */
     public void done(double latency, boolean finished) {
         int before = counts.inHand--;
         if (found != null && finished) {
--- a/src/main/java/gingerspool/route/Match.java
+++ b/src/main/java/gingerspool/route/Match.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 
 /**
- * What a route takes: tasks of this profile, path, host and tenant; null is any. A path is matched by parts: `*`
- * stands for one part, `**` at the end for any number, none included. A host is exact or "*.suffix".
+ * What a route takes: tasks of this profile, path, host and tenant; null is any. A path is matched by parts:
+ * `*` stands for one part, `**` at the end for any number, none included. A host is exact or "*.suffix".
  */
 public record Match(String profile, String path, String host, String tenant) {
     /** Why this path pattern can't be used, or null. */
@@ -24,7 +24,8 @@
                 return "has * inside a part: a * stands for a whole part";
             }
         }
-        return path.indexOf('?') >= 0 || path.indexOf('#') >= 0 ? "holds a query, which is not looked at" : null;
+        return path.indexOf('?') >= 0 || path.indexOf('#') >= 0 ? "holds a query, which is not looked at"
+            : null;
     }
 
     /** Why this host pattern can't be used, or null. */
--- a/src/main/java/gingerspool/route/Policy.java
+++ b/src/main/java/gingerspool/route/Policy.java
@@ -4,7 +4,8 @@
 import java.util.Set;
 
 /**
- * What the operator's file says of the assignments of a task, in figures. Spans are milliseconds, rates a second.
+ * What the operator's file says of the assignments of a task, in figures. Spans are milliseconds, rates a
+ * second.
  *
  * @param assignments how many in all, copies among them
  * @param timeout of one assignment; infinite: until the task's expiry
@@ -15,7 +16,8 @@
  * @param tenantLimit the same for each tenant, or null
  * @param again the outcomes after which another assignment may go out, or null where the effect alone decides
  */
-public record Policy(int assignments, double timeout, Pause pause, Copies copies, Repeats repeats, Bound limit,
+public record Policy(int assignments, double timeout, Pause pause, Copies copies, Repeats repeats,
+    Bound limit,
     Bound tenantLimit, Set<Outcome> again) {
 
     /** The first pause; each later one is twice as long, up to the most; a part by chance is taken off. */
--- a/src/main/java/gingerspool/route/Routes.java
+++ b/src/main/java/gingerspool/route/Routes.java
@@ -10,20 +10,21 @@
 import java.util.Map;
 
 /**
- * The routes in force. Call admit() for each task that comes: it gets the terms of the first route that takes it
- * (else of its profile), and is marked as over its limit or counted; call done() once it has its answer. A new set
- * made from an older one goes on counting where that stood, for the limits and budgets that have the same name;
- * tasks keep the terms, and are given back to the limits, that they were taken with.
+ * The routes in force. Call admit() for each task that comes: it gets the terms of the first route that takes
+ * it (else of its profile), and is marked as over its limit or counted; call done() once it has its answer. A
+ * new set made from an older one goes on counting where that stood, for the limits and budgets that have the
+ * same name; tasks keep the terms, and are given back to the limits, that they were taken with.
  */
 public final class Routes {
     /** Tenants whose limits are kept track of, besides those with tasks in hand. */
     private static final int TENANTS_MOST = 10_000;
 
     /**
-     * What a route, or a profile by itself (match is null), says. The last three tell who owns the limits and the
-     * budget: null where they are the profile's own, whichever route its tasks take.
+     * What a route, or a profile by itself (match is null), says. The last three tell who owns the limits and
+     * the budget: null where they are the profile's own, whichever route its tasks take.
      */
-    public record Rule(String name, Match match, Map<String, Policy> byProfile, String limitOf, String tenantLimitOf,
+    public record Rule(String name, Match match, Map<String, Policy> byProfile, String limitOf,
+        String tenantLimitOf,
         String repeatsOf) { }
 
     /** A limit for each tenant, by its name; the longest unused first. */
@@ -87,7 +88,10 @@
     private final Map<String, Budget> budgets = new HashMap<>();
     private final List<Entry> entries = new ArrayList<>();
 
-    /** The rules in order: routes first, then one for each profile, whose match is null and name the profile's. */
+    /**
+     * The rules in order: routes first, then one for each profile, whose match is null and name the
+     * profile's.
+     */
     public Routes(List<Rule> rules, Routes before) {
         for (Rule r : rules) {
             Map<String, Entry> made = new HashMap<>();
@@ -104,7 +108,8 @@
     private Entry entry(Rule r, String profile, Policy p, Routes before) {
         Entry e = new Entry(r.name());
         String byProfile = "profile " + profile;
-        Budget purse = p.repeats() == null ? null : budgets.computeIfAbsent(r.repeatsOf() == null ? byProfile : r.repeatsOf(),
+        Budget purse = p.repeats() == null ? null : budgets.computeIfAbsent(r.repeatsOf() == null ? byProfile
+            : r.repeatsOf(),
             name -> new Budget(p.repeats(), before == null ? null : before.budgets.get(name)));
         Policy.Pause pause = p.pause();
         e.terms = new Terms(p.assignments(), Double.isInfinite(p.timeout()) ? 0 : p.timeout(),
@@ -173,7 +178,9 @@
         return e == null ? "" : e.name;
     }
 
-    /** Counts since the last call: by rule, what was taken and turned away; those without either are left out. */
+    /**
+     * Counts since the last call: by rule, what was taken and turned away; those without either are left out.
+     */
     public Map<String, int[]> counts() {
         Map<String, int[]> all = new LinkedHashMap<>();
         for (Entry e : entries) {
--- a/src/main/java/gingerspool/route/Table.java
+++ b/src/main/java/gingerspool/route/Table.java
@@ -6,17 +6,20 @@
 import java.util.Map;
 
 /**
- * Finds the first of many matches that takes a task, without trying each. add() them in order; first() gives the
- * index of the first that takes a task, covering() of the first that takes all that another match takes.
+ * Finds the first of many matches that takes a task, without trying each. add() them in order; first() gives
+ * the index of the first that takes a task, covering() of the first that takes all that another match takes.
  *
- * <p>Profile, tenant and host are looked up by name, once as given and once as any; a host also by each of its
- * suffixes. What is left is a tree of path parts. Each node of it knows the lowest index below, so that nothing is
- * looked into that could not come before the one found.
+ * <p>Profile, tenant and host are looked up by name, once as given and once as any; a host also by each of
+ * its suffixes. What is left is a tree of path parts. Each node of it knows the lowest index below, so that
+ * nothing is looked into that could not come before the one found.
  */
 public final class Table {
     /** Guards against paths of thousands of parts: patterns are told apart by the first of them. */
     private static final int PARTS_MOST = 64;
-    /** Stands for `*` and `**` in a path that is itself a pattern. A part of a real path never is these objects. */
+    /**
+     * Stands for `*` and `**` in a path that is itself a pattern. A part of a real path never is these
+     * objects.
+     */
     private static final String ANY_ONE = new String("*");
     private static final String ANY_MORE = new String("**");
     private static final String ANY = "";
@@ -61,7 +64,9 @@
         return index;
     }
 
-    /** The index of the first match that takes this task, or -1. Any may be null: then only "any" takes it. */
+    /**
+     * The index of the first match that takes this task, or -1. Any may be null: then only "any" takes it.
+     */
     public int first(String profile, String path, String host, String tenant) {
         int found = profiles(profile, path == null ? null : Match.parts(path),
             host == null ? null : Match.host(host), tenant);
@@ -104,7 +109,8 @@
             return found;
         }
         found = paths(byHost.get(host), path, found);
-        // A pattern *.x is looked up as such for each suffix; a host that is a pattern itself was found above.
+        // A pattern *.x is looked up as such for each suffix; a host that is a pattern itself was found
+        // above.
         for (int dot = host.indexOf('.'); dot >= 0; dot = host.indexOf('.', dot + 1)) {
             if (dot > 1 || dot == 1 && host.charAt(0) != '*') {
                 found = paths(byHost.get("*" + host.substring(dot)), path, found);
--- a/src/main/java/gingerspool/config/Fault.java
+++ b/src/main/java/gingerspool/toml/Fault.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 /** One thing wrong with an operator's file: where, at which key (may be empty), and what. */
 public record Fault(Place at, String key, String what) {
--- a/src/main/java/gingerspool/config/Layers.java
+++ b/src/main/java/gingerspool/toml/Layers.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -30,12 +30,12 @@
 /**
  * Reads an operator's file and all that it includes, and lays them over each other.
  *
- * <p>Call read once; then merged() is the one tree, files() every file that was read, and the faults are in the
- * list that was given. The order: a file's own keys, then its includes one after the other, each followed by its
- * own. Where two layers say the same plain key the later one counts; lists of tables ([[route]], [[worker]]) are
- * appended; a named table ([profile.X], [tenant.X]) may stand in one file only.
+ * <p>Call read once; then merged() is the one tree, files() every file that was read, and the faults are in
+ * the list that was given. The order: a file's own keys, then its includes one after the other, each followed
+ * by its own. Where two layers say the same plain key the later one counts; lists of tables ([[route]],
+ * [[worker]]) are appended; a named table ([profile.X], [tenant.X]) may stand in one file only.
  */
-final class Layers {
+public final class Layers {
     /** The most that one file may hold, in bytes: ten thousand routes fit, and a core file does not. */
     static final int MOST_BYTES = 4 << 20;
     static final int MOST_FILES = 256;
@@ -50,20 +50,26 @@
     /** The files under way, by their real path, each with the place that includes it. */
     private final Deque<Path> open = new ArrayDeque<>();
 
-    Layers(List<Fault> faults) {
+    public Layers(List<Fault> faults) {
         this.faults = faults;
     }
 
-    Map<String, Node> merged() {
+    public Map<String, Node> merged() {
         return merged;
     }
 
-    List<Path> files() {
+    public List<Path> files() {
         return new ArrayList<>(files);
     }
 
+    /** The merged tree as a section to be read; what is read is noted, in order, for explanations. */
+    public Section section(Path file, Map<String, Said<String>> notes) {
+        Place whole = new Place(file, 0);
+        return new Section("", new Node(whole, merged), whole, faults, notes);
+    }
+
     /** Reads the file and its includes; faults go to the list. */
-    void read(Path file) {
+    public void read(Path file) {
         layer(file, new Place(file, 0), "");
     }
 
@@ -148,7 +154,8 @@
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
             line += c == '\n' ? 1 : 0;
-            deep = c == '[' || c == '{' ? deep + 1 : c == ']' || c == '}' ? deep - 1 : c == '\n' && deep < 0 ? 0
+            deep = c == '[' || c == '{' ? deep + 1 : c == ']' || c == '}' ? deep - 1 : c == '\n' && deep < 0
+                ? 0
                 : deep;
             if (deep > DEEPEST) {
                 faults.add(new Fault(new Place(file, line), "", "nests more than " + DEEPEST + " deep"));
--- a/src/main/java/gingerspool/config/Node.java
+++ b/src/main/java/gingerspool/toml/Node.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -9,12 +9,13 @@
 import org.tomlj.TomlTable;
 
 /**
- * A value of an operator's file with the place where it stands. The value is a Map of nodes by name, a List of
- * nodes, text, a whole number (Long), a number (Double), a mark (Boolean), or a date that nothing here wants.
+ * A value of an operator's file with the place where it stands. The value is a Map of nodes by name, a List
+ * of nodes, text, a whole number (Long), a number (Double), a mark (Boolean), or a date that nothing here
+ * wants.
  */
-final class Node {
-    final Place at;
-    final Object value;
+public final class Node {
+    public final Place at;
+    public final Object value;
 
     Node(Place at, Object value) {
         this.at = at;
@@ -22,7 +23,7 @@
     }
 
     /** The table of a parsed file; positions are TOML's, from line 1. */
-    static Node of(TomlTable table, Place at) {
+    public static Node of(TomlTable table, Place at) {
         Map<String, Node> entries = new LinkedHashMap<>();
         for (String name : table.keySet()) {
             List<String> key = List.of(name);
@@ -51,18 +52,18 @@
 
     /** The entries of a table, or null where this is none. */
     @SuppressWarnings("unchecked")
-    Map<String, Node> table() {
+    public Map<String, Node> table() {
         return value instanceof Map ? (Map<String, Node>) value : null;
     }
 
     /** The entries of a list, or null where this is none. */
     @SuppressWarnings("unchecked")
-    List<Node> list() {
+    public List<Node> list() {
         return value instanceof List ? (List<Node>) value : null;
     }
 
     /** What sort of value it is, in words. */
-    String sort() {
+    public String sort() {
         return value instanceof Map ? "a table" : value instanceof List ? "a list"
             : value instanceof String ? "text" : value instanceof Long ? "a whole number"
             : value instanceof Double ? "a number" : value instanceof Boolean ? "true or false" : "a date";
--- a/src/main/java/gingerspool/config/Place.java
+++ b/src/main/java/gingerspool/toml/Place.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 import java.nio.file.Path;
 
--- a/src/main/java/gingerspool/config/Said.java
+++ b/src/main/java/gingerspool/toml/Said.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 /** A value and the place that set it; null as the place is a default. */
 public record Said<T>(T value, Place at) {
--- a/src/main/java/gingerspool/config/Section.java
+++ b/src/main/java/gingerspool/toml/Section.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -10,19 +10,19 @@
 
 /**
  * One table of an operator's file as it is read: ask it for each key that it may have, then call end(), which
- * complains of the keys that nobody asked for. What can't be used becomes a fault, and the fallback is returned,
- * so that all faults are found at once. What was asked for is noted for `explain`.
+ * complains of the keys that nobody asked for. What can't be used becomes a fault, and the fallback is
+ * returned, so that all faults are found at once. What was asked for is noted for `explain`.
  */
-final class Section {
-    final String path;
-    final Place at;
+public final class Section {
+    public final String path;
+    public final Place at;
     private final Map<String, Node> entries;
     private final List<Fault> faults;
     private final Map<String, Said<String>> notes;
     private final TreeSet<String> known = new TreeSet<>();
 
     /** A table that may be absent (null). */
-    Section(String path, Node node, Place other, List<Fault> faults, Map<String, Said<String>> notes) {
+    public Section(String path, Node node, Place other, List<Fault> faults, Map<String, Said<String>> notes) {
         this.path = path;
         this.faults = faults;
         this.notes = notes;
@@ -35,32 +35,32 @@
         entries = table;
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         known.add(key);
         return entries.containsKey(key);
     }
 
-    Place placeOf(String key) {
+    public Place placeOf(String key) {
         Node n = entries.get(key);
         return n == null ? at : n.at;
     }
 
-    String path(String key) {
+    public String path(String key) {
         return path.isEmpty() ? key : path + "." + key;
     }
 
-    void fault(String key, String what) {
+    public void fault(String key, String what) {
         faults.add(new Fault(placeOf(key), key.isEmpty() ? path : path(key), what));
     }
 
     /** A table inside this one. */
-    Section section(String key) {
+    public Section section(String key) {
         known.add(key);
         return new Section(path(key), entries.get(key), at, faults, notes);
     }
 
     /** The tables of a list of tables, [[key]]. */
-    List<Section> sections(String key) {
+    public List<Section> sections(String key) {
         known.add(key);
         Node n = entries.get(key);
         List<Section> all = new ArrayList<>();
@@ -75,14 +75,15 @@
     }
 
     /** The tables by name, [key.NAME]. */
-    Map<String, Section> named(String key) {
+    public Map<String, Section> named(String key) {
         known.add(key);
         Node n = entries.get(key);
         Map<String, Section> all = new LinkedHashMap<>();
         if (n != null && n.table() == null) {
             fault(key, "is " + n.sort() + ", wanted [" + key + ".NAME]");
         } else if (n != null) {
-            n.table().forEach((name, t) -> all.put(name, new Section(path(key) + "." + name, t, at, faults, notes)));
+            n.table().forEach((name, t) -> all.put(name, new Section(path(key) + "." + name, t, at, faults,
+                notes)));
         }
         return all;
     }
@@ -90,12 +91,12 @@
     // ---- Values; each is null where the key is absent and there is no fallback ----
 
     /** A span of time in milliseconds. */
-    Said<Double> span(String key, Double other, double least, double most) {
+    public Said<Double> span(String key, Double other, double least, double most) {
         return unit(key, other, least, most, Units::span, "a span of time such as \"250ms\"", Units::text);
     }
 
     /** A size in bytes. */
-    Said<Double> size(String key, Double other, double least, double most) {
+    public Said<Double> size(String key, Double other, double least, double most) {
         return unit(key, other, least, most, Units::size, "a size such as \"64KiB\"",
             n -> Units.plain(n) + "B");
     }
@@ -115,7 +116,7 @@
         });
     }
 
-    Said<Double> number(String key, Double other, double least, double most) {
+    public Said<Double> number(String key, Double other, double least, double most) {
         return value(key, other, Units::plain, n -> {
             if (!(n.value instanceof Number v) || !Double.isFinite(v.doubleValue())) {
                 return bad(key, "is " + (n.value instanceof Number ? "not finite" : n.sort())
@@ -125,7 +126,7 @@
         });
     }
 
-    Said<Integer> whole(String key, Integer other, int least, int most) {
+    public Said<Integer> whole(String key, Integer other, int least, int most) {
         return value(key, other, String::valueOf, n -> {
             if (!(n.value instanceof Long v)) {
                 return bad(key, "is " + n.sort() + ", wanted a whole number");
@@ -135,18 +136,18 @@
         });
     }
 
-    Said<Boolean> mark(String key, Boolean other) {
+    public Said<Boolean> mark(String key, Boolean other) {
         return value(key, other, String::valueOf, n -> n.value instanceof Boolean b ? b
             : bad(key, "is " + n.sort() + ", wanted true or false"));
     }
 
-    Said<String> text(String key, String other) {
+    public Said<String> text(String key, String other) {
         return value(key, other, s -> "\"" + s + "\"", n -> !(n.value instanceof String s)
             ? bad(key, "is " + n.sort() + ", wanted text") : s.isBlank() ? bad(key, "is empty") : s);
     }
 
     /** One of these words. */
-    Said<String> word(String key, String other, List<String> words) {
+    public Said<String> word(String key, String other, List<String> words) {
         Said<String> said = text(key, other);
         if (said != null && said.value() != null && !words.contains(said.value()) && said.at() != null) {
             fault(key, "is \"" + said.value() + "\", wanted one of " + String.join(", ", words)
@@ -157,7 +158,7 @@
     }
 
     /** A list of these words, each at most once. */
-    Said<List<String>> words(String key, List<String> other, List<String> words) {
+    public Said<List<String>> words(String key, List<String> other, List<String> words) {
         return value(key, other, String::valueOf, n -> {
             if (n.list() == null) {
                 return bad(key, "is " + n.sort() + ", wanted a list of " + String.join(", ", words));
@@ -177,8 +178,25 @@
         });
     }
 
+    /** A list of texts that are not empty; the other where there is none. */
+    public List<String> texts(String key, List<String> other) {
+        return value(key, other, String::valueOf, n -> {
+            if (n.list() == null || n.list().isEmpty()) {
+                return bad(key, "is " + (n.list() == null ? n.sort() : "empty") + ", wanted a list of texts");
+            }
+            List<String> all = new ArrayList<>();
+            for (Node e : n.list()) {
+                if (!(e.value instanceof String s) || s.isBlank()) {
+                    return bad(key, "holds " + e.sort() + ", wanted texts");
+                }
+                all.add(s);
+            }
+            return all;
+        }).value();
+    }
+
     /** Notes for `explain` what came of the key. */
-    void note(String key, String text, Place from) {
+    public void note(String key, String text, Place from) {
         notes.put(path(key), new Said<>(text, from));
     }
 
@@ -204,16 +222,17 @@
     }
 
     /** Complains of the keys that nobody asked for, and names the one that may have been meant. */
-    void end() {
+    public void end() {
         entries.forEach((key, node) -> {
             if (!known.contains(key)) {
-                faults.add(new Fault(node.at, path(key), "is not a key here" + near(key, known, Integer.MAX_VALUE)));
+                faults.add(new Fault(node.at, path(key), "is not a key here" + near(key, known,
+                    Integer.MAX_VALUE)));
             }
         });
     }
 
     /** ", did you mean ...?" with the word that takes the fewest changes, or nothing where none is near. */
-    static String nearest(String word, Iterable<String> words) {
+    public static String nearest(String word, Iterable<String> words) {
         return near(word, words, Math.max(2, word.length() / 2) + 1);
     }
 
--- a/src/main/java/gingerspool/config/Units.java
+++ b/src/main/java/gingerspool/toml/Units.java
@@ -1,4 +1,4 @@
-package gingerspool.config;
+package gingerspool.toml;
 
 import java.util.Locale;
 import java.util.Map;
@@ -6,7 +6,7 @@
 import java.util.regex.Pattern;
 
 /** Numbers with units, as in "250ms" and "64KiB". */
-final class Units {
+public final class Units {
     private static final Pattern FORM = Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,9})?) ?([A-Za-z]{1,3})");
     /** Milliseconds. */
     private static final Map<String, Double> SPANS =
@@ -18,12 +18,12 @@
     private Units() { }
 
     /** Milliseconds, or NaN where the text is no span of time. */
-    static double span(String text) {
+    public static double span(String text) {
         return read(text, SPANS);
     }
 
     /** Bytes, or NaN where the text is no size. */
-    static double size(String text) {
+    public static double size(String text) {
         return read(text, SIZES);
     }
 
@@ -34,7 +34,7 @@
     }
 
     /** A span in the largest unit that writes it short. */
-    static String text(double ms) {
+    public static String text(double ms) {
         if (Double.isInfinite(ms)) {
             return "no end";
         }
@@ -43,7 +43,7 @@
     }
 
     /** A number without an empty fraction. */
-    static String plain(double n) {
+    public static String plain(double n) {
         return n == Math.rint(n) && Math.abs(n) < 1e15 ? Long.toString((long) n)
             : String.format(Locale.ROOT, "%.6f", n).replaceAll("0+$", "");
     }
--- /dev/null
+++ b/src/test/java/gingerspool/OrderTest.java
@@ -0,0 +1,38 @@
+package gingerspool;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** Holds the order of the packages: each uses only those below it. */
+public class OrderTest {
+    @Test
+    public void eachPackageUsesOnlyThoseBelowIt() {
+        JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("gingerspool");
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("main").definedBy("gingerspool")
+            .layer("cli").definedBy("gingerspool.cli..")
+            .layer("simhost").definedBy("gingerspool.simhost..")
+            .layer("daemon").definedBy("gingerspool.daemon..")
+            .layer("config").definedBy("gingerspool.config..")
+            .layer("store").definedBy("gingerspool.store..")
+            .layer("wire").definedBy("gingerspool.wire..")
+            .layer("route").definedBy("gingerspool.route..")
+            .layer("toml").definedBy("gingerspool.toml..")
+            .layer("dispatch").definedBy("gingerspool.dispatch..")
+            .whereLayer("main").mayNotBeAccessedByAnyLayer()
+            .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
+            .whereLayer("simhost").mayOnlyBeAccessedByLayers("main", "cli")
+            .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost")
+            .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "daemon")
+            .whereLayer("store").mayOnlyBeAccessedByLayers("daemon")
+            .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "store", "simhost")
+            .whereLayer("toml").mayOnlyBeAccessedByLayers("config", "cli", "daemon")
+            .whereLayer("route").mayOnlyBeAccessedByLayers("config", "daemon", "store")
+            .check(all);
+    }
+}
--- a/src/test/java/gingerspool/config/CorpusTest.java
+++ b/src/test/java/gingerspool/config/CorpusTest.java
@@ -117,7 +117,8 @@
         Path file = Files.writeString(folder.resolve("shut.toml"), Corpus.PROFILES,
             java.nio.file.StandardOpenOption.CREATE_NEW);
         Files.setPosixFilePermissions(file, java.util.Set.of());
-        assertEquals(faults(file), Files.isReadable(file) ? List.of() : List.of("shut.toml: may not be read"));
+        assertEquals(faults(file), Files.isReadable(file) ? List.of()
+            : List.of("shut.toml: may not be read"));
     }
 
     /** A file is cut anywhere, or a byte of it is another: told in lines, never thrown. */
--- a/src/test/java/gingerspool/config/MergeTest.java
+++ b/src/test/java/gingerspool/config/MergeTest.java
@@ -17,8 +17,8 @@
 
 /**
  * Random fragments, merged: the checker's verdict is held against a second statement of the rules, which goes
- * through every course that the assignments of a task could take under a policy and looks at what overlaps, what
- * repeats and what ends too late. It knows nothing of the checker's formulas, and is slow.
+ * through every course that the assignments of a task could take under a policy and looks at what overlaps,
+ * what repeats and what ends too late. It knows nothing of the checker's formulas, and is slow.
  */
 public class MergeTest {
     private static final int RUNS = 3000;
@@ -91,7 +91,8 @@
             t.append(Double.isNaN(timeout) ? "" : "timeout = \"" + (int) timeout + "ms\"\n");
             t.append(Double.isNaN(first) ? "" : "pause = { first = \"" + (int) first + "ms\", most = \""
                 + (int) most + "ms\", jitter = 0.5 }\n");
-            t.append(copies > 0 ? "copies = { most = " + copies + ", after = \"" + (int) after + "ms\" }\n" : "");
+            t.append(copies > 0 ? "copies = { most = " + copies + ", after = \"" + (int) after + "ms\" }\n"
+                : "");
             t.append(again != null ? "again = [\"" + String.join("\", \"", again) + "\"]\n" : "");
             t.append(limit > 0 ? "limit = { in_hand = " + limit + " }\n" : "");
             t.append(tenantLimit > 0 ? "tenant_limit = { in_hand = " + tenantLimit + " }\n" : "");
@@ -208,7 +209,8 @@
         private void copies(List<Sent> before, double at, double own) {
             int out = 1;
             double end = Math.min(expiry, at + own);
-            for (double t = at + p.after; p.copies > out && before.size() + out < most && t < end; t += p.after) {
+            for (double t = at + p.after; p.copies > out && before.size() + out < most
+                && t < end; t += p.after) {
                 out++;
                 if (own < expiry && t + own > expiry) {
                     wrong.add("late");
@@ -258,14 +260,18 @@
         return wrong;
     }
 
-    /** Tries every task of a small world, which has a path part, a host and a tenant that no pattern names. */
+    /**
+     * Tries every task of a small world, which has a path part, a host and a tenant that no pattern names.
+     */
     private static boolean everTaken(Model m, int route) {
-        for (String path : new String[] {"/a", "/b", "/c", "/a/b", "/a/c", "/c/c", "/a/b/c", "/a/c/c", "/c/c/c"}) {
+        for (String path : new String[] {"/a", "/b", "/c", "/a/b", "/a/c", "/c/c", "/a/b/c", "/a/c/c",
+            "/c/c/c"}) {
             for (String host : new String[] {"a.x.org", "b.x.org", "c.x.org", "c.org", "c"}) {
                 for (String tenant : new String[] {"t", "u", "v"}) {
                     for (int p = 0; p < 2; p++) {
                         int first = 0;
-                        while (first < route && !m.routes.get(first).match.takes("p" + p, path, host, tenant)) {
+                        while (first < route && !m.routes.get(first).match.takes("p" + p, path, host,
+                            tenant)) {
                             first++;
                         }
                         if (first == route && m.routes.get(route).match.takes("p" + p, path, host, tenant)) {
@@ -312,7 +318,8 @@
                 + "ms\"\ndue = \"1ms\"\n" + m.ofProfile[p].text());
         }
         all.add("[defaults]\n" + m.defaults.text());
-        all.add("[limits]\nassignments = " + m.most + "\ncopies = " + m.copies + "\ncancels = " + m.cancels + "\n");
+        all.add("[limits]\nassignments = " + m.most + "\ncopies = " + m.copies + "\ncancels = " + m.cancels
+            + "\n");
         for (int i = all.size() - 1; i > 0; i--) {
             all.set(i, all.set(r.nextInt(i + 1), all.get(i)));
         }
@@ -328,7 +335,8 @@
         return value == null ? "" : "match." + name + " = \"" + value + "\"\n";
     }
 
-    private static OperatorFile read(Path folder, List<String> fragments, SplittableRandom r) throws IOException {
+    private static OperatorFile read(Path folder, List<String> fragments,
+        SplittableRandom r) throws IOException {
         // Some stand in the main file, which comes first; the rest in its includes, in order.
         int here = r.nextInt(fragments.size() + 1);
         StringBuilder main = new StringBuilder("include = [");
--- /dev/null
+++ b/src/test/java/gingerspool/daemon/PolicyMeasure.java
@@ -0,0 +1,219 @@
+package gingerspool.daemon;
+
+import gingerspool.dispatch.Assignment;
+import gingerspool.dispatch.Dispatcher;
+import gingerspool.dispatch.Outlet;
+import gingerspool.dispatch.Profile;
+import gingerspool.dispatch.Settings;
+import gingerspool.dispatch.Task;
+import gingerspool.peers.Peers;
+import gingerspool.route.Match;
+import gingerspool.route.Policy;
+import gingerspool.route.Routes;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.ToDoubleFunction;
+import org.testng.annotations.Test;
+
+/** Figures for docs/results.md, no part of CI: mvn -B -q test -Dtest=PolicyMeasure. */
+public class PolicyMeasure {
+    private static final int WORKERS = 10;
+    private static final double RATE = 80;
+    private static final double SECONDS = 15;
+    private static final int SEEDS = 3;
+
+    /** Second copies before stand-in workers, by the way in which one in ten is slow. */
+    @Test
+    public void copies() throws Exception {
+        for (String way : new String[] {"one task in ten is slow", "one worker in ten is slow",
+            "each worker in turn is slow for a second"}) {
+            for (int seed = 1; seed <= SEEDS; seed++) {
+                System.out.println(way + ", seed " + seed + ", without: " + day(way, seed, ""));
+                System.out.println(way + ", seed " + seed + ", with:    " + day(way, seed,
+                    "[[route]]\nname = \"r\"\n"
+                    + "match.profile = \"p\"\ncopies = { most = 2, after = \"60ms\" }\n"
+                    + "repeats = { share = 0.2, least_per_s = 2 }\n"));
+            }
+        }
+    }
+
+    private static ToDoubleFunction<String> runFor(String way, int worker, int seed, long begun) {
+        SplittableRandom r = new SplittableRandom(31L * seed + worker);
+        return id -> {
+            double usual = 10 + 20 * r.nextDouble();
+            boolean slow = switch (way) {
+                case "one task in ten is slow" -> r.nextInt(10) == 0;
+                case "one worker in ten is slow" -> worker == 0;
+                default -> (System.nanoTime() - begun) / 1_000_000_000L % WORKERS == worker;
+            };
+            return slow ? 20 * usual : usual;
+        };
+    }
+
+    private static String day(String way, int seed, String more) throws Exception {
+        try (Peers peers = new Peers()) {
+            StringBuilder text = new StringBuilder("[scheduler]\nlisten = \"127.0.0.1:0\"\nseed = \"" + seed
+                + "\"\n[profile.p]\neffect = \"idempotent\"\nexpiry = \"5s\"\ndue = \"2s\"\n");
+            long begun = System.nanoTime();
+            for (int w = 0; w < WORKERS; w++) {
+                text.append("[[worker]]\nname = \"w").append(w).append("\"\naddress = \"127.0.0.1:")
+                    .append(peers.worker("w" + w, 4, runFor(way, w, seed, begun))).append("\"\nsize = 4\n");
+            }
+            Path file = Files.writeString(Files.createTempFile("measure", ".toml"), text + more);
+            Daemon daemon = FileDaemon.open(file);
+            Files.delete(file);
+            peers.callBackTo((InetSocketAddress) daemon.door.address());
+            CountDownLatch ready = new CountDownLatch(1);
+            daemon.loop.enter(daemon::begin);
+            daemon.loop.enter(ready::countDown);
+            ready.await();
+            double[] latency = load((InetSocketAddress) daemon.door.address(), seed);
+            daemon.loop.stop();
+            Arrays.sort(latency);
+            double work = 0;
+            long started = peers.log().stream().filter(e -> e.what().equals("started")).count();
+            double[] from = new double[1];
+            java.util.Map<String, Double> since = new java.util.HashMap<>();
+            for (Peers.Event e : peers.log()) {
+                String key = e.worker() + e.task();
+                if (e.what().equals("started")) {
+                    since.put(key, e.at());
+                } else if (e.what().equals("ended") && since.containsKey(key)) {
+                    from[0] += e.at() - since.remove(key);
+                }
+            }
+            work = from[0];
+            int n = latency.length;
+            return String.format("%d tasks, median %.0f ms, 99th %.0f ms, 99.9th %.0f ms, %d runs (%+.1f%%), "
+                + "%.0f ms of work a task", n, latency[n / 2], latency[n * 99 / 100], latency[n * 999 / 1000],
+                started, 100.0 * (started - n) / n, work / n);
+        }
+    }
+
+    /** Open loop: a task is due at its time, whoever is busy; latency counts from then. */
+    private static double[] load(InetSocketAddress to, int seed) throws Exception {
+        SplittableRandom r = new SplittableRandom(seed);
+        List<Double> due = new ArrayList<>();
+        for (double t = 0; t < SECONDS * 1000; t -= 1000 / RATE * Math.log(1 - r.nextDouble())) {
+            due.add(t);
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(200);
+        ThreadLocal<Socket> own = new ThreadLocal<>();
+        long begun = System.nanoTime();
+        List<Future<Double>> all = new ArrayList<>();
+        for (int i = 0; i < due.size(); i++) {
+            double at = due.get(i);
+            String id = "t" + i;
+            while ((System.nanoTime() - begun) / 1e6 < at) {
+                Thread.onSpinWait();
+            }
+            all.add(pool.submit(() -> {
+                Socket s = own.get();
+                if (s == null) {
+                    s = new Socket(to.getAddress(), to.getPort());
+                    s.setTcpNoDelay(true);
+                    own.set(s);
+                }
+                Peers.write(s, "POST /p HTTP/1.1\r\nX-Correlation-Id: " + id
+                    + "\r\nContent-Length: 2\r\n\r\nhi");
+                String answer = Peers.read(s.getInputStream());
+                return answer.startsWith("HTTP/1.1 200 ") ? (System.nanoTime() - begun) / 1e6 - at : 5000;
+            }));
+        }
+        double[] latency = new double[all.size()];
+        for (int i = 0; i < latency.length; i++) {
+            latency[i] = all.get(i).get();
+        }
+        pool.shutdownNow();
+        return latency;
+    }
+
+    /** Time from a task's coming to its first assignment, by number of routes; the last route takes it. */
+    @Test
+    public void routes() {
+        for (int round = 0; round < 3; round++) {
+            for (int n : new int[] {0, 1, 100, 10_000}) {
+                System.out.printf("%d routes: %.2f us from a task to its assignment%n", n, toFirst(n));
+            }
+        }
+    }
+
+    private static double toFirst(int routes) {
+        Settings s = new Settings();
+        Profile p = new Profile();
+        p.name = "p";
+        p.effect = Profile.Effect.IDEMPOTENT;
+        p.dueTime = 1000;
+        p.expiry = 5000;
+        s.profiles = new Profile[] {p};
+        s.zone = 0;
+        List<Assignment> sent = new ArrayList<>();
+        Dispatcher d = new Dispatcher(s, 7, new Sends(sent));
+        d.listBegins(0, true);
+        for (int w = 0; w < 10; w++) {
+            d.listed(w, 0, 0, 0, Dispatcher.RUNNING, 1000, 0);
+        }
+        d.listEnds(0, true, false);
+        Policy policy = new Policy(4, 1000, null, null, null, null, null, null);
+        List<Routes.Rule> rules = new ArrayList<>();
+        for (int i = 0; i < routes; i++) {
+            rules.add(new Routes.Rule("r" + i, new Match("p", "/p/x" + i + "/**", "*.h" + i % 50 + ".org",
+                null),
+                Map.of("p", policy), "route", "route", "route"));
+        }
+        Routes table = routes == 0 ? null : new Routes(rules, null);
+        String path = "/p/x" + Math.max(0, routes - 1) + "/a/b";
+        String host = "a.h" + Math.max(0, routes - 1) % 50 + ".org";
+        long spent = 0;
+        int tasks = 200_000;
+        for (int i = 0; i < 2 * tasks; i++) {
+            Task t = new Task("t");
+            t.profile = p;
+            t.expiry = i + 5000;
+            long from = System.nanoTime();
+            if (table != null) {
+                table.admit(i, t, path, host, "t");
+            }
+            d.arrived(i, t);
+            spent += i < tasks ? 0 : System.nanoTime() - from;
+            d.ended(i + 0.5, sent.remove(0), gingerspool.dispatch.Outcome.OK, true, null);
+        }
+        return spent / 1e3 / tasks;
+    }
+
+    private record Sends(List<Assignment> sent) implements Outlet {
+        @Override
+        public void send(Assignment assignment, double timeout) {
+            sent.add(assignment);
+        }
+
+        @Override
+        public void bounce(Task task, double pause) { }
+
+        @Override
+        public void abandon(Task task) { }
+
+        @Override
+        public void cancel(Assignment assignment) { }
+
+        @Override
+        public void probe(int worker) { }
+
+        @Override
+        public void watchList() { }
+
+        @Override
+        public void wakeAfter(double span) { }
+    }
+}
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -144,7 +144,8 @@
         Bench.read(first);
         Bench.write(newer, TAKEN);
         callBack("i2", "s-1", "done");
-        // One that breaks having rested under 6 ms shortens the rest to its least, which the other may be under.
+        // One that breaks having rested under 6 ms shortens the rest to its least, which the other may be
+        // under.
         long since = System.nanoTime();
         while (System.nanoTime() - since < 20_000_000) {
             Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n"));
--- a/src/test/java/gingerspool/dispatch/TermsTest.java
+++ b/src/test/java/gingerspool/dispatch/TermsTest.java
@@ -289,7 +289,9 @@
         assertEquals(b.sent.size(), 1);
     }
 
-    /** Guards rule two whatever the terms say: the file's checker refuses such terms, the module does as well. */
+    /**
+     * Guards rule two whatever the terms say: the file's checker refuses such terms, the module does as well.
+     */
     @Test
     public void onlyWhatIsIdempotentIsCopied() {
         for (Effect e : new Effect[] {Effect.FINGERPRINTED, Effect.SIDE_EFFECTING}) {
@@ -323,8 +325,8 @@
 
     /**
      * Random terms, ends and times: one final answer at most, no assignment after what may have run where the
-     * effect bars it, no two at a time where it is not idempotent, none at one worker twice at a time, no more
-     * than terms and settings allow, and copies never more than allowed at once.
+     * effect bars it, no two at a time where it is not idempotent, none at one worker twice at a time, no
+     * more than terms and settings allow, and copies never more than allowed at once.
      */
     @Test(dataProvider = "effects")
     public void noTermsBreakTheRules(Effect effect) {
@@ -336,8 +338,10 @@
             b.settings.mostAssignments = 1 + r.nextInt(4);
             b.start(1 + r.nextInt(5));
             Set<Outcome> again = r.nextInt(3) == 0 ? EnumSet.of(Outcome.ERROR, Outcome.FULL) : null;
-            Terms terms = new Terms(1 + r.nextInt(5), r.nextInt(2) * 200, r.nextInt(3) * 20, 100, r.nextDouble(),
-                1 + r.nextInt(3), 10 + r.nextInt(50), r.nextInt(3) == 0 ? new Coins(r.nextInt(5)) : null, again);
+            Terms terms = new Terms(1 + r.nextInt(5), r.nextInt(2) * 200, r.nextInt(3) * 20, 100,
+                r.nextDouble(),
+                1 + r.nextInt(3), 10 + r.nextInt(50), r.nextInt(3) == 0 ? new Coins(r.nextInt(5)) : null,
+                    again);
             Task t = arrive(b, 1, terms);
             List<Assignment> open = new ArrayList<>();
             int seen = 0;
@@ -348,11 +352,13 @@
                     Assignment a = b.sent.get(seen);
                     assertFalse(over, "seed " + seed + ": sent after the end");
                     assertTrue(open.isEmpty() || effect == Effect.IDEMPOTENT, "seed " + seed + ": overlap");
-                    assertTrue(open.stream().noneMatch(o -> o.worker == a.worker), "seed " + seed + ": twice there");
+                    assertTrue(open.stream().noneMatch(o -> o.worker == a.worker), "seed " + seed
+                        + ": twice there");
                     assertFalse(ran && effect == Effect.SIDE_EFFECTING, "seed " + seed + ": repeat");
                     open.add(a);
                     copied += open.size() > 1 ? 1 : 0;
-                    assertTrue(open.size() <= Math.max(1, terms.copies), "seed " + seed + ": too many at once");
+                    assertTrue(open.size() <= Math.max(1, terms.copies), "seed " + seed
+                        + ": too many at once");
                 }
                 over = t.ended();
                 assertTrue(seen <= Math.min(terms.assignments, b.settings.mostAssignments), "seed " + seed);
@@ -426,8 +432,10 @@
                 stormed += without[1][s];
             }
             assertTrue(repeats <= share * firsts + least * with[0].length + 30, repeats + " of " + firsts);
-            assertTrue(stormed > 2 * (share * firsts + least * with[0].length + 30), "without a budget: " + stormed
-                + " repeats of " + java.util.Arrays.stream(without[0]).sum() + ", with one " + repeats + " of "
+            assertTrue(stormed > 2 * (share * firsts + least * with[0].length + 30), "without a budget: "
+                + stormed
+                + " repeats of " + java.util.Arrays.stream(without[0]).sum() + ", with one " + repeats
+                    + " of "
                 + firsts);
         }
     }
--- a/src/test/java/gingerspool/route/LimitsTest.java
+++ b/src/test/java/gingerspool/route/LimitsTest.java
@@ -26,7 +26,8 @@
     }
 
     private static Routes.Rule route(String name, Match match, Policy p) {
-        return new Routes.Rule(name, match, Map.of("p", p), "route " + name, "route " + name, "route " + name);
+        return new Routes.Rule(name, match, Map.of("p", p), "route " + name, "route " + name, "route "
+            + name);
     }
 
     private static Task task() {
@@ -58,7 +59,8 @@
             Limit l = new Limit(new Policy.Bound(NONE, 7, 3, false));
             double[] at = new double[400];
             int n = 0;
-            for (double now = 0; n < at.length && now < 60_000; now += r.nextInt(4) == 0 ? r.nextInt(900) : 0.5) {
+            for (double now = 0; n < at.length && now < 60_000; now += r.nextInt(4) == 0 ? r.nextInt(900)
+                : 0.5) {
                 if (l.delay(now) == 0) {
                     l.taken(now);
                     at[n++] = now;
--- a/src/test/java/gingerspool/route/TableTest.java
+++ b/src/test/java/gingerspool/route/TableTest.java
@@ -73,7 +73,8 @@
                 String path = path(r, false);
                 String host = any(r, "x.org", "a.x.org", "b.a.x.org", "y", "c.org");
                 String tenant = any(r, "t", "u", "v");
-                assertTrue(!m.takes(profile, path, host, tenant) || all.get(by).takes(profile, path, host, tenant),
+                assertTrue(!m.takes(profile, path, host, tenant) || all.get(by).takes(profile, path, host,
+                    tenant),
                     "seed " + seed);
             }
             if (by < 0) {
