A stand-in fleet, an open-loop load tool and experiments judged by an independent record

Need: every subsystem ahead promises something under failure; its proof needs workers, discovery and clients that fail on purpose, and a judge that does not trust the scheduler.

Packages scenario (TOML, a plan drawn beforehand from the seed), standin (a model of a worker without I/O, workers and discovery on asynchronous channels, 24 kinds of faults, an execution log), load (open loop, latency from the due time), judge (eight rules from two records), experiment (schedulers as processes, reports, paired differences). Schedulers broken on purpose in ten ways are found out in each of 20 seeds; a sound one is not accused.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The daemon's limits for the virtual machine are kept in one place, the deploy file.
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	mvn -B -q -DskipTests package
@@ -21,3 +21,7 @@
 # With GW_CONFIG, the path of the platform's configuration, as the platform starts it; else with the example file.
 run: build
 	$(RUN) $(if $(GW_CONFIG),,--file $(FILE))
+
+# A scheduler, a small stand-in fleet and a load with two faults for 20 s; ends with the rules and figures.
+demo: build
+	java -jar $(JAR) experiment deploy/experiments/demo.toml --out target/demo
--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -40,7 +40,8 @@
 
     @Command(name = NAME, description = "A scheduler that pushes tasks to workers.",
         subcommands = {Serve.class, Simhost.class, CheckFiles.class, ExplainFile.class, RouteOf.class,
-            Version.class, Completion.class})
+            Version.class, Completion.class, Rigs.Standin.class, Rigs.LoadCommand.class,
+            Rigs.ExperimentCommand.class})
     static final class Top implements Callable<Integer> {
         @Spec
         CommandSpec spec;
--- /dev/null
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -0,0 +1,199 @@
+package gingerspool.cli;
+
+import gingerspool.daemon.Loop;
+import gingerspool.experiment.Experiment;
+import gingerspool.load.Load;
+import gingerspool.scenario.Plan;
+import gingerspool.scenario.Scenario;
+import gingerspool.scenario.ScenarioFile;
+import gingerspool.standin.Fleet;
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The commands of the emulated fleet: stand-ins, load and experiments. */
+final class Rigs {
+    private Rigs() { }
+
+    private static Scenario scenario(Path file, PrintWriter err) {
+        ScenarioFile read = ScenarioFile.read(file);
+        read.faults().forEach(err::println);
+        return read.faults().isEmpty() ? read.scenario() : null;
+    }
+
+    /** Numeric addresses of schedulers; null, with a complaint, where one can't be read. */
+    private static List<InetSocketAddress> addresses(List<String> texts, PrintWriter err) {
+        List<InetSocketAddress> all = new ArrayList<>();
+        for (String t : texts) {
+            try {
+                InetSocketAddress a = Address.read(t);
+                if (!a.getAddress().isLoopbackAddress()) {
+                    err.println("--schedulers holds " + t + ", which is no loopback address");
+                    return null;
+                }
+                all.add(a);
+            } catch (BadMessage e) {
+                err.println("--schedulers holds " + t + ", wanted numeric addresses such as 127.0.0.1:8080");
+                return null;
+            }
+        }
+        return all;
+    }
+
+    @Command(name = "standin", mixinStandardHelpOptions = true,
+        description = "Runs discovery and the workers of a "
+        + "scenario on loopback, and its faults, until it is ended or the scenario is over.")
+    static final class Standin implements Callable<Integer> {
+        @Spec
+        CommandSpec spec;
+        @Parameters(paramLabel = "SCENARIO")
+        Path file;
+        @Option(names = "--schedulers", required = true, split = ",", paramLabel = "ADDRESS",
+            description = "Where call-backs go, one for each scheduler of the scenario.")
+        List<String> schedulers;
+        @Option(names = "--log", defaultValue = "executions.tsv", paramLabel = "FILE",
+            description = "The execution log, by default ${DEFAULT-VALUE}.")
+        Path log;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            PrintWriter err = spec.commandLine().getErr();
+            Scenario s = scenario(file, err);
+            List<InetSocketAddress> to = addresses(schedulers, err);
+            if (s == null || to == null) {
+                return 2;
+            }
+            Plan plan = Plan.make(s, s.seed, file.toAbsolutePath().getParent());
+            Loop loop = new Loop();
+            Fleet fleet = new Fleet(loop, plan, to, log);
+            CountDownLatch done = new CountDownLatch(1);
+            loop.enter(() -> {
+                try {
+                    fleet.start();
+                    fleet.play();
+                } catch (IOException e) {
+                    err.println("can't start: " + e.getMessage());
+                    done.countDown();
+                }
+            });
+            for (int i = 0; i < to.size(); i++) {
+                spec.commandLine().getOut().println("discovery for " + schedulers.get(i) + " at "
+                    + Address.text(fleet.discovery(i)));
+            }
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                CountDownLatch flushed = new CountDownLatch(1);
+                loop.enter(() -> {
+                    fleet.flush();
+                    flushed.countDown();
+                });
+                try {
+                    flushed.await(2, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+            done.await((long) s.length + 60_000, TimeUnit.MILLISECONDS);
+            return 0;
+        }
+    }
+
+    @Command(name = "load", mixinStandardHelpOptions = true,
+        description = "Plays the requests of a scenario in an open loop against schedulers on loopback.")
+    static final class LoadCommand implements Callable<Integer> {
+        @Spec
+        CommandSpec spec;
+        @Parameters(paramLabel = "SCENARIO")
+        Path file;
+        @Option(names = "--schedulers", required = true, split = ",", paramLabel = "ADDRESS")
+        List<String> schedulers;
+        @Option(names = "--record", defaultValue = "clients.tsv", paramLabel = "FILE",
+            description = "The clients' record, by default ${DEFAULT-VALUE}.")
+        Path record;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            PrintWriter err = spec.commandLine().getErr();
+            PrintWriter out = spec.commandLine().getOut();
+            Scenario s = scenario(file, err);
+            List<InetSocketAddress> to = addresses(schedulers, err);
+            if (s == null || to == null) {
+                return 2;
+            }
+            Plan plan = Plan.make(s, s.seed, file.toAbsolutePath().getParent());
+            Loop loop = new Loop();
+            Load load = new Load(loop, plan, to, record);
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            loop.enter(() -> load.play(() -> done.complete(null)));
+            while (!done.isDone()) {
+                try {
+                    done.get(1, TimeUnit.SECONDS);
+                } catch (TimeoutException e) {
+                    loop.enter(() -> out.println(load.progress()));
+                } catch (java.util.concurrent.ExecutionException e) {
+                    throw new IOException(e.getCause());
+                }
+            }
+            loop.enter(() -> out.println(load.progress()));
+            CountDownLatch closed = new CountDownLatch(1);
+            loop.enter(() -> {
+                try {
+                    load.close();
+                } catch (IOException e) {
+                    err.println("the record can't be written: " + e.getMessage());
+                }
+                closed.countDown();
+            });
+            closed.await();
+            out.printf("sent late by %.2f ms at the 99.9th percentile%n",
+                load.lateness().getValueAtPercentile(99.9) / 1000.0);
+            loop.stop();
+            return 0;
+        }
+    }
+
+    @Command(name = "experiment", mixinStandardHelpOptions = true,
+        description = "Starts schedulers, stand-ins and "
+        + "load, plays a scenario over seeds and judges by what workers and clients wrote down. Exit code 0 "
+            + "where all "
+        + "rules hold, 1 where one broke, 2 for a scenario that can't be played.")
+    static final class ExperimentCommand implements Callable<Integer> {
+        @Spec
+        CommandSpec spec;
+        @Parameters(paramLabel = "SCENARIO")
+        Path file;
+        @Option(names = "--seeds", defaultValue = "1", paramLabel = "N")
+        int seeds;
+        @Option(names = "--against", paramLabel = "OTHER",
+            description = "Another jar, or an operator's file.")
+        Path against;
+        @Option(names = "--jar", paramLabel = "JAR", description = "The jar under test, by default this one.")
+        Path jar;
+        @Option(names = "--out", required = true, paramLabel = "DIR")
+        Path out;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            if (seeds < 1) {
+                spec.commandLine().getErr().println("--seeds is " + seeds + ", wanted 1 or more");
+                return 2;
+            }
+            return Experiment.run(file, seeds, against, jar, out, new PrintStream(System.out, true));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -0,0 +1,110 @@
+package gingerspool.experiment;
+
+import gingerspool.judge.Judge;
+import gingerspool.judge.Verdict;
+import gingerspool.scenario.Plan;
+import gingerspool.scenario.Scenario;
+import gingerspool.scenario.ScenarioFile;
+import gingerspool.toml.Fault;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Plays a scenario over seeds, with one side or two, judges each run and reports. */
+public final class Experiment {
+    /** All rules held, one broke, or the scenario can't be played. */
+    public static final int HELD = 0;
+    public static final int BROKE = 1;
+    public static final int BAD = 2;
+    private static final int SHOWN = 10;
+
+    /** One run as it came out. */
+    record Result(String side, long seed, Verdict verdict, double cpu, double late99) { }
+
+    private Experiment() { }
+
+    /** Plays it; `against` is another jar or operator's file, or null. Returns the exit code. */
+    public static int run(Path file, int seeds, Path against, Path jar, Path out, PrintStream to)
+        throws InterruptedException {
+        ScenarioFile read = ScenarioFile.read(file);
+        for (Fault f : read.faults()) {
+            to.println(f);
+        }
+        if (!read.faults().isEmpty()) {
+            return BAD;
+        }
+        Scenario s = read.scenario();
+        List<Run.Side> sides = sides(s, file, against, jar);
+        List<Result> results = new ArrayList<>();
+        int broken = 0;
+        try {
+            for (int i = 0; i < seeds; i++) {
+                Plan plan = Plan.make(s, s.seed + i, file.toAbsolutePath().getParent());
+                // Which side goes first changes, so that what the machine does besides falls on both.
+                for (int k = 0; k < sides.size(); k++) {
+                    Run.Side side = sides.get((k + i) % sides.size());
+                    to.printf(Locale.ROOT,
+                        "%s, seed %d, %s: %d requests in %.0f s, %d workers, %d schedulers, "
+                        + "%d faults%n", s.name, plan.seed, side.name(), plan.requests.size(),
+                            s.length / 1000,
+                        s.fleet.workers, s.schedulers.count, s.faults.size());
+                    Run run = new Run(plan, side, out.resolve(side.name() + "-" + plan.seed), to);
+                    Verdict v = run.play();
+                    results.add(new Result(side.name(), plan.seed, v, run.cpu,
+                        run.load().lateness().getValueAtPercentile(99.9) / 1000.0));
+                    broken += v.violations().size();
+                    tell(v, run, to);
+                }
+            }
+            Files.createDirectories(out);
+            Report.write(out, s, sides.get(0).name(), sides.size() > 1 ? sides.get(1).name() : null, results);
+        } catch (IOException e) {
+            to.println(s.name + " could not be played: " + e.getMessage());
+            return BAD;
+        }
+        if (sides.size() > 1) {
+            Report.differences(results, sides.get(0).name(), sides.get(1).name())
+                .forEach(d -> to.println("  " + d));
+        }
+        to.println(broken == 0 ? "all rules held" : broken + " breaches of rules");
+        to.println("report: " + out.resolve("report.html"));
+        return broken == 0 ? HELD : BROKE;
+    }
+
+    private static List<Run.Side> sides(Scenario s, Path file, Path against, Path jar) {
+        Path own = s.schedulers.file == null ? null : file.toAbsolutePath().resolveSibling(s.schedulers.file);
+        List<String> classPath = jar == null ? Run.ownClassPath() : List.of("-jar", jar.toString());
+        List<Run.Side> sides = new ArrayList<>();
+        sides.add(new Run.Side("a", classPath, own));
+        if (against != null) {
+            boolean isJar = against.toString().endsWith(".jar");
+            sides.add(isJar ? new Run.Side("b", List.of("-jar", against.toString()), own)
+                : new Run.Side("b", classPath, against));
+        }
+        return sides;
+    }
+
+    private static void tell(Verdict v, Run run, PrintStream to) {
+        Verdict.Group g = v.all();
+        to.printf(Locale.ROOT,
+            "  service %.3f; of %d asked %d finished, %d bounced, %d abandoned, %d left; latency "
+            + "median %.0f ms, 99th %.0f ms; waste %.3f; CPU of schedulers %.1f s; load late by %.1f ms "
+                + "(99.9th)%n",
+            g.service(), g.asked, g.finished, g.bounced, g.abandoned, g.left, g.latency(0.5), g.latency(0.99),
+            v.waste(), run.cpu / 1000, run.load().lateness().getValueAtPercentile(99.9) / 1000.0);
+        v.byRule().forEach((rule, n) -> {
+            if (n > 0) {
+                to.println("  " + rule + " broken " + n + " times");
+            }
+        });
+        List<Judge.Violation> all = v.violations();
+        all.stream().limit(SHOWN).forEach(x -> to.println("    " + x));
+        if (all.size() > SHOWN) {
+            to.println("    and " + (all.size() - SHOWN) + " more, see result.json");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/load/Client.java
@@ -0,0 +1,190 @@
+package gingerspool.load;
+
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Message;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.concurrent.Future;
+import java.util.function.IntConsumer;
+
+/** A client's connection: one request at a time; notices what comes after an answer, which nothing may. */
+final class Client {
+    /** Whose connection it is. */
+    interface Owner {
+        /** The whole answer to the request at hand. */
+        void answered(Client client, Message answer);
+
+        /**
+         * It ended without one; tells whether the request had been written whole, and whether it was ever up.
+         */
+        void broke(Client client, boolean written, boolean up);
+
+        /** Something came that no request is owed. */
+        void extra(Client client);
+    }
+
+    final int scheduler;
+    private final Turns turns;
+    private final AsynchronousSocketChannel channel;
+    private final Owner owner;
+    private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
+    private Message answer;
+    private ByteBuffer unsent;
+    private boolean up;
+    private boolean open = true;
+    private Future<?> alarm;
+    /** What it carries, for its owner. */
+    Load.Try carries;
+    /** The last one that it carried. */
+    Load.Try carried;
+    int requests;
+
+    Client(Turns turns, int scheduler, InetSocketAddress to, Owner owner) throws IOException {
+        this.turns = turns;
+        this.scheduler = scheduler;
+        this.owner = owner;
+        channel = AsynchronousSocketChannel.open(turns.group());
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        channel.connect(to, null, new CompletionHandler<Void, Void>() {
+            @Override
+            public void completed(Void nothing, Void none) {
+                turns.turn(Client.this::connected);
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                turns.turn(Client.this::end);
+            }
+        });
+    }
+
+    private CompletionHandler<Integer, Void> handler(IntConsumer then) {
+        return new CompletionHandler<>() {
+            @Override
+            public void completed(Integer bytes, Void none) {
+                turns.turn(() -> then.accept(bytes));
+            }
+
+            @Override
+            public void failed(Throwable why, Void none) {
+                turns.turn(() -> then.accept(-1));
+            }
+        };
+    }
+
+    private void connected() {
+        if (!open) {
+            return;
+        }
+        up = true;
+        if (unsent != null) {
+            channel.write(unsent, null, handler(this::written));
+        }
+        channel.read(buffer, null, handler(this::read));
+    }
+
+    boolean isOpen() {
+        return open;
+    }
+
+    /** Sends this request; the connection ends if no answer has come within so long. */
+    void ask(byte[] request, double patience) {
+        answer = Message.answer(null);
+        send(request);
+        requests++;
+        alarm(patience, this::end);
+    }
+
+    /** Writes bytes of any sort. */
+    void send(byte[] bytes) {
+        unsent = ByteBuffer.wrap(bytes);
+        if (up) {
+            channel.write(unsent, null, handler(this::written));
+        }
+    }
+
+    void alarm(double span, Runnable then) {
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        alarm = open && span > 0 ? turns.after(span, then) : null;
+    }
+
+    private void written(int bytes) {
+        if (bytes < 0) {
+            end();
+        } else if (open && unsent.hasRemaining()) {
+            channel.write(unsent, null, handler(this::written));
+        }
+    }
+
+    private void read(int bytes) {
+        if (!open) {
+            return;
+        }
+        if (bytes < 0) {
+            Message whole = answer;
+            if (whole != null && whole.headRead() && whole.endsWithClose()) {
+                answer = null;
+                owner.answered(this, whole);
+            }
+            end();
+            return;
+        }
+        int at = 0;
+        try {
+            while (at < buffer.position()) {
+                if (answer == null) {
+                    owner.extra(this);
+                    end();
+                    return;
+                }
+                int taken = answer.take(buffer.array(), at, buffer.position());
+                at += taken;
+                if (answer.done()) {
+                    Message whole = answer;
+                    answer = null;
+                    alarm(0, null);
+                    boolean more = at < buffer.position();
+                    if (more) {
+                        owner.extra(this);
+                    }
+                    owner.answered(this, whole);
+                    if (!whole.keepsAlive() || more) {
+                        end();
+                        return;
+                    }
+                } else if (taken == 0) {
+                    break;
+                }
+            }
+        } catch (BadMessage e) {
+            end();
+            return;
+        }
+        int left = buffer.position() - at;
+        System.arraycopy(buffer.array(), at, buffer.array(), 0, left);
+        buffer.position(left);
+        channel.read(buffer, null, handler(this::read));
+    }
+
+    /** The one place where it is given back. */
+    void end() {
+        if (!open) {
+            return;
+        }
+        alarm(0, null);
+        open = false;
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // Nothing is left to give back.
+        }
+        owner.broke(this, up && (unsent == null || !unsent.hasRemaining()), up);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/load/Load.java
@@ -0,0 +1,437 @@
+package gingerspool.load;
+
+import gingerspool.scenario.Plan;
+import gingerspool.scenario.Scenario;
+import gingerspool.wire.Message;
+import gingerspool.wire.Turns;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Plays the requests of a plan in an open loop: each goes out when it is due, whoever is busy, and its
+ * latency counts from then. Make it, call play() on the loop; whenDone runs after the last answer. Its record
+ * is one line a try.
+ */
+public final class Load implements Client.Owner {
+    /** How much longer than its time a client listens, so that late answers are seen. */
+    private static final double LISTENS_ON = 1000;
+    private static final double LEAST_LEFT = 10;
+
+    /** One try of a request. */
+    static final class Try {
+        final Plan.Request request;
+        final int number;
+        final String id;
+        final double sent;
+        final double expiry;
+        boolean over;
+        /** Its client means to go away and has done so. */
+        boolean left;
+
+        Try(Plan.Request request, int number, String id, double sent, double expiry) {
+            this.request = request;
+            this.number = number;
+            this.id = id;
+            this.sent = sent;
+            this.expiry = expiry;
+        }
+    }
+
+    private final Turns turns;
+    private final Plan plan;
+    private final Scenario scenario;
+    private final List<InetSocketAddress> schedulers;
+    private final boolean[] closed;
+    private final List<Deque<Client>> free = new ArrayList<>();
+    private final Deque<Try> waiting = new ArrayDeque<>();
+    private final BufferedWriter record;
+    private final SplittableRandom chance;
+    private final Histogram lateness = new Histogram(3_600_000_000L, 3);
+    private final Histogram latency = new Histogram(3_600_000_000L, 3);
+    private Runnable whenDone = () -> { };
+    private double begun;
+    private int next;
+    private int open;
+    private int connections;
+    private int finished;
+    private int bounced;
+    private int failed;
+    private int asked;
+    private boolean over;
+    /** Added to each wake-up, to show that latency counts from when a request was due; for tests. */
+    double slowedBy;
+
+    public Load(Turns turns, Plan plan, List<InetSocketAddress> schedulers, Path file) throws IOException {
+        this.turns = turns;
+        this.plan = plan;
+        this.schedulers = schedulers;
+        scenario = plan.scenario;
+        closed = new boolean[schedulers.size()];
+        schedulers.forEach(s -> free.add(new ArrayDeque<>()));
+        record = Files.newBufferedWriter(file);
+        chance = new SplittableRandom(plan.seed ^ 0x10adL);
+        for (Scenario.Kind k : scenario.kinds.values()) {
+            line(String.format(Locale.ROOT, "kind\t%s\t%s\t%.3f\t%.3f\t%.3f\t%s\t%.6f\t%.6f", k.name,
+                k.effect, k.due,
+                k.expiry, k.window, k.scope, k.utility, k.tardyUtility));
+        }
+    }
+
+    private void line(String text) {
+        try {
+            record.write(text);
+            record.write('\n');
+        } catch (IOException e) {
+            throw new UncheckedIOException("the clients' record can't be written", e);
+        }
+    }
+
+    /** Begins now; `then` runs once, after the last answer. */
+    public void play(Runnable then) {
+        whenDone = then;
+        begun = turns.now();
+        line(String.format(Locale.ROOT, "begin\t%.3f\t%.3f", begun, scenario.length));
+        sendDue();
+        hostile(scenario.load.slowHeads, this::slowHead);
+        hostile(scenario.load.halfRequests, this::halfRequest);
+        hostile(scenario.load.floods, this::flood);
+        hostile(scenario.load.nonsense, this::nonsense);
+    }
+
+    /**
+     * Notes what befalls a scheduler: killed, terminated, up. No new connections go to one that is not up.
+     */
+    public void note(int scheduler, String what) {
+        closed[scheduler] = !what.equals("up");
+        line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, turns.now()));
+    }
+
+    private void sendDue() {
+        double now = turns.now() - begun;
+        while (next < plan.requests.size() && plan.requests.get(next).due() <= now) {
+            Plan.Request r = plan.requests.get(next++);
+            open++;
+            asked++;
+            lateness.recordValue((long) Math.max(0, 1000 * (turns.now() - begun - r.due())));
+            send(r, 0, scenario.kinds.get(r.profile()).expiry);
+        }
+        if (next < plan.requests.size()) {
+            turns.after(Math.max(0, plan.requests.get(next).due() - (turns.now() - begun)) + slowedBy,
+                this::sendDue);
+        } else {
+            endIfDone();
+        }
+    }
+
+    private String id(Plan.Request r, int number) {
+        return String.format("%016x", new SplittableRandom(plan.seed * 7919 + r.number() * 64L
+            + number).nextLong());
+    }
+
+    private void send(Plan.Request r, int number, double left) {
+        double now = turns.now();
+        Try t = new Try(r, number, id(r, number), now, now + left);
+        int scheduler = choose();
+        Client c = scheduler < 0 ? null : free.get(scheduler).poll();
+        try {
+            if (c == null && scheduler >= 0 && connections < scenario.load.connections) {
+                c = new Client(turns, scheduler, schedulers.get(scheduler), this);
+                connections++;
+            }
+        } catch (IOException e) {
+            c = null;
+        }
+        if (c == null) {
+            waiting.add(t);
+            turns.after(Math.max(1, left), () -> giveUpWaiting(t));
+            return;
+        }
+        carry(c, t);
+    }
+
+    private int choose() {
+        int up = 0;
+        for (boolean c : closed) {
+            up += c ? 0 : 1;
+        }
+        if (up == 0) {
+            return -1;
+        }
+        int pick = chance.nextInt(up);
+        for (int s = 0; s < closed.length; s++) {
+            if (!closed[s] && pick-- == 0) {
+                return s;
+            }
+        }
+        return -1;
+    }
+
+    private void giveUpWaiting(Try t) {
+        if (waiting.remove(t)) {
+            told(t, -1, "none", Double.NaN, "", false);
+            ended(t, false);
+        }
+    }
+
+    private void carry(Client c, Try t) {
+        c.carries = t;
+        c.carried = t;
+        double left = t.expiry - turns.now();
+        c.ask(request(t, left), left + LISTENS_ON);
+        if (t.number == 0 && t.request.leaves()) {
+            turns.after(t.request.leavesAfter(), () -> {
+                if (c.carries == t) {
+                    t.left = true;
+                    c.end();
+                }
+            });
+        }
+    }
+
+    private byte[] request(Try t, double left) {
+        Plan.Request r = t.request;
+        String body = String.format(Locale.ROOT, "work=%.6f", r.work());
+        StringBuilder head = new StringBuilder(300).append("POST /").append(r.profile()).append("?user=")
+            .append(r.number()).append(" HTTP/1.1\r\nHost: clients.example.org\r\nX-Correlation-Id: "
+                + "").append(t.id)
+            .append("\r\nX-Service-Class: ").append(r.profile()).append("\r\nX-Time-Left-Ms: ")
+            .append((long) Math.max(1, left)).append("\r\n");
+        if (!r.tenant().isEmpty()) {
+            head.append("X-Account: ").append(r.tenant()).append("\r\n");
+        }
+        if (r.hint() > 0) {
+            head.append("X-Weight-Hint: ").append((long) (1000 * r.hint())).append("\r\n");
+        }
+        Scenario.Kind k = scenario.kinds.get(r.profile());
+        if (k.width > 1 || k.memory > 0) {
+            head.append("X-Facts: slots=").append(k.width).append(",memory=").append(k.memory).append("\r\n");
+        }
+        if (t.number > 0 && scenario.load.marksRetries) {
+            head.append("X-Repeat: 1\r\n");
+        }
+        return head.append("Content-Length: "
+            + "").append(body.length()).append("\r\n\r\n").append(body).toString()
+            .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    // ---- Answers ----
+
+    @Override
+    public void answered(Client c, Message answer) {
+        Try t = c.carries;
+        c.carries = null;
+        if (t == null) {
+            return;
+        }
+        String advice = answer.field("retry-after");
+        told(t, c.scheduler, Integer.toString(answer.status()), advice == null ? Double.NaN : number(advice),
+            new String(answer.body(), StandardCharsets.UTF_8), c.requests > 1);
+        if (c.isOpen() && answer.keepsAlive()) {
+            if (!waiting.isEmpty() && !closed[c.scheduler]) {
+                carry(c, waiting.poll());
+            } else {
+                free.get(c.scheduler).push(c);
+            }
+        }
+        boolean again = answer.status() == 503 || answer.status() == 429
+            || answer.status() >= 500 && harmless(t);
+        double pause = advice != null && scenario.load.honoursAdvice ? 1000 * number(advice)
+            : scenario.load.retryPause;
+        retry(t, again, pause, answer.status() == 200);
+        finished += answer.status() == 200 ? 1 : 0;
+        bounced += answer.status() == 503 || answer.status() == 429 ? 1 : 0;
+        failed += answer.status() != 200 && answer.status() != 503 && answer.status() != 429 ? 1 : 0;
+    }
+
+    private static double number(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private boolean harmless(Try t) {
+        return scenario.kinds.get(t.request.profile()).effect.equals("idempotent");
+    }
+
+    @Override
+    public void broke(Client c, boolean written, boolean up) {
+        connections--;
+        free.get(c.scheduler).remove(c);
+        Try t = c.carries;
+        c.carries = null;
+        if (t == null) {
+            return;
+        }
+        String how = t.left ? "left" : !up ? "unreachable" : turns.now() >= t.expiry + LISTENS_ON - 1 ? "none"
+            : written ? "broke" : "unwritten";
+        told(t, c.scheduler, how, Double.NaN, "", c.requests > 1);
+        failed++;
+        retry(t, !t.left && (!up || harmless(t)), scenario.load.retryPause, false);
+    }
+
+    @Override
+    public void extra(Client c) {
+        Try t = c.carries != null ? c.carries : c.carried;
+        line(String.format(Locale.ROOT, "extra\t%s\t%d\t%.3f", t == null ? "-" : t.id, c.scheduler,
+            turns.now()));
+    }
+
+    private void told(Try t, int scheduler, String status, double advice, String result, boolean reused) {
+        double now = turns.now();
+        latency.recordValue((long) Math.max(0, 1000 * (now - begun - t.request.due())));
+        line(String.format(Locale.ROOT,
+            "try\t%d\t%d\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%b\t%s",
+            t.request.number(), t.number, t.id, t.request.profile(), t.request.tenant(), scheduler,
+            begun + t.request.due(), t.sent, t.expiry, status, now, advice, reused,
+            result.replaceAll("[\\t\\r\\n]", " ").strip()));
+    }
+
+    private void retry(Try t, boolean allowed, double pause, boolean done) {
+        double left = t.expiry - turns.now() - pause;
+        if (!done && allowed && t.number < scenario.load.retries && left > LEAST_LEFT) {
+            turns.after(pause, () -> send(t.request, t.number + 1, t.expiry - turns.now()));
+        } else {
+            ended(t, done);
+        }
+    }
+
+    private void ended(Try t, boolean done) {
+        if (!t.over) {
+            t.over = true;
+            open--;
+            endIfDone();
+        }
+    }
+
+    private void endIfDone() {
+        if (open == 0 && next >= plan.requests.size() && !over) {
+            over = true;
+            for (Deque<Client> d : free) {
+                new ArrayList<>(d).forEach(Client::end);
+            }
+            whenDone.run();
+        }
+    }
+
+    // ---- Clients that misbehave ----
+
+    private void hostile(double rate, Runnable what) {
+        if (rate > 0 && !over) {
+            turns.after(-1000 * Math.log(1 - chance.nextDouble()) / rate, () -> {
+                if (!over && turns.now() < begun + scenario.length) {
+                    what.run();
+                    hostile(rate, what);
+                }
+            });
+        }
+    }
+
+    private Client bare() {
+        int s = choose();
+        try {
+            return s < 0 ? null : new Client(turns, s, schedulers.get(s), new Client.Owner() {
+                @Override
+                public void answered(Client client, Message answer) { }
+
+                @Override
+                public void broke(Client client, boolean written, boolean up) { }
+
+                @Override
+                public void extra(Client client) { }
+            });
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private void drip(Client c, byte[] bytes, int at) {
+        if (c.isOpen() && at < bytes.length && !over) {
+            c.send(new byte[] {bytes[at]});
+            turns.after(200, () -> drip(c, bytes, at + 1));
+        } else {
+            c.end();
+        }
+    }
+
+    private void slowHead() {
+        Client c = bare();
+        if (c != null) {
+            drip(c, "POST /x HTTP/1.1\r\nX-Correlation-Id: slow\r\nContent-Length: 100000000\r\n\r\n"
+                .getBytes(StandardCharsets.ISO_8859_1), 0);
+        }
+    }
+
+    private void halfRequest() {
+        Client c = bare();
+        if (c != null) {
+            c.send("POST /x HTTP/1.1\r\nX-Correlation-Id: half\r\nContent-Length: 500\r\n\r\nonly this"
+                .getBytes(StandardCharsets.ISO_8859_1));
+            turns.after(500 + chance.nextInt(1000), c::end);
+        }
+    }
+
+    private void flood() {
+        for (int i = 0; i < 50; i++) {
+            Client c = bare();
+            if (c != null) {
+                c.send("GET /healthz HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                turns.after(1000, c::end);
+            }
+        }
+    }
+
+    private void nonsense() {
+        Client c = bare();
+        if (c != null) {
+            byte[] bytes = new byte[1 + chance.nextInt(4000)];
+            for (int i = 0; i < bytes.length; i++) {
+                bytes[i] = (byte) chance.nextInt(256);
+            }
+            c.send(bytes);
+            turns.after(1000, c::end);
+        }
+    }
+
+    // ---- Figures ----
+
+    /** How far it has come, in words. */
+    public String progress() {
+        return String.format(Locale.ROOT,
+            "%4.0f s: %d asked, %d finished, %d bounced, %d failed, %d open, 99th %.0f ms",
+            (turns.now() - begun) / 1000, asked, finished, bounced, failed, open,
+            latency.getValueAtPercentile(99) / 1000.0);
+    }
+
+    /** How late requests went out, in microseconds. */
+    public Histogram lateness() {
+        return lateness;
+    }
+
+    /** Latency from when a request was due to each of its answers, in microseconds. */
+    public Histogram latency() {
+        return latency;
+    }
+
+    public int asked() {
+        return asked;
+    }
+
+    /** Writes the record to its end. */
+    public void close() throws IOException {
+        record.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/standin/Acceptor.java
@@ -0,0 +1,33 @@
+package gingerspool.standin;
+
+import gingerspool.wire.Listener;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** A stand-in's listening socket on the loopback address, as long as its owner has room. */
+record Acceptor(BooleanSupplier room, Consumer<AsynchronousSocketChannel> take) implements Listener.Owner {
+    /** Listens at this port, 0 for one that the system chooses. */
+    static Listener at(Turns turns, int port, BooleanSupplier room, Consumer<AsynchronousSocketChannel> take)
+        throws IOException {
+        return new Listener(turns, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            new Acceptor(room, take));
+    }
+
+    @Override
+    public boolean hasRoom() {
+        return room.getAsBoolean();
+    }
+
+    @Override
+    public void outOfDescriptors() { }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel) {
+        take.accept(channel);
+    }
+}
--- a/src/test/java/gingerspool/OrderTest.java
+++ b/src/test/java/gingerspool/OrderTest.java
@@ -15,6 +15,9 @@
             .importPackages("gingerspool");
         layeredArchitecture().consideringOnlyDependenciesInLayers()
             .layer("main").definedBy("gingerspool")
+            .layer("experiment").definedBy("gingerspool.experiment..")
+            .layer("rig").definedBy("gingerspool.load..", "gingerspool.standin..", "gingerspool.judge..")
+            .layer("scenario").definedBy("gingerspool.scenario..")
             .layer("cli").definedBy("gingerspool.cli..")
             .layer("simhost").definedBy("gingerspool.simhost..")
             .layer("daemon").definedBy("gingerspool.daemon..")
@@ -26,12 +29,17 @@
             .layer("dispatch").definedBy("gingerspool.dispatch..")
             .whereLayer("main").mayNotBeAccessedByAnyLayer()
             .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
+            .whereLayer("experiment").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("rig").mayOnlyBeAccessedByLayers("cli", "experiment")
+            .whereLayer("scenario").mayOnlyBeAccessedByLayers("cli", "experiment", "rig")
             .whereLayer("simhost").mayOnlyBeAccessedByLayers("main", "cli")
-            .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost")
+            .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost", "experiment")
             .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "daemon")
             .whereLayer("store").mayOnlyBeAccessedByLayers("daemon")
-            .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "store", "simhost")
-            .whereLayer("toml").mayOnlyBeAccessedByLayers("config", "cli", "daemon")
+            .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "store", "simhost", "cli", "experiment",
+                "rig")
+            .whereLayer("toml").mayOnlyBeAccessedByLayers("config", "cli", "daemon", "scenario",
+                "experiment")
             .whereLayer("route").mayOnlyBeAccessedByLayers("config", "daemon", "store")
             .check(all);
     }
--- /dev/null
+++ b/src/test/java/gingerspool/experiment/BrokenScheduler.java
@@ -0,0 +1,231 @@
+package gingerspool.experiment;
+
+import gingerspool.dispatch.Dispatcher;
+import gingerspool.dispatch.Outcome;
+import gingerspool.wire.Door;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import gingerspool.wire.Outbound;
+import gingerspool.wire.ToWorker;
+import gingerspool.wire.Turns;
+import gingerspool.wire.Watch;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * A simple scheduler that keeps the rules, or breaks one on purpose, so that the judge is seen to find it.
+ */
+final class BrokenScheduler implements Door.Desk, Watch.Follower {
+    enum Way {
+        SOUND, RESENDS, COPIES, ANSWERS_TWICE, DROPS, CLOSES, LATE, MAKES_UP, IGNORES_DRAINS, FLOODS_COLD,
+        BOUNCES_WHAT_RUNS
+    }
+
+    private static final class Held {
+        private Inbound client;
+        private Message request;
+        private String worker;
+        private boolean answered;
+    }
+
+    private final Turns turns;
+    private final Way way;
+    private final SplittableRandom chance;
+    private final Map<String, InetSocketAddress> workers = new HashMap<>();
+    private final Map<String, Integer> states = new HashMap<>();
+    private final Map<String, Double> born = new HashMap<>();
+    private final Set<String> profiles;
+    private final Map<String, Held> hand = new HashMap<>();
+    private Door door;
+    private int count;
+
+    BrokenScheduler(Turns turns, Way way, long seed, Set<String> profiles) {
+        this.turns = turns;
+        this.way = way;
+        this.profiles = profiles;
+        chance = new SplittableRandom(seed);
+    }
+
+    /** Listens at a port of the system's choice. */
+    InetSocketAddress listen() throws IOException {
+        door = new Door(turns, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000, this);
+        door.open();
+        return (InetSocketAddress) door.address();
+    }
+
+    void follow(InetSocketAddress discovery) {
+        Watch.open(turns, discovery, 0, 500, this);
+    }
+
+    // ---- The list ----
+
+    @Override
+    public void listBegins(long version, boolean whole) { }
+
+    @Override
+    public void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state,
+        double size, double started) {
+        if (way == Way.IGNORES_DRAINS && workers.containsKey(host)) {
+            return;
+        }
+        workers.put(host, dial);
+        states.put(host, state);
+        born.put(host, started);
+    }
+
+    @Override
+    public void listEnds(boolean whole) { }
+
+    @Override
+    public void watchEnded(String why) { }
+
+    // ---- Tasks ----
+
+    @Override
+    public boolean knowsProfile(String name) {
+        return profiles.contains(name);
+    }
+
+    @Override
+    public boolean inHand(String id) {
+        return hand.containsKey(id);
+    }
+
+    @Override
+    public boolean hasRoomFor(int bytes) {
+        return true;
+    }
+
+    private String pick(String but) {
+        List<String> ready = new ArrayList<>();
+        String cold = null;
+        for (String w : new java.util.TreeSet<>(workers.keySet())) {
+            if (states.get(w) == Dispatcher.RUNNING && !w.equals(but)) {
+                // A sound one lets cold workers be: they need not be used.
+                boolean isCold = born.get(w) > 0;
+                cold = isCold ? w : cold;
+                if (!isCold || ready.isEmpty() && workers.size() == 1) {
+                    ready.add(w);
+                }
+            }
+        }
+        return way == Way.FLOODS_COLD && cold != null ? cold
+            : ready.isEmpty() ? null : ready.get(chance.nextInt(ready.size()));
+    }
+
+    @Override
+    public void arrived(Inbound client, String id, String profile, String tenant, double timeLeft,
+        double hint,
+        double width, double memory, boolean repeat, Message request) {
+        Held t = new Held();
+        t.client = client;
+        t.request = request;
+        t.worker = pick(null);
+        hand.put(id, t);
+        client.whenGone(() -> t.answered = true);
+        if (t.worker == null) {
+            Door.bounced(client, 0);
+            t.answered = true;
+            return;
+        }
+        send(id, t, t.worker, timeLeft);
+        count++;
+        if ((way == Way.RESENDS || way == Way.COPIES) && count % 5 == 0) {
+            String other = pick(t.worker);
+            turns.after(way == Way.COPIES ? 1 : 20, () -> send(id, t, other, timeLeft));
+        }
+        if (way == Way.BOUNCES_WHAT_RUNS && count % 5 == 0) {
+            turns.after(5, () -> answer(id, t, () -> Door.bounced(client, 0)));
+        }
+        turns.after(timeLeft - 60, () -> answer(id, t, () -> Door.abandoned(client)));
+    }
+
+    private void answer(String id, Held t, Runnable how) {
+        if (!t.answered) {
+            t.answered = true;
+            how.run();
+        }
+    }
+
+    private void send(String id, Held t, String worker, double timeLeft) {
+        try {
+            Outbound c = Outbound.open(turns, workers.get(worker), 250, new Outbound.Owner() {
+                @Override
+                public void free(Outbound connection) {
+                    connection.close();
+                }
+
+                @Override
+                public void brokeAfterRest(double rested) { }
+
+                @Override
+                public void closed(Outbound connection) { }
+            });
+            c.ask(ToWorker.request(t.request, workers.get(worker), timeLeft), timeLeft,
+                new Outbound.Caller() {
+                @Override
+                public void answered(Message answer) {
+                    Outcome how = ToWorker.outcome(answer);
+                    if (how != null) {
+                        BrokenScheduler.this.answer(id, t, () -> end(t, how));
+                    }
+                }
+
+                @Override
+                public void broke(boolean allWritten) {
+                    BrokenScheduler.this.answer(id, t,
+                        () -> end(t, allWritten ? Outcome.RESET : Outcome.UNREACHABLE));
+                }
+            });
+        } catch (IOException e) {
+            answer(id, t, () -> end(t, Outcome.UNREACHABLE));
+        }
+    }
+
+    private static void end(Held t, Outcome how) {
+        if (how.neverRan()) {
+            Door.bounced(t.client, 0);
+        } else {
+            Door.abandoned(t.client);
+        }
+    }
+
+    @Override
+    public void told(String id, String from, String state, double share, String result, Object load) {
+        Held t = hand.get(id);
+        Outcome how = ToWorker.outcome(state);
+        if (t == null || how == null) {
+            return;
+        }
+        count++;
+        boolean now = count % 5 == 0;
+        if (how != Outcome.OK) {
+            answer(id, t, () -> end(t, how));
+        } else if (way == Way.DROPS && now) {
+            t.answered = true;
+        } else if (way == Way.CLOSES && now) {
+            answer(id, t, t.client::close);
+        } else if (way == Way.LATE && now) {
+            t.answered = true;
+            turns.after(900, () -> Door.finished(t.client, result));
+        } else if (way == Way.MAKES_UP && now) {
+            answer(id, t, () -> Door.finished(t.client, result + "0"));
+        } else if (way == Way.ANSWERS_TWICE && now) {
+            // A field that ends the head early smuggles a second answer behind the first.
+            byte[] body = result.getBytes(StandardCharsets.UTF_8);
+            answer(id, t, () -> t.client.answer(200,
+                List.of("\r\n" + result + "HTTP/1.1 200 OK\r\nContent-Length: " + body.length), result));
+        } else {
+            answer(id, t, () -> Door.finished(t.client, result));
+        }
+    }
+
+}
--- /dev/null
+++ b/src/test/java/gingerspool/experiment/JudgeTest.java
@@ -0,0 +1,131 @@
+package gingerspool.experiment;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.daemon.Loop;
+import gingerspool.judge.Judge;
+import gingerspool.judge.Judge.Rule;
+import gingerspool.judge.Verdict;
+import gingerspool.load.Load;
+import gingerspool.scenario.Plan;
+import gingerspool.scenario.Scenario;
+import gingerspool.scenario.ScenarioFile;
+import gingerspool.standin.Fleet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Schedulers that break a rule on purpose are found out by what clients and workers wrote down, in every
+ * seed.
+ */
+public class JudgeTest {
+    private static final int SEEDS = 20;
+    private static final String SCENARIO = "length = \"900ms\"\n"
+        + "[fleet]\nworkers = 5\nslots = 16\ngrace = \"100ms\"\ndeemed_told = \"200ms\"\n"
+        + "cold = { from = 0.2, warm_within = \"10s\", overload = 0.2, window = \"500ms\" }\n"
+        + "[profile.a]\neffect = \"side-effecting\"\nwork = \"15ms\"\ndue = \"300ms\"\nexpiry = \"600ms\"\n"
+        + "[profile.b]\neffect = \"fingerprinted\"\nwork = \"15ms\"\ndue = \"300ms\"\nexpiry = \"600ms\"\n"
+        + "window = \"10ms\"\n"
+        + "[load]\nrate_per_s = 150\nconnections = 500\n"
+        + "[[fault]]\nwhat = \"drain\"\nat = \"100ms\"\nfor = \"5s\"\nworker = \"w3\"\n"
+        + "[[fault]]\nwhat = \"kill\"\nat = \"200ms\"\nfor = \"100ms\"\nworker = \"w1\"\n";
+
+    private static Verdict play(BrokenScheduler.Way way, long seed) throws Exception {
+        Path folder = Files.createTempDirectory("judge");
+        Path file = Files.writeString(folder.resolve("s.toml"), SCENARIO);
+        ScenarioFile read = ScenarioFile.read(file);
+        assertEquals(read.faults(), List.of());
+        Scenario s = read.scenario();
+        Plan plan = Plan.make(s, seed, folder);
+        Loop loop = new Loop();
+        Path clients = folder.resolve("clients.tsv");
+        Path executions = folder.resolve("executions.tsv");
+        try {
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            loop.enter(() -> {
+                try {
+                    BrokenScheduler scheduler = new BrokenScheduler(loop, way, seed, s.kinds.keySet());
+                    List<InetSocketAddress> at = List.of(scheduler.listen());
+                    Fleet fleet = new Fleet(loop, plan, at, executions);
+                    Load load = new Load(loop, plan, at, clients);
+                    fleet.start();
+                    scheduler.follow(fleet.discovery(0));
+                    loop.after(100, () -> {
+                        fleet.play();
+                        load.play(() -> loop.after(300, () -> {
+                            try {
+                                load.close();
+                                fleet.close();
+                                done.complete(null);
+                            } catch (IOException e) {
+                                done.completeExceptionally(e);
+                            }
+                        }));
+                    });
+                } catch (IOException e) {
+                    done.completeExceptionally(e);
+                }
+            });
+            done.get(20, TimeUnit.SECONDS);
+            return Judge.judge(clients, executions);
+        } finally {
+            loop.stop();
+            for (Path p : List.of(file, clients, executions, folder)) {
+                Files.deleteIfExists(p);
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] ways() {
+        return new Object[][] {
+            {BrokenScheduler.Way.SOUND, null},
+            {BrokenScheduler.Way.RESENDS, Rule.NO_EFFECT_TWICE},
+            {BrokenScheduler.Way.COPIES, Rule.NO_OVERLAP},
+            {BrokenScheduler.Way.ANSWERS_TWICE, Rule.NOTHING_AFTER},
+            {BrokenScheduler.Way.DROPS, Rule.ONE_ANSWER},
+            {BrokenScheduler.Way.CLOSES, Rule.ONE_ANSWER},
+            {BrokenScheduler.Way.LATE, Rule.ONE_ANSWER},
+            {BrokenScheduler.Way.MAKES_UP, Rule.TRUE_RESULT},
+            {BrokenScheduler.Way.IGNORES_DRAINS, Rule.DRAINS},
+            {BrokenScheduler.Way.FLOODS_COLD, Rule.COLD},
+            {BrokenScheduler.Way.BOUNCES_WHAT_RUNS, Rule.BOUNCED_NEVER_RAN},
+        };
+    }
+
+    @Test(dataProvider = "ways")
+    public void whatIsBrokenIsFoundInEverySeed(BrokenScheduler.Way way, Rule rule) throws Exception {
+        ExecutorService pool = Executors.newFixedThreadPool(SEEDS);
+        try {
+            List<Future<Verdict>> all = new ArrayList<>();
+            for (int seed = 1; seed <= SEEDS; seed++) {
+                long n = seed;
+                all.add(pool.submit(() -> play(way, n)));
+            }
+            for (int i = 0; i < SEEDS; i++) {
+                Verdict v = all.get(i).get(60, TimeUnit.SECONDS);
+                assertTrue(v.all().asked > 50, "seed " + (i + 1) + ": " + v.all().asked + " asked");
+                if (rule == null) {
+                    assertTrue(v.violations().isEmpty(), "seed " + (i + 1) + ": " + v.violations());
+                    assertTrue(v.all().finished > v.all().asked / 2);
+                } else {
+                    assertTrue(v.byRule().get(rule) > 0, way + ", seed " + (i + 1) + ": " + v.byRule());
+                }
+            }
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+}
