The module counts load and lateness as they change; no patterns compiled per message

Need: the scheduler's own limits were never measured.

bench/limits.sh measures CPU by rate, workers and tasks in hand. Sends that pass their due time are counted as they do, a worker where every job has a slot is not walked through, likely works are computed once a task; versions, status codes and numbers are read without compiling patterns. The load tool has tests; latency counts from the due time however late the tool is.

--- a/bench/limits.sh
+++ b/bench/limits.sh
@@ -20,7 +20,7 @@
 tells_start = false
 [schedulers]
 count = 1
-descriptors = 8192
+descriptors = 20000
 pin_from = 2
 [profile.p]
 work = "$5ms"
--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -15,17 +15,23 @@
     /** Whether a fresh report had a free slot when this was sent. */
     boolean metFree;
     boolean over;
+    /** Tells assignments of tasks with the same due time apart. */
+    final long serial;
+    /** It was under way when its task's due time passed. */
+    boolean overdue;
     boolean cancelled;
     boolean neverRan;
     Assignment before;
     Assignment after;
 
-    Assignment(Task task, int worker, int number, double sentAt, double run, double wait) {
+    Assignment(Task task, int worker, int number, double sentAt, double run, double wait,
+        long serial) {
         this.task = task;
         this.worker = worker;
         this.number = number;
         this.sentAt = sentAt;
         this.run = run;
         this.wait = wait;
+        this.serial = serial;
     }
 }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 
 /**
  * All decisions of one scheduler. It is made from the deployment's Settings; then each input is one call that
@@ -82,8 +84,10 @@
     private final double[] hintBend;
     private final double[] runLog;
     private final double[] runVar;
+    private final double[] likely = new double[LIKELY.length];
     private final double[] allowed = new double[LIKELY.length];
     private final double[] weight = new double[LIKELY.length];
+    private double shares;
     private double hintVar = 16;
     private double hintRun = 8;
     private double mixWork;
@@ -109,6 +113,11 @@
 
     // Tasks in hand, and what was asked for.
     private final List<Task> hand = new ArrayList<>();
+    /** Sends under way whose due time is still to come, and how many there are whose has passed. */
+    private final TreeSet<Assignment> byDue = new TreeSet<>(
+        Comparator.comparingDouble((Assignment a) -> a.task.due).thenComparingLong(a -> a.serial));
+    private int overdue;
+    private long serial;
     private double now;
     private Task task;
     private int best;
@@ -300,6 +309,8 @@
         now = at;
         if (!a.over) {
             a.over = true;
+            byDue.remove(a);
+            overdue -= a.overdue ? 1 : 0;
             smoothOwn(a.worker);
             fleet.unlink(a);
             a.task.out--;
@@ -578,11 +589,9 @@
 
     /** Guards against learning of a jam by its late answers only: what is out past its due time is late. */
     double lateNow() {
-        double overdue = 0;
-        for (int w = 0; w < fleet.count; w++) {
-            for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
-                overdue += now > a.task.due ? 1 : 0;
-            }
+        while (!byDue.isEmpty() && now > byDue.first().task.due) {
+            byDue.pollFirst().overdue = true;
+            overdue++;
         }
         double seen = 1 / newest();
         return (late * seen + overdue) / (seen + overdue);
@@ -613,7 +622,7 @@
             }
         }
         double run = t.work / pace(w);
-        Assignment a = new Assignment(t, w, t.tries, now, run, waitAt(w, regionOf(w)));
+        Assignment a = new Assignment(t, w, t.tries, now, run, waitAt(w, regionOf(w)), serial++);
         if (t.tries == t.sent.length) {
             t.sent = Arrays.copyOf(t.sent, 2 * t.tries);
         }
@@ -630,6 +639,7 @@
         spend(w, t.work);
         smoothOwn(w);
         fleet.link(a);
+        byDue.add(a);
         if (t.terms.copies > 1) {
             keep(t);
             t.lookAt = now + t.terms.copyAfter;
@@ -665,6 +675,7 @@
         // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
         double room = Math.max(BUDDIES, fadeSpan() / gap);
         anyReady = false;
+        prepare(task);
         int weighed = 0;
         int busyAll = 0;
         for (int i = 0; i < fleet.count; i++) {
@@ -677,7 +688,7 @@
             }
             room -= warm ? 1 : 0;
             anyReady = true;
-            double c = inTime(task, w) * trust(w, task.profile.index);
+            double c = chanceAt(task, w) * trust(w, task.profile.index);
             double load = load(w, othersNow(w));
             weighed++;
             busyAll += load < 1 ? 0 : 1;
@@ -741,18 +752,29 @@
      * time is only expected, so the score is the mean over likely values of it, each with its own l.
      */
     double inTime(Task t, int w) {
+        prepare(t);
+        return chanceAt(t, w);
+    }
+
+    /** The likely works of the task: the same for every worker. */
+    private void prepare(Task t) {
+        double spread = Math.sqrt(runVar[t.profile.index]);
+        shares = 0;
+        for (int q = 0; q < LIKELY.length; q++) {
+            likely[q] = t.work * Math.exp(spread * (LIKELY[q] - spread / 2));
+            weight[q] = byWork ? likely[q] : 1;
+            shares += weight[q];
+        }
+    }
+
+    private double chanceAt(Task t, int w) {
         int r = regionOf(w);
         double left = Math.min(t.due, t.expiry) - now;
         double pace = pace(w);
-        double spread = Math.sqrt(runVar[t.profile.index]);
         double fits = 0;
-        double shares = 0;
         for (int q = 0; q < LIKELY.length; q++) {
-            double work = t.work * Math.exp(spread * (LIKELY[q] - spread / 2));
-            double due = left + t.profile.stretch * (work - t.work);
-            allowed[q] = Math.min(due, t.expiry - now) - work / pace;
-            weight[q] = byWork ? work : 1;
-            shares += weight[q];
+            double due = left + t.profile.stretch * (likely[q] - t.work);
+            allowed[q] = Math.min(due, t.expiry - now) - likely[q] / pace;
         }
         double all = 0;
         for (int k = region(load(w, 0)); k < K; k++) {
@@ -799,6 +821,10 @@
      */
     double load(int w, double ofOthers) {
         double n = slotsOf(w);
+        if (!tellsStart && ofOthers + fleet.out[w] + 1 <= n) {
+            // Every job has a slot, and there is one more: the long way round comes to the same.
+            return (ofOthers + fleet.out[w]) / n;
+        }
         double mean = mixWork / pace(w);
         double busy = Math.min(n, ofOthers);
         double ending = busy / mean;
@@ -879,6 +905,9 @@
 
     /** Share of failures lately; the more in a row, the longer it is remembered. */
     double failNow(int w, int p) {
+        if (fleet.fail[w][p] == 0) {
+            return 0;
+        }
         double span = SAMPLES * tick * 20 * Math.max(1, fleet.failRow[w][p]);
         return fleet.fail[w][p] * Math.exp((fleet.failAt[w][p] - now) / span);
     }
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -19,6 +19,8 @@
     /** What the list says of its size, 0 if nothing. */
     double[] size = new double[ROOM];
     double[] slots = new double[ROOM];
+    /** How many sends of ours are unfinished. */
+    int[] out = new int[ROOM];
     /** Our unfinished sends, in slots, now and smoothed over about a report's age. */
     double[] own = new double[ROOM];
     double[] ownSmooth = new double[ROOM];
@@ -106,6 +108,7 @@
     void link(Assignment a) {
         int w = a.worker;
         own[w] += a.task.width;
+        out[w]++;
         a.before = newest[w];
         if (newest[w] == null) {
             oldest[w] = a;
@@ -118,6 +121,7 @@
     void unlink(Assignment a) {
         int w = a.worker;
         own[w] = Math.max(0, own[w] - a.task.width);
+        out[w]--;
         if (a.before == null) {
             oldest[w] = a.after;
         } else {
@@ -168,6 +172,7 @@
         size = Arrays.copyOf(size, n);
         slots = Arrays.copyOf(slots, n);
         own = Arrays.copyOf(own, n);
+        out = Arrays.copyOf(out, n);
         ownSmooth = Arrays.copyOf(ownSmooth, n);
         ownAt = Arrays.copyOf(ownAt, n);
         others = Arrays.copyOf(others, n);
--- a/src/main/java/gingerspool/wire/Facts.java
+++ b/src/main/java/gingerspool/wire/Facts.java
@@ -1,14 +1,19 @@
 package gingerspool.wire;
 
+import java.util.regex.Pattern;
+
 /** Numbers in header fields. */
 public final class Facts {
+    /** Compiled once: each request and each report in a header asks for it. */
+    private static final Pattern PLAIN = Pattern.compile("-?[0-9.]{1,20}([eE][+-]?[0-9]{1,3})?");
+
     private Facts() { }
 
     /** A plain decimal number, or NaN. */
     static double number(String text) {
         try {
             String digits = text.strip();
-            boolean plain = digits.matches("-?[0-9.]{1,20}([eE][+-]?[0-9]{1,3})?");
+            boolean plain = PLAIN.matcher(digits).matches();
             return plain ? Double.parseDouble(digits) : Double.NaN;
         } catch (NumberFormatException e) {
             return Double.NaN;
--- a/src/main/java/gingerspool/wire/Json.java
+++ b/src/main/java/gingerspool/wire/Json.java
@@ -176,16 +176,51 @@
         }
     }
 
+    /** Where digits from here on end. */
+    private int digits(int i, int to) {
+        while (i < to && text.charAt(i) >= '0' && text.charAt(i) <= '9') {
+            i++;
+        }
+        return i;
+    }
+
+    /**
+     * Whether this part is a number by RFC 8259: sign, whole part without needless zeros, fraction, exponent.
+     */
+    private boolean isNumber(int from, int to) {
+        int i = from < to && text.charAt(from) == '-' ? from + 1 : from;
+        int whole = digits(i, to);
+        if (whole == i || text.charAt(i) == '0' && whole > i + 1) {
+            return false;
+        }
+        i = whole;
+        if (i < to && text.charAt(i) == '.') {
+            int fraction = digits(i + 1, to);
+            if (fraction == i + 1) {
+                return false;
+            }
+            i = fraction;
+        }
+        if (i < to && (text.charAt(i) == 'e' || text.charAt(i) == 'E')) {
+            i += i + 1 < to && (text.charAt(i + 1) == '+' || text.charAt(i + 1) == '-') ? 2 : 1;
+            int exponent = digits(i, to);
+            if (exponent == i) {
+                return false;
+            }
+            i = exponent;
+        }
+        return i == to;
+    }
+
     private Double number() throws BadMessage {
         int from = at;
         while (at < text.length() && "+-.0123456789eE".indexOf(text.charAt(at)) >= 0) {
             at++;
         }
-        String digits = text.substring(from, at);
-        if (!digits.matches("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")) {
+        if (!isNumber(from, at)) {
             throw bad("a value");
         }
-        Double n = Double.valueOf(digits);
+        Double n = Double.valueOf(text.substring(from, at));
         if (n.isInfinite()) {
             throw bad("a smaller number");
         }
--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -190,16 +190,28 @@
         if (request) {
             boolean sound = startLine.length == 3 && isToken(startLine[0]) && startLine[1].startsWith("/")
                 && isPlain(startLine[1]) && startLine[1].indexOf('\t') < 0
-                && startLine[2].matches("HTTP/1\\.[01]");
+                && isVersion(startLine[2]);
             if (!sound) {
                 throw new BadMessage(400, "malformed request line");
             }
-        } else if (startLine.length < 2 || !startLine[0].matches("HTTP/1\\.[01]")
-            || !startLine[1].matches("[1-9][0-9][0-9]")) {
+        } else if (startLine.length < 2 || !isVersion(startLine[0]) || !isStatus(startLine[1])) {
             throw new BadMessage(400, "malformed status line");
         }
     }
 
+    private static boolean isVersion(String s) {
+        return s.equals("HTTP/1.1") || s.equals("HTTP/1.0");
+    }
+
+    /** Three digits, the first no zero. */
+    private static boolean isStatus(String s) {
+        boolean digits = s.length() == 3 && s.charAt(0) != '0';
+        for (int i = 0; digits && i < 3; i++) {
+            digits = s.charAt(i) >= '0' && s.charAt(i) <= '9';
+        }
+        return digits;
+    }
+
     static boolean isToken(String s) {
         for (int i = 0; i < s.length(); i++) {
             char c = s.charAt(i);
--- a/src/test/java/gingerspool/daemon/PolicyMeasure.java
+++ b/src/test/java/gingerspool/daemon/PolicyMeasure.java
@@ -149,6 +149,79 @@
         }
     }
 
+    /** Time to read a call-back as it comes from a worker: its head, its body, the report in it. */
+    @Test
+    public void parsing() throws Exception {
+        String body = "{\"id\":\"9b1f03aa5c7e2d41\",\"from\":\"s-0badcafe\",\"state\":\"done\",\"result\":"
+            + "\"9b1f03aa5c7e2d41 by s-0badcafe\",\"load\":{\"inflight\":7.00,\"queue\":2.00,\"util\":0.61}}";
+        byte[] bytes = ("POST /callback HTTP/1.1\r\nHost: 10.0.0.4:8080\r\nContent-Length: " + body.length()
+            + "\r\n\r\n" + body).getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+        for (int round = 0; round < 3; round++) {
+            int n = 300_000;
+            long from = System.nanoTime();
+            for (int i = 0; i < n; i++) {
+                gingerspool.wire.Message m = gingerspool.wire.Message.request();
+                m.take(bytes, 0, bytes.length);
+                byte[] b = m.body();
+                gingerspool.wire.Json.read(b, 0, b.length);
+            }
+            System.out.printf("parsing: %.2f us a call-back%n", (System.nanoTime() - from) / 1e3 / n);
+        }
+    }
+
+    /** Time of the module for a task, from its coming to its end, by tasks in hand and by workers. */
+    @Test
+    public void inHand() {
+        for (int round = 0; round < 3; round++) {
+            for (int[] n : new int[][] {{100, 10}, {1000, 10}, {10_000, 10}, {100, 100}, {100, 1000}}) {
+                System.out.printf("%d in hand, %d workers: %.2f us a task%n", n[0], n[1], whole(n[0], n[1]));
+            }
+        }
+    }
+
+    private static double whole(int inHand, int workers) {
+        Settings s = settings();
+        List<Assignment> sent = new ArrayList<>();
+        Dispatcher d = dispatcher(s, workers, 4.0 * inHand, sent);
+        int tasks = inHand + 10_000;
+        long from = 0;
+        java.util.ArrayDeque<Assignment> out = new java.util.ArrayDeque<>();
+        for (int i = 0; i < tasks + 2 * inHand; i++) {
+            from = i == 2 * inHand ? System.nanoTime() : from;
+            Task t = new Task("t");
+            t.profile = s.profiles[0];
+            t.expiry = i + 1e6;
+            d.arrived(i, t);
+            out.add(sent.remove(0));
+            if (out.size() > inHand) {
+                d.ended(i + 0.5, out.poll(), gingerspool.dispatch.Outcome.OK, true, null);
+            }
+        }
+        return (System.nanoTime() - from) / 1e3 / tasks;
+    }
+
+    private static Settings settings() {
+        Settings s = new Settings();
+        Profile p = new Profile();
+        p.name = "p";
+        p.effect = Profile.Effect.IDEMPOTENT;
+        p.dueTime = 1e5;
+        p.expiry = 1e6;
+        s.profiles = new Profile[] {p};
+        s.zone = 0;
+        return s;
+    }
+
+    private static Dispatcher dispatcher(Settings s, int workers, double size, List<Assignment> sent) {
+        Dispatcher d = new Dispatcher(s, 7, new Sends(sent));
+        d.listBegins(0, true);
+        for (int w = 0; w < workers; w++) {
+            d.listed(w, 0, 0, 0, Dispatcher.RUNNING, size, 0);
+        }
+        d.listEnds(0, true, false);
+        return d;
+    }
+
     private static double toFirst(int routes) {
         Settings s = new Settings();
         Profile p = new Profile();
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -129,7 +129,7 @@
     }
 
     public static Assignment assignment(Task t, int worker, int number) {
-        return new Assignment(t, worker, number, 0, 1, 0);
+        return new Assignment(t, worker, number, 0, 1, 0, 0);
     }
 
     public static void end(Task t) {
--- /dev/null
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -0,0 +1,175 @@
+package gingerspool.load;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.daemon.Loop;
+import gingerspool.scenario.Plan;
+import gingerspool.scenario.ScenarioFile;
+import gingerspool.wire.Door;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The load tool against a door that answers as each test says. */
+public class LoadTest {
+    private Loop loop;
+    private Path folder;
+    private Load load;
+
+    @BeforeMethod
+    public void begin() throws IOException {
+        loop = new Loop();
+        folder = Files.createTempDirectory("load");
+    }
+
+    @AfterMethod
+    public void end() throws IOException {
+        loop.stop();
+        try (var all = Files.list(folder)) {
+            for (Path p : (Iterable<Path>) all::iterator) {
+                Files.delete(p);
+            }
+        }
+        Files.delete(folder);
+    }
+
+    /** Who answers a request that has come so many times before. */
+    private interface Clerk {
+        void answer(Inbound client, String id, boolean repeat);
+    }
+
+    private List<String[]> play(String scenario, double slowedBy, Clerk clerk) throws Exception {
+        Path file = Files.writeString(folder.resolve("s.toml"), scenario);
+        ScenarioFile read = ScenarioFile.read(file);
+        assertEquals(read.faults(), List.of());
+        Plan plan = Plan.make(read.scenario(), 1, folder);
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        Path record = folder.resolve("clients.tsv");
+        loop.enter(() -> {
+            try {
+                Door door = new Door(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000,
+                    desk(clerk));
+                door.open();
+                load = new Load(loop, plan, List.of((InetSocketAddress) door.address()), record);
+                load.slowedBy = slowedBy;
+                load.play(() -> {
+                    try {
+                        load.close();
+                        done.complete(null);
+                    } catch (IOException e) {
+                        done.completeExceptionally(e);
+                    }
+                });
+            } catch (IOException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        done.get(20, TimeUnit.SECONDS);
+        List<String[]> tries = new ArrayList<>();
+        for (String line : Files.readAllLines(record)) {
+            if (line.startsWith("try\t")) {
+                tries.add(line.split("\t", -1));
+            }
+        }
+        return tries;
+    }
+
+    private static Door.Desk desk(Clerk clerk) {
+        return new Door.Desk() {
+            @Override
+            public boolean knowsProfile(String name) {
+                return name.equals("p");
+            }
+
+            @Override
+            public boolean inHand(String id) {
+                return false;
+            }
+
+            @Override
+            public boolean hasRoomFor(int bytes) {
+                return true;
+            }
+
+            @Override
+            public void arrived(Inbound client, String id, String profile, String tenant, double timeLeft,
+                double hint, double width, double memory, boolean repeat, Message request) {
+                clerk.answer(client, id, repeat);
+            }
+
+            @Override
+            public void told(String id, String from, String state, double share, String result,
+                Object load) { }
+        };
+    }
+
+    private static final String KIND = "length = \"1s\"\n[profile.p]\nexpiry = \"900ms\"\n";
+
+    /** A tool that comes late itself must not hide that: latency counts from when the request was due. */
+    @Test
+    public void latencyCountsFromTheDueTimeHoweverLateTheToolIs() throws Exception {
+        List<String[]> tries = play(KIND + "[load]\nrate_per_s = 100\n", 120,
+            (client, id, repeat) -> Door.finished(client, "x"));
+        assertTrue(tries.size() > 60);
+        assertTrue(load.lateness().getValueAtPercentile(50) > 30_000, "the tool was slowed");
+        assertTrue(load.latency().getValueAtPercentile(50) >= load.lateness().getValueAtPercentile(50),
+            load.latency().getValueAtPercentile(50) + " under " + load.lateness().getValueAtPercentile(50));
+    }
+
+    @Test
+    public void aBouncedRequestComesAgainMarkedAndAfterThePauseAdvised() throws Exception {
+        List<Boolean> repeats = new ArrayList<>();
+        List<String[]> tries = play(KIND + "[load]\nrate_per_s = 20\nretries = 1\n", 0, (client, id,
+            repeat) -> {
+            repeats.add(repeat);
+            if (repeat) {
+                Door.finished(client, "x");
+            } else {
+                Door.bounced(client, 200);
+            }
+        });
+        assertEquals(repeats.stream().filter(r -> r).count(), (long) tries.size() / 2);
+        for (String[] t : tries) {
+            if (t[2].equals("1")) {
+                String[] first = tries.stream().filter(o -> o[1].equals(t[1]) && o[2].equals("0")).findFirst()
+                    .orElseThrow();
+                double pause = Double.parseDouble(t[8]) - Double.parseDouble(first[11]);
+                assertTrue(pause >= 199 && !first[3].equals(t[3]), "came again after " + pause);
+            }
+        }
+    }
+
+    @Test
+    public void whoIsNotAnsweredIsWrittenDownAsSuch() throws Exception {
+        List<String[]> tries = play(KIND + "[load]\nrate_per_s = 20\n", 0, (client, id, repeat) -> { });
+        assertTrue(tries.size() > 5);
+        tries.forEach(t -> assertEquals(t[10], "none"));
+    }
+
+    @Test
+    public void whoGoesAwayIsWrittenDownAsSuch() throws Exception {
+        List<String[]> tries = play(KIND + "[load]\nrate_per_s = 20\nleaves = 1.0\n", 0,
+            (client, id, repeat) -> { });
+        tries.forEach(t -> assertEquals(t[10], "left"));
+    }
+
+    @Test
+    public void aConnectionThatEndsIsWrittenDownAsSuch() throws Exception {
+        List<String[]> tries = play(KIND.replace("expiry", "effect = \"side-effecting\"\nexpiry")
+            + "[load]\nrate_per_s = 20\nretries = 3\n", 0, (client, id, repeat) -> client.close());
+        tries.forEach(t -> assertEquals(t[10], "broke"));
+        assertTrue(tries.stream().allMatch(t -> t[2].equals("0")), "what may have run is not tried again");
+    }
+}
