--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -41,7 +41,7 @@
     @Command(name = NAME, description = "A scheduler that pushes tasks to workers.",
         subcommands = {Serve.class, Simhost.class, CheckFiles.class, ExplainFile.class, RouteOf.class,
             Version.class, Completion.class, Rigs.Standin.class, Rigs.LoadCommand.class,
-            Rigs.ExperimentCommand.class})
+            Rigs.ExperimentCommand.class, Rigs.JudgeCommand.class})
     static final class Top implements Callable<Integer> {
         @Spec
         CommandSpec spec;
--- a/src/main/java/gingerspool/cli/Rigs.java
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -2,6 +2,8 @@
 
 import gingerspool.daemon.Loop;
 import gingerspool.experiment.Experiment;
+import gingerspool.judge.Judge;
+import gingerspool.judge.Verdict;
 import gingerspool.load.Load;
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.Scenario;
@@ -167,6 +169,33 @@
         }
     }
 
+    @Command(name = "judge", mixinStandardHelpOptions = true, description = "Holds a clients' record and an "
+        + "execution log against the rules. Exit code 0 where all hold, 1 where one broke, 2 where they "
+            + "can't be "
+        + "read.")
+    static final class JudgeCommand implements Callable<Integer> {
+        @Spec
+        CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "CLIENTS")
+        Path clients;
+        @Parameters(index = "1", paramLabel = "EXECUTIONS")
+        Path executions;
+
+        @Override
+        public Integer call() {
+            try {
+                Verdict v = Judge.judge(clients, executions);
+                v.violations().forEach(spec.commandLine().getOut()::println);
+                spec.commandLine().getOut().printf("service %.3f of %d asked, %d breaches of rules%n",
+                    v.all().service(), v.all().asked, v.violations().size());
+                return v.violations().isEmpty() ? 0 : 1;
+            } catch (IOException e) {
+                spec.commandLine().getErr().println(e.getMessage());
+                return 2;
+            }
+        }
+    }
+
     @Command(name = "experiment", mixinStandardHelpOptions = true,
         description = "Starts schedulers, stand-ins and "
         + "load, plays a scenario over seeds and judges by what workers and clients wrote down. Exit code 0 "
--- a/src/main/java/gingerspool/experiment/Report.java
+++ b/src/main/java/gingerspool/experiment/Report.java
@@ -259,6 +259,7 @@
                 r.verdict().violations().size()).sum());
             g.writeNumberField("service", results.stream().filter(r -> r.side().equals(a))
                 .mapToDouble(r -> r.verdict().all().service()).average().orElse(Double.NaN));
+            whole(g, results.stream().filter(r -> r.side().equals(a)).toList());
             g.writeArrayFieldStart("runs");
             for (Experiment.Result r : results) {
                 g.writeStartObject();
@@ -277,11 +278,7 @@
                 g.writeEndObject();
                 g.writeObjectFieldStart("latencyMs");
                 for (Map.Entry<String, Verdict.Group> e : r.verdict().byProfile().entrySet()) {
-                    g.writeObjectFieldStart(e.getKey());
-                    for (double p : new double[] {0.5, 0.9, 0.99, 0.999}) {
-                        g.writeNumberField("p" + p, e.getValue().latency(p));
-                    }
-                    g.writeEndObject();
+                    latencies(g, e.getKey(), List.of(e.getValue()));
                 }
                 g.writeEndObject();
                 g.writeObjectFieldStart("rules");
@@ -309,6 +306,31 @@
         }
     }
 
+    /** The first side over all seeds: sums, and by profile the mean over the seeds of each percentile. */
+    private static void whole(JsonGenerator g, List<Experiment.Result> runs) throws IOException {
+        List<Verdict.Group> all = runs.stream().map(r -> r.verdict().all()).toList();
+        g.writeNumberField("offered", all.stream().mapToInt(x -> x.asked).sum());
+        g.writeNumberField("finished", all.stream().mapToInt(x -> x.finished).sum());
+        g.writeNumberField("bounced", all.stream().mapToInt(x -> x.bounced).sum());
+        g.writeNumberField("abandoned", all.stream().mapToInt(x -> x.abandoned).sum());
+        g.writeObjectFieldStart("latencyMs");
+        for (String profile : runs.get(0).verdict().byProfile().keySet()) {
+            latencies(g, profile, runs.stream().map(r -> r.verdict().byProfile().get(profile))
+                .filter(x -> x != null).toList());
+        }
+        g.writeEndObject();
+    }
+
+    private static void latencies(JsonGenerator g, String profile, List<Verdict.Group> groups)
+        throws IOException {
+        g.writeObjectFieldStart(profile);
+        for (double p : new double[] {0.5, 0.9, 0.99, 0.999}) {
+            g.writeNumberField("p" + p, groups.stream().mapToDouble(x -> x.latency(p)).average()
+                .orElse(Double.NaN));
+        }
+        g.writeEndObject();
+    }
+
     private static void group(JsonGenerator g, Verdict.Group x) throws IOException {
         g.writeNumberField("service", x.service());
         g.writeNumberField("offered", x.asked);
--- a/src/test/java/gingerspool/cli/CommandsTest.java
+++ b/src/test/java/gingerspool/cli/CommandsTest.java
@@ -89,7 +89,10 @@
             {new String[] {"explain"}}, {new String[] {"explain", "a", "b"}}, {new String[] {"routes", "x"}},
             {new String[] {"serve", "--fil", "x"}}, {new String[] {"serve", "x"}},
             {new String[] {"serve", "--file", "/none/such.toml"}}, {new String[] {"check", "\0"}},
-            {new String[] {"check", ""}}};
+            {new String[] {"check", ""}}, {new String[] {"experiment", "/none/such.toml", "--out", "/tmp/x"}},
+            {new String[] {"experiment", "x.toml"}}, {new String[] {"judge", "/none/a", "/none/b"}},
+            {new String[] {"load", "/none/such.toml", "--schedulers", "127.0.0.1:1"}},
+            {new String[] {"standin", "/none/such.toml", "--schedulers", "10.0.0.1:1"}}};
     }
 
     @Test(dataProvider = "wrong")
--- a/src/test/java/gingerspool/experiment/ExperimentTest.java
+++ b/src/test/java/gingerspool/experiment/ExperimentTest.java
@@ -74,7 +74,7 @@
         assertTrue(text.contains("all rules held") && text.contains("service: "), text);
         String json = Files.readString(folder.resolve("out/result.json"));
         assertTrue(json.contains("\"rulesBroken\" : 0"), json);
-        assertTrue(json.contains("\"latencyMs\""), json);
+        assertTrue(json.contains("\"latencyMs\"") && json.contains("\"offered\" : "), json);
         String html = Files.readString(folder.resolve("out/report.html"));
         assertTrue(html.contains("<svg") && !html.contains("http://cdn") && !html.contains("src="),
             "a whole file");
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -46,7 +46,7 @@
     }
 
     /** Who answers a request that has come so many times before. */
-    private interface Clerk {
+    interface Clerk {
         void answer(Inbound client, String id, boolean repeat);
     }
 
@@ -86,7 +86,7 @@
         return tries;
     }
 
-    private static Door.Desk desk(Clerk clerk) {
+    static Door.Desk desk(Clerk clerk) {
         return new Door.Desk() {
             @Override
             public boolean knowsProfile(String name) {
