--- a/src/test/java/gingerspool/config/CorpusTest.java
+++ b/src/test/java/gingerspool/config/CorpusTest.java
@@ -5,13 +5,11 @@
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.Folders;
 import gingerspool.route.Routes;
 import java.io.IOException;
-import java.nio.file.FileVisitResult;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.SimpleFileVisitor;
-import java.nio.file.attribute.BasicFileAttributes;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.testng.annotations.AfterMethod;
@@ -30,19 +28,7 @@
 
     @AfterMethod
     public void removeFolder() throws IOException {
-        Files.walkFileTree(folder, new SimpleFileVisitor<>() {
-            @Override
-            public FileVisitResult visitFile(Path file, BasicFileAttributes a) throws IOException {
-                Files.delete(file);
-                return FileVisitResult.CONTINUE;
-            }
-
-            @Override
-            public FileVisitResult postVisitDirectory(Path dir, IOException e) throws IOException {
-                Files.delete(dir);
-                return FileVisitResult.CONTINUE;
-            }
-        });
+        Folders.remove(folder);
     }
 
     @DataProvider
--- a/src/test/java/gingerspool/daemon/PolicyMeasure.java
+++ b/src/test/java/gingerspool/daemon/PolicyMeasure.java
@@ -223,21 +223,10 @@
     }
 
     private static double toFirst(int routes) {
-        Settings s = new Settings();
-        Profile p = new Profile();
-        p.name = "p";
-        p.effect = Profile.Effect.IDEMPOTENT;
-        p.dueTime = 1000;
-        p.expiry = 5000;
-        s.profiles = new Profile[] {p};
-        s.zone = 0;
+        Settings s = settings();
+        Profile p = s.profiles[0];
         List<Assignment> sent = new ArrayList<>();
-        Dispatcher d = new Dispatcher(s, 7, new Sends(sent));
-        d.listBegins(0, true);
-        for (int w = 0; w < 10; w++) {
-            d.listed(w, 0, 0, 0, Dispatcher.RUNNING, 1000, 0);
-        }
-        d.listEnds(0, true, false);
+        Dispatcher d = dispatcher(s, 10, 1000, sent);
         Policy policy = new Policy(4, 1000, null, null, null, null, null, null);
         List<Routes.Rule> rules = new ArrayList<>();
         for (int i = 0; i < routes; i++) {
@@ -253,7 +242,7 @@
         for (int i = 0; i < 2 * tasks; i++) {
             Task t = new Task("t");
             t.profile = p;
-            t.expiry = i + 5000;
+            t.expiry = i + 1e6;
             long from = System.nanoTime();
             if (table != null) {
                 table.admit(i, t, path, host, "t");
--- a/src/test/java/gingerspool/daemon/ReloadTest.java
+++ b/src/test/java/gingerspool/daemon/ReloadTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.Folders;
 import gingerspool.peers.Peers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -54,12 +55,7 @@
             daemon = null;
         }
         peers.close();
-        try (var all = Files.list(folder)) {
-            for (Path p : (Iterable<Path>) all::iterator) {
-                Files.delete(p);
-            }
-        }
-        Files.delete(folder);
+        Folders.remove(folder);
     }
 
     private Path file(String text) throws IOException {
--- a/src/test/java/gingerspool/experiment/ExperimentTest.java
+++ b/src/test/java/gingerspool/experiment/ExperimentTest.java
@@ -3,15 +3,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.Folders;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.FileVisitResult;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.SimpleFileVisitor;
-import java.nio.file.attribute.BasicFileAttributes;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -41,19 +39,7 @@
 
     @AfterMethod
     public void removeFolder() throws IOException {
-        Files.walkFileTree(folder, new SimpleFileVisitor<>() {
-            @Override
-            public FileVisitResult visitFile(Path file, BasicFileAttributes a) throws IOException {
-                Files.delete(file);
-                return FileVisitResult.CONTINUE;
-            }
-
-            @Override
-            public FileVisitResult postVisitDirectory(Path dir, IOException e) throws IOException {
-                Files.delete(dir);
-                return FileVisitResult.CONTINUE;
-            }
-        });
+        Folders.remove(folder);
     }
 
     private String play(String scenario, int wanted, Path against) throws Exception {
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.daemon.Loop;
+import gingerspool.peers.Folders;
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.ScenarioFile;
 import gingerspool.wire.Door;
@@ -37,12 +38,7 @@
     @AfterMethod
     public void end() throws IOException {
         loop.stop();
-        try (var all = Files.list(folder)) {
-            for (Path p : (Iterable<Path>) all::iterator) {
-                Files.delete(p);
-            }
-        }
-        Files.delete(folder);
+        Folders.remove(folder);
     }
 
     /** Who answers a request that has come so many times before. */
