A reload keeps the indexes of worker kinds; the reset fault acts on every request

Cause: kinds of the next file were numbered anew, so a kind that came first took another's tasks; found by reading.

Change: what is known keeps its index, what is new comes behind, with a test; resets are decided for each request and logged.

--- a/src/main/java/gingerspool/daemon/FileDaemon.java
+++ b/src/main/java/gingerspool/daemon/FileDaemon.java
@@ -166,7 +166,8 @@
     private static void compare(String path, Object old, Object now, TreeSet<String> keys) {
         if (path.matches("seed|known|settings\\.tenants\\[\\d+\\]\\.allowancePerS")
             || path.matches("settings\\.profiles\\[\\d+\\]\\..*") && !path.endsWith(".name")
-            || path.matches("settings\\.(localities|flavors).*") || Objects.equals(old, now)) {
+            || path.matches("settings\\.(localities|flavors|specifics\\.classKind).*") || Objects.equals(old,
+                now)) {
             return;
         }
         if (old instanceof Map<?, ?> a && now instanceof Map<?, ?> b) {
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -92,7 +92,17 @@
     void use(Routes newRoutes, Configuration changed) {
         routes = newRoutes;
         if (changed != null) {
-            changed.profiles.forEach((name, p) -> deployment.profiles.put(name, p));
+            // Guards against indexes of another file: what is known keeps its own, what is new comes behind.
+            String[] kinds = new String[changed.kinds.size()];
+            changed.kinds.forEach((name, i) -> kinds[i] = name);
+            for (String name : kinds) {
+                deployment.kinds.putIfAbsent(name, deployment.kinds.size());
+            }
+            changed.zones.keySet().forEach(z -> deployment.zones.putIfAbsent(z, deployment.zones.size()));
+            changed.profiles.forEach((name, p) -> {
+                p.kind = p.kind < 0 ? -1 : deployment.kinds.get(kinds[p.kind]);
+                deployment.profiles.put(name, p);
+            });
             double[] allowance = changed.settings.allowance;
             System.arraycopy(allowance, 0, deployment.settings.allowance, 0, allowance.length);
         }
--- a/src/main/java/gingerspool/standin/Discovery.java
+++ b/src/main/java/gingerspool/standin/Discovery.java
@@ -83,6 +83,9 @@
                 return -1;
             }
 
+            @Override
+            public void reset() { }
+
             @Override
             public void closed(Link l) {
                 links.remove(l);
--- a/src/main/java/gingerspool/standin/Link.java
+++ b/src/main/java/gingerspool/standin/Link.java
@@ -21,6 +21,9 @@
         /** How many bytes are read before it is reset, or -1. */
         int resetAfter();
 
+        /** It was reset in the middle of a request. */
+        void reset();
+
         void closed(Link link);
     }
 
@@ -72,13 +75,13 @@
     }
 
     void start() {
-        resetAfter = server.resetAfter();
         readOn();
     }
 
     private void readOn() {
         if (open && !silent && !reading && !busy) {
             reading = true;
+            resetAfter = received == 0 ? server.resetAfter() : resetAfter;
             // What is left unread makes the system end the connection with a reset, as a process that dies
             // does.
             int most = resetAfter < 0 ? buffer.capacity() : Math.max(1, resetAfter - received);
@@ -102,6 +105,7 @@
         }
         received += bytes;
         if (resetAfter >= 0 && received >= resetAfter) {
+            server.reset();
             close();
             return;
         }
--- a/src/main/java/gingerspool/standin/Worker.java
+++ b/src/main/java/gingerspool/standin/Worker.java
@@ -233,6 +233,11 @@
                 return resetAfter >= 0 && chance.nextDouble() < faultShare ? resetAfter : -1;
             }
 
+            @Override
+            public void reset() {
+                log.write(turns.now(), name, "reset", "-", scheduler, "after " + resetAfter + " bytes");
+            }
+
             @Override
             public void closed(Link l) {
                 links.remove(l);
--- a/src/test/java/gingerspool/daemon/ReloadTest.java
+++ b/src/test/java/gingerspool/daemon/ReloadTest.java
@@ -209,6 +209,28 @@
         assertEquals(daemon.scheduler.routes(), before);
     }
 
+    /** Found by reading: another file's indexes of kinds were taken for the running one's. */
+    @Test
+    public void aKindThatComesFirstInTheNextFileTakesNoOthersTasks() throws Exception {
+        int other = peers.worker("other", 4, id -> 1);
+        String kindOfAll = "kind = \"m\"\n";
+        workers = workers.replace("size = 8\n", "size = 8\n" + kindOfAll);
+        String own = "[profile.k]\neffect = \"idempotent\"\nexpiry = \"10s\"\ndue = \"5s\"\n" + kindOfAll;
+        start(own);
+        workers = "[[worker]]\nname = \"other\"\naddress = \"127.0.0.1:" + other
+            + "\"\nkind = \"x\"\nsize = 99\n"
+            + workers;
+        file(own);
+        daemon.again.run();
+        settled();
+        try (Socket s = client()) {
+            for (int i = 0; i < 30; i++) {
+                String answer = ask(s, "k", "t" + i, "");
+                assertTrue(answer.contains(" 200 ") && !answer.endsWith("by other"), answer);
+            }
+        }
+    }
+
     @Test
     public void workersOfTheFileComeAndGo() throws Exception {
         start("");
