Heads of messages are read without compiling a pattern

Cause: a profile of 1,613 samples at 3,000 tasks a second has 17% in reading heads, which split lines by a pattern compiled anew for each message.

--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -170,13 +170,17 @@
     }
 
     private void readHead(String head) throws BadMessage {
-        String[] lines = head.split("\r\n", -1);
-        startLine = lines[0].split(" ", request ? -1 : 3);
+        // Not split at the line ends: that would compile a pattern for each message.
+        int end = head.indexOf("\r\n");
+        startLine = (end < 0 ? head : head.substring(0, end)).split(" ", request ? -1 : 3);
         checkStart();
-        for (int i = 1; i < lines.length; i++) {
-            int colon = lines[i].indexOf(':');
-            String name = colon < 0 ? "" : lines[i].substring(0, colon);
-            String value = lines[i].substring(colon + 1).strip();
+        while (end >= 0) {
+            int from = end + 2;
+            end = head.indexOf("\r\n", from);
+            String line = end < 0 ? head.substring(from) : head.substring(from, end);
+            int colon = line.indexOf(':');
+            String name = colon < 0 ? "" : line.substring(0, colon);
+            String value = line.substring(colon + 1).strip();
             if (!isToken(name) || !isPlain(value)) {
                 throw new BadMessage(400, "malformed header field");
             }
