New workers are believed empty, and as warm as all cold ones' answers show

Checked: what cold workers really do. 36 workers, up to three tasks at once: at 4 to 8 s of age and 5 to 20 tasks done they run at 0.7 to 1.1 of a warm one's speed; we believed 0.3 to 0.45 (Dispatcher.warmth, the least that is promised) and, of those never heard, a queue as long as the others' mean (listed, othersNow: NaN means the mean, which is full in a jam). Ruled out: CPU (0.2 s in the worst second of 0.5), connections (no refused ones), discovery (lists come in 1 s). Change: a worker that starts is heard empty at that moment. How many times sooner than promised cold ones warm is one figure of the whole scheduler, two at first, learned from every cold answer; the cold budget stays on what is promised. Two tests fail without the change.

--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -220,6 +220,7 @@
                 request.field("host"), tenant);
         }
         hand.add(t);
+        Trace.arrived(t);
         client.whenGone(() -> gone(t));
         dispatcher.arrived(at, t);
         hand.release(t);
@@ -228,6 +229,7 @@
     private void gone(HeldTask t) {
         clear(t, false);
         left++;
+        Trace.answered(turns.now(), t, "left");
         dispatcher.left(turns.now(), t);
         hand.release(t);
     }
@@ -244,6 +246,7 @@
     public void bounce(Task task, double pause) {
         HeldTask t = (HeldTask) task;
         bounced++;
+        Trace.answered(turns.now(), t, "bounced");
         Door.bounced(t.client, pause);
         answered(t);
     }
@@ -252,6 +255,7 @@
     public void abandon(Task task) {
         HeldTask t = (HeldTask) task;
         abandoned++;
+        Trace.answered(turns.now(), t, "abandoned");
         Door.abandoned(t.client);
         answered(t);
     }
@@ -276,7 +280,9 @@
         }
         InetSocketAddress address = roster.address(a.worker);
         try {
+            int before = pool.size();
             Outbound connection = pool.take(a.worker, address);
+            Trace.sent(a, roster.name(a.worker), pool.size() > before);
             Future<?> alarm = turns.after(wait, () -> errand.giveUp(Outcome.TIMEOUT));
             errand.begin(connection, alarm);
             connection.ask(ToWorker.request(t.request, address, wait), wait + deployment.connectWithin,
@@ -327,6 +333,7 @@
         HeldTask t = errand.task;
         if (how == Outcome.OK && t.client != null) {
             finished++;
+            Trace.answered(turns.now(), t, "finished");
             Door.finished(t.client, result);
             clear(t, true);
         }
@@ -358,6 +365,7 @@
     public void ended(Errand errand, Outcome how, double[] report) {
         HeldTask t = errand.task;
         outcomes[how.ordinal()]++;
+        Trace.ended(errand.assignment, roster.name(errand.assignment.worker), how, report);
         boolean over = t.ended() || how == Outcome.OK;
         dispatcher.ended(turns.now(), errand.assignment, how, over, report);
         hand.release(t);
--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -34,4 +34,9 @@
         this.wait = wait;
         this.serial = serial;
     }
+
+    /** What was believed when it was sent, for a log: region of queued work, running time, wait, if it met a free slot. */
+    public String beliefs() {
+        return region + "," + Math.round(run) + "," + Math.round(wait) + "," + metFree;
+    }
 }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -71,7 +71,7 @@
     private final double budgetShare;
     private final double crossFee;
 
-    private final Workers fleet;
+    final Workers fleet;
 
     // What is learned of the fleet as a whole.
     private final double[][] pool = new double[K][K];
@@ -91,6 +91,8 @@
     private double hintVar = 16;
     private double hintRun = 8;
     private double mixWork;
+    /** How many times sooner than promised cold workers get warm, as their answers show. */
+    private double thaw = 2;
     /** Pace that counts as a standard core's. */
     private double unit = 1;
     /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
@@ -209,7 +211,9 @@
         fleet.size[w] = ofSize > 0 ? ofSize : 1;
         if (again) {
             fleet.startedAt[w] = started;
-            fleet.heardAt[w] = Double.NaN;
+            // Guards against taking a new worker for as full as the others: it has just begun with nothing.
+            fleet.heardAt[w] = started;
+            fleet.others[w] = 0;
             fleet.answeredAt[w] = 0;
             fleet.shunUntil[w] = 0;
             Arrays.fill(fleet.fail[w], 0);
@@ -410,13 +414,11 @@
     private boolean ruleFires() {
         if (listWanted()) {
             askForList();
-        } else if (nothingInHand()) {
+        } else if (task == null) {
             return false;
         } else if (isOut()) {
             sendCopy();
-        } else if (mayNotRunAgain()) {
-            giveUp();
-        } else if (budgetSpent()) {
+        } else if (mayNotRunAgain() || budgetSpent()) {
             giveUp();
         } else if (restWanted()) {
             rest();
@@ -464,10 +466,6 @@
         return 2.5 * mixWork;
     }
 
-    private boolean nothingInHand() {
-        return task == null;
-    }
-
     /** Guards rule two: what may have run goes out again only as its profile allows. */
     private boolean mayNotRunAgain() {
         return task.tries >= triesOf(task) || now >= task.expiry || !task.terms.goesAgainAfter(task.last)
@@ -682,7 +680,7 @@
             int w = fleet.order[i];
             fleet.value[w] = Double.NEGATIVE_INFINITY;
             // Guards against new workers idling: cold ones are open to all, since each has a share of them.
-            boolean warm = warmth(w) >= 1;
+            boolean warm = warmth(w, 1) >= 1;
             if (room <= 0 && warm || !ready(w, task)) {
                 continue;
             }
@@ -877,7 +875,7 @@
 
     /** Speed of a slot: the worker's last running times, leaning on its kind's, cold share included. */
     double pace(int w) {
-        return kindPace(fleet.kindOf[w]) * Math.exp(tide + fleet.swift[w]) * warmth(w) / unit;
+        return kindPace(fleet.kindOf[w]) * Math.exp(tide + fleet.swift[w]) * warmth(w, thaw) / unit;
     }
 
     private double kindPace(int k) {
@@ -885,8 +883,9 @@
         return (fleet.kindWork[k] + lean) / (fleet.kindRun[k] + lean);
     }
 
-    private double warmth(int w) {
-        double age = now - fleet.startedAt[w];
+    /** The share of its capacity that a worker has reached if it warms so many times sooner than promised. */
+    private double warmth(int w, double times) {
+        double age = times * (now - fleet.startedAt[w]);
         return age >= warmWithin || fleet.startedAt[w] <= 0 ? 1
             : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
     }
@@ -967,7 +966,7 @@
         int w = a.worker;
         int k = fleet.kindOf[w];
         int p = a.task.profile.index;
-        double warm = warmth(w);
+        double warm = warmth(w, thaw);
         if (a.task.hint <= 0) {
             // Without hints only the workers' relation can be seen: the fastest kind is the standard core.
             unit = 0;
@@ -987,6 +986,7 @@
         double told = a.task.hint > 0 ? Math.log(a.task.work) - runVar[p] / 2 : runLog[p];
         double off = told - Math.log(run * warm * kindPace(k) / unit);
         // Guards against a slowdown of all, which one worker's few answers show much too late.
+        thaw = warm < 1 ? Math.max(1, thaw * Math.exp(off * 4 / SAMPLES)) : thaw;
         tide += a.task.hint > 0 ? (off - tide) * 2 / SAMPLES - tide / (4 * SAMPLES) : 0;
         double share = a.task.hint > 0 ? newest() : 1.0 / SAMPLES;
         fleet.swift[w] += (off - tide - fleet.swift[w]) * 2 * share;
@@ -1152,7 +1152,7 @@
 
     boolean inBudget(int w, double work) {
         // Guards sites without reports: there a worker that answered counts as heard.
-        if (budgetSpan <= 0 || warmth(w) >= 1 && fleet.answeredAt[w] > 0) {
+        if (budgetSpan <= 0 || warmth(w, 1) >= 1 && fleet.answeredAt[w] > 0) {
             return true;
         }
         // Guards against new workers idling until warm: among many dispatchers a share is under one task, so
@@ -1164,7 +1164,7 @@
 
     /** Work that we may send a cold worker in one window: half at once, half refills over the window. */
     private double budget(int w) {
-        return budgetShare * slotsOf(w) * pace(w);
+        return budgetShare * slotsOf(w) * pace(w) * warmth(w, 1) / warmth(w, thaw);
     }
 
     private double coldLevelNow(int w) {
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -60,4 +60,9 @@
     public boolean ended() {
         return ended;
     }
+
+    /** The span from this time to when it is believed due, for a log. */
+    public double dueIn(double now) {
+        return Math.rint(due - now);
+    }
 }
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -84,6 +84,15 @@
         return t;
     }
 
+    /** An assignment of this task there, sent as the dispatcher would, whatever it had chosen. */
+    Assignment sentTo(Task t, int worker, double at) {
+        t.work = t.hint;
+        Assignment a = new Assignment(t, worker, 0, at, t.hint, 0, sent.size());
+        t.out++;
+        d.fleet.link(a);
+        return a;
+    }
+
     Assignment last() {
         return sent.get(sent.size() - 1);
     }
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -484,6 +484,46 @@
         assertEquals(b.last().worker, 40);
     }
 
+    /** Found on fleet days: new workers, as full and as slow as could be feared, idled while the others jammed. */
+    @Test
+    public void aNewWorkerIsBelievedEmpty() {
+        Bench b = Bench.of(SAFE).start(8);
+        for (int i = 0; i < 40; i++) {
+            for (int w = 0; w < 8; w++) {
+                b.d.probed(10 + i, w, Bench.report(9 + i, 0));
+            }
+        }
+        b.d.listBegins(10000, false);
+        b.d.listed(8, 0, 0, 0, Dispatcher.RUNNING, 2, 10000);
+        b.d.listEnds(10000, false, false);
+        assertTrue(b.d.othersNow(7) > 2, "others " + b.d.othersNow(7));
+        assertEquals(b.d.othersNow(8), 0.0);
+    }
+
+    /** The believed pace of a cold worker that never answered, over that of a warm one that did not either. */
+    @Test
+    public void whatSomeColdWorkersShowHoldsForTheOtherColdOnes() {
+        Bench b = Bench.of(SAFE);
+        b.settings.tellsStart = true;
+        b.start(7);
+        b.list(20000, false, 6, Dispatcher.RUNNING, 20000);
+        b.d.wake(22000);
+        double feared = b.d.pace(5) / b.d.pace(6);
+        runsOnColdOnes(b, 100);
+        double seen = b.d.pace(5) / b.d.pace(6);
+        assertTrue(seen > 1.1 * feared, seen + " of " + feared);
+        runsOnColdOnes(b, 2000);
+        assertTrue(b.d.pace(5) / b.d.pace(6) < seen, "no slower for slow answers");
+    }
+
+    private static void runsOnColdOnes(Bench b, double run) {
+        for (int i = 0; i < 20; i++) {
+            Assignment a = b.sentTo(b.task(0, 22000 - run, 100), i % 5, 22000 - run);
+            b.d.started(22000 - run, a);
+            b.d.ended(22000, a, Outcome.OK, true, null);
+        }
+    }
+
     /** Found in incident i8a9b13: a jam showed only when its late answers came. */
     @Test
     public void whatIsOutPastItsDueTimeCountsAsLate() {
