--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -36,8 +36,6 @@
     private static final double BINS_PER_RUN = 4;
     /** The part of all dispatchers' budget for a cold worker that one task may be. */
     private static final double COLD_GRAIN = 1.0 / 6;
-    /** The part of our share of a cold worker's budget that we use. */
-    private static final double COLD_USE = 0.5;
     /** What a queue costs in score, since a task that joins it makes those behind it wait. */
     private static final double CROWDED = 0.2;
     /** A task whose best chance is lower than this is given up. */
@@ -92,7 +90,7 @@
     private double hintRun = 8;
     private double mixWork;
     /** How many times sooner than promised cold workers get warm, as their answers show. */
-    private double thaw = 2;
+    private double thaw = 4;
     /** Pace that counts as a standard core's. */
     private double unit = 1;
     /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
@@ -158,7 +156,7 @@
         coldFrom = s.coldFrom;
         warmWithin = s.warmWithin;
         budgetSpan = s.fallWindow;
-        budgetShare = COLD_USE * s.overloadFactor * s.fallWindow / dispatchers;
+        budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
         askGap = askSpan / 20;
         fleet = new Workers(K, BINS + 1, profiles.length);
@@ -1159,7 +1157,7 @@
         // one goes when the level has run down, in a phase of chance, if it is a small part of the whole.
         double level = coldLevelNow(w);
         return level + work <= budget(w) / 2
-            || level <= 0 && work <= budget(w) * dispatchers / COLD_USE * COLD_GRAIN;
+            || level <= 0 && work <= budget(w) * dispatchers * COLD_GRAIN;
     }
 
     /** Work that we may send a cold worker in one window: half at once, half refills over the window. */
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -507,7 +507,7 @@
         b.settings.tellsStart = true;
         b.start(7);
         b.list(20000, false, 6, Dispatcher.RUNNING, 20000);
-        b.d.wake(22000);
+        b.d.wake(20500);
         double feared = b.d.pace(5) / b.d.pace(6);
         runsOnColdOnes(b, 100);
         double seen = b.d.pace(5) / b.d.pace(6);
@@ -518,9 +518,9 @@
 
     private static void runsOnColdOnes(Bench b, double run) {
         for (int i = 0; i < 20; i++) {
-            Assignment a = b.sentTo(b.task(0, 22000 - run, 100), i % 5, 22000 - run);
-            b.d.started(22000 - run, a);
-            b.d.ended(22000, a, Outcome.OK, true, null);
+            Assignment a = b.sentTo(b.task(0, 20500 - run, 100), i % 5, 20500 - run);
+            b.d.started(20500 - run, a);
+            b.d.ended(20500, a, Outcome.OK, true, null);
         }
     }
 
