A management door: workers are suspended and resumed, the scheduler drained and activated

Change: wire.ManagementDoor on the address of `management` or GW_MANAGEMENT; daemon.Life says what clients are to see of a scheduler that is drained or leaving; the Dispatcher takes bans as inputs of their own, and a worker put back counts as begun anew. What was decided and has not sent its first byte when a ban begins is taken back.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -3,6 +3,9 @@
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Door;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.ManagementDoor;
+import gingerspool.wire.Message;
 import java.io.IOException;
 import java.util.Map;
 import java.util.Set;
@@ -23,13 +26,12 @@
     /** The part of clients' descriptors that tasks may hold, so that call-backs and health checks get in. */
     private static final double TASK_SHARE = 0.8;
     private static final double SUMMARY_EVERY = 10_000;
-    /** After SIGTERM clients come for this long; then the longest expiry may pass, or LONGEST if less. */
-    private static final double STILL_COMING = 700;
+    /** Places for operators' calls, out of the reserve. */
+    private static final int CALLS = 16;
+    /** After SIGTERM clients come for a while; then the longest expiry may pass, or this if less. */
     private static final double LONGEST = 3000;
     /** What is not answered so long before the end of that is abandoned. */
     private static final double SPARE = 300;
-    /** The part of the time to leave in which connections are kept: others may be restarting as well. */
-    private static final double KEPT = 0.75;
     private static final double LOOK_EVERY = 20;
 
     final NodeConfiguration node;
@@ -42,8 +44,10 @@
     Runnable again;
     /** How long the last reload of an operator's file held the loop, in milliseconds. */
     volatile double appliedIn;
-    private double closeFrom;
-    private double leaveBy;
+    private final Life life = new Life();
+    /** Null where operators have no address to call. */
+    final ManagementDoor management;
+    private boolean looking;
 
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
@@ -52,6 +56,8 @@
         loop = new Loop();
         scheduler = new Scheduler(loop, node, (int) (TASK_SHARE * toClients), toWorkers);
         door = new Door(loop, node.listen, toClients, scheduler);
+        management = node.management == null ? null
+            : new ManagementDoor(loop, node.management, CALLS, new Operators());
     }
 
     /** Where the configuration of the process comes from. */
@@ -111,6 +117,10 @@
         try {
             scheduler.begin(node.known);
             door.open();
+            life.started();
+            if (management != null) {
+                management.open();
+            }
             LOG.atInfo().addKeyValue("name", node.name).addKeyValue("at", Address.text(node.listen))
                 .log("serving");
             summarise();
@@ -125,13 +135,16 @@
         LoggingEventBuilder line = LOG.atInfo();
         scheduler.summary(line);
         door.summary(line);
+        if (management != null) {
+            management.summary(line);
+        }
         line.addKeyValue("latest_timer_ms", Math.round(loop.latestSince())).log("summary");
         loop.after(SUMMARY_EVERY, this::summarise);
     }
 
     /** On SIGTERM, from the virtual machine's own thread: it ends when this returns. */
     private void stop() {
-        loop.enter(this::leave);
+        loop.enter(() -> leave(loop.now()));
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -139,28 +152,46 @@
         }
     }
 
-    void leave() {
+    /** To leave from this time on. */
+    void leave(double from) {
         LOG.atInfo().addKeyValue("in_hand", scheduler.unanswered()).log("leaving");
-        double within = STILL_COMING + Math.min(LONGEST, node.deployment.longestExpiry) - SPARE;
-        closeFrom = loop.now() + KEPT * within;
-        leaveBy = loop.now() + within;
-        door.leave();
-        loop.after(STILL_COMING, () -> lookForEnd(loop.now()));
+        life.leave(from, Life.STILL_COMING + Math.min(LONGEST, node.deployment.longestExpiry) - SPARE);
+        look();
     }
 
-    /** Guards what is in hand: call-backs must get in until the last task has its answer. */
-    void lookForEnd(double now) {
-        boolean closing = now >= closeFrom;
-        if (closing) {
-            door.closeIdle();
+    /** Has the door do what the life's present state asks for, now and as time goes on. */
+    private void look() {
+        act();
+        if (!looking && life.isChanging()) {
+            looking = true;
+            loop.after(LOOK_EVERY, () -> {
+                looking = false;
+                look();
+            });
+        }
+    }
+
+    private void act() {
+        double now = loop.now();
+        door.ready(life.isReady());
+        door.lastAnswers(life.lastAnswers(now));
+        if (life.idleMost(now) < Double.POSITIVE_INFINITY) {
+            door.closeIdle(life.idleMost(now), life.isClosing(now));
         }
+        if (life.isLeaving() && now >= life.endsFrom()) {
+            lookForEnd(now);
+        }
+    }
+
+    /** Guards what is in hand: call-backs must get in until the last task has its answer. */
+    private void lookForEnd(double now) {
         int unanswered = scheduler.unanswered();
-        if (unanswered > 0 && now >= leaveBy) {
+        if (unanswered > 0 && life.isOver(now)) {
             LOG.atWarn().addKeyValue("tasks", unanswered).log("leaving.abandons");
             scheduler.abandonAll();
             unanswered = 0;
         }
-        if (unanswered == 0 && (closing || door.connections() == 0)) {
+        if (unanswered == 0 && (life.isClosing(now) || door.connections() == 0)) {
             door.shut();
         }
         if (unanswered == 0 && door.connections() == 0) {
@@ -168,8 +199,40 @@
             scheduler.summary(line);
             line.log("left");
             ended.countDown();
-        } else {
-            loop.after(LOOK_EVERY, () -> lookForEnd(loop.now()));
+        }
+    }
+
+    /** What operators' calls do here. */
+    private final class Operators implements ManagementDoor.Office {
+        @Override
+        public boolean takesClients() {
+            return life.takesClients();
+        }
+
+        @Override
+        public void suspend(String worker, boolean suspended, ManagementDoor.Reply reply) {
+            boolean known = scheduler.suspend(worker, suspended);
+            LOG.atInfo().addKeyValue("worker", worker).addKeyValue("known", known)
+                .log(suspended ? "worker.suspended" : "worker.resumed");
+            reply.answer(known ? ManagementDoor.Answer.YES : ManagementDoor.Answer.UNKNOWN);
+        }
+
+        @Override
+        public void drain(boolean drained, ManagementDoor.Reply reply) {
+            if (drained) {
+                life.drain(loop.now());
+            } else {
+                life.activate();
+            }
+            LOG.atInfo().addKeyValue("in_hand", scheduler.unanswered())
+                .log(drained ? "drained" : "activated");
+            look();
+            reply.answer(ManagementDoor.Answer.YES);
+        }
+
+        @Override
+        public boolean takes(Inbound from, Message request) {
+            return false;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/daemon/Life.java
@@ -0,0 +1,116 @@
+package gingerspool.daemon;
+
+/**
+ * The scheduler's own life, without I/O: it is told what happens (started, drained, activated, succeeded, alone
+ * again, leaving) and says what clients are to see of it. Times are milliseconds on the loop's clock.
+ */
+final class Life {
+    /** After it is said that nobody new is to come here, clients come for this long. */
+    static final double STILL_COMING = 700;
+    /** The part of the time to leave in which connections are kept: others may be restarting as well. */
+    private static final double KEPT = 0.75;
+    /** The same where another process has taken over, so that new connections are welcome there. */
+    private static final double KEPT_SUCCEEDED = 0.4;
+    /** A connection that has been idle for less may have its first request under way. */
+    private static final double FRESH = 200;
+
+    private boolean started;
+    private double drainedAt = Double.NaN;
+    private double succeededAt = Double.NaN;
+    private double leavingAt = Double.NaN;
+    private double leaveWithin;
+
+    // ---- What happens ----
+
+    void started() {
+        started = true;
+    }
+
+    /** The scheduler is to be emptied; told again, the first time counts. */
+    void drain(double now) {
+        drainedAt = isDrained() ? drainedAt : now;
+    }
+
+    void activate() {
+        drainedAt = Double.NaN;
+    }
+
+    /** Another process takes the clients from now on. */
+    void succeeded(double now) {
+        succeededAt = isSucceeded() ? succeededAt : now;
+    }
+
+    /** The other process is gone: the clients are ours again. */
+    void aloneAgain() {
+        succeededAt = Double.NaN;
+    }
+
+    /** The process is to end within this span. */
+    void leave(double now, double within) {
+        if (!isLeaving()) {
+            leavingAt = now;
+            leaveWithin = within;
+        }
+    }
+
+    // ---- What follows ----
+
+    boolean isDrained() {
+        return !Double.isNaN(drainedAt);
+    }
+
+    boolean isSucceeded() {
+        return !Double.isNaN(succeededAt);
+    }
+
+    boolean isLeaving() {
+        return !Double.isNaN(leavingAt);
+    }
+
+    /** Whether this process takes clients, as operators ask: a drained one would, if they were sent. */
+    boolean takesClients() {
+        return started && !isSucceeded() && !isLeaving();
+    }
+
+    /** Whether the front is to send clients: it asks of the scheduler, whichever process it is. */
+    boolean isReady() {
+        return !isDrained() && (isSucceeded() || !isLeaving());
+    }
+
+    /** Whether a listener is wanted: call-backs need one until the end, unless another process has it. */
+    boolean listens() {
+        return !isSucceeded();
+    }
+
+    /** Whether each client's connection is to end with its next answer. */
+    boolean lastAnswers(double now) {
+        return isDrained() || isSucceeded() || isClosing(now);
+    }
+
+    /** Clients' connections that have been idle for longer are to be closed. */
+    double idleMost(double now) {
+        return isClosing(now) ? 0
+            : isDrained() && now >= drainedAt + STILL_COMING ? FRESH
+            : Double.POSITIVE_INFINITY;
+    }
+
+    /** Whether it is time to leave for those who have nothing out. */
+    boolean isClosing(double now) {
+        return isLeaving() && now >= leavingAt + leaveWithin * (isSucceeded() ? KEPT_SUCCEEDED : KEPT);
+    }
+
+    /** Whether what is still out must be given up: the process is about to be ended. */
+    boolean isOver(double now) {
+        return isLeaving() && now >= leavingAt + leaveWithin;
+    }
+
+    /** From when on the process may end if nothing is left: before that, clients may still come. */
+    double endsFrom() {
+        return leavingAt + (isSucceeded() ? 0 : STILL_COMING);
+    }
+
+    /** Whether time alone may change what follows. */
+    boolean isChanging() {
+        return isDrained() || isSucceeded() || isLeaving();
+    }
+}
--- a/src/main/java/gingerspool/daemon/NodeConfiguration.java
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -18,6 +18,8 @@
     public final InetSocketAddress listen;
     /** Null where the list of workers is fixed. */
     public final InetSocketAddress discovery;
+    /** Where operators call, or null where they don't. */
+    public final InetSocketAddress management;
     public final long seed;
     public final int sockets;
     /** The list of workers as last held, in discovery's form, or null. */
@@ -49,6 +51,8 @@
         listen = address(all.at("listen"), environment.get("GW_LISTEN"));
         discovery = all.at("fixedList").mark() ? null
             : address(all.at("discovery"), environment.get("GW_DISCOVERY"));
+        String operators = all.at("management").text(environment.getOrDefault("GW_MANAGEMENT", ""));
+        management = operators.isEmpty() ? null : address(all.at("management"), operators);
         seed = seed(all.at("seed"));
         sockets = all.at("limits").object().at("sockets").whole(1024);
         if (sockets < 64) {
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -23,6 +23,8 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,6 +52,7 @@
     private final Hand hand;
     private final Pool pool;
     private final Roster roster = new Roster();
+    private final Set<String> suspended = new TreeSet<>();
     private final double ahead;
     /** What the operator's file says of each task; null where there is no such file. */
     private Routes routes;
@@ -132,7 +135,7 @@
         if (roster.moves(w, dial)) {
             pool.empty(w);
         }
-        pool.keep(w, state == Dispatcher.RUNNING);
+        pool.keep(w, state == Dispatcher.RUNNING && !suspended.contains(host));
         if (roster.turns(w, state)) {
             LOG.atInfo().addKeyValue("worker", host).addKeyValue("zone", zone)
                 .addKeyValue("state", STATES[state]).log("worker.listed");
@@ -182,6 +185,38 @@
         watchList();
     }
 
+    // ---- Operators' words on workers ----
+
+    /** Nothing new goes to this worker from here on, or it is put back; tells whether it ever was listed. */
+    boolean suspend(String name, boolean suspended) {
+        int w = roster.find(name);
+        if (w < 0) {
+            return false;
+        }
+        if (suspended) {
+            this.suspended.add(name);
+            dispatcher.suspended(turns.now(), w);
+            pool.keep(w, false);
+            // Guards the ban against what was decided before it and waits for a connection to come up.
+            for (HeldTask t : hand.all()) {
+                Errand errand = outAt(t, w);
+                if (errand != null) {
+                    errand.takeBack();
+                }
+            }
+        } else {
+            this.suspended.remove(name);
+            pool.keep(w, roster.state(w) == Dispatcher.RUNNING);
+            dispatcher.resumed(turns.now(), w);
+        }
+        return true;
+    }
+
+    /** The workers kept out of use, by name. */
+    Set<String> suspended() {
+        return suspended;
+    }
+
     // ---- Tasks come and go ----
 
     @Override
@@ -439,6 +474,9 @@
             }
         }
         line.addKeyValue("to_workers", pool.size());
+        if (!suspended.isEmpty()) {
+            line.addKeyValue("suspended", suspended.size());
+        }
         if (routes != null) {
             routes.counts().forEach((name, n) -> line.addKeyValue("route." + name, n[0] + "+" + n[1]));
         }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -208,18 +208,22 @@
         fleet.cellOf[w] = inCell;
         fleet.size[w] = ofSize > 0 ? ofSize : 1;
         if (again) {
-            fleet.startedAt[w] = started;
-            // Guards against taking a new worker for as full as the others: it has just begun with nothing.
-            fleet.heardAt[w] = started;
-            fleet.others[w] = 0;
-            fleet.answeredAt[w] = 0;
-            fleet.shunUntil[w] = 0;
-            Arrays.fill(fleet.fail[w], 0);
-            fleet.coldLevel[w] = chance.nextDouble() * mixWork;
-            fleet.coldAt[w] = now;
+            began(w, started);
         }
     }
 
+    private void began(int w, double started) {
+        fleet.startedAt[w] = started;
+        // Guards against taking a new worker for as full as the others: it has just begun with nothing.
+        fleet.heardAt[w] = started;
+        fleet.others[w] = 0;
+        fleet.answeredAt[w] = 0;
+        fleet.shunUntil[w] = 0;
+        Arrays.fill(fleet.fail[w], 0);
+        fleet.coldLevel[w] = chance.nextDouble() * mixWork;
+        fleet.coldAt[w] = now;
+    }
+
     /** The list is complete. A remembered one was not asked for, so it answers nothing. */
     public void listEnds(double at, boolean whole, boolean remembered) {
         now = at;
@@ -233,10 +237,15 @@
             asked = false;
             askGap = askSpan / 20;
         }
+        fleet.order();
+        lookAgain();
+    }
+
+    /** Whoever waits is looked at anew, since other workers may take it now. */
+    private void lookAgain() {
         for (Task t : hand) {
             t.lookAt = t.out > 0 ? t.lookAt : Math.max(now, t.restUntil);
         }
-        fleet.order();
         settle();
     }
 
@@ -250,6 +259,30 @@
         settle();
     }
 
+    // ---- Inputs: what operators say ----
+
+    /** Nothing new goes to this worker until it is resumed, whatever the list says of it meanwhile. */
+    public void suspended(double at, int w) {
+        now = at;
+        fleet.bannedAt[w] = banned(w) ? fleet.bannedAt[w] : now;
+        settle();
+    }
+
+    /** Puts the worker back; what failed there under the ban says nothing of it now. */
+    public void resumed(double at, int w) {
+        now = at;
+        if (banned(w)) {
+            // Guards rule four: it was restarted under the ban, and the list may tell so only later.
+            began(w, fleet.startedAt[w] < fleet.bannedAt[w] ? now : fleet.startedAt[w]);
+            fleet.bannedAt[w] = Double.NaN;
+        }
+        lookAgain();
+    }
+
+    public boolean banned(int w) {
+        return !Double.isNaN(fleet.bannedAt[w]);
+    }
+
     // ---- Inputs: tasks ----
 
     public void arrived(double at, Task t) {
@@ -715,7 +748,7 @@
 
     /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
-        return fleet.state[w] == RUNNING && now >= fleet.shunUntil[w]
+        return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w]
             && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
             && t.width <= slotsOf(w) && t.memory <= slotsOf(w)
             && inGroup(w, t) && inBudget(w, t.work) && !outAt(w, t);
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -36,6 +36,8 @@
     double[][] failAt = new double[ROOM][];
     int[][] failRow = new int[ROOM][];
     double[] shunUntil = new double[ROOM];
+    /** Since when operators have kept it out of use; NaN: they don't. */
+    double[] bannedAt = new double[ROOM];
     double[] shunSpan = new double[ROOM];
     /** Work counted against the cold budget, and when. */
     double[] coldLevel = new double[ROOM];
@@ -100,6 +102,7 @@
             failRow[count] = new int[profiles];
             reportedRate[count] = Double.NaN;
             heardAt[count] = Double.NaN;
+            bannedAt[count] = Double.NaN;
             probedAt[count] = Double.NEGATIVE_INFINITY;
         }
     }
@@ -183,6 +186,7 @@
         failRow = Arrays.copyOf(failRow, n);
         shunUntil = Arrays.copyOf(shunUntil, n);
         shunSpan = Arrays.copyOf(shunSpan, n);
+        bannedAt = Arrays.copyOf(bannedAt, n);
         coldLevel = Arrays.copyOf(coldLevel, n);
         coldAt = Arrays.copyOf(coldAt, n);
         probedAt = Arrays.copyOf(probedAt, n);
--- a/src/main/java/gingerspool/store/Errand.java
+++ b/src/main/java/gingerspool/store/Errand.java
@@ -90,6 +90,15 @@
         end(how, null);
     }
 
+    /** Takes it back if the worker has not got its first byte: then it never ran. */
+    public void takeBack() {
+        if (!over && connection != null && !connection.hasBegun()) {
+            connection.drop();
+            connection = null;
+            end(Outcome.MOOT, null);
+        }
+    }
+
     /** It could not even begin. */
     public void fail(Outcome how) {
         end(how, null);
--- a/src/main/java/gingerspool/store/Roster.java
+++ b/src/main/java/gingerspool/store/Roster.java
@@ -44,6 +44,11 @@
         return states.set(worker, state) != state;
     }
 
+    /** The state that it is listed in, -1 if none yet. */
+    public int state(int worker) {
+        return states.get(worker);
+    }
+
     /** Notes where it listens; tells whether that has changed. */
     public boolean moves(int worker, InetSocketAddress address) {
         return address != null && !address.equals(addresses.set(worker, address));
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -38,8 +38,8 @@
     private final Set<Inbound> all = new LinkedHashSet<>();
     /** The longest idle first. */
     private final Set<Inbound> idle = new LinkedHashSet<>();
-    private boolean leaving;
-    private boolean closing;
+    private boolean ready = true;
+    private boolean lastAnswers;
     private int turnedDown;
     private int refused;
 
@@ -93,9 +93,7 @@
     public void accepted(AsynchronousSocketChannel channel) {
         Inbound connection = new Inbound(turns, channel, this);
         all.add(connection);
-        if (closing) {
-            connection.endAfterAnswer();
-        }
+        connection.endAfterAnswer(lastAnswers);
         connection.start();
     }
 
@@ -118,16 +116,35 @@
         listener.acceptOn();
     }
 
-    /** From now on nobody new is to be sent here; those who are here are served. */
-    public void leave() {
-        leaving = true;
+    /** What health checks are told: whether new clients are to be sent here. */
+    public void ready(boolean is) {
+        ready = is;
     }
 
-    /** Closes the connections without a request on them; the others' next answer is their last. */
-    public void closeIdle() {
-        closing = true;
-        all.forEach(Inbound::endAfterAnswer);
-        List.copyOf(idle).forEach(Inbound::close);
+    /** Whether the next answer on each of the clients' connections is its last. */
+    public void lastAnswers(boolean are) {
+        if (are != lastAnswers) {
+            lastAnswers = are;
+            all.forEach(c -> c.endAfterAnswer(are && !c.hasCallBacks()));
+        }
+    }
+
+    /** Closes the clients' connections that have had no request for so long, and call-backs' too if told. */
+    public void closeIdle(double longerThan, boolean callBacksToo) {
+        for (Inbound c : List.copyOf(idle)) {
+            if (c.idleFor() >= longerThan && (callBacksToo || !c.hasCallBacks())) {
+                c.close();
+            }
+        }
+    }
+
+    /** How many connections are not known to be a worker's. */
+    public int ofClients() {
+        int n = 0;
+        for (Inbound c : all) {
+            n += c.hasCallBacks() ? 0 : 1;
+        }
+        return n;
     }
 
     /** No more connections. */
@@ -147,11 +164,12 @@
             switch (path) {
                 case "/healthz" -> {
                     allow(request, "GET");
-                    from.answer(leaving ? 503 : 200, List.of(), leaving ? "leaving\n" : "ready\n");
+                    from.answer(ready ? 200 : 503, List.of(), ready ? "ready\n" : "not ready\n");
                 }
                 case "/callback" -> {
                     allow(request, "POST");
                     callback(request);
+                    from.carriesCallBacks();
                     from.answer(200, List.of(), "");
                 }
                 default -> task(from, request, path);
@@ -170,7 +188,7 @@
             .log("door.turned_down");
     }
 
-    private static void allow(Message request, String method) throws BadMessage {
+    static void allow(Message request, String method) throws BadMessage {
         if (!request.method().equals(method)) {
             throw new BadMessage(405, "method must be " + method, "Allow: " + method);
         }
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -29,15 +29,26 @@
     private enum State { IDLE, READING, ASKED, ANSWERING, ENDING }
 
     private final Door door;
+    private final double idle;
+    private final double stalled;
     private State state = State.IDLE;
     private Message message = Message.request();
     private boolean lastAnswer;
     private boolean lastRequest;
     private Runnable whenGone;
+    private double since;
+    private boolean callBacks;
 
     public Inbound(Turns turns, AsynchronousSocketChannel channel, Door door) {
+        this(turns, channel, door, IDLE, STALLED);
+    }
+
+    /** With so long, in milliseconds, for it to be idle, and for one message, answer or end to take. */
+    public Inbound(Turns turns, AsynchronousSocketChannel channel, Door door, double idle, double stalled) {
         super(turns, channel);
         this.door = door;
+        this.idle = idle;
+        this.stalled = stalled;
     }
 
     /** Begins to read; separate from making it so that the owner knows it first. */
@@ -54,7 +65,8 @@
     private void rest() {
         state = State.IDLE;
         message = Message.request();
-        alarm(IDLE, this::close);
+        since = turns.now();
+        alarm(idle, this::close);
         door.idle(this, true);
     }
 
@@ -71,7 +83,7 @@
         }
         if (state == State.IDLE) {
             state = State.READING;
-            alarm(STALLED, this::close);
+            alarm(stalled, this::close);
             door.idle(this, false);
         }
         try {
@@ -106,7 +118,7 @@
         }
         state = State.ANSWERING;
         whenGone = null;
-        alarm(STALLED, this::close);
+        alarm(stalled, this::close);
         lastRequest |= lastAnswer;
         StringBuilder head = new StringBuilder(160).append("HTTP/1.1 ").append(status).append(' ')
             .append(reason(status)).append("\r\nContent-Length: ").append(body.length).append("\r\n");
@@ -158,9 +170,24 @@
         readOn();
     }
 
-    /** From now on each answer is the last one. */
-    public void endAfterAnswer() {
-        lastAnswer = true;
+    /** From now on each answer is the last one, or is so no longer. */
+    public void endAfterAnswer(boolean last) {
+        lastAnswer = last;
+    }
+
+    /** A worker's call-backs come on it, so it is none of the clients'. */
+    public void carriesCallBacks() {
+        callBacks = true;
+        lastAnswer = false;
+    }
+
+    public boolean hasCallBacks() {
+        return callBacks;
+    }
+
+    /** How long it has been idle, in milliseconds. */
+    public double idleFor() {
+        return turns.now() - since;
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -33,12 +33,21 @@
     private final AsynchronousServerSocketChannel channel;
     private boolean accepting;
 
+    /** Listens at once, alone at its address. */
     public Listener(Turns turns, SocketAddress at, Owner owner) throws IOException {
+        this(turns, at, false, owner);
+    }
+
+    /** Listens at once; where shared, other processes may listen at the same address beside it. */
+    public Listener(Turns turns, SocketAddress at, boolean shared, Owner owner) throws IOException {
         this.turns = turns;
         this.owner = owner;
         channel = AsynchronousServerSocketChannel.open(turns.group());
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             channel.bind(at, BACKLOG);
         } catch (IOException | RuntimeException e) {
             channel.close();
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -86,6 +86,11 @@
         write(request);
     }
 
+    /** Whether the first byte of the request at hand has been written. */
+    public boolean hasBegun() {
+        return begun;
+    }
+
     /** Closes itself unless it is used again before this span ends; 0: never. */
     public void closeAfter(double span) {
         alarm(span, this::close);
--- a/src/test/java/gingerspool/daemon/ConfigurationTest.java
+++ b/src/test/java/gingerspool/daemon/ConfigurationTest.java
@@ -56,6 +56,8 @@
             {"'name':'p'", "'nom':'p'", "settings.profiles[0].name is missing"},
             {"'dueTimeMs':100", "'dueTimeMs':'soon'", "settings.profiles[0].dueTimeMs is not a number"},
             {"'dueTimeMs':100", "'dueTimeMs':-1", "settings.profiles[0].dueTimeMs is negative"},
+            {"'seed':", "'management':'here:1','seed':", "management is not an address: here:1"},
+            {"'seed':", "'management':7,'seed':", "management is not text"},
             {"[{'name'", "[],'x':[{'name'", "settings.profiles has no entry"},
             {"'maxOpen':9", "'maxOpen':[]", "settings.limits.maxOpen is not a number"},
             {"'classStretch':[2]", "'classStretch':2", "settings.specifics.classStretch is not a list"},
--- /dev/null
+++ b/src/test/java/gingerspool/daemon/LifeTest.java
@@ -0,0 +1,96 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class LifeTest {
+    private static final double WITHIN = 3400;
+
+    /**
+     * Inputs in order: started, drain, activate, succeeded, alone, term, each at time 0 (term within 3400).
+     * Then: takes clients, front is told yes, listens, and the last-answer mark and longest idle time at 0,
+     * 800 and 3000 ms.
+     */
+    @DataProvider
+    public Object[][] table() {
+        String open = "0:false/none 800:false/none 3000:false/none";
+        String drained = "0:true/none 800:true/200 3000:true/200";
+        String succeeded = "0:true/none 800:true/none 3000:true/none";
+        String leaving = "0:false/none 800:false/none 3000:true/0";
+        return new Object[][] {
+            {"", "no yes listens", open},
+            {"started", "yes yes listens", open},
+            {"started drain", "yes no listens", drained},
+            {"drain started", "yes no listens", drained},
+            {"started drain drain", "yes no listens", drained},
+            {"started activate", "yes yes listens", open},
+            {"started drain activate", "yes yes listens", open},
+            {"started drain activate drain", "yes no listens", drained},
+            {"started succeeded", "no yes not", succeeded},
+            {"started succeeded succeeded", "no yes not", succeeded},
+            {"started succeeded alone", "yes yes listens", open},
+            {"started alone", "yes yes listens", open},
+            {"started drain succeeded", "no no not", drained},
+            {"started succeeded drain", "no no not", drained},
+            {"started succeeded drain activate", "no yes not", succeeded},
+            {"started drain succeeded alone", "yes no listens", drained},
+            {"started term", "no no listens", leaving},
+            {"started term term", "no no listens", leaving},
+            {"started term drain", "no no listens", "0:true/none 800:true/200 3000:true/0"},
+            {"started drain term", "no no listens", "0:true/none 800:true/200 3000:true/0"},
+            {"started term activate", "no no listens", leaving},
+            {"started term succeeded", "no yes not", "0:true/none 800:true/none 3000:true/0"},
+            {"started succeeded term", "no yes not", "0:true/none 800:true/none 3000:true/0"},
+            {"started succeeded term alone", "no no listens", leaving},
+            {"started succeeded drain term", "no no not", "0:true/none 800:true/200 3000:true/0"},
+            {"started succeeded term activate", "no yes not", "0:true/none 800:true/none 3000:true/0"},
+        };
+    }
+
+    private static Life after(String inputs) {
+        Life life = new Life();
+        for (String input : inputs.split(" ")) {
+            switch (input) {
+                case "started" -> life.started();
+                case "drain" -> life.drain(0);
+                case "activate" -> life.activate();
+                case "succeeded" -> life.succeeded(0);
+                case "alone" -> life.aloneAgain();
+                case "term" -> life.leave(0, WITHIN);
+                default -> { }
+            }
+        }
+        return life;
+    }
+
+    @Test(dataProvider = "table")
+    public void eachStateAnswersEachInput(String inputs, String seen, String byTime) {
+        Life life = after(inputs);
+        assertEquals((life.takesClients() ? "yes " : "no ") + (life.isReady() ? "yes " : "no ")
+            + (life.listens() ? "listens" : "not"), seen);
+        StringBuilder at = new StringBuilder();
+        for (double t : List.of(0.0, 800.0, 3000.0)) {
+            double idle = life.idleMost(t);
+            at.append((int) t).append(':').append(life.lastAnswers(t)).append('/')
+                .append(Double.isInfinite(idle) ? "none" : String.valueOf((int) idle)).append(' ');
+        }
+        assertEquals(at.toString().strip(), byTime);
+    }
+
+    /** Guards rule one: what is out is given up within the span told, and not before it. */
+    @Test
+    public void itIsOverWithinTheSpanToldAtTheFirstSignal() {
+        Life life = after("started term");
+        life.leave(2000, WITHIN);
+        assertTrue(!life.isOver(3399) && life.isOver(3400));
+        assertTrue(!life.isClosing(2549) && life.isClosing(2550));
+        assertEquals(life.endsFrom(), 700.0);
+        life.succeeded(100);
+        assertTrue(life.isClosing(1360) && !life.isClosing(1359));
+        assertEquals(life.endsFrom(), 0.0);
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/daemon/ManagementTest.java
@@ -0,0 +1,253 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.dispatch.Bench;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Operators' calls to a whole daemon on loopback sockets. */
+public class ManagementTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    private final List<Socket> open = new ArrayList<>();
+    private ServerSocket worker;
+    private ServerSocket discovery;
+    private Daemon daemon;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        String known = "'known':{'seq':7,'whole':true,'hosts':[{'host':'s-1','dial':'127.0.0.1:"
+            + worker.getLocalPort() + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,"
+            + "'born_ms':0}]},";
+        String node = ConfigurationTest.NODE.replace("127.0.0.1:1'",
+            "127.0.0.1:" + discovery.getLocalPort() + "','management':'127.0.0.1:0'")
+            .replace("'settings'", known + "'settings'").replace("'safe'", "'unsafe'");
+        daemon = new Daemon(new NodeConfiguration(ConfigurationTest.tree(node), Map.of()));
+        daemon.loop.enter(daemon::begin);
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        daemon.loop.stop();
+        for (Socket s : open) {
+            s.close();
+        }
+        open.clear();
+        worker.close();
+        discovery.close();
+    }
+
+    private Socket to(java.net.SocketAddress address, String text) throws IOException {
+        Socket s = new Socket();
+        open.add(s);
+        s.connect((InetSocketAddress) address);
+        s.setSoTimeout(5000);
+        Bench.write(s, text);
+        return s;
+    }
+
+    private Socket operator(String text) throws IOException {
+        return to(daemon.management.address(), text);
+    }
+
+    private int call(String method, String path) throws IOException {
+        Socket s = operator(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        int status = Integer.parseInt(Bench.read(s).substring(9, 12));
+        assertEquals(s.getInputStream().read(), -1, "one call to a connection");
+        return status;
+    }
+
+    private Socket client(String text) throws IOException {
+        return to(daemon.door.address(), text);
+    }
+
+    private static String task(String id, int timeLeft) {
+        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Weight-Hint: 10000\r\n"
+            + "X-Time-Left-Ms: " + timeLeft + "\r\nContent-Length: 2\r\n\r\nhi";
+    }
+
+    private Socket atWorker() throws IOException {
+        Socket s = worker.accept();
+        open.add(s);
+        s.setSoTimeout(5000);
+        assertTrue(Bench.read(s).startsWith("POST /p "));
+        return s;
+    }
+
+    private Socket done(Socket on, String id) throws IOException {
+        String body = "{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"made\"}";
+        String call = "POST /callback HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        Socket s = on;
+        if (s == null) {
+            s = client(call);
+        } else {
+            Bench.write(s, call);
+        }
+        assertTrue(Bench.read(s).startsWith("HTTP/1.1 200 "));
+        return s;
+    }
+
+    private String healthz() throws IOException {
+        return Bench.read(client("GET /healthz HTTP/1.1\r\n\r\n")).substring(9, 12);
+    }
+
+    @DataProvider
+    public Object[][] calls() {
+        String w = "/v1/workers/";
+        return new Object[][] {
+            {"GET", "/v1/readyz", 200}, {"POST", "/v1/readyz", 405}, {"GET", "/v1/readyz?x=1", 200},
+            {"POST", w + "s-1/suspend", 200}, {"POST", w + "s-1/resume", 200},
+            {"POST", w + "s%2D1/suspend", 200}, {"POST", w + "s-2/suspend", 404},
+            {"POST", w + "s-2/resume", 404}, {"GET", w + "s-1/suspend", 405},
+            {"POST", w + "/suspend", 404}, {"POST", w + "suspend", 404}, {"POST", w + "s-1/", 404},
+            {"POST", w + "s-1/suspend/", 404}, {"POST", w + "s%2/suspend", 400},
+            {"POST", w + "s%/suspend", 400}, {"POST", w + "s%zz1/suspend", 400},
+            {"POST", w + "%00/suspend", 404}, {"POST", w + "s-1%2Fsuspend", 404},
+            {"POST", w + "x".repeat(200) + "/suspend", 404},
+            {"POST", w + "x".repeat(20_000) + "/suspend", 431},
+            {"POST", "/v1/scheduler/drain", 200}, {"POST", "/v1/scheduler/activate", 200},
+            {"GET", "/v1/scheduler/drain", 405}, {"POST", "/v1/scheduler", 404}, {"POST", "/p", 404},
+            {"GET", "/healthz", 404}, {"POST", "/callback", 404},
+        };
+    }
+
+    @Test(dataProvider = "calls")
+    public void eachCallHasItsAnswer(String method, String path, int status) throws IOException {
+        assertEquals(call(method, path), status);
+        assertEquals(call("GET", "/v1/readyz"), 200);
+    }
+
+    @DataProvider
+    public Object[][] unreadable() {
+        String post = "POST /v1/scheduler/drain HTTP/1.1\r\n";
+        return new Object[][] {
+            {"nonsense\r\n\r\n"}, {post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n"},
+            {post + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"},
+            {post + "Content-Length: 70000\r\n\r\n"}, {post + "X: " + "y".repeat(17_000)},
+            {post + "Content-Length: -1\r\n\r\n"},
+        };
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void whatCannotBeReadIsANoAndDoesNothing(String text) throws IOException {
+        assertTrue(Bench.read(operator(text)).startsWith("HTTP/1.1 4"));
+        assertEquals(healthz(), "200");
+    }
+
+    /** A call that is cut says nothing: a false yes, or a drain nobody asked for, would come of it. */
+    @Test
+    public void aCallCutAtAnyByteDoesNothing() throws IOException {
+        String text = "POST /v1/scheduler/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
+        for (int i = 0; i < text.length(); i++) {
+            operator(text.substring(0, i)).close();
+        }
+        assertEquals(healthz(), "200");
+        Socket slow = operator(text.substring(0, 20));
+        assertEquals(call("GET", "/v1/readyz"), 200);
+        Bench.write(slow, text.substring(20));
+        assertTrue(Bench.read(slow).startsWith("HTTP/1.1 200 "));
+        assertEquals(healthz(), "503");
+    }
+
+    @Test
+    public void hundredsOfSilentCallersDoNotHoldUpACall() throws IOException {
+        for (int i = 0; i < 300; i++) {
+            operator(i % 2 == 0 ? "" : "POST /v1/sche");
+        }
+        long since = System.nanoTime();
+        assertEquals(call("POST", "/v1/scheduler/drain"), 200);
+        assertTrue(System.nanoTime() - since < 1_000_000_000L);
+        assertEquals(healthz(), "503");
+    }
+
+    @Test
+    public void aSuspendedWorkerGetsNothingWhateverTheListSaysUntilItIsResumed() throws Exception {
+        Socket list = discovery.accept();
+        open.add(list);
+        Bench.read(list);
+        Socket kept = client(task("i1", 3000));
+        Socket at = atWorker();
+        Bench.write(at, TAKEN);
+        done(null, "i1");
+        Bench.read(kept);
+        assertEquals(call("POST", "/v1/workers/s-1/suspend"), 200);
+        assertEquals(call("POST", "/v1/workers/s-1/suspend"), 200);
+        assertEquals(at.getInputStream().read(), -1, "connections at rest are closed");
+        String line = "{\"seq\":8,\"whole\":true,\"hosts\":[{\"host\":\"s-1\",\"dial\":\"127.0.0.1:"
+            + worker.getLocalPort() + "\",\"health\":\"SERVING\",\"share\":4,\"born_ms\":0}]}\n";
+        Bench.write(list, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+        assertTrue(Bench.read(client(task("i2", 300))).startsWith("HTTP/1.1 503 "));
+        assertEquals(call("POST", "/v1/workers/s-1/resume"), 200);
+        assertEquals(call("POST", "/v1/workers/s-1/resume"), 200);
+        Socket last = client(task("i3", 3000));
+        Bench.write(atWorker(), TAKEN);
+        done(null, "i3");
+        assertTrue(Bench.read(last).startsWith("HTTP/1.1 200 "));
+    }
+
+    @Test
+    public void aTaskThatIsThereAsItsWorkerIsSuspendedGoesOn() throws Exception {
+        Socket client = client(task("i1", 3000));
+        Bench.write(atWorker(), TAKEN);
+        assertEquals(call("POST", "/v1/workers/s-1/suspend"), 200);
+        done(null, "i1");
+        assertTrue(Bench.read(client).startsWith("HTTP/1.1 200 "));
+    }
+
+    @Test
+    public void aDrainedSchedulerLetsItsClientsGoAndKeepsCallBacks() throws Exception {
+        Socket idle = client("GET /healthz HTTP/1.1\r\n\r\n");
+        Bench.read(idle);
+        Socket busy = client(task("i1", 5000));
+        Bench.write(atWorker(), TAKEN);
+        Socket other = client(task("i2", 5000));
+        Socket latest = atWorker();
+        Bench.write(latest, TAKEN);
+        Socket calls = done(null, "i2");
+        Bench.read(other);
+        assertEquals(call("POST", "/v1/scheduler/drain"), 200);
+        assertEquals(healthz(), "503");
+        assertEquals(call("GET", "/v1/readyz"), 200);
+        assertEquals(idle.getInputStream().read(), -1);
+        assertEquals(other.getInputStream().read(), -1);
+        done(calls, "i1");
+        String answer = Bench.read(busy);
+        assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.contains("Connection: close\r\n"), answer);
+        assertEquals(busy.getInputStream().read(), -1);
+        assertEquals(call("POST", "/v1/scheduler/activate"), 200);
+        assertEquals(healthz(), "200");
+        Socket again = client(task("i3", 3000));
+        assertTrue(Bench.read(latest).contains("X-Correlation-Id: i3\r\n"));
+        Bench.write(latest, TAKEN);
+        done(calls, "i3");
+        answer = Bench.read(again);
+        assertTrue(answer.startsWith("HTTP/1.1 200 ") && !answer.contains("close"), answer);
+    }
+
+    @Test
+    public void withoutAnAddressThereIsNoSecondListener() throws Exception {
+        NodeConfiguration plain = new NodeConfiguration(ConfigurationTest.tree(ConfigurationTest.NODE),
+            Map.of());
+        assertEquals(plain.management, null);
+        Daemon other = new Daemon(plain);
+        assertEquals(other.management, null);
+        other.loop.stop();
+        assertFalse(other.door == null);
+    }
+}
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -449,9 +449,8 @@
         start();
         Socket client = say(task("i1", 3000));
         work(TAKEN);
-        daemon.loop.enter(daemon::leave);
+        daemon.loop.enter(() -> daemon.leave(daemon.loop.now() - 2600));
         assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 503 "));
-        daemon.loop.enter(() -> daemon.lookForEnd(daemon.loop.now() + 3000));
         callBack("i1", "s-1", "done");
         String answer = Bench.read(client);
         assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.contains("Connection: close\r\n"), answer);
@@ -467,8 +466,7 @@
         Socket atWorker = work(TAKEN);
         callBack("i1", "s-1", "done");
         Bench.read(client);
-        daemon.loop.enter(daemon::leave);
-        daemon.loop.enter(() -> daemon.lookForEnd(daemon.loop.now() + 1500));
+        daemon.loop.enter(() -> daemon.leave(daemon.loop.now() - 1500));
         Bench.write(client, task("i2", 3000));
         assertTrue(Bench.read(atWorker).contains("X-Correlation-Id: i2\r\n"));
         Bench.write(atWorker, TAKEN);
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -610,4 +610,54 @@
         assertTrue(t.held && t.lookAt > 4, "not held");
         assertTrue(t.lookAt <= t.due - t.work, "looked at again at " + t.lookAt);
     }
+
+    /** The operators' ban is theirs: no word of the list, and no start it tells, ends it. */
+    @Test
+    public void aSuspendedWorkerGetsNothingUntilItIsResumed() {
+        Bench b = Bench.of(SAFE).start(2);
+        b.d.suspended(10, 0);
+        for (int i = 0; i < 20; i++) {
+            b.arrive(0, 11 + i);
+        }
+        b.list(40, true, 2, Dispatcher.GONE, 0);
+        b.list(41, true, 2, Dispatcher.RUNNING, 40);
+        b.d.suspended(42, 0);
+        for (int i = 0; i < 20; i++) {
+            b.arrive(0, 43 + i);
+        }
+        assertTrue(b.sent.stream().noneMatch(a -> a.worker == 0));
+        assertTrue(b.d.banned(0) && !b.d.banned(1));
+    }
+
+    /** Guards rule four: it comes back cold, perhaps before the list tells so; a single call puts it back. */
+    @Test
+    public void aResumedWorkerIsUsedAtOnceAndHeldToTheColdBudget() {
+        Bench b = Bench.of(SAFE);
+        b.settings.profiles[0].dueTime = 1000;
+        b.start(1);
+        Assignment a = b.sentTo(b.task(0, 5, 100), 0, 5);
+        b.d.suspended(10, 0);
+        b.d.suspended(11, 0);
+        b.d.ended(20, a, Outcome.UNREACHABLE, false, null);
+        assertEquals(b.count("send"), 0);
+        b.d.resumed(1000, 0);
+        assertEquals(b.d.fleet.startedAt[0], 1000.0);
+        assertEquals(b.d.failNow(0, 0), 0.0);
+        for (int i = 0; i < 50; i++) {
+            b.arrive(0, 1000 + i);
+        }
+        assertTrue(b.count("send") > 0, "it is weighed again");
+        assertTrue(b.count("send") < 10, b.count("send") + " sends to a cold worker");
+    }
+
+    @Test
+    public void aStartToldUnderTheBanIsTheOneThatCounts() {
+        Bench b = Bench.of(SAFE).start(1);
+        b.d.suspended(10, 0);
+        b.list(900, true, 1, Dispatcher.RUNNING, 500);
+        b.d.resumed(1000, 0);
+        assertEquals(b.d.fleet.startedAt[0], 500.0);
+        b.d.resumed(1001, 0);
+        assertEquals(b.d.fleet.startedAt[0], 500.0, "what is not banned is left as it is");
+    }
 }
