--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -1,16 +1,23 @@
 package gingerspool.daemon;
 
+import gingerspool.handover.Handover;
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Door;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.ManagementDoor;
 import gingerspool.wire.Message;
+import gingerspool.wire.Tree;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,9 +32,12 @@
     private static final int WORKER_SHARE = 4;
     /** The part of clients' descriptors that tasks may hold, so that call-backs and health checks get in. */
     private static final double TASK_SHARE = 0.8;
+    /** What a process holds for itself at the least, and the fewest that it shares out. */
+    private static final int OWN = 24;
+    private static final int LEAST = 16;
     private static final double SUMMARY_EVERY = 10_000;
     /** Places for operators' calls, out of the reserve. */
-    private static final int CALLS = 16;
+    private static final int CALLS = 24;
     /** After SIGTERM clients come for a while; then the longest expiry may pass, or this if less. */
     private static final double LONGEST = 3000;
     /** What is not answered so long before the end of that is abandoned. */
@@ -48,6 +58,10 @@
     /** Null where operators have no address to call. */
     final ManagementDoor management;
     private boolean looking;
+    /** Null where no other process can follow this one. */
+    private final Handover handover;
+    private boolean listening;
+    private ExecutorService files;
 
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
@@ -55,9 +69,17 @@
         int toClients = node.sockets - RESERVE - toWorkers;
         loop = new Loop();
         scheduler = new Scheduler(loop, node, (int) (TASK_SHARE * toClients), toWorkers);
-        door = new Door(loop, node.listen, toClients, scheduler);
+        door = new Door(loop, node.listen, node.management != null, toClients, scheduler);
         management = node.management == null ? null
             : new ManagementDoor(loop, node.management, CALLS, new Operators());
+        handover = management == null || node.scratch == null ? null : handover();
+        if (handover != null) {
+            scheduler.elsewhere(handover::callBack);
+        }
+        if (handover == null || !handover.hasNote()) {
+            door.listen();
+            listening = true;
+        }
     }
 
     /** Where the configuration of the process comes from. */
@@ -115,22 +137,35 @@
 
     void begin() {
         try {
-            scheduler.begin(node.known);
-            door.open();
-            life.started();
             if (management != null) {
                 management.open();
             }
-            LOG.atInfo().addKeyValue("name", node.name).addKeyValue("at", Address.text(node.listen))
-                .log("serving");
+            if (handover == null) {
+                scheduler.begin(node.known, true);
+                serve();
+            } else {
+                handover.begin();
+            }
             summarise();
         } catch (BadMessage e) {
-            LOG.atError().addKeyValue("why", "known is " + e.getMessage()).log("config.fault");
-            exitCode = 2;
-            ended.countDown();
+            unusable(e);
         }
     }
 
+    private void unusable(BadMessage known) {
+        LOG.atError().addKeyValue("why", "known is " + known.getMessage()).log("config.fault");
+        exitCode = 2;
+        ended.countDown();
+    }
+
+    private void serve() {
+        door.open();
+        life.started();
+        LOG.atInfo().addKeyValue("name", node.name).addKeyValue("at", Address.text(node.listen))
+            .log("serving");
+        look();
+    }
+
     private void summarise() {
         LoggingEventBuilder line = LOG.atInfo();
         scheduler.summary(line);
@@ -174,7 +209,7 @@
     private void act() {
         double now = loop.now();
         door.ready(life.isReady());
-        door.lastAnswers(life.lastAnswers(now));
+        door.lastAnswers(life.lastAnswers(now), life.isSucceeded());
         if (life.idleMost(now) < Double.POSITIVE_INFINITY) {
             door.closeIdle(life.idleMost(now), life.isClosing(now));
         }
@@ -194,7 +229,7 @@
         if (unanswered == 0 && (life.isClosing(now) || door.connections() == 0)) {
             door.shut();
         }
-        if (unanswered == 0 && door.connections() == 0) {
+        if (unanswered == 0 && (life.isSucceeded() ? door.ofClients() : door.connections()) == 0) {
             LoggingEventBuilder line = LOG.atInfo();
             scheduler.summary(line);
             line.log("left");
@@ -202,6 +237,156 @@
         }
     }
 
+    private void setDrained(boolean drained) {
+        if (drained) {
+            life.drain(loop.now());
+        } else {
+            life.activate();
+        }
+        look();
+    }
+
+    // ---- Another process before or after this one ----
+
+    private Handover handover() throws IOException {
+        files = Executors.newSingleThreadExecutor(r -> {
+            Thread t = new Thread(r, "files");
+            t.setDaemon(true);
+            return t;
+        });
+        return new Handover(loop, files, loop::enter, node.scratch, node.name,
+            (InetSocketAddress) management.address(), node.deployment.connectWithin, new Household());
+    }
+
+    /** What hand-over does here. */
+    private final class Household implements Handover.House {
+        /** The list was told, and is followed. */
+        private boolean begun;
+
+        @Override
+        public Map<String, Object> state() {
+            Map<String, Object> state = new LinkedHashMap<>();
+            state.put("discovery", scheduler.discovery() == null ? "" : Address.text(scheduler.discovery()));
+            state.put("list", scheduler.list());
+            return state;
+        }
+
+        @Override
+        public void take(Object state) throws BadMessage {
+            List<String> suspended = Handover.suspended(state);
+            if (!(Tree.at(state, "list") instanceof Map)) {
+                throw new BadMessage(400, "without a list");
+            }
+            String of = scheduler.discovery() == null ? "" : Address.text(scheduler.discovery());
+            // Told a second time, the list may be older than what discovery has told since the first.
+            if (!begun) {
+                scheduler.begin(Tree.at(state, "list"), Tree.text("", state, "discovery").equals(of));
+                begun = true;
+            }
+            scheduler.suspendJust(suspended);
+            setDrained(Tree.mark(state, "drained"));
+        }
+
+        @Override
+        public void ban(List<String> suspended, boolean drained) {
+            try {
+                if (!begun) {
+                    scheduler.begin(node.known, true);
+                    begun = true;
+                }
+            } catch (BadMessage e) {
+                unusable(e);
+            }
+            scheduler.suspendJust(suspended);
+            setDrained(drained);
+        }
+
+        @Override
+        public void bind() throws IOException {
+            if (!listening) {
+                door.listen();
+                listening = true;
+            }
+        }
+
+        @Override
+        public void serve() {
+            Daemon.this.serve();
+        }
+
+        @Override
+        public void retire() {
+            life.succeeded(loop.now());
+            door.retire();
+            listening = false;
+            scheduler.mostToWorkers(Math.max(LEAST, scheduler.toWorkers()));
+            look();
+        }
+
+        @Override
+        public void takeBack() {
+            life.aloneAgain();
+            share(0);
+            try {
+                bind();
+                door.open();
+            } catch (IOException e) {
+                LOG.atError().addKeyValue("why", e.getMessage()).log("listen.failed");
+            }
+            look();
+        }
+
+        @Override
+        public void sharesWith(int descriptors) {
+            share(descriptors);
+        }
+
+        @Override
+        public int descriptors() {
+            return OWN + door.connections() + scheduler.toWorkers();
+        }
+
+        @Override
+        public List<String> suspended() {
+            return List.copyOf(scheduler.suspended());
+        }
+
+        @Override
+        public boolean isDrained() {
+            return life.isDrained();
+        }
+
+        @Override
+        public void word(String what, String worker) {
+            LOG.atInfo().addKeyValue("call", what).addKeyValue("worker", worker).log("handover.word");
+            switch (what) {
+                case "suspend", "resume" -> scheduler.suspend(worker, what.equals("suspend"));
+                case "drain", "activate" -> setDrained(what.equals("drain"));
+                default -> LOG.atWarn().addKeyValue("call", what).log("handover.word_unknown");
+            }
+        }
+
+        @Override
+        public boolean told(byte[] callBack) throws BadMessage {
+            return door.callBack(callBack);
+        }
+
+        @Override
+        public void fail(String why) {
+            LOG.atError().addKeyValue("why", why).log("start.failed");
+            exitCode = 1;
+            ended.countDown();
+        }
+    }
+
+    /** Shares out the descriptors between clients and workers while another process holds so many. */
+    private void share(int held) {
+        int left = Math.max(LEAST, node.sockets - RESERVE - held);
+        int toWorkers = left / WORKER_SHARE;
+        scheduler.mostToWorkers(toWorkers);
+        door.most(left - toWorkers);
+    }
+
     /** What operators' calls do here. */
     private final class Operators implements ManagementDoor.Office {
         @Override
@@ -211,28 +396,41 @@
 
         @Override
         public void suspend(String worker, boolean suspended, ManagementDoor.Reply reply) {
-            boolean known = scheduler.suspend(worker, suspended);
-            LOG.atInfo().addKeyValue("worker", worker).addKeyValue("known", known)
-                .log(suspended ? "worker.suspended" : "worker.resumed");
-            reply.answer(known ? ManagementDoor.Answer.YES : ManagementDoor.Answer.UNKNOWN);
+            boolean known = life.hasStarted() && scheduler.suspend(worker, suspended);
+            if (!life.hasStarted()) {
+                reply.answer(ManagementDoor.Answer.NO);
+            } else if (!known) {
+                reply.answer(ManagementDoor.Answer.UNKNOWN);
+            } else {
+                spread(suspended ? "suspend" : "resume", worker, reply);
+            }
         }
 
         @Override
         public void drain(boolean drained, ManagementDoor.Reply reply) {
-            if (drained) {
-                life.drain(loop.now());
+            if (!life.hasStarted()) {
+                reply.answer(ManagementDoor.Answer.NO);
+                return;
+            }
+            setDrained(drained);
+            spread(drained ? "drain" : "activate", "", reply);
+        }
+
+        /** Yes once whoever else has to know it does. */
+        private void spread(String what, String worker, ManagementDoor.Reply reply) {
+            LOG.atInfo().addKeyValue("call", what).addKeyValue("worker", worker)
+                .addKeyValue("in_hand", scheduler.unanswered()).log("operators.call");
+            if (handover == null) {
+                reply.answer(ManagementDoor.Answer.YES);
             } else {
-                life.activate();
+                handover.word(what, worker, told -> reply.answer(
+                    told ? ManagementDoor.Answer.YES : ManagementDoor.Answer.NO));
             }
-            LOG.atInfo().addKeyValue("in_hand", scheduler.unanswered())
-                .log(drained ? "drained" : "activated");
-            look();
-            reply.answer(ManagementDoor.Answer.YES);
         }
 
         @Override
         public boolean takes(Inbound from, Message request) {
-            return false;
+            return handover != null && handover.takes(from, request);
         }
     }
 }
--- a/src/main/java/gingerspool/daemon/Life.java
+++ b/src/main/java/gingerspool/daemon/Life.java
@@ -55,6 +55,10 @@
 
     // ---- What follows ----
 
+    boolean hasStarted() {
+        return started;
+    }
+
     boolean isDrained() {
         return !Double.isNaN(drainedAt);
     }
--- a/src/main/java/gingerspool/daemon/NodeConfiguration.java
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -25,6 +25,8 @@
     /** The list of workers as last held, in discovery's form, or null. */
     public final Object known;
     public final Configuration deployment;
+    /** A folder for files that the next process of this scheduler may read, or null. */
+    public final Path scratch;
     private final Map<?, ?> tree;
 
     public static NodeConfiguration read(Map<String, String> environment) throws ConfigurationException {
@@ -53,6 +55,8 @@
             : address(all.at("discovery"), environment.get("GW_DISCOVERY"));
         String operators = all.at("management").text(environment.getOrDefault("GW_MANAGEMENT", ""));
         management = operators.isEmpty() ? null : address(all.at("management"), operators);
+        String folder = environment.getOrDefault("TMPDIR", "");
+        scratch = folder.isEmpty() ? null : Path.of(folder);
         seed = seed(all.at("seed"));
         sockets = all.at("limits").object().at("sockets").whole(1024);
         if (sockets < 64) {
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -11,6 +11,7 @@
 import gingerspool.store.HeldTask;
 import gingerspool.store.Pool;
 import gingerspool.store.Roster;
+import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Door;
 import gingerspool.wire.Inbound;
@@ -21,11 +22,18 @@
 import gingerspool.wire.Watch;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Future;
+import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -38,6 +46,7 @@
     /** How far ahead of its expiry a task's answer is due here, in times that answers may be late by. */
     private static final double AHEAD = 4;
 
+    private static final String[] HEALTH = {"DELETED", "DRAINING", "SERVING"};
     private static final String[] STATES = {"gone", "draining", "running"};
     /** How long a client's wait may be where its profile does not say. */
     private static final double LONGEST_WAIT = 60_000;
@@ -56,6 +65,7 @@
     private final double ahead;
     /** What the operator's file says of each task; null where there is no such file. */
     private Routes routes;
+    private BiConsumer<byte[], IntConsumer> elsewhere;
     private Watch watch;
     private double watchPause = WATCH_PAUSE;
     private long version;
@@ -78,12 +88,16 @@
         dispatcher = new Dispatcher(deployment.settings, node.seed, this);
     }
 
-    /** Begins with the list as last held, which may be old or null, and asks for the present one. */
-    void begin(Object known) throws BadMessage {
+    /**
+     * Begins with the list as last held, which may be old or null, and asks for the present one. Versions of
+     * another discovery say nothing here.
+     */
+    void begin(Object known, boolean ofThisDiscovery) throws BadMessage {
         if (known != null) {
             remembered = discovery != null;
             Watch.tell(known, this);
             remembered = false;
+            version = ofThisDiscovery ? version : 0;
         }
         dispatcher.wake(turns.now());
         if (!deployment.settings.listOnRequest) {
@@ -136,12 +150,16 @@
             pool.empty(w);
         }
         pool.keep(w, state == Dispatcher.RUNNING && !suspended.contains(host));
+        roster.says(w, new Roster.Entry(zone, kind, cell, size, started));
         if (roster.turns(w, state)) {
             LOG.atInfo().addKeyValue("worker", host).addKeyValue("zone", zone)
                 .addKeyValue("state", STATES[state]).log("worker.listed");
         }
         dispatcher.listed(w, deployment.zones.getOrDefault(zone, -1), deployment.kinds.getOrDefault(kind, 0),
             cell, roster.address(w) == null ? Dispatcher.GONE : state, size, started);
+        if (suspended.contains(host)) {
+            dispatcher.suspended(turns.now(), w);
+        }
     }
 
     @Override
@@ -217,6 +235,65 @@
         return suspended;
     }
 
+    /** Just these are kept out of use, whether they are listed yet or not. */
+    void suspendJust(Collection<String> names) {
+        for (String name : List.copyOf(suspended)) {
+            if (!names.contains(name)) {
+                suspend(name, false);
+            }
+        }
+        for (String name : names) {
+            suspend(name, true);
+            suspended.add(name);
+        }
+    }
+
+    // ---- What another process is told ----
+
+    /** The list as last held, in discovery's form, with all workers that it ever named. */
+    Map<String, Object> list() {
+        List<Object> hosts = new ArrayList<>();
+        for (int w = 0; w < roster.size(); w++) {
+            Roster.Entry e = roster.entry(w);
+            if (e == null) {
+                continue;
+            }
+            Map<String, Object> host = new LinkedHashMap<>();
+            host.put("host", roster.name(w));
+            host.put("dial", roster.address(w) == null ? "" : Address.text(roster.address(w)));
+            host.put("site", e.zone());
+            host.put("class", e.kind());
+            host.put("block", e.cell());
+            host.put("health", HEALTH[roster.state(w)]);
+            host.put("share", e.size());
+            host.put("born_ms", dispatcher.startedAt(w));
+            hosts.add(host);
+        }
+        Map<String, Object> list = new LinkedHashMap<>();
+        list.put("seq", version);
+        list.put("whole", true);
+        list.put("hosts", hosts);
+        return list;
+    }
+
+    InetSocketAddress discovery() {
+        return discovery;
+    }
+
+    /** From now on so many connections to workers at the most. */
+    void mostToWorkers(int connections) {
+        pool.most(connections);
+    }
+
+    int toWorkers() {
+        return pool.size();
+    }
+
+    /** Who else may own a task that is not ours; null: nobody. */
+    void elsewhere(BiConsumer<byte[], IntConsumer> others) {
+        elsewhere = others;
+    }
+
     // ---- Tasks come and go ----
 
     @Override
@@ -348,11 +425,12 @@
     }
 
     @Override
-    public void told(String id, String from, String state, double share, String result, Object load) {
+    public boolean told(String id, String from, String state, double share, String result, Object load) {
         HeldTask t = hand.find(id);
-        Errand errand = t == null ? null : outAt(t, roster.find(from));
+        int worker = roster.find(from);
+        Errand errand = t == null ? null : outAt(t, worker);
         if (errand == null) {
-            return;
+            return t != null && t.errands.stream().anyMatch(e -> e.assignment.worker == worker);
         }
         Outcome how = ToWorker.outcome(state);
         if (how != null) {
@@ -362,6 +440,16 @@
         } else if (state.equals("running")) {
             dispatcher.progressed(turns.now(), errand.assignment, share);
         }
+        return true;
+    }
+
+    @Override
+    public void elsewhere(byte[] callBack, IntConsumer status) {
+        if (elsewhere == null) {
+            status.accept(200);
+        } else {
+            elsewhere.accept(callBack, status);
+        }
     }
 
     private void end(Errand errand, Outcome how, String result, Object load) {
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -279,6 +279,11 @@
         lookAgain();
     }
 
+    /** When the worker is held to have started, at Unix time; 0 for long ago. */
+    public double startedAt(int w) {
+        return fleet.startedAt[w];
+    }
+
     public boolean banned(int w) {
         return !Double.isNaN(fleet.bannedAt[w]);
     }
--- /dev/null
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -0,0 +1,495 @@
+package gingerspool.handover;
+
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Json;
+import gingerspool.wire.Message;
+import gingerspool.wire.Tree;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out what Succession decides: calls to the other process, calls from it, and the note. */
+public final class Handover {
+    private static final Logger LOG = LoggerFactory.getLogger(Handover.class);
+    /** How long the other process may take over a word or a call-back, in milliseconds. */
+    private static final double PATIENCE = 700;
+    /** The same for telling its state, and for retiring. */
+    private static final double PATIENCE_STATE = 2000;
+    private static final double PATIENCE_RETIRE = 1000;
+    /** An heir that has taken over holds a call open from then on, this soon. */
+    private static final double HELD_WITHIN = 2000;
+    private static final String PATH = "/v1/link/";
+    private static final byte[] NOTHING = new byte[0];
+
+    /** What the process does for it. */
+    public interface House {
+        /** All that the next process is to know. */
+        Map<String, Object> state();
+
+        /** The state that the process before this one told, whole. */
+        void take(Object state) throws BadMessage;
+
+        /** What the note says where no state could be had. */
+        void ban(List<String> suspended, boolean drained);
+
+        /** Listens for clients, beside the other process; serves them only from serve() on. */
+        void bind() throws IOException;
+
+        void serve();
+
+        /** Takes no more clients: another process has them. */
+        void retire();
+
+        /** That process is gone: takes clients again. */
+        void takeBack();
+
+        /** The other process holds so many descriptors of those that both share. */
+        void sharesWith(int descriptors);
+
+        int descriptors();
+
+        /** The workers under a ban, and whether the scheduler is drained. */
+        List<String> suspended();
+
+        boolean isDrained();
+
+        /** An operator's word from the other process: suspend, resume, drain or activate. */
+        void word(String what, String worker);
+
+        /** A call-back that came to the other process; tells whether it is about a task of this one. */
+        boolean told(byte[] callBack) throws BadMessage;
+
+        /** It can't go on. */
+        void fail(String why);
+    }
+
+    private final Turns turns;
+    private final Executor files;
+    private final Executor loop;
+    private final Path file;
+    private final InetSocketAddress own;
+    private final double connectWithin;
+    private final House house;
+    private final Succession succession = new Succession();
+    private final Note found;
+    private String token = "";
+    private Peer before;
+    private Peer after;
+    /** How often we have asked for the state, and the number of the last word that came since. */
+    private long asks;
+    private long heard;
+    private final List<Runnable> early = new ArrayList<>();
+    private int forwarded;
+
+    /**
+     * Reads the note in the folder at once. Files are written by `files`, whose ends are told by `loop`; own is
+     * where this process is called.
+     */
+    public Handover(Turns turns, Executor files, Executor loop, Path folder, String name,
+        InetSocketAddress own, double connectWithin, House house) {
+        this.turns = turns;
+        this.files = files;
+        this.loop = loop;
+        this.own = own;
+        this.connectWithin = connectWithin;
+        this.house = house;
+        file = Note.path(folder, name);
+        found = Note.read(file);
+    }
+
+    /** The workers under a ban that a state tells of. */
+    public static List<String> suspended(Object state) throws BadMessage {
+        return Note.names(state);
+    }
+
+    /** Whether a note names a process before this one. */
+    public boolean hasNote() {
+        return found != null;
+    }
+
+    // ---- As the later process ----
+
+    public void begin() {
+        byte[] secret = new byte[16];
+        new SecureRandom().nextBytes(secret);
+        token = HexFormat.of().formatHex(secret);
+        act(succession.begin(found != null));
+    }
+
+    private void act(Succession.Act act) {
+        switch (act) {
+            case ASK -> ask();
+            case SERVE_ALONE -> serveAlone();
+            case TAKE -> askToRetire();
+            case SERVE -> serve();
+            case TAKE_BACK -> {
+                after.close();
+                after = null;
+                LOG.atWarn().log("handover.heir_gone");
+                house.takeBack();
+                note(() -> { });
+            }
+            default -> { }
+        }
+    }
+
+    private void ask() {
+        try {
+            before = before == null ? new Peer(turns, Address.read(found.at()), found.token(), own, connectWithin)
+                : before;
+        } catch (BadMessage e) {
+            stateFailed("its address is " + e.getMessage());
+            return;
+        }
+        heard = 0;
+        asks++;
+        early.clear();
+        before.words.call("join", body(Map.of("v", Note.VERSION, "token", token, "ask", asks)), PATIENCE_STATE,
+            (status, body) -> {
+                try {
+                    if (status != 200) {
+                        stateFailed(status == 0 ? "no answer" : "status " + status);
+                        return;
+                    }
+                    Object state = Json.read(body, 0, body.length);
+                    if (Tree.number(0, state, "v") != Note.VERSION) {
+                        throw new BadMessage(400, "of another version");
+                    }
+                    house.take(state);
+                    LOG.atInfo().addKeyValue("bytes", body.length).log("handover.state");
+                    act(succession.stateCame());
+                } catch (BadMessage e) {
+                    stateFailed("the state is " + e.getMessage());
+                }
+            });
+    }
+
+    private void stateFailed(String why) {
+        LOG.atWarn().addKeyValue("why", why).addKeyValue("bans", found.suspended().size())
+            .log("handover.no_state");
+        act(succession.stateFailed());
+    }
+
+    private void serveAlone() {
+        dropBefore();
+        house.ban(found == null ? List.of() : found.suspended(), found != null && found.drained());
+        if (bind()) {
+            serve();
+        }
+    }
+
+    private boolean bind() {
+        try {
+            house.bind();
+            return true;
+        } catch (IOException e) {
+            house.fail(e.getMessage());
+            return false;
+        }
+    }
+
+    private void askToRetire() {
+        runEarly();
+        if (!bind()) {
+            return;
+        }
+        before.words.call("take", body(Map.of("n", heard)), PATIENCE_RETIRE, (status, body) -> {
+            if (status == 200) {
+                house.sharesWith(descriptors(body));
+                act(succession.retired());
+                before.held.call("hold", NOTHING, 0, (ended, none) -> beforeGone());
+            } else if (status == 409) {
+                act(succession.refused());
+            } else {
+                LOG.atWarn().addKeyValue("status", status).log("handover.not_retired");
+                Succession.Act then = succession.beforeGone();
+                dropBefore();
+                act(then);
+            }
+        });
+    }
+
+    private static int descriptors(byte[] body) {
+        try {
+            return (int) Tree.number(0, Json.read(body, 0, body.length), "descriptors");
+        } catch (BadMessage e) {
+            return 0;
+        }
+    }
+
+    private void serve() {
+        runEarly();
+        house.serve();
+        note(() -> { });
+    }
+
+    private void beforeGone() {
+        if (before != null) {
+            LOG.atInfo().log("handover.alone");
+            dropBefore();
+            act(succession.beforeGone());
+        }
+    }
+
+    private void dropBefore() {
+        if (before != null) {
+            Peer was = before;
+            before = null;
+            was.close();
+            house.sharesWith(0);
+        }
+    }
+
+    /** Words that came before the state are later than it. */
+    private void runEarly() {
+        List<Runnable> all = List.copyOf(early);
+        early.clear();
+        all.forEach(Runnable::run);
+    }
+
+    // ---- Operators' words, and the note ----
+
+    /** Tells the other processes and the note; then says whether all have it. */
+    public void word(String what, String worker, Consumer<Boolean> done) {
+        spread(what, worker, "", done);
+    }
+
+    /** All but the one that it came from are told. */
+    private void spread(String what, String worker, String except, Consumer<Boolean> done) {
+        Waiting all = new Waiting(done);
+        if (after != null && !after.name().equals(except) && succession.word()) {
+            all.add();
+            tell(after, what, worker, all);
+        }
+        if (before != null && !before.name().equals(except)
+            && succession.before() == Succession.Before.BESIDE) {
+            all.add();
+            tell(before, what, worker, all);
+        }
+        if (succession.after() != Succession.After.SUCCEEDED) {
+            all.add();
+            note(() -> all.one(true));
+        }
+        all.one(true);
+    }
+
+    /** Waits for some answers, of which the one that it is made with is the first. */
+    private static final class Waiting {
+        private final Consumer<Boolean> done;
+        private int left = 1;
+        private boolean good = true;
+
+        Waiting(Consumer<Boolean> done) {
+            this.done = done;
+        }
+
+        void add() {
+            left++;
+        }
+
+        void one(boolean well) {
+            good &= well;
+            if (--left == 0) {
+                done.accept(good);
+            }
+        }
+    }
+
+    private void tell(Peer peer, String what, String worker, Waiting all) {
+        Map<String, Object> word = new LinkedHashMap<>();
+        word.put("do", what);
+        word.put("worker", worker);
+        word.put("n", ++peer.told);
+        word.put("ask", peer.ask);
+        peer.words.call("word", body(word), PATIENCE, (status, body) -> {
+            if (status != 200) {
+                LOG.atWarn().addKeyValue("word", what).addKeyValue("status", status)
+                    .log("handover.word_untold");
+            }
+            // Guards against a no for want of a process that is gone: what it had, it takes with it.
+            all.one(status == 200 || peer != before && peer != after);
+        });
+    }
+
+    /** Writes the note beside the loop; what can't be written is told, and holds nothing up. */
+    private void note(Runnable written) {
+        Note note = new Note(Address.text(own), token, house.suspended(), house.isDrained());
+        files.execute(() -> {
+            try {
+                note.write(file);
+            } catch (IOException | RuntimeException e) {
+                LOG.atWarn().addKeyValue("file", file).addKeyValue("why", e.toString())
+                    .log("handover.note_unwritten");
+            }
+            loop.execute(written);
+        });
+    }
+
+    // ---- Call-backs ----
+
+    /** A call-back for no task of ours: the status it is to be answered with, once the others have seen it. */
+    public void callBack(byte[] call, IntConsumer answer) {
+        forward(call, "", answer);
+    }
+
+    private void forward(byte[] call, String except, IntConsumer answer) {
+        List<Peer> to = new ArrayList<>();
+        for (Peer p : new Peer[] {before, after}) {
+            if (p != null && !p.name().equals(except) && (p == before
+                ? succession.before() != Succession.Before.ASKED
+                : succession.after() == Succession.After.SUCCEEDED)) {
+                to.add(p);
+            }
+        }
+        // Whoever can't be asked and is not gone may own it: the worker then tells it again.
+        Waiting all = new Waiting(heard -> answer.accept(heard ? 200 : 503));
+        for (Peer p : to) {
+            forwarded++;
+            all.add();
+            p.callBacks.call("callback", call, PATIENCE, (status, body) ->
+                all.one(status > 0 && status != 503 || p != before && p != after));
+        }
+        all.one(true);
+    }
+
+    /** How many call-backs went to another process since the last call. */
+    public int forwarded() {
+        int n = forwarded;
+        forwarded = 0;
+        return n;
+    }
+
+    // ---- Calls from the other process ----
+
+    /** Whether this request to the management address is for us; it is then answered. */
+    public boolean takes(Inbound from, Message request) {
+        if (!request.target().startsWith(PATH)) {
+            return false;
+        }
+        String said = request.field("x-token");
+        if (said == null || token.isEmpty() || !MessageDigest.isEqual(
+            said.getBytes(StandardCharsets.ISO_8859_1), token.getBytes(StandardCharsets.ISO_8859_1))) {
+            LOG.atWarn().addKeyValue("path", request.target()).log("handover.stranger");
+            from.endAfterAnswer(true);
+            from.answer(404, List.of(), "no such path\n");
+            return true;
+        }
+        String who = request.field("x-from") == null ? "" : request.field("x-from");
+        try {
+            call(from, who, request.target().substring(PATH.length()), request.body());
+        } catch (BadMessage e) {
+            from.answer(400, List.of(), e.getMessage() + "\n");
+        }
+        return true;
+    }
+
+    private void call(Inbound from, String who, String path, byte[] body) throws BadMessage {
+        switch (path) {
+            case "join" -> joined(from, who, Json.read(body, 0, body.length));
+            case "take" -> take(from, who, (long) Tree.number(-1, Json.read(body, 0, body.length), "n"));
+            case "hold" -> {
+                if (after == null || !after.name().equals(who)) {
+                    from.answer(409, List.of(), "not the heir\n");
+                } else {
+                    after.holds = true;
+                    from.whenGone(() -> heirGone(who));
+                }
+            }
+            case "word" -> word(from, who, Json.read(body, 0, body.length));
+            case "callback" -> {
+                if (house.told(body)) {
+                    from.answer(200, List.of(), NOTHING);
+                } else {
+                    forward(body, who, status -> from.answer(status == 200 ? 404 : status, List.of(), NOTHING));
+                }
+            }
+            default -> from.answer(404, List.of(), "no such path\n");
+        }
+    }
+
+    private void joined(Inbound from, String who, Object call) throws BadMessage {
+        if (Tree.number(0, call, "v") != Note.VERSION) {
+            throw new BadMessage(400, "v is not " + Note.VERSION);
+        }
+        Peer heir = new Peer(turns, Address.read(who), Tree.text("", call, "token"), own, connectWithin);
+        if (succession.asked(who) != Succession.Act.TELL) {
+            from.answer(409, List.of(), "not serving\n");
+            return;
+        }
+        if (after != null) {
+            after.close();
+        }
+        after = heir;
+        after.ask = (long) Tree.number(0, call, "ask");
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("v", Note.VERSION);
+        state.put("suspended", house.suspended());
+        state.put("drained", house.isDrained());
+        state.putAll(house.state());
+        LOG.atInfo().addKeyValue("heir", who).log("handover.joined");
+        from.answer(200, List.of(), body(state));
+    }
+
+    private void take(Inbound from, String who, long words) {
+        if (succession.asksToTake(who, words) != Succession.Act.RETIRE) {
+            from.answer(409, List.of(), "not yet\n");
+            return;
+        }
+        LOG.atInfo().addKeyValue("heir", who).log("handover.retired");
+        house.retire();
+        from.answer(200, List.of(), body(Map.of("descriptors", house.descriptors())));
+        Peer heir = after;
+        turns.after(HELD_WITHIN, () -> {
+            if (heir == after && !heir.holds) {
+                heirGone(who);
+            }
+        });
+    }
+
+    private void heirGone(String who) {
+        act(succession.heirGone(who));
+    }
+
+    private void word(Inbound from, String who, Object word) {
+        boolean fromBefore = before != null && before.name().equals(who);
+        if (fromBefore && !succession.isServing() && Tree.number(0, word, "ask") != asks) {
+            // Guards what is said later: the state that was asked for since has this word in it.
+            from.answer(200, List.of(), NOTHING);
+            return;
+        }
+        Runnable carry = () -> {
+            String what = Tree.text("", word, "do");
+            String worker = Tree.text("", word, "worker");
+            house.word(what, worker);
+            if (fromBefore) {
+                heard = (long) Tree.number(0, word, "n");
+            }
+            spread(what, worker, who, well -> from.answer(well ? 200 : 503, List.of(), NOTHING));
+        };
+        if (fromBefore && succession.before() == Succession.Before.ASKED) {
+            early.add(carry);
+        } else {
+            carry.run();
+        }
+    }
+
+    private static byte[] body(Map<String, ?> tree) {
+        return Json.write(tree).getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/handover/Note.java
@@ -0,0 +1,94 @@
+package gingerspool.handover;
+
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Json;
+import gingerspool.wire.Tree;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The file by which the next process finds this one: where it can be called, with which token, and the workers
+ * that are under a ban, which hold even if it can't be called any more. Written whole, then renamed.
+ */
+record Note(String at, String token, List<String> suspended, boolean drained) {
+    private static final Logger LOG = LoggerFactory.getLogger(Note.class);
+    static final int VERSION = 1;
+    private static final long MOST = 1024 * 1024;
+
+    static Path path(Path folder, String name) {
+        return folder.resolve("gingerspool-" + name.replaceAll("[^A-Za-z0-9_.-]", "_") + ".json");
+    }
+
+    /** What the file holds; null if there is none, or none that can be used, which is told in the log. */
+    static Note read(Path file) {
+        try {
+            if (Files.size(file) > MOST) {
+                throw new BadMessage(400, "longer than " + MOST + " bytes");
+            }
+            return read(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (NoSuchFileException e) {
+            return null;
+        } catch (IOException | BadMessage e) {
+            LOG.atWarn().addKeyValue("file", file).addKeyValue("why", e.getMessage())
+                .log("handover.note_unusable");
+            return null;
+        }
+    }
+
+    static Note read(String text) throws BadMessage {
+        Object tree = Json.read(text);
+        if (Tree.number(0, tree, "v") != VERSION) {
+            throw new BadMessage(400, "v is not " + VERSION);
+        }
+        return new Note(Tree.text("", tree, "at"), Tree.text("", tree, "token"), names(tree),
+            Tree.mark(tree, "drained"));
+    }
+
+    /** The names under `suspended`, of a note or a state. */
+    static List<String> names(Object tree) throws BadMessage {
+        List<String> names = new ArrayList<>();
+        if (Tree.at(tree, "suspended") instanceof List<?> list) {
+            for (Object o : list) {
+                if (!(o instanceof String s)) {
+                    throw new BadMessage(400, "suspended holds something that is no name");
+                }
+                names.add(s);
+            }
+        } else {
+            throw new BadMessage(400, "suspended is not a list");
+        }
+        return names;
+    }
+
+    String text() {
+        Map<String, Object> tree = new LinkedHashMap<>();
+        tree.put("v", VERSION);
+        tree.put("at", at);
+        tree.put("token", token);
+        tree.put("suspended", suspended);
+        tree.put("drained", drained);
+        return Json.write(tree) + "\n";
+    }
+
+    /** Guards against a reader that meets half of it, and against others who would call in our name. */
+    void write(Path file) throws IOException {
+        Path fresh = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        Files.deleteIfExists(fresh);
+        Files.createFile(fresh, PosixFilePermissions.asFileAttribute(Set.copyOf(
+            PosixFilePermissions.fromString("rw-------"))));
+        Files.writeString(fresh, text(), StandardCharsets.UTF_8);
+        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -0,0 +1,154 @@
+package gingerspool.handover;
+
+/**
+ * Which of two processes has the clients, without I/O. A process asks the one before it (if a note names one)
+ * for its state, binds, and takes over; later one after it may do the same. Each input is a call that returns
+ * what is to be done; what is not said by the rules below changes nothing.
+ */
+final class Succession {
+    /** Towards the process before this one: no such, asked for its state, asked to retire, lives on beside. */
+    enum Before { NONE, ASKED, TAKING, BESIDE }
+
+    /** Towards the one after: no such, it has the state, it has the clients. */
+    enum After { NONE, JOINED, SUCCEEDED }
+
+    /** What is to be done. */
+    enum Act {
+        /** Nothing. */
+        NONE,
+        /** Ask the process before this one for its state. */
+        ASK,
+        /** Use the state that came, bind, and ask the one before to retire. */
+        TAKE,
+        /** Use the note's bans, bind and serve. */
+        SERVE_ALONE,
+        /** Serve; the process before this one lives on until it has ended what it has. */
+        SERVE,
+        /** Tell the process after this one the state. */
+        TELL,
+        /** Stop taking clients: the process after this one has them. */
+        RETIRE,
+        /** Take clients again: the process after this one is gone. */
+        TAKE_BACK,
+        /** Say no: it has not had every word, or is not the latest to ask. */
+        REFUSE
+    }
+
+    private Before before = Before.NONE;
+    private After after = After.NONE;
+    private boolean serving;
+    /** Words told to the process after this one since it had the state. */
+    private long told;
+    private String heir = "";
+
+    Before before() {
+        return before;
+    }
+
+    After after() {
+        return after;
+    }
+
+    boolean isServing() {
+        return serving;
+    }
+
+    /** The process starts; a note names one before it or not. */
+    Act begin(boolean named) {
+        before = named ? Before.ASKED : Before.NONE;
+        serving = !named;
+        return named ? Act.ASK : Act.SERVE_ALONE;
+    }
+
+    /** The state came from the one before. */
+    Act stateCame() {
+        if (before != Before.ASKED) {
+            return Act.NONE;
+        }
+        before = Before.TAKING;
+        return Act.TAKE;
+    }
+
+    /** The one before has no state to tell, or none in time. */
+    Act stateFailed() {
+        if (before != Before.ASKED) {
+            return Act.NONE;
+        }
+        before = Before.NONE;
+        serving = true;
+        return Act.SERVE_ALONE;
+    }
+
+    /** The one before has retired. */
+    Act retired() {
+        if (before != Before.TAKING) {
+            return Act.NONE;
+        }
+        before = Before.BESIDE;
+        serving = true;
+        return Act.SERVE;
+    }
+
+    /** The one before will not retire yet: words have passed since the state was told. */
+    Act refused() {
+        if (before != Before.TAKING) {
+            return Act.NONE;
+        }
+        before = Before.ASKED;
+        return Act.ASK;
+    }
+
+    /** The one before has ended, or says nothing any more. */
+    Act beforeGone() {
+        Before was = before;
+        before = Before.NONE;
+        boolean first = !serving;
+        serving = true;
+        return was == Before.TAKING && first ? Act.SERVE : was == Before.ASKED ? Act.SERVE_ALONE : Act.NONE;
+    }
+
+    /** Another process asks for the state; the latest to ask is the heir. */
+    Act asked(String who) {
+        if (!serving || after == After.SUCCEEDED) {
+            return Act.REFUSE;
+        }
+        after = After.JOINED;
+        heir = who;
+        told = 0;
+        return Act.TELL;
+    }
+
+    /** An operator's word came that the heir must have; tells whether there is an heir to tell. */
+    boolean word() {
+        if (after == After.NONE) {
+            return false;
+        }
+        told++;
+        return true;
+    }
+
+    /** The heir has bound and asks us to retire; it has had so many words since the state. */
+    Act asksToTake(String who, long words) {
+        if (after != After.JOINED || !who.equals(heir) || !counted(words)) {
+            return Act.REFUSE;
+        }
+        after = After.SUCCEEDED;
+        return Act.RETIRE;
+    }
+
+    /** Whether just so many words were told. */
+    boolean counted(long words) {
+        return words == told;
+    }
+
+    /** The heir is gone. */
+    Act heirGone(String who) {
+        if (after == After.NONE || !who.equals(heir)) {
+            return Act.NONE;
+        }
+        boolean had = after == After.SUCCEEDED;
+        after = After.NONE;
+        heir = "";
+        return had ? Act.TAKE_BACK : Act.NONE;
+    }
+}
--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -19,7 +19,7 @@
     private final Turns turns;
     private final double connectWithin;
     private final Rest rest;
-    private final int most;
+    private int most;
     private final List<Berth> berths = new ArrayList<>();
     /** The longest at rest first. */
     private final Set<Outbound> resting = new LinkedHashSet<>();
@@ -89,6 +89,11 @@
         return connection;
     }
 
+    /** Holds so many connections at the most from now on. */
+    public void most(int connections) {
+        most = connections;
+    }
+
     /** Whether connections to this worker are kept at rest; if not, those that are get closed. */
     public void keep(int worker, boolean kept) {
         if (worker >= berths.size()) {
--- a/src/main/java/gingerspool/store/Roster.java
+++ b/src/main/java/gingerspool/store/Roster.java
@@ -12,6 +12,10 @@
     private final List<String> names = new ArrayList<>();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final List<Integer> states = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+
+    /** What the list last said of a worker besides, in its own words; a start at Unix time. */
+    public record Entry(String zone, String kind, int cell, double size, double started) { }
 
     /** The index of this worker, a new one if it has none. */
     public int index(String name) {
@@ -22,6 +26,7 @@
         names.add(name);
         addresses.add(null);
         states.add(-1);
+        entries.add(null);
         return names.size() - 1;
     }
 
@@ -49,6 +54,19 @@
         return states.get(worker);
     }
 
+    /** Notes what the list says of it besides. */
+    public void says(int worker, Entry entry) {
+        entries.set(worker, entry);
+    }
+
+    public Entry entry(int worker) {
+        return entries.get(worker);
+    }
+
+    public int size() {
+        return names.size();
+    }
+
     /** Notes where it listens; tells whether that has changed. */
     public boolean moves(int worker, InetSocketAddress address) {
         return address != null && !address.equals(addresses.set(worker, address));
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -27,28 +28,45 @@
         void arrived(Inbound client, String id, String profile, String tenant, double timeLeft, double hint,
             double width, double memory, boolean repeat, Message request);
 
-        /** A worker's word on an assignment; load is its report, or null. */
-        void told(String id, String from, String state, double share, String result, Object load);
+        /** A worker's word on an assignment; load is its report, or null. Tells whether the task is ours. */
+        boolean told(String id, String from, String state, double share, String result, Object load);
+
+        /** A worker's word on a task that is not ours, and the status to answer it with in the end. */
+        default void elsewhere(byte[] callBack, IntConsumer status) {
+            status.accept(200);
+        }
     }
 
     private final Turns turns;
     private final Desk desk;
     private int most;
-    private final Listener listener;
+    private final SocketAddress at;
+    /** Where other processes may listen at this address beside us. */
+    private final boolean shared;
+    /** Null while we don't listen. */
+    private Listener listener;
+    private Listener retired;
     private final Set<Inbound> all = new LinkedHashSet<>();
     /** The longest idle first. */
     private final Set<Inbound> idle = new LinkedHashSet<>();
     private boolean ready = true;
     private boolean lastAnswers;
+    private boolean lastCallBacks;
     private int turnedDown;
     private int refused;
 
-    /** Listens at once; holds so many connections at the most. */
-    public Door(Turns turns, SocketAddress at, int most, Desk desk) throws IOException {
+    /** Holds so many connections at the most; others may listen at the same address if it is shared. */
+    public Door(Turns turns, SocketAddress at, boolean shared, int most, Desk desk) {
         this.turns = turns;
         this.desk = desk;
         this.most = most;
-        listener = new Listener(turns, at, this);
+        this.at = at;
+        this.shared = shared;
+    }
+
+    /** Listens from now on, and takes who comes from open() on. */
+    public void listen() throws IOException {
+        listener = new Listener(turns, at, shared, this);
     }
 
     public SocketAddress address() throws IOException {
@@ -59,6 +77,11 @@
         listener.acceptOn();
     }
 
+    /** Holds so many connections at the most from now on. */
+    public void most(int connections) {
+        most = connections;
+    }
+
     public int connections() {
         return all.size();
     }
@@ -102,7 +125,7 @@
         if (is) {
             idle.add(connection);
             if (all.size() >= most) {
-                listener.acceptOn();
+                acceptOn();
             }
         } else {
             idle.remove(connection);
@@ -113,7 +136,13 @@
     public void closed(Inbound connection) {
         all.remove(connection);
         idle.remove(connection);
-        listener.acceptOn();
+        acceptOn();
+    }
+
+    private void acceptOn() {
+        if (listener != null) {
+            listener.acceptOn();
+        }
     }
 
     /** What health checks are told: whether new clients are to be sent here. */
@@ -121,11 +150,12 @@
         ready = is;
     }
 
-    /** Whether the next answer on each of the clients' connections is its last. */
-    public void lastAnswers(boolean are) {
-        if (are != lastAnswers) {
-            lastAnswers = are;
-            all.forEach(c -> c.endAfterAnswer(are && !c.hasCallBacks()));
+    /** Whether the next answer on each of the clients' connections, or of the workers', is its last. */
+    public void lastAnswers(boolean ofClients, boolean ofWorkers) {
+        if (ofClients != lastAnswers || ofWorkers != lastCallBacks) {
+            lastAnswers = ofClients;
+            lastCallBacks = ofWorkers;
+            all.forEach(c -> c.endAfterAnswer(c.hasCallBacks() ? ofWorkers : ofClients));
         }
     }
 
@@ -149,7 +179,21 @@
 
     /** No more connections. */
     public void shut() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    /** No more connections here: another process listens, and has those that are not ours yet. */
+    public void retire() {
+        retired = listener;
+        listener = null;
+        retired.retire();
+    }
+
+    /** Whether connections may still come here. */
+    public boolean listens() {
+        return listener != null && listener.isOpen() || retired != null && retired.isOpen();
     }
 
     // ---- Requests ----
@@ -168,9 +212,12 @@
                 }
                 case "/callback" -> {
                     allow(request, "POST");
-                    callback(request);
-                    from.carriesCallBacks();
-                    from.answer(200, List.of(), "");
+                    from.carriesCallBacks(lastCallBacks);
+                    if (callBack(request.body())) {
+                        from.answer(200, List.of(), "");
+                    } else {
+                        desk.elsewhere(request.body(), status -> from.answer(status, List.of(), ""));
+                    }
                 }
                 default -> task(from, request, path);
             }
@@ -194,8 +241,8 @@
         }
     }
 
-    private void callback(Message request) throws BadMessage {
-        byte[] body = request.body();
+    /** A worker's word, wherever it came to; tells whether it is about a task that is ours. */
+    public boolean callBack(byte[] body) throws BadMessage {
         Object call = Json.read(body, 0, body.length);
         String id = Tree.text("", call, "id");
         String from = Tree.text("", call, "from");
@@ -208,7 +255,7 @@
         }
         LOG.atDebug().addKeyValue("task", id).addKeyValue("state", state).addKeyValue("worker", from)
             .log("door.told");
-        desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
+        return desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
             Tree.at(call, "load"));
     }
 
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -129,7 +129,8 @@
         write(joined(head, body));
     }
 
-    static byte[] joined(CharSequence head, byte[] body) {
+    /** A message of this head and body. */
+    public static byte[] joined(CharSequence head, byte[] body) {
         byte[] top = head.toString().getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[top.length + body.length];
         System.arraycopy(top, 0, all, 0, top.length);
@@ -175,10 +176,10 @@
         lastAnswer = last;
     }
 
-    /** A worker's call-backs come on it, so it is none of the clients'. */
-    public void carriesCallBacks() {
+    /** A worker's call-backs come on it, so it is none of the clients'; the next answer is its last or not. */
+    public void carriesCallBacks(boolean last) {
         callBacks = true;
-        lastAnswer = false;
+        lastAnswer = last;
     }
 
     public boolean hasCallBacks() {
--- a/src/main/java/gingerspool/wire/Json.java
+++ b/src/main/java/gingerspool/wire/Json.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads one JSON value as maps, lists, text, numbers and marks. */
+/** Reads and writes one JSON value as maps, lists, text, numbers and marks. */
 public final class Json {
     private static final int DEEPEST = 64;
 
@@ -38,6 +38,59 @@
         return value;
     }
 
+    /** What is no number in JSON (NaN, infinite) is written as null. */
+    public static String write(Object value) {
+        StringBuilder out = new StringBuilder();
+        write(value, out);
+        return out.toString();
+    }
+
+    private static void write(Object value, StringBuilder out) {
+        if (value instanceof Map<?, ?> m) {
+            char before = '{';
+            for (Map.Entry<?, ?> e : m.entrySet()) {
+                out.append(before);
+                quote((String) e.getKey(), out);
+                out.append(':');
+                write(e.getValue(), out);
+                before = ',';
+            }
+            out.append(before == '{' ? "{}" : "}");
+        } else if (value instanceof Iterable<?> l) {
+            char before = '[';
+            for (Object o : l) {
+                write(o, out.append(before));
+                before = ',';
+            }
+            out.append(before == '[' ? "[]" : "]");
+        } else if (value instanceof double[] numbers) {
+            for (int i = 0; i < numbers.length; i++) {
+                write(numbers[i], out.append(i == 0 ? '[' : ','));
+            }
+            out.append(numbers.length == 0 ? "[]" : "]");
+        } else if (value instanceof Number n) {
+            out.append(Double.isFinite(n.doubleValue()) ? n.toString() : "null");
+        } else if (value instanceof Boolean || value == null) {
+            out.append(value);
+        } else {
+            quote(value.toString(), out);
+        }
+    }
+
+    private static void quote(String text, StringBuilder out) {
+        out.append('"');
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c < ' ') {
+                out.append("\\u00").append(Character.forDigit(c >> 4, 16)).append(
+                    Character.forDigit(c & 15, 16));
+            } else {
+                out.append(c == '"' || c == '\\' ? "\\" : "").append(c);
+            }
+        }
+        out.append('"');
+    }
+
     private BadMessage bad(String wanted) {
         return new BadMessage(400, "not JSON: " + wanted + " wanted at character " + at);
     }
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -6,6 +6,8 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +34,7 @@
     private final Owner owner;
     private final AsynchronousServerSocketChannel channel;
     private boolean accepting;
+    private boolean retiring;
 
     /** Listens at once, alone at its address. */
     public Listener(Turns turns, SocketAddress at, Owner owner) throws IOException {
@@ -59,6 +62,10 @@
         return channel.getLocalAddress();
     }
 
+    public boolean isOpen() {
+        return channel.isOpen();
+    }
+
     /** Goes on accepting, if it does not and there is room. */
     public void acceptOn() {
         // Making room may close a connection, which asks for this again: so the mark is looked at last.
@@ -73,6 +80,9 @@
         turns.turn(() -> {
             accepting = false;
             owner.accepted(accepted);
+            if (retiring) {
+                emptyAndClose();
+            }
             acceptOn();
         });
     }
@@ -93,7 +103,39 @@
         });
     }
 
+    /**
+     * Another process listens here too: takes what still waits, then closes. Guards the clients: closing resets
+     * what waits, so it closes at the moment when nothing does.
+     */
+    public void retire() {
+        retiring = true;
+        if (!accepting) {
+            emptyAndClose();
+        }
+        // An accept that is under way ends with the next client; none may come.
+        turns.after(PAUSE, this::close);
+    }
+
+    private void emptyAndClose() {
+        try {
+            while (channel.isOpen()) {
+                Future<AsynchronousSocketChannel> next = channel.accept();
+                if (!next.isDone()) {
+                    close();
+                    return;
+                }
+                owner.accepted(next.get());
+            }
+        } catch (ExecutionException | InterruptedException e) {
+            LOG.atWarn().addKeyValue("why", e.getMessage()).log("listener.accept_failed");
+            close();
+        }
+    }
+
     public void close() {
+        if (!channel.isOpen()) {
+            return;
+        }
         try {
             channel.close();
         } catch (IOException e) {
--- a/src/main/java/gingerspool/wire/ManagementDoor.java
+++ b/src/main/java/gingerspool/wire/ManagementDoor.java
@@ -63,6 +63,8 @@
     /** Those without a whole call, the longest here first, and all. */
     private final Set<Inbound> waiting = new LinkedHashSet<>();
     private final Set<Inbound> all = new LinkedHashSet<>();
+    /** Those that have their answer and are to be closed by their callers. */
+    private final Set<Inbound> leaving = new LinkedHashSet<>();
     private int answered;
     private int refused;
     private int stalled;
@@ -100,21 +102,29 @@
 
     // ---- Connections ----
 
-    /** Guards the calls against silent callers: who has said nothing whole for longest makes room. */
+    /**
+     * Guards the calls against silent callers: who has its answer makes room, then who has said nothing whole
+     * for longest.
+     */
     @Override
     public boolean hasRoom() {
-        while (all.size() >= most && !waiting.isEmpty()) {
-            stalled++;
-            waiting.iterator().next().close();
-        }
+        while (all.size() >= most && makesRoom()) { }
         return all.size() < most;
     }
 
+    private boolean makesRoom() {
+        Set<Inbound> from = leaving.isEmpty() ? waiting : leaving;
+        if (from.isEmpty()) {
+            return false;
+        }
+        stalled += from == waiting ? 1 : 0;
+        from.iterator().next().close();
+        return true;
+    }
+
     @Override
     public void outOfDescriptors() {
-        if (!waiting.isEmpty()) {
-            waiting.iterator().next().close();
-        }
+        makesRoom();
     }
 
     @Override
@@ -137,6 +147,7 @@
     public void closed(Inbound connection) {
         all.remove(connection);
         waiting.remove(connection);
+        leaving.remove(connection);
         listener.acceptOn();
     }
 
@@ -160,7 +171,7 @@
             call(from, request);
         } catch (BadMessage e) {
             unreadable(e);
-            from.answer(e.status, e.field == null ? List.of() : List.of(e.field), e.getMessage() + "\n");
+            answer(from, e.status, e.field == null ? List.of() : List.of(e.field), e.getMessage());
         }
     }
 
@@ -224,7 +235,14 @@
                 refused++;
             }
             LOG.atDebug().addKeyValue("path", path).addKeyValue("answer", how).log("management.call");
-            from.answer(how.status, List.of(), how.text + "\n");
+            answer(from, how.status, List.of(), how.text);
         };
     }
+
+    private void answer(Inbound from, int status, List<String> fields, String text) {
+        if (all.contains(from)) {
+            leaving.add(from);
+        }
+        from.answer(status, fields, text + "\n");
+    }
 }
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -57,7 +57,7 @@
     }
 
     /** The same; the answer's body goes to the sink. */
-    void ask(byte[] request, double patience, Caller from, Message.Sink sink) {
+    public void ask(byte[] request, double patience, Caller from, Message.Sink sink) {
         caller = from;
         rested = restedFor();
         this.patience = patience;
--- /dev/null
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -0,0 +1,262 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.dispatch.Bench;
+import gingerspool.peers.Folders;
+import gingerspool.wire.Address;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Two daemons of one scheduler beside each other, on one address and one folder. */
+public class HandoverTest {
+    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+    private final List<Socket> open = new ArrayList<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private ServerSocket worker;
+    private ServerSocket discovery;
+    private Path folder;
+
+    @BeforeMethod
+    public void prepare() throws IOException {
+        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(5000);
+        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        folder = Files.createTempDirectory("handover");
+    }
+
+    @AfterMethod
+    public void stop() throws IOException {
+        // The first first, so that it does not take back what the next one had.
+        for (Daemon d : daemons) {
+            d.loop.stop();
+        }
+        daemons.clear();
+        for (Socket s : open) {
+            s.close();
+        }
+        open.clear();
+        worker.close();
+        discovery.close();
+        Folders.remove(folder);
+    }
+
+    /** Starts a process that listens for clients at this port; the list that it knows may be empty. */
+    private Daemon start(int port, boolean knowsWorker) throws Exception {
+        String hosts = !knowsWorker ? "" : "{'host':'s-1','dial':'127.0.0.1:" + worker.getLocalPort()
+            + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,'born_ms':0}";
+        String node = ConfigurationTest.NODE.replace("127.0.0.1:0'", "127.0.0.1:" + port + "'")
+            .replace("127.0.0.1:1'", "127.0.0.1:" + discovery.getLocalPort() + "','management':'127.0.0.1:0'")
+            .replace("'settings'", "'known':{'seq':7,'whole':true,'hosts':[" + hosts + "]},'settings'")
+            .replace("'safe'", "'unsafe'");
+        Daemon d = new Daemon(new NodeConfiguration(ConfigurationTest.tree(node),
+            Map.of("TMPDIR", folder.toString())));
+        daemons.add(d);
+        d.loop.enter(d::begin);
+        return d;
+    }
+
+    private static int port(Daemon d) throws IOException {
+        return ((InetSocketAddress) d.door.address()).getPort();
+    }
+
+    private Socket to(SocketAddress address, String text) throws IOException {
+        Socket s = new Socket();
+        open.add(s);
+        s.connect((InetSocketAddress) address);
+        s.setSoTimeout(5000);
+        Bench.write(s, text);
+        return s;
+    }
+
+    private int call(Daemon d, String method, String path) throws IOException {
+        Socket s = to(d.management.address(), method + " " + path + " HTTP/1.1\r\n\r\n");
+        return Integer.parseInt(Bench.read(s).substring(9, 12));
+    }
+
+    /** Asks until it says yes; the time-out is far beyond what is needed. */
+    private void ready(Daemon d) throws IOException {
+        long since = System.nanoTime();
+        while (call(d, "GET", "/v1/readyz") != 200) {
+            assertTrue(System.nanoTime() - since < 10_000_000_000L, "not ready in 10 s");
+        }
+    }
+
+    private static String task(String id) {
+        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Weight-Hint: 500000\r\n"
+            + "X-Time-Left-Ms: 4000\r\nContent-Length: 2\r\n\r\nhi";
+    }
+
+    private Socket atWorker(String id) throws IOException {
+        Socket s = worker.accept();
+        open.add(s);
+        s.setSoTimeout(5000);
+        assertTrue(Bench.read(s).contains("X-Correlation-Id: " + id + "\r\n"));
+        Bench.write(s, TAKEN);
+        return s;
+    }
+
+    private static String done(String id) {
+        String body = "{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"made " + id + "\"}";
+        return "POST /callback HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private String healthz(int port) throws IOException {
+        return Bench.read(to(new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            "GET /healthz HTTP/1.1\r\n\r\n")).substring(9, 12);
+    }
+
+    @Test
+    public void theSecondTakesTheClientsAndCallBacksReachWhoeverHasTheTask() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        Socket kept = to(first.door.address(), task("i1"));
+        atWorker("i1");
+        Socket calls = to(first.door.address(), "POST /callback HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+        Bench.read(calls);
+        Daemon second = start(port, false);
+        ready(second);
+        assertEquals(call(first, "GET", "/v1/readyz"), 503);
+        while (first.door.listens()) {
+            assertEquals(healthz(port), "200");
+        }
+        Socket fresh = to(second.door.address(), task("i2"));
+        atWorker("i2");
+        // New connections all come to the second now, and the task of the first is told there.
+        Socket told = to(second.door.address(), done("i1"));
+        assertTrue(Bench.read(told).startsWith("HTTP/1.1 200 "));
+        String answer = Bench.read(kept);
+        assertTrue(answer.endsWith("made i1") && answer.contains("Connection: close\r\n"), answer);
+        Bench.write(calls, done("i2"));
+        answer = Bench.read(calls);
+        assertTrue(answer.startsWith("HTTP/1.1 200 ") || answer.startsWith("HTTP/1.1 400 "), answer);
+        answer = Bench.read(fresh);
+        assertTrue(answer.endsWith("made i2") && !answer.contains("close"), answer);
+        assertEquals(healthz(port), "200");
+        first.loop.enter(() -> first.leave(first.loop.now()));
+        first.ended.await();
+        assertEquals(healthz(port), "200");
+    }
+
+    @Test
+    public void bansAndDrainsHoldOverAnUpgrade() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 200);
+        assertEquals(call(first, "POST", "/v1/scheduler/drain"), 200);
+        Daemon second = start(port(first), false);
+        ready(second);
+        assertEquals(healthz(port(second)), "503");
+        assertEquals(call(second, "POST", "/v1/workers/s-9/resume"), 404);
+        assertEquals(call(second, "POST", "/v1/scheduler/activate"), 200);
+        assertEquals(healthz(port(second)), "200");
+        String early = task("i1").replace("4000", "300");
+        assertTrue(Bench.read(to(second.door.address(), early)).startsWith("HTTP/1.1 503 "));
+        // A word at either process holds for both.
+        assertEquals(call(first, "POST", "/v1/workers/s-1/resume"), 200);
+        to(second.door.address(), task("i2"));
+        atWorker("i2");
+        assertEquals(call(second, "POST", "/v1/workers/s-1/suspend"), 200);
+        assertTrue(first.scheduler.suspended().contains("s-1"));
+    }
+
+    /** The next process finds nobody at the address, but the bans in the note hold all the same. */
+    @Test
+    public void afterAKillTheBansOfTheNoteHold() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 200);
+        first.loop.stop();
+        Daemon second = start(port, true);
+        ready(second);
+        String early = task("i1").replace("4000", "300");
+        assertTrue(Bench.read(to(second.door.address(), early)).startsWith("HTTP/1.1 503 "));
+        assertEquals(call(second, "POST", "/v1/workers/s-1/resume"), 200);
+        to(second.door.address(), task("i2"));
+        atWorker("i2");
+    }
+
+    @Test
+    public void theFirstTakesItsClientsBackIfTheSecondIsKilled() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        Daemon second = start(port, false);
+        ready(second);
+        second.loop.stop();
+        ready(first);
+        assertEquals(healthz(port), "200");
+        Daemon third = start(port, false);
+        ready(third);
+        assertEquals(call(first, "GET", "/v1/readyz"), 503);
+        assertEquals(healthz(port), "200");
+    }
+
+    /** Whoever is named in the note does not answer, answers rubbish, or ends: the new one serves alone. */
+    @DataProvider
+    public Object[][] peers() {
+        return new Object[][] {{"closes"}, {"rubbish"}, {"another version"}, {"no list"}, {"hangs"}};
+    }
+
+    @Test(dataProvider = "peers")
+    public void withoutAStateTheNewOneServesWithTheBansOfTheNote(String how) throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            String at = Address.text(new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort()));
+            Files.writeString(folder.resolve("gingerspool-n1.json"), "{\"v\":1,\"at\":\"" + at
+                + "\",\"token\":\"t\",\"suspended\":[\"s-1\"],\"drained\":false}");
+            Daemon second = start(0, true);
+            Socket s = peer.accept();
+            open.add(s);
+            assertTrue(Bench.read(s).startsWith("POST /v1/link/join "));
+            String body = how.equals("another version") ? "{\"v\":9}" : how.equals("no list") ? "{\"v\":1}" : "?";
+            if (how.equals("closes")) {
+                s.close();
+            } else if (!how.equals("hangs")) {
+                Bench.write(s, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+            ready(second);
+            assertEquals(second.scheduler.suspended().toString(), "[s-1]");
+            assertEquals(call(second, "POST", "/v1/workers/s-1/resume"), 200);
+        }
+    }
+
+    @Test
+    public void strangersAreTurnedAwayFromTheLink() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        for (String path : List.of("join", "take", "hold", "word", "callback")) {
+            Socket s = to(first.management.address(), "POST /v1/link/" + path + " HTTP/1.1\r\nX-Token: guess\r\n"
+                + "Content-Length: 2\r\n\r\n{}");
+            assertTrue(Bench.read(s).startsWith("HTTP/1.1 404 "), path);
+        }
+        assertEquals(call(first, "POST", "/v1/link/take"), 404);
+        assertEquals(call(first, "GET", "/v1/readyz"), 200);
+    }
+
+    /** Guards the start beside a stale note that can't be read. */
+    @Test
+    public void aTornNoteIsNoNote() throws Exception {
+        Files.writeString(folder.resolve("gingerspool-n1.json"), "{\"v\":1,\"at\":\"127.");
+        Daemon first = start(0, true);
+        ready(first);
+        assertFalse(first.scheduler.suspended().contains("s-1"));
+    }
+}
--- a/src/test/java/gingerspool/daemon/ManagementTest.java
+++ b/src/test/java/gingerspool/daemon/ManagementTest.java
@@ -77,7 +77,7 @@
     }
 
     private static String task(String id, int timeLeft) {
-        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Weight-Hint: 10000\r\n"
+        return "POST /p HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Weight-Hint: 500000\r\n"
             + "X-Time-Left-Ms: " + timeLeft + "\r\nContent-Length: 2\r\n\r\nhi";
     }
 
@@ -215,9 +215,10 @@
         Socket idle = client("GET /healthz HTTP/1.1\r\n\r\n");
         Bench.read(idle);
         Socket busy = client(task("i1", 5000));
-        Bench.write(atWorker(), TAKEN);
+        Socket first = atWorker();
         Socket other = client(task("i2", 5000));
         Socket latest = atWorker();
+        Bench.write(first, TAKEN);
         Bench.write(latest, TAKEN);
         Socket calls = done(null, "i2");
         Bench.read(other);
@@ -226,13 +227,14 @@
         assertEquals(call("GET", "/v1/readyz"), 200);
         assertEquals(idle.getInputStream().read(), -1);
         assertEquals(other.getInputStream().read(), -1);
+        first.close();
         done(calls, "i1");
         String answer = Bench.read(busy);
         assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.contains("Connection: close\r\n"), answer);
         assertEquals(busy.getInputStream().read(), -1);
         assertEquals(call("POST", "/v1/scheduler/activate"), 200);
         assertEquals(healthz(), "200");
-        Socket again = client(task("i3", 3000));
+        Socket again = client(task("i3", 5000));
         assertTrue(Bench.read(latest).contains("X-Correlation-Id: i3\r\n"));
         Bench.write(latest, TAKEN);
         done(calls, "i3");
--- a/src/test/java/gingerspool/experiment/BrokenScheduler.java
+++ b/src/test/java/gingerspool/experiment/BrokenScheduler.java
@@ -61,7 +61,9 @@
 
     /** Listens at a port of the system's choice. */
     InetSocketAddress listen() throws IOException {
-        door = new Door(turns, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000, this);
+        door = new Door(turns, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false, 1000,
+            this);
+        door.listen();
         door.open();
         return (InetSocketAddress) door.address();
     }
@@ -204,11 +206,11 @@
     }
 
     @Override
-    public void told(String id, String from, String state, double share, String result, Object load) {
+    public boolean told(String id, String from, String state, double share, String result, Object load) {
         Held t = hand.get(id);
         Outcome how = ToWorker.outcome(state);
         if (t == null || how == null) {
-            return;
+            return true;
         }
         count++;
         boolean now = count % 5 == 0;
@@ -231,6 +233,7 @@
         } else {
             answer(id, t, () -> Door.finished(t.client, result));
         }
+        return true;
     }
 
 }
--- /dev/null
+++ b/src/test/java/gingerspool/handover/NoteTest.java
@@ -0,0 +1,58 @@
+package gingerspool.handover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import gingerspool.peers.Folders;
+import gingerspool.wire.BadMessage;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class NoteTest {
+    private static final Note NOTE = new Note("127.0.0.1:9", "0badcafe", List.of("s-1", "odd \"name\"\n\u00e9"),
+        true);
+
+    @Test
+    public void whatIsWrittenIsReadAndIsTheOwnersAlone() throws Exception {
+        Path folder = Files.createTempDirectory("note");
+        Path file = Note.path(folder, "n/1");
+        NOTE.write(file);
+        NOTE.write(file);
+        assertEquals(Note.read(file), NOTE);
+        assertEquals(PosixFilePermissions.toString(Files.getPosixFilePermissions(file)), "rw-------");
+        try (var all = Files.list(folder)) {
+            assertEquals(all.count(), 1, "nothing is left beside it");
+        }
+        Folders.remove(folder);
+    }
+
+    /** A note that is torn, cut at any byte, of another version or no note says nothing, and stops nothing. */
+    @Test
+    public void whatCannotBeUsedIsNoNote() throws Exception {
+        Path folder = Files.createTempDirectory("note");
+        Path file = Note.path(folder, "n1");
+        assertNull(Note.read(file));
+        byte[] whole = NOTE.text().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        for (int i = 0; i < whole.length - 1; i++) {
+            Files.write(file, java.util.Arrays.copyOf(whole, i));
+            assertNull(Note.read(file), "cut after " + i);
+        }
+        for (String text : List.of("[]", "{\"v\":2,\"suspended\":[]}", "{\"v\":1}",
+            "{\"v\":1,\"suspended\":[7]}", "{\"v\":1,\"suspended\":{}}")) {
+            Files.writeString(file, text);
+            assertNull(Note.read(file), text);
+        }
+        Files.delete(file);
+        Files.createDirectory(file);
+        assertNull(Note.read(file), "a folder");
+        Folders.remove(folder);
+    }
+
+    @Test(expectedExceptions = BadMessage.class)
+    public void theVersionComesFirst() throws BadMessage {
+        Note.read("{\"v\":3}");
+    }
+}
--- a/src/test/java/gingerspool/load/LoadMeasure.java
+++ b/src/test/java/gingerspool/load/LoadMeasure.java
@@ -28,9 +28,10 @@
             CompletableFuture<Door> opened = new CompletableFuture<>();
             ofDoor.enter(() -> {
                 try {
-                    Door door = new Door(ofDoor, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    Door door = new Door(ofDoor, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false,
                         2000,
                         LoadTest.desk((client, id, repeat) -> Door.finished(client, "x")));
+                    door.listen();
                     door.open();
                     opened.complete(door);
                 } catch (IOException e) {
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -55,8 +55,9 @@
         Path record = folder.resolve("clients.tsv");
         loop.enter(() -> {
             try {
-                Door door = new Door(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1000,
+                Door door = new Door(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false, 1000,
                     desk(clerk));
+                door.listen();
                 door.open();
                 load = new Load(loop, plan, List.of((InetSocketAddress) door.address()), record);
                 load.slowedBy = slowedBy;
@@ -106,8 +107,10 @@
             }
 
             @Override
-            public void told(String id, String from, String state, double share, String result,
-                Object load) { }
+            public boolean told(String id, String from, String state, double share, String result,
+                Object load) {
+                return true;
+            }
         };
     }
 
