--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -268,6 +268,7 @@
             Map<String, Object> state = new LinkedHashMap<>();
             state.put("discovery", scheduler.discovery() == null ? "" : Address.text(scheduler.discovery()));
             state.put("list", scheduler.list());
+            state.put("learned", scheduler.learned());
             return state;
         }
 
@@ -282,6 +283,9 @@
             if (!begun) {
                 scheduler.begin(Tree.at(state, "list"), Tree.text("", state, "discovery").equals(of));
                 begun = true;
+                if (Tree.at(state, "learned") instanceof Map<?, ?> learned) {
+                    scheduler.learn(learned);
+                }
             }
             scheduler.suspendJust(suspended);
             setDrained(Tree.mark(state, "drained"));
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -276,6 +276,14 @@
         return list;
     }
 
+    Map<String, Object> learned() {
+        return dispatcher.learned();
+    }
+
+    void learn(Map<?, ?> told) {
+        dispatcher.learn(turns.now(), told);
+    }
+
     InetSocketAddress discovery() {
         return discovery;
     }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 
@@ -288,6 +289,65 @@
         return !Double.isNaN(fleet.bannedAt[w]);
     }
 
+    // ---- Inputs: what another process has learned ----
+
+    /** All that is learned, under names, for the next process of this scheduler. */
+    public Map<String, Object> learned() {
+        Memory m = Memory.toTell();
+        carry(m);
+        m.numbers("own", fleet.own, fleet.count);
+        return m.fields();
+    }
+
+    /** Takes what the process before this one had learned of the same list, told in the same order. */
+    public void learn(double at, Map<?, ?> told) {
+        now = at;
+        Memory m = Memory.toTake(told);
+        carry(m);
+        // What it still has out there is the work of others from here on.
+        double[] out = new double[fleet.count];
+        m.numbers("own", out);
+        for (int w = 0; w < fleet.count; w++) {
+            fleet.others[w] += out[w];
+        }
+        fleet.order();
+        lookAgain();
+    }
+
+    private void carry(Memory m) {
+        fleet.carry(m);
+        for (int k = 0; k < K; k++) {
+            m.numbers("pool." + k, pool[k]);
+        }
+        m.numbers("profileWork", profileWork);
+        m.numbers("profileSeen", profileSeen);
+        m.numbers("youngest", youngest);
+        m.numbers("hintsSeen", hintsSeen);
+        m.numbers("hintLog", hintLog);
+        m.numbers("hintBend", hintBend);
+        m.numbers("runLog", runLog);
+        m.numbers("runVar", runVar);
+        m.numbers("tenantRate", tenantRate);
+        m.numbers("tenantAt", tenantAt);
+        hintVar = m.number("hintVar", hintVar);
+        hintRun = m.number("hintRun", hintRun);
+        mixWork = m.number("mixWork", mixWork);
+        thaw = m.number("thaw", thaw);
+        unit = m.number("unit", unit);
+        tide = m.number("tide", tide);
+        meanWorth = m.number("meanWorth", meanWorth);
+        meanOthers = m.number("meanOthers", meanOthers);
+        meanDensity = m.number("meanDensity", meanDensity);
+        press = m.number("press", press);
+        late = m.number("late", late);
+        full = m.number("full", full);
+        gap = m.number("gap", gap);
+        lastArrival = m.number("lastArrival", lastArrival);
+        firstArrival = m.number("firstArrival", firstArrival);
+        reportsCome = m.mark("reportsCome", reportsCome);
+        reportsQueue = m.mark("reportsQueue", reportsQueue);
+    }
+
     // ---- Inputs: tasks ----
 
     public void arrived(double at, Task t) {
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -107,6 +107,33 @@
         }
     }
 
+    /** Passes on what is known of workers, without what is out there. */
+    void carry(Memory m) {
+        m.numbers("rank", rank, count);
+        m.numbers("slots", slots, count);
+        m.numbers("others", others, count);
+        m.numbers("heardAt", heardAt, count);
+        m.numbers("swift", swift, count);
+        m.numbers("shunUntil", shunUntil, count);
+        m.numbers("shunSpan", shunSpan, count);
+        m.numbers("coldLevel", coldLevel, count);
+        m.numbers("coldAt", coldAt, count);
+        m.numbers("probedAt", probedAt, count);
+        m.numbers("answeredAt", answeredAt, count);
+        m.numbers("sendRate", sendRate, count);
+        m.numbers("rateAt", rateAt, count);
+        m.numbers("reportedRate", reportedRate, count);
+        m.rows("fail", fail, count);
+        m.rows("failAt", failAt, count);
+        m.rows("lastReport", lastReport, count);
+        m.rows("mixRun", mixRun, count);
+        m.rows("mixProfile", mixProfile, count);
+        m.tables("pairs", pairs, count);
+        m.numbers("kindSlots", kindSlots);
+        m.numbers("kindWork", kindWork);
+        m.numbers("kindRun", kindRun);
+    }
+
     /** Adds an unfinished send to those of its worker. */
     void link(Assignment a) {
         int w = a.worker;
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -7,8 +7,10 @@
 
 import gingerspool.dispatch.Profile.Effect;
 import gingerspool.dispatch.Profile.Scope;
+import gingerspool.wire.Json;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -660,4 +662,44 @@
         b.d.resumed(1001, 0);
         assertEquals(b.d.fleet.startedAt[0], 500.0, "what is not banned is left as it is");
     }
+
+    /** Infinite and missing figures included, all that is learned comes through JSON as it was. */
+    @Test
+    public void theNextProcessKnowsWhatThisOneHadLearned() throws Exception {
+        Bench old = Bench.of(SAFE, ONCE).start(3);
+        for (int i = 0; i < 30; i++) {
+            old.arrive(i % 2, 10 * i);
+            old.d.ended(10 * i + 7, old.last(), i % 7 == 0 ? Outcome.ERROR : Outcome.OK, true,
+                Bench.report(i % 3, 2));
+        }
+        Assignment out = old.sentTo(old.task(0, 400, 100), 1, 400);
+        old.d.wake(400);
+        Map<?, ?> told = (Map<?, ?>) Json.read(Json.write(old.d.learned()));
+        Bench next = Bench.of(SAFE, ONCE);
+        next.d = new Dispatcher(next.settings, 99, next);
+        next.list(390, true, 3, Dispatcher.RUNNING, 0);
+        double before = old.d.fleet.others[1];
+        next.d.learn(400, told);
+        assertEquals(next.d.fleet.others[1], before + out.task.width, 1e-12);
+        assertEquals(next.d.fleet.out[1], 0);
+        next.d.fleet.others[1] = before;
+        old.d.fleet.own[1] = 0;
+        assertEquals(Json.write(next.d.learned()), Json.write(old.d.learned()));
+        assertEquals(next.d.fleet.order, old.d.fleet.order);
+        assertEquals(next.d.failNow(0, 0), old.d.failNow(0, 0));
+    }
+
+    /** What is of another size, or no number, is not taken; the rest is. */
+    @Test
+    public void whatDoesNotFitIsLeft() throws Exception {
+        Bench b = Bench.of(SAFE).start(2);
+        double[] work = b.d.fleet.slots.clone();
+        b.d.learn(5, (Map<?, ?>) Json.read("{\"slots\":[7],\"others\":{},\"mixWork\":\"x\",\"odd\":1,"
+            + "\"swift\":[0.5,\"y\"]}"));
+        assertEquals(b.d.fleet.slots, work);
+        assertEquals(b.d.fleet.swift[0], 0.5);
+        assertEquals(b.d.fleet.swift[1], 0.0);
+        b.arrive(0, 6);
+        assertEquals(b.count("send"), 1);
+    }
 }
