--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,14 @@
 JAR = target/gingerspool.jar
 # The operator's file that `make run` starts with.
 FILE = deploy/example/alone.toml
-# The daemon's limits for the virtual machine are kept in one place, the deploy file.
+# How it is built and the limits of the virtual machine are kept in one place, the deploy file.
+BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
 .PHONY: build test lint run demo
 
 build:
-	mvn -B -q -DskipTests package
+	$(BUILD)
 
 test:
 	mvn -B verify
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -150,6 +150,10 @@
     }
 
     private void ask() {
+        if (found.at().equals(Address.text(own))) {
+            stateFailed("it was called where this one is, so it has ended");
+            return;
+        }
         try {
             before = before == null ? new Peer(turns, Address.read(found.at()), found.token(), own, connectWithin)
                 : before;
