--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -44,6 +44,7 @@
         connectionIdle = limits.at("connIdleMs").number(5000);
         connectWithin = Math.max(1, limits.at("connectTimeoutMs").number(250));
         mostTasks = Math.max(1, limits.at("maxOpen").whole(20_000));
+        settings.mostTasks = mostTasks;
         mostBytes = (long) limits.at("bodyBytes").number(0);
         answerGrace = all.at("obligations").at("graceToAnswerMs").number(0);
         Key specifics = all.at("specifics").object();
@@ -98,6 +99,7 @@
                 case "zone" -> Profile.Scope.ZONE;
                 default -> Profile.Scope.CELL;
             };
+            p.inOrder = k.at("oneAtATime").mark();
             p.kind = (int) specifics.at("classKind").place(i).any(-1);
             p.prio = (int) specifics.at("classPriority").place(i).any(0);
             p.stretch = k.at("aimStretch").number(specifics.at("classStretch").place(i).number(0));
@@ -130,11 +132,20 @@
         s.mostAssignments = limits.at("mostAssignments").whole(1);
         Key rules = all.at("obligations").object();
         s.askWithin = rules.at("askWithinMs").number(0);
+        s.keyRest = rules.at("keyQuietMs").number(0);
+        s.drainBindsAlone = rules.at("drainBindsAlone").mark();
+        Key goal = all.at("goal").object();
+        s.tail = goal.at("tail").number(0);
+        s.borneMisses = goal.at("borneMisses").number(0);
+        if (s.tail > 0 && goal.at("borneMisses").raw() == null) {
+            throw goal.at("borneMisses").fault("is missing, and goal.tail needs it");
+        }
         s.coldFrom = rules.at("coldFrom").number(1);
         s.warmWithin = rules.at("warmWithinMs").number(0);
         s.fallWindow = rules.at("fallMs").number(0);
         s.overloadFactor = rules.at("overloadFactor").number(1);
         s.tick = all.at("tickMs").number(1);
+        s.fetchFee = all.at("fees").object().at("origin").number(0);
         s.crossFee = all.at("fees").object().at("crossZone").number(0);
     }
 }
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -14,6 +14,7 @@
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Door;
+import gingerspool.wire.Facts;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
 import gingerspool.wire.Outbound;
@@ -145,7 +146,11 @@
     @Override
     public void listed(String host, InetSocketAddress dial, String zone, String kind, int cell, int state,
         double size, double started) {
+        int known = roster.size();
         int w = roster.index(host);
+        if (w == known) {
+            dispatcher.called(w, host);
+        }
         if (roster.moves(w, dial)) {
             pool.empty(w);
         }
@@ -333,6 +338,7 @@
         t.width = (int) Math.max(1, width);
         t.memory = memory;
         t.repeat = repeat;
+        t.key = Facts.key(request);
         if (routes != null) {
             String target = request.target();
             int query = target.indexOf('?');
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -14,7 +14,7 @@
  * After every input the rules below are gone through in order until none fires. Workers are dense indexes
  * given by the caller; tasks and assignments are objects. Times are milliseconds. See docs/design.md.
  */
-public final class Dispatcher {
+public final class Dispatcher extends Learned {
     public static final int GONE = 0;
     public static final int DRAINING = 1;
     public static final int RUNNING = 2;
@@ -44,73 +44,27 @@
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
     private static final double PRESSED = 0.6;
 
+    /** Lines for tasks with an order, by tasks that may be in hand: so few share one with another key. */
+    private static final int LINES = 4;
+
+    /** A fetch takes slots here and room at a store that all share: times of its fee that it costs. */
+    private static final double FETCH = 5;
+
     private final Outlet out;
     private final SplittableRandom chance;
 
-    // The deployment, as the few figures that decisions use.
-    private final Profile[] profiles;
-    private final double[] allowance;
-    private final double excess;
-    private final boolean byWork;
-    private final int zone;
-    private final int dispatchers;
-    private final boolean listOnRequest;
-    private final boolean fetchesReports;
-    private final boolean fetchesAll;
-    private final boolean mayCancel;
-    private final boolean byPriority;
-    private final boolean tellsStart;
-    private final int mostTries;
-    private final double longestAdvice;
-    private final double askSpan;
-    private final double tick;
-    private final double coldFrom;
-    private final double warmWithin;
-    private final double budgetSpan;
-    private final double budgetShare;
-    private final double crossFee;
-
-    final Workers fleet;
-
-    // What is learned of the fleet as a whole.
-    private final double[][] pool = new double[K][K];
-    private final double[] profileWork;
-    private final double[] profileSeen;
-    /** Least time that a task of the profile had been under way when it came. */
-    private final double[] youngest;
-    private final double[] hintsSeen;
-    private final double[] hintLog;
-    private final double[] hintBend;
-    private final double[] runLog;
-    private final double[] runVar;
+    /** The first workers for the key of the task at hand, and how far behind each stands. */
+    private final int[] home = new int[3];
+    private final double[] homeFar = new double[3];
     private final double[] likely = new double[LIKELY.length];
     private final double[] allowed = new double[LIKELY.length];
     private final double[] weight = new double[LIKELY.length];
     private double shares;
-    private double hintVar = 16;
-    private double hintRun = 8;
-    private double mixWork;
-    /** How many times sooner than promised cold workers get warm, as their answers show. */
-    private double thaw = 4;
-    /** Pace that counts as a standard core's. */
-    private double unit = 1;
-    /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
-    private double tide;
-    private double meanWorth;
-    private double meanOthers;
-    private double meanDensity;
-    /** Share of tasks that met no free slot lately. */
-    private double press;
-    /** Share of answers that came after the due time lately. */
-    private double late;
-    /** Share of the workers weighed that were believed full, lately. */
-    private double full;
-    /** Time between tasks that come to us. */
-    private double gap;
-    private double lastArrival;
-    private double firstArrival = Double.NaN;
-    private final double[] tenantRate;
-    private final double[] tenantAt;
+
+    /** Lines of tasks with an order; each is made when its first task comes. */
+    private final Line[] lines;
+    private final double keyRest;
+    private final int salt;
 
     // Tasks in hand, and what was asked for.
     private final List<Task> hand = new ArrayList<>();
@@ -124,8 +78,6 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
-    private boolean reportsCome;
-    private boolean reportsQueue;
     private boolean watching;
     private boolean asked;
     private double askAt = Double.NEGATIVE_INFINITY;
@@ -133,43 +85,15 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
 
     public Dispatcher(Settings s, long seed, Outlet out) {
-        if (s.profiles.length == 0) {
-            throw new IllegalArgumentException("settings without profiles");
-        }
+        super(s, K, BINS + 1);
         this.out = out;
         chance = new SplittableRandom(seed);
-        profiles = s.profiles;
-        allowance = s.allowance;
-        excess = s.excessUtility;
-        byWork = s.utilityByWork;
-        zone = s.zone;
-        dispatchers = Math.max(1, s.dispatchers);
-        listOnRequest = s.listOnRequest;
-        fetchesReports = s.mayProbe && (s.reportsByProbe || s.reportsInAnswers);
-        fetchesAll = s.reportsByProbe;
-        mayCancel = s.mayCancel;
-        byPriority = s.order == Settings.Order.PRIORITY;
-        tellsStart = s.tellsStart;
-        mostTries = Math.max(1, s.mostAssignments);
-        longestAdvice = s.mayAdvise ? s.maxAdvice : 0;
-        tick = Math.max(s.tick, 0.1);
-        askSpan = s.askWithin > 0 ? s.askWithin : 1000 * tick;
-        coldFrom = s.coldFrom;
-        warmWithin = s.warmWithin;
-        budgetSpan = s.fallWindow;
-        budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
-        crossFee = s.crossFee;
+        boolean any = Arrays.stream(profiles).anyMatch(p -> p.inOrder);
+        lines = new Line[any ? Integer.highestOneBit(LINES * Math.max(16, Math.min(s.mostTasks, 1 << 18))) : 1];
+        keyRest = s.keyRest + tick;
+        salt = Long.hashCode(seed);
         askGap = askSpan / 20;
-        fleet = new Workers(K, BINS + 1, profiles.length);
-        profileWork = new double[profiles.length];
-        profileSeen = new double[profiles.length];
-        hintsSeen = new double[profiles.length];
-        youngest = new double[profiles.length];
         Arrays.fill(youngest, Double.POSITIVE_INFINITY);
-        hintLog = new double[profiles.length];
-        hintBend = new double[profiles.length];
-        runLog = new double[profiles.length];
-        runVar = new double[profiles.length];
         for (int p = 0; p < profiles.length; p++) {
             runVar[p] = 0.5;
             profileWork[p] = Math.max(1.5 * profiles[p].dueTime, tick);
@@ -180,8 +104,6 @@
         meanDensity = byWork ? meanWorth : meanWorth / mixWork;
         meanWorth *= byWork ? mixWork : 1;
         gap = fadeSpan() / BUDDIES;
-        tenantRate = new double[allowance.length];
-        tenantAt = new double[allowance.length];
     }
 
     // ---- Inputs: the list ----
@@ -194,6 +116,12 @@
         }
     }
 
+    /** What this worker is called: the same at every dispatcher, and said before it is first listed. */
+    public void called(int w, String name) {
+        fleet.reach(w, 0);
+        fleet.tag[w] = mixed(name.hashCode());
+    }
+
     /** One entry of the list; the state is GONE, DRAINING or RUNNING. */
     public void listed(int w, int inZone, int ofKind, int inCell, int newState, double ofSize,
             double started) {
@@ -314,40 +242,6 @@
         lookAgain();
     }
 
-    private void carry(Memory m) {
-        fleet.carry(m);
-        for (int k = 0; k < K; k++) {
-            m.numbers("pool." + k, pool[k]);
-        }
-        m.numbers("profileWork", profileWork);
-        m.numbers("profileSeen", profileSeen);
-        m.numbers("youngest", youngest);
-        m.numbers("hintsSeen", hintsSeen);
-        m.numbers("hintLog", hintLog);
-        m.numbers("hintBend", hintBend);
-        m.numbers("runLog", runLog);
-        m.numbers("runVar", runVar);
-        m.numbers("tenantRate", tenantRate);
-        m.numbers("tenantAt", tenantAt);
-        hintVar = m.number("hintVar", hintVar);
-        hintRun = m.number("hintRun", hintRun);
-        mixWork = m.number("mixWork", mixWork);
-        thaw = m.number("thaw", thaw);
-        unit = m.number("unit", unit);
-        tide = m.number("tide", tide);
-        meanWorth = m.number("meanWorth", meanWorth);
-        meanOthers = m.number("meanOthers", meanOthers);
-        meanDensity = m.number("meanDensity", meanDensity);
-        press = m.number("press", press);
-        late = m.number("late", late);
-        full = m.number("full", full);
-        gap = m.number("gap", gap);
-        lastArrival = m.number("lastArrival", lastArrival);
-        firstArrival = m.number("firstArrival", firstArrival);
-        reportsCome = m.mark("reportsCome", reportsCome);
-        reportsQueue = m.mark("reportsQueue", reportsQueue);
-    }
-
     // ---- Inputs: tasks ----
 
     public void arrived(double at, Task t) {
@@ -370,10 +264,41 @@
         t.due = Math.min(t.expiry, t.due);
         t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
+        if (t.profile.inOrder && t.key != null) {
+            line(t.key).join(t);
+        }
         keep(t);
         settle();
     }
 
+    private Line line(String key) {
+        int i = mixed(key.hashCode() ^ salt) & lines.length - 1;
+        lines[i] = lines[i] == null ? new Line(keyRest) : lines[i];
+        return lines[i];
+    }
+
+    private static int mixed(int h) {
+        h = (h ^ h >>> 16) * 0x85EBCA6B;
+        h = (h ^ h >>> 13) * 0xC2B2AE35;
+        return h ^ h >>> 16;
+    }
+
+    /** The task is over: whoever stands behind it may have the turn. */
+    private void over(Task t) {
+        t.ended = true;
+        if (t.stands) {
+            t.line.leave(t);
+            callFirst(t.line);
+        }
+    }
+
+    private void callFirst(Line line) {
+        Task t = line.first();
+        if (t != null && t.out == 0) {
+            t.lookAt = Math.max(now, Math.max(t.restUntil, line.restUntil()));
+        }
+    }
+
     /** Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs show. */
     private double fromHint(int p, double hint) {
         double n = Math.min(++hintsSeen[p], 4 * SAMPLES);
@@ -414,6 +339,11 @@
             smoothOwn(a.worker);
             fleet.unlink(a);
             a.task.out--;
+            if (a.task.line != null) {
+                a.task.line.ended(a.task,
+                    how == Outcome.TIMEOUT || how == Outcome.RESET || how == Outcome.CANCELLED, now);
+                callFirst(a.task.line);
+            }
         }
         Task t = a.task;
         a.neverRan = how.neverRan();
@@ -427,7 +357,7 @@
         judge(a, how);
         reported(a.worker, report);
         if (over) {
-            t.ended = true;
+            over(t);
             callBack(t);
         } else if (!t.ended && t.out == 0) {
             keep(t);
@@ -449,7 +379,7 @@
     /** A streamed answer has begun: the assignment is the client's from here. */
     public void accepted(double at, Assignment a) {
         now = at;
-        a.task.ended = true;
+        over(a.task);
         settle();
     }
 
@@ -464,7 +394,7 @@
     /** The client left; nothing is owed any more, and what is out for it would take workers' time in vain. */
     public void left(double at, Task t) {
         now = at;
-        t.ended = true;
+        over(t);
         callBack(t);
         settle();
     }
@@ -512,11 +442,13 @@
             askForList();
         } else if (task == null) {
             return false;
-        } else if (isOut()) {
+        } else if (task.stands && !task.line.hasTurn(task, now)) {
+            stand();
+        } else if (task.out > 0) {
             sendCopy();
         } else if (mayNotRunAgain() || budgetSpent()) {
             giveUp();
-        } else if (restWanted()) {
+        } else if (task.tries > task.restedAfter && task.terms.firstPause > 0) {
             rest();
         } else if (nobodyReady()) {
             hold();
@@ -548,6 +480,17 @@
         hand.remove(i);
     }
 
+    /** Guards order: it waits for its turn, or goes at once if that would come too late for it. */
+    private void stand() {
+        double spare = task.due - task.work - now - task.line.workBefore(task, now);
+        if (spare < 0) {
+            giveUp();
+        } else {
+            double turn = task.line.first() == task ? Math.max(now, task.line.restUntil()) : now + spare;
+            task.lookAt = Math.max(now + tick, Math.min(turn, now + spare));
+        }
+    }
+
     private boolean listWanted() {
         return listOnRequest && !watching && !asked && now >= askAt;
     }
@@ -580,10 +523,6 @@
         return task.tries > 0 && task.terms.purse != null && !task.terms.purse.holds(now);
     }
 
-    private boolean restWanted() {
-        return task.tries > task.restedAfter && task.terms.firstPause > 0;
-    }
-
     /** Guards final answers: where the pause would outlast the task it is given up now, not after it. */
     private void rest() {
         task.restedAfter = task.tries;
@@ -594,11 +533,6 @@
         }
     }
 
-    /** It is looked at for a copy only: an assignment of it is under way. */
-    private boolean isOut() {
-        return task.out > 0;
-    }
-
     /** Another assignment beside those out, if the terms, the budget and the ordinary score allow one now. */
     private void sendCopy() {
         Task t = task;
@@ -647,11 +581,7 @@
      * still to be learned, and only workers believed full show that lateness comes from queues.
      */
     private double heed() {
-        return Math.max(1 - Math.exp((firstArrival - now) / settleSpan()), Math.min(1, 2 * full));
-    }
-
-    private double settleSpan() {
-        return 2 * fadeSpan();
+        return Math.max(1 - Math.exp((firstArrival - now) / (2 * fadeSpan())), Math.min(1, 2 * full));
     }
 
     /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
@@ -693,7 +623,7 @@
 
     private void giveUp() {
         Task t = task;
-        t.ended = true;
+        over(t);
         drop(hand.indexOf(t));
         boolean harmless = t.ran == null || t.profile.effect == Profile.Effect.IDEMPOTENT
             || t.profile.effect == Profile.Effect.FINGERPRINTED && t.profile.scope == Profile.Scope.ALL;
@@ -770,6 +700,7 @@
         double room = Math.max(BUDDIES, fadeSpan() / gap);
         anyReady = false;
         prepare(task);
+        findHomes(task);
         int weighed = 0;
         int busyAll = 0;
         for (int i = 0; i < fleet.count; i++) {
@@ -777,7 +708,8 @@
             fleet.value[w] = Double.NEGATIVE_INFINITY;
             // Guards against new workers idling: cold ones are open to all, since each has a share of them.
             boolean warm = warmth(w, 1) >= 1;
-            if (room <= 0 && warm || !ready(w, task)) {
+            double fetch = fetches(w);
+            if (room <= 0 && warm && (home[0] < 0 || fetch == 1) || !ready(w, task)) {
                 continue;
             }
             room -= warm ? 1 : 0;
@@ -793,7 +725,7 @@
                 c = task.sent[j].worker == w ? c / 2 : c;
             }
             // Departure: a crossing costs its fee, in shares of what this task is worth.
-            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing);
+            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing) - FETCH * fetchFee * fetch;
             top = Math.max(top, fleet.value[w]);
         }
         full += weighed == 0 ? 0 : ((double) busyAll / weighed - full) * 4 / SAMPLES;
@@ -811,6 +743,41 @@
         bestChance = best < 0 ? 0 : top;
     }
 
+    /**
+     * Departure: what a key needs is kept where its tasks went lately. All dispatchers rank the workers alike
+     * for a key, larger ones oftener first, so that they agree without a table or a word.
+     */
+    private void findHomes(Task t) {
+        Arrays.fill(home, -1);
+        for (int w = 0; t.key != null && fetchFee > 0 && w < fleet.count; w++) {
+            if (fleet.state[w] == RUNNING && !banned(w)
+                && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)) {
+                double u = ((mixed(t.key.hashCode() ^ fleet.tag[w]) >>> 1) + 0.5) / (1L << 31);
+                double far = -Math.log(u) / fleet.size[w];
+                for (int i = 0, v = w; i < home.length && v >= 0; i++) {
+                    if (home[i] < 0 || far < homeFar[i]) {
+                        int other = home[i];
+                        double otherFar = homeFar[i];
+                        home[i] = v;
+                        homeFar[i] = far;
+                        v = other;
+                        far = otherFar;
+                    }
+                }
+            }
+        }
+    }
+
+    /** How likely the worker has to fetch what the task needs. */
+    private double fetches(int w) {
+        for (int i = 0; i < home.length; i++) {
+            if (home[i] == w) {
+                return 1 - Math.pow(2, -i);
+            }
+        }
+        return home[0] < 0 ? 0 : 1;
+    }
+
     /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
         return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w]
@@ -965,7 +932,7 @@
     double slotsOf(int w) {
         double kind = fleet.kindSlots[fleet.kindOf[w]];
         double told = Math.max(fleet.slots[w], Math.rint(0.8 * kind));
-        return kind > 0 && now >= firstArrival + settleSpan() ? told
+        return kind > 0 && now >= firstArrival + 2 * fadeSpan() ? told
             : Math.max(told, Math.max(1, Math.rint(fleet.size[w])));
     }
 
@@ -1206,7 +1173,8 @@
                     / (Workers.sum(fleet.mixProfile[w]) + profiles.length);
                 for (int k = 0; k < K; k++) {
                     int bins = Math.max(1, bin(waitAt(w, k)));
-                    busyPeriods(bins, lambda * mixWork / BINS_PER_RUN, run, fleet.overtaken[w][q.index][k]);
+                    BusyPeriods.within(bins, lambda * mixWork / BINS_PER_RUN, run,
+                        fleet.overtaken[w][q.index][k]);
                 }
             }
         }
@@ -1214,28 +1182,6 @@
         return within[Math.min(BINS, (int) (x / mixWork * BINS_PER_RUN))];
     }
 
-    /**
-     * Fills in P(X at most x given k) for each x, in bins: a Poisson number of busy periods at lambda. Their
-     * sum has a known form: P(X = y) = k / (k + y) P(compound Poisson work over k + y = y).
-     */
-    static void busyPeriods(int k, double lambda, double[] run, double[] within) {
-        double sum = 0;
-        double[] f = new double[within.length];
-        for (int y = 0; y < within.length; y++) {
-            double mean = lambda * (k + y);
-            f[0] = Math.exp(-mean * (1 - run[0]));
-            for (int i = 1; i <= y; i++) {
-                double s = 0;
-                for (int j = 1; j <= i && j < run.length; j++) {
-                    s += j * run[j] * f[i - j];
-                }
-                f[i] = mean / i * s;
-            }
-            sum += f[y] * k / (k + y);
-            within[y] = Math.min(1, sum);
-        }
-    }
-
     /** Our sends to the worker a millisecond, counting so many more now. */
     private double sendRate(int w, int more) {
         double span = SAMPLES * mixWork;
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -0,0 +1,95 @@
+package gingerspool.dispatch;
+
+/** What a Dispatcher has learned: figures only, and how they pass from one process to the next. */
+abstract class Learned extends Figures {
+    final Workers fleet;
+
+    final double[][] pool;
+    final double[] profileWork;
+    final double[] profileSeen;
+    /** Least time that a task of the profile had been under way when it came. */
+    final double[] youngest;
+    final double[] hintsSeen;
+    final double[] hintLog;
+    final double[] hintBend;
+    final double[] runLog;
+    final double[] runVar;
+    double hintVar = 16;
+    double hintRun = 8;
+    double mixWork;
+    /** How many times sooner than promised cold workers get warm, as their answers show. */
+    double thaw = 4;
+    /** Pace that counts as a standard core's. */
+    double unit = 1;
+    /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
+    double tide;
+    double meanWorth;
+    double meanOthers;
+    double meanDensity;
+    /** Share of tasks that met no free slot lately. */
+    double press;
+    /** Share of answers that came after the due time lately. */
+    double late;
+    /** Share of the workers weighed that were believed full, lately. */
+    double full;
+    /** Time between tasks that come to us. */
+    double gap;
+    double lastArrival;
+    double firstArrival = Double.NaN;
+    final double[] tenantRate;
+    final double[] tenantAt;
+    boolean reportsCome;
+    boolean reportsQueue;
+
+    Learned(Settings s, int regions, int bins) {
+        super(s);
+        int profiles = s.profiles.length;
+        int tenants = s.allowance.length;
+        fleet = new Workers(regions, bins, profiles);
+        pool = new double[regions][regions];
+        profileWork = new double[profiles];
+        profileSeen = new double[profiles];
+        youngest = new double[profiles];
+        hintsSeen = new double[profiles];
+        hintLog = new double[profiles];
+        hintBend = new double[profiles];
+        runLog = new double[profiles];
+        runVar = new double[profiles];
+        tenantRate = new double[tenants];
+        tenantAt = new double[tenants];
+    }
+
+    final void carry(Memory m) {
+        fleet.carry(m);
+        for (int k = 0; k < pool.length; k++) {
+            m.numbers("pool." + k, pool[k]);
+        }
+        m.numbers("profileWork", profileWork);
+        m.numbers("profileSeen", profileSeen);
+        m.numbers("youngest", youngest);
+        m.numbers("hintsSeen", hintsSeen);
+        m.numbers("hintLog", hintLog);
+        m.numbers("hintBend", hintBend);
+        m.numbers("runLog", runLog);
+        m.numbers("runVar", runVar);
+        m.numbers("tenantRate", tenantRate);
+        m.numbers("tenantAt", tenantAt);
+        hintVar = m.number("hintVar", hintVar);
+        hintRun = m.number("hintRun", hintRun);
+        mixWork = m.number("mixWork", mixWork);
+        thaw = m.number("thaw", thaw);
+        unit = m.number("unit", unit);
+        tide = m.number("tide", tide);
+        meanWorth = m.number("meanWorth", meanWorth);
+        meanOthers = m.number("meanOthers", meanOthers);
+        meanDensity = m.number("meanDensity", meanDensity);
+        press = m.number("press", press);
+        late = m.number("late", late);
+        full = m.number("full", full);
+        gap = m.number("gap", gap);
+        lastArrival = m.number("lastArrival", lastArrival);
+        firstArrival = m.number("firstArrival", firstArrival);
+        reportsCome = m.mark("reportsCome", reportsCome);
+        reportsQueue = m.mark("reportsQueue", reportsQueue);
+    }
+}
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -21,10 +21,20 @@
     public double maxAdvice;
     public int mostAssignments = 1;
     public double askWithin;
+    /** Tasks that may be in hand at once, and how long a key rests after an assignment that may still run. */
+    public int mostTasks = 1000;
+    public double keyRest;
+    /** Only a listing as draining binds. The module takes the stricter way: who is listed as gone gets nothing. */
+    public boolean drainBindsAlone;
+    /** The weight of the tail in the score, and the share of tasks that may miss their due time in it. */
+    public double tail;
+    public double borneMisses;
     public double coldFrom = 1;
     public double warmWithin;
     public double fallWindow;
     public double overloadFactor = 1;
     public double tick = 1;
     public double crossFee;
+    /** What it costs in service if each task has to fetch what its key needs; 0: keys need nothing. */
+    public double fetchFee;
 }
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -14,6 +14,8 @@
     int[] kindOf = new int[ROOM];
     int[] cellOf = new int[ROOM];
     boolean[] named = new boolean[ROOM];
+    /** From its name, the same at every dispatcher. */
+    int[] tag = new int[ROOM];
     boolean[] probing = new boolean[ROOM];
     double[] startedAt = new double[ROOM];
     /** What the list says of its size, 0 if nothing. */
@@ -197,6 +199,7 @@
         kindOf = Arrays.copyOf(kindOf, n);
         cellOf = Arrays.copyOf(cellOf, n);
         named = Arrays.copyOf(named, n);
+        tag = Arrays.copyOf(tag, n);
         probing = Arrays.copyOf(probing, n);
         startedAt = Arrays.copyOf(startedAt, n);
         size = Arrays.copyOf(size, n);
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -77,6 +77,7 @@
         t.width = (int) f.numberOr("width", 1);
         t.memory = f.numberOr("memNeeded", 0);
         t.repeat = f.mark("repeat");
+        t.key = f.textOr("affinity", null);
         tasks.put(t.id, t);
         dispatcher.arrived(at, t);
         forget(t);
@@ -148,6 +149,7 @@
 
     private int newWorker(String name) {
         workerNames.add(name);
+        dispatcher.called(workerNames.size() - 1, name);
         return workerNames.size() - 1;
     }
 
--- a/src/test/java/gingerspool/OrderTest.java
+++ b/src/test/java/gingerspool/OrderTest.java
@@ -21,6 +21,7 @@
             .layer("cli").definedBy("gingerspool.cli..")
             .layer("simhost").definedBy("gingerspool.simhost..")
             .layer("daemon").definedBy("gingerspool.daemon..")
+            .layer("handover").definedBy("gingerspool.handover..")
             .layer("config").definedBy("gingerspool.config..")
             .layer("store").definedBy("gingerspool.store..")
             .layer("wire").definedBy("gingerspool.wire..")
@@ -36,8 +37,9 @@
             .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost", "experiment")
             .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "daemon")
             .whereLayer("store").mayOnlyBeAccessedByLayers("daemon")
-            .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "store", "simhost", "cli", "experiment",
-                "rig")
+            .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "handover", "store", "simhost", "cli",
+                "experiment", "rig")
+            .whereLayer("handover").mayOnlyBeAccessedByLayers("daemon")
             .whereLayer("toml").mayOnlyBeAccessedByLayers("config", "cli", "daemon", "scenario",
                 "experiment")
             .whereLayer("route").mayOnlyBeAccessedByLayers("config", "daemon", "store")
--- a/src/test/java/gingerspool/daemon/ConfigurationTest.java
+++ b/src/test/java/gingerspool/daemon/ConfigurationTest.java
@@ -53,6 +53,15 @@
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
+            {"'profiles'", "'goal':{'tail':0.4},'profiles'",
+                "settings.goal.borneMisses is missing, and goal.tail needs it"},
+            {"'profiles'", "'goal':{'tail':-1},'profiles'", "settings.goal.tail is negative"},
+            {"'profiles'", "'obligations':{'keyQuietMs':-5},'profiles'",
+                "settings.obligations.keyQuietMs is negative"},
+            {"'profiles'", "'obligations':{'drainBindsAlone':'yes'},'profiles'",
+                "settings.obligations.drainBindsAlone is not true or false"},
+            {"'effect':'safe'", "'effect':'safe','oneAtATime':1",
+                "settings.profiles[0].oneAtATime is not true or false"},
             {"'name':'p'", "'nom':'p'", "settings.profiles[0].name is missing"},
             {"'dueTimeMs':100", "'dueTimeMs':'soon'", "settings.profiles[0].dueTimeMs is not a number"},
             {"'dueTimeMs':100", "'dueTimeMs':-1", "settings.profiles[0].dueTimeMs is negative"},
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -47,7 +47,7 @@
         run[1] = 1;
         double[] within = new double[17];
         double lambda = 0.3;
-        Dispatcher.busyPeriods(1, lambda, run, within);
+        BusyPeriods.within(1, lambda, run, within);
         // Unit jobs behind one unit of work: Borel's law, P(0) = e^-a, P(1) = a e^-2a, P(2) = 3/2 a^2 e^-3a.
         assertEquals(within[0], Math.exp(-lambda), 1e-12);
         assertEquals(within[1] - within[0], lambda * Math.exp(-2 * lambda), 1e-12);
@@ -59,7 +59,7 @@
         double[] run = new double[17];
         run[0] = 1;
         double[] within = new double[17];
-        Dispatcher.busyPeriods(4, 0.5, run, within);
+        BusyPeriods.within(4, 0.5, run, within);
         assertEquals(within[0], 1, 1e-12);
     }
 
