Errors that come from all workers alike are the tasks' own: one assignment each

Change: the share of errors among all answers is taken off each worker's own before it is blamed, and where that share is over an eighth and repeats after errors were in vain, the task is given up after one assignment. It meets any cause that makes all workers fail alike (a bad release too: none is better then); it hurts where errors come at random and repeats are few, which the share of repeats in vain guards.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -44,6 +44,8 @@
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
     private static final double PRESSED = 0.6;
 
+    /** Beyond this share of errors at all workers an error is more likely the task's. */
+    private static final double ERRORS = 1.0 / 8;
     /** Lines for tasks with an order, by tasks that may be in hand: so few share one with another key. */
     private static final int LINES = 4;
 
@@ -89,7 +91,8 @@
         this.out = out;
         chance = new SplittableRandom(seed);
         boolean any = Arrays.stream(profiles).anyMatch(p -> p.inOrder);
-        lines = new Line[any ? Integer.highestOneBit(LINES * Math.max(16, Math.min(s.mostTasks, 1 << 18))) : 1];
+        int most = LINES * Math.max(16, Math.min(s.mostTasks, 1 << 18));
+        lines = new Line[any ? Integer.highestOneBit(most) : 1];
         keyRest = s.keyRest + tick;
         salt = Long.hashCode(seed);
         askGap = askSpan / 20;
@@ -119,7 +122,7 @@
     /** What this worker is called: the same at every dispatcher, and said before it is first listed. */
     public void called(int w, String name) {
         fleet.reach(w, 0);
-        fleet.tag[w] = mixed(name.hashCode());
+        fleet.tag[w] = Workers.mixed(name.hashCode());
     }
 
     /** One entry of the list; the state is GONE, DRAINING or RUNNING. */
@@ -208,25 +211,12 @@
         lookAgain();
     }
 
-    /** When the worker is held to have started, at Unix time; 0 for long ago. */
-    public double startedAt(int w) {
-        return fleet.startedAt[w];
-    }
-
     public boolean banned(int w) {
         return !Double.isNaN(fleet.bannedAt[w]);
     }
 
     // ---- Inputs: what another process has learned ----
 
-    /** All that is learned, under names, for the next process of this scheduler. */
-    public Map<String, Object> learned() {
-        Memory m = Memory.toTell();
-        carry(m);
-        m.numbers("own", fleet.own, fleet.count);
-        return m.fields();
-    }
-
     /** Takes what the process before this one had learned of the same list, told in the same order. */
     public void learn(double at, Map<?, ?> told) {
         now = at;
@@ -272,17 +262,11 @@
     }
 
     private Line line(String key) {
-        int i = mixed(key.hashCode() ^ salt) & lines.length - 1;
+        int i = Workers.mixed(key.hashCode() ^ salt) & lines.length - 1;
         lines[i] = lines[i] == null ? new Line(keyRest) : lines[i];
         return lines[i];
     }
 
-    private static int mixed(int h) {
-        h = (h ^ h >>> 16) * 0x85EBCA6B;
-        h = (h ^ h >>> 13) * 0xC2B2AE35;
-        return h ^ h >>> 16;
-    }
-
     /** The task is over: whoever stands behind it may have the turn. */
     private void over(Task t) {
         t.ended = true;
@@ -353,6 +337,9 @@
                 t.ran = t.sent[i].neverRan ? t.ran : t.sent[i];
             }
         }
+        if (t.last == Outcome.ERROR && (how == Outcome.OK || how == Outcome.ERROR)) {
+            futile += ((how == Outcome.ERROR ? 1 : 0) - futile) / 8;
+        }
         t.last = how;
         judge(a, how);
         reported(a.worker, report);
@@ -433,10 +420,7 @@
         planWake();
     }
 
-    /**
-     * The rules, in order: the first whose condition holds acts. Those on a task look at the one due for a
-     * look.
-     */
+    /** The rules, in order: the first whose condition holds acts. Those on a task look at the one due. */
     private boolean ruleFires() {
         if (listWanted()) {
             askForList();
@@ -507,13 +491,19 @@
 
     /** Guards rule two: what may have run goes out again only as its profile allows. */
     private boolean mayNotRunAgain() {
-        return task.tries >= triesOf(task) || now >= task.expiry || !task.terms.goesAgainAfter(task.last)
-            || task.ran != null
+        return task.tries >= triesOf(task) || now >= task.expiry || failsAnywhere()
+            || !task.terms.goesAgainAfter(task.last) || task.ran != null
             && (task.profile.effect == Profile.Effect.SIDE_EFFECTING
                 || task.profile.effect == Profile.Effect.FINGERPRINTED
                     && now >= task.ran.sentAt + task.profile.window);
     }
 
+    /** Guards workers' time: an error is the task's own where they come from all alike and repeats are in vain. */
+    private boolean failsAnywhere() {
+        return task.last == Outcome.ERROR && errors > ERRORS && futile > 0.75
+            && blame(task.sent[task.tries - 1].worker, task.profile.index) < 0.5;
+    }
+
     private int triesOf(Task t) {
         return Math.min(mostTries, t.terms.assignments);
     }
@@ -576,10 +566,7 @@
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
-    /**
-     * How far late answers count. Guards the first seconds: due times follow from works and paces that are
-     * still to be learned, and only workers believed full show that lateness comes from queues.
-     */
+    /** How far late answers count: in the first seconds only workers believed full tell of queues. */
     private double heed() {
         return Math.max(1 - Math.exp((firstArrival - now) / (2 * fadeSpan())), Math.min(1, 2 * full));
     }
@@ -752,7 +739,7 @@
         for (int w = 0; t.key != null && fetchFee > 0 && w < fleet.count; w++) {
             if (fleet.state[w] == RUNNING && !banned(w)
                 && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)) {
-                double u = ((mixed(t.key.hashCode() ^ fleet.tag[w]) >>> 1) + 0.5) / (1L << 31);
+                double u = ((Workers.mixed(t.key.hashCode() ^ fleet.tag[w]) >>> 1) + 0.5) / (1L << 31);
                 double far = -Math.log(u) / fleet.size[w];
                 for (int i = 0, v = w; i < home.length && v >= 0; i++) {
                     if (home[i] < 0 || far < homeFar[i]) {
@@ -956,7 +943,7 @@
     // ---- Health ----
 
     private double trust(int w, int p) {
-        double t = 1 - failNow(w, p);
+        double t = 1 - blame(w, p);
         Assignment a = fleet.oldest[w];
         if (a != null) {
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
@@ -965,6 +952,15 @@
         return t;
     }
 
+    /**
+     * Guards good workers against tasks that fail wherever they go: what all workers fail with alike is no
+     * worker's fault. Where a release breaks all of them none is better than the others, so nothing is lost.
+     */
+    private double blame(int w, int p) {
+        double alike = 3 * errors / (2 + errors);
+        return Math.max(0, (failNow(w, p) - alike) / (1 - alike));
+    }
+
     /** Share of failures lately; the more in a row, the longer it is remembered. */
     double failNow(int w, int p) {
         if (fleet.fail[w][p] == 0) {
@@ -991,6 +987,7 @@
             case OK -> {
                 fleet.fail[w][p] = failNow(w, p) * 0.8;
                 fleet.failAt[w][p] = now;
+                errors -= errors * newest();
                 fleet.failRow[w][p] = 0;
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
@@ -1001,7 +998,10 @@
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
                 }
             }
-            case ERROR, RESET -> failed(w, p);
+            case ERROR, RESET -> {
+                failed(w, p);
+                errors += how == Outcome.ERROR ? (1 - errors) * newest() : 0;
+            }
             case FULL, UNREACHABLE -> {
                 if (tellsStart && how == Outcome.FULL) {
                     count(w, a.region, K - 1, 1);
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -1,9 +1,10 @@
 package gingerspool.dispatch;
 
+import java.util.Map;
+
 /** What a Dispatcher has learned: figures only, and how they pass from one process to the next. */
 abstract class Learned extends Figures {
     final Workers fleet;
-
     final double[][] pool;
     final double[] profileWork;
     final double[] profileSeen;
@@ -32,6 +33,10 @@
     double late;
     /** Share of the workers weighed that were believed full, lately. */
     double full;
+    /** Share of errors among the answers of all workers lately. */
+    double errors;
+    /** Share of repeats after an error that end in another one. */
+    double futile = 0.5;
     /** Time between tasks that come to us. */
     double gap;
     double lastArrival;
@@ -59,6 +64,19 @@
         tenantAt = new double[tenants];
     }
 
+    /** All that is learned, under names, for the next process of this scheduler. */
+    public final Map<String, Object> learned() {
+        Memory m = Memory.toTell();
+        carry(m);
+        m.numbers("own", fleet.own, fleet.count);
+        return m.fields();
+    }
+
+    /** When the worker is held to have started, at Unix time; 0 for long ago. */
+    public final double startedAt(int w) {
+        return fleet.startedAt[w];
+    }
+
     final void carry(Memory m) {
         fleet.carry(m);
         for (int k = 0; k < pool.length; k++) {
@@ -86,6 +104,8 @@
         press = m.number("press", press);
         late = m.number("late", late);
         full = m.number("full", full);
+        errors = m.number("errors", errors);
+        futile = m.number("futile", futile);
         gap = m.number("gap", gap);
         lastArrival = m.number("lastArrival", lastArrival);
         firstArrival = m.number("firstArrival", firstArrival);
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -168,6 +168,13 @@
         a.after = null;
     }
 
+    /** Spreads the bits of a hash. */
+    static int mixed(int h) {
+        h = (h ^ h >>> 16) * 0x85EBCA6B;
+        h = (h ^ h >>> 13) * 0xC2B2AE35;
+        return h ^ h >>> 16;
+    }
+
     /** Sorts the workers by rank. */
     void order() {
         order = new Integer[count];
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -702,4 +702,71 @@
         b.arrive(0, 6);
         assertEquals(b.count("send"), 1);
     }
+
+    /** Errors that come from all workers alike are the tasks' own: no worker is blamed, no task goes twice. */
+    @Test
+    public void whatFailsEverywhereCostsOneAssignmentAndNoWorker() {
+        Bench b = Bench.of(SAFE);
+        b.settings.profiles[0].dueTime = 2000;
+        b.start(4);
+        for (int i = 0; i < 200; i++) {
+            b.arrive(0, 10 + 20 * i);
+            Assignment a = b.last();
+            boolean bad = i % 3 == 0;
+            b.d.ended(15 + 20 * i, a, bad ? Outcome.ERROR : Outcome.OK, !bad, Bench.report(Double.NaN, 2));
+            while (b.last() != a) {
+                a = b.last();
+                b.d.ended(15 + 20 * i, a, Outcome.ERROR, false, Bench.report(Double.NaN, 2));
+            }
+        }
+        int before = b.sent.size();
+        int bounced = b.count("bounce");
+        for (int i = 0; i < 5; i++) {
+            b.arrive(0, 5000 + 10 * i);
+            b.d.ended(5005 + 10 * i, b.last(), Outcome.ERROR, false, Bench.report(Double.NaN, 2));
+        }
+        assertEquals(b.sent.size() - before, 5, "one assignment each");
+        assertEquals(b.count("bounce") - bounced, 5);
+        Task good = b.task(0, 5100, 100);
+        b.d.arrived(5100, good);
+        assertEquals(good.out, 1, "good ones are not turned away");
+    }
+
+    /** Errors at all workers that a repeat gets round are no reason to give up. */
+    @Test
+    public void whereRepeatsHelpTheyAreMade() {
+        Bench b = Bench.of(SAFE);
+        b.settings.profiles[0].dueTime = 2000;
+        b.start(4);
+        for (int i = 0; i < 200; i++) {
+            Task t = b.arrive(0, 10 + 20 * i);
+            b.d.ended(15 + 20 * i, b.last(), i % 3 == 0 ? Outcome.ERROR : Outcome.OK, i % 3 > 0,
+                Bench.report(Double.NaN, 2));
+            if (t.out > 0) {
+                b.d.ended(18 + 20 * i, b.last(), Outcome.OK, true, Bench.report(Double.NaN, 2));
+            }
+        }
+        assertEquals(b.count("bounce"), 0);
+        assertEquals(b.sent.size(), 200 + 67);
+    }
+
+    /** One bad worker among good ones is still told: its tasks go on elsewhere. */
+    @Test
+    public void oneWorkerThatFailsIsBlamedAndItsTasksGoOn() {
+        Bench b = Bench.of(SAFE);
+        b.settings.profiles[0].dueTime = 2000;
+        b.start(4);
+        int atBad = 0;
+        for (int i = 0; i < 100; i++) {
+            Task t = b.arrive(0, 10 + 20 * i);
+            while (t.out > 0) {
+                Assignment a = b.last();
+                boolean bad = a.worker == 2;
+                atBad += bad && i >= 20 ? 1 : 0;
+                b.d.ended(15 + 20 * i, a, bad ? Outcome.ERROR : Outcome.OK, !bad, Bench.report(Double.NaN, 2));
+            }
+        }
+        assertEquals(b.count("bounce"), 0);
+        assertTrue(atBad < 10, atBad + " of 80 at the bad one");
+    }
 }
