--- a/src/main/java/gingerspool/daemon/Life.java
+++ b/src/main/java/gingerspool/daemon/Life.java
@@ -1,8 +1,8 @@
 package gingerspool.daemon;
 
 /**
- * The scheduler's own life, without I/O: it is told what happens (started, drained, activated, succeeded, alone
- * again, leaving) and says what clients are to see of it. Times are milliseconds on the loop's clock.
+ * The scheduler's own life, without I/O: it is told what happens (started, drained, activated, succeeded,
+ * alone again, leaving) and says what clients are to see of it. Times are milliseconds on the loop's clock.
  */
 final class Life {
     /** After it is said that nobody new is to come here, clients come for this long. */
--- a/src/main/java/gingerspool/daemon/Trace.java
+++ b/src/main/java/gingerspool/daemon/Trace.java
@@ -9,7 +9,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One line for each step of each task, for adding up over all schedulers what became of their tasks. Off unless
+ * One line for each step of each task, for adding up over all schedulers what became of their tasks. Off
+ * unless
  * asked for with -Dorg.slf4j.simpleLogger.log.trace=debug; bench/fleet.py reads the lines.
  */
 final class Trace {
@@ -26,14 +27,17 @@
 
     static void sent(Assignment a, String worker, boolean connects) {
         if (LOG.isDebugEnabled()) {
-            LOG.atDebug().addKeyValue("task", a.task.id).addKeyValue("n", a.number).addKeyValue("worker", worker)
-                .addKeyValue("connects", connects).addKeyValue("believed", a.beliefs()).log("assignment.sent");
+            LOG.atDebug().addKeyValue("task", a.task.id).addKeyValue("n", a.number)
+                .addKeyValue("worker", worker)
+                .addKeyValue("connects", connects)
+                .addKeyValue("believed", a.beliefs()).log("assignment.sent");
         }
     }
 
     static void ended(Assignment a, String worker, Outcome how, double[] report) {
         if (LOG.isDebugEnabled()) {
-            LOG.atDebug().addKeyValue("task", a.task.id).addKeyValue("n", a.number).addKeyValue("worker", worker)
+            LOG.atDebug().addKeyValue("task", a.task.id).addKeyValue("n", a.number)
+                .addKeyValue("worker", worker)
                 .addKeyValue("how", how.name().toLowerCase(Locale.ROOT))
                 .addKeyValue("report", report == null ? "" : Arrays.toString(report).replace(" ", ""))
                 .log("assignment.ended");
--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -35,7 +35,7 @@
         this.serial = serial;
     }
 
-    /** What was believed when it was sent, for a log: region of queued work, running time, wait, if it met a free slot. */
+    /** Beliefs when it was sent, for a log: region of queued work, running time, wait, if a slot was free. */
     public String beliefs() {
         return region + "," + Math.round(run) + "," + Math.round(wait) + "," + metFree;
     }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -498,7 +498,7 @@
                     && now >= task.ran.sentAt + task.profile.window);
     }
 
-    /** Guards workers' time: an error is the task's own where they come from all alike and repeats are in vain. */
+    /** Guards workers' time: errors that come from all alike, and repeats in vain, are the tasks' own. */
     private boolean failsAnywhere() {
         return task.last == Outcome.ERROR && errors > ERRORS && futile > 0.75
             && blame(task.sent[task.tries - 1].worker, task.profile.index) < 0.5;
--- a/src/main/java/gingerspool/dispatch/Memory.java
+++ b/src/main/java/gingerspool/dispatch/Memory.java
@@ -6,8 +6,8 @@
 
 /**
  * What a Dispatcher has learned, on its way from one process to the next: each field passes through it once,
- * under its name. One that is told notes what passes; one that is taken puts what was told in its place, where
- * that has the same size. No decisions here.
+ * under its name. One to tell notes what passes; one to take puts what was told in its place, where that has
+ * the same size. No decisions here.
  */
 public final class Memory {
     private final Map<String, Object> fields;
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -24,7 +24,7 @@
     /** Tasks that may be in hand at once, and how long a key rests after an assignment that may still run. */
     public int mostTasks = 1000;
     public double keyRest;
-    /** Only a listing as draining binds. The module takes the stricter way: who is listed as gone gets nothing. */
+    /** Only a listing as draining binds; the module is stricter: who is listed as gone gets nothing. */
     public boolean drainBindsAlone;
     /** The weight of the tail in the score, and the share of tasks that may miss their due time in it. */
     public double tail;
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -98,8 +98,8 @@
     private int forwarded;
 
     /**
-     * Reads the note in the folder at once. Files are written by `files`, whose ends are told by `loop`; own is
-     * where this process is called.
+     * Reads the note in the folder at once. Files are written by `files`, whose ends are told by `loop`; own
+     * is where this process is called.
      */
     public Handover(Turns turns, Executor files, Executor loop, Path folder, String name,
         InetSocketAddress own, double connectWithin, House house) {
@@ -155,8 +155,8 @@
             return;
         }
         try {
-            before = before == null ? new Peer(turns, Address.read(found.at()), found.token(), own, connectWithin)
-                : before;
+            before = before == null
+                ? new Peer(turns, Address.read(found.at()), found.token(), own, connectWithin) : before;
         } catch (BadMessage e) {
             stateFailed("its address is " + e.getMessage());
             return;
@@ -164,8 +164,8 @@
         heard = 0;
         asks++;
         early.clear();
-        before.words.call("join", body(Map.of("v", Note.VERSION, "token", token, "ask", asks)), PATIENCE_STATE,
-            (status, body) -> {
+        byte[] call = body(Map.of("v", Note.VERSION, "token", token, "ask", asks));
+        before.words.call("join", call, PATIENCE_STATE, (status, body) -> {
                 try {
                     if (status != 200) {
                         stateFailed(status == 0 ? "no answer" : "status " + status);
@@ -347,7 +347,7 @@
 
     // ---- Call-backs ----
 
-    /** A call-back for no task of ours: the status it is to be answered with, once the others have seen it. */
+    /** A call-back for no task of ours: the status to answer it with, once the others have seen it. */
     public void callBack(byte[] call, IntConsumer answer) {
         forward(call, "", answer);
     }
@@ -420,7 +420,8 @@
                 if (house.told(body)) {
                     from.answer(200, List.of(), NOTHING);
                 } else {
-                    forward(body, who, status -> from.answer(status == 200 ? 404 : status, List.of(), NOTHING));
+                    forward(body, who,
+                        status -> from.answer(status == 200 ? 404 : status, List.of(), NOTHING));
                 }
             }
             default -> from.answer(404, List.of(), "no such path\n");
--- a/src/main/java/gingerspool/handover/Note.java
+++ b/src/main/java/gingerspool/handover/Note.java
@@ -19,8 +19,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The file by which the next process finds this one: where it can be called, with which token, and the workers
- * that are under a ban, which hold even if it can't be called any more. Written whole, then renamed.
+ * The file by which the next process finds this one: where it can be called, with which token, and the
+ * workers that are under a ban, which hold even if it can't be called any more. Written whole, then renamed.
  */
 record Note(String at, String token, List<String> suspended, boolean drained) {
     private static final Logger LOG = LoggerFactory.getLogger(Note.class);
--- a/src/main/java/gingerspool/handover/Peer.java
+++ b/src/main/java/gingerspool/handover/Peer.java
@@ -57,8 +57,9 @@
     private record Call(byte[] request, double patience, Reply reply) { }
 
     private byte[] request(String path, byte[] body) {
-        return Inbound.joined("POST /v1/link/" + path + " HTTP/1.1\r\nHost: " + Address.text(at) + "\r\nX-Token: "
-            + token + "\r\nX-From: " + own + "\r\nContent-Length: " + body.length + "\r\n\r\n", body);
+        return Inbound.joined("POST /v1/link/" + path + " HTTP/1.1\r\nHost: " + Address.text(at)
+            + "\r\nX-Token: " + token + "\r\nX-From: " + own
+            + "\r\nContent-Length: " + body.length + "\r\n\r\n", body);
     }
 
     String name() {
--- a/src/main/java/gingerspool/handover/Succession.java
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -6,7 +6,7 @@
  * what is to be done; what is not said by the rules below changes nothing.
  */
 final class Succession {
-    /** Towards the process before this one: no such, asked for its state, asked to retire, lives on beside. */
+    /** Towards the process before: no such, asked for its state, asked to retire, lives on beside. */
     enum Before { NONE, ASKED, TAKING, BESIDE }
 
     /** Towards the one after: no such, it has the state, it has the clients. */
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -111,10 +111,12 @@
     }
 
     /**
-     * Notes what befalls a scheduler: killed, terminated, up. No new connections go to one that is not up.
+     * Notes what befalls a scheduler: killed, terminated, drained, up, or what leaves it open. No new
+     * connections go to one of the first three until it is up.
      */
     public void note(int scheduler, String what) {
-        closed[scheduler] = !what.equals("up");
+        boolean down = what.equals("killed") || what.equals("terminated") || what.equals("drained");
+        closed[scheduler] = down || closed[scheduler] && !what.equals("up");
         line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, turns.now()));
     }
 
--- a/src/main/java/gingerspool/scenario/Scenario.java
+++ b/src/main/java/gingerspool/scenario/Scenario.java
@@ -140,6 +140,12 @@
     public Load load = new Load();
     public final List<Fault> faults = new ArrayList<>();
 
+    /** Whether operators call the schedulers: then each has an address for them. */
+    public boolean hasOperators() {
+        return faults.stream().anyMatch(f -> List.of("scheduler-replaced", "heir-killed", "scheduler-drained",
+            "suspend").contains(f.what));
+    }
+
     /** The longest expiry of any kind, in milliseconds. */
     public double longestExpiry() {
         return kinds.values().stream().mapToDouble(k -> k.expiry).max().orElse(0);
--- a/src/main/java/gingerspool/scenario/ScenarioFile.java
+++ b/src/main/java/gingerspool/scenario/ScenarioFile.java
@@ -47,6 +47,10 @@
         FAULTS.put("heavy-tail", List.of("factor"));
         FAULTS.put("scheduler-killed", List.of("scheduler"));
         FAULTS.put("scheduler-terminated", List.of("scheduler"));
+        FAULTS.put("scheduler-replaced", List.of("scheduler"));
+        FAULTS.put("heir-killed", List.of("scheduler"));
+        FAULTS.put("scheduler-drained", List.of("scheduler"));
+        FAULTS.put("suspend", List.of());
     }
 
     private final List<Fault> faults = new ArrayList<>();
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -255,8 +255,8 @@
         }
         LOG.atDebug().addKeyValue("task", id).addKeyValue("state", state).addKeyValue("worker", from)
             .log("door.told");
-        return desk.told(id, from, state, Tree.number(Double.NaN, call, "share"), Tree.text("", call, "result"),
-            Tree.at(call, "load"));
+        return desk.told(id, from, state, Tree.number(Double.NaN, call, "share"),
+            Tree.text("", call, "result"), Tree.at(call, "load"));
     }
 
     private void task(Inbound client, Message request, String path) throws BadMessage {
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -176,7 +176,7 @@
         lastAnswer = last;
     }
 
-    /** A worker's call-backs come on it, so it is none of the clients'; the next answer is its last or not. */
+    /** A worker's call-backs come on it, not a client's tasks; its next answer is the last or not. */
     public void carriesCallBacks(boolean last) {
         callBacks = true;
         lastAnswer = last;
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -104,8 +104,8 @@
     }
 
     /**
-     * Another process listens here too: takes what still waits, then closes. Guards the clients: closing resets
-     * what waits, so it closes at the moment when nothing does.
+     * Another process listens here too: takes what still waits, then closes. Guards the clients: closing
+     * resets what waits, so it closes at the moment when nothing does.
      */
     public void retire() {
         retiring = true;
