--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -24,20 +24,13 @@
 import org.testng.annotations.Test;
 
 /** Two daemons of one scheduler beside each other, on one address and one folder. */
-public class HandoverTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
-    private final List<Socket> open = new ArrayList<>();
+public class HandoverTest extends Rig {
     private final List<Daemon> daemons = new ArrayList<>();
-    private ServerSocket worker;
-    private ServerSocket discovery;
     private Path folder;
 
     @BeforeMethod
     public void prepare() throws IOException {
-        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        worker.setSoTimeout(5000);
-        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listen();
         folder = Files.createTempDirectory("handover");
     }
 
@@ -48,12 +41,7 @@
             d.loop.stop();
         }
         daemons.clear();
-        for (Socket s : open) {
-            s.close();
-        }
-        open.clear();
-        worker.close();
-        discovery.close();
+        close();
         Folders.remove(folder);
     }
 
@@ -76,15 +64,6 @@
         return ((InetSocketAddress) d.door.address()).getPort();
     }
 
-    private Socket to(SocketAddress address, String text) throws IOException {
-        Socket s = new Socket();
-        open.add(s);
-        s.connect((InetSocketAddress) address);
-        s.setSoTimeout(5000);
-        Bench.write(s, text);
-        return s;
-    }
-
     private int call(Daemon d, String method, String path) throws IOException {
         Socket s = to(d.management.address(), method + " " + path + " HTTP/1.1\r\n\r\n");
         return Integer.parseInt(Bench.read(s).substring(9, 12));
--- a/src/test/java/gingerspool/daemon/ManagementTest.java
+++ b/src/test/java/gingerspool/daemon/ManagementTest.java
@@ -6,12 +6,7 @@
 
 import gingerspool.dispatch.Bench;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -19,18 +14,12 @@
 import org.testng.annotations.Test;
 
 /** Operators' calls to a whole daemon on loopback sockets. */
-public class ManagementTest {
-    private static final String TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
-
-    private final List<Socket> open = new ArrayList<>();
-    private ServerSocket worker;
-    private ServerSocket discovery;
+public class ManagementTest extends Rig {
     private Daemon daemon;
 
     @BeforeMethod
     public void start() throws Exception {
-        worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listen();
         String known = "'known':{'seq':7,'whole':true,'hosts':[{'host':'s-1','dial':'127.0.0.1:"
             + worker.getLocalPort() + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,"
             + "'born_ms':0}]},";
@@ -44,21 +33,7 @@
     @AfterMethod
     public void stop() throws IOException {
         daemon.loop.stop();
-        for (Socket s : open) {
-            s.close();
-        }
-        open.clear();
-        worker.close();
-        discovery.close();
-    }
-
-    private Socket to(java.net.SocketAddress address, String text) throws IOException {
-        Socket s = new Socket();
-        open.add(s);
-        s.connect((InetSocketAddress) address);
-        s.setSoTimeout(5000);
-        Bench.write(s, text);
-        return s;
+        close();
     }
 
     private Socket operator(String text) throws IOException {
