Several reports a task, buddy sets here and elsewhere, means by kind and place

A trace of each refusal and of the beliefs behind it: best region 4 to 8, 'full' 1.00, while the 33 small workers of the other office had 1.9 of 2 slots free in nearly every report. 94 of 115 schedulers stood in the office with 15 of 73 workers. Now: sets of the own place and of the others apart; a mean for each kind here and elsewhere; T_p half a mean run and as many workers asked as a hundredth of service bears by the fee, the task waits for all. What shows strain weighs the newest answer up to 5/64, so that a jam is forgotten sooner.

--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -146,6 +146,7 @@
         s.overloadFactor = rules.at("overloadFactor").number(1);
         s.tick = all.at("tickMs").number(1);
         s.fetchFee = all.at("fees").object().at("origin").number(0);
+        s.probeFee = all.at("fees").object().at("probe").number(0);
         s.crossFee = all.at("fees").object().at("crossZone").number(0);
     }
 }
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -24,10 +24,10 @@
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
+    /** T_p in mean running times. */
+    private static final double REFRESH = 0.5;
     /** The least size of a buddy set. */
     private static final int BUDDIES = 4;
-    /** How much farther back in our order of workers those of other places come. */
-    private static final double FAR = 4;
     /** Where running times are looked at, in standard deviations of their logarithm. */
     private static final double[] LIKELY = {-1.15, -0.32, 0.32, 1.15};
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
@@ -131,7 +131,7 @@
         fleet.reach(w, ofKind);
         // Each dispatcher has an order of its own, so that they don't all lean on the same few workers.
         fleet.rank[w] = fleet.rank[w] > 0 ? fleet.rank[w] : -Math.log(chance.nextDouble())
-            / Math.max(0.1, ofSize) * (inZone == zone ? 1 : FAR);
+            / Math.max(0.1, ofSize);
         boolean again = started > fleet.startedAt[w];
         fleet.named[w] = true;
         fleet.state[w] = newState;
@@ -400,7 +400,7 @@
         fleet.probing[w] = false;
         reported(w, report);
         for (Task t : hand) {
-            t.lookAt = t.asked == w && t.out == 0 ? Math.max(now, t.restUntil) : t.lookAt;
+            t.lookAt = t.out == 0 && told(t, w) ? Math.max(now, t.restUntil) : t.lookAt;
         }
         settle();
     }
@@ -487,7 +487,7 @@
 
     /** T_p, the period of fetching reports and of renewing the tables of X. */
     private double period() {
-        return 2.5 * mixWork;
+        return REFRESH * mixWork;
     }
 
     /** Guards rule two: what may have run goes out again only as its profile allows. */
@@ -572,10 +572,10 @@
         return Math.max(1 - Math.exp((firstArrival - now) / (2 * fadeSpan())), Math.min(1, 2 * full));
     }
 
-    /** Whether the task should wait for a report: once, if the best worker's is older than T_p. */
+    /** Whether the task should wait for reports: once, if the best worker's is older than T_p. */
     private boolean reportWanted() {
         // Guards rule one: near its due time, which is never after its expiry, a task does not wait.
-        return fetchesReports && task.asked < 0 && best >= 0 && old(best) && now + 4 * tick < task.due;
+        return fetchesReports && task.asked == null && best >= 0 && old(best) && now + 4 * tick < task.due;
     }
 
     private boolean old(int w) {
@@ -583,20 +583,49 @@
             : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
     }
 
-    /** Guards against fetching what no task needs: only the worker that would get it is asked. */
+    /** Guards against fetching what no task needs: only the workers that may get it are asked. */
     private void fetchReport() {
-        task.asked = best;
-        if (!fleet.probing[best]) {
-            fleet.probing[best] = true;
-            fleet.probedAt[best] = now;
-            out.probe(best);
+        task.asked = new int[asks];
+        Arrays.fill(task.asked, -1);
+        for (int i = 0; i < asks; i++) {
+            int next = -1;
+            for (int w = 0; w < fleet.count; w++) {
+                next = fleet.value[w] > (next < 0 ? Double.NEGATIVE_INFINITY : fleet.value[next]) ? w : next;
+            }
+            if (next < 0) {
+                break;
+            }
+            fleet.value[next] = Double.NEGATIVE_INFINITY;
+            if (old(next)) {
+                task.asked[i] = next;
+                ask(next);
+            }
         }
         task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
     }
 
+    private void ask(int w) {
+        if (!fleet.probing[w]) {
+            fleet.probing[w] = true;
+            fleet.probedAt[w] = now;
+            out.probe(w);
+        }
+    }
+
+    /** Whether this worker's report was the last one that the task waited for. */
+    private boolean told(Task t, int w) {
+        boolean waits = false;
+        boolean its = false;
+        for (int i = 0; t.asked != null && i < t.asked.length; i++) {
+            its |= t.asked[i] == w;
+            waits |= t.asked[i] >= 0 && fleet.probing[t.asked[i]];
+        }
+        return its && !waits;
+    }
+
     /** Weight of the newest task in what shows strain: where few come to us they must tell it sooner. */
     private double newest() {
-        return Math.max(1.0 / SAMPLES, Math.min(3.0 / SAMPLES, gap / fadeSpan()));
+        return Math.max(1.0 / SAMPLES, Math.min(5.0 / SAMPLES, gap / fadeSpan()));
     }
 
     /** Guards against learning of a jam by its late answers only: what is out past its due time is late. */
@@ -686,6 +715,7 @@
         double crossing = crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR);
         // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
         double room = Math.max(BUDDIES, fadeSpan() / gap);
+        double away = room;
         anyReady = false;
         prepare(task);
         findHomes(task);
@@ -697,10 +727,12 @@
             // Guards against new workers idling: cold ones are open to all, since each has a share of them.
             boolean warm = warmth(w, 1) >= 1;
             double fetch = fetches(w);
-            if (room <= 0 && warm && (home[0] < 0 || fetch == 1) || !ready(w, task)) {
+            boolean here = fleet.zoneOf[w] == zone;
+            if ((here ? room : away) <= 0 && warm && (home[0] < 0 || fetch == 1) || !ready(w, task)) {
                 continue;
             }
-            room -= warm ? 1 : 0;
+            room -= warm && here ? 1 : 0;
+            away -= warm && !here ? 1 : 0;
             anyReady = true;
             double c = chanceAt(task, w) * trust(w, task.profile.index);
             double load = load(w, othersNow(w));
@@ -842,11 +874,16 @@
 
     /** The others' jobs there: what was heard fades to their mean as it ages; unheard, it is the mean. */
     double othersNow(int w) {
-        double mean = meanOthers * slotsOf(w);
+        double mean = fleet.groupOthers[group(w)] * slotsOf(w);
         double fresh = Double.isNaN(fleet.heardAt[w]) ? 0 : Math.exp((fleet.heardAt[w] - now) / fadeSpan());
         return mean + (fleet.others[w] - mean) * fresh;
     }
 
+    /** Workers of one kind, here or elsewhere: a mean of all would follow the few that are mostly asked. */
+    private int group(int w) {
+        return 2 * fleet.kindOf[w] + (fleet.zoneOf[w] == zone ? 0 : 1);
+    }
+
     private double fadeSpan() {
         return 8 * mixWork;
     }
@@ -1106,7 +1143,8 @@
         if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
             fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
         }
-        meanOthers += (fleet.others[w] / slotsOf(w) - meanOthers) / SAMPLES;
+        int g = group(w);
+        fleet.groupOthers[g] += (fleet.others[w] / slotsOf(w) - fleet.groupOthers[g]) / SAMPLES;
         int k = region(load(w, fleet.others[w]));
         for (int i = 0; i < K; i++) {
             count(w, i, k, fleet.sentIn[w][i]);
--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Figures.java
@@ -2,6 +2,9 @@
 
 /** The deployment, as the few figures that decisions use. */
 abstract class Figures {
+    /** What asking for reports may cost in service. */
+    private static final double ASKS_WORTH = 0.01;
+
     final Profile[] profiles;
     final double[] allowance;
     final double excess;
@@ -11,6 +14,8 @@
     final boolean listOnRequest;
     final boolean fetchesReports;
     final boolean fetchesAll;
+    /** Workers that are asked for a report on behalf of one task. */
+    final int asks;
     final boolean mayCancel;
     final boolean byPriority;
     final boolean tellsStart;
@@ -38,6 +43,7 @@
         listOnRequest = s.listOnRequest;
         fetchesReports = s.mayProbe && (s.reportsByProbe || s.reportsInAnswers);
         fetchesAll = s.reportsByProbe;
+        asks = (int) Math.max(1, Math.min(8, ASKS_WORTH / Math.max(s.probeFee, 1e-9)));
         mayCancel = s.mayCancel;
         byPriority = s.order == Settings.Order.PRIORITY;
         tellsStart = s.tellsStart;
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -25,7 +25,6 @@
     /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
     double tide;
     double meanWorth;
-    double meanOthers;
     double meanDensity;
     /** Share of tasks that met no free slot lately. */
     double press;
@@ -99,7 +98,6 @@
         unit = m.number("unit", unit);
         tide = m.number("tide", tide);
         meanWorth = m.number("meanWorth", meanWorth);
-        meanOthers = m.number("meanOthers", meanOthers);
         meanDensity = m.number("meanDensity", meanDensity);
         press = m.number("press", press);
         late = m.number("late", late);
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -35,6 +35,8 @@
     public double overloadFactor = 1;
     public double tick = 1;
     public double crossFee;
+    /** What it costs in service if one report is fetched for each task. */
+    public double probeFee;
     /** What it costs in service if each task has to fetch what its key needs; 0: keys need nothing. */
     public double fetchFee;
 }
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -36,8 +36,8 @@
     /** How its last assignment ended, or null. */
     Outcome last;
     boolean held;
-    /** The worker asked for a report on its behalf, or -1. */
-    int asked = -1;
+    /** The workers asked for reports on its behalf, -1 where none; null: none yet. */
+    int[] asked;
     boolean ended;
     Assignment[] sent = new Assignment[1];
     int tries;
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -68,6 +68,8 @@
     double[] kindSlots = new double[0];
     double[] kindWork = new double[0];
     double[] kindRun = new double[0];
+    /** Jobs of others a slot, as the mean of what was heard lately: of each kind here, and elsewhere. */
+    double[] groupOthers = new double[0];
 
     /** A place in this dispatcher's own order of workers, 0 if none yet, and the workers in that order. */
     double[] rank = new double[ROOM];
@@ -89,6 +91,7 @@
             kindSlots = Arrays.copyOf(kindSlots, kind + 1);
             kindWork = Arrays.copyOf(kindWork, kind + 1);
             kindRun = Arrays.copyOf(kindRun, kind + 1);
+            groupOthers = Arrays.copyOf(groupOthers, 2 * kind + 2);
         }
         if (w >= state.length) {
             widen(2 * w);
@@ -134,6 +137,7 @@
         m.numbers("kindSlots", kindSlots);
         m.numbers("kindWork", kindWork);
         m.numbers("kindRun", kindRun);
+        m.numbers("groupOthers", groupOthers);
     }
 
     /** Adds an unfinished send to those of its worker. */
