The largest sends are told to other schedulers; order by key and homes of keys are taken out

So of our sends the largest are told to all, begin and end, as many as a fee of 0.012 bears; what is told counts in O like own sends. A profile that asks for oneAtATime is refused with its key, fees.origin is warned of.

--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -8,12 +8,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The one place where a deployment's settings are read, checked and given defaults, for every host of the
  * module: what the Dispatcher is told, the names under which the outside knows it, what a host needs besides.
  */
 public final class Configuration {
+    private static final Logger LOG = LoggerFactory.getLogger(Configuration.class);
+
     public final Settings settings = new Settings();
     public final Map<String, Profile> profiles = new HashMap<>();
     public final Map<String, Integer> tenants = new HashMap<>();
@@ -44,7 +48,6 @@
         connectionIdle = limits.at("connIdleMs").number(5000);
         connectWithin = Math.max(1, limits.at("connectTimeoutMs").number(250));
         mostTasks = Math.max(1, limits.at("maxOpen").whole(20_000));
-        settings.mostTasks = mostTasks;
         mostBytes = (long) limits.at("bodyBytes").number(0);
         answerGrace = all.at("obligations").at("graceToAnswerMs").number(0);
         Key specifics = all.at("specifics").object();
@@ -99,7 +102,9 @@
                 case "zone" -> Profile.Scope.ZONE;
                 default -> Profile.Scope.CELL;
             };
-            p.inOrder = k.at("oneAtATime").mark();
+            if (k.at("oneAtATime").mark()) {
+                throw k.at("oneAtATime").fault("asks for tasks of a key in turn, which no longer is kept");
+            }
             p.kind = (int) specifics.at("classKind").place(i).any(-1);
             p.prio = (int) specifics.at("classPriority").place(i).any(0);
             p.stretch = k.at("aimStretch").number(specifics.at("classStretch").place(i).number(0));
@@ -127,12 +132,13 @@
         s.utilityByWork = all.at("utilityBy").text("").equals("work");
         s.mayProbe = limits.at("probes").mark();
         s.mayCancel = limits.at("cancelling").mark();
+        s.mayTell = limits.at("mayTell").mark();
+        s.tellFee = all.at("fees").object().at("peer").number(0);
         s.mayAdvise = limits.at("retryAfter").mark();
         s.maxAdvice = limits.at("maxRetryAfterMs").number(0);
         s.mostAssignments = limits.at("mostAssignments").whole(1);
         Key rules = all.at("obligations").object();
         s.askWithin = rules.at("askWithinMs").number(0);
-        s.keyRest = rules.at("keyQuietMs").number(0);
         s.drainBindsAlone = rules.at("drainBindsAlone").mark();
         Key goal = all.at("goal").object();
         s.tail = goal.at("tail").number(0);
@@ -145,7 +151,9 @@
         s.fallWindow = rules.at("fallMs").number(0);
         s.overloadFactor = rules.at("overloadFactor").number(1);
         s.tick = all.at("tickMs").number(1);
-        s.fetchFee = all.at("fees").object().at("origin").number(0);
+        if (all.at("fees").at("origin").number(0) > 0) {
+            LOG.warn("settings.fees.origin: tasks are no longer kept where their key is");
+        }
         s.probeFee = all.at("fees").object().at("probe").number(0);
         s.crossFee = all.at("fees").object().at("crossZone").number(0);
     }
--- a/src/main/java/gingerspool/daemon/NodeConfiguration.java
+++ b/src/main/java/gingerspool/daemon/NodeConfiguration.java
@@ -11,9 +11,13 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What a daemon is told at its start: by the file that GW_CONFIG names, and by GW_* variables besides. */
 public final class NodeConfiguration {
+    private static final Logger LOG = LoggerFactory.getLogger(NodeConfiguration.class);
+
     public final String name;
     public final InetSocketAddress listen;
     /** Null where the list of workers is fixed. */
@@ -64,6 +68,10 @@
         }
         known = all.at("known").object().raw();
         deployment = new Configuration(all.at("settings").raw());
+        if (deployment.settings.mayTell) {
+            LOG.warn("settings.limits.mayTell: this host has no way to other schedulers, nothing is told");
+            deployment.settings.mayTell = false;
+        }
     }
 
     /** The configuration as it was read. */
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -338,7 +338,6 @@
         t.width = (int) Math.max(1, width);
         t.memory = memory;
         t.repeat = repeat;
-        t.key = Facts.key(request);
         if (routes != null) {
             String target = request.target();
             int query = target.indexOf('?');
--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -21,6 +21,10 @@
     boolean overdue;
     boolean cancelled;
     boolean neverRan;
+    /** It is another dispatcher's, who told of it; -1: our own. */
+    int teller = -1;
+    /** Other dispatchers know of it. */
+    boolean told;
     Assignment before;
     Assignment after;
 
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -46,28 +46,14 @@
 
     /** Beyond this share of errors at all workers an error is more likely the task's. */
     private static final double ERRORS = 1.0 / 8;
-    /** Lines for tasks with an order, by tasks that may be in hand: so few share one with another key. */
-    private static final int LINES = 4;
-
-    /** A fetch takes slots here and room at a store that all share: times of its fee that it costs. */
-    private static final double FETCH = 5;
-
     private final Outlet out;
     private final SplittableRandom chance;
 
-    /** The first workers for the key of the task at hand, and how far behind each stands. */
-    private final int[] home = new int[3];
-    private final double[] homeFar = new double[3];
     private final double[] likely = new double[LIKELY.length];
     private final double[] allowed = new double[LIKELY.length];
     private final double[] weight = new double[LIKELY.length];
     private double shares;
 
-    /** Lines of tasks with an order; each is made when its first task comes. */
-    private final Line[] lines;
-    private final double keyRest;
-    private final int salt;
-
     // Tasks in hand, and what was asked for.
     private final List<Task> hand = new ArrayList<>();
     /** Sends under way whose due time is still to come, and how many there are whose has passed. */
@@ -80,6 +66,8 @@
     private int best;
     private double bestChance;
     private boolean anyReady;
+    /** Work from which on a send is told, in shares of the mean. */
+    private double tellFrom;
     private boolean watching;
     private boolean asked;
     private double askAt = Double.NEGATIVE_INFINITY;
@@ -90,11 +78,6 @@
         super(s, K, BINS + 1);
         this.out = out;
         chance = new SplittableRandom(seed);
-        boolean any = Arrays.stream(profiles).anyMatch(p -> p.inOrder);
-        int most = LINES * Math.max(16, Math.min(s.mostTasks, 1 << 18));
-        lines = new Line[any ? Integer.highestOneBit(most) : 1];
-        keyRest = s.keyRest + tick;
-        salt = Long.hashCode(seed);
         askGap = askSpan / 20;
         Arrays.fill(youngest, Double.POSITIVE_INFINITY);
         for (int p = 0; p < profiles.length; p++) {
@@ -107,6 +90,7 @@
         meanDensity = byWork ? meanWorth : meanWorth / mixWork;
         meanWorth *= byWork ? mixWork : 1;
         gap = fadeSpan() / BUDDIES;
+        tellFrom = -Math.log(Math.max(1e-9, tellShare));
     }
 
     // ---- Inputs: the list ----
@@ -254,35 +238,10 @@
         t.due = Math.min(t.expiry, t.due);
         t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
-        if (t.profile.inOrder && t.key != null) {
-            line(t.key).join(t);
-        }
         keep(t);
         settle();
     }
 
-    private Line line(String key) {
-        int i = Workers.mixed(key.hashCode() ^ salt) & lines.length - 1;
-        lines[i] = lines[i] == null ? new Line(keyRest) : lines[i];
-        return lines[i];
-    }
-
-    /** The task is over: whoever stands behind it may have the turn. */
-    private void over(Task t) {
-        t.ended = true;
-        if (t.stands) {
-            t.line.leave(t);
-            callFirst(t.line);
-        }
-    }
-
-    private void callFirst(Line line) {
-        Task t = line.first();
-        if (t != null && t.out == 0) {
-            t.lookAt = Math.max(now, Math.max(t.restUntil, line.restUntil()));
-        }
-    }
-
     /** Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs show. */
     private double fromHint(int p, double hint) {
         double n = Math.min(++hintsSeen[p], 4 * SAMPLES);
@@ -320,14 +279,10 @@
             a.over = true;
             byDue.remove(a);
             overdue -= a.overdue ? 1 : 0;
+            tell(a, false);
             smoothOwn(a.worker);
             fleet.unlink(a);
             a.task.out--;
-            if (a.task.line != null) {
-                a.task.line.ended(a.task,
-                    how == Outcome.TIMEOUT || how == Outcome.RESET || how == Outcome.CANCELLED, now);
-                callFirst(a.task.line);
-            }
         }
         Task t = a.task;
         a.neverRan = how.neverRan();
@@ -344,7 +299,7 @@
         judge(a, how);
         reported(a.worker, report);
         if (over) {
-            over(t);
+            t.ended = true;
             callBack(t);
         } else if (!t.ended && t.out == 0) {
             keep(t);
@@ -366,7 +321,7 @@
     /** A streamed answer has begun: the assignment is the client's from here. */
     public void accepted(double at, Assignment a) {
         now = at;
-        over(a.task);
+        a.task.ended = true;
         settle();
     }
 
@@ -381,7 +336,7 @@
     /** The client left; nothing is owed any more, and what is out for it would take workers' time in vain. */
     public void left(double at, Task t) {
         now = at;
-        over(t);
+        t.ended = true;
         callBack(t);
         settle();
     }
@@ -405,6 +360,64 @@
         settle();
     }
 
+    /** Word of another dispatcher: it has sent a task of so much work to a worker, or that has ended. */
+    public void told(double at, int teller, byte[] word) {
+        now = at;
+        int tag = word.length < 2 ? -1 : (word[0] & 255) << 8 | word[1] & 255;
+        int w = 0;
+        while (w < fleet.count && (fleet.tag[w] & 0xFFFF) != tag) {
+            w++;
+        }
+        if (w < fleet.count && word.length > 2) {
+            Task t = new Task("");
+            t.work = tick * Math.pow(2, (word[2] & 255) / 16.0);
+            t.hint = t.work;
+            Assignment a = new Assignment(t, w, 0, now, t.work / pace(w), waitAt(w, regionOf(w)), 0);
+            a.teller = teller;
+            smoothOwn(w);
+            fleet.link(a);
+        } else if (w < fleet.count) {
+            Assignment a = fleet.oldest[w];
+            while (a != null && a.teller != teller) {
+                a = a.after;
+            }
+            forget(a);
+        }
+        settle();
+    }
+
+    /** Guards against words that were lost: an assignment of others is not believed out for ever. */
+    private void forgetOld(int w) {
+        for (Assignment a = fleet.oldest[w]; a != null;) {
+            Assignment next = a.after;
+            if (a.teller >= 0 && now > a.sentAt + 2 * (a.wait + 2 * a.run)) {
+                forget(a);
+            }
+            a = next;
+        }
+    }
+
+    private void forget(Assignment a) {
+        if (a != null) {
+            smoothOwn(a.worker);
+            fleet.unlink(a);
+        }
+    }
+
+    /** Guards against words that cost more than they tell: of our sends only the largest are told. */
+    private void tell(Assignment a, boolean begins) {
+        if (begins && tellShare > 0) {
+            a.told = a.task.work >= tellFrom * mixWork;
+            tellFrom *= Math.exp(((a.told ? 1 : 0) - tellShare) / 4);
+        }
+        if (a.told) {
+            int tag = fleet.tag[a.worker];
+            double size = Math.rint(16 * Math.log(Math.max(1, a.task.work / tick)) / Math.log(2));
+            byte[] word = {(byte) (tag >> 8), (byte) tag, (byte) Math.min(255, size)};
+            out.tell(-1, begins ? word : Arrays.copyOf(word, 2));
+        }
+    }
+
     public void wake(double at) {
         now = at;
         // Guards against waiting forever: hosts count time in steps, so a timer may fire a little before it.
@@ -427,8 +440,6 @@
             askForList();
         } else if (task == null) {
             return false;
-        } else if (task.stands && !task.line.hasTurn(task, now)) {
-            stand();
         } else if (task.out > 0) {
             sendCopy();
         } else if (mayNotRunAgain() || budgetSpent()) {
@@ -465,17 +476,6 @@
         hand.remove(i);
     }
 
-    /** Guards order: it waits for its turn, or goes at once if that would come too late for it. */
-    private void stand() {
-        double spare = task.due - task.work - now - task.line.workBefore(task, now);
-        if (spare < 0) {
-            giveUp();
-        } else {
-            double turn = task.line.first() == task ? Math.max(now, task.line.restUntil()) : now + spare;
-            task.lookAt = Math.max(now + tick, Math.min(turn, now + spare));
-        }
-    }
-
     private boolean listWanted() {
         return listOnRequest && !watching && !asked && now >= askAt;
     }
@@ -640,7 +640,7 @@
 
     private void giveUp() {
         Task t = task;
-        over(t);
+        t.ended = true;
         drop(hand.indexOf(t));
         boolean harmless = t.ran == null || t.profile.effect == Profile.Effect.IDEMPOTENT
             || t.profile.effect == Profile.Effect.FINGERPRINTED && t.profile.scope == Profile.Scope.ALL;
@@ -686,6 +686,7 @@
             t.lookAt = now + t.terms.copyAfter;
         }
         out.send(a, t.terms.timeout);
+        tell(a, true);
     }
 
     private void keep(Task t) {
@@ -718,7 +719,6 @@
         double away = room;
         anyReady = false;
         prepare(task);
-        findHomes(task);
         int weighed = 0;
         int busyAll = 0;
         for (int i = 0; i < fleet.count; i++) {
@@ -726,14 +726,14 @@
             fleet.value[w] = Double.NEGATIVE_INFINITY;
             // Guards against new workers idling: cold ones are open to all, since each has a share of them.
             boolean warm = warmth(w, 1) >= 1;
-            double fetch = fetches(w);
             boolean here = fleet.zoneOf[w] == zone;
-            if ((here ? room : away) <= 0 && warm && (home[0] < 0 || fetch == 1) || !ready(w, task)) {
+            if ((here ? room : away) <= 0 && warm || !ready(w, task)) {
                 continue;
             }
             room -= warm && here ? 1 : 0;
             away -= warm && !here ? 1 : 0;
             anyReady = true;
+            forgetOld(w);
             double c = chanceAt(task, w) * trust(w, task.profile.index);
             double load = load(w, othersNow(w));
             weighed++;
@@ -745,7 +745,7 @@
                 c = task.sent[j].worker == w ? c / 2 : c;
             }
             // Departure: a crossing costs its fee, in shares of what this task is worth.
-            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing) - FETCH * fetchFee * fetch;
+            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing);
             top = Math.max(top, fleet.value[w]);
         }
         full += weighed == 0 ? 0 : ((double) busyAll / weighed - full) * 4 / SAMPLES;
@@ -763,41 +763,6 @@
         bestChance = best < 0 ? 0 : top;
     }
 
-    /**
-     * Departure: what a key needs is kept where its tasks went lately. All dispatchers rank the workers alike
-     * for a key, larger ones oftener first, so that they agree without a table or a word.
-     */
-    private void findHomes(Task t) {
-        Arrays.fill(home, -1);
-        for (int w = 0; t.key != null && fetchFee > 0 && w < fleet.count; w++) {
-            if (fleet.state[w] == RUNNING && !banned(w)
-                && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)) {
-                double u = ((Workers.mixed(t.key.hashCode() ^ fleet.tag[w]) >>> 1) + 0.5) / (1L << 31);
-                double far = -Math.log(u) / fleet.size[w];
-                for (int i = 0, v = w; i < home.length && v >= 0; i++) {
-                    if (home[i] < 0 || far < homeFar[i]) {
-                        int other = home[i];
-                        double otherFar = homeFar[i];
-                        home[i] = v;
-                        homeFar[i] = far;
-                        v = other;
-                        far = otherFar;
-                    }
-                }
-            }
-        }
-    }
-
-    /** How likely the worker has to fetch what the task needs. */
-    private double fetches(int w) {
-        for (int i = 0; i < home.length; i++) {
-            if (home[i] == w) {
-                return 1 - Math.pow(2, -i);
-            }
-        }
-        return home[0] < 0 ? 0 : 1;
-    }
-
     /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
         return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w]
--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Figures.java
@@ -2,6 +2,9 @@
 
 /** The deployment, as the few figures that decisions use. */
 abstract class Figures {
+    /** What telling others of sends may cost in service, and bytes of telling one's begin and end. */
+    private static final double TELLS_WORTH = 0.012;
+    private static final double TELLS = 32;
     /** What asking for reports may cost in service. */
     private static final double ASKS_WORTH = 0.01;
 
@@ -17,6 +20,8 @@
     /** Workers that are asked for a report on behalf of one task. */
     final int asks;
     final boolean mayCancel;
+    /** Share of our sends that the other dispatchers are told of. */
+    final double tellShare;
     final boolean byPriority;
     final boolean tellsStart;
     final int mostTries;
@@ -28,7 +33,6 @@
     final double budgetSpan;
     final double budgetShare;
     final double crossFee;
-    final double fetchFee;
 
     Figures(Settings s) {
         if (s.profiles.length == 0) {
@@ -45,6 +49,8 @@
         fetchesAll = s.reportsByProbe;
         asks = (int) Math.max(1, Math.min(8, ASKS_WORTH / Math.max(s.probeFee, 1e-9)));
         mayCancel = s.mayCancel;
+        tellShare = !s.mayTell || dispatchers < 2 ? 0
+            : Math.min(1, TELLS_WORTH * 256 / (TELLS * Math.max(s.tellFee, 1e-9) * (dispatchers - 1)));
         byPriority = s.order == Settings.Order.PRIORITY;
         tellsStart = s.tellsStart;
         mostTries = Math.max(1, s.mostAssignments);
@@ -56,6 +62,5 @@
         budgetSpan = s.fallWindow;
         budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
-        fetchFee = s.fetchFee;
     }
 }
--- a/src/main/java/gingerspool/dispatch/Profile.java
+++ b/src/main/java/gingerspool/dispatch/Profile.java
@@ -16,8 +16,6 @@
     public Effect effect = Effect.SIDE_EFFECTING;
     public Scope scope = Scope.ALL;
     public double window;
-    /** Its tasks of one key run one at a time, as they came. */
-    public boolean inOrder;
     public int prio;
     /** Machine kind that it needs, or -1. */
     public int kind = -1;
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -17,13 +17,14 @@
     public boolean tellsStart;
     public boolean mayProbe;
     public boolean mayCancel;
+    /** Whether dispatchers may send each other short messages. */
+    public boolean mayTell;
+    /** What it costs in service if 256 bytes are delivered for each task. */
+    public double tellFee;
     public boolean mayAdvise;
     public double maxAdvice;
     public int mostAssignments = 1;
     public double askWithin;
-    /** Tasks that may be in hand at once, and how long a key rests after an assignment that may still run. */
-    public int mostTasks = 1000;
-    public double keyRest;
     /** Only a listing as draining binds; the module is stricter: who is listed as gone gets nothing. */
     public boolean drainBindsAlone;
     /** The weight of the tail in the score, and the share of tasks that may miss their due time in it. */
@@ -37,6 +38,4 @@
     public double crossFee;
     /** What it costs in service if one report is fetched for each task. */
     public double probeFee;
-    /** What it costs in service if each task has to fetch what its key needs; 0: keys need nothing. */
-    public double fetchFee;
 }
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -14,8 +14,6 @@
     public int width = 1;
     public double memory;
     public boolean repeat;
-    /** What it is about, or null; where its profile asks for order, tasks of one key run in turn. */
-    public String key;
     /** What the operator allows it. */
     public Terms terms = Terms.PLAIN;
     /**
@@ -41,13 +39,6 @@
     boolean ended;
     Assignment[] sent = new Assignment[1];
     int tries;
-    /** Its line, whether it stands there, and who stands before and behind it; null without an order. */
-    Line line;
-    boolean stands;
-    Task ahead;
-    Task behind;
-    /** When an assignment last ended in a way that it may have outlived. */
-    double mayRunAt = Double.NEGATIVE_INFINITY;
     int out;
     /** The earliest assignment that may have run, if any. */
     Assignment ran;
--- a/src/main/java/gingerspool/wire/Facts.java
+++ b/src/main/java/gingerspool/wire/Facts.java
@@ -5,7 +5,6 @@
 /** Numbers in header fields. */
 public final class Facts {
     /** Compiled once: each request and each report in a header asks for it. */
-    private static final String KEY = "user=";
     private static final Pattern PLAIN = Pattern.compile("-?[0-9.]{1,20}([eE][+-]?[0-9]{1,3})?");
 
     private Facts() { }
@@ -22,21 +21,6 @@
     }
 
     /** A header's number, not negative; the fallback where the header is absent. */
-    /** What the request is about: the query parameter `user`, undecoded, or null. */
-    public static String key(Message request) {
-        String target = request.target();
-        int from = target.indexOf('?');
-        while (from >= 0) {
-            int to = target.indexOf('&', from + 1);
-            String part = target.substring(from + 1, to < 0 ? target.length() : to);
-            if (part.startsWith(KEY) && part.length() > KEY.length()) {
-                return part.substring(KEY.length());
-            }
-            from = to;
-        }
-        return null;
-    }
-
     public static double field(Message message, String name, double other) throws BadMessage {
         String text = message.field(name);
         return text == null ? other : sound(name, number(text));
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -13,6 +13,7 @@
 public final class Bench implements Outlet {
     final List<String> acts = new ArrayList<>();
     final List<Assignment> sent = new ArrayList<>();
+    final List<byte[]> words = new ArrayList<>();
     final Settings settings = new Settings();
     Dispatcher d;
 
@@ -57,6 +58,7 @@
     void list(double at, boolean whole, int workers, int state, double startedAt) {
         d.listBegins(at, whole);
         for (int w = 0; w < workers; w++) {
+            d.called(w, "worker-" + w);
             d.listed(w, w % 2, 0, w / 2, state, 2, startedAt);
         }
         d.listEnds(at, whole, false);
@@ -127,6 +129,12 @@
         acts.add("probe " + worker);
     }
 
+    @Override
+    public void tell(int dispatcher, byte[] word) {
+        acts.add("tell " + dispatcher);
+        words.add(word);
+    }
+
     @Override
     public void watchList() {
         acts.add("watch");
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -490,6 +490,49 @@
         assertTrue(b.d.othersNow(5) < 0.5, "others " + b.d.othersNow(5));
     }
 
+    /** Found on sofia-topup: what others sent since the last report was the weakest belief. */
+    @Test
+    public void whatAnotherDispatcherTellsCountsLikeOurOwnSendsUntilItEnds() {
+        Bench from = Bench.of(ONCE);
+        from.settings.mayTell = true;
+        from.start(1);
+        from.d.arrived(2, from.task(0, 2, 1600));
+        Bench to = Bench.of(ONCE).start(2);
+        double idle = to.d.load(0, 0);
+        to.d.told(3, 1, from.words.get(0));
+        assertEquals(to.d.load(0, 0), idle + 0.5);
+        to.d.told(4, 2, new byte[] {from.words.get(0)[0], from.words.get(0)[1]});
+        assertEquals(to.d.load(0, 0), idle + 0.5, "an end told by one who had sent nothing");
+        from.d.ended(900, from.last(), Outcome.OK, true, null);
+        to.d.told(901, 1, from.words.get(1));
+        assertEquals(to.d.load(0, 0), idle);
+        to.d.told(902, 1, from.words.get(0));
+        to.d.wake(60000);
+        to.arrive(0, 60000);
+        assertEquals(to.d.load(1 - to.last().worker, 0), 0.0, "a word that was lost counts for ever");
+        to.d.told(60001, 1, new byte[] {1});
+        to.d.told(60001, 1, new byte[] {0, 0, 0, 0});
+    }
+
+    /** Found on sofia-topup big-1: telling all sends to 158 others cost 0.06 of service. */
+    @Test
+    public void amongManyOnlyTheLargestSendsAreTold() {
+        Bench b = Bench.of(SAFE);
+        b.settings.mayTell = true;
+        b.settings.tellFee = 0.01;
+        b.settings.dispatchers = 100;
+        b.start(8);
+        for (int i = 0; i < 400; i++) {
+            Task t = b.task(0, i * 300, i % 10 == 0 ? 900 : 90);
+            b.d.arrived(i * 300, t);
+            b.d.ended(i * 300 + 250, b.last(), Outcome.OK, true, null);
+        }
+        long told = b.sent.stream().filter(a -> a.told).count();
+        assertTrue(told > 20 && told < 60, "told " + told);
+        assertTrue(b.sent.stream().filter(a -> a.told && a.task.hint < 100).count() < told / 3);
+        assertEquals(b.words.size(), 2 * told);
+    }
+
     /** Found on all grown sites: hundreds of dispatchers flocked after the same old report. */
     @Test
     public void aReportMovesTheBeliefPartOfTheWay() {
