Silent workers are left, the profile served worst counts as the goal says, away sets are small

Now such a worker is shunned, no task goes where a report is long due, and what may repeat and has not begun there is called back. A task of the profile served worst (own counts, prior of 8) now counts with that part of the goal in the bound and the crossing fee; the bound may rise by 1.6, not 1.1.

--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -141,6 +141,7 @@
         s.askWithin = rules.at("askWithinMs").number(0);
         s.drainBindsAlone = rules.at("drainBindsAlone").mark();
         Key goal = all.at("goal").object();
+        s.worstProfile = Math.min(0.9, goal.at("worstClass").number(0));
         s.tail = goal.at("tail").number(0);
         s.borneMisses = goal.at("borneMisses").number(0);
         if (s.tail > 0 && goal.at("borneMisses").raw() == null) {
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -520,7 +520,7 @@
 
                     @Override
                     public void broke(boolean allWritten) {
-                        probed(worker, null);
+                        dispatcher.mute(turns.now(), worker);
                     }
                 });
         } catch (IOException e) {
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -236,7 +236,7 @@
         youngest[p] = Math.min(youngest[p], age);
         t.due = now - Math.max(0, age - youngest[p]) + t.profile.dueTime + t.profile.stretch * t.work;
         t.due = Math.min(t.expiry, t.due);
-        t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t);
+        t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t) * worstBonus(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
         keep(t);
         settle();
@@ -256,6 +256,33 @@
         return work;
     }
 
+    /**
+     * What a task of the profile served worst is worth beyond its utility: it counts in the whole, and its
+     * profile's part of the goal besides, which is spread over that profile's tasks only.
+     */
+    private double worstBonus(Task t) {
+        int p = t.profile.index;
+        double size = byWork ? t.work : 1;
+        double all = 0;
+        int worst = p;
+        for (int q = 0; q < profiles.length; q++) {
+            came[q] -= came[q] / (4 * SAMPLES);
+            served[q] -= served[q] / (4 * SAMPLES);
+            all += came[q] * profiles[q].utility;
+        }
+        came[p] += size;
+        for (int q = 0; q < profiles.length; q++) {
+            worst = shareServed(q) < shareServed(worst) ? q : worst;
+        }
+        return worst != p || all == 0 ? 1
+            : 1 + worstWeight / (1 - worstWeight) * all / (came[p] * t.profile.utility);
+    }
+
+    private double shareServed(int p) {
+        double prior = 8 * (byWork ? profileWork[p] : 1);
+        return (served[p] + prior) / (came[p] + prior);
+    }
+
     private double hintPower() {
         return Math.max(0, Math.min(1, hintRun / hintVar));
     }
@@ -360,6 +387,24 @@
         settle();
     }
 
+    /** The worker answered a request for a report with nothing in time, or turned it away. */
+    public void mute(double at, int w) {
+        now = at;
+        fleet.probing[w] = false;
+        shun(w);
+        // Guards tasks at workers that hang: what may go again is called back, and its outcome decides anew.
+        for (Assignment a = fleet.oldest[w]; a != null && mayCancel; a = a.after) {
+            Task t = a.task;
+            if (a.teller < 0 && !t.ended && !a.cancelled && Double.isNaN(a.startedAt)
+                && t.tries < triesOf(t) && t.terms.goesAgainAfter(Outcome.CANCELLED)
+                && t.profile.effect != Profile.Effect.SIDE_EFFECTING) {
+                a.cancelled = true;
+                out.cancel(a);
+            }
+        }
+        lookAgain();
+    }
+
     /** Word of another dispatcher: it has sent a task of so much work to a worker, or that has ended. */
     public void told(double at, int teller, byte[] word) {
         now = at;
@@ -556,7 +601,7 @@
             return true;
         }
         double density = Math.max(task.worth / task.work, NEAR * meanDensity);
-        double weight = Math.max(0.5, Math.min(1.1, Math.sqrt(meanDensity / density)));
+        double weight = Math.max(0.5, Math.min(1.6, Math.sqrt(meanDensity / density)));
         double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
         press += (waits - press) / SAMPLES;
@@ -625,7 +670,7 @@
 
     /** Weight of the newest task in what shows strain: where few come to us they must tell it sooner. */
     private double newest() {
-        return Math.max(1.0 / SAMPLES, Math.min(5.0 / SAMPLES, gap / fadeSpan()));
+        return Math.max(1.0 / SAMPLES, Math.min(4.0 / SAMPLES, gap / fadeSpan()));
     }
 
     /** Guards against learning of a jam by its late answers only: what is out past its due time is late. */
@@ -716,7 +761,7 @@
         double crossing = crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR);
         // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
         double room = Math.max(BUDDIES, fadeSpan() / gap);
-        double away = room;
+        double away = BUDDIES;
         anyReady = false;
         prepare(task);
         int weighed = 0;
@@ -765,12 +810,17 @@
 
     /** Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
-        return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w]
+        return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w] && !silent(w)
             && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
             && t.width <= slotsOf(w) && t.memory <= slotsOf(w)
             && inGroup(w, t) && inBudget(w, t.work) && !outAt(w, t);
     }
 
+    /** Guards against workers that hang: most reports come in a few turns, and theirs come never. */
+    private boolean silent(int w) {
+        return fleet.probing[w] && now > fleet.probedAt[w] + Math.max(8 * tick, mixWork / 8);
+    }
+
     /** Guards against two assignments of one task at one worker. */
     private static boolean outAt(int w, Task t) {
         for (int i = 0; i < t.tries && t.out > 0; i++) {
@@ -995,6 +1045,7 @@
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
                 learnRun(a);
+                served[p] += now > a.task.due ? 0 : byWork ? a.task.work : 1;
                 late += ((now > a.task.due ? 1 : 0) - late) * newest();
                 if (waitsUnseen()) {
                     double wait = (now - a.sentAt - a.run) * pace(w) / mixWork;
@@ -1009,8 +1060,7 @@
                 if (tellsStart && how == Outcome.FULL) {
                     count(w, a.region, K - 1, 1);
                 }
-                fleet.shunSpan[w] = Math.min(Math.max(mixWork, 2 * fleet.shunSpan[w]), 16 * mixWork);
-                fleet.shunUntil[w] = now + fleet.shunSpan[w];
+                shun(w);
             }
             default -> { }
         }
@@ -1022,6 +1072,11 @@
         }
     }
 
+    private void shun(int w) {
+        fleet.shunSpan[w] = Math.min(Math.max(mixWork, 2 * fleet.shunSpan[w]), 16 * mixWork);
+        fleet.shunUntil[w] = now + fleet.shunSpan[w];
+    }
+
     /** Learns speed and work from a running time: by the start note, else by sends that met a free slot. */
     private void learnRun(Assignment a) {
         boolean noted = !Double.isNaN(a.startedAt);
--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Figures.java
@@ -33,6 +33,7 @@
     final double budgetSpan;
     final double budgetShare;
     final double crossFee;
+    final double worstWeight;
 
     Figures(Settings s) {
         if (s.profiles.length == 0) {
@@ -62,5 +63,6 @@
         budgetSpan = s.fallWindow;
         budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
+        worstWeight = s.worstProfile;
     }
 }
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -10,6 +10,9 @@
     final double[] profileSeen;
     /** Least time that a task of the profile had been under way when it came. */
     final double[] youngest;
+    /** Work that came lately, and what of it was answered in time. */
+    final double[] came;
+    final double[] served;
     final double[] hintsSeen;
     final double[] hintLog;
     final double[] hintBend;
@@ -54,6 +57,8 @@
         profileWork = new double[profiles];
         profileSeen = new double[profiles];
         youngest = new double[profiles];
+        came = new double[profiles];
+        served = new double[profiles];
         hintsSeen = new double[profiles];
         hintLog = new double[profiles];
         hintBend = new double[profiles];
@@ -84,6 +89,8 @@
         m.numbers("profileWork", profileWork);
         m.numbers("profileSeen", profileSeen);
         m.numbers("youngest", youngest);
+        m.numbers("came", came);
+        m.numbers("served", served);
         m.numbers("hintsSeen", hintsSeen);
         m.numbers("hintLog", hintLog);
         m.numbers("hintBend", hintBend);
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -30,6 +30,8 @@
     /** The weight of the tail in the score, and the share of tasks that may miss their due time in it. */
     public double tail;
     public double borneMisses;
+    /** The weight of the profile that is served worst in the score. */
+    public double worstProfile;
     public double coldFrom = 1;
     public double warmWithin;
     public double fallWindow;
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -41,7 +41,13 @@
             case "INGRESS" -> arrived(at, f);
             case "RESPONSE" -> ended(at, f);
             case "HINT_UPDATE" -> note(at, f);
-            case "HEALTH" -> dispatcher.probed(at, worker(f), report(f));
+            case "HEALTH" -> {
+                if (f.text("how").equals("timeout") || f.text("how").equals("full")) {
+                    dispatcher.mute(at, worker(f));
+                } else {
+                    dispatcher.probed(at, worker(f), report(f));
+                }
+            }
             case "FIRED" -> dispatcher.wake(at);
             case "ABANDONED" -> {
                 Task t = tasks.get(f.text("xid"));
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -450,7 +450,7 @@
         assertTrue(used > 1 && used <= 8, "used " + used);
     }
 
-    /** Found on sofia-topup: one report a task, no sooner than after 2.5 mean runs, was 4 s old where it counted. */
+    /** Found on sofia-topup: one report a task, no sooner than after 2.5 mean runs, was 4 s old. */
     @Test
     public void asManyOfTheBestWorkersAreAskedAsTheFeeBearsAndTheTaskWaitsForAll() {
         Bench b = Bench.of(SAFE);
@@ -474,7 +474,7 @@
         assertTrue(late.ended || late.tries == 1);
     }
 
-    /** Found on kingston-returns big-1: slow workers nobody asked were believed as full as the fast ones asked. */
+    /** Found on kingston-returns big-1: slow workers nobody asked were believed as full as the fast. */
     @Test
     public void anUnheardWorkerTakesTheMeanOfItsOwnKindAndPlace() {
         Bench b = Bench.of(SAFE).start(6);
@@ -533,6 +533,54 @@
         assertEquals(b.words.size(), 2 * told);
     }
 
+    /** Found on kingston-returns overload: a worker that hangs answers no report; its tasks waited. */
+    @Test
+    public void aWorkerThatAnswersNoReportIsLeftAndWhatMayRepeatGoesElsewhere() {
+        Bench b = Bench.of(SAFE, ONCE);
+        b.settings.mayProbe = true;
+        b.settings.reportsByProbe = true;
+        b.settings.mayCancel = true;
+        b.settings.tellsStart = true;
+        b.settings.profiles[0].dueTime = 2000;
+        b.settings.profiles[1].dueTime = 2000;
+        b.start(2);
+        b.list(2, false, 1, Dispatcher.DRAINING, 0);
+        Task safe = b.arrive(0, 3);
+        Task once = b.arrive(1, 3);
+        Task begun = b.arrive(0, 3);
+        b.d.probed(4, 1, Bench.report(0, 2));
+        assertEquals(b.count("send 1"), 3, b.acts.toString());
+        b.d.started(5, begun.sent[0]);
+        b.list(6, false, 1, Dispatcher.RUNNING, 0);
+        b.d.mute(60, 1);
+        assertEquals(b.count("cancel"), 1);
+        b.d.ended(61, safe.sent[0], Outcome.CANCELLED, false, null);
+        assertEquals(b.last().task, safe);
+        assertEquals(b.last().worker, 0);
+        assertEquals(once.tries, 1);
+        assertEquals(begun.tries, 1);
+    }
+
+    /** Found on sofia-topup overload: the profile that counts most in the goal was served a quarter. */
+    @Test
+    public void theProfileServedWorstIsWorthWhatTheGoalGivesForIt() {
+        Bench b = Bench.of(SAFE, SAFE);
+        b.settings.utilityByWork = true;
+        b.settings.worstProfile = 0.4;
+        b.settings.profiles[0].utility = 8;
+        b.settings.profiles[1].utility = 3;
+        b.start(8);
+        for (int i = 0; i < 60; i++) {
+            Task t = b.arrive(i % 2, i * 400);
+            b.d.ended(i * 400 + 80, t.sent[0], i % 2 == 0 ? Outcome.OK : Outcome.FULL, i % 2 == 0, null);
+            b.d.left(i * 400 + 100, t);
+        }
+        Task well = b.arrive(0, 30000);
+        Task badly = b.arrive(1, 30001);
+        assertEquals(well.worth, 8 * well.work, 1e-9);
+        assertEquals(badly.worth, (3 + 0.4 / 0.6 * 11) * badly.work, badly.work);
+    }
+
     /** Found on all grown sites: hundreds of dispatchers flocked after the same old report. */
     @Test
     public void aReportMovesTheBeliefPartOfTheWay() {
