--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -24,7 +24,7 @@
     private static final int K = TH.length + 1;
     /** Scores this close to the best are alike (the design's figure). */
     private static final double NEAR = 0.02;
-    /** T_p in mean running times. */
+    /** T_p, the period of fetching reports and of renewing the tables of X, in mean running times. */
     private static final double REFRESH = 0.5;
     /** The least size of a buddy set. */
     private static final int BUDDIES = 4;
@@ -44,8 +44,6 @@
     /** How much higher that bound is when every task has to wait: a late one then costs another its place. */
     private static final double PRESSED = 0.6;
 
-    /** Beyond this share of errors at all workers an error is more likely the task's. */
-    private static final double ERRORS = 1.0 / 8;
     private final Outlet out;
     private final SplittableRandom chance;
 
@@ -68,8 +66,7 @@
     private boolean anyReady;
     /** Work from which on a send is told, in shares of the mean. */
     private double tellFrom;
-    private boolean watching;
-    private boolean asked;
+    /** When to ask for the list, without end while it is asked for or held. */
     private double askAt = Double.NEGATIVE_INFINITY;
     private double askGap;
     private double wakeAt = Double.POSITIVE_INFINITY;
@@ -149,8 +146,7 @@
             }
         }
         if (!remembered) {
-            watching = true;
-            asked = false;
+            askAt = Double.POSITIVE_INFINITY;
             askGap = askSpan / 20;
         }
         fleet.order();
@@ -168,8 +164,6 @@
     /** A call for the list failed, or the changes stopped coming: ask again, later each time. */
     public void listFailed(double at) {
         now = at;
-        watching = false;
-        asked = false;
         askAt = now + askGap * (0.5 + chance.nextDouble());
         askGap = Math.min(2 * askGap, askSpan / 2);
         settle();
@@ -236,7 +230,7 @@
         youngest[p] = Math.min(youngest[p], age);
         t.due = now - Math.max(0, age - youngest[p]) + t.profile.dueTime + t.profile.stretch * t.work;
         t.due = Math.min(t.expiry, t.due);
-        t.worth = t.profile.utility * (byWork ? t.work : 1) * withinShare(t) * worstBonus(t);
+        t.worth = (t.profile.utility + worstBonus(t)) * (byWork ? t.work : 1) * withinShare(t);
         meanWorth += (t.worth - meanWorth) / SAMPLES;
         keep(t);
         settle();
@@ -262,20 +256,16 @@
      */
     private double worstBonus(Task t) {
         int p = t.profile.index;
-        double size = byWork ? t.work : 1;
         double all = 0;
         int worst = p;
+        came[p] += byWork ? t.work : 1;
         for (int q = 0; q < profiles.length; q++) {
             came[q] -= came[q] / (4 * SAMPLES);
             served[q] -= served[q] / (4 * SAMPLES);
             all += came[q] * profiles[q].utility;
-        }
-        came[p] += size;
-        for (int q = 0; q < profiles.length; q++) {
             worst = shareServed(q) < shareServed(worst) ? q : worst;
         }
-        return worst != p || all == 0 ? 1
-            : 1 + worstWeight / (1 - worstWeight) * all / (came[p] * t.profile.utility);
+        return worst != p ? 0 : worstWeight / (1 - worstWeight) * all / came[p];
     }
 
     private double shareServed(int p) {
@@ -313,15 +303,7 @@
         }
         Task t = a.task;
         a.neverRan = how.neverRan();
-        if (t.ran == a && a.neverRan) {
-            t.ran = null;
-            for (int i = t.tries - 1; i >= 0; i--) {
-                t.ran = t.sent[i].neverRan ? t.ran : t.sent[i];
-            }
-        }
-        if (t.last == Outcome.ERROR && (how == Outcome.OK || how == Outcome.ERROR)) {
-            futile += ((how == Outcome.ERROR ? 1 : 0) - futile) / 8;
-        }
+        t.findRan();
         t.last = how;
         judge(a, how);
         reported(a.worker, report);
@@ -340,7 +322,6 @@
             a.startedAt = now;
             double load = loadAtWait(a.worker, now - a.sentAt);
             count(a.worker, a.region, load < 1 ? Math.min(1, a.region) : region(load), 1);
-            heardWait(a.worker, now - a.sentAt);
         }
         settle();
     }
@@ -408,20 +389,16 @@
     /** Word of another dispatcher: it has sent a task of so much work to a worker, or that has ended. */
     public void told(double at, int teller, byte[] word) {
         now = at;
-        int tag = word.length < 2 ? -1 : (word[0] & 255) << 8 | word[1] & 255;
-        int w = 0;
-        while (w < fleet.count && (fleet.tag[w] & 0xFFFF) != tag) {
-            w++;
-        }
-        if (w < fleet.count && word.length > 2) {
+        int w = fleet.tagged(Word.tag(word));
+        if (w >= 0 && Word.begins(word)) {
             Task t = new Task("");
-            t.work = tick * Math.pow(2, (word[2] & 255) / 16.0);
+            t.work = tick * Word.size(word);
             t.hint = t.work;
             Assignment a = new Assignment(t, w, 0, now, t.work / pace(w), waitAt(w, regionOf(w)), 0);
             a.teller = teller;
             smoothOwn(w);
             fleet.link(a);
-        } else if (w < fleet.count) {
+        } else if (w >= 0) {
             Assignment a = fleet.oldest[w];
             while (a != null && a.teller != teller) {
                 a = a.after;
@@ -456,10 +433,7 @@
             tellFrom *= Math.exp(((a.told ? 1 : 0) - tellShare) / 4);
         }
         if (a.told) {
-            int tag = fleet.tag[a.worker];
-            double size = Math.rint(16 * Math.log(Math.max(1, a.task.work / tick)) / Math.log(2));
-            byte[] word = {(byte) (tag >> 8), (byte) tag, (byte) Math.min(255, size)};
-            out.tell(-1, begins ? word : Arrays.copyOf(word, 2));
+            out.tell(-1, Word.of(fleet.tag[a.worker], begins ? a.task.work / tick : 0));
         }
     }
 
@@ -481,8 +455,9 @@
 
     /** The rules, in order: the first whose condition holds acts. Those on a task look at the one due. */
     private boolean ruleFires() {
-        if (listWanted()) {
-            askForList();
+        if (listOnRequest && now >= askAt) {
+            askAt = Double.POSITIVE_INFINITY;
+            out.watchList();
         } else if (task == null) {
             return false;
         } else if (task.out > 0) {
@@ -521,35 +496,15 @@
         hand.remove(i);
     }
 
-    private boolean listWanted() {
-        return listOnRequest && !watching && !asked && now >= askAt;
-    }
-
-    private void askForList() {
-        asked = true;
-        out.watchList();
-    }
-
-    /** T_p, the period of fetching reports and of renewing the tables of X. */
-    private double period() {
-        return REFRESH * mixWork;
-    }
-
     /** Guards rule two: what may have run goes out again only as its profile allows. */
     private boolean mayNotRunAgain() {
-        return task.tries >= triesOf(task) || now >= task.expiry || failsAnywhere()
+        return task.tries >= triesOf(task) || now >= task.expiry
             || !task.terms.goesAgainAfter(task.last) || task.ran != null
             && (task.profile.effect == Profile.Effect.SIDE_EFFECTING
                 || task.profile.effect == Profile.Effect.FINGERPRINTED
                     && now >= task.ran.sentAt + task.profile.window);
     }
 
-    /** Guards workers' time: errors that come from all alike, and repeats in vain, are the tasks' own. */
-    private boolean failsAnywhere() {
-        return task.last == Outcome.ERROR && errors > ERRORS && futile > 0.75
-            && blame(task.sent[task.tries - 1].worker, task.profile.index) < 0.5;
-    }
-
     private int triesOf(Task t) {
         return Math.min(mostTries, t.terms.assignments);
     }
@@ -602,9 +557,8 @@
         }
         double density = Math.max(task.worth / task.work, NEAR * meanDensity);
         double weight = Math.max(0.5, Math.min(1.6, Math.sqrt(meanDensity / density)));
-        double waits = regionOf(best) > 1 ? 1 : 0;
         meanDensity += (task.worth / task.work - meanDensity) / SAMPLES;
-        press += (waits - press) / SAMPLES;
+        press += ((regionOf(best) > 1 ? 1 : 0) - press) / SAMPLES;
         // Guards against turning tasks away in vain: believed queues count in full where answers are late.
         double missed = lateNow();
         double strain = Math.max(press * Math.min(1, 10 * missed),
@@ -624,48 +578,42 @@
     }
 
     private boolean old(int w) {
-        return now >= period() + (fetchesAll ? fleet.probedAt[w]
+        return now >= REFRESH * mixWork + (fetchesAll ? fleet.probedAt[w]
             : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
     }
 
-    /** Guards against fetching what no task needs: only the workers that may get it are asked. */
+    /** Guards against fetching what no task needs: only the best workers for it are asked. */
     private void fetchReport() {
-        task.asked = new int[asks];
-        Arrays.fill(task.asked, -1);
-        for (int i = 0; i < asks; i++) {
-            int next = -1;
-            for (int w = 0; w < fleet.count; w++) {
-                next = fleet.value[w] > (next < 0 ? Double.NEGATIVE_INFINITY : fleet.value[next]) ? w : next;
-            }
-            if (next < 0) {
-                break;
-            }
+        task.asked = new int[0];
+        for (int i = 0, next = best; i < asks && next >= 0; i++) {
             fleet.value[next] = Double.NEGATIVE_INFINITY;
             if (old(next)) {
-                task.asked[i] = next;
-                ask(next);
+                task.asked = Arrays.copyOf(task.asked, task.asked.length + 1);
+                task.asked[task.asked.length - 1] = next;
+                if (!fleet.probing[next]) {
+                    fleet.probing[next] = true;
+                    fleet.probedAt[next] = now;
+                    out.probe(next);
+                }
+            }
+            next = -1;
+            for (int w = 0; w < fleet.count; w++) {
+                next = fleet.value[w] > (next < 0 ? Double.NEGATIVE_INFINITY : fleet.value[next]) ? w : next;
             }
         }
         task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
     }
 
-    private void ask(int w) {
-        if (!fleet.probing[w]) {
-            fleet.probing[w] = true;
-            fleet.probedAt[w] = now;
-            out.probe(w);
-        }
-    }
-
     /** Whether this worker's report was the last one that the task waited for. */
     private boolean told(Task t, int w) {
-        boolean waits = false;
         boolean its = false;
         for (int i = 0; t.asked != null && i < t.asked.length; i++) {
             its |= t.asked[i] == w;
-            waits |= t.asked[i] >= 0 && fleet.probing[t.asked[i]];
+            if (fleet.probing[t.asked[i]]) {
+                return false;
+            }
         }
-        return its && !waits;
+        return its;
     }
 
     /** Weight of the newest task in what shows strain: where few come to us they must tell it sooner. */
@@ -700,21 +648,10 @@
         Task t = task;
         int w = best;
         drop(hand.indexOf(t));
-        if (t.terms.purse != null) {
-            if (t.tries == 0) {
-                t.terms.purse.earn(now);
-            } else {
-                t.terms.purse.spend(now);
-            }
-        }
+        t.terms.sent(t.tries, now);
         double run = t.work / pace(w);
         Assignment a = new Assignment(t, w, t.tries, now, run, waitAt(w, regionOf(w)), serial++);
-        if (t.tries == t.sent.length) {
-            t.sent = Arrays.copyOf(t.sent, 2 * t.tries);
-        }
-        t.sent[t.tries++] = a;
-        t.out++;
-        t.ran = t.ran == null ? a : t.ran;
+        t.add(a);
         a.region = regionOf(w);
         a.metFree = a.region < 2 && (!reportsCome ? fleet.own[w] == 0
             : now - fleet.heardAt[w] < 4 * mixWork && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5);
@@ -743,7 +680,7 @@
     }
 
     private void planWake() {
-        double next = listOnRequest && !watching && !asked ? askAt : Double.POSITIVE_INFINITY;
+        double next = listOnRequest ? askAt : Double.POSITIVE_INFINITY;
         for (int i = 0; i < hand.size(); i++) {
             next = Math.min(next, hand.get(i).lookAt);
         }
@@ -771,12 +708,12 @@
             fleet.value[w] = Double.NEGATIVE_INFINITY;
             // Guards against new workers idling: cold ones are open to all, since each has a share of them.
             boolean warm = warmth(w, 1) >= 1;
-            boolean here = fleet.zoneOf[w] == zone;
-            if ((here ? room : away) <= 0 && warm || !ready(w, task)) {
+            double here = fleet.zoneOf[w] == zone ? 1 : 0;
+            if (warm && (here == 1 ? room : away) <= 0 || !ready(w, task)) {
                 continue;
             }
-            room -= warm && here ? 1 : 0;
-            away -= warm && !here ? 1 : 0;
+            room -= warm ? here : 0;
+            away -= warm ? 1 - here : 0;
             anyReady = true;
             forgetOld(w);
             double c = chanceAt(task, w) * trust(w, task.profile.index);
@@ -790,20 +727,13 @@
                 c = task.sent[j].worker == w ? c / 2 : c;
             }
             // Departure: a crossing costs its fee, in shares of what this task is worth.
-            fleet.value[w] = c - (fleet.zoneOf[w] == zone ? 0 : crossing);
+            fleet.value[w] = c - (1 - here) * crossing;
             top = Math.max(top, fleet.value[w]);
         }
         full += weighed == 0 ? 0 : ((double) busyAll / weighed - full) * 4 / SAMPLES;
-        int near = 0;
-        for (int w = 0; w < fleet.count; w++) {
-            near += anyReady && fleet.value[w] >= top - NEAR ? 1 : 0;
-        }
-        int pick = near == 0 ? -1 : chance.nextInt(near);
         best = -1;
-        for (int w = 0; w < fleet.count && pick >= 0; w++) {
-            if (fleet.value[w] >= top - NEAR && pick-- == 0) {
-                best = w;
-            }
+        for (int w = 0, near = 0; w < fleet.count && anyReady; w++) {
+            best = fleet.value[w] >= top - NEAR && chance.nextInt(++near) == 0 ? w : best;
         }
         bestChance = best < 0 ? 0 : top;
     }
@@ -996,7 +926,7 @@
     // ---- Health ----
 
     private double trust(int w, int p) {
-        double t = 1 - blame(w, p);
+        double t = 1 - failNow(w, p);
         Assignment a = fleet.oldest[w];
         if (a != null) {
             double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
@@ -1005,15 +935,6 @@
         return t;
     }
 
-    /**
-     * Guards good workers against tasks that fail wherever they go: what all workers fail with alike is no
-     * worker's fault. Where a release breaks all of them none is better than the others, so nothing is lost.
-     */
-    private double blame(int w, int p) {
-        double alike = 3 * errors / (2 + errors);
-        return Math.max(0, (failNow(w, p) - alike) / (1 - alike));
-    }
-
     /** Share of failures lately; the more in a row, the longer it is remembered. */
     double failNow(int w, int p) {
         if (fleet.fail[w][p] == 0) {
@@ -1040,7 +961,6 @@
             case OK -> {
                 fleet.fail[w][p] = failNow(w, p) * 0.8;
                 fleet.failAt[w][p] = now;
-                errors -= errors * newest();
                 fleet.failRow[w][p] = 0;
                 fleet.shunSpan[w] = 0;
                 fleet.answeredAt[w] = now;
@@ -1052,10 +972,7 @@
                     count(w, a.region, wait > 0.5 ? region(1 + wait) : Math.min(1, a.region), 1);
                 }
             }
-            case ERROR, RESET -> {
-                failed(w, p);
-                errors += how == Outcome.ERROR ? (1 - errors) * newest() : 0;
-            }
+            case ERROR, RESET -> failed(w, p);
             case FULL, UNREACHABLE -> {
                 if (tellsStart && how == Outcome.FULL) {
                     count(w, a.region, K - 1, 1);
@@ -1141,14 +1058,6 @@
         heard(w, n);
     }
 
-    /** A wait told by a start note shows a queue that reports of busy slots or utilisation end short of. */
-    private void heardWait(int w, double wait) {
-        double n = (loadAtWait(w, wait) - 1) * slotsOf(w) + slotsOf(w) - 1;
-        if (n > slotsOf(w)) {
-            heard(w, n);
-        }
-    }
-
     /** The load that a wait speaks for; connecting and the way take the first part of a mean run. */
     private double loadAtWait(int w, double wait) {
         return 1 + wait * pace(w) / mixWork - 0.25;
@@ -1160,9 +1069,6 @@
         fleet.heardAt[w] = now;
         // Guards against flocking after reports that all dispatchers follow: one moves a belief only so far.
         fleet.others[w] = before + (Math.max(0, n - fleet.ownSmooth[w]) - before) / 3;
-        if (tellsStart && !reportsQueue && n > slotsOf(w) - 0.5) {
-            fleet.others[w] = Math.max(fleet.others[w], 0.8 * before);
-        }
         int g = group(w);
         fleet.groupOthers[g] += (fleet.others[w] / slotsOf(w) - fleet.groupOthers[g]) / SAMPLES;
         int k = region(load(w, fleet.others[w]));
@@ -1187,11 +1093,13 @@
         }
     }
 
-    /** Jobs at the worker as reported: waiting and in flight, else busy slots, else utilisation. */
+    /** Jobs at the worker as reported: in flight, which holds those waiting, else waiting and busy slots. */
     private double jobs(int w, double[] r) {
         reportsQueue |= sane(r[Report.QUEUE]) || sane(r[Report.IN_FLIGHT]);
-        double busy = sane(r[Report.IN_FLIGHT]) ? r[Report.IN_FLIGHT]
-            : sane(r[Report.FREE_SLOTS]) ? Math.max(0, slotsOf(w) - r[Report.FREE_SLOTS])
+        if (sane(r[Report.IN_FLIGHT])) {
+            return Math.max(r[Report.IN_FLIGHT], sane(r[Report.QUEUE]) ? r[Report.QUEUE] : 0);
+        }
+        double busy = sane(r[Report.FREE_SLOTS]) ? Math.max(0, slotsOf(w) - r[Report.FREE_SLOTS])
             : sane(r[Report.UTILISATION]) ? r[Report.UTILISATION] * slotsOf(w) : Double.NaN;
         return sane(r[Report.QUEUE]) ? r[Report.QUEUE] + (Double.isNaN(busy) ? 0 : busy) : busy;
     }
@@ -1211,7 +1119,7 @@
         if (wait <= 0) {
             return 1;
         }
-        if (fleet.overtaken[w] == null || now >= fleet.overtakenAt[w] + period()) {
+        if (fleet.overtaken[w] == null || now >= fleet.overtakenAt[w] + REFRESH * mixWork) {
             if (fleet.overtaken[w] == null) {
                 fleet.overtaken[w] = new double[profiles.length][K][BINS + 1];
             }
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -35,10 +35,6 @@
     double late;
     /** Share of the workers weighed that were believed full, lately. */
     double full;
-    /** Share of errors among the answers of all workers lately. */
-    double errors;
-    /** Share of repeats after an error that end in another one. */
-    double futile = 0.5;
     /** Time between tasks that come to us. */
     double gap;
     double lastArrival;
@@ -109,8 +105,6 @@
         press = m.number("press", press);
         late = m.number("late", late);
         full = m.number("full", full);
-        errors = m.number("errors", errors);
-        futile = m.number("futile", futile);
         gap = m.number("gap", gap);
         lastArrival = m.number("lastArrival", lastArrival);
         firstArrival = m.number("firstArrival", firstArrival);
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -1,5 +1,7 @@
 package gingerspool.dispatch;
 
+import java.util.Arrays;
+
 /** One client request in our hands. Holds facts only; the Dispatcher decides. A host may add its own. */
 public class Task {
     /** What the door calls it; never looked at inside. */
@@ -34,7 +36,7 @@
     /** How its last assignment ended, or null. */
     Outcome last;
     boolean held;
-    /** The workers asked for reports on its behalf, -1 where none; null: none yet. */
+    /** The workers asked for reports on its behalf; null: none yet. */
     int[] asked;
     boolean ended;
     Assignment[] sent = new Assignment[1];
@@ -47,6 +49,24 @@
         this.id = id;
     }
 
+    /** Notes one more assignment, which may run until its outcome proves otherwise. */
+    void add(Assignment a) {
+        if (tries == sent.length) {
+            sent = Arrays.copyOf(sent, 2 * tries);
+        }
+        sent[tries++] = a;
+        out++;
+        ran = ran == null ? a : ran;
+    }
+
+    /** Finds the earliest assignment that may have run. */
+    void findRan() {
+        ran = null;
+        for (int i = tries - 1; i >= 0; i--) {
+            ran = sent[i].neverRan ? ran : sent[i];
+        }
+    }
+
     /** The assignment with this number, or null. */
     public Assignment assignment(int n) {
         return n >= 0 && n < tries ? sent[n] : null;
--- a/src/main/java/gingerspool/dispatch/Terms.java
+++ b/src/main/java/gingerspool/dispatch/Terms.java
@@ -41,6 +41,15 @@
         return how == null || how == Outcome.MOOT || again.contains(how);
     }
 
+    /** An assignment goes out after so many others of its task. */
+    void sent(int tries, double now) {
+        if (purse != null && tries == 0) {
+            purse.earn(now);
+        } else if (purse != null) {
+            purse.spend(now);
+        }
+    }
+
     /** The pause after so many assignments; chance is from 0 to 1. */
     double pause(int tries, double chance) {
         return Math.min(mostPause, firstPause * Math.pow(2, tries - 1)) * (1 - jitter * chance);
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -172,6 +172,15 @@
         a.after = null;
     }
 
+    /** The worker whose tag ends like this, or -1. */
+    int tagged(int end) {
+        int w = count - 1;
+        while (w >= 0 && (tag[w] & 0xFFFF) != end) {
+            w--;
+        }
+        return w;
+    }
+
     /** Spreads the bits of a hash. */
     static int mixed(int h) {
         h = (h ^ h >>> 16) * 0x85EBCA6B;
