What was learned goes along in four parts, by workers' names, where it still means the same

Need: over a move a second process took every array of the same size by its index; another deployment with as many profiles would have read pair tables and works that mean other things. Now standing figures, machines, reports and tasks are told with what they rest on; a part is taken only where that is the same, by the names of workers.

--- a/src/main/java/gingerspool/config/Deployment.java
+++ b/src/main/java/gingerspool/config/Deployment.java
@@ -99,7 +99,9 @@
         settings.put("utilityBy", s.mark("utility_by_work", false).value() ? "work" : "task");
         put(settings, "excessUtility", s.number("excess_utility", 1.0, 0, 1));
         put(settings, "tickMs", s.span("tick", 1.0, 0.1, 1000));
-        settings.put("fees", Map.of("crossZone", s.number("cross_zone_fee", 0.0, 0, 1e9).value()));
+        settings.put("fees", Map.of("crossZone", s.number("cross_zone_fee", 0.0, 0, 1e9).value(),
+            "probe", s.number("probe_fee", 0.0, 0, 1e9).value()));
+        settings.put("goal", Map.of("worstClass", s.number("worst_profile", 0.0, 0, 0.9).value()));
         put(duties, "askWithinMs", s.span("ask_within", 10_000.0, 100, DAY));
         put(duties, "graceToAnswerMs", s.span("answer_grace", 5.0, 0, 10_000));
         Section cold = s.section("cold");
--- a/src/main/java/gingerspool/daemon/Configuration.java
+++ b/src/main/java/gingerspool/daemon/Configuration.java
@@ -22,7 +22,7 @@
     public final Map<String, Profile> profiles = new HashMap<>();
     public final Map<String, Integer> tenants = new HashMap<>();
     public final Map<String, Integer> zones = new HashMap<>();
-    public final Map<String, Integer> kinds = new HashMap<>();
+    public final Map<String, Integer> kinds = new LinkedHashMap<>();
     /** The values that load reports hold, under the settings' names. */
     public final Map<String, Integer> reportPlaces = new LinkedHashMap<>();
     public final LoadReport reports;
@@ -56,6 +56,7 @@
             String name = k.text("");
             reportPlaces.put(name, reports.place(name));
         }
+        settings.reportNames = reportPlaces.keySet().toArray(String[]::new);
     }
 
     private void readNames(Key all) throws ConfigurationException {
@@ -65,7 +66,9 @@
         for (Key k : all.at("flavors").list()) {
             kinds.putIfAbsent(k.text(""), kinds.size());
         }
-        settings.zone = zones.getOrDefault(all.at("locality").text(""), -1);
+        settings.kinds = kinds.keySet().toArray(String[]::new);
+        settings.place = all.at("locality").text("");
+        settings.zone = zones.getOrDefault(settings.place, -1);
         settings.dispatchers = Math.max(1, all.at("groupSize").whole(1));
         List<Key> list = all.at("tenants").list();
         settings.allowance = new double[list.size()];
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -195,14 +195,14 @@
 
     // ---- Inputs: what another process has learned ----
 
-    /** Takes what the process before this one had learned of the same list, told in the same order. */
+    /** Takes what the process before this one had learned and still means the same here. */
     public void learn(double at, Map<?, ?> told) {
         now = at;
         Memory m = Memory.toTake(told);
         carry(m);
         // What it still has out there is the work of others from here on.
         double[] out = new double[fleet.count];
-        m.numbers("own", out);
+        m.each("own", out, fleet.count);
         for (int w = 0; w < fleet.count; w++) {
             fleet.others[w] += out[w];
         }
--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Figures.java
@@ -35,6 +35,11 @@
     final double crossFee;
     final double worstWeight;
 
+    /** What learned figures of machines, of reports and of tasks rest on; they mean nothing elsewhere. */
+    final String senseOfMachines;
+    final String senseOfReports;
+    final String senseOfTasks;
+
     Figures(Settings s) {
         if (s.profiles.length == 0) {
             throw new IllegalArgumentException("settings without profiles");
@@ -48,7 +53,7 @@
         listOnRequest = s.listOnRequest;
         fetchesReports = s.mayProbe && (s.reportsByProbe || s.reportsInAnswers);
         fetchesAll = s.reportsByProbe;
-        asks = (int) Math.max(1, Math.min(8, ASKS_WORTH / Math.max(s.probeFee, 1e-9)));
+        asks = (int) Math.max(1, Math.min(6, ASKS_WORTH / Math.max(s.probeFee, 1e-9)));
         mayCancel = s.mayCancel;
         tellShare = !s.mayTell || dispatchers < 2 ? 0
             : Math.min(1, TELLS_WORTH * 256 / (TELLS * Math.max(s.tellFee, 1e-9) * (dispatchers - 1)));
@@ -64,5 +69,14 @@
         budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
         worstWeight = s.worstProfile;
+        senseOfMachines = String.join(",", s.kinds);
+        senseOfReports = String.join(" ", senseOfMachines, "at " + s.place, s.order.toString(),
+            tellsStart ? "starts" : "", s.reportsByProbe ? "probes" : s.reportsInAnswers ? "answers" : "",
+            String.join(",", s.reportNames));
+        StringBuilder tasks = new StringBuilder(senseOfReports).append(byWork ? " by work" : " by task");
+        for (Profile p : profiles) {
+            tasks.append(", ").append(p);
+        }
+        senseOfTasks = tasks.toString();
     }
 }
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -68,7 +68,7 @@
     public final Map<String, Object> learned() {
         Memory m = Memory.toTell();
         carry(m);
-        m.numbers("own", fleet.own, fleet.count);
+        m.each("own", fleet.own, fleet.count);
         return m.fields();
     }
 
@@ -77,8 +77,19 @@
         return fleet.startedAt[w];
     }
 
+    /** Each part passes only to a process for which it means the same; the rest begins afresh there. */
     final void carry(Memory m) {
-        fleet.carry(m);
+        fleet.carryStanding(m);
+        m.sense("machines", senseOfMachines);
+        fleet.carryMachines(m);
+        thaw = m.number("thaw", thaw);
+        unit = m.number("unit", unit);
+        m.sense("reports", senseOfReports);
+        fleet.carryReports(m);
+        reportsCome = m.mark("reportsCome", reportsCome);
+        reportsQueue = m.mark("reportsQueue", reportsQueue);
+        m.sense("tasks", senseOfTasks);
+        fleet.carryTasks(m);
         for (int k = 0; k < pool.length; k++) {
             m.numbers("pool." + k, pool[k]);
         }
@@ -97,8 +108,6 @@
         hintVar = m.number("hintVar", hintVar);
         hintRun = m.number("hintRun", hintRun);
         mixWork = m.number("mixWork", mixWork);
-        thaw = m.number("thaw", thaw);
-        unit = m.number("unit", unit);
         tide = m.number("tide", tide);
         meanWorth = m.number("meanWorth", meanWorth);
         meanDensity = m.number("meanDensity", meanDensity);
@@ -108,7 +117,6 @@
         gap = m.number("gap", gap);
         lastArrival = m.number("lastArrival", lastArrival);
         firstArrival = m.number("firstArrival", firstArrival);
-        reportsCome = m.mark("reportsCome", reportsCome);
-        reportsQueue = m.mark("reportsQueue", reportsQueue);
+        m.anySense();
     }
 }
--- a/src/main/java/gingerspool/dispatch/Memory.java
+++ b/src/main/java/gingerspool/dispatch/Memory.java
@@ -1,5 +1,6 @@
 package gingerspool.dispatch;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,11 +8,15 @@
 /**
  * What a Dispatcher has learned, on its way from one process to the next: each field passes through it once,
  * under its name. One to tell notes what passes; one to take puts what was told in its place, where that has
- * the same size. No decisions here.
+ * the same size and was learned in the same sense. What is of workers goes by their names. No decisions here.
  */
 public final class Memory {
     private final Map<String, Object> fields;
     private final boolean taken;
+    /** Whether what passes now was learned in the sense that it has here. */
+    private boolean same = true;
+    /** Where each worker told of stands here, -1 for nowhere. */
+    private int[] places = new int[0];
 
     private Memory(Map<String, Object> fields, boolean taken) {
         this.fields = fields;
@@ -34,6 +39,37 @@
         return fields;
     }
 
+    /** What passes from here on means the same only where this text is the same. */
+    void sense(String part, String text) {
+        same = !taken || text.equals(fields.get("sense." + part));
+        fields.putIfAbsent("sense." + part, text);
+    }
+
+    /** What passes from here on means the same everywhere. */
+    void anySense() {
+        same = true;
+    }
+
+    /** The tags of the workers that what is told by worker is told of, in its order. */
+    void workers(int[] tags, int count) {
+        double[] told = new double[count];
+        Arrays.setAll(told, w -> tags[w]);
+        if (!taken) {
+            fields.put("workers", told);
+        } else if (fields.get("workers") instanceof List<?> l) {
+            places = l.stream().mapToInt(t -> place(told, t)).toArray();
+        }
+    }
+
+    private static int place(double[] tags, Object tag) {
+        for (int w = 0; w < tags.length; w++) {
+            if (tag instanceof Number n && n.doubleValue() == tags[w]) {
+                return w;
+            }
+        }
+        return -1;
+    }
+
     /** What has no end is told as the largest number, since JSON has no word for it. */
     private static double told(double v) {
         return Double.isInfinite(v) ? Math.copySign(Double.MAX_VALUE, v) : v;
@@ -49,7 +85,7 @@
 
     double number(String name, double v) {
         if (taken) {
-            return fields.containsKey(name) ? heard(fields.get(name), v) : v;
+            return same && fields.containsKey(name) ? heard(fields.get(name), v) : v;
         }
         fields.put(name, told(v));
         return v;
@@ -59,37 +95,47 @@
         return number(name, v ? 1 : 0) == 1;
     }
 
-    /** The first entries of this array. */
-    void numbers(String name, double[] v, int size) {
+    void numbers(String name, double[] v) {
         if (!taken) {
-            double[] out = new double[size];
-            for (int i = 0; i < size; i++) {
-                out[i] = told(v[i]);
-            }
-            fields.put(name, out);
-        } else if (fields.get(name) instanceof List<?> l && l.size() == size) {
-            for (int i = 0; i < size; i++) {
+            fields.put(name, Arrays.stream(v).map(Memory::told).toArray());
+        } else if (same && fields.get(name) instanceof List<?> l && l.size() == v.length) {
+            for (int i = 0; i < v.length; i++) {
                 v[i] = heard(l.get(i), v[i]);
             }
         }
     }
 
-    void numbers(String name, double[] v) {
-        numbers(name, v, v.length);
+    /** A number of each worker. */
+    void each(String name, double[] v, int count) {
+        if (!taken) {
+            fields.put(name, Arrays.stream(v, 0, count).map(Memory::told).toArray());
+        } else if (same && fields.get(name) instanceof List<?> l && l.size() == places.length) {
+            for (int i = 0; i < places.length; i++) {
+                int w = places[i];
+                if (w >= 0) {
+                    v[w] = heard(l.get(i), v[w]);
+                }
+            }
+        }
     }
 
-    void rows(String name, double[][] v, int size) {
-        for (int i = 0; i < size; i++) {
-            numbers(name + "." + i, v[i]);
+    /** A row of each worker. */
+    void rows(String name, double[][] v, int count) {
+        for (int i = 0; i < (taken ? places.length : count); i++) {
+            int w = taken ? places[i] : i;
+            if (w >= 0) {
+                numbers(name + "." + i, v[w]);
+            }
         }
     }
 
-    /** Row by row of each, told only where something was counted. */
-    void tables(String name, double[][][] v, int size) {
-        for (int i = 0; i < size; i++) {
-            for (int j = 0; j < v[i].length; j++) {
-                if (taken || Workers.sum(v[i][j]) > 0) {
-                    numbers(name + "." + i + "." + j, v[i][j]);
+    /** A table of each worker, row by row, told only where something was counted. */
+    void tables(String name, double[][][] v, int count) {
+        for (int i = 0; i < (taken ? places.length : count); i++) {
+            int w = taken ? places[i] : i;
+            for (int j = 0; w >= 0 && j < v[w].length; j++) {
+                if (taken || Workers.sum(v[w][j]) > 0) {
+                    numbers(name + "." + i + "." + j, v[w][j]);
                 }
             }
         }
--- a/src/main/java/gingerspool/dispatch/Profile.java
+++ b/src/main/java/gingerspool/dispatch/Profile.java
@@ -19,4 +19,11 @@
     public int prio;
     /** Machine kind that it needs, or -1. */
     public int kind = -1;
+
+    /** What figures learned of its tasks rest on. */
+    @Override
+    public String toString() {
+        return String.join(" ", name, effect.toString(), dueTime + "+" + stretch, expiry + "", utility + "",
+            prio + "", kind + "");
+    }
 }
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -9,8 +9,13 @@
     public double excessUtility = 1;
     public boolean utilityByWork;
     public int zone = -1;
+    /** What the zone is called. */
+    public String place = "";
     public int dispatchers = 1;
     public boolean listOnRequest;
+    /** The machine kinds, in the order of their numbers, and the values that reports hold. */
+    public String[] kinds = new String[0];
+    public String[] reportNames = new String[0];
     public boolean reportsByProbe;
     public boolean reportsInAnswers;
     public Order order = Order.FIRST_COME;
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -112,32 +112,45 @@
         }
     }
 
-    /** Passes on what is known of workers, without what is out there. */
-    void carry(Memory m) {
-        m.numbers("rank", rank, count);
-        m.numbers("slots", slots, count);
-        m.numbers("others", others, count);
-        m.numbers("heardAt", heardAt, count);
-        m.numbers("swift", swift, count);
-        m.numbers("shunUntil", shunUntil, count);
-        m.numbers("shunSpan", shunSpan, count);
-        m.numbers("coldLevel", coldLevel, count);
-        m.numbers("coldAt", coldAt, count);
-        m.numbers("probedAt", probedAt, count);
-        m.numbers("answeredAt", answeredAt, count);
-        m.numbers("sendRate", sendRate, count);
-        m.numbers("rateAt", rateAt, count);
-        m.numbers("reportedRate", reportedRate, count);
+    /** Passes on what holds of a worker whatever its work: our place for it, its rest, its cold budget. */
+    void carryStanding(Memory m) {
+        m.workers(tag, count);
+        m.each("rank", rank, count);
+        m.each("shunUntil", shunUntil, count);
+        m.each("shunSpan", shunSpan, count);
+        m.each("coldLevel", coldLevel, count);
+        m.each("coldAt", coldAt, count);
+        m.each("answeredAt", answeredAt, count);
+    }
+
+    /** Passes on what holds of a worker's machine. */
+    void carryMachines(Memory m) {
+        m.each("slots", slots, count);
+        m.each("swift", swift, count);
+        m.numbers("kindSlots", kindSlots);
+        m.numbers("kindWork", kindWork);
+        m.numbers("kindRun", kindRun);
+    }
+
+    /** Passes on what reports have shown. */
+    void carryReports(Memory m) {
+        m.each("others", others, count);
+        m.each("heardAt", heardAt, count);
+        m.each("probedAt", probedAt, count);
+        m.each("reportedRate", reportedRate, count);
+        m.rows("lastReport", lastReport, count);
+        m.numbers("groupOthers", groupOthers);
+    }
+
+    /** Passes on what the tasks there have shown. */
+    void carryTasks(Memory m) {
+        m.each("sendRate", sendRate, count);
+        m.each("rateAt", rateAt, count);
         m.rows("fail", fail, count);
         m.rows("failAt", failAt, count);
-        m.rows("lastReport", lastReport, count);
         m.rows("mixRun", mixRun, count);
         m.rows("mixProfile", mixProfile, count);
         m.tables("pairs", pairs, count);
-        m.numbers("kindSlots", kindSlots);
-        m.numbers("kindWork", kindWork);
-        m.numbers("kindRun", kindRun);
-        m.numbers("groupOthers", groupOthers);
     }
 
     /** Adds an unfinished send to those of its worker. */
