--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -698,7 +698,7 @@
         double crossing = crossFee * meanWorth / Math.max(task.worth, meanWorth * NEAR);
         // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
         double room = Math.max(BUDDIES, fadeSpan() / gap);
-        double away = BUDDIES;
+        double away = Math.max(BUDDIES, room / 2);
         anyReady = false;
         prepare(task);
         int weighed = 0;
@@ -912,7 +912,7 @@
     }
 
     private double kindPace(int k) {
-        double lean = 16 * mixWork;
+        double lean = 4 * mixWork;
         return (fleet.kindWork[k] + lean) / (fleet.kindRun[k] + lean);
     }
 
