--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Figures.java
@@ -3,10 +3,10 @@
 /** The deployment, as the few figures that decisions use. */
 abstract class Figures {
     /** What telling others of sends may cost in service, and bytes of telling one's begin and end. */
-    private static final double TELLS_WORTH = 0.012;
+    private static final double TELLS_WORTH = 0.02;
     private static final double TELLS = 32;
     /** What asking for reports may cost in service. */
-    private static final double ASKS_WORTH = 0.01;
+    private static final double ASKS_WORTH = 0.006;
 
     final Profile[] profiles;
     final double[] allowance;
