--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -615,6 +615,24 @@
         assertTrue(Double.isNaN(unsaid.startedAt));
     }
 
+    /** Found on palermo-archivi-later rough-1: a place that was cut off was tried worker by worker. */
+    @Test
+    public void workersOfOtherPlacesThatCannotBeReachedAreNotReplacedByTheNext() {
+        Bench b = Bench.of(SAFE);
+        b.settings.dispatchers = 40;
+        b.start(40);
+        for (int w = 0; w < 40; w += 2) {
+            b.d.suspended(2, w);
+        }
+        Task t = b.arrive(0, 3);
+        for (int i = 0; i < 12 && t.out == 1; i++) {
+            b.d.ended(4 + i, b.last(), Outcome.UNREACHABLE, false, null);
+            b.d.left(5 + i, t);
+            t = b.arrive(0, 5 + i);
+        }
+        assertEquals(b.sent.stream().mapToInt(a -> a.worker).distinct().count(), 4, b.acts.toString());
+    }
+
     /** Found on all grown sites: hundreds of dispatchers flocked after the same old report. */
     @Test
     public void aReportMovesTheBeliefPartOfTheWay() {
