--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -711,7 +711,7 @@
             boolean warm = warmth(w, 1) >= 1;
             double here = fleet.zoneOf[w] == zone ? 1 : 0;
             if (warm && (here == 1 ? room : away) <= 0 || !ready(w, task)) {
-                // Guards against trying a place that is cut off worker by worker: those shunned keep their seats.
+                // Guards against trying a cut-off place worker by worker: those shunned keep their seats.
                 away -= warm && now < fleet.shunUntil[w] ? 1 - here : 0;
                 continue;
             }
