Readiness waits for the hand-over note; a stall's record has one time

Checked, stall: Fleet.begin wrote "begins" before the machines were brought up to that moment, so a job whose end was due just before was written down after it, with an earlier time. The machine did stand still; the test read the order of lines instead of their times. Ruled out: a machine that runs on (rate is 0 while stalled; with `stalled = false` put in, the test fails). Now record and machine use one time, and the test compares times.

Checked, hand-over: Handover.act(TAKE_BACK) and serve() said ready in the same turn as the note went to the file thread. A third process that starts in between reads the killed second's address, finds nobody, and serves beside the first for good. That is the program's fault, not the test's: readyz is now 503 until the note is written, or could not be. The test holds the file thread still: it fails before (200 for 503), passes after.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -61,7 +61,7 @@
     /** Null where no other process can follow this one. */
     private final Handover handover;
     private boolean listening;
-    private ExecutorService files;
+    ExecutorService files;
 
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
@@ -397,7 +397,7 @@
     private final class Operators implements ManagementDoor.Office {
         @Override
         public boolean takesClients() {
-            return life.takesClients();
+            return life.takesClients() && (handover == null || handover.isAnnounced());
         }
 
         @Override
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -96,6 +96,7 @@
     private long heard;
     private final List<Runnable> early = new ArrayList<>();
     private int forwarded;
+    private int unannounced;
 
     /**
      * Reads the note in the folder at once. Files are written by `files`, whose ends are told by `loop`; own
@@ -143,7 +144,7 @@
                 after = null;
                 LOG.atWarn().log("handover.heir_gone");
                 house.takeBack();
-                note(() -> { });
+                announce();
             }
             default -> { }
         }
@@ -240,7 +241,21 @@
     private void serve() {
         runEarly();
         house.serve();
-        note(() -> { });
+        announce();
+    }
+
+    /**
+     * Guards against a next process that reads the note of the one before: while ours is on its way to the
+     * disk, it would find nobody there and serve beside us. Nobody is told to start it until then.
+     */
+    private void announce() {
+        unannounced++;
+        note(() -> unannounced--);
+    }
+
+    /** Whether the next process will find this one, or can't since the note could not be written. */
+    public boolean isAnnounced() {
+        return unannounced == 0;
     }
 
     private void beforeGone() {
--- a/src/main/java/gingerspool/standin/Fleet.java
+++ b/src/main/java/gingerspool/standin/Fleet.java
@@ -86,13 +86,14 @@
         }
     }
 
-    private void note(Plan.Blow b, String what) {
-        log.write(turns.now(), "fault", what, "-", -1, b.fault().what + " " + Arrays.toString(b.workers()));
+    private void note(double at, Plan.Blow b, String what) {
+        log.write(at, "fault", what, "-", -1, b.fault().what + " " + Arrays.toString(b.workers()));
     }
 
     private void begin(Plan.Blow b) {
         Scenario.Fault f = b.fault();
-        note(b, "begins");
+        double at = turns.now();
+        note(at, b, "begins");
         switch (f.what) {
             case "discovery-down" -> discovery.down(true);
             case "discovery-slow" -> discovery.slow(f.factor);
@@ -100,7 +101,7 @@
             case "rolling" -> roll(b, 0);
             default -> {
                 for (int w : b.workers()) {
-                    befall(workers.get(w), f, true);
+                    befall(at, workers.get(w), f, true);
                 }
             }
         }
@@ -112,29 +113,30 @@
         if (over) {
             return;
         }
-        note(b, "ends");
+        double at = turns.now();
+        note(at, b, "ends");
         switch (f.what) {
             case "discovery-down" -> discovery.down(false);
             case "discovery-slow" -> discovery.slow(0);
             case "discovery-back", "rolling" -> { }
             default -> {
                 for (int w : b.workers()) {
-                    befall(workers.get(w), f, false);
+                    befall(at, workers.get(w), f, false);
                 }
             }
         }
     }
 
-    private void befall(Worker w, Scenario.Fault f, boolean on) {
+    private void befall(double at, Worker w, Scenario.Fault f, boolean on) {
         switch (f.what) {
-            case "stall" -> w.befall(m -> m.stall(on));
-            case "slow" -> w.befall(m -> m.slow(on ? Math.max(1e-3, f.factor) : 1));
+            case "stall" -> w.befall(at, m -> m.stall(on));
+            case "slow" -> w.befall(at, m -> m.slow(on ? Math.max(1e-3, f.factor) : 1));
             case "fail-fast" -> w.failsFast = on ? f.profile == null ? "*" : f.profile : null;
-            case "neighbour" -> w.befall(m -> m.steal(on ? f.factor : 0));
+            case "neighbour" -> w.befall(at, m -> m.steal(on ? f.factor : 0));
             case "reports-late" -> w.reportsLate = on ? f.factor : 0;
             case "reports-absurd" -> w.reportsAbsurd = on;
             case "cut" -> w.cut(on);
-            case "shrink" -> w.befall(m -> m.shrink(on ? w.size() / Math.max(1, f.factor) : w.size()));
+            case "shrink" -> w.befall(at, m -> m.shrink(on ? w.size() / Math.max(1, f.factor) : w.size()));
             case "call-back-lost" -> w.callBacksLost = on ? Double.isNaN(f.share) ? 1 : f.share : 0;
             case "call-back-repeated" -> w.callBacksRepeated = on ? (int) Math.max(1, f.factor) : 1;
             case "call-back-late" -> w.callBacksLate = on ? f.factor : 0;
--- a/src/main/java/gingerspool/standin/Worker.java
+++ b/src/main/java/gingerspool/standin/Worker.java
@@ -183,10 +183,10 @@
         }
     }
 
-    /** Something befalls its machine. */
-    void befall(java.util.function.Consumer<Machine> what) {
+    /** Something befalls its machine at the time that the record gives: nothing that it stops ends later. */
+    void befall(double at, java.util.function.Consumer<Machine> what) {
         if (up) {
-            advance();
+            machine.advance(at);
             what.accept(machine);
             plan();
         }
--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -84,6 +85,14 @@
         }
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards tests against the moment between two listeners: asks until clients are served. */
     private void serves(int port) throws IOException {
         long since = System.nanoTime();
@@ -235,9 +244,14 @@
         int port = port(first);
         Daemon second = start(port, false);
         ready(second);
+        CountDownLatch written = new CountDownLatch(1);
+        first.files.execute(() -> await(written));
         second.loop.stop();
-        ready(first);
         serves(port);
+        // Until the note names the first again, a third would look for the second and find nobody.
+        assertEquals(call(first, "GET", "/v1/readyz"), 503);
+        written.countDown();
+        ready(first);
         Daemon third = start(port, false);
         ready(third);
         long since = System.nanoTime();
--- a/src/test/java/gingerspool/experiment/JudgeTest.java
+++ b/src/test/java/gingerspool/experiment/JudgeTest.java
@@ -163,13 +163,18 @@
             + "what = \"" + what + "\"" + more + "\n", BrokenScheduler.Way.SOUND, 1, log);
         int at = 0;
         boolean begun = false;
+        double stood = Double.POSITIVE_INFINITY;
         String[] all = wanted.split("\\|");
         for (String[] line : log) {
             begun |= line[2].equals("begins");
             String[] w = at < all.length ? all[at].split(" ", 2) : new String[] {"", ""};
             at += begun && line[2].equals(w[0]) && line[5].contains(w[1]) ? 1 : 0;
-            assertTrue(!what.equals("stall") || at != 1 || !line[2].equals("ended"),
-                "ran while it stood still");
+            double time = Double.parseDouble(line[0]);
+            stood = !what.equals("stall") || at != 1 ? Double.POSITIVE_INFINITY
+                : line[2].equals("begins") ? time : stood;
+            // What ended before the stall may be written down after it: the times count.
+            assertTrue(!line[2].equals("ended") || time <= stood,
+                String.join(" ", line) + " ran while it stood still from " + stood);
         }
         assertEquals(at, all.length, "missing: " + (at < all.length ? all[at] : ""));
     }
