A worker seen to start leaves the cold budget when warm, heard of or not

After the growth 40% of the tasks were bounced for want of room.

Seen, in the recorded lines: between 0:45 and 1:00 a worker that had joined did half of what an old one of its kind did (slow ones in sofia 0.55 against 1.35 cores of work), 29 of 580 did nothing; old ones ran over.

Cause: inBudget kept a worker under the cold budget until it had answered this scheduler. It answers only who sends or asks, and only who may send is asked; with 438 schedulers a part of the budget refills by some 10 ms of work a second, so most of them waited for more than a minute on workers long warm. Assumption 5 of docs/assumptions.md, which had not been measured. The list says when a worker started and the settings by when it is warm: that is enough. Unseen starts (a scheduler that begins among running workers) keep to the paper's rule as before.

Ruled out: the size of the sets.

The new test fails before the change.

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -1162,8 +1162,8 @@
     // ---- The cold budget ----
 
     boolean inBudget(int w, double work) {
-        // Guards sites without reports: there a worker that answered counts as heard.
-        if (budgetSpan <= 0 || warmth(w, 1) >= 1 && fleet.answeredAt[w] > 0) {
+        // Guards against new workers idling for good: who was seen to start is warm in time, heard of or not.
+        if (budgetSpan <= 0 || warmth(w, 1) >= 1 && fleet.answeredAt[w] + fleet.startedAt[w] > 0) {
             return true;
         }
         // Guards against new workers idling until warm: among many dispatchers a share is under one task, so
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -435,6 +435,17 @@
         assertTrue(b.d.inBudget(0, 5000));
     }
 
+    /** Found on incident i3d5089: most of 438 dispatchers kept workers long warm under the cold budget. */
+    @Test
+    public void aWorkerSeenToStartIsWarmInTimeHeardOfOrNot() {
+        Bench b = Bench.of(SAFE).start(1);
+        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
+        b.d.wake(20000 + b.settings.warmWithin - 1);
+        assertFalse(b.d.inBudget(0, 5000));
+        b.d.wake(20000 + b.settings.warmWithin);
+        assertTrue(b.d.inBudget(0, 5000));
+    }
+
     /** Found on the grown siracusa-indici: the best of 60 workers hardly heard of was mostly a wrong one. */
     @Test
     public void amongManyDispatchersOnlyABuddySetIsUsed() {
