A task does not go to the worker whose report it waited for in vain

Some 200 sends in 5 s went to workers of the other place and failed after the 250 ms that connecting may take; a fifth of plovdiv's tasks.

Seen in the lines: those workers had been asked for a report and had not answered. A light task waits 60 to 90 ms for reports, but its worker counted as silent only after an eighth of a mean run (210 ms), so the task was sent there all the same.

Lines: Dispatcher.silent, fetchReport. Silent is now who has not answered in eight ticks, and a task waits longer.

What is left of the cut is that plovdiv alone can't carry its traffic (fast workers at 2.4 of some 2.6 cores).

--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -603,7 +603,7 @@
                 next = fleet.value[w] > (next < 0 ? Double.NEGATIVE_INFINITY : fleet.value[next]) ? w : next;
             }
         }
-        task.lookAt = now + Math.max(2 * tick, (task.due - now - task.work) / 8);
+        task.lookAt = now + Math.max(9 * tick, (task.due - now - task.work) / 8);
     }
 
     /** Whether this worker's report was the last one that the task waited for. */
@@ -751,7 +751,7 @@
 
     /** Guards against workers that hang: most reports come in a few turns, and theirs come never. */
     private boolean silent(int w) {
-        return fleet.probing[w] && now > fleet.probedAt[w] + Math.max(8 * tick, mixWork / 8);
+        return fleet.probing[w] && now > fleet.probedAt[w] + 8 * tick;
     }
 
     /** Guards against two assignments of one task at one worker. */
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -574,6 +574,22 @@
         assertEquals(begun.tries, 1);
     }
 
+    /** Found on incident i3d5089: after its wait a task was sent to the one that had not answered. */
+    @Test
+    public void aTaskDoesNotGoToTheWorkerWhoseReportItWaitedForInVain() {
+        Bench b = Bench.of(SAFE);
+        b.settings.mayProbe = true;
+        b.settings.reportsByProbe = true;
+        b.settings.profiles[0].dueTime = 2000;
+        b.start(2);
+        Task t = b.arrive(0, 3);
+        assertEquals(b.count("probe"), 2, b.acts.toString());
+        b.d.probed(4, 1, Bench.report(3, 0));
+        assertEquals(b.count("send"), 0);
+        b.d.wake(t.lookAt);
+        assertEquals(b.last().worker, 1);
+    }
+
     /** Found on sofia-topup overload: the profile that counts most in the goal was served a quarter. */
     @Test
     public void theProfileServedWorstIsWorthWhatTheGoalGivesForIt() {
