--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -61,6 +61,7 @@
     /** Null where no other process can follow this one. */
     private final Handover handover;
     private boolean listening;
+    /** Files are written here, beside the loop; tests hold it up. */
     ExecutorService files;
 
     Daemon(NodeConfiguration node) throws IOException {
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -1162,7 +1162,7 @@
     // ---- The cold budget ----
 
     boolean inBudget(int w, double work) {
-        // Guards against new workers idling for good: who was seen to start is warm in time, heard of or not.
+        // Guards against idling for good: who answered, or was seen to start, is warm when settings say so.
         if (budgetSpan <= 0 || warmth(w, 1) >= 1 && fleet.answeredAt[w] + fleet.startedAt[w] > 0) {
             return true;
         }
