--- /dev/null
+++ b/src/main/java/gingerspool/almanac/Almanac.java
@@ -0,0 +1,212 @@
+package gingerspool.almanac;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.util.JsonFormat;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Json;
+import gingerspool.wire.Tree;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The configuration that is in force, and what was taken lately. Commands come in the one order, so each
+ * member decides the same of each. It is kept as it was sent, fields that nobody knows included.
+ */
+public final class Almanac {
+    /** So many versions are remembered, by which a command that comes again is known. */
+    private static final int REMEMBERED = 64;
+
+    public static final int TAKEN = 200;
+    public static final int OTHER_VERSION = 412;
+    public static final int INVALID = 400;
+
+    /** What became of a command. */
+    public record Verdict(int status, String text) { }
+
+    private Map<String, Object> tree = Map.of();
+    private Configuration configuration = Configuration.getDefaultInstance();
+    /** What made each version, by digest. */
+    private final TreeMap<Long, String> taken = new TreeMap<>();
+
+    public long version() {
+        return configuration.getVersion();
+    }
+
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** As operators read it back. */
+    public byte[] text() {
+        return Json.write(tree).getBytes(StandardCharsets.UTF_8);
+    }
+
+    // ---- Commands ----
+
+    /** A whole configuration, or changes to the one in force, made on a version. */
+    public Verdict take(boolean whole, long on, byte[] body) {
+        String digest = digest(whole, on, body);
+        try {
+            Object sent = Json.read(body, 0, body.length);
+            if (!(sent instanceof Map<?, ?> said)) {
+                throw new BadConfiguration("the body is no JSON object");
+            }
+            long version = version(said);
+            if (digest.equals(taken.get(version))) {
+                return new Verdict(TAKEN, "taken before");
+            }
+            if (on != version()) {
+                return new Verdict(OTHER_VERSION, "the version in force is " + version());
+            }
+            Map<String, Object> next = whole ? copy(said) : changed(said);
+            Configuration typed = typed(next);
+            check(typed);
+            if (version <= version()) {
+                throw new BadConfiguration("Version " + version + " is not higher than " + version());
+            }
+            tree = next;
+            configuration = typed;
+            taken.put(version, digest);
+            while (taken.size() > REMEMBERED) {
+                taken.pollFirstEntry();
+            }
+            return new Verdict(TAKEN, "taken");
+        } catch (BadMessage | BadConfiguration e) {
+            return new Verdict(INVALID, e.getMessage());
+        }
+    }
+
+    private static String digest(boolean whole, long on, byte[] body) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            sha.update((whole + " " + on + " ").getBytes(StandardCharsets.US_ASCII));
+            return HexFormat.of().formatHex(sha.digest(body));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static long version(Map<?, ?> said) throws BadConfiguration {
+        if (!(said.get("Version") instanceof Number n) || n.doubleValue() != Math.rint(n.doubleValue())
+            || n.doubleValue() < 1) {
+            throw new BadConfiguration("Version is no whole number above 0");
+        }
+        return n.longValue();
+    }
+
+    private static Map<String, Object> copy(Map<?, ?> said) {
+        Map<String, Object> all = new LinkedHashMap<>();
+        said.forEach((k, v) -> all.put((String) k, v));
+        return all;
+    }
+
+    /** The configuration in force with some items added, replaced or removed by name. */
+    private Map<String, Object> changed(Map<?, ?> said) throws BadConfiguration {
+        Map<String, Object> next = copy(tree);
+        next.put("Version", said.get("Version"));
+        Set<Object> lists = new HashSet<>(table(said, "Upserts").keySet());
+        lists.addAll(table(said, "Removals").keySet());
+        for (Object list : lists) {
+            Map<Object, Object> byName = new LinkedHashMap<>();
+            for (Object item : list(next.get(list), String.valueOf(list))) {
+                byName.put(Tree.at(item, "Name"), item);
+            }
+            for (Object name : list(table(said, "Removals").get(list), "Removals." + list)) {
+                byName.remove(name);
+            }
+            for (Object item : list(table(said, "Upserts").get(list), "Upserts." + list)) {
+                if (Tree.text(null, item, "Name") == null) {
+                    throw new BadConfiguration("an item of Upserts." + list + " has no Name");
+                }
+                byName.put(Tree.at(item, "Name"), item);
+            }
+            next.put(String.valueOf(list), new ArrayList<>(byName.values()));
+        }
+        return next;
+    }
+
+    private static Map<?, ?> table(Map<?, ?> said, String key) throws BadConfiguration {
+        Object at = said.get(key);
+        if (at != null && !(at instanceof Map<?, ?>)) {
+            throw new BadConfiguration(key + " is no object");
+        }
+        return at == null ? Map.of() : (Map<?, ?>) at;
+    }
+
+    private static List<?> list(Object at, String key) throws BadConfiguration {
+        if (at != null && !(at instanceof List<?>)) {
+            throw new BadConfiguration(key + " is no list");
+        }
+        return at == null ? List.of() : (List<?>) at;
+    }
+
+    private static Configuration typed(Map<String, Object> tree) throws BadConfiguration {
+        try {
+            Configuration.Builder b = Configuration.newBuilder();
+            JsonFormat.parser().ignoringUnknownFields().merge(Json.write(tree), b);
+            return b.build();
+        } catch (InvalidProtocolBufferException e) {
+            throw new BadConfiguration(e.getMessage());
+        }
+    }
+
+    /** The rules that any configuration keeps. */
+    private static void check(Configuration c) throws BadConfiguration {
+        Set<String> services = new HashSet<>();
+        for (Service s : c.getServicesList()) {
+            if (s.getName().isEmpty() || !services.add(s.getName())) {
+                throw new BadConfiguration("Services: \"" + s.getName() + "\" stands twice or has no Name");
+            }
+        }
+        Set<String> names = new HashSet<>();
+        Map<String, String> places = new HashMap<>();
+        for (Route r : c.getRoutesList()) {
+            String at = "Routes: \"" + r.getName() + "\" ";
+            if (r.getName().isEmpty() || !names.add(r.getName())) {
+                throw new BadConfiguration(at + "stands twice or has no Name");
+            }
+            if (!services.contains(r.getService())) {
+                throw new BadConfiguration(at + "names Service \"" + r.getService() + "\", which isn't there");
+            }
+            if (r.hasTimeout() && r.getTimeout() <= 0) {
+                throw new BadConfiguration(at + "has TimeoutMs " + r.getTimeout());
+            }
+            String other = places.put(RouteTable.host(r.getHost()) + " " + r.getPrefix(), r.getName());
+            if (other != null) {
+                throw new BadConfiguration(at + "has the HostName and PathPrefix of \"" + other + "\"");
+            }
+        }
+    }
+
+    // ---- To and from a snapshot ----
+
+    public byte[] state() {
+        Map<String, String> versions = new LinkedHashMap<>();
+        taken.forEach((v, digest) -> versions.put(Long.toString(v), digest));
+        return Json.write(Map.of("tree", tree, "taken", versions)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Takes the place of whatever is known here. */
+    public void restore(byte[] state) {
+        try {
+            Object all = Json.read(state, 0, state.length);
+            tree = copy((Map<?, ?>) Tree.at(all, "tree"));
+            configuration = typed(tree);
+            taken.clear();
+            ((Map<?, ?>) Tree.at(all, "taken")).forEach((v, d) -> taken.put(Long.parseLong((String) v),
+                (String) d));
+        } catch (BadMessage | BadConfiguration e) {
+            throw new IllegalStateException("a state that was made here can't be read: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/barograph/Ledger.java
@@ -0,0 +1,196 @@
+package gingerspool.barograph;
+
+import gingerspool.radiosonde.BadWord;
+import gingerspool.radiosonde.Coder;
+import gingerspool.weathervane.Base;
+import gingerspool.weathervane.Change;
+import gingerspool.weathervane.Entry;
+import gingerspool.weathervane.Member;
+import gingerspool.weathervane.Saved;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+
+/**
+ * The member's store on disk: one MVStore file, `ledger-N.mv`, of which the highest N that can be read counts.
+ * Map `entries`: place to entry. Map `meta`: `form`, `promise` (member, view, granted) and `base`. A change is
+ * one commit, synced. Space in a file is never used again, so what was synced stays whatever a cut tears; once
+ * a file has grown, the whole content goes to the next one, which is synced before the older is removed.
+ * Blocks; for one thread.
+ */
+public final class Ledger implements AutoCloseable {
+    /** The form of what is written here; another is not read. */
+    static final int FORM = 1;
+    private static final String PREFIX = "ledger-";
+    private static final String SUFFIX = ".mv";
+    /** A file that is larger than this part of the disk is replaced. */
+    private static final double FULL = 0.2;
+    private static final int MB = 1 << 20;
+
+    /** What stands under `promise`. */
+    public record Promise(Member self, long view, Member granted) { }
+
+    private final Path folder;
+    private final long fileMost;
+    private final Coder coder = new Coder(List.of(Promise.class, Member.class, Entry.class, Base.class));
+    private MVStore store;
+    private MVMap<Long, byte[]> entries;
+    private MVMap<String, byte[]> meta;
+    private long number;
+
+    public Ledger(Path folder, double diskMb) {
+        this.folder = folder;
+        fileMost = (long) Math.max(MB, diskMb * MB * FULL);
+    }
+
+    /** Opens the newest content, or begins with none; null where there is none, or none that can be read. */
+    public Saved open() throws LedgerException {
+        try {
+            Files.createDirectories(folder);
+            TreeMap<Long, Path> files = files();
+            number = files.isEmpty() ? 0 : files.lastKey();
+            for (Path file : files.descendingMap().values()) {
+                Saved found = read(file);
+                if (found != null) {
+                    // What was found goes on in a file of its own: nothing is written behind torn bytes.
+                    rewrite(whole(found));
+                    return found;
+                }
+            }
+            begin();
+            return null;
+        } catch (IOException | MVStoreException e) {
+            throw new LedgerException("can't open the ledger in " + folder, e);
+        }
+    }
+
+    private static Change whole(Saved found) {
+        return new Change(0, found.self(), found.view(), found.granted(), found.base().place() + 1,
+            found.entries(), found.base());
+    }
+
+    private TreeMap<Long, Path> files() throws IOException {
+        TreeMap<Long, Path> files = new TreeMap<>();
+        try (Stream<Path> all = Files.list(folder)) {
+            for (Path p : all.toList()) {
+                String n = p.getFileName().toString();
+                if (n.startsWith(PREFIX) && n.endsWith(SUFFIX)) {
+                    String digits = n.substring(PREFIX.length(), n.length() - SUFFIX.length());
+                    if (digits.matches("[0-9]{1,15}")) {
+                        files.put(Long.parseLong(digits), p);
+                    }
+                }
+            }
+        }
+        return files;
+    }
+
+    /** Null where the file holds no whole content. */
+    private Saved read(Path file) {
+        try (MVStore from = new MVStore.Builder().fileName(file.toString()).readOnly().open()) {
+            MVMap<String, byte[]> m = from.openMap("meta");
+            byte[] form = m.get("form");
+            if (form == null || form.length != 1 || form[0] != FORM) {
+                return null;
+            }
+            if (!(coder.read(m.get("promise")) instanceof Promise p
+                && coder.read(m.get("base")) instanceof Base base)) {
+                return null;
+            }
+            List<Entry> all = new ArrayList<>();
+            MVMap<Long, byte[]> places = from.openMap("entries");
+            for (byte[] e; (e = places.get(base.place() + 1 + all.size())) != null;) {
+                all.add((Entry) coder.read(e));
+            }
+            return new Saved(p.self(), p.view(), p.granted(), base, all);
+        } catch (MVStoreException | BadWord | ClassCastException | NullPointerException e) {
+            return null;
+        }
+    }
+
+    private void begin() throws IOException {
+        close();
+        number++;
+        Path file = folder.resolve(PREFIX + number + SUFFIX);
+        Files.deleteIfExists(file);
+        store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(1).open();
+        store.setReuseSpace(false);
+        entries = store.openMap("entries");
+        meta = store.openMap("meta");
+    }
+
+    /** Writes the changes with a sync. On an exception what the disk holds is unknown: rewrite() must follow. */
+    public void save(List<Change> changes) throws LedgerException {
+        try {
+            if (store == null || store.isClosed()) {
+                throw new IOException("the ledger is closed");
+            }
+            changes.forEach(this::put);
+            store.commit();
+            store.sync();
+        } catch (IOException | MVStoreException | IllegalStateException e) {
+            throw new LedgerException("can't write to " + folder, e);
+        }
+    }
+
+    /** Whether the file has grown so that the whole content should go to a new one. */
+    public boolean isFull() {
+        return store != null && !store.isClosed() && store.getFileStore().size() > fileMost;
+    }
+
+    /** Writes all content to a new file; older ones go once it is on disk. */
+    public void rewrite(Change whole) throws LedgerException {
+        try {
+            begin();
+            meta.put("form", new byte[] {FORM});
+            put(whole);
+            store.commit();
+            store.sync();
+            syncFolder();
+            for (var f : files().headMap(number).values()) {
+                Files.deleteIfExists(f);
+            }
+        } catch (IOException | MVStoreException | IllegalStateException e) {
+            throw new LedgerException("can't write to " + folder, e);
+        }
+    }
+
+    private void put(Change c) {
+        meta.put("form", new byte[] {FORM});
+        meta.put("promise", coder.write(new Promise(c.self(), c.view(), c.granted())));
+        if (c.base() != null) {
+            meta.put("base", coder.write(c.base()));
+            entries.clear();
+        }
+        Long last = entries.lastKey();
+        for (long place = c.from(); last != null && place <= last; place++) {
+            entries.remove(place);
+        }
+        for (int i = 0; i < c.entries().size(); i++) {
+            entries.put(c.from() + i, coder.write(c.entries().get(i)));
+        }
+    }
+
+    private void syncFolder() throws IOException {
+        try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
+            dir.force(true);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (store != null) {
+            store.closeImmediately();
+            store = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/radiosonde/Coder.java
@@ -0,0 +1,72 @@
+package gingerspool.radiosonde;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import com.esotericsoftware.kryo.serializers.CollectionSerializer;
+import com.esotericsoftware.kryo.serializers.MapSerializer;
+import com.esotericsoftware.kryo.serializers.RecordSerializer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Words to bytes and back, by Kryo. Only what is registered is read; for one thread. */
+public final class Coder {
+    private static final int FIRST = 512;
+
+    private final Kryo kryo = new Kryo();
+    private final Output output = new Output(FIRST, -1);
+
+    public Coder(List<Class<?>> words) {
+        kryo.setReferences(false);
+        kryo.register(byte[].class);
+        kryo.addDefaultSerializer(List.class, new Lists());
+        kryo.addDefaultSerializer(Map.class, new Maps());
+        kryo.register(List.class, new Lists());
+        kryo.register(ArrayList.class, new Lists());
+        kryo.register(Map.class, new Maps());
+        kryo.register(HashMap.class, new Maps());
+        for (Class<?> word : words) {
+            if (word.isRecord()) {
+                RecordSerializer<?> serializer = new RecordSerializer<>(word);
+                serializer.setFixedFieldTypes(true);
+                kryo.register(word, serializer);
+            } else {
+                kryo.register(word);
+            }
+        }
+    }
+
+    /** Whatever sort of list is written, an ArrayList is read. */
+    private static final class Lists extends CollectionSerializer<List<?>> {
+        @Override
+        protected List<?> create(Kryo kryo, Input input, Class<? extends List<?>> type, int size) {
+            return new ArrayList<>(Math.min(size, FIRST));
+        }
+    }
+
+    private static final class Maps extends MapSerializer<Map<?, ?>> {
+        @Override
+        protected Map<?, ?> create(Kryo kryo, Input input, Class<? extends Map<?, ?>> type, int size) {
+            return new HashMap<>();
+        }
+    }
+
+    public byte[] write(Object word) {
+        output.reset();
+        kryo.writeClassAndObject(output, word);
+        return output.toBytes();
+    }
+
+    /** What can't be read is a fault of the peer. */
+    public Object read(byte[] bytes) throws BadWord {
+        try {
+            return kryo.readClassAndObject(new Input(bytes));
+        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException
+            | NegativeArraySizeException e) {
+            throw new BadWord(String.valueOf(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/radiosonde/Words.java
@@ -0,0 +1,54 @@
+package gingerspool.radiosonde;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What schedulers and the core say to each other. Spans are milliseconds. A scheduler's words are one link's
+ * only: on a new link it tells anew what it holds.
+ */
+public final class Words {
+    private Words() { }
+
+    /** A process's first word: who it is, and the newest numbers that it has. */
+    public record Hello(String name, String ip, String zone, boolean front) { }
+
+    /** A member of the core on its view: its number, and the address of who leads it ("" if unknown). */
+    public record Standing(long view, String leader, List<String> members) { }
+
+    /** A scheduler asks the leader to take it on: the newest news it has, and each slot that it holds. */
+    public record Enrol(String name, String zone, long news, Map<String, Integer> held) { }
+
+    /** The leader took it on; so many schedulers share the budget of repeats. */
+    public record Enrolled(long view, int fronts) { }
+
+    /** The configuration of this number, in protobuf's form; a scheduler only goes up in numbers. */
+    public record News(long number, byte[] configuration) { }
+
+    /** The scheduler has put the news of this number in force. */
+    public record Heard(long number) { }
+
+    /** What a scheduler wants of a function: slots that it still lacks, and the tasks that it has in hand. */
+    public record Want(String function, int lacks, int inHand) { }
+
+    /** Slots given: an instance, how many, and how long until it has started (0: it has). */
+    public record Grant(String function, String instance, String address, String zone, int capacity, int slots,
+        double startsIn, int inFlight) { }
+
+    /** No slot can be had at once: the leader expects one after this span. */
+    public record Later(String function, double span) { }
+
+    /** Slots given back; how the instance was: see the constants. */
+    public record Back(String instance, int slots, int seen) { }
+
+    /** Nothing new may go to these instances; they are draining or gone. */
+    public record Shun(List<String> instances) { }
+
+    public static final int SEEN_WELL = 0;
+    /** It took a first connection: it has started. */
+    public static final int SEEN_UP = 1;
+    /** It can't be reached. */
+    public static final int SEEN_LOST = 2;
+    /** It turned a task away as too much. */
+    public static final int SEEN_FULL = 3;
+}
--- /dev/null
+++ b/src/main/java/gingerspool/station/Settings.java
@@ -0,0 +1,153 @@
+package gingerspool.station;
+
+import gingerspool.toml.Fault;
+import gingerspool.toml.Layers;
+import gingerspool.toml.Section;
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * What a process is told in its settings file. Times are milliseconds, rates a second. Keys that aren't asked
+ * for are passed over, since new ones may appear.
+ */
+public final class Settings {
+    /** The variable that holds the file's path. */
+    public static final String VARIABLE = "GINGERSPOOL_CONFIG";
+    private static final int PORT_MOST = 65535;
+
+    public final String name;
+    public final String ip;
+    public final String zone;
+    /** In a fixed order, so that each has a number that is the same everywhere. */
+    public final List<String> zones;
+    /** The port on which our own processes reach each other. */
+    public final int innerPort;
+    /** Where machines serve control, by their outer addresses. */
+    public final List<InetSocketAddress> seeds;
+    public final boolean firstStart;
+    /** Each null where it isn't served here. */
+    public final InetSocketAddress front;
+    public final InetSocketAddress readiness;
+    public final InetSocketAddress control;
+    public final int descriptors;
+    /** Null where there is no disk. */
+    public final Path data;
+    public final double diskMb;
+    /** How many of the machines that count may be lost at once. */
+    public final int tolerated;
+    public final double beat;
+    public final double contact;
+    public final double drain;
+    public final double grace;
+    public final double retryRatio;
+    public final double retryWindow;
+    public final double retrySlack;
+    /** Null where the platform has no interface. */
+    public final InetSocketAddress cloud;
+    public final double cloudRate;
+    public final double cloudLag;
+    public final double dutyRate;
+
+    private Settings(Section s) {
+        name = s.text("NodeName", null).value();
+        ip = text(s, "IpAddress");
+        zone = text(s, "Zone");
+        zones = s.section("Zones").keys().stream().sorted().toList();
+        List<Integer> ports = s.wholes("InternalPortRange", 1, PORT_MOST);
+        if (ports.isEmpty()) {
+            s.fault("InternalPortRange", "is missing or empty, wanted the first and the last port");
+        }
+        innerPort = ports.isEmpty() ? 0 : ports.get(0);
+        seeds = addresses(s, "SeedNodes", s.texts("SeedNodes", List.of()));
+        firstStart = s.mark("FirstStart", false).value();
+        Section listen = s.section("ListenAddresses");
+        front = address(listen, "FrontAddress");
+        readiness = address(listen, "ReadinessAddress");
+        control = address(listen, "ControlAddress");
+        descriptors = s.section("Limits").whole("FileDescriptors", 1024, 64, Integer.MAX_VALUE).value();
+        diskMb = s.section("Limits").number("DiskMb", 0.0, 0, 1e9).value();
+        var dir = s.text("DataDirectory", null);
+        data = dir == null ? null : Path.of(dir.value());
+        tolerated = s.section("ToleratedLosses").whole("Machines", 0, 0, 1000).value();
+        beat = s.number("HeartbeatIntervalMs", 1000.0, 10, 60_000).value();
+        Section bounds = s.section("Bounds");
+        contact = figure(bounds, "ContactMs", 4000);
+        drain = figure(bounds, "DrainMs", 3000);
+        grace = 1000 * figure(bounds, "GracePeriodS", 6);
+        retryRatio = figure(bounds, "RetryBudgetRatio", 0.2);
+        retryWindow = 1000 * figure(bounds, "BudgetWindowS", 10);
+        retrySlack = figure(bounds, "RetryBudgetSlack", 0);
+        Section platform = s.section("Cloud");
+        cloud = address(platform, "Address");
+        cloudRate = figure(platform, "RatePerS", 5);
+        cloudLag = figure(platform, "LagMs", 1000);
+        dutyRate = figure(platform, "DutyPerS", 10);
+    }
+
+    private static double figure(Section s, String key, double other) {
+        return s.number(key, other, 0, 1e9).value();
+    }
+
+    /** A text that must be there. */
+    private static String text(Section s, String key) {
+        var said = s.text(key, null);
+        if (said == null) {
+            s.fault(key, "is missing");
+        }
+        return said == null ? "" : said.value();
+    }
+
+    private static InetSocketAddress address(Section s, String key) {
+        var said = s.text(key, null);
+        return said == null || said.value() == null ? null
+            : addresses(s, key, List.of(said.value())).stream().findFirst().orElse(null);
+    }
+
+    private static List<InetSocketAddress> addresses(Section s, String key, List<String> texts) {
+        List<InetSocketAddress> all = new ArrayList<>();
+        for (String text : texts) {
+            try {
+                all.add(Address.read(text));
+            } catch (BadMessage e) {
+                s.fault(key, "holds \"" + text + "\", wanted a numeric address and port such as 10.0.0.1:8080");
+            }
+        }
+        return all;
+    }
+
+    /** The file that the environment names. */
+    public static Settings read(Map<String, String> environment) throws SettingsException {
+        String file = environment.get(VARIABLE);
+        if (file == null || file.isBlank()) {
+            throw new SettingsException(VARIABLE + " is not set, wanted the path of the settings file");
+        }
+        return read(Path.of(file));
+    }
+
+    public static Settings read(Path file) throws SettingsException {
+        List<Fault> faults = new ArrayList<>();
+        Layers layers = new Layers(faults);
+        layers.read(file);
+        Section section = layers.section(file, new java.util.HashMap<>());
+        if (faults.isEmpty() && !section.has("NodeName")) {
+            section.fault("NodeName", "is missing");
+        }
+        Settings made = faults.isEmpty() ? new Settings(section) : null;
+        if (!faults.isEmpty()) {
+            throw new SettingsException(faults.stream().map(Fault::toString)
+                .collect(Collectors.joining("; ")));
+        }
+        return made;
+    }
+
+    /** The number of a zone, -1 for one that isn't named here. */
+    public int zoneNumber(String of) {
+        return zones.indexOf(of);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/station/SettingsException.java
@@ -0,0 +1,10 @@
+package gingerspool.station;
+
+/** The settings file can't be used; the text names each fault with file and line. */
+public final class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public SettingsException(String text) {
+        super(text, null, false, false);
+    }
+}
--- a/src/main/java/gingerspool/toml/Section.java
+++ b/src/main/java/gingerspool/toml/Section.java
@@ -195,6 +195,26 @@
         }).value();
     }
 
+    /** A list of whole numbers. */
+    public List<Integer> wholes(String key, int least, int most) {
+        List<Integer> all = new ArrayList<>();
+        known.add(key);
+        Node n = entries.get(key);
+        for (Node e : n == null || n.list() == null ? List.<Node>of() : n.list()) {
+            if (e.value instanceof Long v && v >= least && v <= most) {
+                all.add(v.intValue());
+            } else {
+                fault(key, "holds " + e.sort() + " that is no whole number from " + least + " to " + most);
+            }
+        }
+        return all;
+    }
+
+    /** The keys that stand here. */
+    public List<String> keys() {
+        return List.copyOf(entries.keySet());
+    }
+
     /** Notes for `explain` what came of the key. */
     public void note(String key, String text, Place from) {
         notes.put(path(key), new Said<>(text, from));
--- /dev/null
+++ b/src/main/java/gingerspool/weathervane/Order.java
@@ -0,0 +1,684 @@
+package gingerspool.weathervane;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * One member's part in the order of commands. A view has one leader, which puts commands in their places; they
+ * are agreed on once enough members have them on disk. When the leader is silent a member asks the others to
+ * stop: who grants it takes nothing more of older views. What the new leader lacks or has beyond is trimmed by
+ * its own entries, which hold all that was agreed on, and the view goes on with an entry of its own.
+ *
+ * <p>The leader also holds a lease: members stop for nobody else for a while after each of its beats, so that
+ * no other can lead while most have answered lately. It stops trusting the lease a quarter before its end.
+ *
+ * <p>Members change one at a time: who isn't heard of goes once another waits for its place, then that one
+ * comes in. A member that lost its disk is another member. Times are milliseconds of a steady clock.
+ */
+public final class Order {
+    /** The lease is trusted for this part of its span, since clocks may run a little apart. */
+    private static final double TRUSTED = 0.75;
+    /** Beats a lease. */
+    private static final double BEATS = 6;
+    /** A member that isn't heard of for so many leases gives its place to one that waits. */
+    private static final double LOST = 2;
+    /** The least members wanted, where there are machines for so many. */
+    private static final int LEAST = 3;
+    /** Entries, and bytes of them, after which a base takes their place. */
+    private static final int ENTRIES_MOST = 64;
+    private static final int BYTES_MOST = 1 << 20;
+
+    private enum Role { STRANGER, FOLLOWING, STANDING, LEADING }
+
+    /** What a leader knows of another member, or of a stranger that it brings up. */
+    private static final class Peer {
+        long next;
+        long has;
+        double ackedAt = Double.NEGATIVE_INFINITY;
+        double heardAt;
+    }
+
+    /** What waits until the disk has confirmed a ticket. */
+    private record Waiting(long ticket, Runnable then) { }
+
+    private final Outlet out;
+    private final SplittableRandom chance;
+    private final double lease;
+    private final int tolerated;
+    private Member self;
+    private double now;
+
+    private long view;
+    private Member granted;
+    private Base base;
+    private final List<Entry> entries = new ArrayList<>();
+    private List<Member> members;
+    private int bytes;
+
+    private Role role = Role.FOLLOWING;
+    private Member leader;
+    /** Until then nobody else is granted a view. */
+    private double heldUntil;
+    private double standAt;
+    private double beatAt;
+    private long agreed;
+    private long delivered;
+    private long ticket;
+    private long savedTicket;
+    /** Up to here our own entries are on disk. */
+    private long synced;
+    /** Counts how often entries were trimmed. */
+    private long era;
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private final Set<Member> votes = new HashSet<>();
+    private final Map<Member, Peer> peers = new LinkedHashMap<>();
+    /** Where the entry of the view led begins. */
+    private long began;
+
+    /**
+     * A member as its disk left it. Who was there at the first start passes the founders and no disk's content;
+     * any other without content is a stranger, which must be taken in.
+     */
+    public Order(Member self, Saved disk, List<Member> founders, int tolerated, double lease, long seed,
+        double now, Outlet out) {
+        this.self = disk == null ? self : disk.self();
+        this.tolerated = tolerated;
+        this.lease = lease;
+        this.out = out;
+        this.now = now;
+        chance = new SplittableRandom(seed);
+        boolean founds = disk == null && founders.contains(self);
+        base = disk != null ? disk.base() : new Base(0, 0, founds ? founders : List.of(), null);
+        if (disk != null) {
+            view = disk.view();
+            granted = disk.granted();
+            entries.addAll(disk.entries());
+            entries.forEach(e -> bytes += size(e));
+            synced = last();
+        }
+        findMembers();
+        agreed = base.place();
+        delivered = base.place();
+        if (base.state() != null) {
+            out.restore(base.place(), base.state());
+        }
+        // Guards the lease: what this member promised before it ended must have run out.
+        heldUntil = founds ? now : now + lease;
+        standAt = heldUntil + lease * chance.nextDouble() / 2;
+        role = members.contains(this.self) ? Role.FOLLOWING : Role.STRANGER;
+        if (disk == null) {
+            save(1, base);
+        }
+    }
+
+    // ---- What it is ----
+
+    public Member self() {
+        return self;
+    }
+
+    public long view() {
+        return view;
+    }
+
+    public List<Member> members() {
+        return members;
+    }
+
+    public boolean isStranger() {
+        return role == Role.STRANGER;
+    }
+
+    /** Who leads, as far as known lately, or null. */
+    public Member leader(double at) {
+        return role == Role.LEADING ? leads(at) ? self : null : at < heldUntil ? leader : null;
+    }
+
+    /**
+     * Whether this member leads, holds the lease, and has delivered all that was agreed on before its view: only
+     * then it may answer for the state, and do what only one may.
+     */
+    public boolean leads(double at) {
+        return role == Role.LEADING && agreed >= began && at < leaseEnd();
+    }
+
+    /** What was delivered last. */
+    public long delivered() {
+        return delivered;
+    }
+
+    private long last() {
+        return base.place() + entries.size();
+    }
+
+    private long viewAt(long place) {
+        return place == base.place() ? base.view() : entry(place).view();
+    }
+
+    private Entry entry(long place) {
+        return entries.get((int) (place - base.place() - 1));
+    }
+
+    private static int size(Entry e) {
+        return e.command() == null ? 0 : e.command().length;
+    }
+
+    private int quorum() {
+        return members.size() / 2 + 1;
+    }
+
+    /** How many disks must hold an entry: more than may be lost, and more than half. */
+    private int copies() {
+        return Math.min(members.size(), Math.max(quorum(), tolerated + 1));
+    }
+
+    private double leaseEnd() {
+        List<Double> acked = new ArrayList<>();
+        for (Member m : members) {
+            acked.add(m.equals(self) ? now : peer(m).ackedAt);
+        }
+        acked.sort(Collections.reverseOrder());
+        return acked.get(quorum() - 1) + TRUSTED * lease;
+    }
+
+    private Peer peer(Member m) {
+        return peers.computeIfAbsent(m, k -> {
+            Peer p = new Peer();
+            p.next = last() + 1;
+            p.heardAt = now;
+            return p;
+        });
+    }
+
+    // ---- Disk ----
+
+    /** Entries from this place on have changed, or only the promise where it is beyond the last. */
+    private void save(long from, Base newBase) {
+        List<Entry> changed = from > last() ? List.of()
+            : List.copyOf(entries.subList((int) (from - base.place() - 1), entries.size()));
+        out.save(new Change(++ticket, self, view, granted, from, changed, newBase));
+        long upTo = last();
+        long of = era;
+        whenSaved(() -> {
+            // Guards against counting what was trimmed meanwhile: the change that trimmed it comes later.
+            if (of == era) {
+                synced = Math.max(synced, upTo);
+                agree();
+            }
+        });
+    }
+
+    private void whenSaved(Runnable then) {
+        waiting.add(new Waiting(ticket, then));
+    }
+
+    /** The disk has this change and all before it. */
+    public void saved(double at, long upTo) {
+        now = at;
+        savedTicket = Math.max(savedTicket, upTo);
+        while (!waiting.isEmpty() && waiting.peek().ticket() <= savedTicket) {
+            waiting.poll().then().run();
+        }
+    }
+
+    /** The disk failed, and what it holds is unknown: everything, to be written anew under a new ticket. */
+    public Change whole() {
+        return new Change(++ticket, self, view, granted, base.place() + 1, List.copyOf(entries), base);
+    }
+
+    // ---- Time ----
+
+    public void tick(double at) {
+        now = at;
+        if (role == Role.LEADING) {
+            if (now >= beatAt) {
+                beat();
+            }
+            consider();
+        } else if (role == Role.STRANGER) {
+            if (now >= beatAt) {
+                beatAt = now + lease / BEATS;
+            }
+        } else if (now >= standAt && now >= heldUntil) {
+            stand();
+        }
+    }
+
+    /** When tick should be called next. */
+    public double nextTick() {
+        return role == Role.LEADING || role == Role.STRANGER ? beatAt : Math.max(standAt, heldUntil);
+    }
+
+    private void beat() {
+        beatAt = now + lease / BEATS;
+        for (Member m : members) {
+            if (!m.equals(self)) {
+                append(m);
+            }
+        }
+        for (Member m : List.copyOf(peers.keySet())) {
+            if (!members.contains(m) && now > peers.get(m).heardAt + LOST * lease) {
+                peers.remove(m);
+            } else if (!members.contains(m)) {
+                append(m);
+            }
+        }
+    }
+
+    // ---- Stop: a new view ----
+
+    private void stand() {
+        if (!members.contains(self)) {
+            return;
+        }
+        role = Role.STANDING;
+        leader = null;
+        view++;
+        granted = self;
+        votes.clear();
+        standAt = now + lease * (0.5 + chance.nextDouble() / 2);
+        save(last() + 1, null);
+        long asked = view;
+        whenSaved(() -> {
+            if (role == Role.STANDING && view == asked) {
+                votes.add(self);
+                for (Member m : members) {
+                    if (!m.equals(self)) {
+                        out.send(m, new Letter.Stop(view, viewAt(last()), last()));
+                    }
+                }
+                count();
+            }
+        });
+    }
+
+    private void stop(Member from, Letter.Stop l) {
+        if (!members.contains(from)) {
+            // Only one who surely knows better may say so: what it says makes the other forget all it has.
+            boolean sure = leads(now) && membersAgreed();
+            out.send(from, new Letter.Stopped(l.view(), false, sure));
+            return;
+        }
+        if (now < heldUntil && !from.equals(leader) || l.view() <= view || role == Role.LEADING && leads(now)) {
+            out.send(from, new Letter.Stopped(l.view(), false, false));
+            return;
+        }
+        view = l.view();
+        granted = null;
+        follow(null);
+        boolean upToDate = l.lastView() > viewAt(last())
+            || l.lastView() == viewAt(last()) && l.last() >= last();
+        if (upToDate) {
+            granted = from;
+            standAt = now + lease * (0.5 + chance.nextDouble() / 2);
+        }
+        save(last() + 1, null);
+        if (upToDate) {
+            whenSaved(() -> out.send(from, new Letter.Stopped(l.view(), true, false)));
+        }
+    }
+
+    private void stopped(Member from, Letter.Stopped l) {
+        if (l.stranger()) {
+            forget();
+        } else if (role == Role.STANDING && l.view() == view && l.granted()) {
+            votes.add(from);
+            count();
+        }
+    }
+
+    private void count() {
+        if (members.stream().filter(votes::contains).count() >= quorum()) {
+            goOn();
+        }
+    }
+
+    /** We were put out, and others may have our place: what we have counts for nothing. */
+    private void forget() {
+        role = Role.STRANGER;
+        self = new Member(self.ip(), Long.toHexString(chance.nextLong()));
+        view = 0;
+        granted = null;
+        leader = null;
+        entries.clear();
+        bytes = 0;
+        base = new Base(0, 0, List.of(), null);
+        members = List.of();
+        synced = 0;
+        agreed = 0;
+        delivered = 0;
+        era++;
+        waiting.clear();
+        out.save(new Change(++ticket, self, view, null, 1, List.of(), base));
+    }
+
+    private void follow(Member who) {
+        if (role != Role.STRANGER) {
+            role = Role.FOLLOWING;
+        }
+        leader = who;
+        peers.clear();
+    }
+
+    private void goOn() {
+        role = Role.LEADING;
+        leader = self;
+        peers.clear();
+        members.forEach(this::peer);
+        began = last() + 1;
+        put(Entry.begin(view));
+    }
+
+    // ---- Order ----
+
+    /** Puts a command in its place; false where this member does not lead. Delivery tells that it is agreed on. */
+    public boolean submit(double at, byte[] command) {
+        now = at;
+        if (!leads(now)) {
+            return false;
+        }
+        put(Entry.command(view, command));
+        return true;
+    }
+
+    private void put(Entry e) {
+        entries.add(e);
+        bytes += size(e);
+        findMembers();
+        save(last(), null);
+        beat();
+    }
+
+    private void append(Member m) {
+        Peer p = peer(m);
+        if (p.next <= base.place()) {
+            out.send(m, new Letter.Whole(view, base, agreed, now));
+            p.next = base.place() + 1;
+        } else {
+            List<Entry> news = List.copyOf(entries.subList((int) (p.next - base.place() - 1), entries.size()));
+            out.send(m, new Letter.Append(view, p.next - 1, viewAt(p.next - 1), news, agreed, now));
+            p.next = last() + 1;
+        }
+    }
+
+    private void appended(Member from, Letter.Appended l) {
+        if (role != Role.LEADING || l.view() != view) {
+            return;
+        }
+        Peer p = peer(from);
+        p.heardAt = now;
+        p.ackedAt = Math.max(p.ackedAt, l.sentAt());
+        if (l.fitted()) {
+            p.has = Math.max(p.has, l.last());
+            agree();
+        } else {
+            p.next = Math.max(1, Math.min(p.next - 1, l.last() + 1));
+            if (p.next <= last()) {
+                append(from);
+            }
+        }
+    }
+
+    /** Finds what enough disks hold. */
+    private void agree() {
+        if (role != Role.LEADING) {
+            return;
+        }
+        List<Long> has = new ArrayList<>();
+        for (Member m : members) {
+            has.add(m.equals(self) ? synced : peer(m).has);
+        }
+        has.sort(Comparator.reverseOrder());
+        long most = has.get(copies() - 1);
+        // Guards what older views left: it counts only with an entry of this view behind it.
+        if (most > agreed && viewAt(most) == view) {
+            agreed = most;
+            deliver();
+            beatAt = now;
+        }
+    }
+
+    private void deliver() {
+        while (delivered < Math.min(agreed, last())) {
+            delivered++;
+            Entry e = entry(delivered);
+            if (e.command() != null) {
+                out.deliver(delivered, e.command());
+            }
+        }
+        if (delivered - base.place() > ENTRIES_MOST || bytes > BYTES_MOST && delivered > base.place()) {
+            rebase();
+        }
+    }
+
+    /** Puts the state in place of what was delivered. */
+    private void rebase() {
+        List<Member> then = base.members();
+        for (long i = base.place() + 1; i <= delivered; i++) {
+            then = entry(i).members() != null ? entry(i).members() : then;
+        }
+        Base made = new Base(delivered, viewAt(delivered), then, out.state());
+        entries.subList(0, (int) (delivered - base.place())).clear();
+        base = made;
+        bytes = entries.stream().mapToInt(Order::size).sum();
+        save(base.place() + 1, base);
+    }
+
+    private boolean membersAgreed() {
+        for (long i = Math.max(agreed, base.place()) + 1; i <= last(); i++) {
+            if (entry(i).members() != null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void findMembers() {
+        members = base.members();
+        for (Entry e : entries) {
+            members = e.members() != null ? e.members() : members;
+        }
+    }
+
+    // ---- Letters ----
+
+    /** A letter for this member. */
+    public void heard(double at, Member from, Letter letter) {
+        now = at;
+        if (letter instanceof Letter.Stop l) {
+            stop(from, l);
+        } else if (letter instanceof Letter.Stopped l) {
+            stopped(from, l);
+        } else if (letter instanceof Letter.Append l) {
+            if (heardLeader(from, l.view(), l.sentAt())) {
+                take(from, l);
+            }
+        } else if (letter instanceof Letter.Whole l) {
+            if (heardLeader(from, l.view(), l.sentAt())) {
+                take(from, l);
+            }
+        } else if (letter instanceof Letter.Appended l) {
+            if (l.view() > view && role == Role.LEADING) {
+                // Others have gone on without us.
+                view = l.view();
+                granted = null;
+                follow(null);
+                standAt = now + lease;
+                save(last() + 1, null);
+            }
+            appended(from, l);
+        } else if (letter instanceof Letter.Join) {
+            join(from);
+        } else if (letter instanceof Letter.Take l && l.view() == view && from.equals(leader)) {
+            // The lease was given up by who held it.
+            heldUntil = now;
+            leader = null;
+            standAt = l.heir().equals(self) ? now : now + lease / 2 * (1 + chance.nextDouble());
+        }
+    }
+
+    private boolean heardLeader(Member from, long of, double sentAt) {
+        if (of < view) {
+            out.send(from, new Letter.Appended(view, false, 0, Double.NEGATIVE_INFINITY));
+            return false;
+        }
+        if (of > view) {
+            view = of;
+            granted = null;
+            save(last() + 1, null);
+        }
+        follow(from);
+        heldUntil = Math.max(heldUntil, now + lease);
+        standAt = heldUntil + lease * chance.nextDouble() / 2;
+        return true;
+    }
+
+    private void take(Member from, Letter.Append l) {
+        long before = l.before();
+        int skip = (int) Math.max(0, base.place() - before);
+        if (before > last() || before >= base.place() && viewAt(before) != l.beforeView()) {
+            out.send(from, new Letter.Appended(view, false, Math.min(last(), before - 1), l.sentAt()));
+            return;
+        }
+        long changedFrom = last() + 1;
+        for (int i = skip; i < l.entries().size(); i++) {
+            long place = before + 1 + i;
+            if (place <= last() && viewAt(place) != l.entries().get(i).view()) {
+                // Trim: what the leader does not have was never agreed on.
+                entries.subList((int) (place - base.place() - 1), entries.size()).clear();
+                synced = Math.min(synced, place - 1);
+                era++;
+                changedFrom = Math.min(changedFrom, place);
+            }
+            if (place > last()) {
+                entries.add(l.entries().get(i));
+                changedFrom = Math.min(changedFrom, place);
+            }
+        }
+        long fits = before + l.entries().size();
+        if (changedFrom <= last()) {
+            bytes = entries.stream().mapToInt(Order::size).sum();
+            findMembers();
+            save(changedFrom, null);
+        }
+        accept(from, fits, l.agreed(), l.sentAt());
+    }
+
+    private void take(Member from, Letter.Whole l) {
+        if (l.base().place() > delivered || members.isEmpty()) {
+            base = l.base();
+            era++;
+            entries.clear();
+            bytes = 0;
+            synced = 0;
+            findMembers();
+            agreed = base.place();
+            delivered = base.place();
+            if (base.state() != null) {
+                out.restore(base.place(), base.state());
+            }
+            save(base.place() + 1, base);
+        }
+        accept(from, l.base().place(), l.agreed(), l.sentAt());
+    }
+
+    /** What fits is on disk, or will be; tells the leader now what is and again once all of it is. */
+    private void accept(Member from, long fits, long leaderAgreed, double sentAt) {
+        if (role == Role.STRANGER && members.contains(self)) {
+            role = Role.FOLLOWING;
+        } else if (role != Role.STRANGER && !members.contains(self)) {
+            role = Role.STRANGER;
+        }
+        long of = view;
+        out.send(from, new Letter.Appended(view, true, Math.min(synced, fits), sentAt));
+        if (synced < fits) {
+            whenSaved(() -> {
+                if (view == of && fits <= last()) {
+                    out.send(from, new Letter.Appended(view, true, Math.min(synced, fits), sentAt));
+                }
+            });
+        }
+        agreed = Math.max(agreed, Math.min(leaderAgreed, fits));
+        deliver();
+    }
+
+    // ---- Members ----
+
+    private void join(Member from) {
+        if (role == Role.LEADING && !members.contains(from)) {
+            Peer p = peers.get(from);
+            if (p == null) {
+                p = peer(from);
+                // Whatever it has is not ours: it gets everything.
+                p.next = 0;
+                append(from);
+            }
+            p.heardAt = now;
+        }
+    }
+
+    /** Changes one member where one is lost and another has been brought up; never two at once. */
+    private void consider() {
+        if (!leads(now) || agreed < last()) {
+            return;
+        }
+        for (Map.Entry<Member, Peer> e : peers.entrySet()) {
+            Member waits = e.getKey();
+            if (members.contains(waits) || e.getValue().has < agreed || now > e.getValue().heardAt + lease) {
+                continue;
+            }
+            Member lost = replacedBy(waits);
+            List<Member> next = new ArrayList<>(members);
+            if (lost != null) {
+                next.remove(lost);
+            } else if (members.size() < Math.max(LEAST, 2 * tolerated + 1)) {
+                next.add(waits);
+            } else {
+                continue;
+            }
+            put(Entry.members(view, next));
+            return;
+        }
+    }
+
+    /** The member whose place this one may have: the same machine with another disk, else one long silent. */
+    private Member replacedBy(Member waits) {
+        Member silent = null;
+        for (Member m : members) {
+            if (m.equals(self)) {
+                continue;
+            }
+            if (m.ip().equals(waits.ip())) {
+                return m;
+            }
+            silent = now > peer(m).heardAt + LOST * lease ? m : silent;
+        }
+        return silent != null && members.size() > 1 ? silent : null;
+    }
+
+    /** This member is about to leave: another is asked to lead at once. */
+    public void leave(double at) {
+        now = at;
+        if (role == Role.LEADING) {
+            Member heir = null;
+            for (Member m : members) {
+                heir = !m.equals(self) && (heir == null || peer(m).has > peer(heir).has) ? m : heir;
+            }
+            if (heir != null) {
+                for (Member m : members) {
+                    out.send(m, new Letter.Take(view, heir));
+                }
+            }
+            follow(null);
+            standAt = now + 4 * lease;
+        }
+    }
+}
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -19,6 +19,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Connection.class);
     private static final int FIRST = 2048;
     private static final int MOST = 32 * 1024;
+    /** The largest buffer of this connection: what is taken only whole must fit. */
+    private final int most;
 
     final Turns turns;
     private final AsynchronousSocketChannel channel;
@@ -35,7 +37,12 @@
     private final CompletionHandler<Integer, Void> writes = handler(this::written);
 
     Connection(Turns turns, AsynchronousSocketChannel channel) {
+        this(turns, channel, MOST);
+    }
+
+    Connection(Turns turns, AsynchronousSocketChannel channel, int most) {
         this.turns = turns;
+        this.most = most;
         this.channel = channel;
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -127,7 +134,7 @@
         int held = buffer.position() - start;
         if (held == 0 && buffer.capacity() > FIRST) {
             buffer = ByteBuffer.allocate(FIRST);
-        } else if (held == buffer.capacity() && held < MOST) {
+        } else if (held == buffer.capacity() && held < most) {
             ByteBuffer wider = ByteBuffer.allocate(2 * held);
             buffer = wider.put(buffer.array(), 0, held);
         } else if (start > 0) {
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -10,6 +10,10 @@
     private static final double STALLED = 10_000;
     private static final double IDLE = 120_000;
     private static final double LINGER = 1000;
+    private static final int HEAD_MOST = 16 * 1024;
+    private static final int BODY_MOST = 64 * 1024;
+    /** What the buffer holds beyond the longest head. */
+    private static final int LINE = 16 * 1024;
     private static final byte[] GO_ON = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     /** Who takes the requests. */
@@ -31,8 +35,10 @@
     private final Door door;
     private final double idle;
     private final double stalled;
+    private final int headMost;
+    private final int bodyMost;
     private State state = State.IDLE;
-    private Message message = Message.request();
+    private Message message;
     private boolean lastAnswer;
     private boolean lastRequest;
     private Runnable whenGone;
@@ -43,12 +49,23 @@
         this(turns, channel, door, IDLE, STALLED);
     }
 
-    /** With so long, in milliseconds, for it to be idle, and for one message, answer or end to take. */
+    /** With so long for it to be idle, and for one message, answer or end to take. */
     public Inbound(Turns turns, AsynchronousSocketChannel channel, Door door, double idle, double stalled) {
-        super(turns, channel);
+        this(turns, channel, door, idle, stalled, HEAD_MOST, BODY_MOST);
+    }
+
+    /**
+     * With so long, in milliseconds, for it to be idle, and for one message, answer or end to take; and with
+     * so many bytes at the most for the head and the body of a request.
+     */
+    public Inbound(Turns turns, AsynchronousSocketChannel channel, Door door, double idle, double stalled,
+        int headMost, int bodyMost) {
+        super(turns, channel, headMost + LINE);
         this.door = door;
         this.idle = idle;
         this.stalled = stalled;
+        this.headMost = headMost;
+        this.bodyMost = bodyMost;
     }
 
     /** Begins to read; separate from making it so that the owner knows it first. */
@@ -64,7 +81,7 @@
 
     private void rest() {
         state = State.IDLE;
-        message = Message.request();
+        message = Message.request(headMost, bodyMost);
         since = turns.now();
         alarm(idle, this::close);
         door.idle(this, true);
@@ -141,14 +158,18 @@
     private static String reason(int status) {
         return switch (status) {
             case 200 -> "OK";
+            case 307 -> "Temporary Redirect";
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
+            case 412 -> "Precondition Failed";
             case 405 -> "Method Not Allowed";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
             case 501 -> "Not Implemented";
+            case 502 -> "Bad Gateway";
             case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
             default -> "Status";
         };
     }
--- a/src/main/java/gingerspool/wire/Json.java
+++ b/src/main/java/gingerspool/wire/Json.java
@@ -11,6 +11,8 @@
 /** Reads and writes one JSON value as maps, lists, text, numbers and marks. */
 public final class Json {
     private static final int DEEPEST = 64;
+    /** Up to here a double tells each whole number. */
+    private static final double WHOLE_MOST = 1L << 53;
 
     private final String text;
     private int at;
@@ -69,7 +71,7 @@
             }
             out.append(numbers.length == 0 ? "[]" : "]");
         } else if (value instanceof Number n) {
-            out.append(Double.isFinite(n.doubleValue()) ? n.toString() : "null");
+            write(n.doubleValue(), n, out);
         } else if (value instanceof Boolean || value == null) {
             out.append(value);
         } else {
@@ -77,6 +79,15 @@
         }
     }
 
+    /** Whole numbers are written without a point, as they mostly came. */
+    private static void write(double value, Number n, StringBuilder out) {
+        if (Math.rint(value) == value && Math.abs(value) < WHOLE_MOST) {
+            out.append((long) value);
+        } else {
+            out.append(Double.isFinite(value) ? n.toString() : "null");
+        }
+    }
+
     private static void quote(String text, StringBuilder out) {
         out.append('"');
         for (int i = 0; i < text.length(); i++) {
--- a/src/main/java/gingerspool/wire/Message.java
+++ b/src/main/java/gingerspool/wire/Message.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.BiConsumer;
 
 /** Reads one HTTP/1.1 message, from bytes that come in pieces of any size. */
 public final class Message {
@@ -20,6 +21,8 @@
     }
 
     private final boolean request;
+    private final int headMost;
+    private final int bodyMost;
     private final Sink sink;
     private final boolean collects;
     private Part part = Part.HEAD;
@@ -33,19 +36,31 @@
     private long left;
     private int trailer;
 
-    private Message(boolean request, Sink sink) {
+    private Message(boolean request, Sink sink, int headMost, int bodyMost) {
         this.request = request;
+        this.headMost = headMost;
+        this.bodyMost = bodyMost;
         collects = sink == null;
         this.sink = collects ? this::collect : sink;
     }
 
     public static Message request() {
-        return new Message(true, null);
+        return request(HEAD_MOST, BODY_MOST);
+    }
+
+    /** A request whose head and body have no more bytes than this. */
+    public static Message request(int headMost, int bodyMost) {
+        return new Message(true, null, headMost, bodyMost);
     }
 
     /** An answer; its body goes to the sink if there is one. */
     public static Message answer(Sink sink) {
-        return new Message(false, sink);
+        return answer(sink, BODY_MOST);
+    }
+
+    /** An answer whose body, where there is no sink, has no more bytes than this. */
+    public static Message answer(Sink sink, int bodyMost) {
+        return new Message(false, sink, HEAD_MOST, bodyMost);
     }
 
     // ---- What was read ----
@@ -78,6 +93,13 @@
         return i < 0 ? null : values.get(i);
     }
 
+    /** Each field in its order: its lower-case name, its value. */
+    public void eachField(BiConsumer<String, String> to) {
+        for (int i = 0; i < names.size(); i++) {
+            to.accept(names.get(i), values.get(i));
+        }
+    }
+
     public byte[] body() {
         return held == body.length ? body : Arrays.copyOf(body, held);
     }
@@ -154,7 +176,7 @@
         }
         for (int i = Math.max(from + 3, from + searched); i < to; i++) {
             if (b[i] == '\n' && b[i - 1] == '\r' && b[i - 2] == '\n' && b[i - 3] == '\r') {
-                if (i - from > HEAD_MOST) {
+                if (i - from > headMost) {
                     throw new BadMessage(431, "head too long");
                 }
                 readHead(new String(b, from, i - 3 - from, StandardCharsets.ISO_8859_1));
@@ -163,7 +185,7 @@
             }
         }
         searched = to - from;
-        if (searched > HEAD_MOST) {
+        if (searched > headMost) {
             throw new BadMessage(431, "head too long");
         }
         return from;
@@ -257,7 +279,7 @@
             part = Part.CHUNK_SIZE;
         } else if (lengths > 0) {
             left = number(field("content-length"), 10);
-            if (left > BODY_MOST && collects) {
+            if (left > bodyMost && collects) {
                 throw new BadMessage(413, "body too long");
             }
             part = left == 0 ? Part.DONE : Part.LENGTH;
@@ -295,11 +317,11 @@
 
     private void collect(byte[] b, int from, int to) throws BadMessage {
         int n = to - from;
-        if (held + n > BODY_MOST) {
+        if (held + n > bodyMost) {
             throw new BadMessage(413, "body too long");
         }
         if (held + n > body.length) {
-            body = Arrays.copyOf(body, Math.min(BODY_MOST, Math.max(held + n, 2 * body.length)));
+            body = Arrays.copyOf(body, Math.min(bodyMost, Math.max(held + n, 2 * body.length)));
         }
         System.arraycopy(b, from, body, held, n);
         held += n;
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -8,6 +8,11 @@
 public final class Outbound extends Connection {
     /** Whose request it carries. */
     public interface Caller {
+        /** Whether this answer is to our request; one that is not is passed over, and the next awaited. */
+        default boolean isMine(Message answer) {
+            return true;
+        }
+
         /** The whole answer has come; called when the connection may be used again, or not. */
         void answered(Message answer);
 
@@ -25,6 +30,8 @@
         void closed(Outbound connection);
     }
 
+    private static final int ANSWER_MOST = 64 * 1024;
+
     private final Owner owner;
     private boolean up;
     private byte[] waiting;
@@ -37,16 +44,24 @@
     private double rested = Double.NaN;
     private Message.Sink sink;
     private Message answer;
+    private final int bodyMost;
 
-    private Outbound(Turns turns, AsynchronousSocketChannel channel, Owner owner) {
+    private Outbound(Turns turns, AsynchronousSocketChannel channel, Owner owner, int bodyMost) {
         super(turns, channel);
         this.owner = owner;
+        this.bodyMost = bodyMost;
     }
 
     /** Starts to connect; fails at once only where there is no descriptor left. */
     public static Outbound open(Turns turns, SocketAddress to, double within, Owner owner)
         throws IOException {
-        Outbound made = new Outbound(turns, AsynchronousSocketChannel.open(turns.group()), owner);
+        return open(turns, to, within, owner, ANSWER_MOST);
+    }
+
+    /** The same, for answers whose body has no more bytes than this. */
+    public static Outbound open(Turns turns, SocketAddress to, double within, Owner owner, int bodyMost)
+        throws IOException {
+        Outbound made = new Outbound(turns, AsynchronousSocketChannel.open(turns.group()), owner, bodyMost);
         made.connect(to, within, made::connected);
         return made;
     }
@@ -62,7 +77,7 @@
         rested = restedFor();
         this.patience = patience;
         this.sink = sink;
-        answer = Message.answer(sink);
+        answer = Message.answer(sink, bodyMost);
         begun = false;
         whole = false;
         waiting = request;
@@ -133,8 +148,8 @@
         }
         try {
             int taken = answer.take(b, from, to);
-            if (answer.done() && answer.status() < 200) {
-                answer = Message.answer(sink);
+            if (answer.done() && (answer.status() < 200 || caller != null && !caller.isMine(answer))) {
+                answer = Message.answer(sink, bodyMost);
             } else {
                 finish();
             }
