--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -3,8 +3,9 @@
 import gingerspool.cli.Commands;
 import gingerspool.daemon.Daemon;
 import gingerspool.simhost.SimHost;
+import gingerspool.station.Station;
 
-/** Picks the subcommand. The two that the platform starts go past the command line's library. */
+/** Picks the subcommand. Those that a platform starts go past the command line's library. */
 public final class Main {
     private Main() { }
 
@@ -12,6 +13,7 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> System.exit(Daemon.serve(System.getenv()));
+            case "anemometer", "barometer" -> System.exit(Station.run(command, System.getenv()));
             case "simhost" -> System.exit(SimHost.run(System.in, System.out, System.err));
             default -> System.exit(Commands.run(args));
         }
--- /dev/null
+++ b/src/main/java/gingerspool/anemometer/Core.java
@@ -0,0 +1,217 @@
+package gingerspool.anemometer;
+
+import gingerspool.radiosonde.BadWord;
+import gingerspool.radiosonde.Coder;
+import gingerspool.radiosonde.Vocabulary;
+import gingerspool.radiosonde.Words;
+import gingerspool.station.Settings;
+import gingerspool.wire.Frames;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** A scheduler's links to the core: one held to each member, words only with the one that leads. */
+final class Core implements Frames.Owner {
+    private static final Logger LOG = LogManager.getLogger(Core.class);
+    /** In heartbeat intervals: how often it is heard of us, how long silence may last, and connecting. */
+    private static final double BEAT = 0.5;
+    private static final double SILENT = 1.25;
+    private static final double CONNECT = 0.25;
+    private static final double AGAIN = 0.1;
+
+    private final Turns turns;
+    private final Settings settings;
+    private final Supplier<Words.Enrol> enrol;
+    private final Consumer<Object> words;
+    private final Coder coder = new Coder(Vocabulary.ALL);
+    private final Map<String, Link> links = new HashMap<>();
+    private Set<String> members = new LinkedHashSet<>();
+    private List<InetSocketAddress> seeds;
+    /** The link to the leader that has taken this scheduler on, and the one that was asked to. */
+    private Link leader;
+    private Link asked;
+    private long view;
+    private double lastLed;
+
+    private static final class Link {
+        final String ip;
+        Frames frames;
+        boolean up;
+        double heardAt;
+        double triedAt = Double.NEGATIVE_INFINITY;
+
+        Link(String ip) {
+            this.ip = ip;
+        }
+    }
+
+    /** The enrolment is made anew for each leader; words are those of the leader. */
+    Core(Turns turns, Settings settings, Supplier<Words.Enrol> enrol, Consumer<Object> words) {
+        this.turns = turns;
+        this.settings = settings;
+        this.enrol = enrol;
+        this.words = words;
+        seeds = settings.seeds;
+        lastLed = turns.now();
+    }
+
+    void begin() {
+        look();
+        beat();
+    }
+
+    /** Where to look for the core from now on. */
+    void seeds(List<InetSocketAddress> now) {
+        seeds = now;
+    }
+
+    boolean isLed() {
+        return leader != null;
+    }
+
+    /** How long no leader has been known. */
+    double leaderless() {
+        return leader != null && turns.now() < leader.heardAt + settings.beat * SILENT / 2 ? 0
+            : turns.now() - lastLed;
+    }
+
+    /** Tells the leader; false where there is none. */
+    boolean say(Object word) {
+        if (leader == null) {
+            return false;
+        }
+        leader.frames.send(coder.write(word));
+        return true;
+    }
+
+    private void look() {
+        double now = turns.now();
+        if (leader != null) {
+            lastLed = Math.max(lastLed, leader.heardAt);
+        }
+        Set<String> wanted = new LinkedHashSet<>(members);
+        if (leader == null) {
+            seeds.forEach(a -> wanted.add(a.getAddress().getHostAddress()));
+        }
+        for (String ip : wanted) {
+            Link l = links.computeIfAbsent(ip, Link::new);
+            if (l.frames == null && now >= l.triedAt + AGAIN * settings.beat) {
+                open(l, now);
+            }
+        }
+        for (Link l : List.copyOf(links.values())) {
+            if (l.up && now > l.heardAt + SILENT * settings.beat) {
+                l.frames.close();
+            } else if (!wanted.contains(l.ip) && leader != null && l != leader) {
+                if (l.frames != null) {
+                    l.frames.close();
+                }
+                links.remove(l.ip);
+            }
+        }
+        turns.after(AGAIN * settings.beat, this::look);
+    }
+
+    private void open(Link l, double now) {
+        l.triedAt = now;
+        try {
+            l.frames = Frames.open(turns, new InetSocketAddress(l.ip, settings.innerPort),
+                CONNECT * settings.beat, this);
+        } catch (IOException e) {
+            LOG.warn("core.link_failed to={} why=\"{}\"", l.ip, e.getMessage());
+        }
+    }
+
+    private void beat() {
+        byte[] hello = coder.write(new Words.Hello(settings.ip));
+        links.values().stream().filter(l -> l.up).forEach(l -> l.frames.send(hello));
+        turns.after(BEAT * settings.beat, this::beat);
+    }
+
+    private Link of(Frames frames) {
+        for (Link l : links.values()) {
+            if (l.frames == frames) {
+                return l;
+            }
+        }
+        return null;
+    }
+
+    @Override
+    public void up(Frames frames) {
+        Link l = of(frames);
+        if (l != null) {
+            l.up = true;
+            l.heardAt = turns.now();
+            frames.send(coder.write(new Words.Hello(settings.ip)));
+        }
+    }
+
+    @Override
+    public void came(Frames frames, byte[] frame) {
+        Link l = of(frames);
+        if (l == null) {
+            return;
+        }
+        l.heardAt = turns.now();
+        try {
+            Object word = coder.read(frame);
+            if (word instanceof Words.Standing s) {
+                standing(l, s);
+            } else if (word instanceof Words.Enrolled e && l == asked) {
+                if (leader != l) {
+                    leader = l;
+                    LOG.info("core.led by={} view={} schedulers={}", l.ip, e.view(), e.fronts());
+                }
+                words.accept(word);
+            } else if (l == leader || l == asked) {
+                words.accept(word);
+            }
+        } catch (BadWord e) {
+            LOG.warn("core.bad_word from={} why=\"{}\"", l.ip, e.getMessage());
+            frames.close();
+        }
+    }
+
+    private void standing(Link l, Words.Standing s) {
+        if (s.view() < view) {
+            return;
+        }
+        members = new LinkedHashSet<>(s.members());
+        boolean leads = l.ip.equals(s.leader());
+        if (leads && (l != asked || s.view() > view)) {
+            view = s.view();
+            leader = null;
+            asked = l;
+            l.frames.send(coder.write(enrol.get()));
+        } else if (!leads && l == asked) {
+            // It leads no more; the next leader tells us itself.
+            leader = null;
+            asked = null;
+        }
+        view = s.view();
+    }
+
+    @Override
+    public void closed(Frames frames) {
+        Link l = of(frames);
+        if (l == null) {
+            return;
+        }
+        l.frames = null;
+        l.up = false;
+        if (l == leader || l == asked) {
+            leader = null;
+            asked = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -0,0 +1,646 @@
+package gingerspool.anemometer;
+
+import gingerspool.almanac.Route;
+import gingerspool.almanac.Service;
+import gingerspool.dispatch.Assignment;
+import gingerspool.dispatch.Dispatcher;
+import gingerspool.dispatch.Outcome;
+import gingerspool.dispatch.Outlet;
+import gingerspool.dispatch.Profile;
+import gingerspool.dispatch.Report;
+import gingerspool.dispatch.Settings;
+import gingerspool.dispatch.Task;
+import gingerspool.dispatch.Terms;
+import gingerspool.radiosonde.Words;
+import gingerspool.route.Budget;
+import gingerspool.route.Policy;
+import gingerspool.store.Pool;
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Message;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * One function at one scheduler: the requests that wait for a slot, the slots that the leader gave, and the
+ * Dispatcher, which picks the instance as soon as a slot is there and decides on further assignments.
+ */
+final class Desk implements Outlet, Trip.Home {
+    /** Spans in parts of a heartbeat interval: how long a slot is kept idle, and how often desks are looked over. */
+    private static final double LINGER = 0.25;
+    private static final double LOOK = 0.02;
+    /** Parts of a start's time: the first knock at an instance, the pause between two, and the last one. */
+    private static final double KNOCK_FIRST = 0.5;
+    private static final double KNOCK_PAUSE = 0.03;
+    private static final double KNOCK_MOST = 8;
+    /** Who comes with less than this part of the time that such requests have was turned away before. */
+    static final double FIRST = 0.97;
+    /** A request may be turned away for the sake of a better try within this part of its aim, */
+    private static final double EARLY = 0.25;
+    /** to come back within this part of the time that it has. */
+    private static final double RETURN = 1.0 / 3;
+    /** Without word of a slot a request waits for so many starts' time at the most. */
+    private static final double HOLD = 2;
+    /** What was given up may run on for so many running times. */
+    private static final double DOUBT = 3;
+    /** Parts of the platform's budget of repeats that are used: of the share, and of the floor. */
+    private static final double SHARE = 0.5;
+    private static final double FLOOR = 0.5;
+    private static final double CROSS_FEE = 0.05;
+    private static final int SAMPLES = 16;
+    /** A second copy goes out after this part of the aim. */
+    private static final double COPY_AFTER = 0.5;
+    private static final Terms CAREFUL = new Terms(4, 0, 0, 0, 0, 1, 0, null,
+        EnumSet.of(Outcome.UNREACHABLE, Outcome.MOOT));
+
+    /** What a desk needs of the program round it. */
+    interface House {
+        Turns turns();
+
+        Pool pool();
+
+        gingerspool.station.Settings settings();
+
+        /** Schedulers that share the budget of repeats, this one included. */
+        int fronts();
+
+        /** Tells the leader, or returns false where there is none. */
+        boolean say(Object word);
+
+        /** How long there has been no leader. */
+        double leaderless();
+
+        int takeBerth();
+
+        void leaveBerth(int berth);
+
+        /** Answers the client for good. */
+        void answer(Visit v, int status, List<String> fields, byte[] body);
+    }
+
+    private final House house;
+    private final Turns turns;
+    private final String name;
+    private Service service;
+    private Dispatcher dispatcher;
+    private List<Profile> profiles = List.of();
+    private Budget purse;
+    private double copyAfter;
+    private final Map<Integer, Terms> safeTerms = new HashMap<>();
+    private boolean stale;
+    private final Map<String, Seat> seats = new LinkedHashMap<>();
+    private final List<Seat> byWorker = new ArrayList<>();
+    private final ArrayDeque<Integer> freeWorkers = new ArrayDeque<>();
+    private final PriorityQueue<Visit> queue = new PriorityQueue<>(
+        Comparator.comparingInt((Visit v) -> v.route.getPriority()).thenComparingDouble(v -> v.dueAt));
+    private int inHand;
+    private int underWay;
+    private long granted;
+    private int recalled;
+    private int toldLacks;
+    private int toldInHand;
+    /** Mean running time seen, 0 if none. */
+    private double run;
+    private boolean looking;
+    int refusals;
+    int bounces;
+
+    Desk(House house, String name) {
+        this.house = house;
+        this.name = name;
+        turns = house.turns();
+    }
+
+    /** The configuration as it now stands; the routes are those that lead here. */
+    void configured(Service s, List<Route> routes) {
+        service = s;
+        List<Profile> wanted = profilesOf(routes);
+        if (!wanted.toString().equals(profiles.toString())) {
+            profiles = wanted;
+            stale = true;
+        }
+        renew();
+    }
+
+    /** Guards tasks in hand: their Dispatcher is replaced only when it holds none. */
+    private void renew() {
+        if (!stale && dispatcher != null || inHand > 0 && dispatcher != null) {
+            return;
+        }
+        stale = false;
+        Settings s = new Settings();
+        s.profiles = profiles.toArray(new Profile[0]);
+        for (int i = 0; i < s.profiles.length; i++) {
+            s.profiles[i].index = i;
+        }
+        s.zone = house.settings().zoneNumber(house.settings().zone);
+        s.place = house.settings().zone;
+        s.dispatchers = Math.max(1, house.fronts());
+        s.kinds = new String[] {"instance"};
+        s.reportNames = new String[] {"free"};
+        s.reportsInAnswers = true;
+        s.mayCancel = true;
+        s.mayAdvise = true;
+        s.maxAdvice = service.getBoot();
+        s.mostAssignments = 8;
+        s.crossFee = CROSS_FEE;
+        long seed = (house.settings().name + " " + name).hashCode();
+        dispatcher = new Dispatcher(s, seed, this);
+        gingerspool.station.Settings p = house.settings();
+        purse = new Budget(new Policy.Repeats(SHARE * p.retryRatio,
+            FLOOR * p.retrySlack * 1000 / p.retryWindow / Math.max(1, house.fronts())));
+        copyAfter = COPY_AFTER * profiles.stream().mapToDouble(q -> q.dueTime).min().orElse(1000);
+        safeTerms.clear();
+        seats.values().forEach(this::list);
+    }
+
+    /** What may be repeated goes to as many instances as its route allows; else only if none was reached. */
+    private Terms terms(Visit v) {
+        return v.profile.effect != Profile.Effect.IDEMPOTENT ? CAREFUL
+            : safeTerms.computeIfAbsent(Math.max(1, v.route.getAttempts()), n -> new Terms(n, 0, 0, 0, 0,
+                Math.min(2, n), copyAfter, purse, null));
+    }
+
+    /** For each sort of its routes one profile in time and one for those past their aim. */
+    private static List<Profile> profilesOf(List<Route> routes) {
+        Map<String, Profile> all = new LinkedHashMap<>();
+        for (Route r : routes) {
+            for (boolean late : new boolean[] {false, true}) {
+                Profile p = new Profile();
+                p.name = key(r, late);
+                p.expiry = r.hasTimeout() ? r.getTimeout() : 60_000;
+                p.dueTime = late ? p.expiry : Math.max(1, r.getAim());
+                p.stretch = 0;
+                p.prio = -r.getPriority();
+                p.effect = r.getKind().equals("safe") ? Profile.Effect.IDEMPOTENT
+                    : Profile.Effect.SIDE_EFFECTING;
+                all.putIfAbsent(p.name, p);
+            }
+        }
+        return List.copyOf(all.values());
+    }
+
+    private static String key(Route r, boolean late) {
+        return r.getKind() + " " + r.getAim() + " " + r.getTimeout() + " " + r.getPriority() + (late ? " late" : "");
+    }
+
+    /** The profile of this sort; until the Dispatcher is renewed the most careful one stands in for a new sort. */
+    private Profile profile(Route r, boolean late) {
+        String key = key(r, late);
+        Profile careful = null;
+        for (Profile p : profiles) {
+            if (p.name.equals(key)) {
+                return p;
+            }
+            careful = careful == null || p.effect == Profile.Effect.SIDE_EFFECTING ? p : careful;
+        }
+        return careful;
+    }
+
+    // ---- Requests ----
+
+    void take(Visit v) {
+        if (inHand == 0) {
+            renew();
+        }
+        inHand++;
+        queue.add(v);
+        serve();
+    }
+
+    /** The client has gone, or its time is over. */
+    void leave(Visit v) {
+        if (v.placed) {
+            dispatcher.left(turns.now(), v);
+        } else {
+            queue.remove(v);
+        }
+        inHand--;
+        serve();
+    }
+
+    /** Hands the Dispatcher those for whom a slot is there. */
+    private void serve() {
+        while (!queue.isEmpty() && free() > 0) {
+            Visit v = queue.poll();
+            v.placed = true;
+            double now = turns.now();
+            v.profile = profile(v.route, now + run > v.dueAt);
+            v.terms = terms(v);
+            dispatcher.arrived(now, v);
+        }
+        tellWants();
+        lookOn();
+    }
+
+    private int free() {
+        int n = 0;
+        for (Seat s : seats.values()) {
+            n += s.free();
+        }
+        return n - Math.min(n, waitingAtDispatcher());
+    }
+
+    /** Requests that the Dispatcher has without any assignment out: they come first. */
+    private int waitingAtDispatcher() {
+        return Math.max(0, inHand - queue.size() - underWay);
+    }
+
+    private void tellWants() {
+        int lacks = Math.max(0, queue.size() + waitingAtDispatcher() - slotsFree());
+        if (lacks != toldLacks) {
+            tellWant(lacks);
+        }
+    }
+
+    private int slotsFree() {
+        int n = 0;
+        for (Seat s : seats.values()) {
+            n += s.free();
+        }
+        return n;
+    }
+
+    private void tellWant(int lacks) {
+        if (house.say(new Words.Want(name, lacks, granted, inHand, run))) {
+            toldLacks = lacks;
+            toldInHand = inHand;
+        }
+    }
+
+    // ---- Looking over what waits and what idles ----
+
+    private void lookOn() {
+        if (!looking) {
+            looking = true;
+            turns.after(LOOK * house.settings().beat, () -> {
+                looking = false;
+                look();
+            });
+        }
+    }
+
+    private void look() {
+        double now = turns.now();
+        for (Visit v : List.copyOf(queue)) {
+            patience(v, now);
+        }
+        blind();
+        giveBack(now);
+        int lacks = Math.max(0, queue.size() + waitingAtDispatcher() - slotsFree());
+        if (lacks != toldLacks || inHand != toldInHand) {
+            tellWant(lacks);
+        }
+        if (inHand > 0 || toldInHand > 0 || seats.values().stream().anyMatch(s -> s.held > 0)) {
+            lookOn();
+        }
+    }
+
+    /** Whether a request that waits is better told to come back, or that there is no hope. */
+    private void patience(Visit v, double now) {
+        boolean turning = seats.values().stream().anyMatch(s -> s.up && s.held > 0);
+        double wait = Double.NaN;
+        for (Seat s : seats.values()) {
+            if (!s.up && s.held > 0) {
+                double w = Math.max(LOOK * house.settings().beat, s.startsAt - now);
+                wait = Double.isNaN(wait) ? w : Math.min(wait, w);
+            }
+        }
+        double left = v.expiry - now;
+        boolean tooLate = now + wait + run > v.dueAt;
+        if (!turning && tooLate && v.first && wait <= RETURN * left
+            && now - v.cameAt <= EARLY * (v.dueAt - v.cameAt)) {
+            refuse(v, wait);
+        } else if (!turning && (wait + run > left
+            || now - v.cameAt > Math.max(v.dueAt - v.cameAt, HOLD * service.getBoot()))) {
+            refuse(v, service.getBoot());
+        }
+    }
+
+    private void refuse(Visit v, double pause) {
+        queue.remove(v);
+        inHand--;
+        bounces++;
+        house.answer(v, 503, retryAfter(pause), FromInstance.text("no instance in time"));
+    }
+
+    private static List<String> retryAfter(double pause) {
+        return List.of("Retry-After: " + Math.max(1, Math.round(pause)) / 1000.0);
+    }
+
+    /** Guards against a leader that is gone or stands still: without one, one slot is used as if it were ours. */
+    private void blind() {
+        if (queue.isEmpty() || house.leaderless() < house.settings().beat / 2
+            || seats.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
+            return;
+        }
+        for (Seat s : seats.values()) {
+            if (s.up && !s.leaving && s.doubtful == 0) {
+                s.held = 1;
+                s.idleSince = turns.now();
+                told(s);
+                serve();
+                return;
+            }
+        }
+    }
+
+    private void giveBack(double now) {
+        for (Seat s : List.copyOf(seats.values())) {
+            int n = s.idle();
+            boolean starting = !s.up && (inHand > underWay);
+            boolean lingers = now < s.idleSince + LINGER * house.settings().beat && !s.leaving;
+            if (n > 0 && !starting && (!lingers || recalled > 0)) {
+                int some = lingers ? Math.min(n, recalled) : n;
+                back(s, some, Words.SEEN_WELL);
+            } else if (s.leaving && s.held == 0 && s.used == 0 && s.doubtful == 0) {
+                remove(s);
+            }
+        }
+    }
+
+    private void back(Seat s, int slots, int seen) {
+        if (house.say(new Words.Back(s.instance, slots, seen))) {
+            s.held -= slots;
+            recalled = Math.max(0, recalled - slots);
+            told(s);
+        }
+    }
+
+    private void remove(Seat s) {
+        seats.remove(s.instance);
+        byWorker.set(s.worker, null);
+        freeWorkers.add(s.worker);
+        house.leaveBerth(s.berth);
+    }
+
+    // ---- What the leader says ----
+
+    void granted(Words.Grant g) {
+        double now = turns.now();
+        Seat s = seats.get(g.instance());
+        if (s == null) {
+            s = seat(g);
+            if (s == null) {
+                house.say(new Words.Back(g.instance(), g.slots(), Words.SEEN_LOST));
+                return;
+            }
+        }
+        s.held += g.slots();
+        s.idleSince = now;
+        if (g.startsIn() > 0) {
+            s.startsAt = now + g.startsIn();
+            knockLater(s, KNOCK_FIRST * g.startsIn());
+        } else {
+            granted += g.slots();
+            toldLacks = Math.max(0, toldLacks - g.slots());
+            up(s);
+        }
+        told(s);
+        if (s.up) {
+            double[] report = new double[Report.SIZE];
+            Arrays.fill(report, Double.NaN);
+            report[Report.FREE_SLOTS] = Math.max(0, s.capacity - g.inFlight());
+            dispatcher.probed(now, s.worker, report);
+        }
+        serve();
+    }
+
+    private Seat seat(Words.Grant g) {
+        try {
+            Integer worker = freeWorkers.poll();
+            if (worker == null) {
+                worker = byWorker.size();
+                byWorker.add(null);
+            }
+            Seat s = new Seat(g.instance(), this, Address.read(g.address()), g.zone(), g.capacity(),
+                house.takeBerth(), worker);
+            seats.put(s.instance, s);
+            byWorker.set(worker, s);
+            dispatcher.called(worker, s.instance);
+            list(s);
+            return s;
+        } catch (BadMessage e) {
+            return null;
+        }
+    }
+
+    /** Tells the Dispatcher what it may use. */
+    private void told(Seat s) {
+        dispatcher.granted(turns.now(), s.worker, s.up && !s.leaving ? Math.max(0, s.held - s.doubtful) : 0);
+    }
+
+    private void list(Seat s) {
+        double now = turns.now();
+        dispatcher.listBegins(now, false);
+        dispatcher.called(s.worker, s.instance);
+        dispatcher.listed(s.worker, house.settings().zoneNumber(s.zone), 0, 0,
+            s.leaving ? Dispatcher.DRAINING : Dispatcher.RUNNING, s.capacity, 0);
+        dispatcher.listEnds(now, false, true);
+        told(s);
+    }
+
+    private void up(Seat s) {
+        if (!s.up) {
+            s.up = true;
+            s.idleSince = turns.now();
+            told(s);
+        }
+    }
+
+    private void knockLater(Seat s, double span) {
+        if (!s.knocking && !s.up) {
+            s.knocking = true;
+            turns.after(span, () -> {
+                s.knocking = false;
+                knock(s);
+            });
+        }
+    }
+
+    private void knock(Seat s) {
+        if (s.up || s.leaving || s.held == 0) {
+            return;
+        }
+        if (turns.now() > s.startsAt + KNOCK_MOST * service.getBoot()) {
+            back(s, s.held, Words.SEEN_LOST);
+            return;
+        }
+        try {
+            s.knocking = true;
+            house.pool().knock(s.berth, s.address, cameUp -> {
+                s.knocking = false;
+                if (cameUp) {
+                    up(s);
+                    house.say(new Words.Back(s.instance, 0, Words.SEEN_UP));
+                    serve();
+                } else {
+                    knockLater(s, KNOCK_PAUSE * service.getBoot());
+                }
+            });
+        } catch (IOException e) {
+            s.knocking = false;
+            knockLater(s, KNOCK_PAUSE * service.getBoot());
+        }
+    }
+
+    void recalled(int slots) {
+        recalled += slots;
+        giveBack(turns.now());
+    }
+
+    /** Nothing new may go there. */
+    boolean shun(String instance) {
+        Seat s = seats.get(instance);
+        if (s == null) {
+            return false;
+        }
+        s.leaving = true;
+        house.pool().keep(s.berth, false);
+        list(s);
+        giveBack(turns.now());
+        return true;
+    }
+
+    /** A new leader took this scheduler on: what it gave is counted anew. */
+    void enrolled() {
+        granted = 0;
+        recalled = 0;
+        toldLacks = 0;
+        toldInHand = -1;
+        tellWants();
+        lookOn();
+    }
+
+    void held(Map<String, Integer> all) {
+        seats.values().forEach(s -> {
+            if (s.held > 0) {
+                all.put(s.instance, s.held);
+            }
+        });
+    }
+
+    // ---- The Dispatcher's outlet ----
+
+    @Override
+    public void send(Assignment a, double timeout) {
+        Seat s = byWorker.get(a.worker);
+        Visit v = (Visit) a.task;
+        Trip trip = new Trip(a, s, turns.now(), this);
+        v.trips.add(trip);
+        s.used++;
+        underWay += v.outstanding() == 1 ? 1 : 0;
+        try {
+            trip.begin(house.pool().take(s.berth, s.address),
+                FromInstance.request(v.request, s.instance, v.expiry - turns.now()), null);
+        } catch (IOException e) {
+            turns.turn(trip::fail);
+        }
+    }
+
+    @Override
+    public void bounce(Task task, double pause) {
+        giveUp((Visit) task, pause);
+    }
+
+    @Override
+    public void abandon(Task task) {
+        giveUp((Visit) task, 0);
+    }
+
+    /** The Dispatcher has given the task up: what may be promised depends on what has run. */
+    private void giveUp(Visit v, double pause) {
+        inHand--;
+        bounces++;
+        if (!v.mayHaveRun()) {
+            house.answer(v, 503, retryAfter(pause > 0 ? pause : service.getBoot()),
+                FromInstance.text("no instance in time"));
+        } else if (FromInstance.mayPass(v.failure)) {
+            house.answer(v, v.failure.status(), FromInstance.fields(v.failure), v.failure.body());
+        } else {
+            house.answer(v, 502, List.of(), FromInstance.text("no whole answer came"));
+        }
+    }
+
+    @Override
+    public void cancel(Assignment a) {
+        // Not at once: the Dispatcher is in the middle of its rules.
+        turns.turn(() -> ((Visit) a.task).trips.get(a.number).giveUp(Outcome.CANCELLED));
+    }
+
+    @Override
+    public void probe(int worker) {
+        throw new IllegalStateException("instances aren't asked for reports");
+    }
+
+    @Override
+    public void watchList() {
+        throw new IllegalStateException("the list comes by itself");
+    }
+
+    @Override
+    public void wakeAfter(double span) {
+        Dispatcher whose = dispatcher;
+        turns.after(span, () -> {
+            if (whose == dispatcher) {
+                whose.wake(turns.now());
+            }
+        });
+    }
+
+    // ---- Ends of assignments ----
+
+    @Override
+    public void ended(Trip trip, Outcome how, Message answer) {
+        double now = turns.now();
+        Seat s = trip.seat;
+        Visit v = trip.visit;
+        s.used--;
+        s.idleSince = now;
+        boolean over = v.ended();
+        if (how == Outcome.OK) {
+            run += (now - trip.sentAt - run) / (run == 0 ? 1 : SAMPLES);
+            if (!over) {
+                inHand--;
+                over = true;
+                house.answer(v, answer.status(), FromInstance.fields(answer), answer.body());
+            }
+        } else {
+            v.failure = answer != null ? answer : v.failure;
+            failed(s, how, answer, now, v);
+        }
+        underWay -= v.outstanding() == 1 ? 1 : 0;
+        told(s);
+        dispatcher.ended(now, trip.assignment, how, over, null);
+        serve();
+    }
+
+    private void failed(Seat s, Outcome how, Message answer, double now, Visit v) {
+        if (how == Outcome.RESET || how == Outcome.CANCELLED) {
+            // Guards the limit of slots: what was given up may run on for a while.
+            s.doubtful++;
+            turns.after(Math.max(1, Math.min(v.expiry - now, DOUBT * Math.max(run, 1))), () -> {
+                s.doubtful--;
+                s.idleSince = turns.now();
+                told(s);
+                serve();
+            });
+        } else if (how == Outcome.UNREACHABLE || answer != null && answer.status() == 421) {
+            house.pool().empty(s.berth);
+            back(s, s.idle(), Words.SEEN_LOST);
+        } else if (how == Outcome.FULL) {
+            refusals++;
+            back(s, Math.min(1, s.idle()), Words.SEEN_FULL);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/anemometer/Visit.java
@@ -0,0 +1,48 @@
+package gingerspool.anemometer;
+
+import gingerspool.almanac.Route;
+import gingerspool.dispatch.Task;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+
+/** A client's request in hand. */
+final class Visit extends Task {
+    final Message request;
+    final Route route;
+    final double cameAt;
+    /** Within which the answer earns its full worth. */
+    final double dueAt;
+    /** It came with nearly all the time that such requests have: no earlier try of it was turned away. */
+    final boolean first;
+    /** Null once it has its answer or the client has gone. */
+    Inbound client;
+    Future<?> alarm;
+    /** The Dispatcher has it; before that it waits for a slot. */
+    boolean placed;
+    /** Those under way and those that ended, by number of the assignment. */
+    final List<Trip> trips = new ArrayList<>(1);
+    /** A failure of a worker, to be passed on if nothing better comes. */
+    Message failure;
+
+    Visit(String id, Inbound client, Message request, Route route, double cameAt, double dueAt, boolean first) {
+        super(id);
+        this.client = client;
+        this.request = request;
+        this.route = route;
+        this.cameAt = cameAt;
+        this.dueAt = dueAt;
+        this.first = first;
+    }
+
+    boolean safe() {
+        return route.getKind().equals("safe");
+    }
+
+    /** Whether some worker may have run it. */
+    boolean mayHaveRun() {
+        return trips.stream().anyMatch(t -> !t.neverRan());
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/barometer/Duty.java
@@ -0,0 +1,229 @@
+package gingerspool.barometer;
+
+import gingerspool.almanac.Configuration;
+import gingerspool.hygrometer.Function;
+import gingerspool.hygrometer.Instance;
+import gingerspool.hygrometer.Keeper;
+import gingerspool.radiosonde.Words;
+import gingerspool.raingauge.Scaler;
+import gingerspool.station.Settings;
+import gingerspool.wire.Tree;
+import gingerspool.wire.Turns;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * What the leader of a view does alone: reads the platform's lists, keeps the slots, starts and stops instances.
+ * The view's number is the fence. Every call asks first whether the lease still holds. Ends with the view.
+ */
+final class Duty implements Scaler.Outlet, Keeper.Outlet {
+    private static final Logger LOG = LogManager.getLogger(Duty.class);
+    private static final double LOOK = 50;
+    /** Lists are read so often, in parts of how late they are, within a part of the platform's rate. */
+    private static final double POLL = 0.5;
+    private static final double RATE = 0.5;
+    /** A call of the platform that has no answer by then is asked again, in parts of a beat. */
+    private static final double PATIENCE = 0.8;
+    private static final int TRIES = 4;
+
+    private final Turns turns;
+    private final Settings settings;
+    private final long view;
+    private final BooleanSupplier holds;
+    private final BiConsumer<String, Object> tell;
+    private final Consumer<Object> tellAll;
+    private final Platform platform;
+    final Keeper keeper;
+    private final Scaler scaler;
+    private boolean ended;
+    private double hostsAt;
+    /** When the list before this one was asked for. */
+    private double listedBefore = Double.NEGATIVE_INFINITY;
+    long starts;
+    long stops;
+    long refusals;
+
+    Duty(Turns turns, Settings settings, long view, BooleanSupplier holds, BiConsumer<String, Object> tell,
+        Consumer<Object> tellAll) {
+        this.turns = turns;
+        this.settings = settings;
+        this.view = view;
+        this.holds = holds;
+        this.tell = tell;
+        this.tellAll = tellAll;
+        platform = new Platform(turns, settings.cloud, PATIENCE * settings.beat);
+        keeper = new Keeper(settings.beat, turns.now(), this);
+        scaler = new Scaler(keeper, settings.dutyRate, settings.cloudLag, view + "-" + settings.name + "-",
+            turns.now(), this);
+        list();
+        look();
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    void configured(Configuration c) {
+        keeper.configured(c);
+    }
+
+    private boolean mayAct() {
+        return !ended && holds.getAsBoolean();
+    }
+
+    private void look() {
+        if (ended) {
+            return;
+        }
+        if (mayAct()) {
+            keeper.tick(turns.now());
+            scaler.tick(turns.now());
+        }
+        turns.after(LOOK, this::look);
+    }
+
+    // ---- The platform's lists ----
+
+    private void list() {
+        if (ended) {
+            return;
+        }
+        if (!mayAct()) {
+            turns.after(LOOK, this::list);
+            return;
+        }
+        double asked = turns.now();
+        platform.instances(all -> {
+            int calls = 1;
+            if (all != null && !ended) {
+                instances(all, asked);
+                calls = 1 + all.size() / 100;
+            }
+            double pause = Math.max(POLL * settings.cloudLag, 1000 * calls / (RATE * settings.cloudRate));
+            turns.after(pause, this::list);
+        });
+        if (asked >= hostsAt) {
+            hostsAt = asked + settings.cloudLag;
+            platform.hosts(a -> {
+                if (a.status() == 200 && Tree.at(a.tree(), "Workers") instanceof List<?> l && !ended) {
+                    hosts(l);
+                }
+            });
+        }
+    }
+
+    private void hosts(List<?> all) {
+        scaler.hostsBegin();
+        for (Object h : all) {
+            scaler.host(Tree.text("", h, "Name"), Tree.text("", h, "Zone"), Tree.number(0, h, "MemoryMb"),
+                Tree.number(0, h, "FreeMemoryMb"), Tree.text("", h, "State").equals("ready"));
+        }
+        scaler.hostsEnd();
+    }
+
+    private void instances(List<Object> all, double asked) {
+        double now = turns.now();
+        Set<String> leave = new HashSet<>();
+        for (Object e : all) {
+            String id = Tree.text("", e, "Identifier");
+            boolean ready = Tree.text("", e, "State").equals("ready");
+            Instance i = keeper.instance(id);
+            if (i == null && !id.isEmpty()) {
+                i = keeper.add(now, id, keeper.unrouted(Tree.text("", e, "Service")),
+                    Tree.text("", e, "Address"), Tree.text("", e, "Zone"), Tree.text("", e, "Worker"),
+                    (int) Tree.number(1, e, "ConcurrencySlots"), Instance.State.STARTING);
+            }
+            if (i != null) {
+                i.listedAt = asked;
+                if (!ready && i.state != Instance.State.LEAVING) {
+                    leave.add(id);
+                    keeper.leaves(now, i);
+                } else if (ready) {
+                    keeper.ready(now, i);
+                }
+            }
+        }
+        for (Instance i : keeper.instances()) {
+            // Guards against pages that shift while they are read: it must be missing twice.
+            boolean wasListed = i.listedAt < listedBefore;
+            boolean left = Double.isNaN(i.listedAt) && now > i.leavingAt + 2 * settings.cloudLag;
+            if (wasListed || left) {
+                leave.add(i.id);
+                keeper.gone(now, i);
+            }
+        }
+        if (!leave.isEmpty()) {
+            tellAll.accept(new Words.Shun(List.copyOf(leave)));
+        }
+        listedBefore = asked;
+        scaler.listed();
+    }
+
+    // ---- Starts, stops ----
+
+    @Override
+    public void start(Function f, String host, String nonce) {
+        starts++;
+        start(f, host, nonce, 1);
+    }
+
+    private void start(Function f, String host, String nonce, int tries) {
+        platform.start(settings.name, view, f.name, host, nonce, a -> {
+            double now = turns.now();
+            String id = Tree.text("", a.tree(), "Identifier");
+            if (ended) {
+                return;
+            }
+            if (a.status() == 200 && !id.isEmpty()) {
+                scaler.started(now, nonce, id, Tree.text("", a.tree(), "Address"));
+            } else if ((a.status() == 0 || a.status() >= 500) && tries < TRIES) {
+                // It may have been carried out: the same nonce gives the same instance.
+                again(() -> start(f, host, nonce, tries + 1), () -> scaler.startFailed(turns.now(), nonce, false));
+            } else {
+                refusals++;
+                scaler.startFailed(now, nonce, a.status() == 409);
+            }
+        });
+    }
+
+    @Override
+    public void stop(String instance) {
+        stops++;
+        stop(instance, 1);
+    }
+
+    private void stop(String instance, int tries) {
+        platform.stop(settings.name, view, instance, a -> {
+            if (a.status() != 200 && a.status() != 404 && tries < TRIES && !ended) {
+                again(() -> stop(instance, tries + 1), () -> { });
+            }
+        });
+    }
+
+    /** Tries it once more after a pause, if the lease still holds then. */
+    private void again(Runnable call, Runnable orElse) {
+        turns.after(LOOK, () -> (mayAct() ? call : orElse).run());
+    }
+
+    @Override
+    public void leaves(Instance i) {
+        keeper.leaves(turns.now(), i);
+        tellAll.accept(new Words.Shun(List.of(i.id)));
+    }
+
+    @Override
+    public void tell(String front, Object word) {
+        tell.accept(front, word);
+    }
+
+    void log() {
+        LOG.info("duty view={} functions={} instances={} fronts={} starts={} stops={} refused={}", view,
+            keeper.functions().size(), keeper.instances().size(), keeper.fronts(), starts, stops, refusals);
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/barometer/OperatorDoor.java
@@ -0,0 +1,73 @@
+package gingerspool.barometer;
+
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Listener;
+import gingerspool.wire.Message;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Where operators call: reads requests and hands them on as command objects. */
+final class OperatorDoor implements Listener.Owner, Inbound.Door {
+    private static final double PATIENCE = 10_000;
+    private static final int HEAD_MOST = 16 * 1024;
+    private static final int BODY_MOST = 2 << 20;
+    private static final int MOST = 256;
+
+    private final Turns turns;
+    private final Consumer<Call> run;
+    private final Set<Inbound> open = new HashSet<>();
+    private final Listener listener;
+
+    OperatorDoor(Turns turns, SocketAddress at, Consumer<Call> run) throws IOException {
+        this.turns = turns;
+        this.run = run;
+        listener = new Listener(turns, at, this);
+    }
+
+    void begin() {
+        listener.acceptOn();
+    }
+
+    void end() {
+        listener.close();
+        open.forEach(c -> c.endAfterAnswer(true));
+    }
+
+    @Override
+    public boolean hasRoom() {
+        return open.size() < MOST;
+    }
+
+    @Override
+    public void outOfDescriptors() { }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel) {
+        Inbound c = new Inbound(turns, channel, this, PATIENCE, PATIENCE, HEAD_MOST, BODY_MOST);
+        open.add(c);
+        c.start();
+    }
+
+    @Override
+    public void asked(Inbound from, Message request) {
+        run.accept(Call.decode(from, request));
+    }
+
+    @Override
+    public void idle(Inbound connection, boolean idle) { }
+
+    @Override
+    public void unreadable(BadMessage fault) { }
+
+    @Override
+    public void closed(Inbound connection) {
+        open.remove(connection);
+        listener.acceptOn();
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/barometer/Platform.java
@@ -0,0 +1,118 @@
+package gingerspool.barometer;
+
+import gingerspool.store.Pool;
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Json;
+import gingerspool.wire.Message;
+import gingerspool.wire.Outbound;
+import gingerspool.wire.Tree;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Calls of the platform's interface: lists, starts and stops. Every call has one end; silence and answers that
+ * can't be read are ends as well.
+ */
+final class Platform {
+    /** What a call came to: its status, 0 where no answer came that could be read; and the answer. */
+    record Answer(int status, Object tree) { }
+
+    private static final int MOST = 32;
+    private static final double KEPT = 5000;
+
+    private final Turns turns;
+    private final InetSocketAddress address;
+    private final double patience;
+    private final Pool pool;
+
+    Platform(Turns turns, InetSocketAddress address, double patience) {
+        this.turns = turns;
+        this.address = address;
+        this.patience = patience;
+        pool = new Pool(turns, patience, KEPT, MOST);
+    }
+
+    /** All pages of the list of instances; null where one could not be had. */
+    void instances(Consumer<List<Object>> then) {
+        page("/instances", new ArrayList<>(), then);
+    }
+
+    private void page(String target, List<Object> all, Consumer<List<Object>> then) {
+        get(target, a -> {
+            if (a.status != 200 || !(Tree.at(a.tree, "Instances") instanceof List<?> l)) {
+                then.accept(null);
+                return;
+            }
+            all.addAll(l);
+            String next = Tree.text("", a.tree, "NextPageToken");
+            if (next.isEmpty()) {
+                then.accept(all);
+            } else {
+                page("/instances?PageToken=" + next, all, then);
+            }
+        });
+    }
+
+    void hosts(Consumer<Answer> then) {
+        get("/v1/workers", then);
+    }
+
+    void start(String holder, long fence, String service, String host, String nonce, Consumer<Answer> then) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("Service", service);
+        body.put("Worker", host);
+        body.put("Nonce", nonce);
+        post("/v1/begin", holder, fence, body, then);
+    }
+
+    void stop(String holder, long fence, String instance, Consumer<Answer> then) {
+        post("/v1/stop", holder, fence, Map.of("Identifier", instance), then);
+    }
+
+    private void get(String target, Consumer<Answer> then) {
+        call(Inbound.joined("GET " + target + " HTTP/1.1\r\nHost: " + Address.text(address) + "\r\n\r\n",
+            new byte[0]), then);
+    }
+
+    private void post(String target, String holder, long fence, Object tree, Consumer<Answer> then) {
+        byte[] body = Json.write(tree).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        call(Inbound.joined("POST " + target + " HTTP/1.1\r\nHost: " + Address.text(address)
+            + "\r\nDuty-Holder: " + holder + "\r\nFence-Number: " + fence
+            + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n", body), then);
+    }
+
+    private void call(byte[] request, Consumer<Answer> then) {
+        try {
+            pool.take(0, address).ask(request, patience, new Outbound.Caller() {
+                @Override
+                public void answered(Message m) {
+                    then.accept(read(m));
+                }
+
+                @Override
+                public void broke(boolean allWritten) {
+                    then.accept(new Answer(0, null));
+                }
+            });
+        } catch (IOException e) {
+            turns.turn(() -> then.accept(new Answer(0, null)));
+        }
+    }
+
+    private static Answer read(Message m) {
+        byte[] body = m.body();
+        try {
+            return new Answer(m.status(), body.length == 0 ? null : Json.read(body, 0, body.length));
+        } catch (BadMessage e) {
+            return new Answer(m.status() == 200 ? 0 : m.status(), null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/barometer/package-info.java
@@ -0,0 +1,2 @@
+/** The control plane's program on core machines: operators' calls, the order, duties, and what it tells schedulers. */
+package gingerspool.barometer;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -189,6 +189,13 @@
         lookAgain();
     }
 
+    /** So many slots of the worker are ours to use; who is never told so has no such bound. */
+    public void granted(double at, int w, int slots) {
+        now = at;
+        fleet.ours[w] = slots;
+        lookAgain();
+    }
+
     public boolean banned(int w) {
         return !Double.isNaN(fleet.bannedAt[w]);
     }
@@ -746,7 +753,7 @@
         return fleet.state[w] == RUNNING && !banned(w) && now >= fleet.shunUntil[w] && !silent(w)
             && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
             && t.width <= slotsOf(w) && t.memory <= slotsOf(w)
-            && inGroup(w, t) && inBudget(w, t.work) && !outAt(w, t);
+            && inGroup(w, t) && inBudget(w, t.work) && !outAt(w, t) && fleet.out[w] < fleet.ours[w];
     }
 
     /** Guards against workers that hang: most reports come in a few turns, and theirs come never. */
@@ -931,11 +938,8 @@
     private double trust(int w, int p) {
         double t = 1 - failNow(w, p);
         Assignment a = fleet.oldest[w];
-        if (a != null) {
-            double late = (now - a.sentAt) / (a.wait + 3 * a.run + tick);
-            t = late > 1 ? t / late : t;
-        }
-        return t;
+        double late = a == null ? 0 : (now - a.sentAt) / (a.wait + 3 * a.run + tick);
+        return late > 1 ? t / late : t;
     }
 
     /** Share of failures lately; the more in a row, the longer it is remembered. */
@@ -977,9 +981,7 @@
             }
             case ERROR, RESET -> failed(w, p);
             case FULL, UNREACHABLE -> {
-                if (tellsStart && how == Outcome.FULL) {
-                    count(w, a.region, K - 1, 1);
-                }
+                count(w, a.region, K - 1, tellsStart && how == Outcome.FULL ? 1 : 0);
                 shun(w);
             }
             default -> { }
@@ -1054,10 +1056,9 @@
         }
         fleet.reportedRate[w] = r[Report.RATE];
         double n = jobs(w, r);
-        if (Double.isNaN(n)) {
-            return;
+        if (!Double.isNaN(n)) {
+            heard(w, n);
         }
-        heard(w, n);
     }
 
     /** The load that a wait speaks for; connecting and the way take the first part of a mean run. */
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -23,6 +23,8 @@
     double[] slots = new double[ROOM];
     /** How many sends of ours are unfinished. */
     int[] out = new int[ROOM];
+    /** How many of its slots we may use, without bound where nobody shares them out. */
+    int[] ours = new int[ROOM];
     /** Our unfinished sends, in slots, now and smoothed over about a report's age. */
     double[] own = new double[ROOM];
     double[] ownSmooth = new double[ROOM];
@@ -109,6 +111,7 @@
             heardAt[count] = Double.NaN;
             bannedAt[count] = Double.NaN;
             probedAt[count] = Double.NEGATIVE_INFINITY;
+            ours[count] = Integer.MAX_VALUE;
         }
     }
 
@@ -239,6 +242,7 @@
         slots = Arrays.copyOf(slots, n);
         own = Arrays.copyOf(own, n);
         out = Arrays.copyOf(out, n);
+        ours = Arrays.copyOf(ours, n);
         ownSmooth = Arrays.copyOf(ownSmooth, n);
         ownAt = Arrays.copyOf(ownAt, n);
         others = Arrays.copyOf(others, n);
--- /dev/null
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -0,0 +1,351 @@
+package gingerspool.hygrometer;
+
+import gingerspool.almanac.Configuration;
+import gingerspool.almanac.Route;
+import gingerspool.almanac.Service;
+import gingerspool.radiosonde.Words;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps the slots of all instances: gives each to one scheduler at a time, so that all together never send an
+ * instance more than it may hold. A scheduler keeps what it was given until it gives it back; one that can't be
+ * reached keeps it for a while more. A new keeper knows of slots what schedulers tell as they enrol, and gives
+ * nothing until they had the time to. Times are milliseconds of a steady clock.
+ */
+public final class Keeper {
+    /** Schedulers' slots are theirs for so many beats after their link broke. */
+    private static final double KEPT = 3;
+    /** An instance that nobody reached is left alone for so many beats. */
+    private static final double SUSPECT = 1;
+    /** Load is smoothed over so many beats, and over so many for falling. */
+    private static final double SPAN = 0.8;
+    private static final double SPAN_SLOW = 4;
+
+    /** What a keeper calls to act. */
+    public interface Outlet {
+        void tell(String front, Object word);
+    }
+
+    private static final class Front {
+        String zone = "";
+        /** NaN while its link stands. */
+        double lostAt = Double.NaN;
+    }
+
+    private final double beat;
+    private final Outlet out;
+    private final Map<String, Function> functions = new LinkedHashMap<>();
+    private final Map<String, Instance> instances = new LinkedHashMap<>();
+    private final Map<String, Front> fronts = new LinkedHashMap<>();
+    /** Held slots of instances that were not known when a scheduler told of them. */
+    private final Map<String, Map<String, Integer>> early = new HashMap<>();
+    /** Nothing is given before that. */
+    private double from;
+    private double now;
+
+    public Keeper(double beat, double now, Outlet out) {
+        this.beat = beat;
+        this.out = out;
+        this.now = now;
+        from = now + beat / 2;
+    }
+
+    public Collection<Function> functions() {
+        return functions.values();
+    }
+
+    public Function function(String name) {
+        return functions.get(name);
+    }
+
+    /** The same, also where no configuration names it (any more). */
+    public Function unrouted(String name) {
+        return functions.computeIfAbsent(name, Function::new);
+    }
+
+    public Instance instance(String id) {
+        return instances.get(id);
+    }
+
+    public Collection<Instance> instances() {
+        return List.copyOf(instances.values());
+    }
+
+    /** Schedulers that are enrolled now. */
+    public int fronts() {
+        return (int) fronts.values().stream().filter(f -> Double.isNaN(f.lostAt)).count();
+    }
+
+    /** Tasks in hand by zone of the schedulers. */
+    public Map<String, Integer> demandByZone(Function f) {
+        Map<String, Integer> by = new HashMap<>();
+        f.demands.forEach((front, d) -> by.merge(fronts.get(front).zone, d.inHand, Integer::sum));
+        return by;
+    }
+
+    // ---- Configuration ----
+
+    public void configured(Configuration c) {
+        functions.values().forEach(f -> f.routed = false);
+        for (Service s : c.getServicesList()) {
+            Function f = functions.computeIfAbsent(s.getName(), Function::new);
+            f.boot = s.getBoot();
+            f.concurrency = Math.max(1, s.getConcurrency());
+            f.memory = s.getMemory();
+            f.aim = Double.POSITIVE_INFINITY;
+        }
+        for (Route r : c.getRoutesList()) {
+            Function f = functions.get(r.getService());
+            f.routed = true;
+            f.aim = Math.min(f.aim, r.getAim() > 0 ? r.getAim() : Double.POSITIVE_INFINITY);
+        }
+    }
+
+    // ---- Schedulers ----
+
+    /** A scheduler came, or came back: what it holds it says itself. */
+    public void enrolled(double at, String front, Words.Enrol word) {
+        now = at;
+        drop(front);
+        Front f = fronts.computeIfAbsent(front, k -> new Front());
+        f.zone = word.zone();
+        f.lostAt = Double.NaN;
+        word.held().forEach((id, n) -> {
+            Instance i = instances.get(id);
+            if (i != null) {
+                i.held.put(front, n);
+            } else {
+                early.computeIfAbsent(id, k -> new HashMap<>()).put(front, n);
+            }
+        });
+    }
+
+    /** Its link broke. */
+    public void lost(double at, String front) {
+        now = at;
+        if (fronts.containsKey(front)) {
+            fronts.get(front).lostAt = now;
+            functions.values().forEach(f -> f.demands.remove(front));
+        }
+    }
+
+    private void drop(String front) {
+        instances.values().forEach(i -> i.held.remove(front));
+        early.values().forEach(held -> held.remove(front));
+        functions.values().forEach(f -> f.demands.remove(front));
+    }
+
+    public void want(double at, String front, Words.Want word) {
+        now = at;
+        Function f = functions.get(word.function());
+        if (f == null || !fronts.containsKey(front)) {
+            return;
+        }
+        f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
+        Function.Demand d = f.demands.computeIfAbsent(front, k -> new Function.Demand());
+        int before = d.lacks;
+        // Guards against giving twice: what is on its way to the scheduler was not known to it yet.
+        d.lacks = (int) Math.max(0, word.lacks() - Math.max(0, d.granted - word.granted()));
+        d.since = before == 0 ? now : d.since;
+        d.inHand = word.inHand();
+        f.run = word.run() > 0 ? f.run == 0 ? word.run() : f.run + (word.run() - f.run) / 8 : f.run;
+        f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
+        give(f);
+        if (d.lacks > 0 && now >= from) {
+            recall(f);
+        }
+    }
+
+    public void back(double at, String front, Words.Back word) {
+        now = at;
+        Instance i = instances.get(word.instance());
+        if (i == null) {
+            return;
+        }
+        int n = i.held.getOrDefault(front, 0) - word.slots();
+        if (n > 0) {
+            i.held.put(front, n);
+        } else {
+            i.held.remove(front);
+        }
+        Function.Demand d = i.function.demands.get(front);
+        if (d != null) {
+            d.recalled = Math.max(0, d.recalled - word.slots());
+        }
+        i.usedAt = now;
+        if (word.seen() == Words.SEEN_UP && i.state == Instance.State.STARTING) {
+            i.state = Instance.State.READY;
+        } else if (word.seen() == Words.SEEN_LOST) {
+            i.suspectUntil = now + SUSPECT * beat;
+        }
+        give(i.function);
+    }
+
+    // ---- Instances ----
+
+    public Instance add(double at, String id, Function f, String address, String zone, String host, int slots,
+        Instance.State state) {
+        now = at;
+        Instance i = new Instance(id, f, address, zone, host, slots, state, now);
+        instances.put(id, i);
+        f.instances.put(id, i);
+        Map<String, Integer> told = early.remove(id);
+        if (told != null) {
+            i.held.putAll(told);
+        }
+        give(f);
+        return i;
+    }
+
+    public void ready(double at, Instance i) {
+        now = at;
+        if (i.state == Instance.State.STARTING) {
+            i.state = Instance.State.READY;
+            give(i.function);
+        }
+    }
+
+    /** It takes nothing new; what is under way there goes on. */
+    public void leaves(double at, Instance i) {
+        now = at;
+        i.leavingAt = i.state == Instance.State.LEAVING ? i.leavingAt : now;
+        i.state = Instance.State.LEAVING;
+    }
+
+    public void gone(double at, Instance i) {
+        now = at;
+        i.state = Instance.State.LEAVING;
+        instances.remove(i.id);
+        i.function.instances.remove(i.id);
+    }
+
+    // ---- Time ----
+
+    public void tick(double at) {
+        now = at;
+        for (Map.Entry<String, Front> e : List.copyOf(fronts.entrySet())) {
+            if (now > e.getValue().lostAt + KEPT * beat) {
+                drop(e.getKey());
+                fronts.remove(e.getKey());
+            }
+        }
+        for (Function f : functions.values()) {
+            f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
+            if (!f.demands.isEmpty()) {
+                give(f);
+                recall(f);
+            }
+        }
+    }
+
+    // ---- Giving ----
+
+    private void give(Function f) {
+        while (now >= from && giveOne(f)) {
+            continue;
+        }
+    }
+
+    /** One slot to the scheduler that has lacked for longest. */
+    private boolean giveOne(Function f) {
+        String who = null;
+        for (Map.Entry<String, Function.Demand> e : f.demands.entrySet()) {
+            Function.Demand d = e.getValue();
+            boolean before = who == null || d.since < f.demands.get(who).since;
+            who = d.lacks > 0 && before && pick(f, e.getKey()) != null ? e.getKey() : who;
+        }
+        if (who == null) {
+            return false;
+        }
+        Instance i = pick(f, who);
+        Function.Demand d = f.demands.get(who);
+        i.held.merge(who, 1, Integer::sum);
+        i.usedAt = now;
+        if (i.state == Instance.State.READY) {
+            d.lacks--;
+            d.granted++;
+        }
+        d.since = now;
+        out.tell(who, new Words.Grant(f.name, i.id, i.address, i.zone, i.slots, 1, i.startsIn(now),
+            i.inHands()));
+        return true;
+    }
+
+    /** A started instance with a free slot, near ones and empty ones first; else one that starts soonest. */
+    private Instance pick(Function f, String who) {
+        Instance best = null;
+        double bestValue = 0;
+        int starting = 0;
+        for (Instance i : f.instances.values()) {
+            starting += i.state == Instance.State.STARTING ? i.held.getOrDefault(who, 0) : 0;
+        }
+        for (Instance i : f.instances.values()) {
+            boolean early = i.state == Instance.State.STARTING;
+            if (i.free(now) > 0 && (!early || starting < f.demands.get(who).lacks)) {
+                double value = early ? -1 - i.startsIn(now) : (double) i.free(now) / i.slots
+                    + (i.zone.equals(fronts.get(who).zone) ? 1 : 0);
+                if (best == null || value > bestValue) {
+                    best = i;
+                    bestValue = value;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Guards against schedulers that starve: who holds more than its share of what is wanted gives back. */
+    private void recall(Function f) {
+        int slots = 0;
+        Map<String, Integer> held = new HashMap<>();
+        for (Instance i : f.instances.values()) {
+            if (i.state == Instance.State.READY) {
+                slots += i.slots;
+                i.held.forEach((front, n) -> held.merge(front, n, Integer::sum));
+            }
+        }
+        int wanted = Math.max(1, f.wantedNow());
+        for (Function.Demand poor : List.copyOf(f.demands.values())) {
+            if (poor.lacks == 0) {
+                continue;
+            }
+            String rich = null;
+            double most = 0;
+            for (Map.Entry<String, Integer> e : held.entrySet()) {
+                Function.Demand d = f.demands.get(e.getKey());
+                double share = d == null ? 0 : (double) slots * d.inHand / wanted;
+                double over = e.getValue() - share - (d == null ? 0 : d.recalled);
+                if (d != null && d != poor && over > most && over >= 1) {
+                    rich = e.getKey();
+                    most = over;
+                }
+            }
+            if (rich != null) {
+                f.demands.get(rich).recalled++;
+                out.tell(rich, new Words.Recall(f.name, 1));
+            }
+        }
+    }
+
+    /** A line for operators. */
+    public List<String> status() {
+        List<String> lines = new ArrayList<>();
+        for (Function f : functions.values()) {
+            if (!f.instances.isEmpty() || f.wantedNow() > 0) {
+                int slots = 0;
+                int held = 0;
+                for (Instance i : f.instances.values()) {
+                    slots += i.slots;
+                    held += i.inHands();
+                }
+                lines.add(f.name + " instances=" + f.instances.size() + " slots=" + slots + " held=" + held
+                    + " wanted=" + f.wantedNow() + " lacks=" + f.lacks());
+            }
+        }
+        return lines;
+    }
+}
--- a/src/main/java/gingerspool/radiosonde/Coder.java
+++ b/src/main/java/gingerspool/radiosonde/Coder.java
@@ -2,6 +2,7 @@
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import com.esotericsoftware.kryo.serializers.CollectionSerializer;
@@ -33,6 +34,8 @@
                 RecordSerializer<?> serializer = new RecordSerializer<>(word);
                 serializer.setFixedFieldTypes(true);
                 kryo.register(word, serializer);
+            } else if (word.isInterface()) {
+                kryo.register(word, new Any());
             } else {
                 kryo.register(word);
             }
@@ -47,6 +50,19 @@
         }
     }
 
+    /** A component that may be one of several words. */
+    private static final class Any extends Serializer<Object> {
+        @Override
+        public void write(Kryo kryo, Output output, Object word) {
+            kryo.writeClassAndObject(output, word);
+        }
+
+        @Override
+        public Object read(Kryo kryo, Input input, Class<? extends Object> type) {
+            return kryo.readClassAndObject(input);
+        }
+    }
+
     private static final class Maps extends MapSerializer<Map<?, ?>> {
         @Override
         protected Map<?, ?> create(Kryo kryo, Input input, Class<? extends Map<?, ?>> type, int size) {
--- a/src/main/java/gingerspool/radiosonde/Words.java
+++ b/src/main/java/gingerspool/radiosonde/Words.java
@@ -10,8 +10,8 @@
 public final class Words {
     private Words() { }
 
-    /** A process's first word: who it is, and the newest numbers that it has. */
-    public record Hello(String name, String ip, String zone, boolean front) { }
+    /** A process's first word on a link, and its beat: the address of its machine. */
+    public record Hello(String ip) { }
 
     /** A member of the core on its view: its number, and the address of who leads it ("" if unknown). */
     public record Standing(long view, String leader, List<String> members) { }
@@ -28,15 +28,21 @@
     /** The scheduler has put the news of this number in force. */
     public record Heard(long number) { }
 
-    /** What a scheduler wants of a function: slots that it still lacks, and the tasks that it has in hand. */
-    public record Want(String function, int lacks, int inHand) { }
+    /**
+     * What a scheduler wants of a function: slots at started instances that it still lacks after all grants up
+     * to this count, the tasks that it has in hand, and the mean running time that it has seen (0: none).
+     */
+    public record Want(String function, int lacks, long granted, int inHand, double run) { }
 
     /** Slots given: an instance, how many, and how long until it has started (0: it has). */
     public record Grant(String function, String instance, String address, String zone, int capacity, int slots,
         double startsIn, int inFlight) { }
 
-    /** No slot can be had at once: the leader expects one after this span. */
-    public record Later(String function, double span) { }
+    /** Others lack slots: so many of this function's are to be given back as they fall free. */
+    public record Recall(String function, int slots) { }
+
+    /** A command of the order: an operator's configuration, whole or as changes, made on a version. */
+    public record Command(long mark, boolean whole, long on, byte[] body) { }
 
     /** Slots given back; how the instance was: see the constants. */
     public record Back(String instance, int slots, int seen) { }
--- /dev/null
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -0,0 +1,243 @@
+package gingerspool.raingauge;
+
+import gingerspool.hygrometer.Function;
+import gingerspool.hygrometer.Instance;
+import gingerspool.hygrometer.Keeper;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The wanted instances of each function, and the difference to what is: starts what is missing and stops what
+ * has stood idle. Starts come first where most is lacked; all within the platform's rate. Times are
+ * milliseconds of a steady clock.
+ */
+public final class Scaler {
+    /** This share of tasks may wait for a slot for longer than their aim allows. */
+    private static final double LATE = 0.02;
+    /** An instance more than wanted is stopped after so many starts' time; the last one after more. */
+    private static final double IDLE = 2;
+    private static final double IDLE_LAST = 5;
+    /** Running time where none was seen, in parts of the aim. */
+    private static final double RUN = 0.2;
+    /** The part of the platform's rate that is used. */
+    private static final double RATE = 0.8;
+    /** A start that has not shown for so many starts' time is given up. */
+    private static final double START_MOST = 8;
+
+    /** What a scaler calls to act; each call's end comes back as started(), startFailed() or stopped(). */
+    public interface Outlet {
+        void start(Function function, String host, String nonce);
+
+        void stop(String instance);
+
+        /** Nothing new may go to this instance. */
+        void leaves(Instance instance);
+    }
+
+    private final Keeper keeper;
+    private final double rate;
+    private final double lag;
+    private final String prefix;
+    private final Outlet out;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    /** Starts that were asked for and not answered, by nonce. */
+    private final Map<String, Asked> asked = new LinkedHashMap<>();
+    private final Map<Function, Double> surplusSince = new HashMap<>();
+    private long nonces;
+    private double tokens;
+    private double tokensAt;
+    private double now;
+    private boolean hostsKnown;
+    private boolean listKnown;
+
+    private record Asked(Function function, Host host) { }
+
+    /** The prefix makes this scaler's nonces its own. */
+    public Scaler(Keeper keeper, double rate, double lag, String prefix, double now, Outlet out) {
+        this.keeper = keeper;
+        this.rate = RATE * rate / 1000;
+        this.lag = lag;
+        this.prefix = prefix;
+        this.out = out;
+        tokensAt = now;
+        tokens = 1;
+    }
+
+    // ---- What the platform says ----
+
+    public void hostsBegin() {
+        hosts.values().forEach(h -> h.ready = false);
+    }
+
+    public void host(String name, String zone, double memory, double free, boolean ready) {
+        Host h = hosts.computeIfAbsent(name, k -> new Host(name, zone));
+        h.memory = memory;
+        h.free = free;
+        h.ready = ready;
+    }
+
+    public void hostsEnd() {
+        hostsKnown = true;
+        // The list is late: what was begun since is not in it yet.
+        for (Instance i : keeper.instances()) {
+            if (i.state == Instance.State.STARTING && now < i.begunAt + lag) {
+                hostOf(i.host).free -= i.function.memory;
+            }
+        }
+        asked.values().forEach(a -> a.host.free -= a.function.memory);
+    }
+
+    private Host hostOf(String name) {
+        return hosts.computeIfAbsent(name, k -> new Host(name, ""));
+    }
+
+    /** The whole list of instances was read once. */
+    public void listed() {
+        listKnown = true;
+    }
+
+    public void started(double at, String nonce, String id, String address) {
+        now = at;
+        Asked a = asked.remove(nonce);
+        if (a != null && keeper.instance(id) == null) {
+            keeper.add(now, id, a.function, address, a.host.zone, a.host.name, a.function.concurrency,
+                Instance.State.STARTING);
+        }
+    }
+
+    /** The start was turned away: there was no room, or the host is going. */
+    public void startFailed(double at, String nonce, boolean noRoom) {
+        now = at;
+        Asked a = asked.remove(nonce);
+        if (a != null && noRoom) {
+            a.host.free = 0;
+        } else if (a != null) {
+            a.host.free += a.function.memory;
+        }
+    }
+
+    // ---- The difference ----
+
+    /** Starts and stops what is due. */
+    public void tick(double at) {
+        now = at;
+        tokens = Math.min(rate * 1000, tokens + (now - tokensAt) * rate);
+        tokensAt = now;
+        if (!hostsKnown || !listKnown) {
+            return;
+        }
+        List<Function> order = new ArrayList<>(keeper.functions());
+        order.sort((a, b) -> Integer.compare(b.lacks(), a.lacks()));
+        for (Function f : order) {
+            int wanted = wanted(f);
+            int have = have(f);
+            while (have < wanted && tokens >= 1 && start(f)) {
+                have++;
+            }
+        }
+        for (Function f : order) {
+            dropSurplus(f);
+        }
+    }
+
+    private int have(Function f) {
+        int n = 0;
+        for (Instance i : f.instances.values()) {
+            boolean lost = i.state == Instance.State.STARTING && now > i.begunAt + START_MOST * f.boot + lag;
+            n += i.state == Instance.State.LEAVING || lost || i.isSuspect(now) ? 0 : 1;
+        }
+        for (Asked a : asked.values()) {
+            n += a.function == f ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** How many instances the load asks for, now. */
+    int wanted(Function f) {
+        if (!f.routed) {
+            return 0;
+        }
+        double run = f.run > 0 ? f.run : RUN * Math.min(f.aim, 1000);
+        double load = Math.max(f.load, f.loadSlow);
+        double span = Math.max(0, (f.aim - 2 * run) / run);
+        boolean mustStand = f.aim < 2 * f.boot;
+        int n = mustStand || f.lacks() > 0 ? 1 : 0;
+        while (load > 0.01 && Waits.longer(n * f.concurrency, load, span / 2) > LATE) {
+            n++;
+        }
+        return n;
+    }
+
+    private boolean start(Function f) {
+        Host host = place(f);
+        if (host == null) {
+            return false;
+        }
+        tokens--;
+        host.free -= f.memory;
+        String nonce = prefix + ++nonces;
+        asked.put(nonce, new Asked(f, host));
+        out.start(f, host.name, nonce);
+        return true;
+    }
+
+    /** Where most of its tasks lack an instance; there the host with the fewest of it, then the emptiest. */
+    private Host place(Function f) {
+        Map<String, Integer> demand = keeper.demandByZone(f);
+        Map<String, Integer> inZone = new HashMap<>();
+        Map<String, Integer> onHost = new HashMap<>();
+        f.instances.values().forEach(i -> {
+            inZone.merge(i.zone, 1, Integer::sum);
+            onHost.merge(i.host, 1, Integer::sum);
+        });
+        asked.values().forEach(a -> {
+            if (a.function == f) {
+                inZone.merge(a.host.zone, 1, Integer::sum);
+                onHost.merge(a.host.name, 1, Integer::sum);
+            }
+        });
+        Host best = null;
+        double bestValue = 0;
+        for (Host h : hosts.values()) {
+            if (!h.ready || h.free < f.memory) {
+                continue;
+            }
+            double value = (1.0 + demand.getOrDefault(h.zone, 0)) / (1 + inZone.getOrDefault(h.zone, 0))
+                - 0.1 * onHost.getOrDefault(h.name, 0) + 0.05 * h.free / Math.max(1, h.memory);
+            if (best == null || value > bestValue) {
+                best = h;
+                bestValue = value;
+            }
+        }
+        return best;
+    }
+
+    /** Stops one instance that has been more than wanted for a while. */
+    private void dropSurplus(Function f) {
+        int wanted = wanted(f);
+        int have = have(f);
+        if (have <= wanted) {
+            surplusSince.remove(f);
+            return;
+        }
+        double since = surplusSince.computeIfAbsent(f, k -> now);
+        double span = f.boot * (have == 1 ? IDLE_LAST : IDLE);
+        if (now < since + span || tokens < 1) {
+            return;
+        }
+        Instance idle = null;
+        for (Instance i : f.instances.values()) {
+            boolean may = i.state == Instance.State.READY && i.inHands() == 0 && now > i.usedAt + span / 2;
+            idle = may && (idle == null || i.usedAt < idle.usedAt) ? i : idle;
+        }
+        if (idle != null) {
+            tokens--;
+            out.leaves(idle);
+            out.stop(idle.id);
+            surplusSince.put(f, now - span + f.boot / 2);
+        }
+    }
+}
--- a/src/main/java/gingerspool/station/Settings.java
+++ b/src/main/java/gingerspool/station/Settings.java
@@ -133,7 +133,7 @@
     public static Settings read(Path file) throws SettingsException {
         List<Fault> faults = new ArrayList<>();
         Layers layers = new Layers(faults);
-        layers.read(file);
+        layers.readAlone(file);
         Section section = layers.section(file, new java.util.HashMap<>());
         if (faults.isEmpty() && !section.has("NodeName")) {
             section.fault("NodeName", "is missing");
--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -7,9 +7,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Our connections to workers: those at rest are kept by worker for a while, the latest is used first. */
 public final class Pool {
@@ -23,6 +26,7 @@
     private final List<Berth> berths = new ArrayList<>();
     /** The longest at rest first. */
     private final Set<Outbound> resting = new LinkedHashSet<>();
+    private final Map<Outbound, Consumer<Boolean>> knocks = new HashMap<>();
     private int count;
 
     public Pool(Turns turns, double connectWithin, double idleMost, int most) {
@@ -39,7 +43,7 @@
 
         @Override
         public void free(Outbound connection) {
-            double span = rest.span(turns.now());
+            double span = Math.min(rest.span(turns.now()), KEPT * connection.keptFor());
             if (kept && span > 0) {
                 free.push(connection);
                 resting.add(connection);
@@ -54,20 +58,47 @@
             rest.broke(turns.now(), rested);
         }
 
+        @Override
+        public void up(Outbound connection) {
+            Consumer<Boolean> knock = knocks.remove(connection);
+            if (knock != null) {
+                free(connection);
+                knock.accept(true);
+            }
+        }
+
         @Override
         public void closed(Outbound connection) {
             count--;
             free.remove(connection);
             resting.remove(connection);
+            Consumer<Boolean> knock = knocks.remove(connection);
+            if (knock != null) {
+                knock.accept(false);
+            }
         }
     }
 
-    /** A connection to this worker, at rest or new; it must be used at once. */
-    public Outbound take(int worker, InetSocketAddress address) throws IOException {
+    private Berth berth(int worker) {
         while (berths.size() <= worker) {
             berths.add(new Berth());
         }
-        Berth berth = berths.get(worker);
+        return berths.get(worker);
+    }
+
+    /** Opens one to a worker that may not be up yet; tells whether it came up, and is kept at rest then. */
+    public void knock(int worker, InetSocketAddress address, Consumer<Boolean> then) throws IOException {
+        if (count >= most) {
+            throw new IOException("all " + most + " connections to workers are in use");
+        }
+        Berth berth = berth(worker);
+        knocks.put(Outbound.open(turns, address, connectWithin, berth), then);
+        count++;
+    }
+
+    /** A connection to this worker, at rest or new; it must be used at once. */
+    public Outbound take(int worker, InetSocketAddress address) throws IOException {
+        Berth berth = berth(worker);
         // The latest one is on top: if it has rested too long, so have the others.
         double span = rest.span(turns.now());
         while (!berth.free.isEmpty() && berth.free.peek().restedFor() > span) {
--- a/src/main/java/gingerspool/toml/Layers.java
+++ b/src/main/java/gingerspool/toml/Layers.java
@@ -73,6 +73,15 @@
         layer(file, new Place(file, 0), "");
     }
 
+    /** Reads one file that includes nothing, and asks nothing of where it really lies. */
+    public void readAlone(Path file) {
+        String text = text(file, new Place(file, 0), "");
+        Node tree = text == null ? null : parse(file, text);
+        if (tree != null) {
+            lay(tree);
+        }
+    }
+
     private void layer(Path file, Place from, String key) {
         Path real;
         try {
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -24,6 +24,9 @@
     public interface Owner {
         void free(Outbound connection);
 
+        /** It is up, and there was nothing to send. */
+        default void up(Outbound connection) { }
+
         /** Its peer ended it when a request came on it after so long a rest; closed() follows. */
         void brokeAfterRest(double rested);
 
@@ -45,6 +48,8 @@
     private Message.Sink sink;
     private Message answer;
     private final int bodyMost;
+    /** How long its peer keeps it at rest, as last told; without end if never. */
+    private double keptFor = Double.POSITIVE_INFINITY;
 
     private Outbound(Turns turns, AsynchronousSocketChannel channel, Owner owner, int bodyMost) {
         super(turns, channel);
@@ -90,6 +95,8 @@
         up = true;
         if (waiting != null) {
             begin();
+        } else {
+            owner.up(this);
         }
     }
 
@@ -111,6 +118,20 @@
         alarm(span, this::close);
     }
 
+    public double keptFor() {
+        return keptFor;
+    }
+
+    /** The span of "timeout=SECONDS" in milliseconds; the other where that isn't told. */
+    private static double keptFor(String field, double other) {
+        int at = field == null ? -1 : field.indexOf("timeout=");
+        try {
+            return at < 0 ? other : 1000.0 * Message.number(field.substring(at + 8).split("[,; ]", 2)[0], 10);
+        } catch (BadMessage e) {
+            return other;
+        }
+    }
+
     /** How long it has carried nothing, or NaN if it never has carried anything. */
     public double restedFor() {
         return turns.now() - freeSince;
@@ -172,6 +193,7 @@
         boolean keep = whole && done.keepsAlive();
         if (keep) {
             freeSince = turns.now();
+            keptFor = keptFor(done.field("keep-alive"), keptFor);
             owner.free(this);
         } else {
             close();
