--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -58,6 +58,8 @@
     private static final double FLOOR = 0.5;
     private static final double CROSS_FEE = 0.05;
     private static final int SAMPLES = 16;
+    /** A running time to begin with, in parts of the aim. */
+    private static final double RUN = 0.2;
     /** A second copy goes out after this part of the aim. */
     private static final double COPY_AFTER = 0.5;
     private static final Terms CAREFUL = new Terms(4, 0, 0, 0, 0, 1, 0, null,
@@ -181,6 +183,7 @@
                 p.expiry = r.hasTimeout() ? r.getTimeout() : 60_000;
                 p.dueTime = late ? p.expiry : Math.max(1, r.getAim());
                 p.stretch = 0;
+                p.work = RUN * Math.max(1, r.getAim());
                 p.prio = -r.getPriority();
                 p.effect = r.getKind().equals("safe") ? Profile.Effect.IDEMPOTENT
                     : Profile.Effect.SIDE_EFFECTING;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -79,7 +79,7 @@
         Arrays.fill(youngest, Double.POSITIVE_INFINITY);
         for (int p = 0; p < profiles.length; p++) {
             runVar[p] = 0.5;
-            profileWork[p] = Math.max(1.5 * profiles[p].dueTime, tick);
+            profileWork[p] = Math.max(profiles[p].firstWork(), tick);
             runLog[p] = Math.log(profileWork[p]) - runVar[p] / 2;
             mixWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
--- a/src/main/java/gingerspool/dispatch/Profile.java
+++ b/src/main/java/gingerspool/dispatch/Profile.java
@@ -16,10 +16,16 @@
     public Effect effect = Effect.SIDE_EFFECTING;
     public Scope scope = Scope.ALL;
     public double window;
+    /** Running time to expect until some was seen; 0: not told. */
+    public double work;
     public int prio;
     /** Machine kind that it needs, or -1. */
     public int kind = -1;
 
+    double firstWork() {
+        return work > 0 ? work : 1.5 * dueTime;
+    }
+
     /** What figures learned of its tasks rest on. */
     @Override
     public String toString() {
