--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -112,6 +112,7 @@
         loop.enter(() -> {
             door.begin();
             listener.acceptOn();
+            after();
             look();
             standings();
             summary();
