--- a/src/main/java/gingerspool/anemometer/Anemometer.java
+++ b/src/main/java/gingerspool/anemometer/Anemometer.java
@@ -46,6 +46,8 @@
     private static final double STALLED = 5000;
     private static final int HEAD_MOST = 16 * 1024;
     private static final int BODY_MOST = 256 * 1024;
+    /** The part of a route's time-out that a first try comes with at the least. */
+    private static final double FIRST = 0.97;
     /** Where a client does not say how long it waits, in milliseconds. */
     private static final double WAITS = 10_000;
     /** Where to come back to while there is no configuration here. */
@@ -70,8 +72,6 @@
     private int berths;
     private Configuration configuration = Configuration.getDefaultInstance();
     private RouteTable table;
-    /** The most time that requests of a route have come with. */
-    private final Map<String, Double> longest = new HashMap<>();
     private int fronts = 1;
     private double leavingAt = Double.NaN;
     private Runnable whenLeft;
@@ -270,9 +270,10 @@
     private void visit(Inbound from, Message request, Route route, String id) {
         double now = loop.now();
         double waits = number(request.field("remaining-milliseconds"));
-        double most = longest.merge(route.getName(), waits, Math::max);
-        Visit v = new Visit(id, from, request, route, now, now + Math.max(1, route.getAim() + waits - most),
-            waits >= Desk.FIRST * most);
+        // Who comes with less than the route allows was turned away before, or is called by a worker.
+        double most = route.hasTimeout() ? route.getTimeout() : waits;
+        boolean first = waits >= FIRST * most;
+        Visit v = new Visit(id, from, request, route, now, now + Math.max(1, route.getAim()), first);
         v.expiry = now + Math.max(1, route.hasTimeout() ? Math.min(waits, route.getTimeout()) : waits);
         visits.add(v);
         from.whenGone(() -> {
--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -43,8 +43,6 @@
     private static final double KNOCK_FIRST = 0.5;
     private static final double KNOCK_PAUSE = 0.03;
     private static final double KNOCK_MOST = 8;
-    /** Who comes with less than this part of the time that such requests have was turned away before. */
-    static final double FIRST = 0.97;
     /** A request may be turned away for the sake of a better try within this part of its aim, */
     private static final double EARLY = 0.25;
     /** to come back within this part of the time that it has. */
@@ -111,6 +109,9 @@
     private int recalled;
     private int toldLacks;
     private int toldInHand;
+    /** Requests that have come, since the leader took this scheduler on. */
+    private long came;
+    private long toldCame;
     /** Mean running time seen, 0 if none. */
     private double run;
     private boolean looking;
@@ -217,6 +218,7 @@
             renew();
         }
         inHand++;
+        came++;
         queue.add(v);
         serve();
     }
@@ -275,9 +277,10 @@
     }
 
     private void tellWant(int lacks) {
-        if (house.say(new Words.Want(name, lacks, granted, inHand, run))) {
+        if (house.say(new Words.Want(name, lacks, granted, inHand, came, run))) {
             toldLacks = lacks;
             toldInHand = inHand;
+            toldCame = came;
         }
     }
 
@@ -301,7 +304,7 @@
         blind();
         giveBack(now);
         int lacks = Math.max(0, queue.size() + waitingAtDispatcher() - slotsFree());
-        if (lacks != toldLacks || inHand != toldInHand) {
+        if (lacks != toldLacks || inHand != toldInHand || came != toldCame) {
             tellWant(lacks);
         }
         if (inHand > 0 || toldInHand > 0 || seats.values().stream().anyMatch(s -> s.held > 0)) {
@@ -518,6 +521,8 @@
     /** A new leader took this scheduler on: what it gave is counted anew. */
     void enrolled() {
         granted = 0;
+        came = 0;
+        toldCame = 0;
         recalled = 0;
         toldLacks = 0;
         toldInHand = -1;
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -43,7 +43,7 @@
     private static final int LINKS_MOST = 1024;
     /** Beats a heartbeat interval to schedulers, and the span of a lease in such intervals. */
     private static final double STANDINGS = 2;
-    private static final double LEASE = 0.8;
+    private static final double LEASE = 0.5;
     /** A link is given up after so many intervals of silence; connecting may take this part of one. */
     private static final double SILENT = 1.5;
     private static final double CONNECT = 0.25;
--- a/src/main/java/gingerspool/hygrometer/Function.java
+++ b/src/main/java/gingerspool/hygrometer/Function.java
@@ -16,19 +16,18 @@
     public final Map<String, Instance> instances = new LinkedHashMap<>();
     /** By scheduler. */
     final Map<String, Demand> demands = new LinkedHashMap<>();
-    /** Slots in use or wanted: smoothed over a short span and a long one. */
-    public double load;
-    public double loadSlow;
-    double loadAt;
+    /** Tasks a millisecond: smoothed over a short span, and over a longer one where it falls. */
+    public double rate;
+    public double rateSlow;
+    private double rateAt;
     /** Mean running time as schedulers have seen it, 0 if none has. */
     public double run;
-    /** When a task was last in hand anywhere. */
-    public double busyAt = Double.NEGATIVE_INFINITY;
 
     /** What one scheduler wants of it. */
     static final class Demand {
         int lacks;
         int inHand;
+        long came;
         /** Slots given to it in all, on this link. */
         long granted;
         double since;
@@ -40,8 +39,8 @@
         this.name = name;
     }
 
-    /** Slots in use and wanted now, by all schedulers. */
-    int wantedNow() {
+    /** Tasks in hand, at all schedulers. */
+    public int inHand() {
         int sum = 0;
         for (Demand d : demands.values()) {
             sum += d.inHand;
@@ -57,14 +56,11 @@
         return sum;
     }
 
-    /** Brings the smoothed load up to now; spans are in milliseconds. */
-    void smooth(double now, double span, double spanSlow) {
-        int n = wantedNow();
-        double past = now - loadAt;
-        load += (n - load) * (1 - Math.exp(-past / span));
-        double slow = n > loadSlow ? span : spanSlow;
-        loadSlow += (load - loadSlow) * (1 - Math.exp(-past / slow));
-        loadAt = now;
-        busyAt = n > 0 ? now : busyAt;
+    /** So many tasks more have come; spans are in milliseconds. */
+    void came(double now, long more, double span, double spanSlow) {
+        double past = now - rateAt;
+        rate = rate * Math.exp(-past / span) + more / span;
+        rateSlow = Math.max(rate, rate + (rateSlow - rate) * Math.exp(-past / spanSlow));
+        rateAt = now;
     }
 }
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -22,7 +22,7 @@
     private static final double KEPT = 3;
     /** An instance that nobody reached is left alone for so many beats. */
     private static final double SUSPECT = 1;
-    /** Load is smoothed over so many beats, and over so many for falling. */
+    /** Rates are smoothed over so many beats, and over so many for falling. */
     private static final double SPAN = 0.8;
     private static final double SPAN_SLOW = 4;
 
@@ -146,15 +146,15 @@
         if (f == null || !fronts.containsKey(front)) {
             return;
         }
-        f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
         Function.Demand d = f.demands.computeIfAbsent(front, k -> new Function.Demand());
         int before = d.lacks;
         // Guards against giving twice: what is on its way to the scheduler was not known to it yet.
         d.lacks = (int) Math.max(0, word.lacks() - Math.max(0, d.granted - word.granted()));
         d.since = before == 0 ? now : d.since;
         d.inHand = word.inHand();
+        f.came(now, Math.max(0, word.came() - d.came), SPAN * beat, SPAN_SLOW * beat);
+        d.came = word.came();
         f.run = word.run() > 0 ? f.run == 0 ? word.run() : f.run + (word.run() - f.run) / 8 : f.run;
-        f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
         give(f);
         if (d.lacks > 0 && now >= from) {
             recall(f);
@@ -235,7 +235,7 @@
             }
         }
         for (Function f : functions.values()) {
-            f.smooth(now, SPAN * beat, SPAN_SLOW * beat);
+            f.came(now, 0, SPAN * beat, SPAN_SLOW * beat);
             if (!f.demands.isEmpty()) {
                 give(f);
                 recall(f);
@@ -308,7 +308,7 @@
                 i.held.forEach((front, n) -> held.merge(front, n, Integer::sum));
             }
         }
-        int wanted = Math.max(1, f.wantedNow());
+        int wanted = Math.max(1, f.inHand());
         for (Function.Demand poor : List.copyOf(f.demands.values())) {
             if (poor.lacks == 0) {
                 continue;
@@ -335,7 +335,7 @@
     public List<String> status() {
         List<String> lines = new ArrayList<>();
         for (Function f : functions.values()) {
-            if (!f.instances.isEmpty() || f.wantedNow() > 0) {
+            if (!f.instances.isEmpty() || f.inHand() > 0) {
                 int slots = 0;
                 int held = 0;
                 for (Instance i : f.instances.values()) {
@@ -343,7 +343,7 @@
                     held += i.inHands();
                 }
                 lines.add(f.name + " instances=" + f.instances.size() + " slots=" + slots + " held=" + held
-                    + " wanted=" + f.wantedNow() + " lacks=" + f.lacks());
+                    + " in_hand=" + f.inHand() + " lacks=" + f.lacks());
             }
         }
         return lines;
--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -17,9 +17,9 @@
 public final class Scaler {
     /** This share of tasks may wait for a slot for longer than their aim allows. */
     private static final double LATE = 0.02;
-    /** An instance more than wanted is stopped after so many starts' time; the last one after more. */
+    /** An instance more than wanted is stopped after so many starts' time; the last one after so many unused. */
     private static final double IDLE = 2;
-    private static final double IDLE_LAST = 5;
+    private static final double IDLE_LAST = 2;
     /** Running time where none was seen, in parts of the aim. */
     private static final double RUN = 0.2;
     /** The part of the platform's rate that is used. */
@@ -161,11 +161,13 @@
             return 0;
         }
         double run = f.run > 0 ? f.run : RUN * Math.min(f.aim, 1000);
-        double load = Math.max(f.load, f.loadSlow);
-        double span = Math.max(0, (f.aim - 2 * run) / run);
+        double load = f.rateSlow * run;
+        double span = Math.max(0, f.aim / 2 - run);
+        // What waits already is to be worked off within the same span.
+        double backlog = load + f.lacks() * run / Math.max(run, span);
         boolean mustStand = f.aim < 2 * f.boot;
-        int n = mustStand || f.lacks() > 0 ? 1 : 0;
-        while (load > 0.01 && Waits.longer(n * f.concurrency, load, span / 2) > LATE) {
+        int n = mustStand || f.inHand() > 0 ? 1 : 0;
+        while (n > 0 && (n * f.concurrency < backlog || Waits.longer(n * f.concurrency, load, span / run) > LATE)) {
             n++;
         }
         return n;
@@ -224,13 +226,14 @@
             return;
         }
         double since = surplusSince.computeIfAbsent(f, k -> now);
-        double span = f.boot * (have == 1 ? IDLE_LAST : IDLE);
+        double span = have == 1 ? 0 : IDLE * f.boot;
+        double unused = have == 1 ? IDLE_LAST * f.boot : span / 2;
         if (now < since + span || tokens < 1) {
             return;
         }
         Instance idle = null;
         for (Instance i : f.instances.values()) {
-            boolean may = i.state == Instance.State.READY && i.inHands() == 0 && now > i.usedAt + span / 2;
+            boolean may = i.state == Instance.State.READY && i.inHands() == 0 && now > i.usedAt + unused;
             idle = may && (idle == null || i.usedAt < idle.usedAt) ? i : idle;
         }
         if (idle != null) {
--- /dev/null
+++ b/src/test/java/gingerspool/barograph/LedgerTest.java
@@ -0,0 +1,104 @@
+package gingerspool.barograph;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.weathervane.Base;
+import gingerspool.weathervane.Change;
+import gingerspool.weathervane.Entry;
+import gingerspool.weathervane.Member;
+import gingerspool.weathervane.Saved;
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class LedgerTest {
+    private static final Member SELF = new Member("10.0.0.1", "m");
+
+    private static Change change(long ticket, long view, long from, int entries, Base base) {
+        List<Entry> all = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            all.add(new Entry(view, new byte[] {(byte) (from + i)}, null));
+        }
+        return new Change(ticket, SELF, view, null, from, all, base);
+    }
+
+    private static Path file(Path folder) throws IOException {
+        try (var all = Files.list(folder)) {
+            return all.max(Path::compareTo).orElseThrow();
+        }
+    }
+
+    private static Path folder() throws IOException {
+        return Files.createTempDirectory("ledger");
+    }
+
+    @Test
+    public void holdsPromiseEntriesAndBaseThroughTrimsAndRewrites() throws Exception {
+        Path at = folder();
+        try (Ledger ledger = new Ledger(at, 128)) {
+            assertNull(ledger.open());
+            ledger.save(List.of(change(1, 0, 1, 0, new Base(0, 0, List.of(SELF), null))));
+            ledger.save(List.of(change(2, 1, 1, 5, null), change(3, 2, 4, 1, null)));
+        }
+        try (Ledger ledger = new Ledger(at, 128)) {
+            Saved s = ledger.open();
+            assertEquals(s.entries().size(), 4, "what was trimmed is gone");
+            assertEquals(s.entries().get(3).view(), 2);
+            assertEquals(s.self(), SELF);
+            ledger.rewrite(change(4, 3, 5, 2, new Base(4, 2, List.of(SELF), new byte[] {9})));
+        }
+        try (Ledger ledger = new Ledger(at, 128)) {
+            Saved s = ledger.open();
+            assertEquals(s.base().place(), 4);
+            assertEquals(s.base().state(), new byte[] {9});
+            assertEquals(s.entries().size(), 2);
+            assertEquals(s.view(), 3);
+        }
+    }
+
+    /** A cut of power leaves some of what was written after the last sync, and rubbish: what was synced stays. */
+    @Test
+    public void synchedContentOutlivesTornTails() throws Exception {
+        Path at = folder();
+        Ledger ledger = new Ledger(at, 128);
+        ledger.open();
+        ledger.save(List.of(change(1, 1, 1, 3, new Base(0, 0, List.of(SELF), null))));
+        byte[] synced = Files.readAllBytes(file(at));
+        ledger.save(List.of(change(2, 2, 4, 40, null)));
+        byte[] later = Files.readAllBytes(file(at));
+        String name = file(at).getFileName().toString();
+        ledger.close();
+        for (int cut = synced.length; cut <= later.length; cut += 97) {
+            Path torn = folder();
+            try (RandomAccessFile f = new RandomAccessFile(torn.resolve(name).toFile(), "rw")) {
+                f.write(synced);
+                f.seek(synced.length);
+                f.write(later, synced.length, cut - synced.length);
+                f.write(new byte[] {1, 2, 3, 4, 5});
+            }
+            try (Ledger l = new Ledger(torn, 128)) {
+                Saved s = l.open();
+                assertTrue(s != null && s.entries().size() >= 3, "cut at " + cut);
+            }
+        }
+    }
+
+    @Test
+    public void whatCanNotBeReadIsAsGoodAsEmpty() throws Exception {
+        Path at = folder();
+        Files.write(at.resolve("ledger-7.mv"), new byte[10_000]);
+        try (Ledger ledger = new Ledger(at, 128)) {
+            assertNull(ledger.open());
+            ledger.save(List.of(change(1, 1, 1, 1, new Base(0, 0, List.of(SELF), null))));
+        }
+        try (Ledger ledger = new Ledger(at, 128)) {
+            assertEquals(ledger.open().entries().size(), 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/hygrometer/KeeperTest.java
@@ -0,0 +1,127 @@
+package gingerspool.hygrometer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.almanac.Configuration;
+import gingerspool.almanac.Route;
+import gingerspool.almanac.Service;
+import gingerspool.radiosonde.Words;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+public class KeeperTest {
+    private static final double BEAT = 1000;
+    private final List<Words.Grant> grants = new ArrayList<>();
+    private final List<String> recalled = new ArrayList<>();
+    private final Map<String, Integer> held = new HashMap<>();
+    private final Map<String, Long> granted = new HashMap<>();
+    private final Keeper keeper = new Keeper(BEAT, 0, (front, word) -> {
+        if (word instanceof Words.Grant g) {
+            grants.add(g);
+            held.merge(front + " " + g.instance(), g.slots(), Integer::sum);
+            granted.merge(front, 1L, Long::sum);
+        } else {
+            recalled.add(front);
+        }
+    });
+
+    private void prepare() {
+        grants.clear();
+        recalled.clear();
+        held.clear();
+        granted.clear();
+        keeper.configured(Configuration.newBuilder().addServices(Service.newBuilder().setName("f").setBoot(500)
+            .setConcurrency(2).setMemory(128)).addRoutes(Route.newBuilder().setService("f").setAim(1000)).build());
+        for (String front : List.of("a", "b", "c")) {
+            keeper.enrolled(0, front, new Words.Enrol(front, "z" + front, 0, Map.of()));
+        }
+    }
+
+    private static Words.Want want(int lacks, long granted, int inHand) {
+        return new Words.Want("f", lacks, granted, inHand, 0, 50);
+    }
+
+    /** Whatever schedulers ask and give back, no instance has more slots in hands than it has. */
+    @Test
+    public void neverGivesASlotTwice() {
+        prepare();
+        SplittableRandom chance = new SplittableRandom(7);
+        for (int i = 0; i < 3; i++) {
+            keeper.add(600, "i" + i, keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
+        }
+        for (int step = 0; step < 20_000; step++) {
+            double now = 600 + step;
+            String front = List.of("a", "b", "c").get(chance.nextInt(3));
+            int before = grants.size();
+            if (chance.nextBoolean()) {
+                // What it says of grants may be old: some were still on their way to it.
+                long knows = Math.max(0, granted.getOrDefault(front, 0L) - chance.nextInt(2));
+                keeper.want(now, front, want(chance.nextInt(4), knows, 3));
+            } else {
+                String id = "i" + chance.nextInt(3);
+                int has = held.getOrDefault(front + " " + id, 0);
+                int some = Math.min(has, 1 + chance.nextInt(2));
+                held.put(front + " " + id, has - some);
+                keeper.back(now, front, new Words.Back(id, some, Words.SEEN_WELL));
+            }
+            for (Words.Grant g : grants.subList(before, grants.size())) {
+                assertEquals(g.slots(), 1);
+            }
+            for (int i = 0; i < 3; i++) {
+                int sum = 0;
+                for (String f : List.of("a", "b", "c")) {
+                    sum += held.getOrDefault(f + " i" + i, 0);
+                }
+                assertTrue(sum <= 2, "instance " + i + " has " + sum + " slots in hands at step " + step);
+            }
+        }
+        assertTrue(grants.size() > 1000);
+    }
+
+    @Test
+    public void aNewKeeperWaitsForWhatIsHeldAndRecallsForThoseWhoLack() {
+        prepare();
+        keeper.enrolled(1, "a", new Words.Enrol("a", "za", 0, Map.of("i0", 2)));
+        keeper.add(2, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
+        keeper.want(3, "b", want(1, 0, 1));
+        assertEquals(grants.size(), 0, "nothing before schedulers had the time to enrol");
+        keeper.tick(600);
+        assertEquals(grants.size(), 0, "both slots are a's");
+        keeper.want(601, "a", want(0, 0, 0));
+        keeper.tick(650);
+        assertEquals(recalled, List.of("a"));
+        keeper.back(660, "a", new Words.Back("i0", 1, Words.SEEN_WELL));
+        assertEquals(grants.size(), 1);
+    }
+
+    @Test
+    public void wantsThatCrossGrantsAreNotServedTwice() {
+        prepare();
+        keeper.add(600, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
+        keeper.want(601, "a", want(1, 0, 1));
+        keeper.want(602, "a", want(1, 0, 1));
+        assertEquals(grants.size(), 1, "said before the grant had come");
+        keeper.want(603, "a", want(1, 1, 2));
+        assertEquals(grants.size(), 2);
+    }
+
+    @Test
+    public void aStartingInstanceIsKnockedAtByWhoLacksAndThenOpenToAll() {
+        prepare();
+        keeper.add(600, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.STARTING);
+        keeper.want(601, "a", want(1, 0, 1));
+        assertEquals(grants.size(), 1);
+        assertTrue(grants.get(0).startsIn() > 400);
+        keeper.back(1100, "a", new Words.Back("i0", 0, Words.SEEN_UP));
+        keeper.want(1101, "b", want(1, 0, 1));
+        assertEquals(grants.get(1).startsIn(), 0.0);
+        keeper.back(1200, "b", new Words.Back("i0", 1, Words.SEEN_LOST));
+        keeper.want(1201, "c", want(1, 0, 1));
+        assertEquals(grants.size(), 2, "nobody is sent to one that was not reached just now");
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/raingauge/ScalerTest.java
@@ -0,0 +1,120 @@
+package gingerspool.raingauge;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.almanac.Configuration;
+import gingerspool.almanac.Route;
+import gingerspool.almanac.Service;
+import gingerspool.hygrometer.Function;
+import gingerspool.hygrometer.Instance;
+import gingerspool.hygrometer.Keeper;
+import gingerspool.radiosonde.Words;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ScalerTest {
+    private Keeper keeper;
+    private Scaler scaler;
+    private final List<String> starts = new ArrayList<>();
+    private final List<String> nonces = new ArrayList<>();
+    private final List<String> stops = new ArrayList<>();
+
+    @BeforeMethod
+    public void begin() {
+        starts.clear();
+        nonces.clear();
+        stops.clear();
+        keeper = new Keeper(1000, 0, (front, word) -> { });
+        keeper.configured(Configuration.newBuilder()
+            .addServices(Service.newBuilder().setName("busy").setBoot(1400).setConcurrency(4).setMemory(512))
+            .addServices(Service.newBuilder().setName("rare").setBoot(500).setConcurrency(1).setMemory(128))
+            .addRoutes(Route.newBuilder().setService("busy").setAim(300))
+            .addRoutes(Route.newBuilder().setService("rare").setAim(1500)).build());
+        scaler = new Scaler(keeper, 100, 800, "n-", 0, new Scaler.Outlet() {
+            @Override
+            public void start(Function f, String host, String nonce) {
+                starts.add(f.name + " on " + host);
+                nonces.add(nonce);
+            }
+
+            @Override
+            public void stop(String instance) {
+                stops.add(instance);
+            }
+
+            @Override
+            public void leaves(Instance i) {
+                keeper.leaves(0, i);
+            }
+        });
+    }
+
+    private void hosts(double free) {
+        scaler.hostsBegin();
+        scaler.host("h1", "za", 4096, free, true);
+        scaler.host("h2", "zb", 4096, free, true);
+        scaler.host("h3", "zb", 4096, free, false);
+        scaler.hostsEnd();
+        scaler.listed();
+    }
+
+    private void want(String function, int lacks, int inHand, double at) {
+        keeper.enrolled(at, "a", new Words.Enrol("a", "zb", 0, Map.of()));
+        keeper.want(at, "a", new Words.Want(function, lacks, 0, inHand, inHand, 60));
+    }
+
+    @Test
+    public void startsNothingBeforeTheListsAreKnown() {
+        want("rare", 1, 1, 600);
+        scaler.tick(600);
+        assertEquals(starts.size(), 0, "instances may be running already");
+        hosts(4096);
+        scaler.tick(650);
+        assertTrue(starts.contains("rare on h2"), starts + ": the zone of those who lack, a host that is ready");
+        assertTrue(starts.stream().anyMatch(s -> s.startsWith("busy")), "its aim is shorter than a start");
+    }
+
+    @Test
+    public void startsOnceForWhatIsLackedAndStopsWhatIdles() {
+        hosts(4096);
+        want("rare", 1, 1, 600);
+        for (int i = 0; i < 10; i++) {
+            scaler.tick(650 + 50 * i);
+        }
+        assertEquals(starts.stream().filter(s -> s.startsWith("rare")).count(), 1);
+        int rare = starts.indexOf("rare on h2");
+        scaler.started(1200, nonces.get(rare), "i1", "10.0.0.1:1");
+        keeper.ready(1700, keeper.instance("i1"));
+        want("rare", 0, 0, 1800);
+        scaler.tick(1900);
+        assertEquals(stops.size(), 0);
+        scaler.tick(4000);
+        assertEquals(stops, List.of("i1"));
+    }
+
+    @Test
+    public void aHostWithoutRoomIsPassedOverAndTheRateIsKept() {
+        hosts(200);
+        want("rare", 30, 30, 600);
+        scaler.tick(650);
+        assertEquals(starts.stream().filter(s -> s.startsWith("rare")).count(), 2, "one fits on each host");
+        scaler.startFailed(700, nonces.get(0), true);
+        scaler.tick(750);
+        assertEquals(starts.size(), 2, "no room was the answer");
+        hosts(4096);
+        scaler.tick(760);
+        assertTrue(starts.size() <= 2 + 8 + 2, starts.size() + " starts in 110 ms at 80 a second");
+    }
+
+    @Test
+    public void waitsFollowErlang() {
+        assertEquals(Waits.longer(1, 0.5, 0), 0.5, 1e-9);
+        assertEquals(Waits.longer(2, 1, 0), 1.0 / 3, 1e-9);
+        assertEquals(Waits.longer(2, 1, 2), Math.exp(-2) / 3, 1e-9);
+        assertEquals(Waits.longer(2, 2, 5), 1.0);
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/station/SettingsTest.java
@@ -0,0 +1,66 @@
+package gingerspool.station;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SettingsTest {
+    static final String SOUND = """
+        NodeName = "front-a-1"
+        IpAddress = "10.1.0.3"
+        Zone = "a"
+        InternalPortRange = [7400,7415]
+        SeedNodes = ["10.1.0.6:8248"]
+        FirstStart = true
+        NewKey = {x = 1}
+        [Zones]
+        b = "r"
+        a = "r"
+        [ListenAddresses]
+        FrontAddress = "10.1.0.3:8241"
+        [Bounds]
+        GracePeriodS = 6
+        """;
+
+    private static Settings read(String text) throws Exception {
+        Path file = Files.createTempFile("settings", ".toml");
+        Files.writeString(file, text);
+        return Settings.read(Map.of(Settings.VARIABLE, file.toString()));
+    }
+
+    @Test
+    public void readsAndPassesNewKeysOver() throws Exception {
+        Settings s = read(SOUND);
+        assertEquals(s.innerPort, 7400);
+        assertEquals(s.zones.toString(), "[a, b]");
+        assertEquals(s.grace, 6000.0);
+        assertEquals(s.front.getPort(), 8241);
+        assertTrue(s.firstStart);
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {{"10.1.0.3:8241", "localhost:1", ":12: ListenAddresses.FrontAddress"},
+            {"[7400,7415]", "[0]", ":4: InternalPortRange"}, {"FirstStart = true", "FirstStart = 1", ":6: FirstStart"},
+            {"Zone = \"a\"", "", "Zone is missing"}, {"GracePeriodS = 6", "GracePeriodS = \"6\"", "GracePeriodS"},
+            {"[Zones]", "[Zones", "is not TOML"}};
+    }
+
+    @Test(dataProvider = "faults")
+    public void namesFileLineAndKey(String from, String to, String named) {
+        SettingsException e = expectThrows(SettingsException.class, () -> read(SOUND.replace(from, to)));
+        assertTrue(e.getMessage().contains(named), e.getMessage());
+    }
+
+    @Test
+    public void saysWhichVariableIsMissing() {
+        SettingsException e = expectThrows(SettingsException.class, () -> Settings.read(Map.of()));
+        assertTrue(e.getMessage().contains(Settings.VARIABLE));
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/weatherhouse/Core.java
@@ -0,0 +1,451 @@
+package gingerspool.weatherhouse;
+
+import gingerspool.weathervane.Base;
+import gingerspool.weathervane.Change;
+import gingerspool.weathervane.Entry;
+import gingerspool.weathervane.Letter;
+import gingerspool.weathervane.Member;
+import gingerspool.weathervane.Order;
+import gingerspool.weathervane.Outlet;
+import gingerspool.weathervane.Saved;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * The core in memory: machines with Orders, links that lose and are cut, disks that lose what was not synced,
+ * fill up and hang, machines wiped and replaced, operators that race and repeat; all by a seed. The record of
+ * what was acknowledged is its own, and what() says what is wrong with a history, or nothing.
+ */
+final class Core {
+    static final double LEASE = 960;
+
+    /** Guards that a history can be played without, to show that they are needed. */
+    enum Without { NOTHING, NEW_MARK_AFTER_WIPE, SYNC_BEFORE_ANSWER, STEADY_CLOCK }
+
+    private record Event(double at, long serial, Runnable what) { }
+
+    /** A change that an operator sends: this version on that one. */
+    private record Sent(long on, long version) { }
+
+    final class Machine implements Outlet {
+        final String ip;
+        Order order;
+        /** What is on disk, and what is written but not synced. */
+        Saved disk;
+        final List<Change> unsynced = new ArrayList<>();
+        boolean firstStart;
+        boolean full;
+        double diskMs = 5;
+        /** How far its clock is off. */
+        double ahead;
+        long life;
+        int marks;
+        /** The state that its commands have come to: the versions taken, in order. */
+        final List<Long> taken = new ArrayList<>();
+        final Map<Long, Integer> waiting = new HashMap<>();
+
+        Machine(String ip, boolean firstStart) {
+            this.ip = ip;
+            this.firstStart = firstStart;
+        }
+
+        void start() {
+            life++;
+            taken.clear();
+            waiting.clear();
+            unsynced.clear();
+            boolean founds = disk == null && firstStart;
+            List<Member> founders = founds ? seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList()
+                : List.of();
+            boolean old = without == Without.NEW_MARK_AFTER_WIPE && seeds.contains(ip);
+            String mark = founds || old ? Member.FOUNDER : ip + "-" + ++marks + "-" + chance.nextInt();
+            if (old && !founds) {
+                founders = seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList();
+            }
+            order = new Order(new Member(ip, mark), disk, founders, tolerated, LEASE, chance.nextLong(), clock(),
+                this);
+            firstStart = false;
+            tick(life);
+        }
+
+        double clock() {
+            return now + ahead;
+        }
+
+        private void tick(long of) {
+            if (life == of && order != null) {
+                order.tick(clock());
+                if (order.isStranger()) {
+                    for (Machine m : machines.values()) {
+                        post(this, m, new Letter.Post(order.self(), null, new Letter.Join(order.view())));
+                    }
+                }
+                looked();
+                after(Math.max(5, Math.min(120, order.nextTick() - clock())), () -> tick(of));
+            }
+        }
+
+        void stop() {
+            life++;
+            order = null;
+            // Without power some of what was not synced may be there all the same, up to a point.
+            int kept = chance.nextInt(unsynced.size() + 1);
+            for (int i = 0; i < kept; i++) {
+                disk = merged(disk, unsynced.get(i));
+            }
+            unsynced.clear();
+        }
+
+        @Override
+        public void send(Member to, Letter letter) {
+            Machine m = machines.get(to.ip());
+            if (m != null) {
+                post(this, m, new Letter.Post(order.self(), to, letter));
+            }
+        }
+
+        @Override
+        public void save(Change change) {
+            unsynced.add(change);
+            if (without == Without.SYNC_BEFORE_ANSWER) {
+                long of = life;
+                after(0.1, () -> confirm(of, change.ticket()));
+            }
+            if (!full) {
+                write(change.ticket());
+            }
+        }
+
+        private void write(long ticket) {
+            long of = life;
+            after(diskMs * (0.5 + chance.nextDouble()), () -> {
+                if (life == of && !full) {
+                    while (!unsynced.isEmpty() && unsynced.get(0).ticket() <= ticket) {
+                        disk = merged(disk, unsynced.remove(0));
+                    }
+                    confirm(of, ticket);
+                }
+            });
+        }
+
+        private void confirm(long of, long ticket) {
+            if (life == of && order != null) {
+                order.saved(clock(), ticket);
+                looked();
+            }
+        }
+
+        /** The disk takes bytes again: everything is written anew. */
+        void emptied() {
+            full = false;
+            if (order != null) {
+                Change whole = order.whole();
+                unsynced.clear();
+                unsynced.add(whole);
+                write(whole.ticket());
+            }
+        }
+
+        @Override
+        public void deliver(long place, byte[] command) {
+            ByteBuffer b = ByteBuffer.wrap(command);
+            long on = b.getLong();
+            long version = b.getLong();
+            long other = places.getOrDefault(place, version);
+            places.put(place, version);
+            wrong(other != version, "place " + place + " holds " + version + " at " + ip + ", " + other
+                + " elsewhere");
+            boolean repeated = taken.contains(version);
+            boolean takes = repeated || on == current();
+            if (takes && !repeated) {
+                taken.add(version);
+            }
+            if (waiting.remove(version) != null) {
+                if (takes) {
+                    acked.add(version);
+                    if (aimed) {
+                        strike();
+                    }
+                    Long rival = ackedOn.put(on, version);
+                    wrong(rival != null && rival != version, "both " + rival + " and " + version + " won on "
+                        + on);
+                } else {
+                    refused.add(version);
+                }
+            }
+        }
+
+        long current() {
+            return taken.isEmpty() ? 0 : taken.get(taken.size() - 1);
+        }
+
+        @Override
+        public void restore(long place, byte[] state) {
+            taken.clear();
+            ByteBuffer b = ByteBuffer.wrap(state);
+            while (b.hasRemaining()) {
+                taken.add(b.getLong());
+            }
+        }
+
+        @Override
+        public byte[] state() {
+            ByteBuffer b = ByteBuffer.allocate(8 * taken.size());
+            taken.forEach(b::putLong);
+            return b.array();
+        }
+    }
+
+    final SplittableRandom chance;
+    final int tolerated;
+    final Without without;
+    final List<String> seeds = new ArrayList<>();
+    final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+        java.util.Comparator.comparingDouble(Event::at).thenComparingLong(Event::serial));
+    private long serial;
+    double now;
+    private double loss;
+    private final Set<String> cuts = new HashSet<>();
+    private long versions;
+    private final Map<Long, Long> places = new HashMap<>();
+    private final Set<Long> acked = new HashSet<>();
+    private final Set<Long> refused = new HashSet<>();
+    private final Map<Long, Long> ackedOn = new HashMap<>();
+    private long lastFence;
+    private String lastLeader = "";
+    private String wrong;
+    /** No new troubles, no new changes. */
+    private boolean calm;
+    /** The next acknowledgement is struck. */
+    private boolean aimed;
+
+    Core(long seed, int machines, int tolerated, Without without) {
+        chance = new SplittableRandom(seed);
+        this.tolerated = tolerated;
+        this.without = without;
+        for (int i = 0; i < machines; i++) {
+            String ip = "10.0.0." + i;
+            this.machines.put(ip, new Machine(ip, true));
+            if (i < 3) {
+                seeds.add(ip);
+            }
+        }
+        this.machines.values().forEach(m -> after(chance.nextInt(300), m::start));
+    }
+
+    private static Saved merged(Saved disk, Change c) {
+        if (disk == null || c.base() != null) {
+            return new Saved(c.self(), c.view(), c.granted(), c.base(), c.entries());
+        }
+        Base base = disk.base();
+        List<Entry> entries = new ArrayList<>(disk.entries());
+        int keep = (int) (c.from() - base.place() - 1);
+        while (entries.size() > keep) {
+            entries.remove(entries.size() - 1);
+        }
+        entries.addAll(c.entries());
+        return new Saved(c.self(), c.view(), c.granted(), base, entries);
+    }
+
+    void after(double span, Runnable what) {
+        events.add(new Event(now + span, serial++, what));
+    }
+
+    private void wrong(boolean is, String what) {
+        wrong = is && wrong == null ? what + " at " + Math.round(now) : wrong;
+    }
+
+    private void post(Machine from, Machine to, Letter.Post p) {
+        if (cuts.contains(from.ip + ">" + to.ip) || chance.nextDouble() < loss) {
+            return;
+        }
+        long of = to.life;
+        after(0.5 + 2 * chance.nextDouble(), () -> {
+            boolean its = p.letter() instanceof Letter.Join || to.order != null && p.to().equals(to.order.self());
+            if (to.order != null && to.life == of && its) {
+                to.order.heard(to.clock(), p.from(), p.letter());
+                looked();
+            }
+        });
+    }
+
+    /** One duty holder at a time, and fences that go up. */
+    private void looked() {
+        String holder = null;
+        for (Machine m : machines.values()) {
+            if (m.order != null && m.order.leads(m.clock())) {
+                wrong(holder != null, holder + " and " + m.ip + " hold the duty");
+                holder = m.ip;
+                wrong(m.order.view() < lastFence || m.order.view() == lastFence && !lastLeader.equals(m.ip),
+                    "fence " + m.order.view() + " of " + m.ip + " after " + lastFence + " of " + lastLeader);
+                lastFence = m.order.view();
+                lastLeader = m.ip;
+            }
+        }
+    }
+
+    private List<Machine> up() {
+        return machines.values().stream().filter(m -> m.order != null).toList();
+    }
+
+    /** An operator sends a change to whoever answers, sometimes two on the same version at once. */
+    void operate() {
+        if (calm) {
+            return;
+        }
+        int rivals = chance.nextInt(4) == 0 ? 2 : 1;
+        for (int i = 0; i < rivals; i++) {
+            submit(null, 0);
+        }
+        after(50 + chance.nextInt(400), this::operate);
+    }
+
+    private void submit(Sent again, int tries) {
+        for (Machine m : up()) {
+            if (m.order.leads(m.clock())) {
+                Sent s = again != null ? again : new Sent(m.current(), ++versions);
+                m.waiting.put(s.version, 1);
+                byte[] c = ByteBuffer.allocate(16).putLong(s.on).putLong(s.version).array();
+                m.order.submit(m.clock(), c);
+                boolean unclear = chance.nextInt(3) == 0;
+                if (unclear && tries < 3) {
+                    after(300, () -> submit(s, tries + 1));
+                }
+                return;
+            }
+        }
+    }
+
+    /** One trouble, and its end; only as much at once as may be borne. */
+    void trouble() {
+        if (calm) {
+            return;
+        }
+        List<Machine> all = new ArrayList<>(machines.values());
+        Machine m = all.get(chance.nextInt(all.size()));
+        double span = 200 + chance.nextInt(3500);
+        switch (chance.nextInt(10)) {
+            case 0 -> power(m, span, false);
+            case 1 -> power(m, span, true);
+            case 2 -> cut(m, all, span);
+            case 3 -> {
+                loss = 0.2;
+                after(span, () -> loss = 0);
+            }
+            case 4 -> {
+                m.diskMs = 150;
+                after(span, () -> m.diskMs = 5);
+            }
+            case 5 -> {
+                m.full = true;
+                after(span, m::emptied);
+            }
+            case 6 -> {
+                for (Machine o : all) {
+                    power(o, 300 + chance.nextInt(500), false);
+                }
+            }
+            case 7 -> replace(m);
+            case 8 -> aimed = true;
+            default -> {
+                cut(m, all, span);
+                if (without == Without.STEADY_CLOCK) {
+                    m.ahead = -4 * LEASE;
+                    after(span, () -> m.ahead = 0);
+                }
+            }
+        }
+        after(span + 6000 + chance.nextInt(3000), this::trouble);
+    }
+
+    /** Right after a change was acknowledged disks go, as many as may, and all others lose power. */
+    private void strike() {
+        aimed = false;
+        after(3 * chance.nextDouble(), () -> {
+            int wiped = 0;
+            for (Machine o : List.copyOf(machines.values())) {
+                boolean wipe = wiped < tolerated && chance.nextBoolean();
+                wiped += wipe ? 1 : 0;
+                power(o, 300 + chance.nextInt(500), wipe);
+            }
+        });
+    }
+
+    private void cut(Machine m, List<Machine> all, double span) {
+        boolean oneWay = chance.nextBoolean();
+        for (Machine o : all) {
+            cuts.add(m.ip + ">" + o.ip);
+            if (!oneWay) {
+                cuts.add(o.ip + ">" + m.ip);
+            }
+        }
+        after(span, cuts::clear);
+    }
+
+    private void power(Machine m, double span, boolean wipe) {
+        if (m.order == null) {
+            return;
+        }
+        m.stop();
+        if (wipe) {
+            m.disk = null;
+        }
+        after(span, () -> {
+            if (m.order == null && machines.containsValue(m)) {
+                m.start();
+            }
+        });
+    }
+
+    private void replace(Machine m) {
+        m.stop();
+        machines.remove(m.ip);
+        String ip = "10.0.1." + machines.size() + "-" + serial;
+        after(1000 + chance.nextInt(1500), () -> {
+            Machine n = new Machine(ip, false);
+            machines.put(ip, n);
+            n.start();
+        });
+    }
+
+    /** Plays the history, lets all come back, and tells what is wrong with it, or null. */
+    String play(double span) {
+        after(2500, this::operate);
+        after(3000, this::trouble);
+        run(span);
+        cuts.clear();
+        loss = 0;
+        calm = true;
+        run(now + 12_000);
+        Machine leader = up().stream().filter(m -> m.order.leads(m.clock())).findFirst().orElse(null);
+        wrong(leader == null, "nobody leads in the end");
+        if (leader != null) {
+            for (long v : acked) {
+                wrong(!leader.taken.contains(v), "version " + v + " was acknowledged and is gone");
+            }
+            for (long v : refused) {
+                wrong(leader.taken.contains(v) && !acked.contains(v), "version " + v
+                    + " was refused and is in force");
+            }
+        }
+        return wrong;
+    }
+
+    private void run(double until) {
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event e = events.poll();
+            now = e.at;
+            e.what.run();
+        }
+        now = until;
+    }
+}
