--- a/src/main/java/gingerspool/anemometer/Anemometer.java
+++ b/src/main/java/gingerspool/anemometer/Anemometer.java
@@ -152,9 +152,10 @@
     }
 
     private void word(Object word) {
-        if (word instanceof Words.Enrolled e) {
-            fronts = e.fronts();
+        if (word instanceof Words.Enrolled) {
             desks.values().forEach(Desk::enrolled);
+        } else if (word instanceof Words.Schedulers s) {
+            fronts = s.count();
         } else if (word instanceof Words.News n) {
             news(n);
         } else if (word instanceof Words.Grant g) {
--- a/src/main/java/gingerspool/anemometer/Core.java
+++ b/src/main/java/gingerspool/anemometer/Core.java
@@ -170,7 +170,7 @@
             } else if (word instanceof Words.Enrolled e && l == asked) {
                 if (leader != l) {
                     leader = l;
-                    LOG.info("core.led by={} view={} schedulers={}", l.ip, e.view(), e.fronts());
+                    LOG.info("core.led by={} view={}", l.ip, e.view());
                 }
                 words.accept(word);
             } else if (l == leader || l == asked) {
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -445,6 +445,7 @@
                 caller.front = e.name();
                 fronts.put(e.name(), link);
                 duty.keeper.enrolled(now, e.name(), e);
+                link.send(coder.write(new Words.Enrolled(order.view())));
                 tellNews(link, caller, e.news());
                 toldFronts();
             } else {
@@ -462,7 +463,7 @@
     }
 
     private void toldFronts() {
-        tellAll(new Words.Enrolled(order.view(), fronts.size()));
+        tellAll(new Words.Schedulers(fronts.size()));
     }
 
     private void tell(String front, Object word) {
--- a/src/main/java/gingerspool/hygrometer/Function.java
+++ b/src/main/java/gingerspool/hygrometer/Function.java
@@ -5,6 +5,8 @@
 
 /** One service of the configuration that the system starts instances for. Times are milliseconds. */
 public final class Function {
+    private static final double LONG = 20;
+
     public final String name;
     public double boot;
     public int concurrency;
@@ -19,6 +21,8 @@
     /** Tasks a millisecond: smoothed over a short span, and over a longer one where it falls. */
     public double rate;
     public double rateSlow;
+    /** The same over twenty times the short span. */
+    public double rateLong;
     private double rateAt;
     /** Mean running time as schedulers have seen it, 0 if none has. */
     public double run;
@@ -61,6 +65,7 @@
         double past = now - rateAt;
         rate = rate * Math.exp(-past / span) + more / span;
         rateSlow = Math.max(rate, rate + (rateSlow - rate) * Math.exp(-past / spanSlow));
+        rateLong = rateLong * Math.exp(-past / (LONG * span)) + more / (LONG * span);
         rateAt = now;
     }
 }
--- a/src/main/java/gingerspool/radiosonde/Words.java
+++ b/src/main/java/gingerspool/radiosonde/Words.java
@@ -19,8 +19,11 @@
     /** A scheduler asks the leader to take it on: the newest news it has, and each slot that it holds. */
     public record Enrol(String name, String zone, long news, Map<String, Integer> held) { }
 
-    /** The leader took it on; so many schedulers share the budget of repeats. */
-    public record Enrolled(long view, int fronts) { }
+    /** The leader took it on: both begin to count anew. */
+    public record Enrolled(long view) { }
+
+    /** So many schedulers share the budget of repeats. */
+    public record Schedulers(int count) { }
 
     /** The configuration of this number, in protobuf's form; a scheduler only goes up in numbers. */
     public record News(long number, byte[] configuration) { }
--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -20,6 +20,11 @@
     /** An instance more than wanted is stopped after so many starts' time; the last one after so many unused. */
     private static final double IDLE = 2;
     private static final double IDLE_LAST = 2;
+    /** One that is called more often than so many times in a start's time is kept for longer. */
+    private static final double KEPT = 0.15;
+    private static final double IDLE_KEPT = 12;
+    /** Few starts take longer than so many times their mean. */
+    private static final double SURE = 1.4;
     /** Running time where none was seen, in parts of the aim. */
     private static final double RUN = 0.2;
     /** The part of the platform's rate that is used. */
@@ -165,7 +170,7 @@
         double span = Math.max(0, f.aim / 2 - run);
         // What waits already is to be worked off within the same span.
         double backlog = load + f.lacks() * run / Math.max(run, span);
-        boolean mustStand = f.aim < 2 * f.boot;
+        boolean mustStand = f.aim < SURE * f.boot + run;
         int n = mustStand || f.inHand() > 0 ? 1 : 0;
         while (n > 0 && (n * f.concurrency < backlog || Waits.longer(n * f.concurrency, load, span / run) > LATE)) {
             n++;
@@ -227,7 +232,7 @@
         }
         double since = surplusSince.computeIfAbsent(f, k -> now);
         double span = have == 1 ? 0 : IDLE * f.boot;
-        double unused = have == 1 ? IDLE_LAST * f.boot : span / 2;
+        double unused = have > 1 ? span / 2 : f.boot * (f.rateLong * f.boot > KEPT ? IDLE_KEPT : IDLE_LAST);
         if (now < since + span || tokens < 1) {
             return;
         }
