--- a/src/main/java/gingerspool/anemometer/Core.java
+++ b/src/main/java/gingerspool/anemometer/Core.java
@@ -39,6 +39,7 @@
     /** The link to the leader that has taken this scheduler on, and the one that was asked to. */
     private Link leader;
     private Link asked;
+    private double askedAt;
     private long view;
     private double lastLed;
 
@@ -188,10 +189,12 @@
         }
         members = new LinkedHashSet<>(s.members());
         boolean leads = l.ip.equals(s.leader());
-        if (leads && (l != asked || s.view() > view)) {
-            view = s.view();
+        // Guards against an enrolment that came while the lease had lapsed: unanswered, it is said again.
+        boolean unanswered = leader != l && turns.now() > askedAt + AGAIN * settings.beat;
+        if (leads && (l != asked || s.view() > view || unanswered)) {
             leader = null;
             asked = l;
+            askedAt = turns.now();
             l.frames.send(coder.write(enrol.get()));
         } else if (!leads && l == asked) {
             // It leads no more; the next leader tells us itself.
