A write that fails ends its connection: links to a dead core member are opened anew

The code is shared with the program in service, which could lose a connection's place the same way. Marks are never drawn from a seed.

--- a/src/main/java/gingerspool/anemometer/Core.java
+++ b/src/main/java/gingerspool/anemometer/Core.java
@@ -152,6 +152,7 @@
         Link l = of(frames);
         if (l != null) {
             l.up = true;
+            LOG.info("core.link_up to={}", l.ip);
             l.heardAt = turns.now();
             frames.send(coder.write(new Words.Hello(settings.ip)));
         }
@@ -195,6 +196,7 @@
             leader = null;
             asked = l;
             askedAt = turns.now();
+            LOG.info("core.enrols at={} view={}", l.ip, s.view());
             l.frames.send(coder.write(enrol.get()));
         } else if (!leads && l == asked) {
             // It leads no more; the next leader tells us itself.
@@ -210,6 +212,9 @@
         if (l == null) {
             return;
         }
+        if (l.up) {
+            LOG.info("core.link_closed to={}", l.ip);
+        }
         l.frames = null;
         l.up = false;
         if (l == leader || l == asked) {
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -30,7 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
+import java.util.UUID;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -59,7 +59,6 @@
     private final Writer writer;
     private final OperatorDoor door;
     private final Listener listener;
-    private final SplittableRandom chance = new SplittableRandom(System.nanoTime());
     /** Our own links to the other machines of the core, by address; and when each was last heard. */
     private final Map<String, Peer> peers = new HashMap<>();
     /** Links that others opened. */
@@ -97,10 +96,11 @@
         boolean founds = disk == null && settings.firstStart;
         List<Member> founders = founds ? settings.seeds.stream()
             .map(a -> new Member(a.getAddress().getHostAddress(), Member.FOUNDER)).toList() : List.of();
-        String mark = founds ? Member.FOUNDER : Long.toHexString(chance.nextLong());
+        // Never the same twice, whatever was on a disk before: so not from a seed.
+        String mark = founds ? Member.FOUNDER : UUID.randomUUID().toString();
         writer = new Writer(ledger, loop::enter, this::onSaved, this::whole);
         order = new Order(new Member(settings.ip, mark), disk, founders, settings.tolerated,
-            LEASE * settings.beat, chance.nextLong(), loop.now(), this);
+            LEASE * settings.beat, settings.name.hashCode(), loop.now(), this);
         door = new OperatorDoor(loop, settings.control, this::run);
         listener = new Listener(loop, new InetSocketAddress(settings.ip, settings.innerPort), this);
         LOG.info("start member={} members={} view={} version={}", order.self(), order.members(), order.view(),
--- a/src/main/java/gingerspool/weathervane/Order.java
+++ b/src/main/java/gingerspool/weathervane/Order.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.UUID;
 
 /**
  * One member's part in the order of commands. A view has one leader, which puts commands in their places; they
@@ -344,7 +345,7 @@
     /** We were put out, and others may have our place: what we have counts for nothing. */
     private void forget() {
         role = Role.STRANGER;
-        self = new Member(self.ip(), Long.toHexString(chance.nextLong()));
+        self = new Member(self.ip(), UUID.randomUUID().toString());
         view = 0;
         granted = null;
         leader = null;
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -181,7 +181,12 @@
             // Only now is it known how far the writing came: an outcome of "never ran" hangs on this.
             closed(unsent.isEmpty());
         } else if (bytes < 0) {
+            boolean cut = !unsent.isEmpty();
             close();
+            if (cut) {
+                // Guards against links that are never given back: no other write will tell of the end.
+                closed(false);
+            }
         } else if (unsent.isEmpty()) {
             sent();
         } else {
