--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -416,7 +416,9 @@
         if (s.up) {
             double[] report = new double[Report.SIZE];
             Arrays.fill(report, Double.NaN);
-            report[Report.FREE_SLOTS] = Math.max(0, s.capacity - g.inFlight());
+            // Slots that others hold are taken, ours are free but for those in use.
+            int others = Math.max(0, g.inFlight() - s.held);
+            report[Report.FREE_SLOTS] = Math.max(0, s.capacity - others - s.used);
             dispatcher.probed(now, s.worker, report);
         }
         serve();
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -22,6 +22,8 @@
     private static final double KEPT = 3;
     /** An instance that nobody reached is left alone for so many beats. */
     private static final double SUSPECT = 1;
+    /** Schedulers have this part of a beat to tell a new keeper what they hold. */
+    private static final double SETTLE = 0.15;
     /** Rates are smoothed over so many beats, and over so many for falling. */
     private static final double SPAN = 0.8;
     private static final double SPAN_SLOW = 4;
@@ -52,7 +54,7 @@
         this.beat = beat;
         this.out = out;
         this.now = now;
-        from = now + beat / 2;
+        from = now + SETTLE * beat;
     }
 
     public Collection<Function> functions() {
