--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -189,7 +189,7 @@
         lookAgain();
     }
 
-    /** So many slots of the worker are ours to use; who is never told so has no such bound. */
+    /** So many slots are ours to use: who finds one is sent, as nobody queues. Never told: no bound. */
     public void granted(double at, int w, int slots) {
         now = at;
         fleet.ours[w] = slots;
@@ -562,8 +562,8 @@
     }
 
     private boolean hopeless() {
-        if (best < 0) {
-            return true;
+        if (best < 0 || fleet.ours[best] < Integer.MAX_VALUE) {
+            return best < 0;
         }
         double density = Math.max(task.worth / task.work, NEAR * meanDensity);
         double weight = Math.max(0.5, Math.min(1.6, Math.sqrt(meanDensity / density)));
