--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -1,9 +1,9 @@
 package gingerspool;
 
 import gingerspool.cli.Commands;
+import gingerspool.cli.Station;
 import gingerspool.daemon.Daemon;
 import gingerspool.simhost.SimHost;
-import gingerspool.station.Station;
 
 /** Picks the subcommand. Those that a platform starts go past the command line's library. */
 public final class Main {
--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -41,7 +41,9 @@
     @Command(name = NAME, description = "A scheduler that pushes tasks to workers.",
         subcommands = {Serve.class, Simhost.class, CheckFiles.class, ExplainFile.class, RouteOf.class,
             Version.class, Completion.class, Rigs.Standin.class, Rigs.LoadCommand.class,
-            Rigs.ExperimentCommand.class, Rigs.JudgeCommand.class})
+            Rigs.ExperimentCommand.class, Rigs.JudgeCommand.class, Platforms.Small.class,
+            Platforms.CheckSettings.class, Platforms.CheckConfiguration.class, Platforms.Program.Front.class,
+            Platforms.Program.Core.class})
     static final class Top implements Callable<Integer> {
         @Spec
         CommandSpec spec;
--- a/src/main/java/gingerspool/station/Station.java
+++ b/src/main/java/gingerspool/cli/Station.java
@@ -1,8 +1,10 @@
-package gingerspool.station;
+package gingerspool.cli;
 
 import gingerspool.anemometer.Anemometer;
 import gingerspool.barograph.LedgerException;
 import gingerspool.barometer.Barometer;
+import gingerspool.station.Settings;
+import gingerspool.station.SettingsException;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
--- /dev/null
+++ b/src/main/java/gingerspool/standin/Cloud.java
@@ -0,0 +1,238 @@
+package gingerspool.standin;
+
+import gingerspool.wire.Address;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Json;
+import gingerspool.wire.Listener;
+import gingerspool.wire.Message;
+import gingerspool.wire.Tree;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A stand-in for the platform that instances run on: its lists, which are late, starts and stops, and the
+ * instances themselves, which refuse connections until they have started, serve so many requests at once and
+ * turn away what is over or meant for another. All on loopback and one loop; for tests and for trying out.
+ */
+public final class Cloud implements Listener.Owner, Inbound.Door {
+    private final Turns turns;
+    private final double boot;
+    private final double work;
+    private final double lag;
+    private final int slots;
+    private final Listener listener;
+    private final InetAddress ip;
+    private final Map<String, String> hosts = new LinkedHashMap<>();
+    private final Map<String, Instance> instances = new LinkedHashMap<>();
+    private final Map<String, Instance> byNonce = new LinkedHashMap<>();
+    /** Requests that ran, and those turned away for want of a slot. */
+    public int ran;
+    public int turnedAway;
+    /** It answers no call while this is set. */
+    public boolean down;
+
+    /** One started copy of a service. */
+    private final class Instance implements Listener.Owner, Inbound.Door {
+        final String id;
+        final String service;
+        final String host;
+        final InetSocketAddress address;
+        Listener door;
+        double startedAt = Double.POSITIVE_INFINITY;
+        boolean stopped;
+        int busy;
+
+        Instance(String id, String service, String host, InetSocketAddress address) {
+            this.id = id;
+            this.service = service;
+            this.host = host;
+            this.address = address;
+        }
+
+        void start() {
+            if (stopped) {
+                return;
+            }
+            try {
+                door = new Listener(turns, address, this);
+                door.acceptOn();
+                startedAt = turns.now();
+            } catch (IOException e) {
+                stopped = true;
+            }
+        }
+
+        void stop() {
+            stopped = true;
+            if (door != null) {
+                door.close();
+            }
+        }
+
+        @Override
+        public boolean hasRoom() {
+            return true;
+        }
+
+        @Override
+        public void outOfDescriptors() { }
+
+        @Override
+        public void accepted(AsynchronousSocketChannel channel) {
+            new Inbound(turns, channel, this).start();
+        }
+
+        @Override
+        public void asked(Inbound from, Message m) {
+            String request = m.field("request-id");
+            String meant = m.field("expected-instance");
+            List<String> fields = List.of("Request-Id: " + request, "Server-Stamp: " + id);
+            if (meant != null && !meant.equals(id)) {
+                from.answer(421, fields, "");
+            } else if (busy >= slots) {
+                turnedAway++;
+                from.answer(503, List.of("Request-Id: " + request, "Not-Executed: 1"), "");
+            } else {
+                busy++;
+                ran++;
+                turns.after(work, () -> {
+                    busy--;
+                    from.answer(200, fields, "hello from " + id + " on " + host);
+                });
+            }
+        }
+
+        @Override
+        public void idle(Inbound connection, boolean idle) { }
+
+        @Override
+        public void unreadable(BadMessage fault) { }
+
+        @Override
+        public void closed(Inbound connection) {
+            door.acceptOn();
+        }
+    }
+
+    /** Hosts by name with their zones; spans in milliseconds. Listens at once, at a port of the system's choice. */
+    public Cloud(Turns turns, String ip, Map<String, String> hosts, double boot, double work, double lag, int slots)
+        throws IOException {
+        this.turns = turns;
+        this.ip = InetAddress.getByName(ip);
+        this.boot = boot;
+        this.work = work;
+        this.lag = lag;
+        this.slots = slots;
+        this.hosts.putAll(hosts);
+        listener = new Listener(turns, new InetSocketAddress(this.ip, 0), this);
+        listener.acceptOn();
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) listener.address();
+    }
+
+    public void close() {
+        listener.close();
+        instances.values().forEach(Instance::stop);
+    }
+
+    @Override
+    public boolean hasRoom() {
+        return true;
+    }
+
+    @Override
+    public void outOfDescriptors() { }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel) {
+        new Inbound(turns, channel, this).start();
+    }
+
+    @Override
+    public void asked(Inbound from, Message m) {
+        if (down) {
+            return;
+        }
+        try {
+            Object body = m.body().length == 0 ? null : Json.read(m.body(), 0, m.body().length);
+            switch (m.method() + " " + m.target().split("\\?", 2)[0]) {
+                case "GET /instances" -> from.answer(200, List.of(), Json.write(list()));
+                case "GET /v1/workers" -> from.answer(200, List.of(), Json.write(workers()));
+                case "POST /v1/begin" -> begin(from, Tree.text("", body, "Service"), Tree.text("", body, "Worker"),
+                    Tree.text("", body, "Nonce"));
+                case "POST /v1/stop" -> {
+                    Instance i = instances.remove(Tree.text("", body, "Identifier"));
+                    if (i != null) {
+                        i.stop();
+                    }
+                    from.answer(i == null ? 404 : 200, List.of(), "{}");
+                }
+                default -> from.answer(404, List.of(), "{}");
+            }
+        } catch (BadMessage | IOException e) {
+            from.answer(400, List.of(), "{}");
+        }
+    }
+
+    private void begin(Inbound from, String service, String host, String nonce) throws IOException {
+        if (service.isEmpty() || host.isEmpty() || nonce.isEmpty()) {
+            from.answer(400, List.of(), "{}");
+            return;
+        }
+        Instance i = byNonce.get(service + " " + nonce);
+        if (i == null && !hosts.containsKey(host)) {
+            from.answer(409, List.of(), "{}");
+            return;
+        }
+        if (i == null) {
+            try (ServerSocket free = new ServerSocket(0, 1, ip)) {
+                i = new Instance("i-" + (byNonce.size() + 1), service, host,
+                    new InetSocketAddress(ip, free.getLocalPort()));
+            }
+            byNonce.put(service + " " + nonce, i);
+            instances.put(i.id, i);
+            turns.after(boot, i::start);
+        }
+        from.answer(200, List.of(), Json.write(Map.of("Identifier", i.id, "Address", Address.text(i.address))));
+    }
+
+    private Map<String, Object> list() {
+        List<Object> all = new ArrayList<>();
+        for (Instance i : instances.values()) {
+            if (turns.now() > i.startedAt + lag) {
+                all.add(Map.of("Identifier", i.id, "Service", i.service, "Address", Address.text(i.address), "Zone",
+                    hosts.get(i.host), "Worker", i.host, "ConcurrencySlots", slots, "State", "ready"));
+            }
+        }
+        return Map.of("Instances", all);
+    }
+
+    private Map<String, Object> workers() {
+        List<Object> all = new ArrayList<>();
+        hosts.forEach((name, zone) -> all.add(Map.of("Name", name, "Zone", zone, "MemoryMb", 8192, "FreeMemoryMb",
+            8192, "State", "ready")));
+        return Map.of("Workers", all);
+    }
+
+    @Override
+    public void idle(Inbound connection, boolean idle) { }
+
+    @Override
+    public void unreadable(BadMessage fault) { }
+
+    @Override
+    public void closed(Inbound connection) {
+        listener.acceptOn();
+    }
+}
