--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run demo
+.PHONY: build test lint run demo platform
 
 build:
 	$(BUILD)
@@ -26,3 +26,7 @@
 # A scheduler, a small stand-in fleet and a load with two faults for 20 s; ends with the rules and figures.
 demo: build
 	java -jar $(JAR) experiment deploy/experiments/demo.toml --out target/demo
+
+# A small platform on loopback: three barometers, two anemometers, a stand-in for the machines of instances.
+platform: build
+	java -jar $(JAR) platform
