--- a/src/main/java/gingerspool/almanac/Almanac.java
+++ b/src/main/java/gingerspool/almanac/Almanac.java
@@ -176,7 +176,8 @@
                 throw new BadConfiguration(at + "stands twice or has no Name");
             }
             if (!services.contains(r.getService())) {
-                throw new BadConfiguration(at + "names Service \"" + r.getService() + "\", which isn't there");
+                throw new BadConfiguration(at + "names Service \"" + r.getService()
+                    + "\", which isn't there");
             }
             if (r.hasTimeout() && r.getTimeout() <= 0) {
                 throw new BadConfiguration(at + "has TimeoutMs " + r.getTimeout());
--- a/src/main/java/gingerspool/anemometer/Anemometer.java
+++ b/src/main/java/gingerspool/anemometer/Anemometer.java
@@ -30,15 +30,17 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * One scheduler process: joins the doors for clients and readiness, the links to the core, and a desk for each
- * function that was asked for. Everything happens on one loop. Decides nothing itself.
+ * One scheduler process: joins the doors for clients and readiness, the links to the core, and a desk for
+ * each function that was asked for. Everything happens on one loop. Decides nothing itself.
  */
 public final class Anemometer implements Inbound.Door, Listener.Owner, Desk.House {
     private static final Logger LOG = LogManager.getLogger(Anemometer.class);
     /** Descriptors that clients, and connections to instances, may hold, in parts of all. */
     private static final double CLIENTS = 0.6;
     private static final double INSTANCES = 0.25;
-    /** Connecting to an instance may take this part of a heartbeat interval; resting ones are kept so long. */
+    /**
+     * Connecting to an instance may take this part of a heartbeat interval; resting ones are kept so long.
+     */
     private static final double CONNECT = 0.25;
     private static final double KEPT = 10_000;
     /** Limits before there is a configuration. */
@@ -52,7 +54,9 @@
     private static final double WAITS = 10_000;
     /** Where to come back to while there is no configuration here. */
     private static final String SOON = "Retry-After: 0.5";
-    /** After SIGTERM clients come for so many heartbeat intervals more; all ends in this part of the grace. */
+    /**
+     * After SIGTERM clients come for so many heartbeat intervals more; all ends in this part of the grace.
+     */
     private static final double STILL_COMING = 2;
     private static final double LEAVES = 0.9;
     private static final double SUMMARY = 10_000;
@@ -105,9 +109,9 @@
 
     private void summary() {
         int refusals = desks.values().stream().mapToInt(d -> d.refusals).sum();
-        LOG.info("summary version={} led={} clients={} in_hand={} taken={} served={} refused={} failed={} full={}"
-            + " timer_late={}", configuration.getVersion(), core.isLed(), clients.size(), visits.size(), taken,
-            served, refused, failed, refusals, 0);
+        LOG.info("summary version={} led={} clients={} in_hand={} taken={} served={} refused={} failed={}"
+            + " full={}", configuration.getVersion(), core.isLed(), clients.size(), visits.size(), taken,
+            served, refused, failed, refusals);
         loop.after(SUMMARY, this::summary);
     }
 
@@ -262,7 +266,8 @@
         String id = request.field("request-id");
         if (route == null || id == null) {
             refused++;
-            from.answer(route == null ? 404 : 400, List.of(), route == null ? "no such route" : "no Request-Id");
+            from.answer(route == null ? 404 : 400, List.of(), route == null ? "no such route"
+                : "no Request-Id");
             return;
         }
         visit(from, request, route, id);
--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -36,7 +36,10 @@
  * Dispatcher, which picks the instance as soon as a slot is there and decides on further assignments.
  */
 final class Desk implements Outlet, Trip.Home {
-    /** Spans in parts of a heartbeat interval: how long a slot is kept idle, and how often desks are looked over. */
+    /**
+     * Spans in parts of a heartbeat interval: how long a slot is kept idle, and how often desks are looked
+     * over.
+     */
     private static final double LINGER = 0.25;
     private static final double LOOK = 0.02;
     /** Parts of a start's time: the first knock at an instance, the pause between two, and the last one. */
@@ -195,10 +198,14 @@
     }
 
     private static String key(Route r, boolean late) {
-        return r.getKind() + " " + r.getAim() + " " + r.getTimeout() + " " + r.getPriority() + (late ? " late" : "");
+        return r.getKind() + " " + r.getAim() + " " + r.getTimeout() + " " + r.getPriority() + (late ? " late"
+            : "");
     }
 
-    /** The profile of this sort; until the Dispatcher is renewed the most careful one stands in for a new sort. */
+    /**
+     * The profile of this sort; until the Dispatcher is renewed the most careful one stands in for a new
+     * sort.
+     */
     private Profile profile(Route r, boolean late) {
         String key = key(r, late);
         Profile careful = null;
@@ -344,7 +351,10 @@
         return List.of("Retry-After: " + Math.max(1, Math.round(pause)) / 1000.0);
     }
 
-    /** Guards against a leader that is gone or stands still: without one, one slot is used as if it were ours. */
+    /**
+     * Guards against a leader that is gone or stands still: without one, one slot is used as if it were
+     * ours.
+     */
     private void blind() {
         if (queue.isEmpty() || house.leaderless() < house.settings().beat / 2
             || seats.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
--- a/src/main/java/gingerspool/anemometer/FromInstance.java
+++ b/src/main/java/gingerspool/anemometer/FromInstance.java
@@ -16,6 +16,9 @@
         "content-length", "te", "trailer", "upgrade", "proxy-connection", "proxy-authenticate",
         "proxy-authorization", "expect", "remaining-milliseconds", "expected-instance");
 
+    /** To a client these promise that the request did not run and never will. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
     private FromInstance() { }
 
     /** The client's request for this instance, unchanged but for the time left. */
@@ -38,7 +41,8 @@
     /** The fields that are passed on. */
     static List<String> fields(Message from) {
         String connection = from.field("connection");
-        String named = connection == null ? "" : "," + connection.toLowerCase(Locale.ROOT).replace(" ", "") + ",";
+        String named = connection == null ? "" : "," + connection.toLowerCase(Locale.ROOT).replace(" ", "")
+            + ",";
         List<String> all = new ArrayList<>();
         from.eachField((name, value) -> {
             if (!OWN.contains(name) && !named.contains("," + name + ",")) {
@@ -63,14 +67,15 @@
         boolean told = answer.field("not-executed") != null || status == 421;
         boolean whole = answer.field("request-id") != null && answer.field("content-encoding") == null;
         return told ? Outcome.FULL
-            : !whole || status < 300 && answer.field("server-stamp") == null || status >= 500 ? Outcome.ERROR
+            : !whole || status < 300 && answer.field("server-stamp") == null || status >= 500
+                || PROMISES.contains(status) ? Outcome.ERROR
             : Outcome.OK;
     }
 
     /** Whether a failure may be passed on as it is: it must not promise what is not so. */
     static boolean mayPass(Message failure) {
         return failure != null && failure.status() >= 400 && failure.field("request-id") != null
-            && failure.field("content-encoding") == null && !Set.of(429, 503, 408, 421).contains(failure.status());
+            && failure.field("content-encoding") == null && !PROMISES.contains(failure.status());
     }
 
     static byte[] text(String s) {
--- a/src/main/java/gingerspool/anemometer/Seat.java
+++ b/src/main/java/gingerspool/anemometer/Seat.java
@@ -25,7 +25,8 @@
     double startsAt;
     double idleSince;
 
-    Seat(String instance, Desk desk, InetSocketAddress address, String zone, int capacity, int berth, int worker) {
+    Seat(String instance, Desk desk, InetSocketAddress address, String zone, int capacity, int berth,
+        int worker) {
         this.instance = instance;
         this.desk = desk;
         this.address = address;
--- a/src/main/java/gingerspool/anemometer/Visit.java
+++ b/src/main/java/gingerspool/anemometer/Visit.java
@@ -27,7 +27,8 @@
     /** A failure of a worker, to be passed on if nothing better comes. */
     Message failure;
 
-    Visit(String id, Inbound client, Message request, Route route, double cameAt, double dueAt, boolean first) {
+    Visit(String id, Inbound client, Message request, Route route, double cameAt, double dueAt,
+        boolean first) {
         super(id);
         this.client = client;
         this.request = request;
--- a/src/main/java/gingerspool/anemometer/package-info.java
+++ b/src/main/java/gingerspool/anemometer/package-info.java
@@ -1,2 +1,4 @@
-/** The data plane's program on front machines: takes requests, finds their route, has the Dispatchers decide. */
+/**
+ * The data plane's program on front machines: takes requests, finds their route, has the Dispatchers decide.
+ */
 package gingerspool.anemometer;
--- a/src/main/java/gingerspool/barograph/Ledger.java
+++ b/src/main/java/gingerspool/barograph/Ledger.java
@@ -21,11 +21,11 @@
 import org.h2.mvstore.MVStoreException;
 
 /**
- * The member's store on disk: one MVStore file, `ledger-N.mv`, of which the highest N that can be read counts.
- * Map `entries`: place to entry. Map `meta`: `form`, `promise` (member, view, granted) and `base`. A change is
- * one commit, synced. Space in a file is never used again, so what was synced stays whatever a cut tears; once
- * a file has grown, the whole content goes to the next one, which is synced before the older is removed.
- * Blocks; for one thread.
+ * The member's store on disk: one MVStore file, `ledger-N.mv`, of which the highest N that can be read
+ * counts. Map `entries`: place to entry. Map `meta`: `form`, `promise` (member, view, granted) and `base`. A
+ * change is one commit, synced. Space in a file is never used again, so what was synced stays whatever a cut
+ * tears; once a file has grown, the whole content goes to the next one, which is synced before the older is
+ * removed. Blocks; for one thread.
  */
 public final class Ledger implements AutoCloseable {
     /** The form of what is written here; another is not read. */
@@ -128,7 +128,9 @@
         meta = store.openMap("meta");
     }
 
-    /** Writes the changes with a sync. On an exception what the disk holds is unknown: rewrite() must follow. */
+    /**
+     * Writes the changes with a sync. On an exception what the disk holds is unknown: rewrite() must follow.
+     */
     public void save(List<Change> changes) throws LedgerException {
         try {
             if (store == null || store.isClosed()) {
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -147,7 +147,8 @@
             Peer p = e.getValue();
             // Guards against links that a cut has left half dead: a new one works as soon as the cut ends.
             boolean silent = p.up && now > Math.max(p.heardAt, p.triedAt) + SILENT * settings.beat;
-            if (p.link != null && (silent || !wanted.contains(e.getKey()) && now > p.heardAt + 4 * settings.beat)) {
+            if (p.link != null && (silent || !wanted.contains(e.getKey()) && now > p.heardAt
+                + 4 * settings.beat)) {
                 p.link.close();
             }
         }
@@ -197,7 +198,8 @@
         }
         if (leads && duty == null) {
             dutyView = order.view();
-            duty = new Duty(loop, settings, dutyView, () -> order.leads(loop.now()), this::tell, this::tellAll);
+            duty = new Duty(loop, settings, dutyView, () -> order.leads(loop.now()), this::tell,
+                this::tellAll);
             duty.configured(almanac.configuration());
             LOG.info("duty.begins view={} members={}", dutyView, order.members());
             sendStandings();
@@ -232,9 +234,9 @@
     }
 
     private void summary() {
-        LOG.info("summary member={} view={} leads={} delivered={} version={} fronts={} reads={} changes={} refused={}"
-            + " disk_failing={}", order.self(), order.view(), order.leads(loop.now()), order.delivered(),
-            almanac.version(), fronts.size(), reads, changes, refused, writer.isFailing());
+        LOG.info("summary member={} view={} leads={} delivered={} version={} fronts={} reads={} changes={}"
+            + " refused={} disk_failing={}", order.self(), order.view(), order.leads(loop.now()),
+            order.delivered(), almanac.version(), fronts.size(), reads, changes, refused, writer.isFailing());
         if (duty != null) {
             duty.log();
         }
@@ -314,7 +316,8 @@
                 answer(call, 503, "no leader is known here just now");
             } else {
                 InetSocketAddress there = new InetSocketAddress(leader.ip(), settings.control.getPort());
-                call.from().answer(307, List.of("Location: http://" + Address.text(there) + call.target()), "");
+                call.from().answer(307, List.of("Location: http://" + Address.text(there) + call.target()),
+                    "");
             }
         } else if (call instanceof Call.Read) {
             reads++;
--- a/src/main/java/gingerspool/barometer/Duty.java
+++ b/src/main/java/gingerspool/barometer/Duty.java
@@ -19,8 +19,9 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * What the leader of a view does alone: reads the platform's lists, keeps the slots, starts and stops instances.
- * The view's number is the fence. Every call asks first whether the lease still holds. Ends with the view.
+ * What the leader of a view does alone: reads the platform's lists, keeps the slots, starts and stops
+ * instances. The view's number is the fence. Every call asks first whether the lease still holds. Ends with
+ * the view.
  */
 final class Duty implements Scaler.Outlet, Keeper.Outlet {
     private static final Logger LOG = LogManager.getLogger(Duty.class);
@@ -184,7 +185,8 @@
                 scaler.started(now, nonce, id, Tree.text("", a.tree(), "Address"));
             } else if ((a.status() == 0 || a.status() >= 500) && tries < TRIES) {
                 // It may have been carried out: the same nonce gives the same instance.
-                again(() -> start(f, host, nonce, tries + 1), () -> scaler.startFailed(turns.now(), nonce, false));
+                again(() -> start(f, host, nonce, tries + 1), () -> scaler.startFailed(turns.now(), nonce,
+                    false));
             } else {
                 refusals++;
                 scaler.startFailed(now, nonce, a.status() == 409);
--- a/src/main/java/gingerspool/barometer/Platform.java
+++ b/src/main/java/gingerspool/barometer/Platform.java
@@ -18,8 +18,8 @@
 import java.util.function.Consumer;
 
 /**
- * Calls of the platform's interface: lists, starts and stops. Every call has one end; silence and answers that
- * can't be read are ends as well.
+ * Calls of the platform's interface: lists, starts and stops. Every call has one end; silence and answers
+ * that can't be read are ends as well.
  */
 final class Platform {
     /** What a call came to: its status, 0 where no answer came that could be read; and the answer. */
@@ -86,7 +86,8 @@
         byte[] body = Json.write(tree).getBytes(java.nio.charset.StandardCharsets.UTF_8);
         call(Inbound.joined("POST " + target + " HTTP/1.1\r\nHost: " + Address.text(address)
             + "\r\nDuty-Holder: " + holder + "\r\nFence-Number: " + fence
-            + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n", body), then);
+            + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n", body),
+            then);
     }
 
     private void call(byte[] request, Consumer<Answer> then) {
--- a/src/main/java/gingerspool/cli/Platforms.java
+++ b/src/main/java/gingerspool/cli/Platforms.java
@@ -36,7 +36,7 @@
         private Program() { }
 
         @Command(name = "anemometer", mixinStandardHelpOptions = true,
-            description = "The data plane, on a front machine; its settings file is named by GINGERSPOOL_CONFIG.")
+            description = "The data plane, on a front machine. GINGERSPOOL_CONFIG names its settings file.")
         static final class Front implements Callable<Integer> {
             @Override
             public Integer call() {
@@ -45,7 +45,7 @@
         }
 
         @Command(name = "barometer", mixinStandardHelpOptions = true,
-            description = "The control plane, on a core machine; its settings file is named by GINGERSPOOL_CONFIG.")
+            description = "The control plane, on a core machine. GINGERSPOOL_CONFIG names its settings file.")
         static final class Core implements Callable<Integer> {
             @Override
             public Integer call() {
@@ -96,8 +96,8 @@
     }
 
     @Command(name = "platform", mixinStandardHelpOptions = true, description = "Starts a small platform on "
-        + "loopback, three barometers, two anemometers and a stand-in for the machines that instances run on, "
-        + "gives it a configuration, sends a request, and ends.")
+        + "loopback, three barometers, two anemometers and a stand-in for the machines that instances run "
+        + "on, gives it a configuration, sends a request, and ends.")
     static final class Small implements Callable<Integer> {
         @Spec
         CommandSpec spec;
@@ -126,7 +126,8 @@
     public static final class Running implements AutoCloseable {
         /** What operators would send. */
         public static final String CONFIGURATION = """
-            {"Version":1,"Routes":[{"Name":"r","HostName":"127.0.6.1","PathPrefix":"/hello/","RouteKind":"safe",
+            {"Version":1,"Routes":[{"Name":"r","HostName":"127.0.6.1","PathPrefix":"/hello/",
+            "RouteKind":"safe",
             "TimeoutMs":8000,"TargetLatencyMs":2000,"Priority":1,"Service":"hello","MaxAttempts":2}],
             "Services":[{"Name":"hello","HealthPath":null,"ConnectionLimit":20,"MemoryMb":128,"BootMs":200,
             "MaxConcurrency":2}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,
@@ -187,7 +188,8 @@
                 RatePerS = 50.0
                 LagMs = 100
                 DutyPerS = 50.0
-                """.formatted(name, ip, INNER, INNER + 15, CONTROL, CONTROL, CONTROL, folder.resolve(name), ip,
+                """.formatted(name, ip, INNER, INNER + 15, CONTROL, CONTROL, CONTROL,
+                folder.resolve(name), ip,
                 FRONT, ip, READINESS, ip, CONTROL, Address.text(cloud.address())));
             return Settings.read(file);
         }
@@ -203,22 +205,26 @@
         /** Sends the configuration until it is taken. */
         public HttpResponse<String> configure() throws InterruptedException {
             return until(200, 40, HttpRequest.newBuilder(URI.create(control() + "/v1/configuration/replace"))
-                .header("Based-On-Version", "0").POST(HttpRequest.BodyPublishers.ofString(CONFIGURATION)).build());
+                .header("Based-On-Version",
+                    "0").POST(HttpRequest.BodyPublishers.ofString(CONFIGURATION)).build());
         }
 
         /** Reads the configuration back from this machine of the core. */
         public HttpResponse<String> read(int machine) throws InterruptedException {
-            return until(200, 40, HttpRequest.newBuilder(URI.create("http://127.0.5." + machine + ":" + CONTROL
+            return until(200, 40,
+                HttpRequest.newBuilder(URI.create("http://127.0.5." + machine + ":" + CONTROL
                 + "/v1/configuration/read")).build());
         }
 
         /** Sends a request until it is served, so many times at the most. */
         public HttpResponse<String> request(String path, int tries) throws InterruptedException {
             return until(200, tries, HttpRequest.newBuilder(URI.create("http://127.0.6.1:" + FRONT + path))
-                .header("Request-Id", "demo-" + System.nanoTime()).header("Remaining-Milliseconds", "8000").build());
+                .header("Request-Id", "demo-" + System.nanoTime()).header("Remaining-Milliseconds",
+                    "8000").build());
         }
 
-        private HttpResponse<String> until(int status, int tries, HttpRequest request) throws InterruptedException {
+        private HttpResponse<String> until(int status, int tries,
+            HttpRequest request) throws InterruptedException {
             HttpResponse<String> last = null;
             for (int i = 0; i < tries && (last == null || last.statusCode() != status); i++) {
                 try {
--- a/src/main/java/gingerspool/cli/Station.java
+++ b/src/main/java/gingerspool/cli/Station.java
@@ -12,7 +12,10 @@
 import org.apache.logging.log4j.Logger;
 import sun.misc.Signal;
 
-/** Starts one of the platform's two programs and ends it in order. Exit codes: 0 done, 1 can't run, 2 settings. */
+/**
+ * Starts one of the platform's two programs and ends it in order. Exit codes: 0 done, 1 can't run, 2
+ * settings.
+ */
 public final class Station {
     private Station() { }
 
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -12,10 +12,10 @@
 import java.util.Map;
 
 /**
- * Keeps the slots of all instances: gives each to one scheduler at a time, so that all together never send an
- * instance more than it may hold. A scheduler keeps what it was given until it gives it back; one that can't be
- * reached keeps it for a while more. A new keeper knows of slots what schedulers tell as they enrol, and gives
- * nothing until they had the time to. Times are milliseconds of a steady clock.
+ * Keeps the slots of all instances: gives each to one scheduler at a time, so that all together never send
+ * an instance more than it may hold. A scheduler keeps what it was given until it gives it back; one that
+ * can't be reached keeps it for a while more. A new keeper knows of slots what schedulers tell as they
+ * enrol, and gives nothing until they had the time to. Times are milliseconds of a steady clock.
  */
 public final class Keeper {
     /** Schedulers' slots are theirs for so many beats after their link broke. */
--- a/src/main/java/gingerspool/radiosonde/Vocabulary.java
+++ b/src/main/java/gingerspool/radiosonde/Vocabulary.java
@@ -11,7 +11,8 @@
     public static final List<Class<?>> ALL = List.of(Member.class, Entry.class, Base.class, Letter.class,
         Letter.Post.class,
         Letter.Stop.class, Letter.Stopped.class, Letter.Append.class, Letter.Whole.class,
-        Letter.Appended.class, Letter.Join.class, Letter.Take.class, Words.Hello.class, Words.Standing.class, Words.Enrol.class,
+        Letter.Appended.class, Letter.Join.class, Letter.Take.class, Words.Hello.class, Words.Standing.class,
+            Words.Enrol.class,
         Words.Enrolled.class, Words.News.class, Words.Heard.class, Words.Want.class, Words.Grant.class,
         Words.Recall.class, Words.Back.class, Words.Shun.class, Words.Command.class,
         Words.Schedulers.class);
--- a/src/main/java/gingerspool/radiosonde/Words.java
+++ b/src/main/java/gingerspool/radiosonde/Words.java
@@ -32,14 +32,15 @@
     public record Heard(long number) { }
 
     /**
-     * What a scheduler wants of a function: slots at started instances that it still lacks after all grants up
-     * to this count, the tasks that it has in hand and that have come in all, on this link, and the mean
+     * What a scheduler wants of a function: slots at started instances that it still lacks after all grants
+     * up to this count, the tasks that it has in hand and that have come in all, on this link, and the mean
      * running time that it has seen (0: none).
      */
     public record Want(String function, int lacks, long granted, int inHand, long came, double run) { }
 
     /** Slots given: an instance, how many, and how long until it has started (0: it has). */
-    public record Grant(String function, String instance, String address, String zone, int capacity, int slots,
+    public record Grant(String function, String instance, String address, String zone, int capacity,
+        int slots,
         double startsIn, int inFlight) { }
 
     /** Others lack slots: so many of this function's are to be given back as they fall free. */
--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -10,14 +10,16 @@
 import java.util.Map;
 
 /**
- * The wanted instances of each function, and the difference to what is: starts what is missing and stops what
- * has stood idle. Starts come first where most is lacked; all within the platform's rate. Times are
+ * The wanted instances of each function, and the difference to what is: starts what is missing and stops
+ * what has stood idle. Starts come first where most is lacked; all within the platform's rate. Times are
  * milliseconds of a steady clock.
  */
 public final class Scaler {
     /** This share of tasks may wait for a slot for longer than their aim allows. */
     private static final double LATE = 0.02;
-    /** An instance more than wanted is stopped after so many starts' time; the last one after so many unused. */
+    /**
+     * An instance more than wanted is stopped after so many starts' time; the last one after so many unused.
+     */
     private static final double IDLE = 2;
     private static final double IDLE_LAST = 2;
     /** One that is called more often than so many times in a start's time is kept for longer. */
@@ -172,7 +174,8 @@
         double backlog = load + f.lacks() * run / Math.max(run, span);
         boolean mustStand = f.aim < SURE * f.boot + run;
         int n = mustStand || f.inHand() > 0 ? 1 : 0;
-        while (n > 0 && (n * f.concurrency < backlog || Waits.longer(n * f.concurrency, load, span / run) > LATE)) {
+        while (n > 0 && (n * f.concurrency < backlog || Waits.longer(n * f.concurrency, load,
+            span / run) > LATE)) {
             n++;
         }
         return n;
--- a/src/main/java/gingerspool/standin/Cloud.java
+++ b/src/main/java/gingerspool/standin/Cloud.java
@@ -123,8 +123,12 @@
         }
     }
 
-    /** Hosts by name with their zones; spans in milliseconds. Listens at once, at a port of the system's choice. */
-    public Cloud(Turns turns, String ip, Map<String, String> hosts, double boot, double work, double lag, int slots)
+    /**
+     * Hosts by name with their zones; spans in milliseconds. Listens at once, at a port of the system's
+     * choice.
+     */
+    public Cloud(Turns turns, String ip, Map<String, String> hosts, double boot, double work, double lag,
+        int slots)
         throws IOException {
         this.turns = turns;
         this.ip = InetAddress.getByName(ip);
@@ -169,7 +173,8 @@
             switch (m.method() + " " + m.target().split("\\?", 2)[0]) {
                 case "GET /instances" -> from.answer(200, List.of(), Json.write(list()));
                 case "GET /v1/workers" -> from.answer(200, List.of(), Json.write(workers()));
-                case "POST /v1/begin" -> begin(from, Tree.text("", body, "Service"), Tree.text("", body, "Worker"),
+                case "POST /v1/begin" -> begin(from, Tree.text("", body, "Service"),
+                    Tree.text("", body, "Worker"),
                     Tree.text("", body, "Nonce"));
                 case "POST /v1/stop" -> {
                     Instance i = instances.remove(Tree.text("", body, "Identifier"));
@@ -204,14 +209,16 @@
             instances.put(i.id, i);
             turns.after(boot, i::start);
         }
-        from.answer(200, List.of(), Json.write(Map.of("Identifier", i.id, "Address", Address.text(i.address))));
+        from.answer(200, List.of(),
+            Json.write(Map.of("Identifier", i.id, "Address", Address.text(i.address))));
     }
 
     private Map<String, Object> list() {
         List<Object> all = new ArrayList<>();
         for (Instance i : instances.values()) {
             if (turns.now() > i.startedAt + lag) {
-                all.add(Map.of("Identifier", i.id, "Service", i.service, "Address", Address.text(i.address), "Zone",
+                all.add(Map.of("Identifier", i.id, "Service", i.service, "Address", Address.text(i.address),
+                    "Zone",
                     hosts.get(i.host), "Worker", i.host, "ConcurrencySlots", slots, "State", "ready"));
             }
         }
@@ -220,7 +227,8 @@
 
     private Map<String, Object> workers() {
         List<Object> all = new ArrayList<>();
-        hosts.forEach((name, zone) -> all.add(Map.of("Name", name, "Zone", zone, "MemoryMb", 8192, "FreeMemoryMb",
+        hosts.forEach((name, zone) ->
+            all.add(Map.of("Name", name, "Zone", zone, "MemoryMb", 8192, "FreeMemoryMb",
             8192, "State", "ready")));
         return Map.of("Workers", all);
     }
--- a/src/main/java/gingerspool/station/Settings.java
+++ b/src/main/java/gingerspool/station/Settings.java
@@ -13,8 +13,8 @@
 import java.util.stream.Collectors;
 
 /**
- * What a process is told in its settings file. Times are milliseconds, rates a second. Keys that aren't asked
- * for are passed over, since new ones may appear.
+ * What a process is told in its settings file. Times are milliseconds, rates a second. Keys that aren't
+ * asked for are passed over, since new ones may appear.
  */
 public final class Settings {
     /** The variable that holds the file's path. */
@@ -115,7 +115,8 @@
             try {
                 all.add(Address.read(text));
             } catch (BadMessage e) {
-                s.fault(key, "holds \"" + text + "\", wanted a numeric address and port such as 10.0.0.1:8080");
+                s.fault(key, "holds \"" + text
+                    + "\", wanted a numeric address and port such as 10.0.0.1:8080");
             }
         }
         return all;
--- a/src/main/java/gingerspool/weathervane/Change.java
+++ b/src/main/java/gingerspool/weathervane/Change.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * What goes to disk at once, or not at all: whose disk it is, the promise (view and whom it was granted to, or
- * null), all entries from a place on, and a new base where that is not null. The ticket counts up.
+ * What goes to disk at once, or not at all: whose disk it is, the promise (view and whom it was granted to,
+ * or null), all entries from a place on, and a new base where that is not null. The ticket counts up.
  */
-public record Change(long ticket, Member self, long view, Member granted, long from, List<Entry> entries, Base base) { }
+public record Change(long ticket, Member self, long view, Member granted, long from, List<Entry> entries,
+    Base base) { }
--- a/src/main/java/gingerspool/weathervane/Order.java
+++ b/src/main/java/gingerspool/weathervane/Order.java
@@ -13,10 +13,11 @@
 import java.util.UUID;
 
 /**
- * One member's part in the order of commands. A view has one leader, which puts commands in their places; they
- * are agreed on once enough members have them on disk. When the leader is silent a member asks the others to
- * stop: who grants it takes nothing more of older views. What the new leader lacks or has beyond is trimmed by
- * its own entries, which hold all that was agreed on, and the view goes on with an entry of its own.
+ * One member's part in the order of commands. A view has one leader, which puts commands in their places;
+ * they are agreed on once enough members have them on disk. When the leader is silent a member asks the
+ * others to stop: who grants it takes nothing more of older views. What the new leader lacks or has beyond
+ * is trimmed by its own entries, which hold all that was agreed on, and the view goes on with an entry of
+ * its own.
  *
  * <p>The leader also holds a lease: members stop for nobody else for a while after each of its beats, so that
  * no other can lead while most have answered lately. It stops trusting the lease a quarter before its end.
@@ -85,8 +86,8 @@
     private long began;
 
     /**
-     * A member as its disk left it. Who was there at the first start passes the founders and no disk's content;
-     * any other without content is a stranger, which must be taken in.
+     * A member as its disk left it. Who was there at the first start passes the founders and no disk's
+     * content; any other without content is a stranger, which must be taken in.
      */
     public Order(Member self, Saved disk, List<Member> founders, int tolerated, double lease, long seed,
         double now, Outlet out) {
@@ -144,8 +145,8 @@
     }
 
     /**
-     * Whether this member leads, holds the lease, and has delivered all that was agreed on before its view: only
-     * then it may answer for the state, and do what only one may.
+     * Whether this member leads, holds the lease, and has delivered all that was agreed on before its view:
+     * only then it may answer for the state, and do what only one may.
      */
     public boolean leads(double at) {
         return role == Role.LEADING && agreed >= began && at < leaseEnd();
@@ -308,7 +309,8 @@
             out.send(from, new Letter.Stopped(l.view(), false, sure));
             return;
         }
-        if (now < heldUntil && !from.equals(leader) || l.view() <= view || role == Role.LEADING && leads(now)) {
+        if (now < heldUntil && !from.equals(leader) || l.view() <= view || role == Role.LEADING
+            && leads(now)) {
             out.send(from, new Letter.Stopped(l.view(), false, false));
             return;
         }
@@ -380,7 +382,10 @@
 
     // ---- Order ----
 
-    /** Puts a command in its place; false where this member does not lead. Delivery tells that it is agreed on. */
+    /**
+     * Puts a command in its place; false where this member does not lead. Delivery tells that it is agreed
+     * on.
+     */
     public boolean submit(double at, byte[] command) {
         now = at;
         if (!leads(now)) {
@@ -404,7 +409,8 @@
             out.send(m, new Letter.Whole(view, base, agreed, now));
             p.next = base.place() + 1;
         } else {
-            List<Entry> news = List.copyOf(entries.subList((int) (p.next - base.place() - 1), entries.size()));
+            List<Entry> news = List.copyOf(entries.subList((int) (p.next - base.place() - 1),
+                entries.size()));
             out.send(m, new Letter.Append(view, p.next - 1, viewAt(p.next - 1), news, agreed, now));
             p.next = last() + 1;
         }
--- a/src/test/java/gingerspool/almanac/AlmanacTest.java
+++ b/src/test/java/gingerspool/almanac/AlmanacTest.java
@@ -11,8 +11,8 @@
 import org.testng.annotations.Test;
 
 public class AlmanacTest {
-    private static final String SERVICE = "{\"Name\":\"s\",\"HealthPath\":null,\"MemoryMb\":128,\"BootMs\":500,"
-        + "\"MaxConcurrency\":1,\"Odd\":{\"x\":[1]}}";
+    private static final String SERVICE = "{\"Name\":\"s\",\"HealthPath\":null,\"MemoryMb\":128,"
+        + "\"BootMs\":500,\"MaxConcurrency\":1,\"Odd\":{\"x\":[1]}}";
     private final Almanac almanac = new Almanac();
 
     private static byte[] bytes(String s) {
@@ -48,8 +48,10 @@
     @DataProvider
     Object[][] invalid() {
         return new Object[][] {{"{\"Version\":9,\"Routes\":[", "wanted"}, {"[]", "object"},
-            {whole(3, ""), "Version 3"}, {"{\"Routes\":[]}", "Version"}, {"{\"Version\":9,\"Routes\":7}", "outes"},
-            {whole(9, route("r", "/a/", "none", 1)), "none"}, {whole(9, route("r", "/a/", "s", 0)), "TimeoutMs"},
+            {whole(3, ""), "Version 3"}, {"{\"Routes\":[]}", "Version"}, {"{\"Version\":9,\"Routes\":7}",
+                "outes"},
+            {whole(9, route("r", "/a/", "none", 1)), "none"}, {whole(9, route("r", "/a/", "s", 0)),
+                "TimeoutMs"},
             {whole(9, route("r", "/a/", "s", 1) + "," + route("q", "/a/", "s", 1)), "\"r\""},
             {whole(9, route("r", "/a/", "s", 1) + "," + route("r", "/b/", "s", 1)), "\"r\""}};
     }
@@ -80,7 +82,8 @@
         Almanac b = new Almanac();
         b.restore(a.state());
         Object read = Json.read(b.text(), 0, b.text().length);
-        assertEquals(Tree.at(((java.util.List<?>) Tree.at(read, "Services")).get(0), "Odd", "x").toString(), "[1.0]");
+        assertEquals(Tree.at(((java.util.List<?>) Tree.at(read, "Services")).get(0), "Odd", "x").toString(),
+            "[1.0]");
         assertEquals(b.take(false, 3, bytes(change)).status(), 200, "known again after a snapshot");
         assertEquals(b.version(), 4);
     }
--- a/src/test/java/gingerspool/barograph/LedgerTest.java
+++ b/src/test/java/gingerspool/barograph/LedgerTest.java
@@ -62,7 +62,10 @@
         }
     }
 
-    /** A cut of power leaves some of what was written after the last sync, and rubbish: what was synced stays. */
+    /**
+     * A cut of power leaves some of what was written after the last sync, and rubbish: what was synced
+     * stays.
+     */
     @Test
     public void synchedContentOutlivesTornTails() throws Exception {
         Path at = folder();
--- a/src/test/java/gingerspool/hygrometer/KeeperTest.java
+++ b/src/test/java/gingerspool/hygrometer/KeeperTest.java
@@ -35,8 +35,9 @@
         recalled.clear();
         held.clear();
         granted.clear();
-        keeper.configured(Configuration.newBuilder().addServices(Service.newBuilder().setName("f").setBoot(500)
-            .setConcurrency(2).setMemory(128)).addRoutes(Route.newBuilder().setService("f").setAim(1000)).build());
+        keeper.configured(Configuration.newBuilder()
+            .addServices(Service.newBuilder().setName("f").setBoot(500).setConcurrency(2).setMemory(128))
+            .addRoutes(Route.newBuilder().setService("f").setAim(1000)).build());
         for (String front : List.of("a", "b", "c")) {
             keeper.enrolled(0, front, new Words.Enrol(front, "z" + front, 0, Map.of()));
         }
--- a/src/test/java/gingerspool/radiosonde/CoderTest.java
+++ b/src/test/java/gingerspool/radiosonde/CoderTest.java
@@ -24,7 +24,8 @@
             {new Words.Enrol("n", "z", 4, Map.of("i", 2))}, {new Words.Want("f", 1, 2, 3, 4, 5.5)},
             {new Words.Grant("f", "i", "10.0.0.1:1", "z", 4, 1, 0, 2)}, {new Words.Shun(List.of("i"))},
             {new Letter.Post(A, null, new Letter.Join(0))},
-            {new Letter.Post(A, A, new Letter.Append(1, 2, 1, List.of(new Entry(1, null, List.of(A))), 2, 7.5))},
+            {new Letter.Post(A, A, new Letter.Append(1, 2, 1, List.of(new Entry(1, null, List.of(A))), 2,
+                7.5))},
             {new Letter.Post(A, A, new Letter.Whole(1, new Base(0, 0, List.of(A), null), 0, 1))}};
     }
 
--- a/src/test/java/gingerspool/raingauge/ScalerTest.java
+++ b/src/test/java/gingerspool/raingauge/ScalerTest.java
@@ -74,7 +74,8 @@
         assertEquals(starts.size(), 0, "instances may be running already");
         hosts(4096);
         scaler.tick(650);
-        assertTrue(starts.contains("rare on h2"), starts + ": the zone of those who lack, a host that is ready");
+        assertTrue(starts.contains("rare on h2"), starts
+            + ": the zone of those who lack, a host that is ready");
         assertTrue(starts.stream().anyMatch(s -> s.startsWith("busy")), "its aim is shorter than a start");
     }
 
--- a/src/test/java/gingerspool/station/SettingsTest.java
+++ b/src/test/java/gingerspool/station/SettingsTest.java
@@ -47,8 +47,10 @@
     @DataProvider
     Object[][] faults() {
         return new Object[][] {{"10.1.0.3:8241", "localhost:1", ":12: ListenAddresses.FrontAddress"},
-            {"[7400,7415]", "[0]", ":4: InternalPortRange"}, {"FirstStart = true", "FirstStart = 1", ":6: FirstStart"},
-            {"Zone = \"a\"", "", "Zone is missing"}, {"GracePeriodS = 6", "GracePeriodS = \"6\"", "GracePeriodS"},
+            {"[7400,7415]", "[0]", ":4: InternalPortRange"}, {"FirstStart = true", "FirstStart = 1",
+                ":6: FirstStart"},
+            {"Zone = \"a\"", "", "Zone is missing"}, {"GracePeriodS = 6", "GracePeriodS = \"6\"",
+                "GracePeriodS"},
             {"[Zones]", "[Zones", "is not TOML"}};
     }
 
--- a/src/test/java/gingerspool/weatherhouse/Core.java
+++ b/src/test/java/gingerspool/weatherhouse/Core.java
@@ -20,9 +20,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The core in memory: machines with Orders, links that lose and are cut, disks that lose what was not synced,
- * fill up and hang, machines wiped and replaced, operators that race and repeat; all by a seed. The record of
- * what was acknowledged is its own, and what() says what is wrong with a history, or nothing.
+ * The core in memory: machines with Orders, links that lose and are cut, disks that lose what was not
+ * synced, fill up and hang, machines wiped and replaced, operators that race and repeat; all by a seed. The
+ * record of what was acknowledged is its own, and what() says what is wrong with a history, or nothing.
  */
 final class Core {
     static final double LEASE = 960;
@@ -70,7 +70,8 @@
             if (old && !founds) {
                 founders = seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList();
             }
-            order = new Order(new Member(ip, mark), disk, founders, tolerated, LEASE, chance.nextLong(), clock(),
+            order = new Order(new Member(ip, mark), disk, founders, tolerated, LEASE, chance.nextLong(),
+                clock(),
                 this);
             firstStart = false;
             tick(life);
@@ -270,7 +271,8 @@
         }
         long of = to.life;
         after(0.5 + 2 * chance.nextDouble(), () -> {
-            boolean its = p.letter() instanceof Letter.Join || to.order != null && p.to().equals(to.order.self());
+            boolean its = p.letter() instanceof Letter.Join || to.order != null
+                && p.to().equals(to.order.self());
             if (to.order != null && to.life == of && its) {
                 to.order.heard(to.clock(), p.from(), p.letter());
                 looked();
--- a/src/test/java/gingerspool/weatherhouse/OrderTest.java
+++ b/src/test/java/gingerspool/weatherhouse/OrderTest.java
@@ -6,7 +6,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Histories of the core, by seed: nothing acknowledged is lost, one winner, one leader, refused never in force. */
+/**
+ * Histories of the core, by seed: nothing acknowledged is lost, one winner, one leader, refused never in
+ * force.
+ */
 public class OrderTest {
     private static final int HISTORIES = Integer.getInteger("histories", 100);
     private static final double SPAN = 30_000;
--- a/src/test/java/gingerspool/wire/FramesTest.java
+++ b/src/test/java/gingerspool/wire/FramesTest.java
@@ -86,7 +86,8 @@
 
     @DataProvider
     Object[][] strangers() {
-        return new Object[][] {{new byte[] {-1, 0, 0, 0}}, {new byte[] {127, 0, 0, 0}}, {"GET / HT".getBytes()},
+        return new Object[][] {{new byte[] {-1, 0, 0, 0}}, {new byte[] {127, 0, 0, 0}},
+            {"GET / HT".getBytes()},
             {new byte[] {0, 0}}};
     }
 
