--- a/bench/classes.sh
+++ b/bench/classes.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Writes deploy/classes.lst, the classes that a start needs: `build` makes an archive of them that `run` maps.
+# Writes deploy/classes.lst and deploy/system-classes.lst, the classes that a start of the scheduler and of the
+# platform's programs needs: `build` makes archives of them that `run` maps.
 # A stale list costs only time: what it lacks is loaded from the jar as before. Ports are the script's own.
 # usage: bench/classes.sh, from the root, after a build
 set -euo pipefail
@@ -32,3 +33,10 @@
 wait $first $second || true
 grep -v '^#' "$dir/list" > deploy/classes.lst
 wc -l deploy/classes.lst
+# The platform's programs, all in one process; what only the command line and the stand-ins load stays out.
+flags=$(sed -n 's/^run = "java \(.*\) -jar .*"$/\1/p' deploy/system.toml | head -1 | sed 's/-XX:SharedArchiveFile=[^ ]*//')
+# shellcheck disable=SC2086
+TMPDIR="$dir" java $flags "-XX:DumpLoadedClassList=$dir/system" -jar target/gingerspool.jar platform > /dev/null 2>&1
+grep -v -E '^#|net/http|picocli|gingerspool/(standin|cli/(Platforms|Commands|Rigs))|jdk/internal/net' "$dir/system" \
+  > deploy/system-classes.lst
+wc -l deploy/system-classes.lst
