An instance that could not be reached uses up none of a request's attempts

Cause: MaxAttempts counts the workers that a try was sent to; one that refused the connection got nothing, yet a safe request of a route with two attempts had one left after it (seen after crashes of workers). Change: up to three such assignments are added to the request's terms.

--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -57,6 +57,8 @@
     /** Parts of the platform's budget of repeats that are used: of the share, and of the floor. */
     private static final double SHARE = 0.5;
     private static final double FLOOR = 0.5;
+    /** So many assignments of a request that reached no instance don't count as attempts. */
+    private static final int UNREACHED_MOST = 3;
     private static final double CROSS_FEE = 0.05;
     private static final int SAMPLES = 16;
     /** A running time to begin with, in parts of the aim. */
@@ -173,8 +175,8 @@
     /** What may be repeated goes to as many instances as its route allows; else only if none was reached. */
     private Terms terms(Visit v) {
         return v.profile.effect != Profile.Effect.IDEMPOTENT ? CAREFUL
-            : safeTerms.computeIfAbsent(Math.max(1, v.route.getAttempts()), n -> new Terms(n, 0, 0, 0, 0,
-                Math.min(2, n), copyAfter, purse, null));
+            : safeTerms.computeIfAbsent(Math.max(1, v.route.getAttempts()) + v.unreached,
+                n -> new Terms(n, 0, 0, 0, 0, Math.min(2, n), copyAfter, purse, null));
     }
 
     /** For each sort of its routes one profile in time and one for those past their aim. */
@@ -658,6 +660,11 @@
         } else if (how == Outcome.UNREACHABLE || answer != null && answer.status() == 421) {
             house.pool().empty(s.berth);
             back(s, s.idle(), Words.SEEN_LOST);
+            if (how == Outcome.UNREACHABLE && v.unreached < UNREACHED_MOST) {
+                // It was sent to nobody, so it is none of the attempts that its route allows.
+                v.unreached++;
+                v.terms = terms(v);
+            }
         } else if (how == Outcome.FULL) {
             refusals++;
             back(s, Math.min(1, s.idle()), Words.SEEN_FULL);
--- a/src/main/java/gingerspool/anemometer/Visit.java
+++ b/src/main/java/gingerspool/anemometer/Visit.java
@@ -24,6 +24,8 @@
     boolean placed;
     /** Those under way and those that ended, by number of the assignment. */
     final List<Trip> trips = new ArrayList<>(1);
+    /** Assignments that reached no instance. */
+    int unreached;
     /** A failure of a worker, to be passed on if nothing better comes. */
     Message failure;
 
