Slots of a scheduler that died are given to others after half a beat

The duty's log line says what instances hold, by memory and slots; status lines are made of the same record.

--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -153,7 +153,7 @@
             }
         }
         for (Map.Entry<Frames, Caller> e : List.copyOf(callers.entrySet())) {
-            if (now > e.getValue().heardAt + 2 * SILENT * settings.beat) {
+            if (now > e.getValue().heardAt + SILENT * settings.beat) {
                 e.getKey().close();
             }
         }
--- a/src/main/java/gingerspool/barometer/Duty.java
+++ b/src/main/java/gingerspool/barometer/Duty.java
@@ -225,7 +225,7 @@
     }
 
     void log() {
-        LOG.info("duty view={} functions={} instances={} fronts={} starts={} stops={} refused={}", view,
-            keeper.functions().size(), keeper.instances().size(), keeper.fronts(), starts, stops, refusals);
+        LOG.info("duty view={} functions={} fronts={} starts={} stops={} refused={} {}", view,
+            keeper.functions().size(), keeper.fronts(), starts, stops, refusals, keeper.load());
     }
 }
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -4,7 +4,6 @@
 import gingerspool.almanac.Route;
 import gingerspool.almanac.Service;
 import gingerspool.radiosonde.Words;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,8 +17,8 @@
  * enrol, and gives nothing until they had the time to. Times are milliseconds of a steady clock.
  */
 public final class Keeper {
-    /** Schedulers' slots are theirs for so many beats after their link broke. */
-    private static final double KEPT = 3;
+    /** Schedulers' slots are theirs for so many beats after their link broke: who lives is back by then. */
+    private static final double KEPT = 0.5;
     /** An instance that nobody reached is left alone for so many beats. */
     private static final double SUSPECT = 1;
     /** Schedulers have this part of a beat to tell a new keeper what they hold. */
@@ -333,21 +332,38 @@
         }
     }
 
-    /** A line for operators. */
-    public List<String> status() {
-        List<String> lines = new ArrayList<>();
-        for (Function f : functions.values()) {
-            if (!f.instances.isEmpty() || f.inHand() > 0) {
-                int slots = 0;
-                int held = 0;
-                for (Instance i : f.instances.values()) {
-                    slots += i.slots;
-                    held += i.inHands();
-                }
-                lines.add(f.name + " instances=" + f.instances.size() + " slots=" + slots + " held=" + held
-                    + " in_hand=" + f.inHand() + " lacks=" + f.lacks());
-            }
+    /** What all functions have and lack, or one alone; memory is megabytes. */
+    public record Load(int instances, int memory, int slots, int held, int inHand, int lacks) {
+        Load and(Load o) {
+            return new Load(instances + o.instances, memory + o.memory, slots + o.slots, held + o.held,
+                inHand + o.inHand, lacks + o.lacks);
+        }
+
+        @Override
+        public String toString() {
+            return "instances=" + instances + " memory_mb=" + memory + " slots=" + slots + " held=" + held
+                + " in_hand=" + inHand + " lacks=" + lacks;
+        }
+    }
+
+    public Load load() {
+        return functions.values().stream().map(Keeper::load).reduce(new Load(0, 0, 0, 0, 0, 0), Load::and);
+    }
+
+    private static Load load(Function f) {
+        int slots = 0;
+        int held = 0;
+        for (Instance i : f.instances.values()) {
+            slots += i.slots;
+            held += i.inHands();
         }
-        return lines;
+        return new Load(f.instances.size(), f.memory * f.instances.size(), slots, held, f.inHand(),
+            f.lacks());
+    }
+
+    /** Lines for operators: each function that has instances or tasks. */
+    public List<String> status() {
+        return functions.values().stream().filter(f -> !f.instances.isEmpty() || f.inHand() > 0)
+            .map(f -> f.name + " " + load(f)).toList();
     }
 }
