The last instance of a rare function stays only where the next task is near

Change: rates in a decider of their own, a burst is one that chance does not explain; the last instance is kept where a task is awaited within what a start is worth; first running times from functions of the same size; a scheduler keeps an idle slot only where its next request is likely within the linger.

--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/anemometer/Desk.java
@@ -41,6 +41,9 @@
      * over.
      */
     private static final double LINGER = 0.25;
+    /** Gaps between requests: the longest that counts, in parts of that, and how many are remembered. */
+    private static final double GAP_MOST = 8;
+    private static final int GAPS = 8;
     private static final double LOOK = 0.02;
     /** Parts of a start's time: the first knock at an instance, the pause between two, and the last one. */
     private static final double KNOCK_FIRST = 0.5;
@@ -117,6 +120,10 @@
     /** Requests that have come, since the leader took this scheduler on. */
     private long came;
     private long toldCame;
+    /** The mean gap between requests lately, and when the last one came. */
+    private double gap;
+    private int gaps;
+    private double cameAt = Double.NEGATIVE_INFINITY;
     /** Mean running time seen, 0 if none. */
     private double run;
     private boolean looking;
@@ -226,6 +233,8 @@
         if (inHand == 0) {
             renew();
         }
+        gap += (Math.min(turns.now() - cameAt, GAP_MOST * linger()) - gap) / Math.min(++gaps, GAPS);
+        cameAt = turns.now();
         inHand++;
         came++;
         queue.add(v);
@@ -377,7 +386,8 @@
         for (Seat s : List.copyOf(seats.values())) {
             int n = s.idle();
             boolean starting = !s.up && (inHand > underWay);
-            boolean lingers = now < s.idleSince + LINGER * house.settings().beat && !s.leaving;
+            // A slot is kept idle only where the next request is likely to come meanwhile.
+            boolean lingers = now < s.idleSince + linger() && gap < linger() && !s.leaving;
             if (n > 0 && !starting && (!lingers || recalled > 0)) {
                 int some = lingers ? Math.min(n, recalled) : n;
                 back(s, some, Words.SEEN_WELL);
@@ -387,6 +397,10 @@
         }
     }
 
+    private double linger() {
+        return LINGER * house.settings().beat;
+    }
+
     private void back(Seat s, int slots, int seen) {
         if (house.say(new Words.Back(s.instance, slots, seen))) {
             s.held -= slots;
--- a/src/main/java/gingerspool/hygrometer/Function.java
+++ b/src/main/java/gingerspool/hygrometer/Function.java
@@ -5,8 +5,6 @@
 
 /** One service of the configuration that the system starts instances for. Times are milliseconds. */
 public final class Function {
-    private static final double LONG = 20;
-
     public final String name;
     public double boot;
     public int concurrency;
@@ -18,12 +16,7 @@
     public final Map<String, Instance> instances = new LinkedHashMap<>();
     /** By scheduler. */
     final Map<String, Demand> demands = new LinkedHashMap<>();
-    /** Tasks a millisecond: smoothed over a short span, and over a longer one where it falls. */
-    public double rate;
-    public double rateSlow;
-    /** The same over twenty times the short span. */
-    public double rateLong;
-    private double rateAt;
+    public final Arrivals arrivals;
     /** Mean running time as schedulers have seen it, 0 if none has. */
     public double run;
 
@@ -39,8 +32,10 @@
         int recalled;
     }
 
-    Function(String name) {
+    /** Its newest rate looks back over this span. */
+    Function(String name, double span) {
         this.name = name;
+        arrivals = new Arrivals(span);
     }
 
     /** Tasks in hand, at all schedulers. */
@@ -59,13 +54,4 @@
         }
         return sum;
     }
-
-    /** So many tasks more have come; spans are in milliseconds. */
-    void came(double now, long more, double span, double spanSlow) {
-        double past = now - rateAt;
-        rate = rate * Math.exp(-past / span) + more / span;
-        rateSlow = Math.max(rate, rate + (rateSlow - rate) * Math.exp(-past / spanSlow));
-        rateLong = rateLong * Math.exp(-past / (LONG * span)) + more / (LONG * span);
-        rateAt = now;
-    }
 }
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/hygrometer/Keeper.java
@@ -23,9 +23,8 @@
     private static final double SUSPECT = 1;
     /** Schedulers have this part of a beat to tell a new keeper what they hold. */
     private static final double SETTLE = 0.15;
-    /** Rates are smoothed over so many beats, and over so many for falling. */
+    /** The newest rates look back over so many beats. */
     private static final double SPAN = 0.8;
-    private static final double SPAN_SLOW = 4;
 
     /** What a keeper calls to act. */
     public interface Outlet {
@@ -66,7 +65,7 @@
 
     /** The same, also where no configuration names it (any more). */
     public Function unrouted(String name) {
-        return functions.computeIfAbsent(name, Function::new);
+        return functions.computeIfAbsent(name, n -> new Function(n, SPAN * beat));
     }
 
     public Instance instance(String id) {
@@ -94,7 +93,7 @@
     public void configured(Configuration c) {
         functions.values().forEach(f -> f.routed = false);
         for (Service s : c.getServicesList()) {
-            Function f = functions.computeIfAbsent(s.getName(), Function::new);
+            Function f = unrouted(s.getName());
             f.boot = s.getBoot();
             f.concurrency = Math.max(1, s.getConcurrency());
             f.memory = s.getMemory();
@@ -153,7 +152,7 @@
         d.lacks = (int) Math.max(0, word.lacks() - Math.max(0, d.granted - word.granted()));
         d.since = before == 0 ? now : d.since;
         d.inHand = word.inHand();
-        f.came(now, Math.max(0, word.came() - d.came), SPAN * beat, SPAN_SLOW * beat);
+        f.arrivals.came(now, Math.max(0, word.came() - d.came));
         d.came = word.came();
         f.run = word.run() > 0 ? f.run == 0 ? word.run() : f.run + (word.run() - f.run) / 8 : f.run;
         give(f);
@@ -236,7 +235,7 @@
             }
         }
         for (Function f : functions.values()) {
-            f.came(now, 0, SPAN * beat, SPAN_SLOW * beat);
+            f.arrivals.came(now, 0);
             if (!f.demands.isEmpty()) {
                 give(f);
                 recall(f);
--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -17,17 +17,17 @@
 public final class Scaler {
     /** This share of tasks may wait for a slot for longer than their aim allows. */
     private static final double LATE = 0.02;
+    /** An instance more than wanted is stopped after so many starts' time. */
+    private static final double IDLE = 2;
     /**
-     * An instance more than wanted is stopped after so many starts' time; the last one after so many unused.
+     * A start is worth so many starts' time of standing idle: the start's own, what the platform charges for
+     * it, and what waiting for it takes from the task. The last instance is kept where the next task is
+     * awaited within that; else it goes once unused, or after a start's time where the rate isn't known yet.
      */
-    private static final double IDLE = 2;
-    private static final double IDLE_LAST = 2;
-    /** One that is called more often than so many times in a start's time is kept for longer. */
-    private static final double KEPT = 0.15;
-    private static final double IDLE_KEPT = 12;
+    private static final double START_WORTH = 3;
     /** Few starts take longer than so many times their mean. */
     private static final double SURE = 1.4;
-    /** Running time where none was seen, in parts of the aim. */
+    /** Running time where none was seen of any such function, in parts of the aim. */
     private static final double RUN = 0.2;
     /** The part of the platform's rate that is used. */
     private static final double RATE = 0.8;
@@ -53,6 +53,8 @@
     /** Starts that were asked for and not answered, by nonce. */
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     private final Map<Function, Double> surplusSince = new HashMap<>();
+    /** Mean running time by size of function. */
+    private final Map<String, Double> kinds = new HashMap<>();
     private long nonces;
     private double tokens;
     private double tokensAt;
@@ -136,6 +138,7 @@
         if (!hostsKnown || !listKnown) {
             return;
         }
+        findKinds();
         List<Function> order = new ArrayList<>(keeper.functions());
         order.sort((a, b) -> Integer.compare(b.lacks(), a.lacks()));
         for (Function f : order) {
@@ -150,6 +153,22 @@
         }
     }
 
+    /** Guards first tasks of rare functions: until one has run, others of its size tell how long it takes. */
+    private void findKinds() {
+        Map<String, Integer> seen = new HashMap<>();
+        kinds.clear();
+        for (Function f : keeper.functions()) {
+            if (f.run > 0) {
+                int n = seen.merge(kind(f), 1, Integer::sum);
+                kinds.merge(kind(f), f.run, (mean, run) -> mean + (run - mean) / n);
+            }
+        }
+    }
+
+    private static String kind(Function f) {
+        return f.memory + " " + f.concurrency + " " + f.aim;
+    }
+
     private int have(Function f) {
         int n = 0;
         for (Instance i : f.instances.values()) {
@@ -167,8 +186,8 @@
         if (!f.routed) {
             return 0;
         }
-        double run = f.run > 0 ? f.run : RUN * Math.min(f.aim, 1000);
-        double load = f.rateSlow * run;
+        double run = f.run > 0 ? f.run : kinds.getOrDefault(kind(f), RUN * Math.min(f.aim, 1000));
+        double load = f.arrivals.wanted() * run;
         double span = Math.max(0, f.aim / 2 - run);
         // What waits already is to be worked off within the same span.
         double backlog = load + f.lacks() * run / Math.max(run, span);
@@ -225,6 +244,12 @@
         return best;
     }
 
+    /** How long the last instance of a function stays unused. */
+    private static double unusedLast(Function f) {
+        return f.arrivals.usual() * START_WORTH * f.boot > 1 ? Double.POSITIVE_INFINITY
+            : f.arrivals.known() ? 0 : f.boot;
+    }
+
     /** Stops one instance that has been more than wanted for a while. */
     private void dropSurplus(Function f) {
         int wanted = wanted(f);
@@ -235,7 +260,7 @@
         }
         double since = surplusSince.computeIfAbsent(f, k -> now);
         double span = have == 1 ? 0 : IDLE * f.boot;
-        double unused = have > 1 ? span / 2 : f.boot * (f.rateLong * f.boot > KEPT ? IDLE_KEPT : IDLE_LAST);
+        double unused = have > 1 ? span / 2 : unusedLast(f);
         if (now < since + span || tokens < 1) {
             return;
         }
