The ledger outlives a loss of power at each write and sync of a modelled disk

Need: MVStore had been cut behind its last sync only. A layer of H2's own files records each write, cut and sync; the disk is laid out as a loss of power after each of them may leave it (later writes present, absent, torn), twelve times a step, and opened: what save() returned for is there.

--- a/src/main/java/gingerspool/barograph/Ledger.java
+++ b/src/main/java/gingerspool/barograph/Ledger.java
@@ -40,6 +40,8 @@
     public record Promise(Member self, long view, Member granted) { }
 
     private final Path folder;
+    /** What comes before a file's name for H2's file layer: "" for the disk itself. */
+    private final String scheme;
     private final long fileMost;
     private final Coder coder = new Coder(List.of(Promise.class, Member.class, Entry.class, Base.class));
     private MVStore store;
@@ -48,7 +50,12 @@
     private long number;
 
     public Ledger(Path folder, double diskMb) {
+        this(folder, diskMb, "");
+    }
+
+    Ledger(Path folder, double diskMb, String scheme) {
         this.folder = folder;
+        this.scheme = scheme;
         fileMost = (long) Math.max(MB, diskMb * MB * FULL);
     }
 
@@ -96,7 +103,7 @@
 
     /** Null where the file holds no whole content. */
     private Saved read(Path file) {
-        try (MVStore from = new MVStore.Builder().fileName(file.toString()).readOnly().open()) {
+        try (MVStore from = new MVStore.Builder().fileName(scheme + file).readOnly().open()) {
             MVMap<String, byte[]> m = from.openMap("meta");
             byte[] form = m.get("form");
             if (form == null || form.length != 1 || form[0] != FORM) {
@@ -122,7 +129,7 @@
         number++;
         Path file = folder.resolve(PREFIX + number + SUFFIX);
         Files.deleteIfExists(file);
-        store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(1).open();
+        store = new MVStore.Builder().fileName(scheme + file).autoCommitDisabled().cacheSize(1).open();
         store.setReuseSpace(false);
         entries = store.openMap("entries");
         meta = store.openMap("meta");
--- a/src/test/java/gingerspool/barograph/LedgerTest.java
+++ b/src/test/java/gingerspool/barograph/LedgerTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.testng.annotations.Test;
 
 public class LedgerTest {
@@ -104,4 +105,43 @@
             assertEquals(ledger.open().entries().size(), 1);
         }
     }
+
+    /**
+     * A ledger's life on a modelled disk, then a loss of power at every step of it: what save() had returned
+     * for is there each time, whichever of the later writes are present, absent or torn.
+     */
+    @Test
+    public void whatWasSavedOutlivesALossOfPowerAtEachWriteAndSync() throws Exception {
+        ModelDisk.begin();
+        Path at = folder();
+        // How many steps of the disk each change had taken when it was saved.
+        List<Integer> saved = new ArrayList<>();
+        try (Ledger ledger = new Ledger(at, 128, ModelDisk.SCHEME)) {
+            ledger.open();
+            ledger.save(List.of(change(1, 1, 1, 1, new Base(0, 0, List.of(SELF), null))));
+            saved.add(ModelDisk.steps());
+            for (int n = 2; n <= 24; n++) {
+                if (n % 8 == 0) {
+                    ledger.rewrite(change(n, n, 1, n, new Base(0, 0, List.of(SELF), null)));
+                } else {
+                    ledger.save(List.of(change(n, n, n, 1, null)));
+                }
+                saved.add(ModelDisk.steps());
+            }
+        }
+        SplittableRandom chance = new SplittableRandom(5);
+        for (int steps = saved.get(0); steps <= ModelDisk.steps(); steps++) {
+            int cut = steps;
+            int sure = (int) saved.stream().filter(s -> s <= cut).count();
+            for (int play = 0; play < 12; play++) {
+                Path left = folder();
+                ModelDisk.lay(left, cut, chance);
+                try (Ledger ledger = new Ledger(left, 128)) {
+                    Saved s = ledger.open();
+                    assertTrue(s != null && s.entries().size() >= sure && s.view() >= sure,
+                        "cut after step " + cut + " of the disk, " + sure + " were saved, found " + s);
+                }
+            }
+        }
+    }
 }
