Copies of the state are compared by digests over ranges and mended from what most hold

Need: the order's log repairs members that lag; nothing compared states, and a scheduler's copy was never looked at again. Change: thermograph, a decider: members tell digests of sixteen ranges at their place of the order, the leader compares; a member that differs gets what most hold, the leader itself asks for it, without a majority nothing is touched, and the base on disk is made anew. Schedulers tell the digest of their copy every four beats and get it again where it differs; a leader whose own copy is not what was taken tells it to nobody. Tried first: copies kept from one comparison to the next; a copy mended meanwhile voted for its damage. Sent again at each word of a scheduler: a storm, now once a beat.

--- a/src/main/java/gingerspool/almanac/Almanac.java
+++ b/src/main/java/gingerspool/almanac/Almanac.java
@@ -9,6 +9,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
@@ -189,6 +190,67 @@
         }
     }
 
+    // ---- Repair ----
+
+    /** All that is kept, as items by key: `F/field`, `N/list` (its length), `L/list/index`, `T/version`. */
+    public Map<String, String> items() {
+        Map<String, String> all = new TreeMap<>();
+        tree.forEach((field, value) -> {
+            if (value instanceof List<?> l) {
+                all.put("N/" + field, Json.write(List.of(l.size())));
+                for (int i = 0; i < l.size(); i++) {
+                    all.put("L/" + field + "/" + i, Json.write(Arrays.asList(l.get(i))));
+                }
+            } else {
+                all.put("F/" + field, Json.write(Arrays.asList(value)));
+            }
+        });
+        taken.forEach((version, digest) -> all.put("T/" + version, Json.write(List.of(digest))));
+        return all;
+    }
+
+    /** Takes items in place of whatever is known here; what makes no configuration is refused whole. */
+    public void mend(Map<String, String> items) throws BadConfiguration {
+        Map<String, Object> next = new LinkedHashMap<>();
+        TreeMap<Long, String> versions = new TreeMap<>();
+        try {
+            for (Map.Entry<String, String> e : items.entrySet()) {
+                String name = e.getKey().substring(2);
+                switch (e.getKey().charAt(0)) {
+                    case 'T' -> versions.put(Long.parseLong(name), (String) value(e.getValue()));
+                    case 'F' -> next.put(name, value(e.getValue()));
+                    case 'N' -> next.put(name, list(items, name, ((Number) value(e.getValue())).intValue()));
+                    default -> { }
+                }
+            }
+        } catch (BadMessage | ClassCastException | NumberFormatException | IndexOutOfBoundsException e) {
+            throw new BadConfiguration("items that can't be read: " + e.getMessage());
+        }
+        Configuration typed = typed(next);
+        tree = next;
+        configuration = typed;
+        taken.clear();
+        taken.putAll(versions);
+    }
+
+    private static List<Object> list(Map<String, String> items, String name, int length)
+        throws BadMessage, BadConfiguration {
+        List<Object> list = new ArrayList<>();
+        for (int i = 0; i < length; i++) {
+            String item = items.get("L/" + name + "/" + i);
+            if (item == null) {
+                throw new BadConfiguration(name + " lacks item " + i);
+            }
+            list.add(value(item));
+        }
+        return list;
+    }
+
+    private static Object value(String item) throws BadMessage {
+        byte[] b = item.getBytes(StandardCharsets.UTF_8);
+        return ((List<?>) Json.read(b, 0, b.length)).get(0);
+    }
+
     // ---- To and from a snapshot ----
 
     public byte[] state() {
--- a/src/main/java/gingerspool/anemometer/Anemometer.java
+++ b/src/main/java/gingerspool/anemometer/Anemometer.java
@@ -10,6 +10,7 @@
 import gingerspool.radiosonde.Words;
 import gingerspool.station.Settings;
 import gingerspool.store.Pool;
+import gingerspool.thermograph.Ranges;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Listener;
@@ -60,6 +61,8 @@
     private static final double STILL_COMING = 2;
     private static final double LEAVES = 0.9;
     private static final double SUMMARY = 10_000;
+    /** How often the core is told the digest of our copy, in heartbeat intervals. */
+    private static final double COMPARED = 4;
 
     private final Settings settings;
     private final Loop loop;
@@ -99,6 +102,7 @@
             core.begin();
             readiness.begin();
             listener.acceptOn();
+            heardOn();
             summary();
         });
     }
@@ -128,6 +132,11 @@
         });
     }
 
+    /** Gives back all that the process's end would, where the process goes on. */
+    public void close() {
+        loop.stop();
+    }
+
     private void leave() {
         double gone = loop.now() - leavingAt;
         boolean quiet = gone > STILL_COMING * settings.beat;
@@ -178,9 +187,10 @@
         }
     }
 
-    /** Puts a newer configuration in force; an older one never. */
+    /** Puts a newer configuration in force, or the same again where ours differs; an older one never. */
     private void news(Words.News n) {
-        if (n.number() <= configuration.getVersion()) {
+        boolean mends = n.again() && n.number() == configuration.getVersion();
+        if (n.number() <= configuration.getVersion() && !mends) {
             return;
         }
         try {
@@ -195,11 +205,21 @@
                 desks.get(s.getName()).configured(s, routesTo(s.getName()));
             }
         }
-        core.say(new Words.Heard(n.number()));
+        heard();
         LOG.info("news.in_force version={} routes={} services={}", n.number(), configuration.getRoutesCount(),
             configuration.getServicesCount());
     }
 
+    /** Tells what is in force; the digest is made anew each time, so that damage to our copy shows. */
+    private void heard() {
+        core.say(new Words.Heard(configuration.getVersion(), Ranges.digest(configuration.toByteArray())));
+    }
+
+    private void heardOn() {
+        heard();
+        loop.after(COMPARED * settings.beat, this::heardOn);
+    }
+
     private List<Route> routesTo(String service) {
         List<Route> routes = new ArrayList<>();
         for (Route r : configuration.getRoutesList()) {
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/barometer/Barometer.java
@@ -1,6 +1,7 @@
 package gingerspool.barometer;
 
 import gingerspool.almanac.Almanac;
+import gingerspool.almanac.BadConfiguration;
 import gingerspool.barograph.Ledger;
 import gingerspool.barograph.LedgerException;
 import gingerspool.barograph.Writer;
@@ -10,6 +11,8 @@
 import gingerspool.radiosonde.Vocabulary;
 import gingerspool.radiosonde.Words;
 import gingerspool.station.Settings;
+import gingerspool.thermograph.Mender;
+import gingerspool.thermograph.Ranges;
 import gingerspool.weathervane.Change;
 import gingerspool.weathervane.Letter;
 import gingerspool.weathervane.Member;
@@ -43,6 +46,8 @@
     private static final int LINKS_MOST = 1024;
     /** Beats a heartbeat interval to schedulers, and the span of a lease in such intervals. */
     private static final double STANDINGS = 2;
+    /** Copies of the state are compared at one in so many of these beats. */
+    private static final int COMPARED = 8;
     private static final double LEASE = 0.5;
     /** A link is given up after so many intervals of silence; connecting may take this part of one. */
     private static final double SILENT = 1.5;
@@ -52,9 +57,9 @@
     private static final double SUMMARY = 10_000;
 
     private final Settings settings;
-    private final Loop loop;
+    final Loop loop;
     private final Coder coder = new Coder(Vocabulary.ALL);
-    private final Almanac almanac = new Almanac();
+    final Almanac almanac = new Almanac();
     private final Order order;
     private final Writer writer;
     private final OperatorDoor door;
@@ -69,6 +74,26 @@
     private Duty duty;
     private long dutyView;
     private double orderWakes = Double.POSITIVE_INFINITY;
+    private final Mender mender = new Mender(new Mender.Outlet() {
+        @Override
+        public void ask(String member, long place, int ranges) {
+            askedFrom = member;
+            tellPeer(member, new Words.Ask(settings.ip, place, ranges));
+        }
+
+        @Override
+        public void send(String member, long place, int ranges) {
+            tellPeer(member, new Words.Mend(settings.ip, place, ranges,
+                Ranges.items(almanac.items(), ranges)));
+        }
+    });
+    /** The member whose items we asked for, as most hold what it does. */
+    private String askedFrom = "";
+    private int standings;
+    /** The configuration as it was last pushed: its number, its digest, and when. */
+    private long newsNumber;
+    private long newsDigest;
+    private double newsAt;
     private int reads;
     private int changes;
     private int refused;
@@ -84,6 +109,7 @@
         String front;
         double heardAt;
         long news;
+        double newsAt = Double.NEGATIVE_INFINITY;
     }
 
     private record Waiter(Call.Change call) { }
@@ -132,6 +158,12 @@
         });
     }
 
+    /** Gives back all that the process's end would, where the process goes on. */
+    public void close() {
+        writer.end();
+        loop.stop();
+    }
+
     // ---- Time ----
 
     private void look() {
@@ -219,9 +251,52 @@
         sendStandings();
         byte[] word = coder.write(new Words.Hello(settings.ip));
         peers.values().stream().filter(p -> p.up).forEach(p -> p.link.send(word));
+        if (++standings % COMPARED == 0) {
+            compare();
+        }
         loop.after(settings.beat / STANDINGS, this::standings);
     }
 
+    // ---- Repair ----
+
+    /** Tells the leader what our copy of the state comes to; the leader compares all copies. */
+    private void compare() {
+        Member leader = order.leader(loop.now());
+        List<Long> own = Ranges.digests(almanac.items());
+        if (order.leads(loop.now())) {
+            mender.compare(settings.ip, order.members().stream().map(Member::ip).toList(), order.delivered(),
+                own);
+        } else if (leader != null && !order.isStranger()) {
+            tellPeer(leader.ip(), new Words.Copy(settings.ip, order.delivered(), own));
+        }
+    }
+
+    private void tellPeer(String ip, Object word) {
+        Peer p = peers.get(ip);
+        if (p != null && p.up) {
+            p.link.send(coder.write(word));
+        }
+    }
+
+    /** A member says that it has these items where we have others: most hold them. */
+    private void mend(Words.Mend word) {
+        Member leader = order.leader(loop.now());
+        boolean asked = word.ip().equals(askedFrom);
+        askedFrom = "";
+        boolean leads = leader != null && leader.ip().equals(word.ip());
+        if (word.place() != order.delivered() || !asked && !leads) {
+            return;
+        }
+        try {
+            almanac.mend(Ranges.replaced(almanac.items(), word.ranges(), word.items()));
+            order.renew(loop.now());
+            LOG.warn("state.mended from={} place={} version={}", word.ip(), word.place(), almanac.version());
+            news();
+        } catch (BadConfiguration e) {
+            LOG.warn("state.mend_refused from={} why=\"{}\"", word.ip(), e.getMessage());
+        }
+    }
+
     private void sendStandings() {
         byte[] word = coder.write(standing());
         callers.keySet().forEach(l -> l.send(word));
@@ -235,8 +310,9 @@
 
     private void summary() {
         LOG.info("summary member={} view={} leads={} delivered={} version={} fronts={} reads={} changes={}"
-            + " refused={} disk_failing={}", order.self(), order.view(), order.leads(loop.now()),
-            order.delivered(), almanac.version(), fronts.size(), reads, changes, refused, writer.isFailing());
+            + " refused={} disk_failing={} ranges_differed={} undecided={}", order.self(), order.view(),
+            order.leads(loop.now()), order.delivered(), almanac.version(), fronts.size(), reads, changes,
+            refused, writer.isFailing(), mender.differing(), mender.undecided());
         if (duty != null) {
             duty.log();
         }
@@ -437,7 +513,14 @@
 
     private void front(Frames link, Caller caller, Object word) {
         double now = loop.now();
-        if (word instanceof Words.Hello h) {
+        if (word instanceof Words.Copy c) {
+            mender.told(c.ip(), c.place(), c.ranges());
+        } else if (word instanceof Words.Ask a && a.place() == order.delivered()) {
+            tellPeer(a.ip(), new Words.Mend(settings.ip, a.place(), a.ranges(),
+                Ranges.items(almanac.items(), a.ranges())));
+        } else if (word instanceof Words.Mend m) {
+            mend(m);
+        } else if (word instanceof Words.Hello h) {
             if (peers.containsKey(h.ip())) {
                 peers.get(h.ip()).heardAt = now;
             } else {
@@ -449,7 +532,8 @@
                 fronts.put(e.name(), link);
                 duty.keeper.enrolled(now, e.name(), e);
                 link.send(coder.write(new Words.Enrolled(order.view())));
-                tellNews(link, caller, e.news());
+                caller.news = e.news();
+                tellNews(link, caller, e.news(), false);
                 toldFronts();
             } else {
                 link.send(coder.write(standing()));
@@ -460,11 +544,23 @@
             } else if (word instanceof Words.Back b) {
                 duty.keeper.back(now, caller.front, b);
             } else if (word instanceof Words.Heard h) {
-                caller.news = Math.max(caller.news, h.number());
+                heard(link, caller, h);
             }
         }
     }
 
+    /** Counts the acknowledgement; a copy that differs from ours under its number is sent again. */
+    private void heard(Frames link, Caller caller, Words.Heard h) {
+        caller.news = Math.max(caller.news, h.number());
+        boolean differs = h.number() == newsNumber && h.digest() != newsDigest;
+        if (h.number() > 0 && differs && loop.now() > caller.newsAt + settings.beat) {
+            LOG.warn("front.copy_differs front={} version={}", caller.front, h.number());
+            tellNews(link, caller, 0, true);
+        } else if (h.number() < newsNumber && loop.now() > newsAt + settings.beat) {
+            tellNews(link, caller, h.number(), false);
+        }
+    }
+
     private void toldFronts() {
         tellAll(new Words.Schedulers(fronts.size()));
     }
@@ -483,16 +579,22 @@
 
     /** The configuration has changed. */
     private void news() {
+        byte[] form = almanac.configuration().toByteArray();
+        newsDigest = Ranges.digest(form);
+        newsNumber = almanac.version();
+        newsAt = loop.now();
         if (duty != null) {
             duty.configured(almanac.configuration());
-            tellAll(new Words.News(almanac.version(), almanac.configuration().toByteArray()));
+            tellAll(new Words.News(almanac.version(), form, false));
         }
     }
 
-    private void tellNews(Frames link, Caller caller, long has) {
-        caller.news = has;
-        if (almanac.version() > has) {
-            link.send(coder.write(new Words.News(almanac.version(), almanac.configuration().toByteArray())));
+    private void tellNews(Frames link, Caller caller, long has, boolean again) {
+        byte[] form = almanac.configuration().toByteArray();
+        // Guards schedulers, which never go back: a copy that is not what was taken is told to nobody.
+        if (newsNumber > has && Ranges.digest(form) == newsDigest) {
+            caller.newsAt = loop.now();
+            link.send(coder.write(new Words.News(newsNumber, form, again)));
         }
     }
 }
--- a/src/main/java/gingerspool/cli/Platforms.java
+++ b/src/main/java/gingerspool/cli/Platforms.java
@@ -244,9 +244,12 @@
 
         @Override
         public void close() {
-            front.forEach(f -> f.stop(() -> { }));
-            core.forEach(b -> b.stop(() -> { }));
-            loop.enter(cloud::close);
+            front.forEach(Anemometer::close);
+            core.forEach(Barometer::close);
+            loop.enter(() -> {
+                cloud.close();
+                loop.stop();
+            });
         }
     }
 }
--- a/src/main/java/gingerspool/radiosonde/Words.java
+++ b/src/main/java/gingerspool/radiosonde/Words.java
@@ -25,11 +25,23 @@
     /** So many schedulers share the budget of repeats. */
     public record Schedulers(int count) { }
 
-    /** The configuration of this number, in protobuf's form; a scheduler only goes up in numbers. */
-    public record News(long number, byte[] configuration) { }
+    /**
+     * The configuration of this number, in protobuf's form; a scheduler only goes up in numbers, and takes
+     * one again where its copy was found to differ.
+     */
+    public record News(long number, byte[] configuration, boolean again) { }
+
+    /** The scheduler has put the news of this number in force; the digest is of the copy that it holds. */
+    public record Heard(long number, long digest) { }
+
+    /** The digests, by range, of a member's copy of the state at this place of the order. */
+    public record Copy(String ip, long place, List<Long> ranges) { }
+
+    /** A member is asked for its items of these ranges at this place; range r is bit r. */
+    public record Ask(String ip, long place, int ranges) { }
 
-    /** The scheduler has put the news of this number in force. */
-    public record Heard(long number) { }
+    /** Items that take the place of all in these ranges, where the state stands at this place. */
+    public record Mend(String ip, long place, int ranges, Map<String, String> items) { }
 
     /**
      * What a scheduler wants of a function: slots at started instances that it still lacks after all grants
--- /dev/null
+++ b/src/main/java/gingerspool/thermograph/Ranges.java
@@ -0,0 +1,57 @@
+package gingerspool.thermograph;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A state as items by key, split over ranges by their keys, and the digest of each range. */
+public final class Ranges {
+    public static final int COUNT = 16;
+
+    private Ranges() { }
+
+    public static int of(String key) {
+        int h = key.hashCode() * 0x9E3779B9;
+        return h >>> 28;
+    }
+
+    /** Sums of the items' digests by range; two copies that differ agree by chance only. */
+    public static List<Long> digests(Map<String, String> items) {
+        long[] sums = new long[COUNT];
+        items.forEach((key, value) -> sums[of(key)] += digest((key + '\0' + value).getBytes(
+            StandardCharsets.UTF_8)));
+        return Arrays.stream(sums).boxed().toList();
+    }
+
+    public static long digest(byte[] bytes) {
+        try {
+            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(bytes)).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The items of these ranges; range r is bit r. */
+    public static Map<String, String> items(Map<String, String> all, int ranges) {
+        Map<String, String> some = new TreeMap<>();
+        all.forEach((key, value) -> {
+            if ((ranges & 1 << of(key)) != 0) {
+                some.put(key, value);
+            }
+        });
+        return some;
+    }
+
+    /** All items, with those of these ranges replaced; what is told beyond the ranges is passed over. */
+    public static Map<String, String> replaced(Map<String, String> all, int ranges, Map<String, String> by) {
+        Map<String, String> next = new TreeMap<>(all);
+        next.keySet().removeIf(key -> (ranges & 1 << of(key)) != 0);
+        next.putAll(items(by, ranges));
+        return next;
+    }
+}
--- a/src/main/java/gingerspool/weathervane/Order.java
+++ b/src/main/java/gingerspool/weathervane/Order.java
@@ -517,6 +517,14 @@
         save(base.place() + 1, base);
     }
 
+    /** The state was mended: what is kept of it on disk is made anew. */
+    public void renew(double at) {
+        now = at;
+        if (!members.isEmpty()) {
+            rebase();
+        }
+    }
+
     private boolean membersAgreed() {
         for (long i = Math.max(agreed, base.place()) + 1; i <= last(); i++) {
             if (entry(i).members() != null) {
--- a/src/test/java/gingerspool/OrderTest.java
+++ b/src/test/java/gingerspool/OrderTest.java
@@ -26,6 +26,7 @@
             .layer("radiosonde").definedBy("gingerspool.radiosonde..")
             .layer("weathervane").definedBy("gingerspool.weathervane..")
             .layer("almanac").definedBy("gingerspool.almanac..")
+            .layer("thermograph").definedBy("gingerspool.thermograph..")
             .layer("station").definedBy("gingerspool.station..")
             .layer("simhost").definedBy("gingerspool.simhost..")
             .layer("daemon").definedBy("gingerspool.daemon..")
@@ -48,6 +49,7 @@
             .whereLayer("radiosonde").mayOnlyBeAccessedByLayers("program", "barograph", "hygrometer")
             .whereLayer("weathervane").mayOnlyBeAccessedByLayers("program", "barograph", "radiosonde")
             .whereLayer("almanac").mayOnlyBeAccessedByLayers("program", "hygrometer", "cli")
+            .whereLayer("thermograph").mayOnlyBeAccessedByLayers("program")
             .whereLayer("station").mayOnlyBeAccessedByLayers("program", "cli")
             .whereLayer("simhost").mayOnlyBeAccessedByLayers("main", "cli")
             .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost", "experiment",
--- a/src/test/java/gingerspool/almanac/AlmanacTest.java
+++ b/src/test/java/gingerspool/almanac/AlmanacTest.java
@@ -2,11 +2,14 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.wire.Json;
 import gingerspool.wire.Tree;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -87,4 +90,25 @@
         assertEquals(b.take(false, 3, bytes(change)).status(), 200, "known again after a snapshot");
         assertEquals(b.version(), 4);
     }
+
+    /** A copy goes as items and comes back the same; items that make no configuration leave all as it was. */
+    @Test
+    public void aCopyIsMadeOfItsItems() throws Exception {
+        Almanac whole = new Almanac();
+        byte[] sent = ("{\"Version\":3,\"Extra/field\":{\"a\":[1,null]},\"Routes\":["
+            + "{\"Name\":\"r\",\"Service\":\"s\","
+            + "\"PathPrefix\":\"/\",\"HostName\":\"h\"}],\"Services\":[{\"Name\":\"s\"}],\"Empty\":[]}")
+            .getBytes(StandardCharsets.UTF_8);
+        assertEquals(whole.take(true, 0, sent).status(), Almanac.TAKEN);
+        Almanac copy = new Almanac();
+        copy.mend(whole.items());
+        assertEquals(copy.items(), whole.items());
+        assertEquals(Json.read(new String(copy.text(), StandardCharsets.UTF_8)),
+            Json.read(new String(sent, StandardCharsets.UTF_8)));
+        assertEquals(copy.take(true, 0, sent).status(), Almanac.TAKEN, "it knows what made its version");
+        Map<String, String> lacking = new HashMap<>(whole.items());
+        lacking.remove("L/Routes/0");
+        assertThrows(BadConfiguration.class, () -> copy.mend(lacking));
+        assertEquals(copy.items(), whole.items());
+    }
 }
