--- /dev/null
+++ b/src/main/java/gingerspool/barograph/Backlog.java
@@ -0,0 +1,33 @@
+package gingerspool.barograph;
+
+import gingerspool.weathervane.Change;
+import java.util.ArrayList;
+import java.util.List;
+import org.jctools.queues.SpscUnboundedArrayQueue;
+
+/** Changes on their way from the loop, which adds, to the ledger's thread, which takes. */
+final class Backlog {
+    private static final int CHUNK = 64;
+
+    private final SpscUnboundedArrayQueue<Change> queue = new SpscUnboundedArrayQueue<>(CHUNK);
+
+    /** By the loop only. */
+    void add(Change change) {
+        queue.add(change);
+    }
+
+    /** By the ledger's thread only: all that has come, in order, but for what this ticket covers already. */
+    List<Change> takeBeyond(long ticket) {
+        List<Change> all = new ArrayList<>();
+        queue.drain(c -> {
+            if (c.ticket() > ticket) {
+                all.add(c);
+            }
+        });
+        return all;
+    }
+
+    boolean isEmpty() {
+        return queue.isEmpty();
+    }
+}
--- a/src/main/java/gingerspool/barograph/Writer.java
+++ b/src/main/java/gingerspool/barograph/Writer.java
@@ -1,7 +1,10 @@
 package gingerspool.barograph;
 
+import dev.failsafe.Failsafe;
+import dev.failsafe.FailsafeException;
+import dev.failsafe.RetryPolicy;
 import gingerspool.weathervane.Change;
-import java.util.ArrayList;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongConsumer;
@@ -11,7 +14,6 @@
 import java.util.concurrent.Executor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.jctools.queues.SpscUnboundedArrayQueue;
 
 /**
  * The ledger's own thread: takes changes from the loop and writes them one after the other, whatever the disk
@@ -19,18 +21,21 @@
  */
 public final class Writer {
     private static final Logger LOG = LogManager.getLogger(Writer.class);
-    private static final int CHUNK = 64;
-    /** How long it waits after the disk has failed, in milliseconds. */
-    private static final long PAUSE = 100;
+    /** How long it waits after the disk has failed. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final Ledger ledger;
     private final Executor loop;
     private final LongConsumer saved;
     private final Supplier<Change> whole;
-    private final SpscUnboundedArrayQueue<Change> queue = new SpscUnboundedArrayQueue<>(CHUNK);
+    private final Backlog backlog = new Backlog();
     private final Thread thread = new Thread(this::run, "ledger");
     private volatile boolean ended;
     private volatile boolean failing;
+    /** A disk that fails is tried for as long as it takes: what it holds is unknown until all is written. */
+    private final RetryPolicy<Object> untilWritten = RetryPolicy.builder().handle(LedgerException.class)
+        .withMaxRetries(-1).withDelay(PAUSE).abortIf((done, why) -> ended)
+        .onFailedAttempt(e -> failed(e.getLastException())).build();
 
     /** What is saved, and the demand for the whole content, come as turns of the loop. */
     public Writer(Ledger ledger, Executor loop, LongConsumer saved, Supplier<Change> whole) {
@@ -47,7 +52,7 @@
 
     /** Called on the loop. */
     public void save(Change change) {
-        queue.add(change);
+        backlog.add(change);
         LockSupport.unpark(thread);
     }
 
@@ -63,29 +68,33 @@
 
     private void run() {
         while (!ended) {
-            try {
-                if (failing || ledger.isFull()) {
-                    rewrite();
-                } else if (queue.isEmpty()) {
-                    LockSupport.park(this);
-                } else {
-                    write(taken());
+            if (backlog.isEmpty() && !ledger.isFull()) {
+                LockSupport.park(this);
+            } else {
+                try {
+                    Failsafe.with(untilWritten).run(this::work);
+                } catch (FailsafeException e) {
+                    // Only where it ends: whatever could not be written was promised to nobody.
+                    LOG.warn("ledger.ends_failing why=\"{}\"", e.getCause().getMessage());
                 }
-            } catch (LedgerException e) {
-                if (!failing) {
-                    LOG.warn("ledger.failing why=\"{}\"", e.getMessage());
-                }
-                failing = true;
-                LockSupport.parkNanos(PAUSE * 1_000_000);
             }
         }
         ledger.close();
     }
 
-    private List<Change> taken() {
-        List<Change> all = new ArrayList<>();
-        queue.drain(all::add);
-        return all;
+    private void work() throws LedgerException {
+        if (failing || ledger.isFull()) {
+            rewrite();
+        } else {
+            write(backlog.takeBeyond(0));
+        }
+    }
+
+    private void failed(Throwable why) {
+        if (!failing) {
+            LOG.warn("ledger.failing why=\"{}\"", why.getMessage());
+        }
+        failing = true;
     }
 
     private void write(List<Change> changes) throws LedgerException {
@@ -105,8 +114,7 @@
         } catch (InterruptedException | ExecutionException e) {
             throw new LedgerException("no content to write", e);
         }
-        List<Change> later = taken();
-        later.removeIf(c -> c.ticket() <= all.ticket());
+        List<Change> later = backlog.takeBeyond(all.ticket());
         ledger.rewrite(all);
         if (failing) {
             LOG.info("ledger.writing_again");
