A platform that answers rubbish, half, 429 or never: each call has one end, the next works

Need: bad input from the platform had no test. A list of which a page is missing counts as none, so that nothing seems gone. No fault found.

--- /dev/null
+++ b/src/test/java/gingerspool/barometer/PlatformCallsTest.java
@@ -0,0 +1,121 @@
+package gingerspool.barometer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.daemon.Loop;
+import gingerspool.wire.Tree;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A platform that answers rubbish, half, late or never: each call has one end, and the next call works. */
+public class PlatformCallsTest {
+    private static final double PATIENCE = 200;
+    private static final String GOOD = page("{\"Identifier\":\"i-1234\"}");
+    private Loop loop;
+    private ServerSocket server;
+    private Platform platform;
+    /** What each connection's first request is answered; nothing: it stays silent. */
+    private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+    @BeforeMethod
+    public void open() throws IOException {
+        loop = new Loop();
+        answers.clear();
+        server = new ServerSocket(0, 20, InetAddress.getLoopbackAddress());
+        platform = new Platform(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+            PATIENCE);
+        Thread serving = new Thread(this::serve);
+        serving.setDaemon(true);
+        serving.start();
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        loop.stop();
+        server.close();
+    }
+
+    private void serve() {
+        try {
+            while (true) {
+                Socket s = server.accept();
+                s.getInputStream().read(new byte[4096]);
+                String answer = answers.take();
+                if (!answer.isEmpty()) {
+                    s.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    s.close();
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The test has ended.
+        }
+    }
+
+    private <T> T call(Consumer<Consumer<T>> what) throws Exception {
+        CompletableFuture<T> end = new CompletableFuture<>();
+        loop.enter(() -> what.accept(a -> {
+            assertTrue(!end.isDone(), "one end only");
+            end.complete(a);
+        }));
+        return end.get(5, TimeUnit.SECONDS);
+    }
+
+    private Platform.Answer start() throws Exception {
+        return call(then -> platform.start("core-1", 3, "f", "h1", "n1", then));
+    }
+
+    @DataProvider
+    Object[][] troubles() {
+        String head = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n";
+        return new Object[][] {{"", 0}, {"\0\1\2rubbish\r\n\r\n", 0}, {"HTTP/1.1 200 OK\r\nContent-Len", 0},
+            {head + "{\"Identifier\":", 0}, {head + "{\"Identifier\":\"i-1234\"\n\n]", 0},
+            {"HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n", 429},
+            {"HTTP/1.1 409 Conflict\r\nContent-Length: 3\r\n\r\n{{{", 409},
+            {"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", 503}};
+    }
+
+    @Test(dataProvider = "troubles")
+    public void eachCallHasOneEndAndTheNextOneWorks(String answer, int status) throws Exception {
+        answers.add(answer);
+        assertEquals(start().status(), status);
+        answers.add(GOOD);
+        Platform.Answer next = start();
+        assertEquals(next.status(), 200);
+        assertEquals(Tree.text("", next.tree(), "Identifier"), "i-1234");
+    }
+
+    /** A list counts only whole: where one page can't be had there is none, so that nothing seems gone. */
+    @Test
+    public void aListOfWhichAPageIsMissingIsNoList() throws Exception {
+        String first = "{\"Instances\":[{\"Identifier\":\"i-1\"}],\"NextPageToken\":\"p-1\"}";
+        String last = "{\"Instances\":[{\"Identifier\":\"i-2\"}],\"NextPageToken\":null}";
+        answers.add(page(first));
+        answers.add("HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n");
+        assertNull(this.<List<Object>>call(then -> platform.instances(then)));
+        answers.add(page(first));
+        answers.add(page("{\"Instances\":\"none\"}"));
+        assertNull(this.<List<Object>>call(then -> platform.instances(then)));
+        answers.add(page(first));
+        answers.add(page(last));
+        assertEquals(this.<List<Object>>call(then -> platform.instances(then)).size(), 2);
+    }
+
+    private static String page(String body) {
+        return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+}
