A member that was cut off asks before it stands, and ends nobody's view when it is back

Change: who would stand asks first whether enough would stop for it; nothing is promised or written for that.

--- a/src/main/java/gingerspool/radiosonde/Vocabulary.java
+++ b/src/main/java/gingerspool/radiosonde/Vocabulary.java
@@ -15,7 +15,8 @@
             Words.Enrol.class,
         Words.Enrolled.class, Words.News.class, Words.Heard.class, Words.Want.class, Words.Grant.class,
         Words.Recall.class, Words.Back.class, Words.Shun.class, Words.Command.class,
-        Words.Schedulers.class, Words.Copy.class, Words.Ask.class, Words.Mend.class, Words.Holds.class);
+        Words.Schedulers.class, Words.Copy.class, Words.Ask.class, Words.Mend.class, Words.Holds.class,
+        Letter.Ask.class, Letter.Would.class);
 
     private Vocabulary() { }
 }
--- a/src/main/java/gingerspool/weathervane/Letter.java
+++ b/src/main/java/gingerspool/weathervane/Letter.java
@@ -9,6 +9,12 @@
     /** Stop for this view: the sender would lead it, and has entries up to this place, of this view. */
     record Stop(long view, long lastView, long last) implements Letter { }
 
+    /** Whether the other would stop for this view, if it were asked to: nothing is promised by either. */
+    record Ask(long view, long lastView, long last) implements Letter { }
+
+    /** The answer, with the view that it has itself. */
+    record Would(long view, boolean yes, long own) implements Letter { }
+
     /** The answer: granted, or refused; a stranger is told that it is no member. */
     record Stopped(long view, boolean granted, boolean stranger) implements Letter { }
 
--- a/src/main/java/gingerspool/weathervane/Order.java
+++ b/src/main/java/gingerspool/weathervane/Order.java
@@ -38,7 +38,7 @@
     private static final int ENTRIES_MOST = 64;
     private static final int BYTES_MOST = 1 << 20;
 
-    private enum Role { STRANGER, FOLLOWING, STANDING, LEADING }
+    private enum Role { STRANGER, FOLLOWING, ASKING, STANDING, LEADING }
 
     /** What a leader knows of another member, or of a stranger that it brings up. */
     private static final class Peer {
@@ -83,6 +83,8 @@
     private long era;
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final Set<Member> votes = new HashSet<>();
+    /** The view that this member would stand for: beyond all that it was told of. */
+    private long next;
     private final Map<Member, Peer> peers = new LinkedHashMap<>();
     /** Where the entry of the view led begins. */
     private long began;
@@ -258,8 +260,8 @@
                 beatAt = now + lease / BEATS;
             }
         } else if (now >= standAt && now >= heldUntil) {
-            stand();
-        } else if (role == Role.STANDING && now >= beatAt) {
+            ask();
+        } else if (isCandidate() && now >= beatAt) {
             askVotes();
         }
     }
@@ -268,7 +270,11 @@
     public double nextTick() {
         double stands = Math.max(standAt, heldUntil);
         return role == Role.LEADING || role == Role.STRANGER ? beatAt
-            : role == Role.STANDING ? Math.min(beatAt, stands) : stands;
+            : isCandidate() ? Math.min(beatAt, stands) : stands;
+    }
+
+    private boolean isCandidate() {
+        return role == Role.ASKING || role == Role.STANDING;
     }
 
     private void beat() {
@@ -289,16 +295,46 @@
 
     // ---- Stop: a new view ----
 
-    private void stand() {
+    /**
+     * Guards the view that stands against a member that was cut off: it asks first whether enough would stop
+     * for it, so that its views don't rise alone and put an end to the others' once it is back.
+     */
+    private void ask() {
         if (!members.contains(self)) {
             return;
         }
-        role = Role.STANDING;
+        role = Role.ASKING;
         leader = null;
-        view++;
-        granted = self;
+        next = Math.max(next, view + 1);
         votes.clear();
+        votes.add(self);
         standAt = now + lease * (0.5 + chance.nextDouble() / 2);
+        askVotes();
+        count();
+    }
+
+    private void asked(Member from, Letter.Ask l) {
+        if (!members.contains(from)) {
+            refuseStranger(from, l.view());
+        } else {
+            out.send(from, new Letter.Would(l.view(), mayStop(from, l.view())
+                && upToDate(l.lastView(), l.last()), view));
+        }
+    }
+
+    private void would(Member from, Letter.Would l) {
+        next = Math.max(next, l.own() + 1);
+        if (role == Role.ASKING && l.yes() && l.view() > view) {
+            votes.add(from);
+            count();
+        }
+    }
+
+    private void stand() {
+        role = Role.STANDING;
+        view = Math.max(view + 1, next);
+        granted = self;
+        votes.clear();
         beatAt = standAt;
         promise();
         long asked = view;
@@ -316,7 +352,8 @@
         beatAt = now + lease / BEATS;
         for (Member m : members) {
             if (!votes.contains(m)) {
-                out.send(m, new Letter.Stop(view, viewAt(last()), last()));
+                out.send(m, role == Role.ASKING ? new Letter.Ask(next, viewAt(last()), last())
+                    : new Letter.Stop(view, viewAt(last()), last()));
             }
         }
     }
@@ -329,26 +366,21 @@
 
     private void stop(Member from, Letter.Stop l) {
         if (!members.contains(from)) {
-            // Only one who surely knows better may say so: what it says makes the other forget all it has.
-            boolean sure = leads(now) && membersAgreed();
-            out.send(from, new Letter.Stopped(l.view(), false, sure));
+            refuseStranger(from, l.view());
             return;
         }
         if (l.view() == view && from.equals(granted)) {
             grant(from, l);
             return;
         }
-        // Who may still hold a lease by our promise may stand all the same: it holds none while it does.
-        if (now < heldUntil && !from.equals(granted) || l.view() <= view || role == Role.LEADING
-            && leads(now)) {
+        if (!mayStop(from, l.view())) {
             out.send(from, new Letter.Stopped(l.view(), false, false));
             return;
         }
         view = l.view();
         granted = null;
         follow(null);
-        boolean upToDate = l.lastView() > viewAt(last())
-            || l.lastView() == viewAt(last()) && l.last() >= last();
+        boolean upToDate = upToDate(l.lastView(), l.last());
         if (upToDate) {
             granted = from;
             standAt = now + lease * (0.5 + chance.nextDouble() / 2);
@@ -359,6 +391,21 @@
         }
     }
 
+    private void refuseStranger(Member from, long of) {
+        // Only one who surely knows better may say so: what it says makes the other forget all it has.
+        boolean sure = leads(now) && membersAgreed();
+        out.send(from, new Letter.Stopped(of, false, sure));
+    }
+
+    /** Who may still hold a lease by our promise may stand all the same: it holds none while it does. */
+    private boolean mayStop(Member from, long of) {
+        return of > view && (now >= heldUntil || from.equals(granted)) && !leads(now);
+    }
+
+    private boolean upToDate(long lastView, long last) {
+        return lastView > viewAt(last()) || lastView == viewAt(last()) && last >= last();
+    }
+
     private void grant(Member to, Letter.Stop l) {
         whenSaved(() -> {
             if (view == l.view()) {
@@ -377,7 +424,12 @@
     }
 
     private void count() {
-        if (members.stream().filter(votes::contains).count() >= quorum()) {
+        if (members.stream().filter(votes::contains).count() < quorum()) {
+            return;
+        }
+        if (role == Role.ASKING) {
+            stand();
+        } else {
             goOn();
         }
     }
@@ -546,7 +598,11 @@
     /** A letter for this member. */
     public void heard(double at, Member from, Letter letter) {
         now = at;
-        if (letter instanceof Letter.Stop l) {
+        if (letter instanceof Letter.Ask l) {
+            asked(from, l);
+        } else if (letter instanceof Letter.Would l) {
+            would(from, l);
+        } else if (letter instanceof Letter.Stop l) {
             stop(from, l);
         } else if (letter instanceof Letter.Stopped l) {
             stopped(from, l);
--- a/src/test/java/gingerspool/weathervane/LeaseTest.java
+++ b/src/test/java/gingerspool/weathervane/LeaseTest.java
@@ -84,6 +84,9 @@
         double first = order.nextTick();
         assertTrue(first < LEASE / 4, "it stands at " + first);
         order.tick(first);
+        assertEquals(said, List.of(new Letter.Ask(4, 0, 0), new Letter.Ask(4, 0, 0)));
+        said.clear();
+        order.heard(first + 2, OLD, new Letter.Would(4, true, 3));
         assertEquals(said.size(), 0, "its own vote is not on disk yet");
         order.saved(first + 5, saved.ticket());
         assertEquals(said.size(), 2);
@@ -93,4 +96,22 @@
         assertEquals(said.size(), 4);
         assertTrue(started(NEW).nextTick() >= LEASE, "others wait until the lease must have ended");
     }
+
+    /** Cut off for long, a member raises no view; told of a higher one, it asks beyond that. */
+    @Test
+    public void whoIsAloneAsksAndPromisesNothing() {
+        Order order = started(NEW);
+        for (double now = LEASE; now < 20 * LEASE; now += 50) {
+            order.tick(now);
+        }
+        assertEquals(order.view(), 3);
+        assertTrue(said.stream().allMatch(l -> l.equals(new Letter.Ask(4, 0, 0))));
+        order.heard(20 * LEASE, OLD, new Letter.Would(4, false, 9));
+        said.clear();
+        order.tick(25 * LEASE);
+        assertEquals(said.get(0), new Letter.Ask(10, 0, 0));
+        order.heard(25 * LEASE, OLD, new Letter.Append(9, 0, 0, List.of(), 0, 1));
+        order.heard(25 * LEASE + 1, NEW, new Letter.Ask(10, 3, 5));
+        assertEquals(said.get(said.size() - 1), new Letter.Would(10, false, 9), "a lease stands");
+    }
 }
