--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/raingauge/Scaler.java
@@ -25,6 +25,8 @@
      * awaited within that; else it goes once unused, or after a start's time where the rate isn't known yet.
      */
     private static final double START_WORTH = 3;
+    /** Whoever holds a slot of an instance on its way out has so many starts' time to give it back. */
+    private static final double RETIRES = 20;
     /** Few starts take longer than so many times their mean. */
     private static final double SURE = 1.4;
     /** Running time where none was seen of any such function, in parts of the aim. */
@@ -53,6 +55,8 @@
     /** Starts that were asked for and not answered, by nonce. */
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     private final Map<Function, Double> surplusSince = new HashMap<>();
+    /** Instances on their way out, and since when. */
+    private final Map<Instance, Double> retiring = new LinkedHashMap<>();
     /** Mean running time by size of function. */
     private final Map<String, Double> kinds = new HashMap<>();
     private long nonces;
@@ -151,6 +155,7 @@
         for (Function f : order) {
             dropSurplus(f);
         }
+        stopRetired();
     }
 
     /** Guards first tasks of rare functions: until one has run, others of its size tell how long it takes. */
@@ -250,30 +255,43 @@
             : f.arrivals.known() ? 0 : f.boot;
     }
 
-    /** Stops one instance that has been more than wanted for a while. */
+    /**
+     * Retires one instance that has been more than wanted for a while: the one with the least work, as load
+     * is spread over all and none might ever be idle. It gets nothing new, and ends once nobody holds a slot.
+     */
     private void dropSurplus(Function f) {
-        int wanted = wanted(f);
         int have = have(f);
-        if (have <= wanted) {
+        if (have <= wanted(f)) {
             surplusSince.remove(f);
             return;
         }
         double since = surplusSince.computeIfAbsent(f, k -> now);
         double span = have == 1 ? 0 : IDLE * f.boot;
-        double unused = have > 1 ? span / 2 : unusedLast(f);
-        if (now < since + span || tokens < 1) {
+        if (now < since + span) {
             return;
         }
-        Instance idle = null;
+        Instance least = null;
         for (Instance i : f.instances.values()) {
-            boolean may = i.state == Instance.State.READY && i.inHands() == 0 && now > i.usedAt + unused;
-            idle = may && (idle == null || i.usedAt < idle.usedAt) ? i : idle;
+            boolean idles = i.inHands() == 0 && now > i.usedAt + unusedLast(f);
+            boolean may = i.state == Instance.State.READY && (have > 1 || idles);
+            least = may && (least == null || i.inHands() < least.inHands()) ? i : least;
         }
-        if (idle != null) {
-            tokens--;
-            out.leaves(idle);
-            out.stop(idle.id);
+        if (least != null) {
+            out.leaves(least);
+            retiring.put(least, now);
             surplusSince.put(f, now - span + f.boot / 2);
         }
     }
+
+    private void stopRetired() {
+        for (Map.Entry<Instance, Double> e : List.copyOf(retiring.entrySet())) {
+            Instance i = e.getKey();
+            boolean free = i.inHands() == 0 || now > e.getValue() + RETIRES * i.function.boot;
+            if (free && tokens >= 1) {
+                tokens--;
+                retiring.remove(i);
+                out.stop(i.id);
+            }
+        }
+    }
 }
--- a/src/test/java/gingerspool/raingauge/ScalerTest.java
+++ b/src/test/java/gingerspool/raingauge/ScalerTest.java
@@ -123,6 +123,29 @@
         return new Object[][] {{300, true}, {1000, true}, {3000, false}, {9000, false}};
     }
 
+    /** Load is spread over all instances: one that is too many goes although none is ever idle. */
+    @Test
+    public void aSurplusIsRetiredWhereNoneIsIdle() {
+        hosts(4096);
+        keeper.enrolled(600, "a", new Words.Enrol("a", "zb", 0, Map.of("b0", 1, "b1", 1, "b2", 1)));
+        for (int i = 0; i < 3; i++) {
+            keeper.add(600, "b" + i, keeper.function("busy"), "10.0.0.1:1", "zb", "h2", 4,
+                Instance.State.READY);
+        }
+        for (double now = 650; now < 650 + 4 * 1400; now += 50) {
+            keeper.tick(now);
+            scaler.tick(now);
+        }
+        List<Instance> leaving = keeper.instances().stream()
+            .filter(i -> i.state == Instance.State.LEAVING).toList();
+        assertEquals(leaving.size(), 2, "one is wanted, for its aim is shorter than a start");
+        assertEquals(stops.size(), 0, "they have work");
+        Instance first = leaving.get(0);
+        keeper.back(7000, "a", new Words.Back(first.id, 1, Words.SEEN_WELL));
+        scaler.tick(7000);
+        assertEquals(stops, List.of(first.id));
+    }
+
     /** What is not known of a function yet, others of its size tell: one start for its first task. */
     @Test
     public void aFirstTaskOfAFunctionStartsOneInstance() {
--- a/src/test/java/gingerspool/weatherhouse/House.java
+++ b/src/test/java/gingerspool/weatherhouse/House.java
@@ -197,6 +197,8 @@
                 boolean starting = now < c.startsAt && !waits.get(c.function).isEmpty();
                 if (n > 0 && enrolled && !starting) {
                     back(id, n, Words.SEEN_WELL);
+                } else if (n > 0) {
+                    after(BOOT, () -> idle(id));
                 }
             });
         }
@@ -285,6 +287,7 @@
             @Override
             public void leaves(Instance i) {
                 keeper.leaves(now, i);
+                fronts.values().forEach(f -> f.idle(i.id));
             }
         });
         fronts.values().forEach(f -> {
@@ -356,6 +359,7 @@
 
     private void end(String id) {
         Copy c = copies.get(id);
+        wrong(c.running > 0 && now < c.endedAt && now > unsettledUntil, id + " was stopped under work");
         c.endedAt = Math.min(c.endedAt, now);
     }
 
