--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,6 @@
 demo: build
 	java -jar $(JAR) experiment deploy/experiments/demo.toml --out target/demo
 
-# A small platform on loopback: three barometers, two anemometers, a stand-in for the machines of instances.
+# A small platform on loopback: three control nodes, two schedulers, a stand-in for the machines of instances.
 platform: build
 	java -jar $(JAR) platform
--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -1,7 +1,7 @@
 package gingerspool;
 
 import gingerspool.cli.Commands;
-import gingerspool.cli.Station;
+import gingerspool.cli.NodeProgram;
 import gingerspool.daemon.Daemon;
 import gingerspool.simhost.SimHost;
 
@@ -13,7 +13,7 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> System.exit(Daemon.serve(System.getenv()));
-            case "anemometer", "barometer" -> System.exit(Station.run(command, System.getenv()));
+            case "scheduler", "control" -> System.exit(NodeProgram.run(command, System.getenv()));
             case "simhost" -> System.exit(SimHost.run(System.in, System.out, System.err));
             default -> System.exit(Commands.run(args));
         }
--- a/src/main/java/gingerspool/thermograph/Ranges.java
+++ b/src/main/java/gingerspool/antientropy/RangeDigests.java
@@ -1,4 +1,4 @@
-package gingerspool.thermograph;
+package gingerspool.antientropy;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -10,10 +10,10 @@
 import java.util.TreeMap;
 
 /** A state as items by key, split over ranges by their keys, and the digest of each range. */
-public final class Ranges {
+public final class RangeDigests {
     public static final int COUNT = 16;
 
-    private Ranges() { }
+    private RangeDigests() { }
 
     public static int of(String key) {
         int h = key.hashCode() * 0x9E3779B9;
--- a/src/main/java/gingerspool/thermograph/Mender.java
+++ b/src/main/java/gingerspool/antientropy/ReplicaRepair.java
@@ -1,4 +1,4 @@
-package gingerspool.thermograph;
+package gingerspool.antientropy;
 
 import java.util.Collections;
 import java.util.Comparator;
@@ -12,7 +12,7 @@
  * member itself that differs, it asks one that is right. Without such a majority nothing is mended. Copies at
  * other places say nothing.
  */
-public final class Mender {
+public final class ReplicaRepair {
     /** What a mender calls to act; range r is bit r. */
     public interface Outlet {
         /** This member is to send its items of these ranges, as of this place. */
@@ -26,11 +26,11 @@
 
     private final Map<String, Copy> copies = new HashMap<>();
     private final Outlet out;
-    /** Ranges that were found to differ, and those of them for which no copy has a majority. */
+    /** RangeDigests that were found to differ, and those of them for which no copy has a majority. */
     private int differing;
     private int undecided;
 
-    public Mender(Outlet out) {
+    public ReplicaRepair(Outlet out) {
         this.out = out;
     }
 
@@ -44,7 +44,7 @@
 
     /** A member's digests. */
     public void told(String member, long place, List<Long> ranges) {
-        if (ranges.size() == Ranges.COUNT) {
+        if (ranges.size() == RangeDigests.COUNT) {
             copies.put(member, new Copy(place, ranges));
         }
     }
@@ -63,7 +63,7 @@
         // By member: where it has what most hold and we don't, and where it is the other way round.
         Map<String, Integer> better = new HashMap<>();
         Map<String, Integer> worse = new HashMap<>();
-        for (int r = 0; r < Ranges.COUNT; r++) {
+        for (int r = 0; r < RangeDigests.COUNT; r++) {
             Long right = mostHeld(r, members.size());
             for (Map.Entry<String, Copy> e : copies.entrySet()) {
                 boolean isRight = e.getValue().ranges.get(r).equals(right);
--- a/src/main/java/gingerspool/thermograph/package-info.java
+++ b/src/main/java/gingerspool/antientropy/package-info.java
@@ -1,2 +1,2 @@
 /** Repair: copies of a state are compared by digests over ranges and mended from what most hold; no I/O. */
-package gingerspool.thermograph;
+package gingerspool.antientropy;
--- a/src/main/java/gingerspool/raingauge/Scaler.java
+++ b/src/main/java/gingerspool/autoscaler/Autoscaler.java
@@ -1,8 +1,8 @@
-package gingerspool.raingauge;
+package gingerspool.autoscaler;
 
-import gingerspool.hygrometer.Function;
-import gingerspool.hygrometer.Instance;
-import gingerspool.hygrometer.Keeper;
+import gingerspool.slots.Function;
+import gingerspool.slots.Instance;
+import gingerspool.slots.SlotKeeper;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,7 +14,7 @@
  * what has stood idle. Starts come first where most is lacked; all within the platform's rate. Times are
  * milliseconds of a steady clock.
  */
-public final class Scaler {
+public final class Autoscaler {
     /** This share of tasks may wait for a slot for longer than their aim allows. */
     private static final double LATE = 0.02;
     /** An instance more than wanted is stopped after so many starts' time. */
@@ -46,12 +46,12 @@
         void leaves(Instance instance);
     }
 
-    private final Keeper keeper;
+    private final SlotKeeper keeper;
     private final double rate;
     private final double lag;
     private final String prefix;
     private final Outlet out;
-    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, WorkerHost> hosts = new LinkedHashMap<>();
     /** Starts that were asked for and not answered, by nonce. */
     private final Map<String, Asked> asked = new LinkedHashMap<>();
     private final Map<Function, Double> surplusSince = new HashMap<>();
@@ -66,10 +66,10 @@
     private boolean hostsKnown;
     private boolean listKnown;
 
-    private record Asked(Function function, Host host) { }
+    private record Asked(Function function, WorkerHost host) { }
 
     /** The prefix makes this scaler's nonces its own. */
-    public Scaler(Keeper keeper, double rate, double lag, String prefix, double now, Outlet out) {
+    public Autoscaler(SlotKeeper keeper, double rate, double lag, String prefix, double now, Outlet out) {
         this.keeper = keeper;
         this.rate = RATE * rate / 1000;
         this.lag = lag;
@@ -86,7 +86,7 @@
     }
 
     public void host(String name, String zone, double memory, double free, boolean ready) {
-        Host h = hosts.computeIfAbsent(name, k -> new Host(name, zone));
+        WorkerHost h = hosts.computeIfAbsent(name, k -> new WorkerHost(name, zone));
         h.memory = memory;
         h.free = free;
         h.ready = ready;
@@ -103,8 +103,8 @@
         asked.values().forEach(a -> a.host.free -= a.function.memory);
     }
 
-    private Host hostOf(String name) {
-        return hosts.computeIfAbsent(name, k -> new Host(name, ""));
+    private WorkerHost hostOf(String name) {
+        return hosts.computeIfAbsent(name, k -> new WorkerHost(name, ""));
     }
 
     /** The whole list of instances was read once. */
@@ -198,7 +198,7 @@
         double backlog = load + f.lacks() * run / Math.max(run, span);
         boolean mustStand = f.aim < SURE * f.boot + run;
         int n = mustStand || f.inHand() > 0 ? 1 : 0;
-        while (n > 0 && (n * f.concurrency < backlog || Waits.longer(n * f.concurrency, load,
+        while (n > 0 && (n * f.concurrency < backlog || StartDelays.longer(n * f.concurrency, load,
             span / run) > LATE)) {
             n++;
         }
@@ -206,7 +206,7 @@
     }
 
     private boolean start(Function f) {
-        Host host = place(f);
+        WorkerHost host = place(f);
         if (host == null) {
             return false;
         }
@@ -219,7 +219,7 @@
     }
 
     /** Where most of its tasks lack an instance; there the host with the fewest of it, then the emptiest. */
-    private Host place(Function f) {
+    private WorkerHost place(Function f) {
         Map<String, Integer> demand = keeper.demandByZone(f);
         Map<String, Integer> inZone = new HashMap<>();
         Map<String, Integer> onHost = new HashMap<>();
@@ -233,9 +233,9 @@
                 onHost.merge(a.host.name, 1, Integer::sum);
             }
         });
-        Host best = null;
+        WorkerHost best = null;
         double bestValue = 0;
-        for (Host h : hosts.values()) {
+        for (WorkerHost h : hosts.values()) {
             if (!h.ready || h.free < f.memory) {
                 continue;
             }
--- a/src/main/java/gingerspool/raingauge/Waits.java
+++ b/src/main/java/gingerspool/autoscaler/StartDelays.java
@@ -1,8 +1,8 @@
-package gingerspool.raingauge;
+package gingerspool.autoscaler;
 
 /** Erlang's delay formula: how long tasks wait for a slot. */
-final class Waits {
-    private Waits() { }
+final class StartDelays {
+    private StartDelays() { }
 
     /** P(wait longer than a span) with so many slots, this load in slots, and spans in mean running times. */
     static double longer(int slots, double load, double span) {
--- a/src/main/java/gingerspool/raingauge/Host.java
+++ b/src/main/java/gingerspool/autoscaler/WorkerHost.java
@@ -1,7 +1,7 @@
-package gingerspool.raingauge;
+package gingerspool.autoscaler;
 
 /** A machine of the platform that instances run on. */
-public final class Host {
+public final class WorkerHost {
     final String name;
     final String zone;
     double memory;
@@ -9,7 +9,7 @@
     double free;
     boolean ready;
 
-    Host(String name, String zone) {
+    WorkerHost(String name, String zone) {
         this.name = name;
         this.zone = zone;
     }
--- a/src/main/java/gingerspool/cli/Station.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -1,10 +1,10 @@
 package gingerspool.cli;
 
-import gingerspool.anemometer.Anemometer;
-import gingerspool.barograph.LedgerException;
-import gingerspool.barometer.Barometer;
-import gingerspool.station.Settings;
-import gingerspool.station.SettingsException;
+import gingerspool.dataplane.SchedulerNode;
+import gingerspool.storage.StorageException;
+import gingerspool.controlplane.ControlNode;
+import gingerspool.settings.Settings;
+import gingerspool.settings.SettingsException;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -16,21 +16,21 @@
  * Starts one of the platform's two programs and ends it in order. Exit codes: 0 done, 1 can't run, 2
  * settings.
  */
-public final class Station {
-    private Station() { }
+public final class NodeProgram {
+    private NodeProgram() { }
 
     public static int run(String program, Map<String, String> environment) {
-        Logger log = LogManager.getLogger(Station.class);
+        Logger log = LogManager.getLogger(NodeProgram.class);
         CountDownLatch ended = new CountDownLatch(1);
         try {
             Settings settings = Settings.read(environment);
-            if (program.equals("barometer")) {
-                Barometer b = new Barometer(settings);
+            if (program.equals("control")) {
+                ControlNode b = new ControlNode(settings);
                 Signal.handle(new Signal("TERM"), s -> b.stop(ended::countDown));
                 Signal.handle(new Signal("HUP"), s -> { });
                 b.begin();
             } else {
-                Anemometer a = new Anemometer(settings);
+                SchedulerNode a = new SchedulerNode(settings);
                 Signal.handle(new Signal("TERM"), s -> a.stop(ended::countDown));
                 Signal.handle(new Signal("HUP"), s -> again(a, environment, log));
                 a.begin();
@@ -40,7 +40,7 @@
         } catch (SettingsException e) {
             log.error("settings.fault why=\"{}\"", e.getMessage());
             return 2;
-        } catch (IOException | LedgerException e) {
+        } catch (IOException | StorageException e) {
             log.error("start.failed why=\"{}\"", e.getMessage());
             return 1;
         } catch (InterruptedException e) {
@@ -49,7 +49,7 @@
     }
 
     /** A file that can't be used changes nothing. */
-    private static void again(Anemometer a, Map<String, String> environment, Logger log) {
+    private static void again(SchedulerNode a, Map<String, String> environment, Logger log) {
         try {
             a.settings(Settings.read(environment));
         } catch (SettingsException e) {
--- a/src/main/java/gingerspool/cli/Platforms.java
+++ b/src/main/java/gingerspool/cli/Platforms.java
@@ -1,13 +1,13 @@
 package gingerspool.cli;
 
-import gingerspool.almanac.Almanac;
-import gingerspool.anemometer.Anemometer;
-import gingerspool.barograph.LedgerException;
-import gingerspool.barometer.Barometer;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.dataplane.SchedulerNode;
+import gingerspool.storage.StorageException;
+import gingerspool.controlplane.ControlNode;
 import gingerspool.daemon.Loop;
 import gingerspool.standin.Cloud;
-import gingerspool.station.Settings;
-import gingerspool.station.SettingsException;
+import gingerspool.settings.Settings;
+import gingerspool.settings.SettingsException;
 import gingerspool.wire.Address;
 import java.io.IOException;
 import java.net.URI;
@@ -35,21 +35,21 @@
     static final class Program {
         private Program() { }
 
-        @Command(name = "anemometer", mixinStandardHelpOptions = true,
+        @Command(name = "scheduler", mixinStandardHelpOptions = true,
             description = "The data plane, on a front machine. GINGERSPOOL_CONFIG names its settings file.")
         static final class Front implements Callable<Integer> {
             @Override
             public Integer call() {
-                return Station.run("anemometer", System.getenv());
+                return NodeProgram.run("scheduler", System.getenv());
             }
         }
 
-        @Command(name = "barometer", mixinStandardHelpOptions = true,
+        @Command(name = "control", mixinStandardHelpOptions = true,
             description = "The control plane, on a core machine. GINGERSPOOL_CONFIG names its settings file.")
         static final class Core implements Callable<Integer> {
             @Override
             public Integer call() {
-                return Station.run("barometer", System.getenv());
+                return NodeProgram.run("control", System.getenv());
             }
         }
     }
@@ -85,8 +85,8 @@
 
         @Override
         public Integer call() throws IOException {
-            Almanac.Verdict v = new Almanac().take(true, 0, Files.readAllBytes(file));
-            if (v.status() == Almanac.TAKEN) {
+            ConfigurationState.Verdict v = new ConfigurationState().take(true, 0, Files.readAllBytes(file));
+            if (v.status() == ConfigurationState.TAKEN) {
                 spec.commandLine().getOut().println(file + ": can be taken");
                 return 0;
             }
@@ -96,7 +96,7 @@
     }
 
     @Command(name = "platform", mixinStandardHelpOptions = true, description = "Starts a small platform on "
-        + "loopback, three barometers, two anemometers and a stand-in for the machines that instances run "
+        + "loopback, three control nodes, two schedulers and a stand-in for the machines that instances run "
         + "on, gives it a configuration, sends a request, and ends.")
     static final class Small implements Callable<Integer> {
         @Spec
@@ -144,21 +144,21 @@
         private final Loop loop = new Loop();
         public final Cloud cloud;
         private final Path folder;
-        public final List<Barometer> core = new ArrayList<>();
-        private final List<Anemometer> front = new ArrayList<>();
+        public final List<ControlNode> core = new ArrayList<>();
+        private final List<SchedulerNode> front = new ArrayList<>();
 
         /** Starts all of it; what it keeps on disk goes under the folder. */
-        public Running(Path folder) throws IOException, SettingsException, LedgerException {
+        public Running(Path folder) throws IOException, SettingsException, StorageException {
             this.folder = folder;
             cloud = new Cloud(loop, "127.0.7.1", Map.of("h1", "a", "h2", "b"), 200, 20, 100, 2);
             for (int i = 1; i <= CORES; i++) {
-                core.add(new Barometer(settings("core-" + i, "127.0.5." + i)));
+                core.add(new ControlNode(settings("core-" + i, "127.0.5." + i)));
             }
             for (int i = 1; i <= FRONTS; i++) {
-                front.add(new Anemometer(settings("front-" + i, "127.0.6." + i)));
+                front.add(new SchedulerNode(settings("front-" + i, "127.0.6." + i)));
             }
-            core.forEach(Barometer::begin);
-            front.forEach(Anemometer::begin);
+            core.forEach(ControlNode::begin);
+            front.forEach(SchedulerNode::begin);
         }
 
         private Settings settings(String name, String ip) throws IOException, SettingsException {
@@ -244,8 +244,8 @@
 
         @Override
         public void close() {
-            front.forEach(Anemometer::close);
-            core.forEach(Barometer::close);
+            front.forEach(SchedulerNode::close);
+            core.forEach(ControlNode::close);
             loop.enter(() -> {
                 cloud.close();
                 loop.stop();
--- a/src/main/java/gingerspool/radiosonde/Coder.java
+++ b/src/main/java/gingerspool/codec/KryoCodec.java
@@ -1,4 +1,4 @@
-package gingerspool.radiosonde;
+package gingerspool.codec;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -13,14 +13,14 @@
 import java.util.List;
 import java.util.Map;
 
-/** Words to bytes and back, by Kryo. Only what is registered is read; for one thread. */
-public final class Coder {
+/** Messages to bytes and back, by Kryo. Only what is registered is read; for one thread. */
+public final class KryoCodec {
     private static final int FIRST = 512;
 
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(FIRST, -1);
 
-    public Coder(List<Class<?>> words) {
+    public KryoCodec(List<Class<?>> words) {
         kryo.setReferences(false);
         kryo.register(byte[].class);
         kryo.addDefaultSerializer(List.class, new Lists());
@@ -77,12 +77,12 @@
     }
 
     /** What can't be read is a fault of the peer. */
-    public Object read(byte[] bytes) throws BadWord {
+    public Object read(byte[] bytes) throws MalformedMessageException {
         try {
             return kryo.readClassAndObject(new Input(bytes));
         } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException
             | NegativeArraySizeException e) {
-            throw new BadWord(String.valueOf(e.getMessage()));
+            throw new MalformedMessageException(String.valueOf(e.getMessage()));
         }
     }
 }
--- a/src/main/java/gingerspool/radiosonde/BadWord.java
+++ b/src/main/java/gingerspool/codec/MalformedMessageException.java
@@ -1,10 +1,10 @@
-package gingerspool.radiosonde;
+package gingerspool.codec;
 
 /** A peer said something that none of our processes says. */
-public final class BadWord extends Exception {
+public final class MalformedMessageException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    public BadWord(String text) {
+    public MalformedMessageException(String text) {
         super(text, null, false, false);
     }
 }
--- a/src/main/java/gingerspool/radiosonde/package-info.java
+++ b/src/main/java/gingerspool/codec/package-info.java
@@ -1,2 +1,2 @@
 /** What the system's own processes say to each other, over held connections. */
-package gingerspool.radiosonde;
+package gingerspool.codec;
--- a/src/main/java/gingerspool/almanac/Almanac.java
+++ b/src/main/java/gingerspool/configuration/ConfigurationState.java
@@ -1,4 +1,4 @@
-package gingerspool.almanac;
+package gingerspool.configuration;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.util.JsonFormat;
@@ -23,7 +23,7 @@
  * The configuration that is in force, and what was taken lately. Commands come in the one order, so each
  * member decides the same of each. It is kept as it was sent, fields that nobody knows included.
  */
-public final class Almanac {
+public final class ConfigurationState {
     /** So many versions are remembered, by which a command that comes again is known. */
     private static final int REMEMBERED = 64;
 
@@ -60,7 +60,7 @@
         try {
             Object sent = Json.read(body, 0, body.length);
             if (!(sent instanceof Map<?, ?> said)) {
-                throw new BadConfiguration("the body is no JSON object");
+                throw new InvalidConfigurationException("the body is no JSON object");
             }
             long version = version(said);
             if (digest.equals(taken.get(version))) {
@@ -73,7 +73,7 @@
             Configuration typed = typed(next);
             check(typed);
             if (version <= version()) {
-                throw new BadConfiguration("Version " + version + " is not higher than " + version());
+                throw new InvalidConfigurationException("Version " + version + " is not higher than " + version());
             }
             tree = next;
             configuration = typed;
@@ -82,7 +82,7 @@
                 taken.pollFirstEntry();
             }
             return new Verdict(TAKEN, "taken");
-        } catch (BadMessage | BadConfiguration e) {
+        } catch (BadMessage | InvalidConfigurationException e) {
             return new Verdict(INVALID, e.getMessage());
         }
     }
@@ -97,10 +97,10 @@
         }
     }
 
-    private static long version(Map<?, ?> said) throws BadConfiguration {
+    private static long version(Map<?, ?> said) throws InvalidConfigurationException {
         if (!(said.get("Version") instanceof Number n) || n.doubleValue() != Math.rint(n.doubleValue())
             || n.doubleValue() < 1) {
-            throw new BadConfiguration("Version is no whole number above 0");
+            throw new InvalidConfigurationException("Version is no whole number above 0");
         }
         return n.longValue();
     }
@@ -112,7 +112,7 @@
     }
 
     /** The configuration in force with some items added, replaced or removed by name. */
-    private Map<String, Object> changed(Map<?, ?> said) throws BadConfiguration {
+    private Map<String, Object> changed(Map<?, ?> said) throws InvalidConfigurationException {
         Map<String, Object> next = copy(tree);
         next.put("Version", said.get("Version"));
         Set<Object> lists = new HashSet<>(table(said, "Upserts").keySet());
@@ -127,7 +127,7 @@
             }
             for (Object item : list(table(said, "Upserts").get(list), "Upserts." + list)) {
                 if (Tree.text(null, item, "Name") == null) {
-                    throw new BadConfiguration("an item of Upserts." + list + " has no Name");
+                    throw new InvalidConfigurationException("an item of Upserts." + list + " has no Name");
                 }
                 byName.put(Tree.at(item, "Name"), item);
             }
@@ -136,37 +136,37 @@
         return next;
     }
 
-    private static Map<?, ?> table(Map<?, ?> said, String key) throws BadConfiguration {
+    private static Map<?, ?> table(Map<?, ?> said, String key) throws InvalidConfigurationException {
         Object at = said.get(key);
         if (at != null && !(at instanceof Map<?, ?>)) {
-            throw new BadConfiguration(key + " is no object");
+            throw new InvalidConfigurationException(key + " is no object");
         }
         return at == null ? Map.of() : (Map<?, ?>) at;
     }
 
-    private static List<?> list(Object at, String key) throws BadConfiguration {
+    private static List<?> list(Object at, String key) throws InvalidConfigurationException {
         if (at != null && !(at instanceof List<?>)) {
-            throw new BadConfiguration(key + " is no list");
+            throw new InvalidConfigurationException(key + " is no list");
         }
         return at == null ? List.of() : (List<?>) at;
     }
 
-    private static Configuration typed(Map<String, Object> tree) throws BadConfiguration {
+    private static Configuration typed(Map<String, Object> tree) throws InvalidConfigurationException {
         try {
             Configuration.Builder b = Configuration.newBuilder();
             JsonFormat.parser().ignoringUnknownFields().merge(Json.write(tree), b);
             return b.build();
         } catch (InvalidProtocolBufferException e) {
-            throw new BadConfiguration(e.getMessage());
+            throw new InvalidConfigurationException(e.getMessage());
         }
     }
 
     /** The rules that any configuration keeps. */
-    private static void check(Configuration c) throws BadConfiguration {
+    private static void check(Configuration c) throws InvalidConfigurationException {
         Set<String> services = new HashSet<>();
         for (Service s : c.getServicesList()) {
             if (s.getName().isEmpty() || !services.add(s.getName())) {
-                throw new BadConfiguration("Services: \"" + s.getName() + "\" stands twice or has no Name");
+                throw new InvalidConfigurationException("Services: \"" + s.getName() + "\" stands twice or has no Name");
             }
         }
         Set<String> names = new HashSet<>();
@@ -174,18 +174,18 @@
         for (Route r : c.getRoutesList()) {
             String at = "Routes: \"" + r.getName() + "\" ";
             if (r.getName().isEmpty() || !names.add(r.getName())) {
-                throw new BadConfiguration(at + "stands twice or has no Name");
+                throw new InvalidConfigurationException(at + "stands twice or has no Name");
             }
             if (!services.contains(r.getService())) {
-                throw new BadConfiguration(at + "names Service \"" + r.getService()
+                throw new InvalidConfigurationException(at + "names Service \"" + r.getService()
                     + "\", which isn't there");
             }
             if (r.hasTimeout() && r.getTimeout() <= 0) {
-                throw new BadConfiguration(at + "has TimeoutMs " + r.getTimeout());
+                throw new InvalidConfigurationException(at + "has TimeoutMs " + r.getTimeout());
             }
             String other = places.put(RouteTable.host(r.getHost()) + " " + r.getPrefix(), r.getName());
             if (other != null) {
-                throw new BadConfiguration(at + "has the HostName and PathPrefix of \"" + other + "\"");
+                throw new InvalidConfigurationException(at + "has the HostName and PathPrefix of \"" + other + "\"");
             }
         }
     }
@@ -210,7 +210,7 @@
     }
 
     /** Takes items in place of whatever is known here; what makes no configuration is refused whole. */
-    public void mend(Map<String, String> items) throws BadConfiguration {
+    public void mend(Map<String, String> items) throws InvalidConfigurationException {
         Map<String, Object> next = new LinkedHashMap<>();
         TreeMap<Long, String> versions = new TreeMap<>();
         try {
@@ -224,7 +224,7 @@
                 }
             }
         } catch (BadMessage | ClassCastException | NumberFormatException | IndexOutOfBoundsException e) {
-            throw new BadConfiguration("items that can't be read: " + e.getMessage());
+            throw new InvalidConfigurationException("items that can't be read: " + e.getMessage());
         }
         Configuration typed = typed(next);
         tree = next;
@@ -234,12 +234,12 @@
     }
 
     private static List<Object> list(Map<String, String> items, String name, int length)
-        throws BadMessage, BadConfiguration {
+        throws BadMessage, InvalidConfigurationException {
         List<Object> list = new ArrayList<>();
         for (int i = 0; i < length; i++) {
             String item = items.get("L/" + name + "/" + i);
             if (item == null) {
-                throw new BadConfiguration(name + " lacks item " + i);
+                throw new InvalidConfigurationException(name + " lacks item " + i);
             }
             list.add(value(item));
         }
@@ -268,7 +268,7 @@
             taken.clear();
             ((Map<?, ?>) Tree.at(all, "taken")).forEach((v, d) -> taken.put(Long.parseLong((String) v),
                 (String) d));
-        } catch (BadMessage | BadConfiguration e) {
+        } catch (BadMessage | InvalidConfigurationException e) {
             throw new IllegalStateException("a state that was made here can't be read: " + e.getMessage(), e);
         }
     }
--- a/src/main/java/gingerspool/almanac/BadConfiguration.java
+++ b/src/main/java/gingerspool/configuration/InvalidConfigurationException.java
@@ -1,10 +1,10 @@
-package gingerspool.almanac;
+package gingerspool.configuration;
 
 /** A configuration that can't be taken; the text names the item. */
-public final class BadConfiguration extends Exception {
+public final class InvalidConfigurationException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    public BadConfiguration(String text) {
+    public InvalidConfigurationException(String text) {
         super(text, null, false, false);
     }
 }
--- a/src/main/java/gingerspool/almanac/RouteTable.java
+++ b/src/main/java/gingerspool/configuration/RouteTable.java
@@ -1,4 +1,4 @@
-package gingerspool.almanac;
+package gingerspool.configuration;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/gingerspool/almanac/package-info.java
+++ b/src/main/java/gingerspool/configuration/package-info.java
@@ -1,2 +1,2 @@
 /** The operators' configuration: how it is read, checked, changed, kept, and what it says of a request. */
-package gingerspool.almanac;
+package gingerspool.configuration;
--- a/src/main/java/gingerspool/weathervane/Change.java
+++ b/src/main/java/gingerspool/consensus/LogWrite.java
@@ -1,4 +1,4 @@
-package gingerspool.weathervane;
+package gingerspool.consensus;
 
 import java.util.List;
 
@@ -6,5 +6,5 @@
  * What goes to disk at once, or not at all: whose disk it is, the promise (view and whom it was granted to,
  * or null), all entries from a place on, and a new base where that is not null. The ticket counts up.
  */
-public record Change(long ticket, Member self, long view, Member granted, long from, List<Entry> entries,
-    Base base) { }
+public record LogWrite(long ticket, Member self, long view, Member granted, long from, List<LogEntry> entries,
+    Snapshot base) { }
--- a/src/main/java/gingerspool/weathervane/Member.java
+++ b/src/main/java/gingerspool/consensus/Member.java
@@ -1,4 +1,4 @@
-package gingerspool.weathervane;
+package gingerspool.consensus;
 
 /**
  * One store of the order: the address of its machine, and a mark made together with its disk's content. A
--- a/src/main/java/gingerspool/weathervane/Order.java
+++ b/src/main/java/gingerspool/consensus/Replica.java
@@ -1,4 +1,4 @@
-package gingerspool.weathervane;
+package gingerspool.consensus;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,7 +25,7 @@
  * <p>Members change one at a time: who isn't heard of goes once another waits for its place, then that one
  * comes in. A member that lost its disk is another member. Times are milliseconds of a steady clock.
  */
-public final class Order {
+public final class Replica {
     /** The lease is trusted for this part of its span, since clocks may run a little apart. */
     private static final double TRUSTED = 0.75;
     /** Beats a lease. */
@@ -51,7 +51,7 @@
     /** What waits until the disk has confirmed a ticket. */
     private record Waiting(long ticket, Runnable then) { }
 
-    private final Outlet out;
+    private final ReplicaEnvironment out;
     private final SplittableRandom chance;
     private final double lease;
     private final int tolerated;
@@ -60,8 +60,8 @@
 
     private long view;
     private Member granted;
-    private Base base;
-    private final List<Entry> entries = new ArrayList<>();
+    private Snapshot base;
+    private final List<LogEntry> entries = new ArrayList<>();
     private List<Member> members;
     private int bytes;
 
@@ -93,8 +93,8 @@
      * A member as its disk left it. Who was there at the first start passes the founders and no disk's
      * content; any other without content is a stranger, which must be taken in.
      */
-    public Order(Member self, Saved disk, List<Member> founders, int tolerated, double lease, long seed,
-        double now, Outlet out) {
+    public Replica(Member self, PersistedState disk, List<Member> founders, int tolerated, double lease, long seed,
+        double now, ReplicaEnvironment out) {
         this.self = disk == null ? self : disk.self();
         this.tolerated = tolerated;
         this.lease = lease;
@@ -102,7 +102,7 @@
         this.now = now;
         chance = new SplittableRandom(seed);
         boolean founds = disk == null && founders.contains(self);
-        base = disk != null ? disk.base() : new Base(0, 0, founds ? founders : List.of(), null);
+        base = disk != null ? disk.base() : new Snapshot(0, 0, founds ? founders : List.of(), null);
         if (disk != null) {
             view = disk.view();
             granted = disk.granted();
@@ -171,11 +171,11 @@
         return place == base.place() ? base.view() : entry(place).view();
     }
 
-    private Entry entry(long place) {
+    private LogEntry entry(long place) {
         return entries.get((int) (place - base.place() - 1));
     }
 
-    private static int size(Entry e) {
+    private static int size(LogEntry e) {
         return e.command() == null ? 0 : e.command().length;
     }
 
@@ -209,10 +209,10 @@
     // ---- Disk ----
 
     /** Entries from this place on have changed, or only the promise where it is beyond the last. */
-    private void save(long from, Base newBase) {
-        List<Entry> changed = from > last() ? List.of()
+    private void save(long from, Snapshot newBase) {
+        List<LogEntry> changed = from > last() ? List.of()
             : List.copyOf(entries.subList((int) (from - base.place() - 1), entries.size()));
-        out.save(new Change(++ticket, self, view, granted, from, changed, newBase));
+        out.save(new LogWrite(++ticket, self, view, granted, from, changed, newBase));
         long upTo = last();
         long of = era;
         whenSaved(() -> {
@@ -242,8 +242,8 @@
     }
 
     /** The disk failed, and what it holds is unknown: everything, to be written anew under a new ticket. */
-    public Change whole() {
-        return new Change(++ticket, self, view, granted, base.place() + 1, List.copyOf(entries), base);
+    public LogWrite whole() {
+        return new LogWrite(++ticket, self, view, granted, base.place() + 1, List.copyOf(entries), base);
     }
 
     // ---- Time ----
@@ -313,16 +313,16 @@
         count();
     }
 
-    private void asked(Member from, Letter.Ask l) {
+    private void asked(Member from, ConsensusMessage.PreVote l) {
         if (!members.contains(from)) {
             refuseStranger(from, l.view());
         } else {
-            out.send(from, new Letter.Would(l.view(), mayStop(from, l.view())
+            out.send(from, new ConsensusMessage.PreVoteReply(l.view(), mayStop(from, l.view())
                 && upToDate(l.lastView(), l.last()), view));
         }
     }
 
-    private void would(Member from, Letter.Would l) {
+    private void would(Member from, ConsensusMessage.PreVoteReply l) {
         next = Math.max(next, l.own() + 1);
         if (role == Role.ASKING && l.yes() && l.view() > view) {
             votes.add(from);
@@ -352,8 +352,8 @@
         beatAt = now + lease / BEATS;
         for (Member m : members) {
             if (!votes.contains(m)) {
-                out.send(m, role == Role.ASKING ? new Letter.Ask(next, viewAt(last()), last())
-                    : new Letter.Stop(view, viewAt(last()), last()));
+                out.send(m, role == Role.ASKING ? new ConsensusMessage.PreVote(next, viewAt(last()), last())
+                    : new ConsensusMessage.RequestVote(view, viewAt(last()), last()));
             }
         }
     }
@@ -364,7 +364,7 @@
         promise = ticket;
     }
 
-    private void stop(Member from, Letter.Stop l) {
+    private void stop(Member from, ConsensusMessage.RequestVote l) {
         if (!members.contains(from)) {
             refuseStranger(from, l.view());
             return;
@@ -374,7 +374,7 @@
             return;
         }
         if (!mayStop(from, l.view())) {
-            out.send(from, new Letter.Stopped(l.view(), false, false));
+            out.send(from, new ConsensusMessage.VoteReply(l.view(), false, false));
             return;
         }
         view = l.view();
@@ -394,7 +394,7 @@
     private void refuseStranger(Member from, long of) {
         // Only one who surely knows better may say so: what it says makes the other forget all it has.
         boolean sure = leads(now) && membersAgreed();
-        out.send(from, new Letter.Stopped(of, false, sure));
+        out.send(from, new ConsensusMessage.VoteReply(of, false, sure));
     }
 
     /** Who may still hold a lease by our promise may stand all the same: it holds none while it does. */
@@ -406,15 +406,15 @@
         return lastView > viewAt(last()) || lastView == viewAt(last()) && last >= last();
     }
 
-    private void grant(Member to, Letter.Stop l) {
+    private void grant(Member to, ConsensusMessage.RequestVote l) {
         whenSaved(() -> {
             if (view == l.view()) {
-                out.send(to, new Letter.Stopped(l.view(), true, false));
+                out.send(to, new ConsensusMessage.VoteReply(l.view(), true, false));
             }
         });
     }
 
-    private void stopped(Member from, Letter.Stopped l) {
+    private void stopped(Member from, ConsensusMessage.VoteReply l) {
         if (l.stranger()) {
             forget();
         } else if (role == Role.STANDING && l.view() == view && l.granted()) {
@@ -443,14 +443,14 @@
         leader = null;
         entries.clear();
         bytes = 0;
-        base = new Base(0, 0, List.of(), null);
+        base = new Snapshot(0, 0, List.of(), null);
         members = List.of();
         synced = 0;
         agreed = 0;
         delivered = 0;
         era++;
         waiting.clear();
-        out.save(new Change(++ticket, self, view, null, 1, List.of(), base));
+        out.save(new LogWrite(++ticket, self, view, null, 1, List.of(), base));
     }
 
     private void follow(Member who) {
@@ -467,10 +467,10 @@
         peers.clear();
         members.forEach(this::peer);
         began = last() + 1;
-        put(Entry.begin(view));
+        put(LogEntry.begin(view));
     }
 
-    // ---- Order ----
+    // ---- Replica ----
 
     /**
      * Puts a command in its place; false where this member does not lead. Delivery tells that it is agreed
@@ -481,11 +481,11 @@
         if (!leads(now)) {
             return false;
         }
-        put(Entry.command(view, command));
+        put(LogEntry.command(view, command));
         return true;
     }
 
-    private void put(Entry e) {
+    private void put(LogEntry e) {
         entries.add(e);
         bytes += size(e);
         findMembers();
@@ -496,17 +496,17 @@
     private void append(Member m) {
         Peer p = peer(m);
         if (p.next <= base.place()) {
-            out.send(m, new Letter.Whole(view, base, agreed, now));
+            out.send(m, new ConsensusMessage.InstallSnapshot(view, base, agreed, now));
             p.next = base.place() + 1;
         } else {
-            List<Entry> news = List.copyOf(entries.subList((int) (p.next - base.place() - 1),
+            List<LogEntry> news = List.copyOf(entries.subList((int) (p.next - base.place() - 1),
                 entries.size()));
-            out.send(m, new Letter.Append(view, p.next - 1, viewAt(p.next - 1), news, agreed, now));
+            out.send(m, new ConsensusMessage.AppendEntries(view, p.next - 1, viewAt(p.next - 1), news, agreed, now));
             p.next = last() + 1;
         }
     }
 
-    private void appended(Member from, Letter.Appended l) {
+    private void appended(Member from, ConsensusMessage.AppendReply l) {
         if (role != Role.LEADING || l.view() != view) {
             return;
         }
@@ -546,7 +546,7 @@
     private void deliver() {
         while (delivered < Math.min(agreed, last())) {
             delivered++;
-            Entry e = entry(delivered);
+            LogEntry e = entry(delivered);
             if (e.command() != null) {
                 out.deliver(delivered, e.command());
             }
@@ -562,10 +562,10 @@
         for (long i = base.place() + 1; i <= delivered; i++) {
             then = entry(i).members() != null ? entry(i).members() : then;
         }
-        Base made = new Base(delivered, viewAt(delivered), then, out.state());
+        Snapshot made = new Snapshot(delivered, viewAt(delivered), then, out.state());
         entries.subList(0, (int) (delivered - base.place())).clear();
         base = made;
-        bytes = entries.stream().mapToInt(Order::size).sum();
+        bytes = entries.stream().mapToInt(Replica::size).sum();
         save(base.place() + 1, base);
     }
 
@@ -588,7 +588,7 @@
 
     private void findMembers() {
         members = base.members();
-        for (Entry e : entries) {
+        for (LogEntry e : entries) {
             members = e.members() != null ? e.members() : members;
         }
     }
@@ -596,25 +596,25 @@
     // ---- Letters ----
 
     /** A letter for this member. */
-    public void heard(double at, Member from, Letter letter) {
+    public void heard(double at, Member from, ConsensusMessage letter) {
         now = at;
-        if (letter instanceof Letter.Ask l) {
+        if (letter instanceof ConsensusMessage.PreVote l) {
             asked(from, l);
-        } else if (letter instanceof Letter.Would l) {
+        } else if (letter instanceof ConsensusMessage.PreVoteReply l) {
             would(from, l);
-        } else if (letter instanceof Letter.Stop l) {
+        } else if (letter instanceof ConsensusMessage.RequestVote l) {
             stop(from, l);
-        } else if (letter instanceof Letter.Stopped l) {
+        } else if (letter instanceof ConsensusMessage.VoteReply l) {
             stopped(from, l);
-        } else if (letter instanceof Letter.Append l) {
+        } else if (letter instanceof ConsensusMessage.AppendEntries l) {
             if (heardLeader(from, l.view(), l.sentAt())) {
                 take(from, l);
             }
-        } else if (letter instanceof Letter.Whole l) {
+        } else if (letter instanceof ConsensusMessage.InstallSnapshot l) {
             if (heardLeader(from, l.view(), l.sentAt())) {
                 take(from, l);
             }
-        } else if (letter instanceof Letter.Appended l) {
+        } else if (letter instanceof ConsensusMessage.AppendReply l) {
             if (l.view() > view && role == Role.LEADING) {
                 // Others have gone on without us.
                 view = l.view();
@@ -624,9 +624,9 @@
                 promise();
             }
             appended(from, l);
-        } else if (letter instanceof Letter.Join) {
+        } else if (letter instanceof ConsensusMessage.JoinRequest) {
             join(from);
-        } else if (letter instanceof Letter.Take l && l.view() == view && from.equals(leader)) {
+        } else if (letter instanceof ConsensusMessage.TimeoutNow l && l.view() == view && from.equals(leader)) {
             // The lease was given up by who held it.
             heldUntil = now;
             leader = null;
@@ -636,7 +636,7 @@
 
     private boolean heardLeader(Member from, long of, double sentAt) {
         if (of < view) {
-            out.send(from, new Letter.Appended(view, false, 0, Double.NEGATIVE_INFINITY));
+            out.send(from, new ConsensusMessage.AppendReply(view, false, 0, Double.NEGATIVE_INFINITY));
             return false;
         }
         if (!from.equals(granted) || of > view) {
@@ -650,11 +650,11 @@
         return true;
     }
 
-    private void take(Member from, Letter.Append l) {
+    private void take(Member from, ConsensusMessage.AppendEntries l) {
         long before = l.before();
         int skip = (int) Math.max(0, base.place() - before);
         if (before > last() || before >= base.place() && viewAt(before) != l.beforeView()) {
-            out.send(from, new Letter.Appended(view, false, Math.min(last(), before - 1), l.sentAt()));
+            out.send(from, new ConsensusMessage.AppendReply(view, false, Math.min(last(), before - 1), l.sentAt()));
             return;
         }
         long changedFrom = last() + 1;
@@ -674,14 +674,14 @@
         }
         long fits = before + l.entries().size();
         if (changedFrom <= last()) {
-            bytes = entries.stream().mapToInt(Order::size).sum();
+            bytes = entries.stream().mapToInt(Replica::size).sum();
             findMembers();
             save(changedFrom, null);
         }
         accept(from, fits, l.agreed(), l.sentAt());
     }
 
-    private void take(Member from, Letter.Whole l) {
+    private void take(Member from, ConsensusMessage.InstallSnapshot l) {
         if (l.base().place() > delivered || members.isEmpty()) {
             base = l.base();
             era++;
@@ -709,12 +709,12 @@
         long of = view;
         // Guards the lease through a restart: it counts only once its promise is on disk.
         boolean promised = savedTicket >= promise;
-        out.send(from, new Letter.Appended(view, true, Math.min(synced, fits),
+        out.send(from, new ConsensusMessage.AppendReply(view, true, Math.min(synced, fits),
             promised ? sentAt : Double.NEGATIVE_INFINITY));
         if (synced < fits || !promised) {
             whenSaved(() -> {
                 if (view == of && fits <= last()) {
-                    out.send(from, new Letter.Appended(view, true, Math.min(synced, fits), sentAt));
+                    out.send(from, new ConsensusMessage.AppendReply(view, true, Math.min(synced, fits), sentAt));
                 }
             });
         }
@@ -756,7 +756,7 @@
             } else {
                 continue;
             }
-            put(Entry.members(view, next));
+            put(LogEntry.members(view, next));
             return;
         }
     }
@@ -786,7 +786,7 @@
             }
             if (heir != null) {
                 for (Member m : members) {
-                    out.send(m, new Letter.Take(view, heir));
+                    out.send(m, new ConsensusMessage.TimeoutNow(view, heir));
                 }
             }
             follow(null);
--- a/src/main/java/gingerspool/weathervane/Outlet.java
+++ b/src/main/java/gingerspool/consensus/ReplicaEnvironment.java
@@ -1,12 +1,12 @@
-package gingerspool.weathervane;
+package gingerspool.consensus;
 
-/** What an Order calls to act. */
-public interface Outlet {
+/** What an Replica calls to act. */
+public interface ReplicaEnvironment {
     /** Sends, or loses, a letter. */
-    void send(Member to, Letter letter);
+    void send(Member to, ConsensusMessage letter);
 
     /** Writes this with a sync; saved(ticket) follows once it and all before are on disk, or never. */
-    void save(Change change);
+    void save(LogWrite change);
 
     /** The next command that is agreed on. */
     void deliver(long place, byte[] command);
--- a/src/main/java/gingerspool/barometer/Barometer.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -1,24 +1,24 @@
-package gingerspool.barometer;
+package gingerspool.controlplane;
 
-import gingerspool.almanac.Almanac;
-import gingerspool.almanac.BadConfiguration;
-import gingerspool.barograph.Ledger;
-import gingerspool.barograph.LedgerException;
-import gingerspool.barograph.Writer;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.configuration.InvalidConfigurationException;
+import gingerspool.storage.DurableLog;
+import gingerspool.storage.StorageException;
+import gingerspool.storage.LogWriter;
 import gingerspool.daemon.Loop;
-import gingerspool.radiosonde.BadWord;
-import gingerspool.radiosonde.Coder;
-import gingerspool.radiosonde.Vocabulary;
-import gingerspool.radiosonde.Words;
-import gingerspool.station.Settings;
-import gingerspool.thermograph.Mender;
-import gingerspool.thermograph.Ranges;
-import gingerspool.weathervane.Change;
-import gingerspool.weathervane.Letter;
-import gingerspool.weathervane.Member;
-import gingerspool.weathervane.Order;
-import gingerspool.weathervane.Outlet;
-import gingerspool.weathervane.Saved;
+import gingerspool.codec.MalformedMessageException;
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.MessageTypes;
+import gingerspool.codec.Messages;
+import gingerspool.settings.Settings;
+import gingerspool.antientropy.ReplicaRepair;
+import gingerspool.antientropy.RangeDigests;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.ConsensusMessage;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.Replica;
+import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.PersistedState;
 import gingerspool.wire.Address;
 import gingerspool.wire.Frames;
 import gingerspool.wire.Listener;
@@ -41,8 +41,8 @@
  * One process of the core: joins the order of commands with its disk, its links, the operators' door and the
  * duty. Everything happens on one loop; only the ledger has a thread besides. Decides nothing itself.
  */
-public final class Barometer implements Outlet, Frames.Owner, Listener.Owner {
-    private static final Logger LOG = LogManager.getLogger(Barometer.class);
+public final class ControlNode implements ReplicaEnvironment, Frames.Owner, Listener.Owner {
+    private static final Logger LOG = LogManager.getLogger(ControlNode.class);
     private static final int LINKS_MOST = 1024;
     /** Beats a heartbeat interval to schedulers, and the span of a lease in such intervals. */
     private static final double STANDINGS = 2;
@@ -58,11 +58,11 @@
 
     private final Settings settings;
     final Loop loop;
-    private final Coder coder = new Coder(Vocabulary.ALL);
-    final Almanac almanac = new Almanac();
-    private final Order order;
-    private final Writer writer;
-    private final OperatorDoor door;
+    private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
+    final ConfigurationState configurationState = new ConfigurationState();
+    private final Replica replica;
+    private final LogWriter writer;
+    private final OperatorEndpoint door;
     private final Listener listener;
     /** Our own links to the other machines of the core, by address; and when each was last heard. */
     private final Map<String, Peer> peers = new HashMap<>();
@@ -71,20 +71,20 @@
     private final Map<String, Frames> fronts = new HashMap<>();
     private final Map<Long, Waiter> waiters = new HashMap<>();
     private long commands;
-    private Duty duty;
+    private LeaderDuties duty;
     private long dutyView;
     private double orderWakes = Double.POSITIVE_INFINITY;
-    private final Mender mender = new Mender(new Mender.Outlet() {
+    private final ReplicaRepair mender = new ReplicaRepair(new ReplicaRepair.Outlet() {
         @Override
         public void ask(String member, long place, int ranges) {
             askedFrom = member;
-            tellPeer(member, new Words.Ask(settings.ip, place, ranges));
+            tellPeer(member, new Messages.RangeRequest(settings.ip, place, ranges));
         }
 
         @Override
         public void send(String member, long place, int ranges) {
-            tellPeer(member, new Words.Mend(settings.ip, place, ranges,
-                Ranges.items(almanac.items(), ranges)));
+            tellPeer(member, new Messages.RangeRepair(settings.ip, place, ranges,
+                RangeDigests.items(configurationState.items(), ranges)));
         }
     });
     /** The member whose items we asked for, as most hold what it does. */
@@ -112,25 +112,25 @@
         double newsAt = Double.NEGATIVE_INFINITY;
     }
 
-    private record Waiter(Call.Change call) { }
+    private record Waiter(OperatorCall.Change call) { }
 
-    public Barometer(Settings settings) throws IOException, LedgerException {
+    public ControlNode(Settings settings) throws IOException, StorageException {
         this.settings = settings;
         loop = new Loop();
-        Ledger ledger = new Ledger(settings.data, settings.diskMb);
-        Saved disk = ledger.open();
+        DurableLog ledger = new DurableLog(settings.data, settings.diskMb);
+        PersistedState disk = ledger.open();
         boolean founds = disk == null && settings.firstStart;
         List<Member> founders = founds ? settings.seeds.stream()
             .map(a -> new Member(a.getAddress().getHostAddress(), Member.FOUNDER)).toList() : List.of();
         // Never the same twice, whatever was on a disk before: so not from a seed.
         String mark = founds ? Member.FOUNDER : UUID.randomUUID().toString();
-        writer = new Writer(ledger, loop::enter, this::onSaved, this::whole);
-        order = new Order(new Member(settings.ip, mark), disk, founders, settings.tolerated,
+        writer = new LogWriter(ledger, loop::enter, this::onSaved, this::whole);
+        replica = new Replica(new Member(settings.ip, mark), disk, founders, settings.tolerated,
             LEASE * settings.beat, settings.name.hashCode(), loop.now(), this);
-        door = new OperatorDoor(loop, settings.control, this::run);
+        door = new OperatorEndpoint(loop, settings.control, this::run);
         listener = new Listener(loop, new InetSocketAddress(settings.ip, settings.innerPort), this);
-        LOG.info("start member={} members={} view={} version={}", order.self(), order.members(), order.view(),
-            almanac.version());
+        LOG.info("start member={} members={} view={} version={}", replica.self(), replica.members(), replica.view(),
+            configurationState.version());
     }
 
     public void begin() {
@@ -148,7 +148,7 @@
     /** Leaves in order: the duty goes to another at once. */
     public void stop(Runnable then) {
         loop.enter(() -> {
-            order.leave(loop.now());
+            replica.leave(loop.now());
             after();
             door.end();
             loop.after(settings.beat / 8, () -> {
@@ -169,8 +169,8 @@
     private void look() {
         double now = loop.now();
         Set<String> wanted = new HashSet<>();
-        order.members().forEach(m -> wanted.add(m.ip()));
-        if (order.isStranger() || order.members().isEmpty()) {
+        replica.members().forEach(m -> wanted.add(m.ip()));
+        if (replica.isStranger() || replica.members().isEmpty()) {
             settings.seeds.forEach(a -> wanted.add(a.getAddress().getHostAddress()));
         }
         wanted.remove(settings.ip);
@@ -189,8 +189,8 @@
                 e.getKey().close();
             }
         }
-        if (order.isStranger()) {
-            wanted.forEach(ip -> post(new Member(ip, ""), new Letter.Join(order.view())));
+        if (replica.isStranger()) {
+            wanted.forEach(ip -> post(new Member(ip, ""), new ConsensusMessage.JoinRequest(replica.view())));
         }
         loop.after(settings.beat / 8, this::look);
     }
@@ -209,12 +209,12 @@
     }
 
     private void wakeOrder() {
-        double at = Math.max(order.nextTick(), loop.now() + 1);
+        double at = Math.max(replica.nextTick(), loop.now() + 1);
         if (at < orderWakes) {
             orderWakes = at;
             loop.after(at - loop.now(), () -> {
                 orderWakes = Double.POSITIVE_INFINITY;
-                order.tick(loop.now());
+                replica.tick(loop.now());
                 after();
             });
         }
@@ -223,17 +223,17 @@
     /** What follows from whatever the order was just told. */
     private void after() {
         double now = loop.now();
-        boolean leads = order.leads(now);
-        if (duty != null && (order.view() != dutyView || !order.self().equals(order.leader(now)) && !leads
-            && order.leader(now) != null)) {
+        boolean leads = replica.leads(now);
+        if (duty != null && (replica.view() != dutyView || !replica.self().equals(replica.leader(now)) && !leads
+            && replica.leader(now) != null)) {
             endDuty();
         }
         if (leads && duty == null) {
-            dutyView = order.view();
-            duty = new Duty(loop, settings, dutyView, () -> order.leads(loop.now()), this::tell,
+            dutyView = replica.view();
+            duty = new LeaderDuties(loop, settings, dutyView, () -> replica.leads(loop.now()), this::tell,
                 this::tellAll);
-            duty.configured(almanac.configuration());
-            LOG.info("duty.begins view={} members={}", dutyView, order.members());
+            duty.configured(configurationState.configuration());
+            LOG.info("duty.begins view={} members={}", dutyView, replica.members());
             sendStandings();
         }
         wakeOrder();
@@ -249,7 +249,7 @@
 
     private void standings() {
         sendStandings();
-        byte[] word = coder.write(new Words.Hello(settings.ip));
+        byte[] word = coder.write(new Messages.Heartbeat(settings.ip));
         peers.values().stream().filter(p -> p.up).forEach(p -> p.link.send(word));
         if (++standings % COMPARED == 0) {
             compare();
@@ -261,13 +261,13 @@
 
     /** Tells the leader what our copy of the state comes to; the leader compares all copies. */
     private void compare() {
-        Member leader = order.leader(loop.now());
-        List<Long> own = Ranges.digests(almanac.items());
-        if (order.leads(loop.now())) {
-            mender.compare(settings.ip, order.members().stream().map(Member::ip).toList(), order.delivered(),
+        Member leader = replica.leader(loop.now());
+        List<Long> own = RangeDigests.digests(configurationState.items());
+        if (replica.leads(loop.now())) {
+            mender.compare(settings.ip, replica.members().stream().map(Member::ip).toList(), replica.delivered(),
                 own);
-        } else if (leader != null && !order.isStranger()) {
-            tellPeer(leader.ip(), new Words.Copy(settings.ip, order.delivered(), own));
+        } else if (leader != null && !replica.isStranger()) {
+            tellPeer(leader.ip(), new Messages.ReplicaDigest(settings.ip, replica.delivered(), own));
         }
     }
 
@@ -279,20 +279,20 @@
     }
 
     /** A member says that it has these items where we have others: most hold them. */
-    private void mend(Words.Mend word) {
-        Member leader = order.leader(loop.now());
+    private void mend(Messages.RangeRepair word) {
+        Member leader = replica.leader(loop.now());
         boolean asked = word.ip().equals(askedFrom);
         askedFrom = "";
         boolean leads = leader != null && leader.ip().equals(word.ip());
-        if (word.place() != order.delivered() || !asked && !leads) {
+        if (word.place() != replica.delivered() || !asked && !leads) {
             return;
         }
         try {
-            almanac.mend(Ranges.replaced(almanac.items(), word.ranges(), word.items()));
-            order.renew(loop.now());
-            LOG.warn("state.mended from={} place={} version={}", word.ip(), word.place(), almanac.version());
+            configurationState.mend(RangeDigests.replaced(configurationState.items(), word.ranges(), word.items()));
+            replica.renew(loop.now());
+            LOG.warn("state.mended from={} place={} version={}", word.ip(), word.place(), configurationState.version());
             news();
-        } catch (BadConfiguration e) {
+        } catch (InvalidConfigurationException e) {
             LOG.warn("state.mend_refused from={} why=\"{}\"", word.ip(), e.getMessage());
         }
     }
@@ -302,16 +302,16 @@
         callers.keySet().forEach(l -> l.send(word));
     }
 
-    private Words.Standing standing() {
-        Member leader = order.leader(loop.now());
-        return new Words.Standing(order.view(), leader == null ? "" : leader.ip(),
-            order.members().stream().map(Member::ip).toList());
+    private Messages.LeaderAnnouncement standing() {
+        Member leader = replica.leader(loop.now());
+        return new Messages.LeaderAnnouncement(replica.view(), leader == null ? "" : leader.ip(),
+            replica.members().stream().map(Member::ip).toList());
     }
 
     private void summary() {
         LOG.info("summary member={} view={} leads={} delivered={} version={} fronts={} reads={} changes={}"
-            + " refused={} disk_failing={} ranges_differed={} undecided={}", order.self(), order.view(),
-            order.leads(loop.now()), order.delivered(), almanac.version(), fronts.size(), reads, changes,
+            + " refused={} disk_failing={} ranges_differed={} undecided={}", replica.self(), replica.view(),
+            replica.leads(loop.now()), replica.delivered(), configurationState.version(), fronts.size(), reads, changes,
             refused, writer.isFailing(), mender.differing(), mender.undecided());
         if (duty != null) {
             duty.log();
@@ -322,39 +322,39 @@
     // ---- The order's outlet ----
 
     @Override
-    public void send(Member to, Letter letter) {
+    public void send(Member to, ConsensusMessage letter) {
         post(to, letter);
     }
 
-    private void post(Member to, Letter letter) {
+    private void post(Member to, ConsensusMessage letter) {
         Peer p = peers.get(to.ip());
         if (p != null && p.up) {
-            p.link.send(coder.write(new Letter.Post(order.self(), to, letter)));
+            p.link.send(coder.write(new ConsensusMessage.Envelope(replica.self(), to, letter)));
         }
     }
 
     @Override
-    public void save(Change change) {
+    public void save(LogWrite change) {
         writer.save(change);
     }
 
     private void onSaved(long ticket) {
-        order.saved(loop.now(), ticket);
+        replica.saved(loop.now(), ticket);
         after();
     }
 
-    private Change whole() {
-        return order.whole();
+    private LogWrite whole() {
+        return replica.whole();
     }
 
     @Override
     public void deliver(long place, byte[] command) {
         try {
-            Words.Command c = (Words.Command) coder.read(command);
-            Almanac.Verdict verdict = almanac.take(c.whole(), c.on(), c.body());
+            Messages.ChangeCommand c = (Messages.ChangeCommand) coder.read(command);
+            ConfigurationState.Verdict verdict = configurationState.take(c.whole(), c.on(), c.body());
             Waiter waiter = waiters.remove(c.mark());
-            if (verdict.status() == Almanac.TAKEN) {
-                LOG.info("config.taken version={} place={}", almanac.version(), place);
+            if (verdict.status() == ConfigurationState.TAKEN) {
+                LOG.info("config.taken version={} place={}", configurationState.version(), place);
                 news();
             } else {
                 refused++;
@@ -362,62 +362,62 @@
             if (waiter != null) {
                 answer(waiter.call, verdict.status(), verdict.text());
             }
-        } catch (BadWord e) {
+        } catch (MalformedMessageException e) {
             throw new IllegalStateException("a command that was ordered can't be read: " + e.getMessage(), e);
         }
     }
 
     @Override
     public void restore(long place, byte[] state) {
-        almanac.restore(state);
+        configurationState.restore(state);
         news();
     }
 
     @Override
     public byte[] state() {
-        return almanac.state();
+        return configurationState.state();
     }
 
     // ---- Operators ----
 
-    private void run(Call call) {
+    private void run(OperatorCall call) {
         double now = loop.now();
-        if (call instanceof Call.Bad b) {
+        if (call instanceof OperatorCall.Bad b) {
             answer(b, b.status(), b.text());
-        } else if (call instanceof Call.Status) {
+        } else if (call instanceof OperatorCall.Status) {
             call.from().answer(200, List.of("Content-Type: text/plain"), status());
-        } else if (!order.leads(now)) {
-            Member leader = order.leader(now);
-            if (leader == null || leader.equals(order.self())) {
+        } else if (!replica.leads(now)) {
+            Member leader = replica.leader(now);
+            if (leader == null || leader.equals(replica.self())) {
                 answer(call, 503, "no leader is known here just now");
             } else {
                 InetSocketAddress there = new InetSocketAddress(leader.ip(), settings.control.getPort());
                 call.from().answer(307, List.of("Location: http://" + Address.text(there) + call.target()),
                     "");
             }
-        } else if (call instanceof Call.Read) {
+        } else if (call instanceof OperatorCall.Read) {
             reads++;
-            if (almanac.version() == 0) {
+            if (configurationState.version() == 0) {
                 answer(call, 404, "there is no configuration yet");
             } else {
-                call.from().answer(200, List.of("Content-Type: application/json"), almanac.text());
+                call.from().answer(200, List.of("Content-Type: application/json"), configurationState.text());
             }
-        } else if (call instanceof Call.Change c) {
+        } else if (call instanceof OperatorCall.Change c) {
             changes++;
-            long mark = order.view() << 32 | ++commands;
+            long mark = replica.view() << 32 | ++commands;
             waiters.put(mark, new Waiter(c));
             loop.after(ANSWER, () -> {
                 if (waiters.remove(mark) != null) {
                     answer(c, 503, "not agreed on in time; it may still be");
                 }
             });
-            order.submit(now, coder.write(new Words.Command(mark, c.whole(), c.on(), c.body())));
+            replica.submit(now, coder.write(new Messages.ChangeCommand(mark, c.whole(), c.on(), c.body())));
             after();
         }
     }
 
-    private void answer(Call call, int status, String text) {
-        String body = status == 200 ? "{\"Version\":" + almanac.version() + "}"
+    private void answer(OperatorCall call, int status, String text) {
+        String body = status == 200 ? "{\"Version\":" + configurationState.version() + "}"
             : gingerspool.wire.Json.write(Map.of("Error", text));
         call.from().answer(status, List.of("Content-Type: application/json"),
             body.getBytes(StandardCharsets.UTF_8));
@@ -425,9 +425,9 @@
 
     private String status() {
         List<String> lines = new ArrayList<>();
-        lines.add("member " + order.self() + " view " + order.view() + " leader " + order.leader(loop.now()));
-        lines.add("members " + order.members());
-        lines.add("version " + almanac.version() + " delivered " + order.delivered());
+        lines.add("member " + replica.self() + " view " + replica.view() + " leader " + replica.leader(loop.now()));
+        lines.add("members " + replica.members());
+        lines.add("version " + configurationState.version() + " delivered " + replica.delivered());
         callers.values().forEach(c -> {
             if (c.front != null) {
                 lines.add("front " + c.front + " news " + c.news);
@@ -470,25 +470,25 @@
             if (caller != null) {
                 caller.heardAt = loop.now();
             }
-            if (word instanceof Letter.Post p) {
+            if (word instanceof ConsensusMessage.Envelope p) {
                 letter(p);
             } else if (caller != null) {
                 front(link, caller, word);
             }
-        } catch (BadWord e) {
+        } catch (MalformedMessageException e) {
             LOG.warn("link.bad_word why=\"{}\"", e.getMessage());
             link.close();
         }
     }
 
-    private void letter(Letter.Post p) {
+    private void letter(ConsensusMessage.Envelope p) {
         Peer peer = peers.computeIfAbsent(p.from().ip(), k -> new Peer());
         peer.heardAt = loop.now();
-        if (p.letter() instanceof Letter.Join || p.to().equals(order.self())) {
+        if (p.letter() instanceof ConsensusMessage.JoinRequest || p.to().equals(replica.self())) {
             if (peer.link == null) {
                 connect(p.from().ip(), loop.now());
             }
-            order.heard(loop.now(), p.from(), p.letter());
+            replica.heard(loop.now(), p.from(), p.letter());
             after();
         }
     }
@@ -513,25 +513,25 @@
 
     private void front(Frames link, Caller caller, Object word) {
         double now = loop.now();
-        if (word instanceof Words.Copy c) {
+        if (word instanceof Messages.ReplicaDigest c) {
             mender.told(c.ip(), c.place(), c.ranges());
-        } else if (word instanceof Words.Ask a && a.place() == order.delivered()) {
-            tellPeer(a.ip(), new Words.Mend(settings.ip, a.place(), a.ranges(),
-                Ranges.items(almanac.items(), a.ranges())));
-        } else if (word instanceof Words.Mend m) {
+        } else if (word instanceof Messages.RangeRequest a && a.place() == replica.delivered()) {
+            tellPeer(a.ip(), new Messages.RangeRepair(settings.ip, a.place(), a.ranges(),
+                RangeDigests.items(configurationState.items(), a.ranges())));
+        } else if (word instanceof Messages.RangeRepair m) {
             mend(m);
-        } else if (word instanceof Words.Hello h) {
+        } else if (word instanceof Messages.Heartbeat h) {
             if (peers.containsKey(h.ip())) {
                 peers.get(h.ip()).heardAt = now;
             } else {
                 link.send(coder.write(standing()));
             }
-        } else if (word instanceof Words.Enrol e) {
-            if (duty != null && order.leads(now)) {
+        } else if (word instanceof Messages.Register e) {
+            if (duty != null && replica.leads(now)) {
                 caller.front = e.name();
                 fronts.put(e.name(), link);
                 duty.keeper.enrolled(now, e.name(), e);
-                link.send(coder.write(new Words.Enrolled(order.view())));
+                link.send(coder.write(new Messages.Registered(replica.view())));
                 caller.news = e.news();
                 tellNews(link, caller, e.news(), false);
                 toldFronts();
@@ -539,20 +539,20 @@
                 link.send(coder.write(standing()));
             }
         } else if (caller.front != null && duty != null) {
-            if (word instanceof Words.Want w) {
+            if (word instanceof Messages.SlotDemand w) {
                 duty.keeper.want(now, caller.front, w);
-            } else if (word instanceof Words.Back b) {
+            } else if (word instanceof Messages.SlotReturn b) {
                 duty.keeper.back(now, caller.front, b);
-            } else if (word instanceof Words.Heard h) {
+            } else if (word instanceof Messages.ConfigurationAck h) {
                 heard(link, caller, h);
-            } else if (word instanceof Words.Holds h && !duty.keeper.holds(now, caller.front, h)) {
+            } else if (word instanceof Messages.SlotHoldings h && !duty.keeper.holds(now, caller.front, h)) {
                 LOG.warn("front.slots_differed front={}", caller.front);
             }
         }
     }
 
     /** Counts the acknowledgement; a copy that differs from ours under its number is sent again. */
-    private void heard(Frames link, Caller caller, Words.Heard h) {
+    private void heard(Frames link, Caller caller, Messages.ConfigurationAck h) {
         caller.news = Math.max(caller.news, h.number());
         boolean differs = h.number() == newsNumber && h.digest() != newsDigest;
         if (h.number() > 0 && differs && loop.now() > caller.newsAt + settings.beat) {
@@ -564,7 +564,7 @@
     }
 
     private void toldFronts() {
-        tellAll(new Words.Schedulers(fronts.size()));
+        tellAll(new Messages.SchedulerCount(fronts.size()));
     }
 
     private void tell(String front, Object word) {
@@ -581,22 +581,22 @@
 
     /** The configuration has changed. */
     private void news() {
-        byte[] form = almanac.configuration().toByteArray();
-        newsDigest = Ranges.digest(form);
-        newsNumber = almanac.version();
+        byte[] form = configurationState.configuration().toByteArray();
+        newsDigest = RangeDigests.digest(form);
+        newsNumber = configurationState.version();
         newsAt = loop.now();
         if (duty != null) {
-            duty.configured(almanac.configuration());
-            tellAll(new Words.News(almanac.version(), form, false));
+            duty.configured(configurationState.configuration());
+            tellAll(new Messages.ConfigurationPush(configurationState.version(), form, false));
         }
     }
 
     private void tellNews(Frames link, Caller caller, long has, boolean again) {
-        byte[] form = almanac.configuration().toByteArray();
+        byte[] form = configurationState.configuration().toByteArray();
         // Guards schedulers, which never go back: a copy that is not what was taken is told to nobody.
-        if (newsNumber > has && Ranges.digest(form) == newsDigest) {
+        if (newsNumber > has && RangeDigests.digest(form) == newsDigest) {
             caller.newsAt = loop.now();
-            link.send(coder.write(new Words.News(newsNumber, form, again)));
+            link.send(coder.write(new Messages.ConfigurationPush(newsNumber, form, again)));
         }
     }
 }
--- a/src/main/java/gingerspool/barometer/Duty.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -1,12 +1,12 @@
-package gingerspool.barometer;
-
-import gingerspool.almanac.Configuration;
-import gingerspool.hygrometer.Function;
-import gingerspool.hygrometer.Instance;
-import gingerspool.hygrometer.Keeper;
-import gingerspool.radiosonde.Words;
-import gingerspool.raingauge.Scaler;
-import gingerspool.station.Settings;
+package gingerspool.controlplane;
+
+import gingerspool.configuration.Configuration;
+import gingerspool.slots.Function;
+import gingerspool.slots.Instance;
+import gingerspool.slots.SlotKeeper;
+import gingerspool.codec.Messages;
+import gingerspool.autoscaler.Autoscaler;
+import gingerspool.settings.Settings;
 import gingerspool.wire.Tree;
 import gingerspool.wire.Turns;
 import java.util.HashSet;
@@ -23,8 +23,8 @@
  * instances. The view's number is the fence. Every call asks first whether the lease still holds. Ends with
  * the view.
  */
-final class Duty implements Scaler.Outlet, Keeper.Outlet {
-    private static final Logger LOG = LogManager.getLogger(Duty.class);
+final class LeaderDuties implements Autoscaler.Outlet, SlotKeeper.Outlet {
+    private static final Logger LOG = LogManager.getLogger(LeaderDuties.class);
     private static final double LOOK = 50;
     /** Lists are read so often, in parts of how late they are, within a part of the platform's rate. */
     private static final double POLL = 0.5;
@@ -39,9 +39,9 @@
     private final BooleanSupplier holds;
     private final BiConsumer<String, Object> tell;
     private final Consumer<Object> tellAll;
-    private final Platform platform;
-    final Keeper keeper;
-    private final Scaler scaler;
+    private final PlatformClient platform;
+    final SlotKeeper keeper;
+    private final Autoscaler scaler;
     private boolean ended;
     private double hostsAt;
     /** When the list before this one was asked for. */
@@ -50,7 +50,7 @@
     long stops;
     long refusals;
 
-    Duty(Turns turns, Settings settings, long view, BooleanSupplier holds, BiConsumer<String, Object> tell,
+    LeaderDuties(Turns turns, Settings settings, long view, BooleanSupplier holds, BiConsumer<String, Object> tell,
         Consumer<Object> tellAll) {
         this.turns = turns;
         this.settings = settings;
@@ -58,9 +58,9 @@
         this.holds = holds;
         this.tell = tell;
         this.tellAll = tellAll;
-        platform = new Platform(turns, settings.cloud, PATIENCE * settings.beat);
-        keeper = new Keeper(settings.beat, turns.now(), this);
-        scaler = new Scaler(keeper, settings.dutyRate, settings.cloudLag, view + "-" + settings.name + "-",
+        platform = new PlatformClient(turns, settings.cloud, PATIENCE * settings.beat);
+        keeper = new SlotKeeper(settings.beat, turns.now(), this);
+        scaler = new Autoscaler(keeper, settings.dutyRate, settings.cloudLag, view + "-" + settings.name + "-",
             turns.now(), this);
         list();
         look();
@@ -160,7 +160,7 @@
             }
         }
         if (!leave.isEmpty()) {
-            tellAll.accept(new Words.Shun(List.copyOf(leave)));
+            tellAll.accept(new Messages.InstanceWithdrawal(List.copyOf(leave)));
         }
         listedBefore = asked;
         scaler.listed();
@@ -216,7 +216,7 @@
     @Override
     public void leaves(Instance i) {
         keeper.leaves(turns.now(), i);
-        tellAll.accept(new Words.Shun(List.of(i.id)));
+        tellAll.accept(new Messages.InstanceWithdrawal(List.of(i.id)));
     }
 
     @Override
--- a/src/main/java/gingerspool/barometer/OperatorDoor.java
+++ b/src/main/java/gingerspool/controlplane/OperatorEndpoint.java
@@ -1,4 +1,4 @@
-package gingerspool.barometer;
+package gingerspool.controlplane;
 
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Inbound;
@@ -13,18 +13,18 @@
 import java.util.function.Consumer;
 
 /** Where operators call: reads requests and hands them on as command objects. */
-final class OperatorDoor implements Listener.Owner, Inbound.Door {
+final class OperatorEndpoint implements Listener.Owner, Inbound.Door {
     private static final double PATIENCE = 10_000;
     private static final int HEAD_MOST = 16 * 1024;
     private static final int BODY_MOST = 2 << 20;
     private static final int MOST = 256;
 
     private final Turns turns;
-    private final Consumer<Call> run;
+    private final Consumer<OperatorCall> run;
     private final Set<Inbound> open = new HashSet<>();
     private final Listener listener;
 
-    OperatorDoor(Turns turns, SocketAddress at, Consumer<Call> run) throws IOException {
+    OperatorEndpoint(Turns turns, SocketAddress at, Consumer<OperatorCall> run) throws IOException {
         this.turns = turns;
         this.run = run;
         listener = new Listener(turns, at, this);
@@ -56,7 +56,7 @@
 
     @Override
     public void asked(Inbound from, Message request) {
-        run.accept(Call.decode(from, request));
+        run.accept(OperatorCall.decode(from, request));
     }
 
     @Override
--- a/src/main/java/gingerspool/barometer/Platform.java
+++ b/src/main/java/gingerspool/controlplane/PlatformClient.java
@@ -1,4 +1,4 @@
-package gingerspool.barometer;
+package gingerspool.controlplane;
 
 import gingerspool.store.Pool;
 import gingerspool.wire.Address;
@@ -21,7 +21,7 @@
  * Calls of the platform's interface: lists, starts and stops. Every call has one end; silence and answers
  * that can't be read are ends as well.
  */
-final class Platform {
+final class PlatformClient {
     /** What a call came to: its status, 0 where no answer came that could be read; and the answer. */
     record Answer(int status, Object tree) { }
 
@@ -33,7 +33,7 @@
     private final double patience;
     private final Pool pool;
 
-    Platform(Turns turns, InetSocketAddress address, double patience) {
+    PlatformClient(Turns turns, InetSocketAddress address, double patience) {
         this.turns = turns;
         this.address = address;
         this.patience = patience;
--- a/src/main/java/gingerspool/barometer/package-info.java
+++ b/src/main/java/gingerspool/controlplane/package-info.java
@@ -2,4 +2,4 @@
  * The control plane's program on core machines: operators' calls, the order, duties, and what it tells
  * schedulers.
  */
-package gingerspool.barometer;
+package gingerspool.controlplane;
--- a/src/main/java/gingerspool/anemometer/Trip.java
+++ b/src/main/java/gingerspool/dataplane/Attempt.java
@@ -1,4 +1,4 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import gingerspool.dispatch.Assignment;
 import gingerspool.dispatch.Outcome;
@@ -7,27 +7,27 @@
 import java.util.concurrent.Future;
 
 /** One assignment under way to an instance. The first of its possible ends counts. */
-final class Trip implements Outbound.Caller {
+final class Attempt implements Outbound.Caller {
     /** Who is told how it ended; the answer is null where there is none of ours. */
     interface Home {
-        void ended(Trip trip, Outcome how, Message answer);
+        void ended(Attempt trip, Outcome how, Message answer);
     }
 
     final Assignment assignment;
-    final Visit visit;
-    final Seat seat;
+    final PendingRequest visit;
+    final InstanceSlot seat;
     final double sentAt;
     private final Home home;
     private Outbound connection;
     private Future<?> alarm;
     private Outcome how;
 
-    Trip(Assignment assignment, Seat seat, double sentAt, Home home) {
+    Attempt(Assignment assignment, InstanceSlot seat, double sentAt, Home home) {
         this.assignment = assignment;
         this.seat = seat;
         this.sentAt = sentAt;
         this.home = home;
-        visit = (Visit) assignment.task;
+        visit = (PendingRequest) assignment.task;
     }
 
     void begin(Outbound on, byte[] request, Future<?> timer) {
@@ -54,7 +54,7 @@
     @Override
     public void answered(Message answer) {
         connection = null;
-        end(FromInstance.outcome(answer), answer);
+        end(InstanceResponse.outcome(answer), answer);
     }
 
     @Override
--- a/src/main/java/gingerspool/anemometer/Core.java
+++ b/src/main/java/gingerspool/dataplane/ControlLinks.java
@@ -1,10 +1,10 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
-import gingerspool.radiosonde.BadWord;
-import gingerspool.radiosonde.Coder;
-import gingerspool.radiosonde.Vocabulary;
-import gingerspool.radiosonde.Words;
-import gingerspool.station.Settings;
+import gingerspool.codec.MalformedMessageException;
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.MessageTypes;
+import gingerspool.codec.Messages;
+import gingerspool.settings.Settings;
 import gingerspool.wire.Frames;
 import gingerspool.wire.Turns;
 import java.io.IOException;
@@ -20,8 +20,8 @@
 import org.apache.logging.log4j.Logger;
 
 /** A scheduler's links to the core: one held to each member, words only with the one that leads. */
-final class Core implements Frames.Owner {
-    private static final Logger LOG = LogManager.getLogger(Core.class);
+final class ControlLinks implements Frames.Owner {
+    private static final Logger LOG = LogManager.getLogger(ControlLinks.class);
     /** In heartbeat intervals: how often it is heard of us, how long silence may last, and connecting. */
     private static final double BEAT = 0.5;
     private static final double SILENT = 1.25;
@@ -30,9 +30,9 @@
 
     private final Turns turns;
     private final Settings settings;
-    private final Supplier<Words.Enrol> enrol;
+    private final Supplier<Messages.Register> enrol;
     private final Consumer<Object> words;
-    private final Coder coder = new Coder(Vocabulary.ALL);
+    private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
     private final Map<String, Link> links = new HashMap<>();
     private Set<String> members = new LinkedHashSet<>();
     private List<InetSocketAddress> seeds;
@@ -56,7 +56,7 @@
     }
 
     /** The enrolment is made anew for each leader; words are those of the leader. */
-    Core(Turns turns, Settings settings, Supplier<Words.Enrol> enrol, Consumer<Object> words) {
+    ControlLinks(Turns turns, Settings settings, Supplier<Messages.Register> enrol, Consumer<Object> words) {
         this.turns = turns;
         this.settings = settings;
         this.enrol = enrol;
@@ -133,7 +133,7 @@
     }
 
     private void beat() {
-        byte[] hello = coder.write(new Words.Hello(settings.ip));
+        byte[] hello = coder.write(new Messages.Heartbeat(settings.ip));
         links.values().stream().filter(l -> l.up).forEach(l -> l.frames.send(hello));
         turns.after(BEAT * settings.beat, this::beat);
     }
@@ -154,7 +154,7 @@
             l.up = true;
             LOG.info("core.link_up to={}", l.ip);
             l.heardAt = turns.now();
-            frames.send(coder.write(new Words.Hello(settings.ip)));
+            frames.send(coder.write(new Messages.Heartbeat(settings.ip)));
         }
     }
 
@@ -167,9 +167,9 @@
         l.heardAt = turns.now();
         try {
             Object word = coder.read(frame);
-            if (word instanceof Words.Standing s) {
+            if (word instanceof Messages.LeaderAnnouncement s) {
                 standing(l, s);
-            } else if (word instanceof Words.Enrolled e && l == asked) {
+            } else if (word instanceof Messages.Registered e && l == asked) {
                 if (leader != l) {
                     leader = l;
                     LOG.info("core.led by={} view={}", l.ip, e.view());
@@ -178,13 +178,13 @@
             } else if (l == leader || l == asked) {
                 words.accept(word);
             }
-        } catch (BadWord e) {
+        } catch (MalformedMessageException e) {
             LOG.warn("core.bad_word from={} why=\"{}\"", l.ip, e.getMessage());
             frames.close();
         }
     }
 
-    private void standing(Link l, Words.Standing s) {
+    private void standing(Link l, Messages.LeaderAnnouncement s) {
         if (s.view() < view) {
             return;
         }
--- a/src/main/java/gingerspool/anemometer/Desk.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -1,7 +1,7 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
 import gingerspool.dispatch.Assignment;
 import gingerspool.dispatch.Dispatcher;
 import gingerspool.dispatch.Outcome;
@@ -11,7 +11,7 @@
 import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
 import gingerspool.dispatch.Terms;
-import gingerspool.radiosonde.Words;
+import gingerspool.codec.Messages;
 import gingerspool.route.Budget;
 import gingerspool.route.Policy;
 import gingerspool.store.Pool;
@@ -35,7 +35,7 @@
  * One function at one scheduler: the requests that wait for a slot, the slots that the leader gave, and the
  * Dispatcher, which picks the instance as soon as a slot is there and decides on further assignments.
  */
-final class Desk implements Outlet, Trip.Home {
+final class FunctionQueue implements Outlet, Attempt.Home {
     /**
      * Spans in parts of a heartbeat interval: how long a slot is kept idle, and how often desks are looked
      * over.
@@ -79,7 +79,7 @@
 
         Pool pool();
 
-        gingerspool.station.Settings settings();
+        gingerspool.settings.Settings settings();
 
         /** Schedulers that share the budget of repeats, this one included. */
         int fronts();
@@ -95,7 +95,7 @@
         void leaveBerth(int berth);
 
         /** Answers the client for good. */
-        void answer(Visit v, int status, List<String> fields, byte[] body);
+        void answer(PendingRequest v, int status, List<String> fields, byte[] body);
     }
 
     private final House house;
@@ -108,11 +108,11 @@
     private double copyAfter;
     private final Map<Integer, Terms> safeTerms = new HashMap<>();
     private boolean stale;
-    private final Map<String, Seat> seats = new LinkedHashMap<>();
-    private final List<Seat> byWorker = new ArrayList<>();
+    private final Map<String, InstanceSlot> seats = new LinkedHashMap<>();
+    private final List<InstanceSlot> byWorker = new ArrayList<>();
     private final ArrayDeque<Integer> freeWorkers = new ArrayDeque<>();
-    private final PriorityQueue<Visit> queue = new PriorityQueue<>(
-        Comparator.comparingInt((Visit v) -> v.route.getPriority()).thenComparingDouble(v -> v.dueAt));
+    private final PriorityQueue<PendingRequest> queue = new PriorityQueue<>(
+        Comparator.comparingInt((PendingRequest v) -> v.route.getPriority()).thenComparingDouble(v -> v.dueAt));
     private int inHand;
     private int underWay;
     private long granted;
@@ -132,7 +132,7 @@
     int refusals;
     int bounces;
 
-    Desk(House house, String name) {
+    FunctionQueue(House house, String name) {
         this.house = house;
         this.name = name;
         turns = house.turns();
@@ -173,7 +173,7 @@
         s.crossFee = CROSS_FEE;
         long seed = (house.settings().name + " " + name).hashCode();
         dispatcher = new Dispatcher(s, seed, this);
-        gingerspool.station.Settings p = house.settings();
+        gingerspool.settings.Settings p = house.settings();
         purse = new Budget(new Policy.Repeats(SHARE * p.retryRatio,
             FLOOR * p.retrySlack * 1000 / p.retryWindow / Math.max(1, house.fronts())));
         copyAfter = COPY_AFTER * profiles.stream().mapToDouble(q -> q.dueTime).min().orElse(1000);
@@ -185,7 +185,7 @@
      * What may be repeated goes to as many instances as its route allows; else only if none was reached. By
      * the route, not the profile: another may stand in for that until the Dispatcher is renewed.
      */
-    private Terms terms(Visit v) {
+    private Terms terms(PendingRequest v) {
         return !v.safe() ? CAREFUL
             : safeTerms.computeIfAbsent(Math.max(1, v.route.getAttempts()) + v.unreached,
                 n -> new Terms(n, 0, 0, 0, 0, Math.min(2, n), copyAfter, purse, null));
@@ -234,7 +234,7 @@
 
     // ---- Requests ----
 
-    void take(Visit v) {
+    void take(PendingRequest v) {
         if (inHand == 0) {
             renew();
         }
@@ -247,7 +247,7 @@
     }
 
     /** The client has gone, or its time is over. */
-    void leave(Visit v) {
+    void leave(PendingRequest v) {
         if (v.placed) {
             dispatcher.left(turns.now(), v);
         } else {
@@ -260,7 +260,7 @@
     /** Hands the Dispatcher those for whom a slot is there. */
     private void serve() {
         while (!queue.isEmpty() && free() > 0) {
-            Visit v = queue.poll();
+            PendingRequest v = queue.poll();
             v.placed = true;
             double now = turns.now();
             v.profile = profile(v.route, now + run > v.dueAt);
@@ -273,7 +273,7 @@
 
     private int free() {
         int n = 0;
-        for (Seat s : seats.values()) {
+        for (InstanceSlot s : seats.values()) {
             n += s.free();
         }
         return n - Math.min(n, waitingAtDispatcher());
@@ -293,14 +293,14 @@
 
     private int slotsFree() {
         int n = 0;
-        for (Seat s : seats.values()) {
+        for (InstanceSlot s : seats.values()) {
             n += s.free();
         }
         return n;
     }
 
     private void tellWant(int lacks) {
-        if (house.say(new Words.Want(name, lacks, granted, inHand, came, run))) {
+        if (house.say(new Messages.SlotDemand(name, lacks, granted, inHand, came, run))) {
             toldLacks = lacks;
             toldInHand = inHand;
             toldCame = came;
@@ -321,7 +321,7 @@
 
     private void look() {
         double now = turns.now();
-        for (Visit v : List.copyOf(queue)) {
+        for (PendingRequest v : List.copyOf(queue)) {
             patience(v, now);
         }
         blind();
@@ -336,10 +336,10 @@
     }
 
     /** Whether a request that waits is better told to come back, or that there is no hope. */
-    private void patience(Visit v, double now) {
+    private void patience(PendingRequest v, double now) {
         boolean turning = seats.values().stream().anyMatch(s -> s.up && s.held > 0);
         double wait = Double.NaN;
-        for (Seat s : seats.values()) {
+        for (InstanceSlot s : seats.values()) {
             if (!s.up && s.held > 0) {
                 double w = Math.max(LOOK * house.settings().beat, s.startsAt - now);
                 wait = Double.isNaN(wait) ? w : Math.min(wait, w);
@@ -356,11 +356,11 @@
         }
     }
 
-    private void refuse(Visit v, double pause) {
+    private void refuse(PendingRequest v, double pause) {
         queue.remove(v);
         inHand--;
         bounces++;
-        house.answer(v, 503, retryAfter(pause), FromInstance.text("no instance in time"));
+        house.answer(v, 503, retryAfter(pause), InstanceResponse.text("no instance in time"));
     }
 
     private static List<String> retryAfter(double pause) {
@@ -376,7 +376,7 @@
             || seats.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
             return;
         }
-        for (Seat s : seats.values()) {
+        for (InstanceSlot s : seats.values()) {
             if (s.up && !s.leaving && s.doubtful == 0) {
                 s.held = 1;
                 s.idleSince = turns.now();
@@ -388,7 +388,7 @@
     }
 
     private void giveBack(double now) {
-        for (Seat s : List.copyOf(seats.values())) {
+        for (InstanceSlot s : List.copyOf(seats.values())) {
             int n = s.idle();
             boolean starting = !s.up && (inHand > underWay);
             // A slot is kept idle only where the next request is likely to come meanwhile, or one is held.
@@ -396,7 +396,7 @@
             boolean lingers = now < s.idleSince + linger() && near && !s.leaving;
             if (n > 0 && !starting && (!lingers || recalled > 0)) {
                 int some = lingers ? Math.min(n, recalled) : n;
-                back(s, some, Words.SEEN_WELL);
+                back(s, some, Messages.SEEN_WELL);
             } else if (s.held == 0 && s.used == 0 && s.doubtful == 0 && !s.knocking && (s.leaving
                 || now > s.idleSince + FORGOTTEN * house.settings().beat)) {
                 // Guards against seats that pile up: what is gone may never be told of again.
@@ -409,15 +409,15 @@
         return LINGER * house.settings().beat;
     }
 
-    private void back(Seat s, int slots, int seen) {
-        if (house.say(new Words.Back(s.instance, slots, seen))) {
+    private void back(InstanceSlot s, int slots, int seen) {
+        if (house.say(new Messages.SlotReturn(s.instance, slots, seen))) {
             s.held -= slots;
             recalled = Math.max(0, recalled - slots);
             told(s);
         }
     }
 
-    private void remove(Seat s) {
+    private void remove(InstanceSlot s) {
         seats.remove(s.instance);
         byWorker.set(s.worker, null);
         freeWorkers.add(s.worker);
@@ -426,13 +426,13 @@
 
     // ---- What the leader says ----
 
-    void granted(Words.Grant g) {
+    void granted(Messages.SlotGrant g) {
         double now = turns.now();
-        Seat s = seats.get(g.instance());
+        InstanceSlot s = seats.get(g.instance());
         if (s == null) {
             s = seat(g);
             if (s == null) {
-                house.say(new Words.Back(g.instance(), g.slots(), Words.SEEN_LOST));
+                house.say(new Messages.SlotReturn(g.instance(), g.slots(), Messages.SEEN_LOST));
                 return;
             }
         }
@@ -458,14 +458,14 @@
         serve();
     }
 
-    private Seat seat(Words.Grant g) {
+    private InstanceSlot seat(Messages.SlotGrant g) {
         try {
             Integer worker = freeWorkers.poll();
             if (worker == null) {
                 worker = byWorker.size();
                 byWorker.add(null);
             }
-            Seat s = new Seat(g.instance(), this, Address.read(g.address()), g.zone(), g.capacity(),
+            InstanceSlot s = new InstanceSlot(g.instance(), this, Address.read(g.address()), g.zone(), g.capacity(),
                 house.takeBerth(), worker);
             seats.put(s.instance, s);
             byWorker.set(worker, s);
@@ -478,11 +478,11 @@
     }
 
     /** Tells the Dispatcher what it may use. */
-    private void told(Seat s) {
+    private void told(InstanceSlot s) {
         dispatcher.granted(turns.now(), s.worker, s.up && !s.leaving ? Math.max(0, s.held - s.doubtful) : 0);
     }
 
-    private void list(Seat s) {
+    private void list(InstanceSlot s) {
         double now = turns.now();
         dispatcher.listBegins(now, false);
         dispatcher.called(s.worker, s.instance);
@@ -492,7 +492,7 @@
         told(s);
     }
 
-    private void up(Seat s) {
+    private void up(InstanceSlot s) {
         if (!s.up) {
             s.up = true;
             s.idleSince = turns.now();
@@ -500,7 +500,7 @@
         }
     }
 
-    private void knockLater(Seat s, double span) {
+    private void knockLater(InstanceSlot s, double span) {
         if (!s.knocking && !s.up) {
             s.knocking = true;
             turns.after(span, () -> {
@@ -510,12 +510,12 @@
         }
     }
 
-    private void knock(Seat s) {
+    private void knock(InstanceSlot s) {
         if (s.up || s.leaving || s.held == 0) {
             return;
         }
         if (turns.now() > s.startsAt + KNOCK_MOST * service.getBoot()) {
-            back(s, s.held, Words.SEEN_LOST);
+            back(s, s.held, Messages.SEEN_LOST);
             return;
         }
         try {
@@ -524,7 +524,7 @@
                 s.knocking = false;
                 if (cameUp) {
                     up(s);
-                    house.say(new Words.Back(s.instance, 0, Words.SEEN_UP));
+                    house.say(new Messages.SlotReturn(s.instance, 0, Messages.SEEN_UP));
                     serve();
                 } else {
                     knockLater(s, KNOCK_PAUSE * service.getBoot());
@@ -543,7 +543,7 @@
 
     /** Nothing new may go there. */
     boolean shun(String instance) {
-        Seat s = seats.get(instance);
+        InstanceSlot s = seats.get(instance);
         if (s == null) {
             return false;
         }
@@ -578,15 +578,15 @@
 
     @Override
     public void send(Assignment a, double timeout) {
-        Seat s = byWorker.get(a.worker);
-        Visit v = (Visit) a.task;
-        Trip trip = new Trip(a, s, turns.now(), this);
+        InstanceSlot s = byWorker.get(a.worker);
+        PendingRequest v = (PendingRequest) a.task;
+        Attempt trip = new Attempt(a, s, turns.now(), this);
         v.trips.add(trip);
         s.used++;
         underWay += v.outstanding() == 1 ? 1 : 0;
         try {
             trip.begin(house.pool().take(s.berth, s.address),
-                FromInstance.request(v.request, s.instance, v.expiry - turns.now()), null);
+                InstanceResponse.request(v.request, s.instance, v.expiry - turns.now()), null);
         } catch (IOException e) {
             turns.turn(trip::fail);
         }
@@ -594,32 +594,32 @@
 
     @Override
     public void bounce(Task task, double pause) {
-        giveUp((Visit) task, pause);
+        giveUp((PendingRequest) task, pause);
     }
 
     @Override
     public void abandon(Task task) {
-        giveUp((Visit) task, 0);
+        giveUp((PendingRequest) task, 0);
     }
 
     /** The Dispatcher has given the task up: what may be promised depends on what has run. */
-    private void giveUp(Visit v, double pause) {
+    private void giveUp(PendingRequest v, double pause) {
         inHand--;
         bounces++;
         if (!v.mayHaveRun()) {
             house.answer(v, 503, retryAfter(pause > 0 ? pause : service.getBoot()),
-                FromInstance.text("no instance in time"));
-        } else if (FromInstance.mayPass(v.failure)) {
-            house.answer(v, v.failure.status(), FromInstance.fields(v.failure), v.failure.body());
+                InstanceResponse.text("no instance in time"));
+        } else if (InstanceResponse.mayPass(v.failure)) {
+            house.answer(v, v.failure.status(), InstanceResponse.fields(v.failure), v.failure.body());
         } else {
-            house.answer(v, 502, List.of(), FromInstance.text("no whole answer came"));
+            house.answer(v, 502, List.of(), InstanceResponse.text("no whole answer came"));
         }
     }
 
     @Override
     public void cancel(Assignment a) {
         // Not at once: the Dispatcher is in the middle of its rules.
-        turns.turn(() -> ((Visit) a.task).trips.get(a.number).giveUp(Outcome.CANCELLED));
+        turns.turn(() -> ((PendingRequest) a.task).trips.get(a.number).giveUp(Outcome.CANCELLED));
     }
 
     @Override
@@ -645,10 +645,10 @@
     // ---- Ends of assignments ----
 
     @Override
-    public void ended(Trip trip, Outcome how, Message answer) {
+    public void ended(Attempt trip, Outcome how, Message answer) {
         double now = turns.now();
-        Seat s = trip.seat;
-        Visit v = trip.visit;
+        InstanceSlot s = trip.seat;
+        PendingRequest v = trip.visit;
         s.used--;
         s.idleSince = now;
         boolean over = v.ended();
@@ -657,7 +657,7 @@
             if (!over) {
                 inHand--;
                 over = true;
-                house.answer(v, answer.status(), FromInstance.fields(answer), answer.body());
+                house.answer(v, answer.status(), InstanceResponse.fields(answer), answer.body());
             }
         } else {
             v.failure = answer != null ? answer : v.failure;
@@ -669,7 +669,7 @@
         serve();
     }
 
-    private void failed(Seat s, Outcome how, Message answer, double now, Visit v) {
+    private void failed(InstanceSlot s, Outcome how, Message answer, double now, PendingRequest v) {
         if (how == Outcome.RESET || how == Outcome.CANCELLED) {
             // Guards the limit of slots: what was given up may run on for a while.
             s.doubtful++;
@@ -681,7 +681,7 @@
             });
         } else if (how == Outcome.UNREACHABLE || answer != null && answer.status() == 421) {
             house.pool().empty(s.berth);
-            back(s, s.idle(), Words.SEEN_LOST);
+            back(s, s.idle(), Messages.SEEN_LOST);
             if (how == Outcome.UNREACHABLE && v.unreached < UNREACHED_MOST) {
                 // It was sent to nobody, so it is none of the attempts that its route allows.
                 v.unreached++;
@@ -689,7 +689,7 @@
             }
         } else if (how == Outcome.FULL) {
             refusals++;
-            back(s, Math.min(1, s.idle()), Words.SEEN_FULL);
+            back(s, Math.min(1, s.idle()), Messages.SEEN_FULL);
         }
     }
 }
--- a/src/main/java/gingerspool/anemometer/FromInstance.java
+++ b/src/main/java/gingerspool/dataplane/InstanceResponse.java
@@ -1,4 +1,4 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import gingerspool.dispatch.Outcome;
 import gingerspool.wire.Inbound;
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** What is said to instances and clients, and what instances' answers mean. The protocol's names end here. */
-final class FromInstance {
+final class InstanceResponse {
     /** Fields that concern one connection only, and those that we write ourselves. */
     private static final Set<String> OWN = Set.of("connection", "keep-alive", "transfer-encoding",
         "content-length", "te", "trailer", "upgrade", "proxy-connection", "proxy-authenticate",
@@ -19,7 +19,7 @@
     /** To a client these promise that the request did not run and never will. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-    private FromInstance() { }
+    private InstanceResponse() { }
 
     /** The client's request for this instance, unchanged but for the time left. */
     static byte[] request(Message from, String instance, double timeLeft) {
--- a/src/main/java/gingerspool/anemometer/Seat.java
+++ b/src/main/java/gingerspool/dataplane/InstanceSlot.java
@@ -1,11 +1,11 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import java.net.InetSocketAddress;
 
 /** What a scheduler knows of one instance, and the slots that it holds there. */
-final class Seat {
+final class InstanceSlot {
     final String instance;
-    final Desk desk;
+    final FunctionQueue desk;
     final InetSocketAddress address;
     final String zone;
     final int capacity;
@@ -25,7 +25,7 @@
     double startsAt;
     double idleSince;
 
-    Seat(String instance, Desk desk, InetSocketAddress address, String zone, int capacity, int berth,
+    InstanceSlot(String instance, FunctionQueue desk, InetSocketAddress address, String zone, int capacity, int berth,
         int worker) {
         this.instance = instance;
         this.desk = desk;
--- a/src/main/java/gingerspool/anemometer/Visit.java
+++ b/src/main/java/gingerspool/dataplane/PendingRequest.java
@@ -1,6 +1,6 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
-import gingerspool.almanac.Route;
+import gingerspool.configuration.Route;
 import gingerspool.dispatch.Task;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
@@ -9,7 +9,7 @@
 import java.util.concurrent.Future;
 
 /** A client's request in hand. */
-final class Visit extends Task {
+final class PendingRequest extends Task {
     final Message request;
     final Route route;
     final double cameAt;
@@ -23,13 +23,13 @@
     /** The Dispatcher has it; before that it waits for a slot. */
     boolean placed;
     /** Those under way and those that ended, by number of the assignment. */
-    final List<Trip> trips = new ArrayList<>(1);
+    final List<Attempt> trips = new ArrayList<>(1);
     /** Assignments that reached no instance. */
     int unreached;
     /** A failure of a worker, to be passed on if nothing better comes. */
     Message failure;
 
-    Visit(String id, Inbound client, Message request, Route route, double cameAt, double dueAt,
+    PendingRequest(String id, Inbound client, Message request, Route route, double cameAt, double dueAt,
         boolean first) {
         super(id);
         this.client = client;
--- a/src/main/java/gingerspool/anemometer/ReadinessDoor.java
+++ b/src/main/java/gingerspool/dataplane/ReadinessEndpoint.java
@@ -1,4 +1,4 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Inbound;
@@ -12,7 +12,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Where the platform asks whether clients are to come here. */
-final class ReadinessDoor implements Listener.Owner, Inbound.Door {
+final class ReadinessEndpoint implements Listener.Owner, Inbound.Door {
     private static final double PATIENCE = 10_000;
     private static final int MOST = 64;
 
@@ -21,7 +21,7 @@
     private final Listener listener;
     private int open;
 
-    ReadinessDoor(Turns turns, SocketAddress at, BooleanSupplier ready) throws IOException {
+    ReadinessEndpoint(Turns turns, SocketAddress at, BooleanSupplier ready) throws IOException {
         this.turns = turns;
         this.ready = ready;
         listener = new Listener(turns, at, this);
--- a/src/main/java/gingerspool/anemometer/Anemometer.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -1,16 +1,16 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import gingerspool.almanac.Configuration;
-import gingerspool.almanac.Limits;
-import gingerspool.almanac.Route;
-import gingerspool.almanac.RouteTable;
-import gingerspool.almanac.Service;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Limits;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.RouteTable;
+import gingerspool.configuration.Service;
 import gingerspool.daemon.Loop;
-import gingerspool.radiosonde.Words;
-import gingerspool.station.Settings;
+import gingerspool.codec.Messages;
+import gingerspool.settings.Settings;
 import gingerspool.store.Pool;
-import gingerspool.thermograph.Ranges;
+import gingerspool.antientropy.RangeDigests;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Listener;
@@ -34,8 +34,8 @@
  * One scheduler process: joins the doors for clients and readiness, the links to the core, and a desk for
  * each function that was asked for. Everything happens on one loop. Decides nothing itself.
  */
-public final class Anemometer implements Inbound.Door, Listener.Owner, Desk.House {
-    private static final Logger LOG = LogManager.getLogger(Anemometer.class);
+public final class SchedulerNode implements Inbound.Door, Listener.Owner, FunctionQueue.House {
+    private static final Logger LOG = LogManager.getLogger(SchedulerNode.class);
     /** Descriptors that clients, and connections to instances, may hold, in parts of all. */
     private static final double CLIENTS = 0.6;
     private static final double INSTANCES = 0.25;
@@ -67,14 +67,14 @@
     private final Settings settings;
     private final Loop loop;
     private final Listener listener;
-    private final ReadinessDoor readiness;
-    private final Core core;
+    private final ReadinessEndpoint readiness;
+    private final ControlLinks core;
     private final Pool pool;
     private final int clientsMost;
     private final Set<Inbound> clients = new LinkedHashSet<>();
     private final Set<Inbound> idle = new LinkedHashSet<>();
-    private final Set<Visit> visits = new HashSet<>();
-    private final Map<String, Desk> desks = new HashMap<>();
+    private final Set<PendingRequest> visits = new HashSet<>();
+    private final Map<String, FunctionQueue> desks = new HashMap<>();
     private final ArrayDeque<Integer> freeBerths = new ArrayDeque<>();
     private int berths;
     private Configuration configuration = Configuration.getDefaultInstance();
@@ -89,13 +89,13 @@
     private int refused;
     private int failed;
 
-    public Anemometer(Settings settings) throws IOException {
+    public SchedulerNode(Settings settings) throws IOException {
         this.settings = settings;
         loop = new Loop();
         pool = new Pool(loop, CONNECT * settings.beat, KEPT, (int) (INSTANCES * settings.descriptors));
         clientsMost = (int) (CLIENTS * settings.descriptors);
-        core = new Core(loop, settings, this::enrol, this::word);
-        readiness = new ReadinessDoor(loop, settings.readiness, this::isReady);
+        core = new ControlLinks(loop, settings, this::enrol, this::word);
+        readiness = new ReadinessEndpoint(loop, settings.readiness, this::isReady);
         listener = new Listener(loop, settings.front, this);
     }
 
@@ -160,8 +160,8 @@
 
     // ---- The core's words ----
 
-    private Words.Enrol enrol() {
-        return new Words.Enrol(settings.name, settings.zone, configuration.getVersion(), held());
+    private Messages.Register enrol() {
+        return new Messages.Register(settings.name, settings.zone, configuration.getVersion(), held());
     }
 
     private Map<String, Integer> held() {
@@ -171,32 +171,32 @@
     }
 
     private void word(Object word) {
-        if (word instanceof Words.Enrolled) {
+        if (word instanceof Messages.Registered) {
             grants = 0;
-            desks.values().forEach(Desk::enrolled);
-        } else if (word instanceof Words.Schedulers s) {
+            desks.values().forEach(FunctionQueue::enrolled);
+        } else if (word instanceof Messages.SchedulerCount s) {
             fronts = s.count();
-        } else if (word instanceof Words.News n) {
+        } else if (word instanceof Messages.ConfigurationPush n) {
             news(n);
-        } else if (word instanceof Words.Grant g) {
+        } else if (word instanceof Messages.SlotGrant g) {
             grants++;
-            Desk d = desks.get(g.function());
+            FunctionQueue d = desks.get(g.function());
             if (d != null) {
                 d.granted(g);
             } else {
-                core.say(new Words.Back(g.instance(), g.slots(), Words.SEEN_WELL));
+                core.say(new Messages.SlotReturn(g.instance(), g.slots(), Messages.SEEN_WELL));
             }
-        } else if (word instanceof Words.Recall r) {
+        } else if (word instanceof Messages.SlotRecall r) {
             if (desks.containsKey(r.function())) {
                 desks.get(r.function()).recalled(r.slots());
             }
-        } else if (word instanceof Words.Shun s) {
+        } else if (word instanceof Messages.InstanceWithdrawal s) {
             s.instances().forEach(id -> desks.values().stream().anyMatch(d -> d.shun(id)));
         }
     }
 
     /** Puts a newer configuration in force, or the same again where ours differs; an older one never. */
-    private void news(Words.News n) {
+    private void news(Messages.ConfigurationPush n) {
         boolean mends = n.again() && n.number() == configuration.getVersion();
         if (n.number() <= configuration.getVersion() && !mends) {
             return;
@@ -220,12 +220,12 @@
 
     /** Tells what is in force; the digest is made anew each time, so that damage to our copy shows. */
     private void heard() {
-        core.say(new Words.Heard(configuration.getVersion(), Ranges.digest(configuration.toByteArray())));
+        core.say(new Messages.ConfigurationAck(configuration.getVersion(), RangeDigests.digest(configuration.toByteArray())));
     }
 
     private void heardOn() {
         heard();
-        core.say(new Words.Holds(grants, held()));
+        core.say(new Messages.SlotHoldings(grants, held()));
         loop.after(COMPARED * settings.beat, this::heardOn);
     }
 
@@ -308,7 +308,7 @@
         // Who comes with less than the route allows was turned away before, or is called by a worker.
         double most = route.hasTimeout() ? route.getTimeout() : waits;
         boolean first = waits >= FIRST * most;
-        Visit v = new Visit(id, from, request, route, now, now + Math.max(1, route.getAim()), first);
+        PendingRequest v = new PendingRequest(id, from, request, route, now, now + Math.max(1, route.getAim()), first);
         v.expiry = now + Math.max(1, route.hasTimeout() ? Math.min(waits, route.getTimeout()) : waits);
         visits.add(v);
         from.whenGone(() -> {
@@ -328,9 +328,9 @@
         }
     }
 
-    private Desk desk(Route route) {
+    private FunctionQueue desk(Route route) {
         return desks.computeIfAbsent(route.getService(), name -> {
-            Desk d = new Desk(this, name);
+            FunctionQueue d = new FunctionQueue(this, name);
             for (Service s : configuration.getServicesList()) {
                 if (s.getName().equals(name)) {
                     d.configured(s, routesTo(name));
@@ -341,13 +341,13 @@
     }
 
     /** Its time is over. */
-    private void expired(Visit v) {
-        answer(v, v.mayHaveRun() ? 504 : 503, List.of(), FromInstance.text("out of time"));
+    private void expired(PendingRequest v) {
+        answer(v, v.mayHaveRun() ? 504 : 503, List.of(), InstanceResponse.text("out of time"));
         desks.get(v.route.getService()).leave(v);
     }
 
     @Override
-    public void answer(Visit v, int status, List<String> fields, byte[] body) {
+    public void answer(PendingRequest v, int status, List<String> fields, byte[] body) {
         Inbound client = v.client;
         end(v);
         served += status < 300 ? 1 : 0;
@@ -358,7 +358,7 @@
         }
     }
 
-    private void end(Visit v) {
+    private void end(PendingRequest v) {
         visits.remove(v);
         v.client = null;
         if (v.alarm != null) {
--- a/src/main/java/gingerspool/anemometer/package-info.java
+++ b/src/main/java/gingerspool/dataplane/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The data plane's program on front machines: takes requests, finds their route, has the Dispatchers decide.
  */
-package gingerspool.anemometer;
+package gingerspool.dataplane;
--- a/src/main/java/gingerspool/station/Settings.java
+++ b/src/main/java/gingerspool/settings/Settings.java
@@ -1,4 +1,4 @@
-package gingerspool.station;
+package gingerspool.settings;
 
 import gingerspool.toml.Fault;
 import gingerspool.toml.Layers;
--- a/src/main/java/gingerspool/station/SettingsException.java
+++ b/src/main/java/gingerspool/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package gingerspool.station;
+package gingerspool.settings;
 
 /** The settings file can't be used; the text names each fault with file and line. */
 public final class SettingsException extends Exception {
--- a/src/main/java/gingerspool/hygrometer/Arrivals.java
+++ b/src/main/java/gingerspool/slots/ArrivalRate.java
@@ -1,10 +1,10 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
 /**
  * How often the tasks of one function come, over all schedulers: three decayed counts, each with the time
  * that it speaks for. Rates are tasks a millisecond.
  */
-public final class Arrivals {
+public final class ArrivalRate {
     /** The longer counts look back over so many short spans. */
     private static final double SLOW = 5;
     private static final double LONG = 12;
@@ -44,7 +44,7 @@
         }
     }
 
-    Arrivals(double span) {
+    ArrivalRate(double span) {
         this.span = span;
         fast = new Count(span);
         slow = new Count(SLOW * span);
--- a/src/main/java/gingerspool/hygrometer/Function.java
+++ b/src/main/java/gingerspool/slots/Function.java
@@ -1,4 +1,4 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -16,7 +16,7 @@
     public final Map<String, Instance> instances = new LinkedHashMap<>();
     /** By scheduler. */
     final Map<String, Demand> demands = new LinkedHashMap<>();
-    public final Arrivals arrivals;
+    public final ArrivalRate arrivals;
     /** Mean running time as schedulers have seen it, 0 if none has. */
     public double run;
 
@@ -35,7 +35,7 @@
     /** Its newest rate looks back over this span. */
     Function(String name, double span) {
         this.name = name;
-        arrivals = new Arrivals(span);
+        arrivals = new ArrivalRate(span);
     }
 
     /** Tasks in hand, at all schedulers. */
--- a/src/main/java/gingerspool/hygrometer/Instance.java
+++ b/src/main/java/gingerspool/slots/Instance.java
@@ -1,4 +1,4 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/gingerspool/hygrometer/Keeper.java
+++ b/src/main/java/gingerspool/slots/SlotKeeper.java
@@ -1,9 +1,9 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
-import gingerspool.almanac.Configuration;
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
-import gingerspool.radiosonde.Words;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
+import gingerspool.codec.Messages;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,7 +17,7 @@
  * can't be reached keeps it for a while more. A new keeper knows of slots what schedulers tell as they
  * enrol, and gives nothing until they had the time to. Times are milliseconds of a steady clock.
  */
-public final class Keeper {
+public final class SlotKeeper {
     /** Schedulers' slots are theirs for so many beats after their link broke: who lives is back by then. */
     private static final double KEPT = 0.5;
     /** An instance that nobody reached is left alone for so many beats. */
@@ -51,7 +51,7 @@
     private double from;
     private double now;
 
-    public Keeper(double beat, double now, Outlet out) {
+    public SlotKeeper(double beat, double now, Outlet out) {
         this.beat = beat;
         this.out = out;
         this.now = now;
@@ -112,7 +112,7 @@
     // ---- Schedulers ----
 
     /** A scheduler came, or came back: what it holds it says itself. */
-    public void enrolled(double at, String front, Words.Enrol word) {
+    public void enrolled(double at, String front, Messages.Register word) {
         now = at;
         drop(front);
         Front f = fronts.computeIfAbsent(front, k -> new Front());
@@ -133,7 +133,7 @@
      * All that a scheduler holds once so many grants had come to it. Where none is on its way this is what we
      * must have noted; what differs is mended from it, since it knows best.
      */
-    public boolean holds(double at, String front, Words.Holds word) {
+    public boolean holds(double at, String front, Messages.SlotHoldings word) {
         now = at;
         Front f = fronts.get(front);
         if (f == null || f.grants != word.grants()) {
@@ -166,7 +166,7 @@
         functions.values().forEach(f -> f.demands.remove(front));
     }
 
-    public void want(double at, String front, Words.Want word) {
+    public void want(double at, String front, Messages.SlotDemand word) {
         now = at;
         Function f = functions.get(word.function());
         if (f == null || !fronts.containsKey(front)) {
@@ -187,7 +187,7 @@
         }
     }
 
-    public void back(double at, String front, Words.Back word) {
+    public void back(double at, String front, Messages.SlotReturn word) {
         now = at;
         Instance i = instances.get(word.instance());
         // Guards slots of instances that the lists have not named yet: else they would be held for ever.
@@ -201,9 +201,9 @@
             d.recalled = Math.max(0, d.recalled - word.slots());
         }
         i.usedAt = now;
-        if (word.seen() == Words.SEEN_UP && i.state == Instance.State.STARTING) {
+        if (word.seen() == Messages.SEEN_UP && i.state == Instance.State.STARTING) {
             i.state = Instance.State.READY;
-        } else if (word.seen() == Words.SEEN_LOST) {
+        } else if (word.seen() == Messages.SEEN_LOST) {
             i.suspectUntil = now + SUSPECT * beat;
         }
         give(i.function);
@@ -295,7 +295,7 @@
             d.granted++;
         }
         d.since = now;
-        out.tell(who, new Words.Grant(f.name, i.id, i.address, i.zone, i.slots, 1, i.startsIn(now),
+        out.tell(who, new Messages.SlotGrant(f.name, i.id, i.address, i.zone, i.slots, 1, i.startsIn(now),
             i.inHands()));
         return true;
     }
@@ -350,7 +350,7 @@
             }
             if (rich != null) {
                 f.demands.get(rich).recalled++;
-                out.tell(rich, new Words.Recall(f.name, 1));
+                out.tell(rich, new Messages.SlotRecall(f.name, 1));
             }
         }
     }
@@ -370,7 +370,7 @@
     }
 
     public Load load() {
-        return functions.values().stream().map(Keeper::load).reduce(new Load(0, 0, 0, 0, 0, 0), Load::and);
+        return functions.values().stream().map(SlotKeeper::load).reduce(new Load(0, 0, 0, 0, 0, 0), Load::and);
     }
 
     private static Load load(Function f) {
--- a/src/main/java/gingerspool/hygrometer/package-info.java
+++ b/src/main/java/gingerspool/slots/package-info.java
@@ -1,2 +1,2 @@
 /** Who may use which slots of which instances: deciders without I/O, clock or thread. */
-package gingerspool.hygrometer;
+package gingerspool.slots;
--- a/src/main/java/gingerspool/barograph/Ledger.java
+++ b/src/main/java/gingerspool/storage/DurableLog.java
@@ -1,12 +1,12 @@
-package gingerspool.barograph;
-
-import gingerspool.radiosonde.BadWord;
-import gingerspool.radiosonde.Coder;
-import gingerspool.weathervane.Base;
-import gingerspool.weathervane.Change;
-import gingerspool.weathervane.Entry;
-import gingerspool.weathervane.Member;
-import gingerspool.weathervane.Saved;
+package gingerspool.storage;
+
+import gingerspool.codec.MalformedMessageException;
+import gingerspool.codec.KryoCodec;
+import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.PersistedState;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -27,7 +27,7 @@
  * tears; once a file has grown, the whole content goes to the next one, which is synced before the older is
  * removed. Blocks; for one thread.
  */
-public final class Ledger implements AutoCloseable {
+public final class DurableLog implements AutoCloseable {
     /** The form of what is written here; another is not read. */
     static final int FORM = 1;
     private static final String PREFIX = "ledger-";
@@ -43,30 +43,30 @@
     /** What comes before a file's name for H2's file layer: "" for the disk itself. */
     private final String scheme;
     private final long fileMost;
-    private final Coder coder = new Coder(List.of(Promise.class, Member.class, Entry.class, Base.class));
+    private final KryoCodec coder = new KryoCodec(List.of(Promise.class, Member.class, LogEntry.class, Snapshot.class));
     private MVStore store;
     private MVMap<Long, byte[]> entries;
     private MVMap<String, byte[]> meta;
     private long number;
 
-    public Ledger(Path folder, double diskMb) {
+    public DurableLog(Path folder, double diskMb) {
         this(folder, diskMb, "");
     }
 
-    Ledger(Path folder, double diskMb, String scheme) {
+    DurableLog(Path folder, double diskMb, String scheme) {
         this.folder = folder;
         this.scheme = scheme;
         fileMost = (long) Math.max(MB, diskMb * MB * FULL);
     }
 
     /** Opens the newest content, or begins with none; null where there is none, or none that can be read. */
-    public Saved open() throws LedgerException {
+    public PersistedState open() throws StorageException {
         try {
             Files.createDirectories(folder);
             TreeMap<Long, Path> files = files();
             number = files.isEmpty() ? 0 : files.lastKey();
             for (Path file : files.descendingMap().values()) {
-                Saved found = read(file);
+                PersistedState found = read(file);
                 if (found != null) {
                     // What was found goes on in a file of its own: nothing is written behind torn bytes.
                     rewrite(whole(found));
@@ -76,12 +76,12 @@
             begin();
             return null;
         } catch (IOException | MVStoreException e) {
-            throw new LedgerException("can't open the ledger in " + folder, e);
+            throw new StorageException("can't open the ledger in " + folder, e);
         }
     }
 
-    private static Change whole(Saved found) {
-        return new Change(0, found.self(), found.view(), found.granted(), found.base().place() + 1,
+    private static LogWrite whole(PersistedState found) {
+        return new LogWrite(0, found.self(), found.view(), found.granted(), found.base().place() + 1,
             found.entries(), found.base());
     }
 
@@ -102,7 +102,7 @@
     }
 
     /** Null where the file holds no whole content. */
-    private Saved read(Path file) {
+    private PersistedState read(Path file) {
         try (MVStore from = new MVStore.Builder().fileName(scheme + file).readOnly().open()) {
             MVMap<String, byte[]> m = from.openMap("meta");
             byte[] form = m.get("form");
@@ -110,16 +110,16 @@
                 return null;
             }
             if (!(coder.read(m.get("promise")) instanceof Promise p
-                && coder.read(m.get("base")) instanceof Base base)) {
+                && coder.read(m.get("base")) instanceof Snapshot base)) {
                 return null;
             }
-            List<Entry> all = new ArrayList<>();
+            List<LogEntry> all = new ArrayList<>();
             MVMap<Long, byte[]> places = from.openMap("entries");
             for (byte[] e; (e = places.get(base.place() + 1 + all.size())) != null;) {
-                all.add((Entry) coder.read(e));
+                all.add((LogEntry) coder.read(e));
             }
-            return new Saved(p.self(), p.view(), p.granted(), base, all);
-        } catch (MVStoreException | BadWord | ClassCastException | NullPointerException e) {
+            return new PersistedState(p.self(), p.view(), p.granted(), base, all);
+        } catch (MVStoreException | MalformedMessageException | ClassCastException | NullPointerException e) {
             return null;
         }
     }
@@ -138,7 +138,7 @@
     /**
      * Writes the changes with a sync. On an exception what the disk holds is unknown: rewrite() must follow.
      */
-    public void save(List<Change> changes) throws LedgerException {
+    public void save(List<LogWrite> changes) throws StorageException {
         try {
             if (store == null || store.isClosed()) {
                 throw new IOException("the ledger is closed");
@@ -147,7 +147,7 @@
             store.commit();
             store.sync();
         } catch (IOException | MVStoreException | IllegalStateException e) {
-            throw new LedgerException("can't write to " + folder, e);
+            throw new StorageException("can't write to " + folder, e);
         }
     }
 
@@ -157,7 +157,7 @@
     }
 
     /** Writes all content to a new file; older ones go once it is on disk. */
-    public void rewrite(Change whole) throws LedgerException {
+    public void rewrite(LogWrite whole) throws StorageException {
         try {
             begin();
             meta.put("form", new byte[] {FORM});
@@ -169,11 +169,11 @@
                 Files.deleteIfExists(f);
             }
         } catch (IOException | MVStoreException | IllegalStateException e) {
-            throw new LedgerException("can't write to " + folder, e);
+            throw new StorageException("can't write to " + folder, e);
         }
     }
 
-    private void put(Change c) {
+    private void put(LogWrite c) {
         meta.put("form", new byte[] {FORM});
         meta.put("promise", coder.write(new Promise(c.self(), c.view(), c.granted())));
         if (c.base() != null) {
--- a/src/main/java/gingerspool/barograph/Writer.java
+++ b/src/main/java/gingerspool/storage/LogWriter.java
@@ -1,9 +1,9 @@
-package gingerspool.barograph;
+package gingerspool.storage;
 
 import dev.failsafe.Failsafe;
 import dev.failsafe.FailsafeException;
 import dev.failsafe.RetryPolicy;
-import gingerspool.weathervane.Change;
+import gingerspool.consensus.LogWrite;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
@@ -19,26 +19,26 @@
  * The ledger's own thread: takes changes from the loop and writes them one after the other, whatever the disk
  * does. When the disk fails it asks for the whole content and tries to write that, until it can.
  */
-public final class Writer {
-    private static final Logger LOG = LogManager.getLogger(Writer.class);
+public final class LogWriter {
+    private static final Logger LOG = LogManager.getLogger(LogWriter.class);
     /** How long it waits after the disk has failed. */
     private static final Duration PAUSE = Duration.ofMillis(100);
 
-    private final Ledger ledger;
+    private final DurableLog ledger;
     private final Executor loop;
     private final LongConsumer saved;
-    private final Supplier<Change> whole;
-    private final Backlog backlog = new Backlog();
+    private final Supplier<LogWrite> whole;
+    private final WriteQueue backlog = new WriteQueue();
     private final Thread thread = new Thread(this::run, "ledger");
     private volatile boolean ended;
     private volatile boolean failing;
     /** A disk that fails is tried for as long as it takes: what it holds is unknown until all is written. */
-    private final RetryPolicy<Object> untilWritten = RetryPolicy.builder().handle(LedgerException.class)
+    private final RetryPolicy<Object> untilWritten = RetryPolicy.builder().handle(StorageException.class)
         .withMaxRetries(-1).withDelay(PAUSE).abortIf((done, why) -> ended)
         .onFailedAttempt(e -> failed(e.getLastException())).build();
 
     /** What is saved, and the demand for the whole content, come as turns of the loop. */
-    public Writer(Ledger ledger, Executor loop, LongConsumer saved, Supplier<Change> whole) {
+    public LogWriter(DurableLog ledger, Executor loop, LongConsumer saved, Supplier<LogWrite> whole) {
         this.ledger = ledger;
         this.loop = loop;
         this.saved = saved;
@@ -51,7 +51,7 @@
     }
 
     /** Called on the loop. */
-    public void save(Change change) {
+    public void save(LogWrite change) {
         backlog.add(change);
         LockSupport.unpark(thread);
     }
@@ -82,7 +82,7 @@
         ledger.close();
     }
 
-    private void work() throws LedgerException {
+    private void work() throws StorageException {
         if (failing || ledger.isFull()) {
             rewrite();
         } else {
@@ -97,7 +97,7 @@
         failing = true;
     }
 
-    private void write(List<Change> changes) throws LedgerException {
+    private void write(List<LogWrite> changes) throws StorageException {
         if (!changes.isEmpty()) {
             ledger.save(changes);
             done(changes.get(changes.size() - 1).ticket());
@@ -105,16 +105,16 @@
     }
 
     /** The newest content holds whatever waits, up to its ticket. */
-    private void rewrite() throws LedgerException {
-        CompletableFuture<Change> content = new CompletableFuture<>();
+    private void rewrite() throws StorageException {
+        CompletableFuture<LogWrite> content = new CompletableFuture<>();
         loop.execute(() -> content.complete(whole.get()));
-        Change all;
+        LogWrite all;
         try {
             all = content.get();
         } catch (InterruptedException | ExecutionException e) {
-            throw new LedgerException("no content to write", e);
+            throw new StorageException("no content to write", e);
         }
-        List<Change> later = backlog.takeBeyond(all.ticket());
+        List<LogWrite> later = backlog.takeBeyond(all.ticket());
         ledger.rewrite(all);
         if (failing) {
             LOG.info("ledger.writing_again");
--- a/src/main/java/gingerspool/barograph/LedgerException.java
+++ b/src/main/java/gingerspool/storage/StorageException.java
@@ -1,10 +1,10 @@
-package gingerspool.barograph;
+package gingerspool.storage;
 
 /** The disk failed; the text names the folder, the cause what was said of it. */
-public final class LedgerException extends Exception {
+public final class StorageException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    public LedgerException(String text, Throwable cause) {
+    public StorageException(String text, Throwable cause) {
         super(text + ": " + cause.getMessage(), cause);
     }
 }
--- a/src/main/java/gingerspool/barograph/Backlog.java
+++ b/src/main/java/gingerspool/storage/WriteQueue.java
@@ -1,24 +1,24 @@
-package gingerspool.barograph;
+package gingerspool.storage;
 
-import gingerspool.weathervane.Change;
+import gingerspool.consensus.LogWrite;
 import java.util.ArrayList;
 import java.util.List;
 import org.jctools.queues.SpscUnboundedArrayQueue;
 
 /** Changes on their way from the loop, which adds, to the ledger's thread, which takes. */
-final class Backlog {
+final class WriteQueue {
     private static final int CHUNK = 64;
 
-    private final SpscUnboundedArrayQueue<Change> queue = new SpscUnboundedArrayQueue<>(CHUNK);
+    private final SpscUnboundedArrayQueue<LogWrite> queue = new SpscUnboundedArrayQueue<>(CHUNK);
 
     /** By the loop only. */
-    void add(Change change) {
+    void add(LogWrite change) {
         queue.add(change);
     }
 
     /** By the ledger's thread only: all that has come, in order, but for what this ticket covers already. */
-    List<Change> takeBeyond(long ticket) {
-        List<Change> all = new ArrayList<>();
+    List<LogWrite> takeBeyond(long ticket) {
+        List<LogWrite> all = new ArrayList<>();
         queue.drain(c -> {
             if (c.ticket() > ticket) {
                 all.add(c);
--- a/src/main/java/gingerspool/barograph/package-info.java
+++ b/src/main/java/gingerspool/storage/package-info.java
@@ -1,2 +1,2 @@
 /** The ledger: what a member of the core has promised and taken, on its disk. */
-package gingerspool.barograph;
+package gingerspool.storage;
--- a/src/main/java/gingerspool/weathervane/Base.java
+++ /dev/null
@@ -1,6 +0,0 @@
-package gingerspool.weathervane;
-
-import java.util.List;
-
-/** What all entries up to a place come to: the state, and the members. */
-public record Base(long place, long view, List<Member> members, byte[] state) { }
--- a/src/test/java/gingerspool/OrderTest.java
+++ b/src/test/java/gingerspool/ArchitectureTest.java
@@ -8,7 +8,7 @@
 import org.testng.annotations.Test;
 
 /** Holds the order of the packages: each uses only those below it. */
-public class OrderTest {
+public class ArchitectureTest {
     @Test
     public void eachPackageUsesOnlyThoseBelowIt() {
         JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
@@ -19,15 +19,15 @@
             .layer("rig").definedBy("gingerspool.load..", "gingerspool.standin..", "gingerspool.judge..")
             .layer("scenario").definedBy("gingerspool.scenario..")
             .layer("cli").definedBy("gingerspool.cli..")
-            .layer("program").definedBy("gingerspool.anemometer..", "gingerspool.barometer..")
-            .layer("raingauge").definedBy("gingerspool.raingauge..")
-            .layer("hygrometer").definedBy("gingerspool.hygrometer..")
-            .layer("barograph").definedBy("gingerspool.barograph..")
-            .layer("radiosonde").definedBy("gingerspool.radiosonde..")
-            .layer("weathervane").definedBy("gingerspool.weathervane..")
-            .layer("almanac").definedBy("gingerspool.almanac..")
-            .layer("thermograph").definedBy("gingerspool.thermograph..")
-            .layer("station").definedBy("gingerspool.station..")
+            .layer("program").definedBy("gingerspool.dataplane..", "gingerspool.controlplane..")
+            .layer("autoscaler").definedBy("gingerspool.autoscaler..")
+            .layer("slots").definedBy("gingerspool.slots..")
+            .layer("storage").definedBy("gingerspool.storage..")
+            .layer("codec").definedBy("gingerspool.codec..")
+            .layer("consensus").definedBy("gingerspool.consensus..")
+            .layer("configuration").definedBy("gingerspool.configuration..")
+            .layer("antientropy").definedBy("gingerspool.antientropy..")
+            .layer("settings").definedBy("gingerspool.settings..")
             .layer("simhost").definedBy("gingerspool.simhost..")
             .layer("daemon").definedBy("gingerspool.daemon..")
             .layer("handover").definedBy("gingerspool.handover..")
@@ -43,24 +43,24 @@
             .whereLayer("rig").mayOnlyBeAccessedByLayers("cli", "experiment")
             .whereLayer("scenario").mayOnlyBeAccessedByLayers("cli", "experiment", "rig")
             .whereLayer("program").mayOnlyBeAccessedByLayers("cli")
-            .whereLayer("raingauge").mayOnlyBeAccessedByLayers("program")
-            .whereLayer("hygrometer").mayOnlyBeAccessedByLayers("program", "raingauge")
-            .whereLayer("barograph").mayOnlyBeAccessedByLayers("program", "cli")
-            .whereLayer("radiosonde").mayOnlyBeAccessedByLayers("program", "barograph", "hygrometer")
-            .whereLayer("weathervane").mayOnlyBeAccessedByLayers("program", "barograph", "radiosonde")
-            .whereLayer("almanac").mayOnlyBeAccessedByLayers("program", "hygrometer", "cli")
-            .whereLayer("thermograph").mayOnlyBeAccessedByLayers("program")
-            .whereLayer("station").mayOnlyBeAccessedByLayers("program", "cli")
+            .whereLayer("autoscaler").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("slots").mayOnlyBeAccessedByLayers("program", "autoscaler")
+            .whereLayer("storage").mayOnlyBeAccessedByLayers("program", "cli")
+            .whereLayer("codec").mayOnlyBeAccessedByLayers("program", "storage", "slots")
+            .whereLayer("consensus").mayOnlyBeAccessedByLayers("program", "storage", "codec")
+            .whereLayer("configuration").mayOnlyBeAccessedByLayers("program", "slots", "cli")
+            .whereLayer("antientropy").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("settings").mayOnlyBeAccessedByLayers("program", "cli")
             .whereLayer("simhost").mayOnlyBeAccessedByLayers("main", "cli")
             .whereLayer("daemon").mayOnlyBeAccessedByLayers("main", "cli", "simhost", "experiment",
                 "program")
             .whereLayer("config").mayOnlyBeAccessedByLayers("cli", "daemon")
             .whereLayer("store").mayOnlyBeAccessedByLayers("daemon", "program")
             .whereLayer("wire").mayOnlyBeAccessedByLayers("daemon", "handover", "store", "simhost", "cli",
-                "experiment", "rig", "program", "almanac", "station")
+                "experiment", "rig", "program", "configuration", "settings")
             .whereLayer("handover").mayOnlyBeAccessedByLayers("daemon")
             .whereLayer("toml").mayOnlyBeAccessedByLayers("config", "cli", "daemon", "scenario",
-                "experiment", "station")
+                "experiment", "settings")
             .whereLayer("route").mayOnlyBeAccessedByLayers("config", "daemon", "store", "program")
             .check(all);
     }
--- a/src/test/java/gingerspool/thermograph/MenderTest.java
+++ b/src/test/java/gingerspool/antientropy/ReplicaRepairTest.java
@@ -1,4 +1,4 @@
-package gingerspool.thermograph;
+package gingerspool.antientropy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -12,10 +12,10 @@
 import org.testng.annotations.Test;
 
 /** Copies of one state on several members, damaged on purpose. */
-public class MenderTest {
+public class ReplicaRepairTest {
     private static final long PLACE = 7;
     private final Map<String, Map<String, String>> copies = new LinkedHashMap<>();
-    private final Mender mender = new Mender(new Mender.Outlet() {
+    private final ReplicaRepair mender = new ReplicaRepair(new ReplicaRepair.Outlet() {
         @Override
         public void ask(String member, long place, int ranges) {
             take("m0", ranges, copies.get(member));
@@ -28,7 +28,7 @@
     });
 
     private void take(String member, int ranges, Map<String, String> from) {
-        copies.put(member, Ranges.replaced(copies.get(member), ranges, Ranges.items(from, ranges)));
+        copies.put(member, RangeDigests.replaced(copies.get(member), ranges, RangeDigests.items(from, ranges)));
     }
 
     private static Map<String, String> state() {
@@ -49,8 +49,8 @@
     /** Two rounds: a member that compares may first have to mend itself. */
     private void rounds() {
         for (int round = 0; round < 2; round++) {
-            copies.forEach((m, copy) -> mender.told(m, PLACE, Ranges.digests(copy)));
-            mender.compare("m0", List.copyOf(copies.keySet()), PLACE, Ranges.digests(copies.get("m0")));
+            copies.forEach((m, copy) -> mender.told(m, PLACE, RangeDigests.digests(copy)));
+            mender.compare("m0", List.copyOf(copies.keySet()), PLACE, RangeDigests.digests(copies.get("m0")));
         }
     }
 
@@ -101,9 +101,9 @@
         members(3);
         copies.get("m1").put("L/Routes/1", "newer");
         copies.get("m2").put("L/Routes/1", "newer");
-        mender.told("m1", PLACE + 1, Ranges.digests(copies.get("m1")));
-        mender.told("m2", PLACE + 1, Ranges.digests(copies.get("m2")));
-        mender.compare("m0", List.copyOf(copies.keySet()), PLACE, Ranges.digests(copies.get("m0")));
+        mender.told("m1", PLACE + 1, RangeDigests.digests(copies.get("m1")));
+        mender.told("m2", PLACE + 1, RangeDigests.digests(copies.get("m2")));
+        mender.compare("m0", List.copyOf(copies.keySet()), PLACE, RangeDigests.digests(copies.get("m0")));
         assertEquals(copies.get("m0"), state());
         assertEquals(mender.differing(), 0);
     }
@@ -114,8 +114,8 @@
         members(4);
         copies.get("m2").put("L/Routes/1", "other");
         copies.get("m3").put("L/Routes/1", "other");
-        copies.forEach((m, copy) -> mender.told(m, PLACE, Ranges.digests(copy)));
-        mender.compare("m0", List.of("m0", "m1", "m2"), PLACE, Ranges.digests(copies.get("m0")));
+        copies.forEach((m, copy) -> mender.told(m, PLACE, RangeDigests.digests(copy)));
+        mender.compare("m0", List.of("m0", "m1", "m2"), PLACE, RangeDigests.digests(copies.get("m0")));
         assertEquals(copies.get("m2"), state());
         assertEquals(copies.get("m0"), state());
     }
--- a/src/test/java/gingerspool/raingauge/ScalerTest.java
+++ b/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
@@ -1,15 +1,15 @@
-package gingerspool.raingauge;
+package gingerspool.autoscaler;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import gingerspool.almanac.Configuration;
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
-import gingerspool.hygrometer.Function;
-import gingerspool.hygrometer.Instance;
-import gingerspool.hygrometer.Keeper;
-import gingerspool.radiosonde.Words;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
+import gingerspool.slots.Function;
+import gingerspool.slots.Instance;
+import gingerspool.slots.SlotKeeper;
+import gingerspool.codec.Messages;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -17,9 +17,9 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-public class ScalerTest {
-    private Keeper keeper;
-    private Scaler scaler;
+public class AutoscalerTest {
+    private SlotKeeper keeper;
+    private Autoscaler scaler;
     private final List<String> starts = new ArrayList<>();
     private final List<String> nonces = new ArrayList<>();
     private final List<String> stops = new ArrayList<>();
@@ -29,13 +29,13 @@
         starts.clear();
         nonces.clear();
         stops.clear();
-        keeper = new Keeper(1000, 0, (front, word) -> { });
+        keeper = new SlotKeeper(1000, 0, (front, word) -> { });
         keeper.configured(Configuration.newBuilder()
             .addServices(Service.newBuilder().setName("busy").setBoot(1400).setConcurrency(4).setMemory(512))
             .addServices(Service.newBuilder().setName("rare").setBoot(500).setConcurrency(1).setMemory(128))
             .addRoutes(Route.newBuilder().setService("busy").setAim(300))
             .addRoutes(Route.newBuilder().setService("rare").setAim(1500)).build());
-        scaler = new Scaler(keeper, 100, 800, "n-", 0, new Scaler.Outlet() {
+        scaler = new Autoscaler(keeper, 100, 800, "n-", 0, new Autoscaler.Outlet() {
             @Override
             public void start(Function f, String host, String nonce) {
                 starts.add(f.name + " on " + host);
@@ -64,8 +64,8 @@
     }
 
     private void want(String function, int lacks, int inHand, double at) {
-        keeper.enrolled(at, "a", new Words.Enrol("a", "zb", 0, Map.of()));
-        keeper.want(at, "a", new Words.Want(function, lacks, 0, inHand, inHand, 60));
+        keeper.enrolled(at, "a", new Messages.Register("a", "zb", 0, Map.of()));
+        keeper.want(at, "a", new Messages.SlotDemand(function, lacks, 0, inHand, inHand, 60));
     }
 
     @Test
@@ -104,14 +104,14 @@
     public void theLastInstanceStaysWhereTheNextTaskIsNear(double gap, boolean stays) {
         hosts(4096);
         double now = 600;
-        keeper.enrolled(now, "a", new Words.Enrol("a", "zb", 0, Map.of()));
+        keeper.enrolled(now, "a", new Messages.Register("a", "zb", 0, Map.of()));
         keeper.add(now, "i1", keeper.function("rare"), "10.0.0.1:1", "zb", "h2", 1, Instance.State.READY);
         int came = 0;
         for (double next = now; now < 20_000; now += 50) {
             boolean comes = now >= next;
             came += comes ? 1 : 0;
             next += comes ? gap : 0;
-            keeper.want(now, "a", new Words.Want("rare", 0, came, comes ? 1 : 0, came, 60));
+            keeper.want(now, "a", new Messages.SlotDemand("rare", 0, came, comes ? 1 : 0, came, 60));
             keeper.tick(now);
             scaler.tick(now);
         }
@@ -127,7 +127,7 @@
     @Test
     public void aSurplusIsRetiredWhereNoneIsIdle() {
         hosts(4096);
-        keeper.enrolled(600, "a", new Words.Enrol("a", "zb", 0, Map.of("b0", 1, "b1", 1, "b2", 1)));
+        keeper.enrolled(600, "a", new Messages.Register("a", "zb", 0, Map.of("b0", 1, "b1", 1, "b2", 1)));
         for (int i = 0; i < 3; i++) {
             keeper.add(600, "b" + i, keeper.function("busy"), "10.0.0.1:1", "zb", "h2", 4,
                 Instance.State.READY);
@@ -141,7 +141,7 @@
         assertEquals(leaving.size(), 2, "one is wanted, for its aim is shorter than a start");
         assertEquals(stops.size(), 0, "they have work");
         Instance first = leaving.get(0);
-        keeper.back(7000, "a", new Words.Back(first.id, 1, Words.SEEN_WELL));
+        keeper.back(7000, "a", new Messages.SlotReturn(first.id, 1, Messages.SEEN_WELL));
         scaler.tick(7000);
         assertEquals(stops, List.of(first.id));
     }
@@ -156,7 +156,7 @@
             .addRoutes(Route.newBuilder().setService("rare").setAim(1000))
             .addRoutes(Route.newBuilder().setService("new").setAim(1000)).build());
         want("rare", 0, 0, 600);
-        keeper.want(700, "a", new Words.Want("new", 1, 0, 1, 1, 0));
+        keeper.want(700, "a", new Messages.SlotDemand("new", 1, 0, 1, 1, 0));
         scaler.tick(700);
         assertEquals(starts.stream().filter(s -> s.startsWith("new")).count(), 1);
     }
@@ -177,9 +177,9 @@
 
     @Test
     public void waitsFollowErlang() {
-        assertEquals(Waits.longer(1, 0.5, 0), 0.5, 1e-9);
-        assertEquals(Waits.longer(2, 1, 0), 1.0 / 3, 1e-9);
-        assertEquals(Waits.longer(2, 1, 2), Math.exp(-2) / 3, 1e-9);
-        assertEquals(Waits.longer(2, 2, 5), 1.0);
+        assertEquals(StartDelays.longer(1, 0.5, 0), 0.5, 1e-9);
+        assertEquals(StartDelays.longer(2, 1, 0), 1.0 / 3, 1e-9);
+        assertEquals(StartDelays.longer(2, 1, 2), Math.exp(-2) / 3, 1e-9);
+        assertEquals(StartDelays.longer(2, 2, 5), 1.0);
     }
 }
--- /dev/null
+++ b/src/test/java/gingerspool/codec/KryoCodecTest.java
@@ -0,0 +1,56 @@
+package gingerspool.codec;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.ConsensusMessage;
+import gingerspool.consensus.Member;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class KryoCodecTest {
+    private static final Member A = new Member("10.0.0.1", "0");
+    private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
+
+    @DataProvider
+    Object[][] words() {
+        return new Object[][] {{new Messages.Heartbeat("10.0.0.1")}, {new Messages.LeaderAnnouncement(3, "", List.of("a", "b"))},
+            {new Messages.Register("n", "z", 4, Map.of("i", 2))}, {new Messages.SlotDemand("f", 1, 2, 3, 4, 5.5)},
+            {new Messages.SlotGrant("f", "i", "10.0.0.1:1", "z", 4, 1, 0, 2)}, {new Messages.InstanceWithdrawal(List.of("i"))},
+            {new ConsensusMessage.Envelope(A, null, new ConsensusMessage.JoinRequest(0))},
+            {new ConsensusMessage.Envelope(A, A, new ConsensusMessage.AppendEntries(1, 2, 1, List.of(new LogEntry(1, null, List.of(A))), 2,
+                7.5))},
+            {new ConsensusMessage.Envelope(A, A, new ConsensusMessage.InstallSnapshot(1, new Snapshot(0, 0, List.of(A), null), 0, 1))}};
+    }
+
+    @Test(dataProvider = "words")
+    public void aWordComesBackAndACutOneIsABadWord(Object word) throws MalformedMessageException {
+        byte[] bytes = coder.write(word);
+        assertEquals(coder.read(bytes), word);
+        for (int cut = 0; cut < bytes.length; cut++) {
+            byte[] part = Arrays.copyOf(bytes, cut);
+            expectThrows(MalformedMessageException.class, () -> coder.read(part));
+        }
+    }
+
+    @Test
+    public void rubbishIsABadWordOrAnother() {
+        SplittableRandom chance = new SplittableRandom(1);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] rubbish = new byte[chance.nextInt(40)];
+            chance.nextBytes(rubbish);
+            try {
+                coder.read(rubbish);
+            } catch (MalformedMessageException e) {
+                // What a peer says that is none of ours may not break the loop in any other way.
+                assertEquals(e.getClass(), MalformedMessageException.class);
+            }
+        }
+    }
+}
--- a/src/test/java/gingerspool/almanac/AlmanacTest.java
+++ b/src/test/java/gingerspool/configuration/ConfigurationStateTest.java
@@ -1,4 +1,4 @@
-package gingerspool.almanac;
+package gingerspool.configuration;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
@@ -13,10 +13,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-public class AlmanacTest {
+public class ConfigurationStateTest {
     private static final String SERVICE = "{\"Name\":\"s\",\"HealthPath\":null,\"MemoryMb\":128,"
         + "\"BootMs\":500,\"MaxConcurrency\":1,\"Odd\":{\"x\":[1]}}";
-    private final Almanac almanac = new Almanac();
+    private final ConfigurationState configurationState = new ConfigurationState();
 
     private static byte[] bytes(String s) {
         return s.getBytes(StandardCharsets.UTF_8);
@@ -31,8 +31,8 @@
         return "{\"Version\":" + version + ",\"Routes\":[" + routes + "],\"Services\":[" + SERVICE + "]}";
     }
 
-    private Almanac.Verdict replace(long on, String text) {
-        return almanac.take(true, on, bytes(text));
+    private ConfigurationState.Verdict replace(long on, String text) {
+        return configurationState.take(true, on, bytes(text));
     }
 
     @Test
@@ -45,7 +45,7 @@
         assertEquals(replace(3, second).status(), 200, "the same again");
         assertEquals(replace(0, first).status(), 200, "taken before, though no longer in force");
         assertEquals(replace(3, whole(7, "")).status(), 412, "another under the same number");
-        assertEquals(almanac.version(), 7);
+        assertEquals(configurationState.version(), 7);
     }
 
     @DataProvider
@@ -61,10 +61,10 @@
 
     @Test(dataProvider = "invalid")
     public void refusesWithTheItemsName(String text, String named) {
-        Almanac fresh = new Almanac();
+        ConfigurationState fresh = new ConfigurationState();
         fresh.take(true, 0, bytes(whole(3, route("keep", "/k/", "s", 5))));
         byte[] before = fresh.text();
-        Almanac.Verdict v = fresh.take(true, 3, bytes(text));
+        ConfigurationState.Verdict v = fresh.take(true, 3, bytes(text));
         assertEquals(v.status(), 400);
         assertTrue(v.text().contains(named), v.text());
         assertEquals(fresh.text(), before, "nothing of it is taken");
@@ -72,7 +72,7 @@
 
     @Test
     public void changesItemsByNameAndKeepsWhatItDoesNotKnow() throws Exception {
-        Almanac a = new Almanac();
+        ConfigurationState a = new ConfigurationState();
         a.take(true, 0, bytes(whole(3, route("r", "/a/", "s", 100) + "," + route("old", "/o/", "s", 1))));
         String change = "{\"Version\":4,\"Upserts\":{\"Routes\":[" + route("r", "/a/", "s", 50) + ","
             + route("n", "/a/b/", "s", 60) + "]},\"Removals\":{\"Routes\":[\"old\"]}}";
@@ -82,7 +82,7 @@
         assertEquals(t.find("a.example", "/a/b/c?d=/o/").getName(), "n", "the longest prefix counts");
         assertNull(t.find("a.example", "/o/x"));
         assertNull(t.find("b.example", "/a/x"));
-        Almanac b = new Almanac();
+        ConfigurationState b = new ConfigurationState();
         b.restore(a.state());
         Object read = Json.read(b.text(), 0, b.text().length);
         assertEquals(Tree.at(((java.util.List<?>) Tree.at(read, "Services")).get(0), "Odd", "x").toString(),
@@ -94,21 +94,21 @@
     /** A copy goes as items and comes back the same; items that make no configuration leave all as it was. */
     @Test
     public void aCopyIsMadeOfItsItems() throws Exception {
-        Almanac whole = new Almanac();
+        ConfigurationState whole = new ConfigurationState();
         byte[] sent = ("{\"Version\":3,\"Extra/field\":{\"a\":[1,null]},\"Routes\":["
             + "{\"Name\":\"r\",\"Service\":\"s\","
             + "\"PathPrefix\":\"/\",\"HostName\":\"h\"}],\"Services\":[{\"Name\":\"s\"}],\"Empty\":[]}")
             .getBytes(StandardCharsets.UTF_8);
-        assertEquals(whole.take(true, 0, sent).status(), Almanac.TAKEN);
-        Almanac copy = new Almanac();
+        assertEquals(whole.take(true, 0, sent).status(), ConfigurationState.TAKEN);
+        ConfigurationState copy = new ConfigurationState();
         copy.mend(whole.items());
         assertEquals(copy.items(), whole.items());
         assertEquals(Json.read(new String(copy.text(), StandardCharsets.UTF_8)),
             Json.read(new String(sent, StandardCharsets.UTF_8)));
-        assertEquals(copy.take(true, 0, sent).status(), Almanac.TAKEN, "it knows what made its version");
+        assertEquals(copy.take(true, 0, sent).status(), ConfigurationState.TAKEN, "it knows what made its version");
         Map<String, String> lacking = new HashMap<>(whole.items());
         lacking.remove("L/Routes/0");
-        assertThrows(BadConfiguration.class, () -> copy.mend(lacking));
+        assertThrows(InvalidConfigurationException.class, () -> copy.mend(lacking));
         assertEquals(copy.items(), whole.items());
     }
 }
--- a/src/test/java/gingerspool/weathervane/LeaseTest.java
+++ b/src/test/java/gingerspool/consensus/LeaseTest.java
@@ -1,4 +1,4 @@
-package gingerspool.weathervane;
+package gingerspool.consensus;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -14,17 +14,17 @@
     private static final Member OLD = new Member("10.0.0.2", "m");
     private static final Member NEW = new Member("10.0.0.3", "m");
 
-    private final List<Letter> said = new ArrayList<>();
-    private Change saved;
+    private final List<ConsensusMessage> said = new ArrayList<>();
+    private LogWrite saved;
 
-    private final Outlet out = new Outlet() {
+    private final ReplicaEnvironment out = new ReplicaEnvironment() {
         @Override
-        public void send(Member to, Letter letter) {
+        public void send(Member to, ConsensusMessage letter) {
             said.add(letter);
         }
 
         @Override
-        public void save(Change change) {
+        public void save(LogWrite change) {
             saved = change;
         }
 
@@ -41,52 +41,52 @@
     };
 
     /** A member that starts with a disk on which it granted this one the third view. */
-    private Order started(Member granted) {
+    private Replica started(Member granted) {
         said.clear();
-        Saved disk = new Saved(SELF, 3, granted, new Base(0, 0, List.of(SELF, OLD, NEW), null), List.of());
-        return new Order(SELF, disk, List.of(), 1, LEASE, 1, 0, out);
+        PersistedState disk = new PersistedState(SELF, 3, granted, new Snapshot(0, 0, List.of(SELF, OLD, NEW), null), List.of());
+        return new Replica(SELF, disk, List.of(), 1, LEASE, 1, 0, out);
     }
 
-    private Letter.Appended answer(int i) {
-        return (Letter.Appended) said.get(i);
+    private ConsensusMessage.AppendReply answer(int i) {
+        return (ConsensusMessage.AppendReply) said.get(i);
     }
 
     @Test
     public void aBeatCountsForTheLeaseOnceItsPromiseIsOnDisk() {
-        Order order = started(OLD);
-        order.heard(1000, NEW, new Letter.Append(4, 0, 0, List.of(), 0, 990));
+        Replica order = started(OLD);
+        order.heard(1000, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 990));
         assertEquals(answer(0).sentAt(), Double.NEGATIVE_INFINITY, "a restart would forget it");
         assertEquals(saved.view(), 4);
         assertEquals(saved.granted(), NEW);
         order.saved(1010, saved.ticket());
         assertEquals(answer(1).sentAt(), 990.0);
-        order.heard(1100, NEW, new Letter.Append(4, 0, 0, List.of(), 0, 1090));
+        order.heard(1100, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 1090));
         assertEquals(answer(2).sentAt(), 1090.0, "later ones at once");
     }
 
     @Test
     public void afterARestartWhoMayHoldTheLeaseMayStandAndOthersWait() {
-        Order order = started(OLD);
-        order.heard(10, NEW, new Letter.Stop(4, 3, 5));
-        assertTrue(!((Letter.Stopped) said.get(0)).granted(), "the lease of view 3 may not have ended");
-        order.heard(20, OLD, new Letter.Stop(4, 3, 5));
+        Replica order = started(OLD);
+        order.heard(10, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
+        assertTrue(!((ConsensusMessage.VoteReply) said.get(0)).granted(), "the lease of view 3 may not have ended");
+        order.heard(20, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
         order.saved(25, saved.ticket());
-        assertTrue(((Letter.Stopped) said.get(1)).granted(), "it holds none while it stands");
-        order.heard(30, OLD, new Letter.Stop(4, 3, 5));
-        assertTrue(((Letter.Stopped) said.get(2)).granted(), "asked again, as the answer may be lost");
-        order.heard(700, NEW, new Letter.Stop(4, 3, 5));
-        assertTrue(!((Letter.Stopped) said.get(3)).granted(), "one grant a view");
+        assertTrue(((ConsensusMessage.VoteReply) said.get(1)).granted(), "it holds none while it stands");
+        order.heard(30, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
+        assertTrue(((ConsensusMessage.VoteReply) said.get(2)).granted(), "asked again, as the answer may be lost");
+        order.heard(700, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
+        assertTrue(!((ConsensusMessage.VoteReply) said.get(3)).granted(), "one grant a view");
     }
 
     @Test
     public void whoLedStandsAtOnceAndAsksUntilLinksAreUp() {
-        Order order = started(SELF);
+        Replica order = started(SELF);
         double first = order.nextTick();
         assertTrue(first < LEASE / 4, "it stands at " + first);
         order.tick(first);
-        assertEquals(said, List.of(new Letter.Ask(4, 0, 0), new Letter.Ask(4, 0, 0)));
+        assertEquals(said, List.of(new ConsensusMessage.PreVote(4, 0, 0), new ConsensusMessage.PreVote(4, 0, 0)));
         said.clear();
-        order.heard(first + 2, OLD, new Letter.Would(4, true, 3));
+        order.heard(first + 2, OLD, new ConsensusMessage.PreVoteReply(4, true, 3));
         assertEquals(said.size(), 0, "its own vote is not on disk yet");
         order.saved(first + 5, saved.ticket());
         assertEquals(said.size(), 2);
@@ -100,18 +100,18 @@
     /** Cut off for long, a member raises no view; told of a higher one, it asks beyond that. */
     @Test
     public void whoIsAloneAsksAndPromisesNothing() {
-        Order order = started(NEW);
+        Replica order = started(NEW);
         for (double now = LEASE; now < 20 * LEASE; now += 50) {
             order.tick(now);
         }
         assertEquals(order.view(), 3);
-        assertTrue(said.stream().allMatch(l -> l.equals(new Letter.Ask(4, 0, 0))));
-        order.heard(20 * LEASE, OLD, new Letter.Would(4, false, 9));
+        assertTrue(said.stream().allMatch(l -> l.equals(new ConsensusMessage.PreVote(4, 0, 0))));
+        order.heard(20 * LEASE, OLD, new ConsensusMessage.PreVoteReply(4, false, 9));
         said.clear();
         order.tick(25 * LEASE);
-        assertEquals(said.get(0), new Letter.Ask(10, 0, 0));
-        order.heard(25 * LEASE, OLD, new Letter.Append(9, 0, 0, List.of(), 0, 1));
-        order.heard(25 * LEASE + 1, NEW, new Letter.Ask(10, 3, 5));
-        assertEquals(said.get(said.size() - 1), new Letter.Would(10, false, 9), "a lease stands");
+        assertEquals(said.get(0), new ConsensusMessage.PreVote(10, 0, 0));
+        order.heard(25 * LEASE, OLD, new ConsensusMessage.AppendEntries(9, 0, 0, List.of(), 0, 1));
+        order.heard(25 * LEASE + 1, NEW, new ConsensusMessage.PreVote(10, 3, 5));
+        assertEquals(said.get(said.size() - 1), new ConsensusMessage.PreVoteReply(10, false, 9), "a lease stands");
     }
 }
--- a/src/test/java/gingerspool/barometer/PlatformCallsTest.java
+++ b/src/test/java/gingerspool/controlplane/PlatformCallsTest.java
@@ -1,4 +1,4 @@
-package gingerspool.barometer;
+package gingerspool.controlplane;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
@@ -28,7 +28,7 @@
     private static final String GOOD = page("{\"Identifier\":\"i-1234\"}");
     private Loop loop;
     private ServerSocket server;
-    private Platform platform;
+    private PlatformClient platform;
     /** What each connection's first request is answered; nothing: it stays silent. */
     private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
 
@@ -37,7 +37,7 @@
         loop = new Loop();
         answers.clear();
         server = new ServerSocket(0, 20, InetAddress.getLoopbackAddress());
-        platform = new Platform(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+        platform = new PlatformClient(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
             PATIENCE);
         Thread serving = new Thread(this::serve);
         serving.setDaemon(true);
@@ -75,7 +75,7 @@
         return end.get(5, TimeUnit.SECONDS);
     }
 
-    private Platform.Answer start() throws Exception {
+    private PlatformClient.Answer start() throws Exception {
         return call(then -> platform.start("core-1", 3, "f", "h1", "n1", then));
     }
 
@@ -94,7 +94,7 @@
         answers.add(answer);
         assertEquals(start().status(), status);
         answers.add(GOOD);
-        Platform.Answer next = start();
+        PlatformClient.Answer next = start();
         assertEquals(next.status(), 200);
         assertEquals(Tree.text("", next.tree(), "Identifier"), "i-1234");
     }
--- a/src/test/java/gingerspool/barometer/RepairTest.java
+++ b/src/test/java/gingerspool/controlplane/RepairTest.java
@@ -1,8 +1,8 @@
-package gingerspool.barometer;
+package gingerspool.controlplane;
 
 import static org.testng.Assert.assertEquals;
 
-import gingerspool.almanac.Almanac;
+import gingerspool.configuration.ConfigurationState;
 import gingerspool.cli.Platforms;
 import java.nio.file.Files;
 import java.util.HashMap;
@@ -14,8 +14,8 @@
 /** Copies of the configuration on a running core, damaged in memory. */
 public class RepairTest {
     /** Done once this member holds these items. */
-    private static void await(Barometer of, Map<String, String> right, CompletableFuture<Void> done) {
-        if (of.almanac.items().equals(right)) {
+    private static void await(ControlNode of, Map<String, String> right, CompletableFuture<Void> done) {
+        if (of.configurationState.items().equals(right)) {
             done.complete(null);
         } else {
             of.loop.after(20, () -> await(of, right, done));
@@ -26,27 +26,27 @@
     public void eachMembersCopyIsMendedFromTheOthersTheLeadersToo() throws Exception {
         try (Platforms.Running platform = new Platforms.Running(Files.createTempDirectory("repair"))) {
             assertEquals(platform.configure().statusCode(), 200);
-            Almanac taken = new Almanac();
+            ConfigurationState taken = new ConfigurationState();
             taken.take(true, 0, Platforms.Running.CONFIGURATION.getBytes());
             Map<String, String> right = taken.items();
-            for (Barometer member : platform.core) {
+            for (ControlNode member : platform.core) {
                 // All have delivered it once they answer to it.
                 CompletableFuture<Void> has = new CompletableFuture<>();
                 member.loop.enter(() -> await(member, right, has));
                 has.get(10, TimeUnit.SECONDS);
             }
-            for (Barometer member : platform.core) {
+            for (ControlNode member : platform.core) {
                 CompletableFuture<Void> mended = new CompletableFuture<>();
                 member.loop.enter(() -> {
-                    Map<String, String> damaged = new HashMap<>(member.almanac.items());
+                    Map<String, String> damaged = new HashMap<>(member.configurationState.items());
                     damaged.put("L/Routes/0", damaged.get("L/Routes/0").replace("hello", "other"));
                     damaged.put("F/Version", "[9]");
                     damaged.remove("T/1");
                     try {
-                        Almanac a = member.almanac;
+                        ConfigurationState a = member.configurationState;
                         a.mend(damaged);
                         await(member, right, mended);
-                    } catch (gingerspool.almanac.BadConfiguration e) {
+                    } catch (gingerspool.configuration.InvalidConfigurationException e) {
                         mended.completeExceptionally(e);
                     }
                 });
--- a/src/test/java/gingerspool/anemometer/DeskTest.java
+++ b/src/test/java/gingerspool/dataplane/FunctionQueueTest.java
@@ -1,15 +1,15 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
 import gingerspool.daemon.Loop;
-import gingerspool.radiosonde.Words;
+import gingerspool.codec.Messages;
 import gingerspool.standin.Cloud;
-import gingerspool.station.Settings;
+import gingerspool.settings.Settings;
 import gingerspool.store.Pool;
 import gingerspool.wire.Address;
 import gingerspool.wire.Json;
@@ -37,13 +37,13 @@
 import org.testng.annotations.Test;
 
 /** One function's desk against instances of the stand-in; what it tells the leader is kept. */
-public class DeskTest implements Desk.House {
+public class FunctionQueueTest implements FunctionQueue.House {
     private static final double BEAT = 400;
     private Loop loop;
     private Cloud cloud;
     private Pool pool;
     private Settings settings;
-    private Desk desk;
+    private FunctionQueue desk;
     private BlockingQueue<Object> said;
     private BlockingQueue<String> answers;
     private int berths;
@@ -70,7 +70,7 @@
         settings = Settings.read(file);
         pool = new Pool(loop, 500, 5000, 20);
         desk = on(() -> {
-            Desk d = new Desk(this, "f");
+            FunctionQueue d = new FunctionQueue(this, "f");
             d.configured(Service.newBuilder().setName("f").setBoot(50).setConcurrency(2).build(),
                 List.of(route("safe", 1)));
             return d;
@@ -110,7 +110,7 @@
                 .getBytes(StandardCharsets.ISO_8859_1);
             Message m = Message.request();
             m.take(b, 0, b.length);
-            Visit v = new Visit(id, null, m, route, loop.now(), loop.now() + route.getAim(), true);
+            PendingRequest v = new PendingRequest(id, null, m, route, loop.now(), loop.now() + route.getAim(), true);
             v.expiry = loop.now() + route.getTimeout();
             desk.take(v);
             return null;
@@ -120,7 +120,7 @@
 
     private void grant(String instance, String address) throws Exception {
         on(() -> {
-            desk.granted(new Words.Grant("f", instance, address, "a", 2, 1, 0, 1));
+            desk.granted(new Messages.SlotGrant("f", instance, address, "a", 2, 1, 0, 1));
             return null;
         });
     }
@@ -166,10 +166,10 @@
         for (String kind : List.of("safe", "unsafe")) {
             request(kind, route(kind, 1));
             grant("gone-" + kind, closedPort());
-            assertEquals(next(Words.Back.class).seen(), Words.SEEN_LOST);
+            assertEquals(next(Messages.SlotReturn.class).seen(), Messages.SEEN_LOST);
             begin(kind);
             assertEquals(answer(), "200 " + kind, "its one attempt was still to come");
-            assertEquals(next(Words.Back.class).seen(), Words.SEEN_WELL, "before the next comes");
+            assertEquals(next(Messages.SlotReturn.class).seen(), Messages.SEEN_WELL, "before the next comes");
         }
     }
 
@@ -201,7 +201,7 @@
         begin("a");
         assertEquals(answer(), "200 first");
         double served = on(loop::now);
-        assertEquals(next(Words.Back.class).slots(), 1);
+        assertEquals(next(Messages.SlotReturn.class).slots(), 1);
         assertTrue(on(loop::now) < served + BEAT / 4, "nothing says that another request is near");
         for (int i = 0; i < 40; i++) {
             request("n" + i, route("safe", 1));
@@ -212,7 +212,7 @@
             }
             assertEquals(answer(), "200 n" + i);
         }
-        assertNull(said.stream().filter(w -> w instanceof Words.Back).findFirst().orElse(null),
+        assertNull(said.stream().filter(w -> w instanceof Messages.SlotReturn).findFirst().orElse(null),
             "requests come every 20 ms: the slot stays");
     }
 
@@ -266,7 +266,7 @@
     public void leaveBerth(int berth) { }
 
     @Override
-    public void answer(Visit v, int status, List<String> fields, byte[] body) {
+    public void answer(PendingRequest v, int status, List<String> fields, byte[] body) {
         String back = fields.stream().filter(f -> f.startsWith("Retry-After")).findFirst().orElse(null);
         answers.add(status + " " + v.id + (back == null ? "" : " " + back));
     }
--- a/src/test/java/gingerspool/anemometer/FromInstanceTest.java
+++ b/src/test/java/gingerspool/dataplane/InstanceResponseTest.java
@@ -1,4 +1,4 @@
-package gingerspool.anemometer;
+package gingerspool.dataplane;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -11,7 +11,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-public class FromInstanceTest {
+public class InstanceResponseTest {
     private static Message read(Message m, String text) throws BadMessage {
         byte[] b = text.getBytes(StandardCharsets.ISO_8859_1);
         m.take(b, 0, b.length);
@@ -42,8 +42,8 @@
     public void whatAnAnswerMeans(String status, String fields, Outcome how,
         boolean mayPass) throws BadMessage {
         Message m = answer(status, fields);
-        assertEquals(FromInstance.outcome(m), how);
-        assertEquals(FromInstance.mayPass(m), mayPass);
+        assertEquals(InstanceResponse.outcome(m), how);
+        assertEquals(InstanceResponse.mayPass(m), mayPass);
     }
 
     @Test
@@ -53,7 +53,7 @@
             + "Remaining-Milliseconds: 900\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
             + "Keep-Alive: timeout=5\r\n"
             + "Transfer-Encoding: chunked\r\nExpected-Instance: other\r\n\r\n2\r\nok\r\n0\r\n\r\n");
-        String sent = new String(FromInstance.request(m, "i-1", 650.7), StandardCharsets.ISO_8859_1);
+        String sent = new String(InstanceResponse.request(m, "i-1", 650.7), StandardCharsets.ISO_8859_1);
         assertTrue(sent.startsWith("POST /a/b?c HTTP/1.1\r\n")
             && sent.endsWith("\r\nContent-Length: 2\r\n\r\nok"), sent);
         assertTrue(sent.contains("Host: h.example\r\nRequest-Id: a\r\nX-Odd: 1\r\n"), sent);
--- a/src/test/java/gingerspool/station/SettingsTest.java
+++ b/src/test/java/gingerspool/settings/SettingsTest.java
@@ -1,4 +1,4 @@
-package gingerspool.station;
+package gingerspool.settings;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- a/src/test/java/gingerspool/weatherhouse/Core.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -1,13 +1,13 @@
-package gingerspool.weatherhouse;
-
-import gingerspool.weathervane.Base;
-import gingerspool.weathervane.Change;
-import gingerspool.weathervane.Entry;
-import gingerspool.weathervane.Letter;
-import gingerspool.weathervane.Member;
-import gingerspool.weathervane.Order;
-import gingerspool.weathervane.Outlet;
-import gingerspool.weathervane.Saved;
+package gingerspool.simulation;
+
+import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.ConsensusMessage;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.Replica;
+import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.PersistedState;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,7 +24,7 @@
  * synced, fill up and hang, machines wiped and replaced, operators that race and repeat; all by a seed. The
  * record of what was acknowledged is its own, and what() says what is wrong with a history, or nothing.
  */
-final class Core {
+final class ConsensusSimulation {
     static final double LEASE = 960;
 
     /** Guards that a history can be played without, to show that they are needed. */
@@ -35,12 +35,12 @@
     /** A change that an operator sends: this version on that one. */
     private record Sent(long on, long version) { }
 
-    final class Machine implements Outlet {
+    final class Machine implements ReplicaEnvironment {
         final String ip;
-        Order order;
+        Replica order;
         /** What is on disk, and what is written but not synced. */
-        Saved disk;
-        final List<Change> unsynced = new ArrayList<>();
+        PersistedState disk;
+        final List<LogWrite> unsynced = new ArrayList<>();
         boolean firstStart;
         boolean full;
         double diskMs = 5;
@@ -70,7 +70,7 @@
             if (old && !founds) {
                 founders = seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList();
             }
-            order = new Order(new Member(ip, mark), disk, founders, tolerated, LEASE, chance.nextLong(),
+            order = new Replica(new Member(ip, mark), disk, founders, tolerated, LEASE, chance.nextLong(),
                 clock(),
                 this);
             firstStart = false;
@@ -86,7 +86,7 @@
                 order.tick(clock());
                 if (order.isStranger()) {
                     for (Machine m : machines.values()) {
-                        post(this, m, new Letter.Post(order.self(), null, new Letter.Join(order.view())));
+                        post(this, m, new ConsensusMessage.Envelope(order.self(), null, new ConsensusMessage.JoinRequest(order.view())));
                     }
                 }
                 looked();
@@ -106,15 +106,15 @@
         }
 
         @Override
-        public void send(Member to, Letter letter) {
+        public void send(Member to, ConsensusMessage letter) {
             Machine m = machines.get(to.ip());
             if (m != null) {
-                post(this, m, new Letter.Post(order.self(), to, letter));
+                post(this, m, new ConsensusMessage.Envelope(order.self(), to, letter));
             }
         }
 
         @Override
-        public void save(Change change) {
+        public void save(LogWrite change) {
             unsynced.add(change);
             if (without == Without.SYNC_BEFORE_ANSWER) {
                 long of = life;
@@ -148,7 +148,7 @@
         void emptied() {
             full = false;
             if (order != null) {
-                Change whole = order.whole();
+                LogWrite whole = order.whole();
                 unsynced.clear();
                 unsynced.add(whole);
                 write(whole.ticket());
@@ -229,7 +229,7 @@
     /** The next acknowledgement is struck. */
     private boolean aimed;
 
-    Core(long seed, int machines, int tolerated, Without without) {
+    ConsensusSimulation(long seed, int machines, int tolerated, Without without) {
         chance = new SplittableRandom(seed);
         this.tolerated = tolerated;
         this.without = without;
@@ -243,18 +243,18 @@
         this.machines.values().forEach(m -> after(chance.nextInt(300), m::start));
     }
 
-    private static Saved merged(Saved disk, Change c) {
+    private static PersistedState merged(PersistedState disk, LogWrite c) {
         if (disk == null || c.base() != null) {
-            return new Saved(c.self(), c.view(), c.granted(), c.base(), c.entries());
+            return new PersistedState(c.self(), c.view(), c.granted(), c.base(), c.entries());
         }
-        Base base = disk.base();
-        List<Entry> entries = new ArrayList<>(disk.entries());
+        Snapshot base = disk.base();
+        List<LogEntry> entries = new ArrayList<>(disk.entries());
         int keep = (int) (c.from() - base.place() - 1);
         while (entries.size() > keep) {
             entries.remove(entries.size() - 1);
         }
         entries.addAll(c.entries());
-        return new Saved(c.self(), c.view(), c.granted(), base, entries);
+        return new PersistedState(c.self(), c.view(), c.granted(), base, entries);
     }
 
     void after(double span, Runnable what) {
@@ -265,13 +265,13 @@
         wrong = is && wrong == null ? what + " at " + Math.round(now) : wrong;
     }
 
-    private void post(Machine from, Machine to, Letter.Post p) {
+    private void post(Machine from, Machine to, ConsensusMessage.Envelope p) {
         if (cuts.contains(from.ip + ">" + to.ip) || chance.nextDouble() < loss) {
             return;
         }
         long of = to.life;
         after(0.5 + 2 * chance.nextDouble(), () -> {
-            boolean its = p.letter() instanceof Letter.Join || to.order != null
+            boolean its = p.letter() instanceof ConsensusMessage.JoinRequest || to.order != null
                 && p.to().equals(to.order.self());
             if (to.order != null && to.life == of && its) {
                 to.order.heard(to.clock(), p.from(), p.letter());
--- a/src/test/java/gingerspool/weatherhouse/House.java
+++ b/src/test/java/gingerspool/simulation/SlotSimulation.java
@@ -1,13 +1,13 @@
-package gingerspool.weatherhouse;
-
-import gingerspool.almanac.Configuration;
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
-import gingerspool.hygrometer.Function;
-import gingerspool.hygrometer.Instance;
-import gingerspool.hygrometer.Keeper;
-import gingerspool.radiosonde.Words;
-import gingerspool.raingauge.Scaler;
+package gingerspool.simulation;
+
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
+import gingerspool.slots.Function;
+import gingerspool.slots.Instance;
+import gingerspool.slots.SlotKeeper;
+import gingerspool.codec.Messages;
+import gingerspool.autoscaler.Autoscaler;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -23,7 +23,7 @@
  * take their time and whose links break, a platform with a late list, lost answers, crashes and refusals; by
  * seed. The record of who runs what is its own. what() of a history: what is wrong with it, or null.
  */
-final class House {
+final class SlotSimulation {
     static final double BEAT = 1200;
     private static final double LAG = 800;
     private static final double BOOT = 500;
@@ -55,7 +55,7 @@
     private final class Front {
         final String name;
         boolean enrolled;
-        /** Words of an older link or life are lost. */
+        /** Messages of an older link or life are lost. */
         long link;
         long grants;
         double lastWord;
@@ -70,7 +70,7 @@
             FUNCTIONS.forEach(f -> waits.put(f, new ArrayDeque<>()));
         }
 
-        /** Words go in order, each link's in its time. */
+        /** Messages go in order, each link's in its time. */
         void say(Runnable toKeeper) {
             if (!enrolled) {
                 return;
@@ -89,7 +89,7 @@
             grants = 0;
             granted.clear();
             came.clear();
-            Words.Enrol word = new Words.Enrol(name, "z", 0, Map.copyOf(held));
+            Messages.Register word = new Messages.Register(name, "z", 0, Map.copyOf(held));
             say(() -> keeper.enrolled(now, name, word));
             FUNCTIONS.forEach(this::want);
             held.keySet().stream().toList().forEach(this::idle);
@@ -118,7 +118,7 @@
         void want(String f) {
             int inHand = waits.get(f).size() + used.entrySet().stream()
                 .filter(e -> copies.get(e.getKey()).function.equals(f)).mapToInt(Map.Entry::getValue).sum();
-            Words.Want w = new Words.Want(f, waits.get(f).size(), granted.getOrDefault(f, 0L), inHand,
+            Messages.SlotDemand w = new Messages.SlotDemand(f, waits.get(f).size(), granted.getOrDefault(f, 0L), inHand,
                 came.getOrDefault(f, 0L), 60);
             say(() -> keeper.want(now, name, w));
         }
@@ -130,7 +130,7 @@
             want(f);
         }
 
-        void grant(Words.Grant g) {
+        void grant(Messages.SlotGrant g) {
             grants++;
             held.merge(g.instance(), g.slots(), Integer::sum);
             if (g.startsIn() > 0) {
@@ -145,7 +145,7 @@
         void knock(String id, long of) {
             Copy c = copies.get(id);
             if (of == link && now >= c.startsAt && now < c.endedAt) {
-                say(() -> keeper.back(now, name, new Words.Back(id, 0, Words.SEEN_UP)));
+                say(() -> keeper.back(now, name, new Messages.SlotReturn(id, 0, Messages.SEEN_UP)));
                 serve(c.function);
                 idle(id);
             } else if (of == link) {
@@ -166,7 +166,7 @@
 
         void use(Copy c) {
             if (now >= c.endedAt) {
-                back(c.id, held.get(c.id) - used.getOrDefault(c.id, 0), Words.SEEN_LOST);
+                back(c.id, held.get(c.id) - used.getOrDefault(c.id, 0), Messages.SEEN_LOST);
                 waits.get(c.function).add(now);
                 after(1, () -> want(c.function));
                 return;
@@ -196,7 +196,7 @@
                 Copy c = copies.get(id);
                 boolean starting = now < c.startsAt && !waits.get(c.function).isEmpty();
                 if (n > 0 && enrolled && !starting) {
-                    back(id, n, Words.SEEN_WELL);
+                    back(id, n, Messages.SEEN_WELL);
                 } else if (n > 0) {
                     after(BOOT, () -> idle(id));
                 }
@@ -210,7 +210,7 @@
                     // As it was before it was mended: what comes back before the list names it was dropped.
                     boolean dropped = without != Without.NOTHING && keeper.instance(id) == null;
                     if (!dropped) {
-                        keeper.back(now, name, new Words.Back(id, n, seen));
+                        keeper.back(now, name, new Messages.SlotReturn(id, n, seen));
                     }
                 });
             }
@@ -218,7 +218,7 @@
 
         void holds() {
             if (enrolled && without != Without.EARLY_BACKS_AND_HOLDS) {
-                Words.Holds word = new Words.Holds(grants, Map.copyOf(held));
+                Messages.SlotHoldings word = new Messages.SlotHoldings(grants, Map.copyOf(held));
                 say(() -> differed += keeper.holds(now, name, word) ? 0 : 1);
             }
             after(4 * BEAT, this::holds);
@@ -234,8 +234,8 @@
         Comparator.comparingDouble(Event::at).thenComparingLong(Event::serial));
     private long serial;
     private double now;
-    private Keeper keeper;
-    private Scaler scaler;
+    private SlotKeeper keeper;
+    private Autoscaler scaler;
     private long view;
     private final Map<String, Front> fronts = new LinkedHashMap<>();
     private final Map<String, Copy> copies = new LinkedHashMap<>();
@@ -247,7 +247,7 @@
     int differed;
     private String wrong;
 
-    House(long seed, Without without) {
+    SlotSimulation(long seed, Without without) {
         chance = new SplittableRandom(seed);
         this.without = without;
         for (int i = 0; i < FRONTS; i++) {
@@ -271,9 +271,9 @@
 
     private void lead() {
         long of = ++view;
-        keeper = new Keeper(BEAT, now, (front, word) -> tell(of, front, word));
+        keeper = new SlotKeeper(BEAT, now, (front, word) -> tell(of, front, word));
         keeper.configured(configuration());
-        scaler = new Scaler(keeper, 100, LAG, of + "-", now, new Scaler.Outlet() {
+        scaler = new Autoscaler(keeper, 100, LAG, of + "-", now, new Autoscaler.Outlet() {
             @Override
             public void start(Function f, String host, String nonce) {
                 begin(of, f.name, host, nonce, 1);
@@ -313,7 +313,7 @@
         long link = f.link;
         // In order as well: a constant way there.
         after(1, () -> {
-            if (of == view && link == f.link && word instanceof Words.Grant g) {
+            if (of == view && link == f.link && word instanceof Messages.SlotGrant g) {
                 f.grant(g);
             }
         });
--- a/src/test/java/gingerspool/weatherhouse/SlotsTest.java
+++ b/src/test/java/gingerspool/simulation/SlotSimulationTest.java
@@ -1,4 +1,4 @@
-package gingerspool.weatherhouse;
+package gingerspool.simulation;
 
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
@@ -8,30 +8,30 @@
 import org.testng.annotations.Test;
 
 /** Histories of slots and starts, by seed: none given twice, none lost, nobody waits, nothing idles on. */
-public class SlotsTest {
+public class SlotSimulationTest {
     private static final int HISTORIES = Integer.getInteger("histories", 400);
     private static final double SPAN = 40_000;
 
-    private static String found(int histories, House.Without without) {
+    private static String found(int histories, SlotSimulation.Without without) {
         return LongStream.rangeClosed(1, histories).parallel().mapToObj(seed -> {
-            String wrong = new House(seed, without).play(SPAN);
+            String wrong = new SlotSimulation(seed, without).play(SPAN);
             return wrong == null ? null : "seed " + seed + ": " + wrong;
         }).filter(Objects::nonNull).findFirst().orElse(null);
     }
 
     @Test
     public void histories() {
-        assertNull(found(HISTORIES, House.Without.NOTHING));
+        assertNull(found(HISTORIES, SlotSimulation.Without.NOTHING));
     }
 
     /** A slot that came back before the new leader had read the list was held for ever. */
     @Test
     public void aLostWordOfASlotIsFoundByTheChecker() {
-        assertNotNull(found(HISTORIES, House.Without.EARLY_BACKS_AND_HOLDS));
+        assertNotNull(found(HISTORIES, SlotSimulation.Without.EARLY_BACKS_AND_HOLDS));
     }
 
     @Test
     public void whatIsHeldIsToldNowAndThenAndMendsTheKeeper() {
-        assertNull(found(HISTORIES, House.Without.EARLY_BACKS));
+        assertNull(found(HISTORIES, SlotSimulation.Without.EARLY_BACKS));
     }
 }
--- a/src/test/java/gingerspool/hygrometer/ArrivalsTest.java
+++ b/src/test/java/gingerspool/slots/ArrivalRateTest.java
@@ -1,4 +1,4 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -6,11 +6,11 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.Test;
 
-public class ArrivalsTest {
+public class ArrivalRateTest {
     private static final double SPAN = 1000;
 
     /** Plays Poisson arrivals at so many a second and returns the mean of what was to be provided for. */
-    private static double play(Arrivals a, double from, double until, double perSecond, long seed) {
+    private static double play(ArrivalRate a, double from, double until, double perSecond, long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
         double sum = 0;
         int n = 0;
@@ -32,7 +32,7 @@
     @Test
     public void chanceAloneIsNoBurst() {
         for (long seed = 1; seed <= 20; seed++) {
-            Arrivals a = new Arrivals(SPAN);
+            ArrivalRate a = new ArrivalRate(SPAN);
             play(a, 0, 10_000, 8, seed);
             double mean = play(a, 10_000, 40_000, 8, seed + 100);
             assertTrue(mean > 7 && mean < 13, "provided for " + mean + " of 8 a second, seed " + seed);
@@ -41,7 +41,7 @@
 
     @Test
     public void aBurstIsSeenWithinItsFirstSecondAndHeld() {
-        Arrivals a = new Arrivals(SPAN);
+        ArrivalRate a = new ArrivalRate(SPAN);
         play(a, 0, 10_000, 10, 1);
         play(a, 10_000, 11_000, 40, 2);
         assertTrue(1000 * a.wanted() > 22, "provided for " + 1000 * a.wanted());
@@ -53,7 +53,7 @@
 
     @Test
     public void theUsualRateCountsOnlyTheTimeThatWasWatched() {
-        Arrivals a = new Arrivals(SPAN);
+        ArrivalRate a = new ArrivalRate(SPAN);
         a.came(0, 0);
         for (int i = 1; i <= 20; i++) {
             a.came(100 * i, 1);
--- a/src/test/java/gingerspool/hygrometer/KeeperTest.java
+++ b/src/test/java/gingerspool/slots/SlotKeeperTest.java
@@ -1,12 +1,12 @@
-package gingerspool.hygrometer;
+package gingerspool.slots;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import gingerspool.almanac.Configuration;
-import gingerspool.almanac.Route;
-import gingerspool.almanac.Service;
-import gingerspool.radiosonde.Words;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
+import gingerspool.codec.Messages;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,14 +14,14 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.Test;
 
-public class KeeperTest {
+public class SlotKeeperTest {
     private static final double BEAT = 1000;
-    private final List<Words.Grant> grants = new ArrayList<>();
+    private final List<Messages.SlotGrant> grants = new ArrayList<>();
     private final List<String> recalled = new ArrayList<>();
     private final Map<String, Integer> held = new HashMap<>();
     private final Map<String, Long> granted = new HashMap<>();
-    private final Keeper keeper = new Keeper(BEAT, 0, (front, word) -> {
-        if (word instanceof Words.Grant g) {
+    private final SlotKeeper keeper = new SlotKeeper(BEAT, 0, (front, word) -> {
+        if (word instanceof Messages.SlotGrant g) {
             grants.add(g);
             held.merge(front + " " + g.instance(), g.slots(), Integer::sum);
             granted.merge(front, 1L, Long::sum);
@@ -39,12 +39,12 @@
             .addServices(Service.newBuilder().setName("f").setBoot(500).setConcurrency(2).setMemory(128))
             .addRoutes(Route.newBuilder().setService("f").setAim(1000)).build());
         for (String front : List.of("a", "b", "c")) {
-            keeper.enrolled(0, front, new Words.Enrol(front, "z" + front, 0, Map.of()));
+            keeper.enrolled(0, front, new Messages.Register(front, "z" + front, 0, Map.of()));
         }
     }
 
-    private static Words.Want want(int lacks, long granted, int inHand) {
-        return new Words.Want("f", lacks, granted, inHand, 0, 50);
+    private static Messages.SlotDemand want(int lacks, long granted, int inHand) {
+        return new Messages.SlotDemand("f", lacks, granted, inHand, 0, 50);
     }
 
     /** Whatever schedulers ask and give back, no instance has more slots in hands than it has. */
@@ -68,9 +68,9 @@
                 int has = held.getOrDefault(front + " " + id, 0);
                 int some = Math.min(has, 1 + chance.nextInt(2));
                 held.put(front + " " + id, has - some);
-                keeper.back(now, front, new Words.Back(id, some, Words.SEEN_WELL));
+                keeper.back(now, front, new Messages.SlotReturn(id, some, Messages.SEEN_WELL));
             }
-            for (Words.Grant g : grants.subList(before, grants.size())) {
+            for (Messages.SlotGrant g : grants.subList(before, grants.size())) {
                 assertEquals(g.slots(), 1);
             }
             for (int i = 0; i < 3; i++) {
@@ -87,7 +87,7 @@
     @Test
     public void aNewKeeperWaitsForWhatIsHeldAndRecallsForThoseWhoLack() {
         prepare();
-        keeper.enrolled(1, "a", new Words.Enrol("a", "za", 0, Map.of("i0", 2)));
+        keeper.enrolled(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
         keeper.add(2, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
         keeper.want(3, "b", want(1, 0, 1));
         assertEquals(grants.size(), 0, "nothing before schedulers had the time to enrol");
@@ -96,7 +96,7 @@
         keeper.want(601, "a", want(0, 0, 0));
         keeper.tick(650);
         assertEquals(recalled, List.of("a"));
-        keeper.back(660, "a", new Words.Back("i0", 1, Words.SEEN_WELL));
+        keeper.back(660, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
         assertEquals(grants.size(), 1);
     }
 
@@ -104,9 +104,9 @@
     @Test
     public void whatComesBackBeforeItsInstanceIsKnownIsNotHeldForEver() {
         prepare();
-        keeper.enrolled(1, "a", new Words.Enrol("a", "za", 0, Map.of("i0", 2)));
-        keeper.back(2, "a", new Words.Back("i0", 1, Words.SEEN_WELL));
-        keeper.back(3, "a", new Words.Back("i0", 1, Words.SEEN_WELL));
+        keeper.enrolled(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
+        keeper.back(2, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
+        keeper.back(3, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
         keeper.add(600, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
         keeper.want(601, "b", want(2, 0, 2));
         assertEquals(grants.size(), 2);
@@ -130,10 +130,10 @@
         keeper.want(601, "a", want(1, 0, 1));
         assertEquals(grants.size(), 1);
         assertTrue(grants.get(0).startsIn() > 400);
-        keeper.back(1100, "a", new Words.Back("i0", 0, Words.SEEN_UP));
+        keeper.back(1100, "a", new Messages.SlotReturn("i0", 0, Messages.SEEN_UP));
         keeper.want(1101, "b", want(1, 0, 1));
         assertEquals(grants.get(1).startsIn(), 0.0);
-        keeper.back(1200, "b", new Words.Back("i0", 1, Words.SEEN_LOST));
+        keeper.back(1200, "b", new Messages.SlotReturn("i0", 1, Messages.SEEN_LOST));
         keeper.want(1201, "c", want(1, 0, 1));
         assertEquals(grants.size(), 2, "nobody is sent to one that was not reached just now");
     }
