--- a/src/test/java/gingerspool/barograph/LedgerTest.java
+++ b/src/test/java/gingerspool/storage/DurableLogTest.java
@@ -1,14 +1,14 @@
-package gingerspool.barograph;
+package gingerspool.storage;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-import gingerspool.weathervane.Base;
-import gingerspool.weathervane.Change;
-import gingerspool.weathervane.Entry;
-import gingerspool.weathervane.Member;
-import gingerspool.weathervane.Saved;
+import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.PersistedState;
 import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
@@ -18,15 +18,15 @@
 import java.util.SplittableRandom;
 import org.testng.annotations.Test;
 
-public class LedgerTest {
+public class DurableLogTest {
     private static final Member SELF = new Member("10.0.0.1", "m");
 
-    private static Change change(long ticket, long view, long from, int entries, Base base) {
-        List<Entry> all = new ArrayList<>();
+    private static LogWrite change(long ticket, long view, long from, int entries, Snapshot base) {
+        List<LogEntry> all = new ArrayList<>();
         for (int i = 0; i < entries; i++) {
-            all.add(new Entry(view, new byte[] {(byte) (from + i)}, null));
+            all.add(new LogEntry(view, new byte[] {(byte) (from + i)}, null));
         }
-        return new Change(ticket, SELF, view, null, from, all, base);
+        return new LogWrite(ticket, SELF, view, null, from, all, base);
     }
 
     private static Path file(Path folder) throws IOException {
@@ -42,20 +42,20 @@
     @Test
     public void holdsPromiseEntriesAndBaseThroughTrimsAndRewrites() throws Exception {
         Path at = folder();
-        try (Ledger ledger = new Ledger(at, 128)) {
+        try (DurableLog ledger = new DurableLog(at, 128)) {
             assertNull(ledger.open());
-            ledger.save(List.of(change(1, 0, 1, 0, new Base(0, 0, List.of(SELF), null))));
+            ledger.save(List.of(change(1, 0, 1, 0, new Snapshot(0, 0, List.of(SELF), null))));
             ledger.save(List.of(change(2, 1, 1, 5, null), change(3, 2, 4, 1, null)));
         }
-        try (Ledger ledger = new Ledger(at, 128)) {
-            Saved s = ledger.open();
+        try (DurableLog ledger = new DurableLog(at, 128)) {
+            PersistedState s = ledger.open();
             assertEquals(s.entries().size(), 4, "what was trimmed is gone");
             assertEquals(s.entries().get(3).view(), 2);
             assertEquals(s.self(), SELF);
-            ledger.rewrite(change(4, 3, 5, 2, new Base(4, 2, List.of(SELF), new byte[] {9})));
+            ledger.rewrite(change(4, 3, 5, 2, new Snapshot(4, 2, List.of(SELF), new byte[] {9})));
         }
-        try (Ledger ledger = new Ledger(at, 128)) {
-            Saved s = ledger.open();
+        try (DurableLog ledger = new DurableLog(at, 128)) {
+            PersistedState s = ledger.open();
             assertEquals(s.base().place(), 4);
             assertEquals(s.base().state(), new byte[] {9});
             assertEquals(s.entries().size(), 2);
@@ -70,9 +70,9 @@
     @Test
     public void synchedContentOutlivesTornTails() throws Exception {
         Path at = folder();
-        Ledger ledger = new Ledger(at, 128);
+        DurableLog ledger = new DurableLog(at, 128);
         ledger.open();
-        ledger.save(List.of(change(1, 1, 1, 3, new Base(0, 0, List.of(SELF), null))));
+        ledger.save(List.of(change(1, 1, 1, 3, new Snapshot(0, 0, List.of(SELF), null))));
         byte[] synced = Files.readAllBytes(file(at));
         ledger.save(List.of(change(2, 2, 4, 40, null)));
         byte[] later = Files.readAllBytes(file(at));
@@ -86,8 +86,8 @@
                 f.write(later, synced.length, cut - synced.length);
                 f.write(new byte[] {1, 2, 3, 4, 5});
             }
-            try (Ledger l = new Ledger(torn, 128)) {
-                Saved s = l.open();
+            try (DurableLog l = new DurableLog(torn, 128)) {
+                PersistedState s = l.open();
                 assertTrue(s != null && s.entries().size() >= 3, "cut at " + cut);
             }
         }
@@ -97,11 +97,11 @@
     public void whatCanNotBeReadIsAsGoodAsEmpty() throws Exception {
         Path at = folder();
         Files.write(at.resolve("ledger-7.mv"), new byte[10_000]);
-        try (Ledger ledger = new Ledger(at, 128)) {
+        try (DurableLog ledger = new DurableLog(at, 128)) {
             assertNull(ledger.open());
-            ledger.save(List.of(change(1, 1, 1, 1, new Base(0, 0, List.of(SELF), null))));
+            ledger.save(List.of(change(1, 1, 1, 1, new Snapshot(0, 0, List.of(SELF), null))));
         }
-        try (Ledger ledger = new Ledger(at, 128)) {
+        try (DurableLog ledger = new DurableLog(at, 128)) {
             assertEquals(ledger.open().entries().size(), 1);
         }
     }
@@ -116,13 +116,13 @@
         Path at = folder();
         // How many steps of the disk each change had taken when it was saved.
         List<Integer> saved = new ArrayList<>();
-        try (Ledger ledger = new Ledger(at, 128, ModelDisk.SCHEME)) {
+        try (DurableLog ledger = new DurableLog(at, 128, ModelDisk.SCHEME)) {
             ledger.open();
-            ledger.save(List.of(change(1, 1, 1, 1, new Base(0, 0, List.of(SELF), null))));
+            ledger.save(List.of(change(1, 1, 1, 1, new Snapshot(0, 0, List.of(SELF), null))));
             saved.add(ModelDisk.steps());
             for (int n = 2; n <= 24; n++) {
                 if (n % 8 == 0) {
-                    ledger.rewrite(change(n, n, 1, n, new Base(0, 0, List.of(SELF), null)));
+                    ledger.rewrite(change(n, n, 1, n, new Snapshot(0, 0, List.of(SELF), null)));
                 } else {
                     ledger.save(List.of(change(n, n, n, 1, null)));
                 }
@@ -136,8 +136,8 @@
             for (int play = 0; play < 12; play++) {
                 Path left = folder();
                 ModelDisk.lay(left, cut, chance);
-                try (Ledger ledger = new Ledger(left, 128)) {
-                    Saved s = ledger.open();
+                try (DurableLog ledger = new DurableLog(left, 128)) {
+                    PersistedState s = ledger.open();
                     assertTrue(s != null && s.entries().size() >= sure && s.view() >= sure,
                         "cut after step " + cut + " of the disk, " + sure + " were saved, found " + s);
                 }
--- a/src/test/java/gingerspool/barograph/ModelDisk.java
+++ b/src/test/java/gingerspool/storage/ModelDisk.java
@@ -1,4 +1,4 @@
-package gingerspool.barograph;
+package gingerspool.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
