--- a/src/main/java/gingerspool/antientropy/ReplicaRepair.java
+++ b/src/main/java/gingerspool/antientropy/ReplicaRepair.java
@@ -22,7 +22,7 @@
         void send(String member, long place, int ranges);
     }
 
-    private record Copy(long place, List<Long> ranges) {}
+    private record Copy(long index, List<Long> ranges) {}
 
     private final Map<String, Copy> copies = new HashMap<>();
     private final Outlet out;
@@ -65,7 +65,7 @@
     private void judge(String self, List<String> members, long place, List<Long> own) {
         copies.keySet().retainAll(members);
         copies.put(self, new Copy(place, own));
-        copies.values().removeIf(c -> c.place != place);
+        copies.values().removeIf(c -> c.index != place);
         // By member: where it has what most hold and we don't, and where it is the other way round.
         Map<String, Integer> better = new HashMap<>();
         Map<String, Integer> worse = new HashMap<>();
--- a/src/main/java/gingerspool/codec/Messages.java
+++ b/src/main/java/gingerspool/codec/Messages.java
@@ -17,7 +17,7 @@
      * A member of the core on its view: its number, and the address of who leads it ("" if
      * unknown).
      */
-    public record LeaderAnnouncement(long view, String leader, List<String> members) {}
+    public record LeaderAnnouncement(long term, String leader, List<String> members) {}
 
     /**
      * A scheduler asks the leader to take it on: the newest news it has, and each slot that it
@@ -26,7 +26,7 @@
     public record Register(String name, String zone, long news, Map<String, Integer> held) {}
 
     /** The leader took it on: both begin to count anew. */
-    public record Registered(long view) {}
+    public record Registered(long term) {}
 
     /** So many schedulers share the budget of repeats. */
     public record SchedulerCount(int count) {}
@@ -44,13 +44,13 @@
     public record ConfigurationAck(long number, long digest) {}
 
     /** The digests, by range, of a member's copy of the state at this place of the order. */
-    public record ReplicaDigest(String ip, long place, List<Long> ranges) {}
+    public record ReplicaDigest(String ip, long index, List<Long> ranges) {}
 
     /** A member is asked for its items of these ranges at this place; range r is bit r. */
-    public record RangeRequest(String ip, long place, int ranges) {}
+    public record RangeRequest(String ip, long index, int ranges) {}
 
     /** Items that take the place of all in these ranges, where the state stands at this place. */
-    public record RangeRepair(String ip, long place, int ranges, Map<String, String> items) {}
+    public record RangeRepair(String ip, long index, int ranges, Map<String, String> items) {}
 
     /**
      * What a scheduler wants of a function: slots at started instances that it still lacks after
--- a/src/main/java/gingerspool/consensus/LogEntry.java
+++ b/src/main/java/gingerspool/consensus/LogEntry.java
@@ -2,22 +2,18 @@
 
 import java.util.List;
 
-/**
- * One place in the order: the view that put it there, and a command, or the members from here on.
- */
-public record LogEntry(long view, byte[] command, List<Member> members) {
-    /**
-     * What each view begins with: it says nothing, but once it is agreed on so is all before it.
-     */
-    static LogEntry begin(long view) {
-        return new LogEntry(view, null, null);
+/** One log entry: the term of the leader that appended it, and a command, or the new voters. */
+public record LogEntry(long term, byte[] command, List<Member> members) {
+    /** The first entry of each term; once it is committed, so is everything before it. */
+    static LogEntry begin(long term) {
+        return new LogEntry(term, null, null);
     }
 
-    static LogEntry command(long view, byte[] command) {
-        return new LogEntry(view, command, null);
+    static LogEntry command(long term, byte[] command) {
+        return new LogEntry(term, command, null);
     }
 
-    static LogEntry members(long view, List<Member> members) {
-        return new LogEntry(view, null, members);
+    static LogEntry members(long term, List<Member> members) {
+        return new LogEntry(term, null, members);
     }
 }
--- a/src/main/java/gingerspool/consensus/LogWrite.java
+++ b/src/main/java/gingerspool/consensus/LogWrite.java
@@ -3,15 +3,14 @@
 import java.util.List;
 
 /**
- * What goes to disk at once, or not at all: whose disk it is, the promise (view and whom it was
- * granted to, or null), all entries from a place on, and a new base where that is not null. The
- * ticket counts up.
+ * One atomic write to the durable log: the member, its term and vote (null: none), all log entries
+ * from an index on, and a new snapshot where that is not null. Tickets count up.
  */
 public record LogWrite(
         long ticket,
         Member self,
-        long view,
-        Member granted,
+        long term,
+        Member votedFor,
         long from,
         List<LogEntry> entries,
-        Snapshot base) {}
+        Snapshot snapshot) {}
--- a/src/main/java/gingerspool/consensus/Member.java
+++ b/src/main/java/gingerspool/consensus/Member.java
@@ -1,16 +1,15 @@
 package gingerspool.consensus;
 
 /**
- * One store of the order: the address of its machine, and a mark made together with its disk's
- * content. A machine whose disk was lost comes back as another member, which knows and promised
- * nothing.
+ * One replica: the address of its machine, and an id made together with its disk's content. A
+ * machine whose disk was lost comes back as another member, which has no log and cast no vote.
  */
-public record Member(String ip, String mark) {
-    /** The mark of those that were there at the very first start. */
+public record Member(String ip, String id) {
+    /** The id of the members of the very first start. */
     public static final String FOUNDER = "0";
 
     @Override
     public String toString() {
-        return ip + "/" + mark;
+        return ip + "/" + id;
     }
 }
--- a/src/main/java/gingerspool/consensus/PersistedState.java
+++ b/src/main/java/gingerspool/consensus/PersistedState.java
@@ -2,6 +2,6 @@
 
 import java.util.List;
 
-/** What a disk held: which member it made, its promise, base and entries after the base. */
+/** What the durable log held: the member, its term and vote, its snapshot and the entries after. */
 public record PersistedState(
-        Member self, long view, Member granted, Snapshot base, List<LogEntry> entries) {}
+        Member self, long term, Member votedFor, Snapshot snapshot, List<LogEntry> entries) {}
--- a/src/main/java/gingerspool/consensus/Replica.java
+++ b/src/main/java/gingerspool/consensus/Replica.java
@@ -134,19 +134,22 @@
         this.now = now;
         chance = new SplittableRandom(seed);
         boolean founds = disk == null && founders.contains(self);
-        base = disk != null ? disk.base() : new Snapshot(0, 0, founds ? founders : List.of(), null);
+        base =
+                disk != null
+                        ? disk.snapshot()
+                        : new Snapshot(0, 0, founds ? founders : List.of(), null);
         if (disk != null) {
-            view = disk.view();
-            granted = disk.granted();
+            view = disk.term();
+            granted = disk.votedFor();
             entries.addAll(disk.entries());
             entries.forEach(e -> bytes += size(e));
             synced = last();
         }
         findMembers();
-        agreed = base.place();
-        delivered = base.place();
+        agreed = base.index();
+        delivered = base.index();
         if (base.state() != null) {
-            out.restore(base.place(), base.state());
+            out.restore(base.index(), base.state());
         }
         // Guards the lease: what this member promised others before it ended must have run out. One
         // that it
@@ -166,7 +169,7 @@
         return self;
     }
 
-    public long view() {
+    public long term() {
         return view;
     }
 
@@ -174,7 +177,7 @@
         return members;
     }
 
-    public boolean isStranger() {
+    public boolean isLearner() {
         return role == Role.STRANGER;
     }
 
@@ -192,20 +195,20 @@
     }
 
     /** What was delivered last. */
-    public long delivered() {
+    public long appliedIndex() {
         return delivered;
     }
 
     private long last() {
-        return base.place() + entries.size();
+        return base.index() + entries.size();
     }
 
     private long viewAt(long place) {
-        return place == base.place() ? base.view() : entry(place).view();
+        return place == base.index() ? base.term() : entry(place).term();
     }
 
     private LogEntry entry(long place) {
-        return entries.get((int) (place - base.place() - 1));
+        return entries.get((int) (place - base.index() - 1));
     }
 
     private static int size(LogEntry e) {
@@ -249,8 +252,8 @@
                 from > last()
                         ? List.of()
                         : List.copyOf(
-                                entries.subList((int) (from - base.place() - 1), entries.size()));
-        out.save(new LogWrite(++ticket, self, view, granted, from, changed, newBase));
+                                entries.subList((int) (from - base.index() - 1), entries.size()));
+        out.persist(new LogWrite(++ticket, self, view, granted, from, changed, newBase));
         long upTo = last();
         long of = era;
         whenSaved(
@@ -273,7 +276,7 @@
     }
 
     /** The disk has this change and all before it. */
-    public void saved(double at, long upTo) {
+    public void persisted(double at, long upTo) {
         now = at;
         savedTicket = Math.max(savedTicket, upTo);
         while (!waiting.isEmpty() && waiting.peek().ticket() <= savedTicket) {
@@ -285,9 +288,9 @@
      * The disk failed, and what it holds is unknown: everything, to be written anew under a new
      * ticket.
      */
-    public LogWrite whole() {
+    public LogWrite fullState() {
         return new LogWrite(
-                ++ticket, self, view, granted, base.place() + 1, List.copyOf(entries), base);
+                ++ticket, self, view, granted, base.index() + 1, List.copyOf(entries), base);
     }
 
     // ---- Time ----
@@ -361,20 +364,20 @@
 
     private void asked(Member from, ConsensusMessage.PreVote l) {
         if (!members.contains(from)) {
-            refuseStranger(from, l.view());
+            refuseStranger(from, l.term());
         } else {
             out.send(
                     from,
                     new ConsensusMessage.PreVoteReply(
-                            l.view(),
-                            mayStop(from, l.view()) && upToDate(l.lastView(), l.last()),
+                            l.term(),
+                            mayStop(from, l.term()) && upToDate(l.lastView(), l.last()),
                             view));
         }
     }
 
     private void would(Member from, ConsensusMessage.PreVoteReply l) {
         next = Math.max(next, l.own() + 1);
-        if (role == Role.ASKING && l.yes() && l.view() > view) {
+        if (role == Role.ASKING && l.yes() && l.term() > view) {
             votes.add(from);
             count();
         }
@@ -420,18 +423,18 @@
 
     private void stop(Member from, ConsensusMessage.RequestVote l) {
         if (!members.contains(from)) {
-            refuseStranger(from, l.view());
+            refuseStranger(from, l.term());
             return;
         }
-        if (l.view() == view && from.equals(granted)) {
+        if (l.term() == view && from.equals(granted)) {
             grant(from, l);
             return;
         }
-        if (!mayStop(from, l.view())) {
-            out.send(from, new ConsensusMessage.VoteReply(l.view(), false, false));
+        if (!mayStop(from, l.term())) {
+            out.send(from, new ConsensusMessage.VoteReply(l.term(), false, false));
             return;
         }
-        view = l.view();
+        view = l.term();
         granted = null;
         follow(null);
         boolean upToDate = upToDate(l.lastView(), l.last());
@@ -467,8 +470,8 @@
     private void grant(Member to, ConsensusMessage.RequestVote l) {
         whenSaved(
                 () -> {
-                    if (view == l.view()) {
-                        out.send(to, new ConsensusMessage.VoteReply(l.view(), true, false));
+                    if (view == l.term()) {
+                        out.send(to, new ConsensusMessage.VoteReply(l.term(), true, false));
                     }
                 });
     }
@@ -476,7 +479,7 @@
     private void stopped(Member from, ConsensusMessage.VoteReply l) {
         if (l.stranger()) {
             forget();
-        } else if (role == Role.STANDING && l.view() == view && l.granted()) {
+        } else if (role == Role.STANDING && l.term() == view && l.granted()) {
             votes.add(from);
             count();
         }
@@ -509,7 +512,7 @@
         delivered = 0;
         era++;
         waiting.clear();
-        out.save(new LogWrite(++ticket, self, view, null, 1, List.of(), base));
+        out.persist(new LogWrite(++ticket, self, view, null, 1, List.of(), base));
     }
 
     private void follow(Member who) {
@@ -535,7 +538,7 @@
      * Puts a command in its place; false where this member does not lead. Delivery tells that it is
      * agreed on.
      */
-    public boolean submit(double at, byte[] command) {
+    public boolean propose(double at, byte[] command) {
         now = at;
         if (!leads(now)) {
             return false;
@@ -554,12 +557,12 @@
 
     private void append(Member m) {
         Peer p = peer(m);
-        if (p.next <= base.place()) {
+        if (p.next <= base.index()) {
             out.send(m, new ConsensusMessage.InstallSnapshot(view, base, agreed, now));
-            p.next = base.place() + 1;
+            p.next = base.index() + 1;
         } else {
             List<LogEntry> news =
-                    List.copyOf(entries.subList((int) (p.next - base.place() - 1), entries.size()));
+                    List.copyOf(entries.subList((int) (p.next - base.index() - 1), entries.size()));
             out.send(
                     m,
                     new ConsensusMessage.AppendEntries(
@@ -569,7 +572,7 @@
     }
 
     private void appended(Member from, ConsensusMessage.AppendReply l) {
-        if (role != Role.LEADING || l.view() != view) {
+        if (role != Role.LEADING || l.term() != view) {
             return;
         }
         Peer p = peer(from);
@@ -610,11 +613,11 @@
             delivered++;
             LogEntry e = entry(delivered);
             if (e.command() != null) {
-                out.deliver(delivered, e.command());
+                out.apply(delivered, e.command());
             }
         }
-        if (delivered - base.place() > ENTRIES_MOST
-                || bytes > BYTES_MOST && delivered > base.place()) {
+        if (delivered - base.index() > ENTRIES_MOST
+                || bytes > BYTES_MOST && delivered > base.index()) {
             rebase();
         }
     }
@@ -622,18 +625,18 @@
     /** Puts the state in place of what was delivered. */
     private void rebase() {
         List<Member> then = base.members();
-        for (long i = base.place() + 1; i <= delivered; i++) {
+        for (long i = base.index() + 1; i <= delivered; i++) {
             then = entry(i).members() != null ? entry(i).members() : then;
         }
-        Snapshot made = new Snapshot(delivered, viewAt(delivered), then, out.state());
-        entries.subList(0, (int) (delivered - base.place())).clear();
+        Snapshot made = new Snapshot(delivered, viewAt(delivered), then, out.snapshotState());
+        entries.subList(0, (int) (delivered - base.index())).clear();
         base = made;
         bytes = entries.stream().mapToInt(Replica::size).sum();
-        save(base.place() + 1, base);
+        save(base.index() + 1, base);
     }
 
     /** The state was mended: what is kept of it on disk is made anew. */
-    public void renew(double at) {
+    public void compact(double at) {
         now = at;
         if (!members.isEmpty()) {
             rebase();
@@ -641,7 +644,7 @@
     }
 
     private boolean membersAgreed() {
-        for (long i = Math.max(agreed, base.place()) + 1; i <= last(); i++) {
+        for (long i = Math.max(agreed, base.index()) + 1; i <= last(); i++) {
             if (entry(i).members() != null) {
                 return false;
             }
@@ -659,7 +662,7 @@
     // ---- Letters ----
 
     /** A letter for this member. */
-    public void heard(double at, Member from, ConsensusMessage letter) {
+    public void receive(double at, Member from, ConsensusMessage letter) {
         now = at;
         if (letter instanceof ConsensusMessage.PreVote l) {
             asked(from, l);
@@ -670,17 +673,17 @@
         } else if (letter instanceof ConsensusMessage.VoteReply l) {
             stopped(from, l);
         } else if (letter instanceof ConsensusMessage.AppendEntries l) {
-            if (heardLeader(from, l.view(), l.sentAt())) {
+            if (heardLeader(from, l.term(), l.sentAt())) {
                 take(from, l);
             }
         } else if (letter instanceof ConsensusMessage.InstallSnapshot l) {
-            if (heardLeader(from, l.view(), l.sentAt())) {
+            if (heardLeader(from, l.term(), l.sentAt())) {
                 take(from, l);
             }
         } else if (letter instanceof ConsensusMessage.AppendReply l) {
-            if (l.view() > view && role == Role.LEADING) {
+            if (l.term() > view && role == Role.LEADING) {
                 // Others have gone on without us.
-                view = l.view();
+                view = l.term();
                 granted = null;
                 follow(null);
                 standAt = now + lease;
@@ -690,7 +693,7 @@
         } else if (letter instanceof ConsensusMessage.JoinRequest) {
             join(from);
         } else if (letter instanceof ConsensusMessage.TimeoutNow l
-                && l.view() == view
+                && l.term() == view
                 && from.equals(leader)) {
             // The lease was given up by who held it.
             heldUntil = now;
@@ -719,8 +722,8 @@
 
     private void take(Member from, ConsensusMessage.AppendEntries l) {
         long before = l.before();
-        int skip = (int) Math.max(0, base.place() - before);
-        if (before > last() || before >= base.place() && viewAt(before) != l.beforeView()) {
+        int skip = (int) Math.max(0, base.index() - before);
+        if (before > last() || before >= base.index() && viewAt(before) != l.beforeView()) {
             out.send(
                     from,
                     new ConsensusMessage.AppendReply(
@@ -730,9 +733,9 @@
         long changedFrom = last() + 1;
         for (int i = skip; i < l.entries().size(); i++) {
             long place = before + 1 + i;
-            if (place <= last() && viewAt(place) != l.entries().get(i).view()) {
+            if (place <= last() && viewAt(place) != l.entries().get(i).term()) {
                 // Trim: what the leader does not have was never agreed on.
-                entries.subList((int) (place - base.place() - 1), entries.size()).clear();
+                entries.subList((int) (place - base.index() - 1), entries.size()).clear();
                 synced = Math.min(synced, place - 1);
                 era++;
                 changedFrom = Math.min(changedFrom, place);
@@ -752,21 +755,21 @@
     }
 
     private void take(Member from, ConsensusMessage.InstallSnapshot l) {
-        if (l.base().place() > delivered || members.isEmpty()) {
-            base = l.base();
+        if (l.snapshot().index() > delivered || members.isEmpty()) {
+            base = l.snapshot();
             era++;
             entries.clear();
             bytes = 0;
             synced = 0;
             findMembers();
-            agreed = base.place();
-            delivered = base.place();
+            agreed = base.index();
+            delivered = base.index();
             if (base.state() != null) {
-                out.restore(base.place(), base.state());
+                out.restore(base.index(), base.state());
             }
-            save(base.place() + 1, base);
+            save(base.index() + 1, base);
         }
-        accept(from, l.base().place(), l.agreed(), l.sentAt());
+        accept(from, l.snapshot().index(), l.agreed(), l.sentAt());
     }
 
     /**
--- a/src/main/java/gingerspool/consensus/ReplicaEnvironment.java
+++ b/src/main/java/gingerspool/consensus/ReplicaEnvironment.java
@@ -1,21 +1,22 @@
 package gingerspool.consensus;
 
-/** What an Replica calls to act. */
+/** The effects of a replica: what it calls to send, to write and to apply. */
 public interface ReplicaEnvironment {
-    /** Sends, or loses, a letter. */
-    void send(Member to, ConsensusMessage letter);
+    /** Sends a message, which may be lost. */
+    void send(Member to, ConsensusMessage message);
 
     /**
-     * Writes this with a sync; saved(ticket) follows once it and all before are on disk, or never.
+     * Writes this and syncs. Replica.persisted(ticket) follows once it and all earlier writes are
+     * durable, or never.
      */
-    void save(LogWrite change);
+    void persist(LogWrite write);
 
-    /** The next command that is agreed on. */
-    void deliver(long place, byte[] command);
+    /** Applies the next committed command. */
+    void apply(long index, byte[] command);
 
-    /** A state in place of all commands up to a place. */
-    void restore(long place, byte[] state);
+    /** Replaces the state by that of all commands up to an index. */
+    void restore(long index, byte[] state);
 
-    /** The state that all commands delivered so far come to. */
-    byte[] state();
+    /** The state that all applied commands come to. */
+    byte[] snapshotState();
 }
--- a/src/main/java/gingerspool/consensus/Snapshot.java
+++ b/src/main/java/gingerspool/consensus/Snapshot.java
@@ -2,5 +2,5 @@
 
 import java.util.List;
 
-/** What all entries up to a place come to: the state, and the members. */
-public record Snapshot(long place, long view, List<Member> members, byte[] state) {}
+/** The state that all log entries up to an index come to, and the voters at that index. */
+public record Snapshot(long index, long term, List<Member> members, byte[] state) {}
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -175,10 +175,10 @@
         door = new OperatorEndpoint(loop, settings.control, this::run);
         listener = new Listener(loop, new InetSocketAddress(settings.ip, settings.innerPort), this);
         LOG.info(
-                "start member={} members={} view={} version={}",
+                "start member={} members={} term={} version={}",
                 replica.self(),
                 replica.members(),
-                replica.view(),
+                replica.term(),
                 configurationState.version());
     }
 
@@ -223,7 +223,7 @@
         double now = loop.now();
         Set<String> wanted = new HashSet<>();
         replica.members().forEach(m -> wanted.add(m.ip()));
-        if (replica.isStranger() || replica.members().isEmpty()) {
+        if (replica.isLearner() || replica.members().isEmpty()) {
             settings.seeds.forEach(a -> wanted.add(a.getAddress().getHostAddress()));
         }
         wanted.remove(settings.ip);
@@ -245,12 +245,12 @@
                 e.getKey().close();
             }
         }
-        if (replica.isStranger()) {
+        if (replica.isLearner()) {
             wanted.forEach(
                     ip ->
                             post(
                                     new Member(ip, ""),
-                                    new ConsensusMessage.JoinRequest(replica.view())));
+                                    new ConsensusMessage.JoinRequest(replica.term())));
         }
         loop.after(settings.beat / 8, this::look);
     }
@@ -291,14 +291,14 @@
         double now = loop.now();
         boolean leads = replica.leads(now);
         if (duty != null
-                && (replica.view() != dutyView
+                && (replica.term() != dutyView
                         || !replica.self().equals(replica.leader(now))
                                 && !leads
                                 && replica.leader(now) != null)) {
             endDuty();
         }
         if (leads && duty == null) {
-            dutyView = replica.view();
+            dutyView = replica.term();
             duty =
                     new LeaderDuties(
                             loop,
@@ -308,14 +308,14 @@
                             this::tell,
                             this::tellAll);
             duty.configured(configurationState.configuration());
-            LOG.info("duty.begins view={} members={}", dutyView, replica.members());
+            LOG.info("duty.begins term={} members={}", dutyView, replica.members());
             sendStandings();
         }
         wakeOrder();
     }
 
     private void endDuty() {
-        LOG.info("duty.ends view={}", dutyView);
+        LOG.info("duty.ends term={}", dutyView);
         duty.end();
         duty = null;
         fronts.clear();
@@ -342,11 +342,12 @@
             mender.compare(
                     settings.ip,
                     replica.members().stream().map(Member::ip).toList(),
-                    replica.delivered(),
+                    replica.appliedIndex(),
                     own);
-        } else if (leader != null && !replica.isStranger()) {
+        } else if (leader != null && !replica.isLearner()) {
             tellPeer(
-                    leader.ip(), new Messages.ReplicaDigest(settings.ip, replica.delivered(), own));
+                    leader.ip(),
+                    new Messages.ReplicaDigest(settings.ip, replica.appliedIndex(), own));
         }
     }
 
@@ -363,17 +364,17 @@
         boolean asked = word.ip().equals(askedFrom);
         askedFrom = "";
         boolean leads = leader != null && leader.ip().equals(word.ip());
-        if (word.place() != replica.delivered() || !asked && !leads) {
+        if (word.index() != replica.appliedIndex() || !asked && !leads) {
             return;
         }
         try {
             configurationState.mend(
                     RangeDigests.replaced(configurationState.items(), word.ranges(), word.items()));
-            replica.renew(loop.now());
+            replica.compact(loop.now());
             LOG.warn(
-                    "state.mended from={} place={} version={}",
+                    "state.mended from={} index={} version={}",
                     word.ip(),
-                    word.place(),
+                    word.index(),
                     configurationState.version());
             news();
         } catch (InvalidConfigurationException e) {
@@ -389,19 +390,19 @@
     private Messages.LeaderAnnouncement standing() {
         Member leader = replica.leader(loop.now());
         return new Messages.LeaderAnnouncement(
-                replica.view(),
+                replica.term(),
                 leader == null ? "" : leader.ip(),
                 replica.members().stream().map(Member::ip).toList());
     }
 
     private void summary() {
         LOG.info(
-                "summary member={} view={} leads={} delivered={} version={} fronts={} reads={} changes={}"
+                "summary member={} term={} leads={} delivered={} version={} fronts={} reads={} changes={}"
                         + " refused={} disk_failing={} ranges_differed={} undecided={}",
                 replica.self(),
-                replica.view(),
+                replica.term(),
                 replica.leads(loop.now()),
-                replica.delivered(),
+                replica.appliedIndex(),
                 configurationState.version(),
                 fronts.size(),
                 reads,
@@ -431,28 +432,28 @@
     }
 
     @Override
-    public void save(LogWrite change) {
+    public void persist(LogWrite change) {
         writer.save(change);
     }
 
     private void onSaved(long ticket) {
-        replica.saved(loop.now(), ticket);
+        replica.persisted(loop.now(), ticket);
         after();
     }
 
     private LogWrite whole() {
-        return replica.whole();
+        return replica.fullState();
     }
 
     @Override
-    public void deliver(long place, byte[] command) {
+    public void apply(long index, byte[] command) {
         try {
             Messages.ChangeCommand c = (Messages.ChangeCommand) coder.read(command);
             ConfigurationState.Verdict verdict =
                     configurationState.take(c.whole(), c.on(), c.body());
             Waiter waiter = waiters.remove(c.mark());
             if (verdict.status() == ConfigurationState.TAKEN) {
-                LOG.info("config.taken version={} place={}", configurationState.version(), place);
+                LOG.info("config.taken version={} index={}", configurationState.version(), index);
                 news();
             } else {
                 refused++;
@@ -467,13 +468,13 @@
     }
 
     @Override
-    public void restore(long place, byte[] state) {
+    public void restore(long index, byte[] state) {
         configurationState.restore(state);
         news();
     }
 
     @Override
-    public byte[] state() {
+    public byte[] snapshotState() {
         return configurationState.state();
     }
 
@@ -511,7 +512,7 @@
             }
         } else if (call instanceof OperatorCall.Change c) {
             changes++;
-            long mark = replica.view() << 32 | ++commands;
+            long mark = replica.term() << 32 | ++commands;
             waiters.put(mark, new Waiter(c));
             loop.after(
                     ANSWER,
@@ -520,7 +521,7 @@
                             answer(c, 503, "not agreed on in time; it may still be");
                         }
                     });
-            replica.submit(
+            replica.propose(
                     now,
                     coder.write(new Messages.ChangeCommand(mark, c.whole(), c.on(), c.body())));
             after();
@@ -545,11 +546,12 @@
                 "member "
                         + replica.self()
                         + " view "
-                        + replica.view()
+                        + replica.term()
                         + " leader "
                         + replica.leader(loop.now()));
         lines.add("members " + replica.members());
-        lines.add("version " + configurationState.version() + " delivered " + replica.delivered());
+        lines.add(
+                "version " + configurationState.version() + " delivered " + replica.appliedIndex());
         callers.values()
                 .forEach(
                         c -> {
@@ -612,7 +614,7 @@
             if (peer.link == null) {
                 connect(p.from().ip(), loop.now());
             }
-            replica.heard(loop.now(), p.from(), p.letter());
+            replica.receive(loop.now(), p.from(), p.letter());
             after();
         }
     }
@@ -641,13 +643,13 @@
     private void front(Frames link, Caller caller, Object word) {
         double now = loop.now();
         if (word instanceof Messages.ReplicaDigest c) {
-            mender.told(c.ip(), c.place(), c.ranges());
-        } else if (word instanceof Messages.RangeRequest a && a.place() == replica.delivered()) {
+            mender.told(c.ip(), c.index(), c.ranges());
+        } else if (word instanceof Messages.RangeRequest a && a.index() == replica.appliedIndex()) {
             tellPeer(
                     a.ip(),
                     new Messages.RangeRepair(
                             settings.ip,
-                            a.place(),
+                            a.index(),
                             a.ranges(),
                             RangeDigests.items(configurationState.items(), a.ranges())));
         } else if (word instanceof Messages.RangeRepair m) {
@@ -663,7 +665,7 @@
                 caller.front = e.name();
                 fronts.put(e.name(), link);
                 duty.keeper.enrolled(now, e.name(), e);
-                link.send(coder.write(new Messages.Registered(replica.view())));
+                link.send(coder.write(new Messages.Registered(replica.term())));
                 caller.news = e.news();
                 tellNews(link, caller, e.news(), false);
                 toldFronts();
--- a/src/main/java/gingerspool/controlplane/LeaderDuties.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -19,9 +19,9 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * What the leader of a view does alone: reads the platform's lists, keeps the slots, starts and
- * stops instances. The view's number is the fence. Every call asks first whether the lease still
- * holds. Ends with the view.
+ * What the leader of a term does alone: reads the platform's lists, keeps the slots, starts and
+ * stops instances. The term's number is the fence. Every call asks first whether the lease still
+ * holds. Ends with the term.
  */
 final class LeaderDuties implements Autoscaler.Outlet, SlotKeeper.Outlet {
     private static final Logger LOG = LogManager.getLogger(LeaderDuties.class);
@@ -41,7 +41,7 @@
 
     private final Turns turns;
     private final Settings settings;
-    private final long view;
+    private final long term;
     private final BooleanSupplier holds;
     private final BiConsumer<String, Object> tell;
     private final Consumer<Object> tellAll;
@@ -61,13 +61,13 @@
     LeaderDuties(
             Turns turns,
             Settings settings,
-            long view,
+            long term,
             BooleanSupplier holds,
             BiConsumer<String, Object> tell,
             Consumer<Object> tellAll) {
         this.turns = turns;
         this.settings = settings;
-        this.view = view;
+        this.term = term;
         this.holds = holds;
         this.tell = tell;
         this.tellAll = tellAll;
@@ -78,7 +78,7 @@
                         keeper,
                         settings.dutyRate,
                         settings.cloudLag,
-                        view + "-" + settings.name + "-",
+                        term + "-" + settings.name + "-",
                         turns.now(),
                         this);
         list();
@@ -214,7 +214,7 @@
     private void start(Function f, String host, String nonce, int tries) {
         platform.start(
                 settings.name,
-                view,
+                term,
                 f.name,
                 host,
                 nonce,
@@ -247,7 +247,7 @@
     private void stop(String instance, int tries) {
         platform.stop(
                 settings.name,
-                view,
+                term,
                 instance,
                 a -> {
                     if (a.status() != 200 && a.status() != 404 && tries < TRIES && !ended) {
@@ -274,8 +274,8 @@
 
     void log() {
         LOG.info(
-                "duty view={} functions={} fronts={} starts={} stops={} refused={} {}",
-                view,
+                "duty term={} functions={} fronts={} starts={} stops={} refused={} {}",
+                term,
                 keeper.functions().size(),
                 keeper.fronts(),
                 starts,
--- a/src/main/java/gingerspool/dataplane/ControlLinks.java
+++ b/src/main/java/gingerspool/dataplane/ControlLinks.java
@@ -188,7 +188,7 @@
             } else if (word instanceof Messages.Registered e && l == asked) {
                 if (leader != l) {
                     leader = l;
-                    LOG.info("core.led by={} view={}", l.ip, e.view());
+                    LOG.info("core.led by={} view={}", l.ip, e.term());
                 }
                 words.accept(word);
             } else if (l == leader || l == asked) {
@@ -201,7 +201,7 @@
     }
 
     private void standing(Link l, Messages.LeaderAnnouncement s) {
-        if (s.view() < view) {
+        if (s.term() < view) {
             return;
         }
         members = new LinkedHashSet<>(s.members());
@@ -209,18 +209,18 @@
         // Guards against an enrolment that came while the lease had lapsed: unanswered, it is said
         // again.
         boolean unanswered = leader != l && turns.now() > askedAt + AGAIN * settings.beat;
-        if (leads && (l != asked || s.view() > view || unanswered)) {
+        if (leads && (l != asked || s.term() > view || unanswered)) {
             leader = null;
             asked = l;
             askedAt = turns.now();
-            LOG.info("core.enrols at={} view={}", l.ip, s.view());
+            LOG.info("core.enrols at={} view={}", l.ip, s.term());
             l.frames.send(coder.write(enrol.get()));
         } else if (!leads && l == asked) {
             // It leads no more; the next leader tells us itself.
             leader = null;
             asked = null;
         }
-        view = s.view();
+        view = s.term();
     }
 
     @Override
--- a/src/main/java/gingerspool/storage/DurableLog.java
+++ b/src/main/java/gingerspool/storage/DurableLog.java
@@ -40,7 +40,7 @@
     private static final int MB = 1 << 20;
 
     /** What stands under `promise`. */
-    public record Promise(Member self, long view, Member granted) {}
+    public record Vote(Member self, long term, Member votedFor) {}
 
     private final Path folder;
 
@@ -49,7 +49,7 @@
 
     private final long fileMost;
     private final KryoCodec coder =
-            new KryoCodec(List.of(Promise.class, Member.class, LogEntry.class, Snapshot.class));
+            new KryoCodec(List.of(Vote.class, Member.class, LogEntry.class, Snapshot.class));
     private MVStore store;
     private MVMap<Long, byte[]> entries;
     private MVMap<String, byte[]> meta;
@@ -94,11 +94,11 @@
         return new LogWrite(
                 0,
                 found.self(),
-                found.view(),
-                found.granted(),
-                found.base().place() + 1,
+                found.term(),
+                found.votedFor(),
+                found.snapshot().index() + 1,
                 found.entries(),
-                found.base());
+                found.snapshot());
     }
 
     private TreeMap<Long, Path> files() throws IOException {
@@ -125,16 +125,16 @@
             if (form == null || form.length != 1 || form[0] != FORM) {
                 return null;
             }
-            if (!(coder.read(m.get("promise")) instanceof Promise p
-                    && coder.read(m.get("base")) instanceof Snapshot base)) {
+            if (!(coder.read(m.get("promise")) instanceof Vote p
+                    && coder.read(m.get("base")) instanceof Snapshot snapshot)) {
                 return null;
             }
             List<LogEntry> all = new ArrayList<>();
             MVMap<Long, byte[]> places = from.openMap("entries");
-            for (byte[] e; (e = places.get(base.place() + 1 + all.size())) != null; ) {
+            for (byte[] e; (e = places.get(snapshot.index() + 1 + all.size())) != null; ) {
                 all.add((LogEntry) coder.read(e));
             }
-            return new PersistedState(p.self(), p.view(), p.granted(), base, all);
+            return new PersistedState(p.self(), p.term(), p.votedFor(), snapshot, all);
         } catch (MVStoreException
                 | MalformedMessageException
                 | ClassCastException
@@ -200,9 +200,9 @@
 
     private void put(LogWrite c) {
         meta.put("form", new byte[] {FORM});
-        meta.put("promise", coder.write(new Promise(c.self(), c.view(), c.granted())));
-        if (c.base() != null) {
-            meta.put("base", coder.write(c.base()));
+        meta.put("promise", coder.write(new Vote(c.self(), c.term(), c.votedFor())));
+        if (c.snapshot() != null) {
+            meta.put("base", coder.write(c.snapshot()));
             entries.clear();
         }
         Long last = entries.lastKey();
--- a/src/test/java/gingerspool/consensus/LeaseTest.java
+++ b/src/test/java/gingerspool/consensus/LeaseTest.java
@@ -28,18 +28,18 @@
                 }
 
                 @Override
-                public void save(LogWrite change) {
+                public void persist(LogWrite change) {
                     saved = change;
                 }
 
                 @Override
-                public void deliver(long place, byte[] command) {}
+                public void apply(long index, byte[] command) {}
 
                 @Override
-                public void restore(long place, byte[] state) {}
+                public void restore(long index, byte[] state) {}
 
                 @Override
-                public byte[] state() {
+                public byte[] snapshotState() {
                     return new byte[0];
                 }
             };
@@ -64,33 +64,33 @@
     @Test
     public void aBeatCountsForTheLeaseOnceItsPromiseIsOnDisk() {
         Replica order = started(OLD);
-        order.heard(1000, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 990));
+        order.receive(1000, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 990));
         assertEquals(answer(0).sentAt(), Double.NEGATIVE_INFINITY, "a restart would forget it");
-        assertEquals(saved.view(), 4);
-        assertEquals(saved.granted(), NEW);
-        order.saved(1010, saved.ticket());
+        assertEquals(saved.term(), 4);
+        assertEquals(saved.votedFor(), NEW);
+        order.persisted(1010, saved.ticket());
         assertEquals(answer(1).sentAt(), 990.0);
-        order.heard(1100, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 1090));
+        order.receive(1100, NEW, new ConsensusMessage.AppendEntries(4, 0, 0, List.of(), 0, 1090));
         assertEquals(answer(2).sentAt(), 1090.0, "later ones at once");
     }
 
     @Test
     public void afterARestartWhoMayHoldTheLeaseMayStandAndOthersWait() {
         Replica order = started(OLD);
-        order.heard(10, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
+        order.receive(10, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
         assertTrue(
                 !((ConsensusMessage.VoteReply) said.get(0)).granted(),
                 "the lease of view 3 may not have ended");
-        order.heard(20, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
-        order.saved(25, saved.ticket());
+        order.receive(20, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
+        order.persisted(25, saved.ticket());
         assertTrue(
                 ((ConsensusMessage.VoteReply) said.get(1)).granted(),
                 "it holds none while it stands");
-        order.heard(30, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
+        order.receive(30, OLD, new ConsensusMessage.RequestVote(4, 3, 5));
         assertTrue(
                 ((ConsensusMessage.VoteReply) said.get(2)).granted(),
                 "asked again, as the answer may be lost");
-        order.heard(700, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
+        order.receive(700, NEW, new ConsensusMessage.RequestVote(4, 3, 5));
         assertTrue(!((ConsensusMessage.VoteReply) said.get(3)).granted(), "one grant a view");
     }
 
@@ -106,9 +106,9 @@
                         new ConsensusMessage.PreVote(4, 0, 0),
                         new ConsensusMessage.PreVote(4, 0, 0)));
         said.clear();
-        order.heard(first + 2, OLD, new ConsensusMessage.PreVoteReply(4, true, 3));
+        order.receive(first + 2, OLD, new ConsensusMessage.PreVoteReply(4, true, 3));
         assertEquals(said.size(), 0, "its own vote is not on disk yet");
-        order.saved(first + 5, saved.ticket());
+        order.persisted(first + 5, saved.ticket());
         assertEquals(said.size(), 2);
         double next = order.nextTick();
         assertTrue(next < first + LEASE / 4, "it asks again at " + next);
@@ -124,14 +124,15 @@
         for (double now = LEASE; now < 20 * LEASE; now += 50) {
             order.tick(now);
         }
-        assertEquals(order.view(), 3);
+        assertEquals(order.term(), 3);
         assertTrue(said.stream().allMatch(l -> l.equals(new ConsensusMessage.PreVote(4, 0, 0))));
-        order.heard(20 * LEASE, OLD, new ConsensusMessage.PreVoteReply(4, false, 9));
+        order.receive(20 * LEASE, OLD, new ConsensusMessage.PreVoteReply(4, false, 9));
         said.clear();
         order.tick(25 * LEASE);
         assertEquals(said.get(0), new ConsensusMessage.PreVote(10, 0, 0));
-        order.heard(25 * LEASE, OLD, new ConsensusMessage.AppendEntries(9, 0, 0, List.of(), 0, 1));
-        order.heard(25 * LEASE + 1, NEW, new ConsensusMessage.PreVote(10, 3, 5));
+        order.receive(
+                25 * LEASE, OLD, new ConsensusMessage.AppendEntries(9, 0, 0, List.of(), 0, 1));
+        order.receive(25 * LEASE + 1, NEW, new ConsensusMessage.PreVote(10, 3, 5));
         assertEquals(
                 said.get(said.size() - 1),
                 new ConsensusMessage.PreVoteReply(10, false, 9),
--- a/src/test/java/gingerspool/simulation/ConsensusSimulation.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -106,7 +106,7 @@
         private void tick(long of) {
             if (life == of && order != null) {
                 order.tick(clock());
-                if (order.isStranger()) {
+                if (order.isLearner()) {
                     for (Machine m : machines.values()) {
                         post(
                                 this,
@@ -114,7 +114,7 @@
                                 new ConsensusMessage.Envelope(
                                         order.self(),
                                         null,
-                                        new ConsensusMessage.JoinRequest(order.view())));
+                                        new ConsensusMessage.JoinRequest(order.term())));
                     }
                 }
                 looked();
@@ -142,7 +142,7 @@
         }
 
         @Override
-        public void save(LogWrite change) {
+        public void persist(LogWrite change) {
             unsynced.add(change);
             if (without == Without.SYNC_BEFORE_ANSWER) {
                 long of = life;
@@ -169,7 +169,7 @@
 
         private void confirm(long of, long ticket) {
             if (life == of && order != null) {
-                order.saved(clock(), ticket);
+                order.persisted(clock(), ticket);
                 looked();
             }
         }
@@ -178,7 +178,7 @@
         void emptied() {
             full = false;
             if (order != null) {
-                LogWrite whole = order.whole();
+                LogWrite whole = order.fullState();
                 unsynced.clear();
                 unsynced.add(whole);
                 write(whole.ticket());
@@ -186,16 +186,16 @@
         }
 
         @Override
-        public void deliver(long place, byte[] command) {
+        public void apply(long index, byte[] command) {
             ByteBuffer b = ByteBuffer.wrap(command);
             long on = b.getLong();
             long version = b.getLong();
-            long other = places.getOrDefault(place, version);
-            places.put(place, version);
+            long other = places.getOrDefault(index, version);
+            places.put(index, version);
             wrong(
                     other != version,
                     "place "
-                            + place
+                            + index
                             + " holds "
                             + version
                             + " at "
@@ -229,7 +229,7 @@
         }
 
         @Override
-        public void restore(long place, byte[] state) {
+        public void restore(long index, byte[] state) {
             taken.clear();
             ByteBuffer b = ByteBuffer.wrap(state);
             while (b.hasRemaining()) {
@@ -238,7 +238,7 @@
         }
 
         @Override
-        public byte[] state() {
+        public byte[] snapshotState() {
             ByteBuffer b = ByteBuffer.allocate(8 * taken.size());
             taken.forEach(b::putLong);
             return b.array();
@@ -288,17 +288,17 @@
     }
 
     private static PersistedState merged(PersistedState disk, LogWrite c) {
-        if (disk == null || c.base() != null) {
-            return new PersistedState(c.self(), c.view(), c.granted(), c.base(), c.entries());
+        if (disk == null || c.snapshot() != null) {
+            return new PersistedState(c.self(), c.term(), c.votedFor(), c.snapshot(), c.entries());
         }
-        Snapshot base = disk.base();
+        Snapshot base = disk.snapshot();
         List<LogEntry> entries = new ArrayList<>(disk.entries());
-        int keep = (int) (c.from() - base.place() - 1);
+        int keep = (int) (c.from() - base.index() - 1);
         while (entries.size() > keep) {
             entries.remove(entries.size() - 1);
         }
         entries.addAll(c.entries());
-        return new PersistedState(c.self(), c.view(), c.granted(), base, entries);
+        return new PersistedState(c.self(), c.term(), c.votedFor(), base, entries);
     }
 
     void after(double span, Runnable what) {
@@ -321,7 +321,7 @@
                             p.letter() instanceof ConsensusMessage.JoinRequest
                                     || to.order != null && p.to().equals(to.order.self());
                     if (to.order != null && to.life == of && its) {
-                        to.order.heard(to.clock(), p.from(), p.letter());
+                        to.order.receive(to.clock(), p.from(), p.letter());
                         looked();
                     }
                 });
@@ -335,17 +335,17 @@
                 wrong(holder != null, holder + " and " + m.ip + " hold the duty");
                 holder = m.ip;
                 wrong(
-                        m.order.view() < lastFence
-                                || m.order.view() == lastFence && !lastLeader.equals(m.ip),
+                        m.order.term() < lastFence
+                                || m.order.term() == lastFence && !lastLeader.equals(m.ip),
                         "fence "
-                                + m.order.view()
+                                + m.order.term()
                                 + " of "
                                 + m.ip
                                 + " after "
                                 + lastFence
                                 + " of "
                                 + lastLeader);
-                lastFence = m.order.view();
+                lastFence = m.order.term();
                 lastLeader = m.ip;
             }
         }
@@ -373,7 +373,7 @@
                 Sent s = again != null ? again : new Sent(m.current(), ++versions);
                 m.waiting.put(s.version, 1);
                 byte[] c = ByteBuffer.allocate(16).putLong(s.on).putLong(s.version).array();
-                m.order.submit(m.clock(), c);
+                m.order.propose(m.clock(), c);
                 boolean unclear = chance.nextInt(3) == 0;
                 if (unclear && tries < 3) {
                     after(300, () -> submit(s, tries + 1));
--- a/src/test/java/gingerspool/storage/DurableLogTest.java
+++ b/src/test/java/gingerspool/storage/DurableLogTest.java
@@ -21,12 +21,13 @@
 public class DurableLogTest {
     private static final Member SELF = new Member("10.0.0.1", "m");
 
-    private static LogWrite change(long ticket, long view, long from, int entries, Snapshot base) {
+    private static LogWrite change(
+            long ticket, long term, long from, int entries, Snapshot snapshot) {
         List<LogEntry> all = new ArrayList<>();
         for (int i = 0; i < entries; i++) {
-            all.add(new LogEntry(view, new byte[] {(byte) (from + i)}, null));
+            all.add(new LogEntry(term, new byte[] {(byte) (from + i)}, null));
         }
-        return new LogWrite(ticket, SELF, view, null, from, all, base);
+        return new LogWrite(ticket, SELF, term, null, from, all, snapshot);
     }
 
     private static Path file(Path folder) throws IOException {
@@ -50,16 +51,16 @@
         try (DurableLog ledger = new DurableLog(at, 128)) {
             PersistedState s = ledger.open();
             assertEquals(s.entries().size(), 4, "what was trimmed is gone");
-            assertEquals(s.entries().get(3).view(), 2);
+            assertEquals(s.entries().get(3).term(), 2);
             assertEquals(s.self(), SELF);
             ledger.rewrite(change(4, 3, 5, 2, new Snapshot(4, 2, List.of(SELF), new byte[] {9})));
         }
         try (DurableLog ledger = new DurableLog(at, 128)) {
             PersistedState s = ledger.open();
-            assertEquals(s.base().place(), 4);
-            assertEquals(s.base().state(), new byte[] {9});
+            assertEquals(s.snapshot().index(), 4);
+            assertEquals(s.snapshot().state(), new byte[] {9});
             assertEquals(s.entries().size(), 2);
-            assertEquals(s.view(), 3);
+            assertEquals(s.term(), 3);
         }
     }
 
@@ -139,7 +140,7 @@
                 try (DurableLog ledger = new DurableLog(left, 128)) {
                     PersistedState s = ledger.open();
                     assertTrue(
-                            s != null && s.entries().size() >= sure && s.view() >= sure,
+                            s != null && s.entries().size() >= sure && s.term() >= sure,
                             "cut after step "
                                     + cut
                                     + " of the disk, "
