--- a/src/main/java/gingerspool/consensus/Replica.java
+++ b/src/main/java/gingerspool/consensus/Replica.java
@@ -64,6 +64,7 @@
     /** What waits until the disk has confirmed a ticket. */
     private record Waiting(long ticket, Runnable then) {}
 
+    private final Set<Safeguard> disabled;
     private final ReplicaEnvironment out;
     private final SplittableRandom chance;
     private final double lease;
@@ -127,6 +128,21 @@
             long seed,
             double now,
             ReplicaEnvironment out) {
+        this(self, disk, founders, tolerated, lease, seed, now, out, Set.of());
+    }
+
+    /** The same without some safeguards: for tests only. */
+    public Replica(
+            Member self,
+            PersistedState disk,
+            List<Member> founders,
+            int tolerated,
+            double lease,
+            long seed,
+            double now,
+            ReplicaEnvironment out,
+            Set<Safeguard> disabled) {
+        this.disabled = disabled;
         this.self = disk == null ? self : disk.self();
         this.tolerated = tolerated;
         this.lease = lease;
@@ -155,7 +171,10 @@
         // that it
         // had itself ended with its process, and nobody else was promised one in that view.
         boolean led = this.self.equals(granted);
-        heldUntil = founds || led ? now : now + lease;
+        heldUntil =
+                founds || led || !guarded(Safeguard.LEASE_WAITED_OUT_AFTER_RESTART)
+                        ? now
+                        : now + lease;
         standAt = heldUntil + lease * chance.nextDouble() / (led ? 2 * BEATS : 2);
         role = members.contains(this.self) ? Role.FOLLOWING : Role.STRANGER;
         if (disk == null) {
@@ -191,7 +210,8 @@
      * its view: only then it may answer for the state, and do what only one may.
      */
     public boolean leads(double at) {
-        return role == Role.LEADING && agreed >= began && at < leaseEnd();
+        boolean ready = agreed >= began || !guarded(Safeguard.SERVE_AFTER_OWN_TERM_COMMITTED);
+        return role == Role.LEADING && ready && at < leaseEnd();
     }
 
     /** What was delivered last. */
@@ -199,6 +219,10 @@
         return delivered;
     }
 
+    private boolean guarded(Safeguard safeguard) {
+        return !disabled.contains(safeguard);
+    }
+
     private long last() {
         return base.index() + entries.size();
     }
@@ -221,7 +245,8 @@
 
     /** How many disks must hold an entry: more than may be lost, and more than half. */
     private int copies() {
-        return Math.min(members.size(), Math.max(quorum(), tolerated + 1));
+        int most = guarded(Safeguard.MORE_COPIES_THAN_LOSSES) ? tolerated + 1 : 0;
+        return Math.min(members.size(), Math.max(quorum(), most));
     }
 
     private double leaseEnd() {
@@ -230,7 +255,8 @@
             acked.add(m.equals(self) ? now : peer(m).ackedAt);
         }
         acked.sort(Collections.reverseOrder());
-        return acked.get(quorum() - 1) + TRUSTED * lease;
+        double trusted = guarded(Safeguard.LEASE_TRUSTED_IN_PART) ? TRUSTED : 1 / TRUSTED;
+        return acked.get(quorum() - 1) + trusted * lease;
     }
 
     private Peer peer(Member m) {
@@ -260,7 +286,7 @@
                 () -> {
                     // Guards against counting what was trimmed meanwhile: the change that trimmed
                     // it comes later.
-                    if (of == era) {
+                    if (of == era || !guarded(Safeguard.TRUNCATION_RESETS_DURABLE)) {
                         synced = Math.max(synced, upTo);
                         agree();
                     }
@@ -352,6 +378,12 @@
         if (!members.contains(self)) {
             return;
         }
+        if (!guarded(Safeguard.PRE_VOTE)) {
+            next = view + 1;
+            stand();
+            standAt = now + lease * (0.5 + chance.nextDouble() / 2);
+            return;
+        }
         role = Role.ASKING;
         leader = null;
         next = Math.max(next, view + 1);
@@ -426,7 +458,8 @@
             refuseStranger(from, l.term());
             return;
         }
-        if (l.term() == view && from.equals(granted)) {
+        boolean again = from.equals(granted) || !guarded(Safeguard.ONE_VOTE_PER_TERM);
+        if (l.term() == view && again && role != Role.LEADING) {
             grant(from, l);
             return;
         }
@@ -451,7 +484,8 @@
     private void refuseStranger(Member from, long of) {
         // Only one who surely knows better may say so: what it says makes the other forget all it
         // has.
-        boolean sure = leads(now) && membersAgreed();
+        boolean sure =
+                leads(now) && membersAgreed() || !guarded(Safeguard.REMOVAL_TOLD_ONLY_UNDER_LEASE);
         out.send(from, new ConsensusMessage.VoteReply(of, false, sure));
     }
 
@@ -460,14 +494,21 @@
      * does.
      */
     private boolean mayStop(Member from, long of) {
-        return of > view && (now >= heldUntil || from.equals(granted)) && !leads(now);
+        boolean withheld = guarded(Safeguard.VOTE_WITHHELD_DURING_LEASE) && now < heldUntil;
+        return of > view && (!withheld || from.equals(granted)) && !leads(now);
     }
 
     private boolean upToDate(long lastView, long last) {
-        return lastView > viewAt(last()) || lastView == viewAt(last()) && last >= last();
+        return !guarded(Safeguard.VOTE_ONLY_FOR_UP_TO_DATE_LOG)
+                || lastView > viewAt(last())
+                || lastView == viewAt(last()) && last >= last();
     }
 
     private void grant(Member to, ConsensusMessage.RequestVote l) {
+        if (!guarded(Safeguard.VOTE_DURABLE_BEFORE_REPLY)) {
+            out.send(to, new ConsensusMessage.VoteReply(l.term(), true, false));
+            return;
+        }
         whenSaved(
                 () -> {
                     if (view == l.term()) {
@@ -596,12 +637,13 @@
         }
         List<Long> has = new ArrayList<>();
         for (Member m : members) {
-            has.add(m.equals(self) ? synced : peer(m).has);
+            long own = guarded(Safeguard.SYNC_BEFORE_ACKNOWLEDGE) ? synced : last();
+            has.add(m.equals(self) ? own : peer(m).has);
         }
         has.sort(Comparator.reverseOrder());
         long most = has.get(copies() - 1);
         // Guards what older views left: it counts only with an entry of this view behind it.
-        if (most > agreed && viewAt(most) == view) {
+        if (most > agreed && (viewAt(most) == view || !guarded(Safeguard.COMMIT_ONLY_OWN_TERM))) {
             agreed = most;
             deliver();
             beatAt = now;
@@ -703,7 +745,7 @@
     }
 
     private boolean heardLeader(Member from, long of, double sentAt) {
-        if (of < view) {
+        if (of < view && guarded(Safeguard.OLD_TERMS_REFUSED)) {
             out.send(
                     from,
                     new ConsensusMessage.AppendReply(view, false, 0, Double.NEGATIVE_INFINITY));
@@ -733,10 +775,15 @@
         long changedFrom = last() + 1;
         for (int i = skip; i < l.entries().size(); i++) {
             long place = before + 1 + i;
-            if (place <= last() && viewAt(place) != l.entries().get(i).term()) {
+            boolean differs =
+                    !guarded(Safeguard.TRUNCATE_ONLY_ON_CONFLICT)
+                            || place <= last() && viewAt(place) != l.entries().get(i).term();
+            if (place <= last() && differs) {
                 // Trim: what the leader does not have was never agreed on.
                 entries.subList((int) (place - base.index() - 1), entries.size()).clear();
-                synced = Math.min(synced, place - 1);
+                if (guarded(Safeguard.TRUNCATION_RESETS_DURABLE)) {
+                    synced = Math.min(synced, place - 1);
+                }
                 era++;
                 changedFrom = Math.min(changedFrom, place);
             }
@@ -755,7 +802,8 @@
     }
 
     private void take(Member from, ConsensusMessage.InstallSnapshot l) {
-        if (l.snapshot().index() > delivered || members.isEmpty()) {
+        boolean forward = l.snapshot().index() > delivered || members.isEmpty();
+        if (forward || !guarded(Safeguard.SNAPSHOT_ONLY_FORWARD)) {
             base = l.snapshot();
             era++;
             entries.clear();
@@ -783,13 +831,14 @@
         }
         long of = view;
         // Guards the lease through a restart: it counts only once its promise is on disk.
-        boolean promised = savedTicket >= promise;
+        boolean promised = savedTicket >= promise || !guarded(Safeguard.LEASE_COUNTS_DURABLE_VOTES);
+        long durable = guarded(Safeguard.SYNC_BEFORE_ACKNOWLEDGE) ? synced : last();
         out.send(
                 from,
                 new ConsensusMessage.AppendReply(
                         view,
                         true,
-                        Math.min(synced, fits),
+                        Math.min(durable, fits),
                         promised ? sentAt : Double.NEGATIVE_INFINITY));
         if (synced < fits || !promised) {
             whenSaved(
@@ -823,13 +872,15 @@
 
     /** Changes one member where one is lost and another has been brought up; never two at once. */
     private void consider() {
-        if (!leads(now) || agreed < last()) {
+        boolean behind = guarded(Safeguard.ONE_MEMBERSHIP_CHANGE_AT_A_TIME) && agreed < last();
+        if (!leads(now) || behind) {
             return;
         }
         for (Map.Entry<Member, Peer> e : peers.entrySet()) {
             Member waits = e.getKey();
             if (members.contains(waits)
                     || e.getValue().has < agreed
+                            && guarded(Safeguard.LEARNER_CAUGHT_UP_BEFORE_VOTING)
                     || now > e.getValue().heardAt + lease) {
                 continue;
             }
