--- a/src/test/java/gingerspool/simulation/SimulatedOperators.java
+++ b/src/test/java/gingerspool/simulation/SimulatedOperators.java
@@ -296,6 +296,6 @@
                 return order + " was acknowledged and is gone";
             }
         }
-        return null;
+        return LinearizabilityChecker.check(history.calls());
     }
 }
