--- a/src/test/java/gingerspool/simulation/ConsensusSimulation.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -7,6 +7,7 @@
 import gingerspool.consensus.PersistedState;
 import gingerspool.consensus.Replica;
 import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.Safeguard;
 import gingerspool.consensus.Snapshot;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -26,21 +27,22 @@
  * history, or nothing.
  */
 final class ConsensusSimulation {
+    /** All troubles drawn before have ended after this time, in milliseconds. */
+    private static final double MENDED = 4500;
+
+    /** After that, orders and reads are answered again, and all replicas agree. */
+    private static final double SERVES_WITHIN = 8000;
+
     static final double LEASE = 960;
 
-    /** Guards that a history can be played without, to show that they are needed. */
-    enum Without {
-        NOTHING,
-        NEW_MARK_AFTER_WIPE,
-        SYNC_BEFORE_ANSWER,
-        STEADY_CLOCK
-    }
+    /** The usual time of a write, in milliseconds. */
+    static final double DISK_MS = 5;
 
     private record Event(double at, long serial, Runnable what) {}
 
     final class Machine implements ReplicaEnvironment {
         final String ip;
-        Replica order;
+        Replica replica;
 
         /** What is on disk, and what is written but not synced. */
         PersistedState disk;
@@ -48,11 +50,23 @@
         final List<LogWrite> unsynced = new ArrayList<>();
         boolean firstStart;
         boolean full;
-        double diskMs = 5;
+        double diskMs = DISK_MS;
+
+        /** Until then the disk answers nothing. */
+        double stalledUntil;
 
         /** How far its clock is off. */
         double ahead;
 
+        /** What happens to it while it stands still, and whether it stopped within a handler. */
+        private final List<Runnable> held = new ArrayList<>();
+
+        private boolean frozen;
+        private boolean inHandler;
+
+        /** The clock as it was read before the process stood still, or NaN. */
+        private double clockReading = Double.NaN;
+
         long life;
         int marks;
 
@@ -69,7 +83,10 @@
 
         void start() {
             life++;
-            state = new ConfigurationReplica.Model();
+            state =
+                    setup.realConfiguration()
+                            ? new RealConfiguration()
+                            : new ConfigurationReplica.Model();
             waiting.clear();
             unsynced.clear();
             boolean founds = disk == null && firstStart;
@@ -77,52 +94,59 @@
                     founds
                             ? seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList()
                             : List.of();
-            boolean old = without == Without.NEW_MARK_AFTER_WIPE && seeds.contains(ip);
+            boolean old = !setup.guarded(Safeguard.NEW_ID_AFTER_WIPE) && seeds.contains(ip);
             String mark =
                     founds || old ? Member.FOUNDER : ip + "-" + ++marks + "-" + chance.nextInt();
             if (old && !founds) {
                 founders = seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList();
             }
-            order =
+            replica =
                     new Replica(
                             new Member(ip, mark),
                             disk,
                             founders,
-                            tolerated,
+                            setup.tolerated(),
                             LEASE,
                             chance.nextLong(),
                             clock(),
-                            this);
+                            this,
+                            setup.disabled());
             firstStart = false;
             tick(life);
         }
 
         double clock() {
-            return now + ahead;
+            return Double.isNaN(clockReading) ? now + ahead : clockReading;
         }
 
         private void tick(long of) {
-            if (life == of && order != null) {
-                order.tick(clock());
-                if (order.isLearner()) {
-                    for (Machine m : machines.values()) {
-                        post(
-                                this,
-                                m,
-                                new ConsensusMessage.Envelope(
-                                        order.self(),
-                                        null,
-                                        new ConsensusMessage.JoinRequest(order.term())));
-                    }
+            if (life == of) {
+                enter(() -> tickNow(of));
+            }
+        }
+
+        private void tickNow(long of) {
+            replica.tick(clock());
+            if (replica.isLearner()) {
+                for (Machine m : machines.values()) {
+                    post(
+                            this,
+                            m,
+                            new ConsensusMessage.Envelope(
+                                    replica.self(),
+                                    null,
+                                    new ConsensusMessage.JoinRequest(replica.term())));
                 }
-                looked();
-                after(Math.max(5, Math.min(120, order.nextTick() - clock())), () -> tick(of));
             }
+            after(Math.max(5, Math.min(120, replica.nextTick() - clock())), () -> tick(of));
         }
 
         void stop() {
             life++;
-            order = null;
+            replica = null;
+            held.clear();
+            frozen = false;
+            clockReading = Double.NaN;
             // Without power some of what was not synced may be there all the same, up to a point.
             int kept = chance.nextInt(unsynced.size() + 1);
             for (int i = 0; i < kept; i++) {
@@ -135,17 +159,13 @@
         public void send(Member to, ConsensusMessage letter) {
             Machine m = machines.get(to.ip());
             if (m != null) {
-                post(this, m, new ConsensusMessage.Envelope(order.self(), to, letter));
+                post(this, m, new ConsensusMessage.Envelope(replica.self(), to, letter));
             }
         }
 
         @Override
         public void persist(LogWrite change) {
             unsynced.add(change);
-            if (without == Without.SYNC_BEFORE_ANSWER) {
-                long of = life;
-                after(0.1, () -> confirm(of, change.ticket()));
-            }
             if (!full) {
                 write(change.ticket());
             }
@@ -154,7 +174,7 @@
         private void write(long ticket) {
             long of = life;
             after(
-                    diskMs * (0.5 + chance.nextDouble()),
+                    Math.max(0, stalledUntil - now) + diskMs * (0.5 + chance.nextDouble()),
                     () -> {
                         if (life == of && !full) {
                             while (!unsynced.isEmpty() && unsynced.get(0).ticket() <= ticket) {
@@ -166,17 +186,16 @@
         }
 
         private void confirm(long of, long ticket) {
-            if (life == of && order != null) {
-                order.persisted(clock(), ticket);
-                looked();
+            if (life == of) {
+                enter(() -> replica.persisted(clock(), ticket));
             }
         }
 
         /** The disk takes bytes again: everything is written anew. */
         void emptied() {
             full = false;
-            if (order != null) {
-                LogWrite whole = order.fullState();
+            if (replica != null) {
+                LogWrite whole = replica.fullState();
                 unsynced.clear();
                 unsynced.add(whole);
                 write(whole.ticket());
@@ -193,11 +212,36 @@
             operators.applied(this, command);
         }
 
-        /** Runs a handler in this process, if it is up. */
+        /**
+         * Runs a handler in this process, if it is up; if it is frozen, once it thaws. All that a
+         * process does is in such handlers.
+         */
         void enter(Runnable handler) {
-            if (order != null) {
+            if (replica != null && frozen) {
+                clockReading = held.isEmpty() && inHandler ? clock() : clockReading;
+                held.add(handler);
+            } else if (replica != null) {
                 handler.run();
-                looked();
+                checkLeaders();
+            }
+        }
+
+        /** Stands still, at once or in the midst of its next handler, with its clock just read. */
+        void freeze(boolean inNextHandler) {
+            frozen = true;
+            inHandler = inNextHandler;
+        }
+
+        void thaw() {
+            List<Runnable> late = List.copyOf(held);
+            held.clear();
+            frozen = false;
+            long of = life;
+            for (Runnable handler : late) {
+                if (life == of) {
+                    enter(handler);
+                }
+                clockReading = Double.NaN;
             }
         }
 
@@ -213,8 +257,7 @@
     }
 
     final SplittableRandom chance;
-    final int tolerated;
-    final Without without;
+    final SimulationSetup setup;
     final List<String> seeds = new ArrayList<>();
     final Map<String, Machine> machines = new LinkedHashMap<>();
     private final PriorityQueue<Event> events =
@@ -223,33 +266,31 @@
                             .thenComparingLong(Event::serial));
     private long serial;
     double now;
-    private double loss;
+
+    /** The share of messages between machines that is lost. */
+    double loss;
+
     private final Set<String> cuts = new HashSet<>();
     private final Map<Long, Integer> commands = new HashMap<>();
     final SimulatedOperators operators;
+    private final SimulatedFaults faults;
     private long lastFence;
     private String lastLeader = "";
     private String wrong;
 
-    /** No new troubles, no new changes. */
-    private boolean calm;
-
-    /** The next acknowledgement is struck. */
-    private boolean aimed;
-
-    ConsensusSimulation(long seed, int machines, int tolerated, Without without) {
+    ConsensusSimulation(long seed, SimulationSetup setup) {
         chance = new SplittableRandom(seed);
+        this.setup = setup;
         operators = new SimulatedOperators(this, new SplittableRandom(~seed));
-        this.tolerated = tolerated;
-        this.without = without;
-        for (int i = 0; i < machines; i++) {
+        faults = new SimulatedFaults(this, chance.split());
+        for (int i = 0; i < setup.machines(); i++) {
             String ip = "10.0.0." + i;
-            this.machines.put(ip, new Machine(ip, true));
+            machines.put(ip, new Machine(ip, true));
             if (i < 3) {
                 seeds.add(ip);
             }
         }
-        this.machines.values().forEach(m -> after(chance.nextInt(300), m::start));
+        machines.values().forEach(m -> after(chance.nextInt(300), m::start));
     }
 
     private static PersistedState merged(PersistedState disk, LogWrite c) {
@@ -284,161 +325,79 @@
                 () -> {
                     boolean its =
                             p.letter() instanceof ConsensusMessage.JoinRequest
-                                    || to.order != null && p.to().equals(to.order.self());
-                    if (to.order != null && to.life == of && its) {
-                        to.order.receive(to.clock(), p.from(), p.letter());
-                        looked();
+                                    || to.replica != null && p.to().equals(to.replica.self());
+                    if (to.life == of && its) {
+                        to.enter(() -> to.replica.receive(to.clock(), p.from(), p.letter()));
                     }
                 });
     }
 
     /** One duty holder at a time, and fences that go up. */
-    private void looked() {
+    private void checkLeaders() {
         String holder = null;
         for (Machine m : machines.values()) {
-            if (m.order != null && m.order.leads(m.clock())) {
+            if (m.replica != null && m.replica.leads(now + m.ahead)) {
                 wrong(holder != null, holder + " and " + m.ip + " hold the duty");
                 holder = m.ip;
                 wrong(
-                        m.order.term() < lastFence
-                                || m.order.term() == lastFence && !lastLeader.equals(m.ip),
+                        m.replica.term() < lastFence
+                                || m.replica.term() == lastFence && !lastLeader.equals(m.ip),
                         "fence "
-                                + m.order.term()
+                                + m.replica.term()
                                 + " of "
                                 + m.ip
                                 + " after "
                                 + lastFence
                                 + " of "
                                 + lastLeader);
-                lastFence = m.order.term();
+                lastFence = m.replica.term();
                 lastLeader = m.ip;
             }
         }
     }
 
     private List<Machine> up() {
-        return machines.values().stream().filter(m -> m.order != null).toList();
+        return machines.values().stream().filter(m -> m.replica != null).toList();
     }
 
     /** A process is about to acknowledge an order. */
-    void acknowledging() {
-        if (aimed) {
-            strike();
-        }
+    void acknowledging(Machine by) {
+        faults.acknowledged(by);
     }
 
-    /** One trouble, and its end; only as much at once as may be borne. */
-    void trouble() {
-        if (calm) {
-            return;
-        }
-        List<Machine> all = new ArrayList<>(machines.values());
-        Machine m = all.get(chance.nextInt(all.size()));
-        double span = 200 + chance.nextInt(3500);
-        switch (chance.nextInt(10)) {
-            case 0 -> power(m, span, false);
-            case 1 -> power(m, span, true);
-            case 2 -> cut(m, all, span);
-            case 3 -> {
-                loss = 0.2;
-                after(span, () -> loss = 0);
-            }
-            case 4 -> {
-                m.diskMs = 150;
-                after(span, () -> m.diskMs = 5);
-            }
-            case 5 -> {
-                m.full = true;
-                after(span, m::emptied);
-            }
-            case 6 -> {
-                for (Machine o : all) {
-                    power(o, 300 + chance.nextInt(500), false);
-                }
-            }
-            case 7 -> replace(m);
-            case 8 -> aimed = true;
-            default -> {
-                cut(m, all, span);
-                if (without == Without.STEADY_CLOCK) {
-                    m.ahead = -4 * LEASE;
-                    after(span, () -> m.ahead = 0);
-                }
-            }
+    void cut(Machine side, Machine other, boolean out, boolean in) {
+        if (out) {
+            cuts.add(side.ip + ">" + other.ip);
         }
-        after(span + 6000 + chance.nextInt(3000), this::trouble);
-    }
-
-    /**
-     * Right after a change was acknowledged disks go, as many as may, and all others lose power.
-     */
-    private void strike() {
-        aimed = false;
-        after(
-                3 * chance.nextDouble(),
-                () -> {
-                    int wiped = 0;
-                    for (Machine o : List.copyOf(machines.values())) {
-                        boolean wipe = wiped < tolerated && chance.nextBoolean();
-                        wiped += wipe ? 1 : 0;
-                        power(o, 300 + chance.nextInt(500), wipe);
-                    }
-                });
-    }
-
-    private void cut(Machine m, List<Machine> all, double span) {
-        boolean oneWay = chance.nextBoolean();
-        for (Machine o : all) {
-            cuts.add(m.ip + ">" + o.ip);
-            if (!oneWay) {
-                cuts.add(o.ip + ">" + m.ip);
-            }
+        if (in) {
+            cuts.add(other.ip + ">" + side.ip);
         }
-        after(span, cuts::clear);
     }
 
-    private void power(Machine m, double span, boolean wipe) {
-        if (m.order == null) {
-            return;
-        }
-        m.stop();
-        if (wipe) {
-            m.disk = null;
-        }
-        after(
-                span,
-                () -> {
-                    if (m.order == null && machines.containsValue(m)) {
-                        m.start();
-                    }
-                });
+    void joinAll() {
+        cuts.clear();
     }
 
-    private void replace(Machine m) {
-        m.stop();
-        machines.remove(m.ip);
-        String ip = "10.0.1." + machines.size() + "-" + serial;
-        after(
-                1000 + chance.nextInt(1500),
-                () -> {
-                    Machine n = new Machine(ip, false);
-                    machines.put(ip, n);
-                    n.start();
-                });
+    /** A new machine with an empty disk. */
+    void addEmpty() {
+        Machine machine = new Machine("10.0.1." + serial, false);
+        machines.put(machine.ip, machine);
+        machine.start();
     }
 
     /** Plays the history, lets all come back, and tells what is wrong with it, or null. */
-    String play(double span) {
+    String play() {
         after(2500, operators::begin);
-        after(3000, this::trouble);
-        run(span);
-        cuts.clear();
+        after(3000, faults::begin);
+        run(setup.span());
+        faults.calm();
+        joinAll();
         loss = 0;
-        calm = true;
+        run(now + MENDED);
         operators.calm();
-        run(now + 12_000);
+        run(now + SERVES_WITHIN);
         Machine leader =
-                up().stream().filter(m -> m.order.leads(m.clock())).findFirst().orElse(null);
+                up().stream().filter(m -> m.replica.leads(m.clock())).findFirst().orElse(null);
         wrong(leader == null, "nobody leads in the end");
         if (leader != null) {
             String seen = operators.verdict(leader.state);
--- a/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
@@ -1,6 +1,5 @@
 package gingerspool.simulation;
 
-import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 
 import java.util.Objects;
@@ -13,51 +12,45 @@
  * never in force.
  */
 public class ConsensusSimulationTest {
-    private static final int HISTORIES = Integer.getInteger("histories", 500);
-    private static final double SPAN = 30_000;
+    private static final int HISTORIES = Integer.getInteger("histories", 2000);
+    private static final int REAL_HISTORIES = Math.max(100, HISTORIES / 20);
+    private static final double LONG = 120_000;
 
     @DataProvider
-    Object[][] cores() {
-        return new Object[][] {{3, 1}, {5, 2}};
+    Object[][] setups() {
+        return new Object[][] {
+            {"3 members, 1 loss", SimulationSetup.of(3, 1), HISTORIES},
+            {"5 members, 2 losses", SimulationSetup.of(5, 2), HISTORIES},
+            {
+                "real configuration state",
+                SimulationSetup.of(3, 1).withRealConfiguration(),
+                REAL_HISTORIES
+            },
+            {"two minutes", SimulationSetup.of(3, 1).lasting(LONG), REAL_HISTORIES},
+        };
     }
 
-    @Test(dataProvider = "cores")
-    public void histories(int machines, int tolerated) {
-        assertNull(found(HISTORIES, machines, tolerated, ConsensusSimulation.Without.NOTHING));
+    /** No history goes wrong; the count and the time are printed. */
+    @Test(dataProvider = "setups")
+    public void histories(String name, SimulationSetup setup, int histories) {
+        long begin = System.nanoTime();
+        String found = found(histories, setup);
+        double seconds = (System.nanoTime() - begin) / 1e9;
+        System.out.printf("%s: %d histories in %.1f s%n", name, histories, seconds);
+        assertNull(found, name);
     }
 
-    /**
-     * What is wrong with the first history in which something is, or null; they are played side by
-     * side.
-     */
-    private static String found(
-            int histories, int machines, int tolerated, ConsensusSimulation.Without without) {
+    /** The first history in which something is wrong, and what, or null. */
+    static String found(int histories, SimulationSetup setup) {
         return LongStream.rangeClosed(1, histories)
                 .parallel()
                 .mapToObj(
                         seed -> {
-                            String wrong =
-                                    new ConsensusSimulation(seed, machines, tolerated, without)
-                                            .play(SPAN);
+                            String wrong = new ConsensusSimulation(seed, setup).play();
                             return wrong == null ? null : "seed " + seed + ": " + wrong;
                         })
                 .filter(Objects::nonNull)
                 .findFirst()
                 .orElse(null);
     }
-
-    /** With a guard out some history goes wrong: the checker can fail. */
-    @Test(dataProvider = "guards")
-    public void withoutIt(ConsensusSimulation.Without without) {
-        assertNotNull(found(400, 3, 1, without));
-    }
-
-    @DataProvider
-    Object[][] guards() {
-        return new Object[][] {
-            {ConsensusSimulation.Without.NEW_MARK_AFTER_WIPE},
-            {ConsensusSimulation.Without.SYNC_BEFORE_ANSWER},
-            {ConsensusSimulation.Without.STEADY_CLOCK}
-        };
-    }
 }
--- a/src/test/java/gingerspool/simulation/SimulatedOperators.java
+++ b/src/test/java/gingerspool/simulation/SimulatedOperators.java
@@ -94,9 +94,9 @@
         /** What a control process does with a call. */
         private void run(ConsensusSimulation.Machine machine) {
             double clock = machine.clock();
-            if (!machine.order.leads(clock)) {
-                Member leader = machine.order.leader(clock);
-                boolean known = leader != null && !leader.equals(machine.order.self());
+            if (!machine.replica.leads(clock)) {
+                Member leader = machine.replica.leader(clock);
+                boolean known = leader != null && !leader.equals(machine.replica.self());
                 answer(known ? REDIRECT : UNAVAILABLE, known ? leader.ip() : null, true);
             } else if (call.order == null) {
                 ConfigurationReplica state = machine.state;
@@ -104,7 +104,7 @@
             } else {
                 long number = ++calls;
                 machine.waiting.put(number, this);
-                machine.order.propose(clock, call.order.command(number));
+                machine.replica.propose(clock, call.order.command(number));
                 cluster.after(
                         COMMIT_TIMEOUT,
                         () ->
@@ -222,6 +222,19 @@
         return new Order(base, base + 1 + chance.nextInt(3), ++contents);
     }
 
+    /** An order that goes to this machine first. */
+    void meet(ConsensusSimulation.Machine machine, boolean hard) {
+        Errand errand = new Errand(fresh(known), hard ? Integer.MAX_VALUE : TRIES);
+        underWay++;
+        errand.send(REDIRECTS, machine.ip);
+    }
+
+    /** Two orders on one version, one of them sent to this machine first. */
+    void race(ConsensusSimulation.Machine machine) {
+        meet(machine, true);
+        submit(fresh(known), TRIES);
+    }
+
     private void race(boolean sameVersion) {
         Order first = fresh(known);
         Order second = fresh(known);
@@ -272,7 +285,7 @@
         if (waiting != null) {
             waiting.answerClearly(status, order.version(), order.content());
             if (status == ConfigurationReplica.TAKEN) {
-                cluster.acknowledging();
+                cluster.acknowledging(machine);
             }
         }
     }
--- /dev/null
+++ b/src/test/java/gingerspool/simulation/SimulationSetup.java
@@ -0,0 +1,45 @@
+package gingerspool.simulation;
+
+import gingerspool.consensus.Safeguard;
+import java.util.Set;
+
+/**
+ * How a history is played: size of the core, losses tolerated, the safeguards taken out, whether
+ * clocks are steady, whether the real configuration state is used in place of its model, and for
+ * how long, in simulated milliseconds.
+ */
+record SimulationSetup(
+        int machines,
+        int tolerated,
+        Set<Safeguard> disabled,
+        boolean steadyClock,
+        boolean realConfiguration,
+        double span) {
+    private static final double USUAL_SPAN = 30_000;
+
+    static SimulationSetup of(int machines, int tolerated) {
+        return new SimulationSetup(machines, tolerated, Set.of(), true, false, USUAL_SPAN);
+    }
+
+    SimulationSetup without(Safeguard safeguard) {
+        return new SimulationSetup(
+                machines, tolerated, Set.of(safeguard), steadyClock, realConfiguration, span);
+    }
+
+    SimulationSetup withClockSteps() {
+        return new SimulationSetup(machines, tolerated, disabled, false, realConfiguration, span);
+    }
+
+    SimulationSetup withRealConfiguration() {
+        return new SimulationSetup(machines, tolerated, disabled, steadyClock, true, span);
+    }
+
+    SimulationSetup lasting(double milliseconds) {
+        return new SimulationSetup(
+                machines, tolerated, disabled, steadyClock, realConfiguration, milliseconds);
+    }
+
+    boolean guarded(Safeguard safeguard) {
+        return !disabled.contains(safeguard);
+    }
+}
