--- a/src/test/java/gingerspool/simulation/ConsensusSimulation.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -396,16 +396,34 @@
         run(now + MENDED);
         operators.calm();
         run(now + SERVES_WITHIN);
+        operators.stop();
+        run(now + 2 * LEASE);
         Machine leader =
                 up().stream().filter(m -> m.replica.leads(m.clock())).findFirst().orElse(null);
         wrong(leader == null, "nobody leads in the end");
         if (leader != null) {
             String seen = operators.verdict(leader.state);
             wrong(seen != null, seen);
+            compareReplicas(leader);
         }
         return wrong;
     }
 
+    /** In the end all members have applied the same log and come to the same state. */
+    private void compareReplicas(Machine leader) {
+        for (Machine machine : up()) {
+            if (leader.replica.members().contains(machine.replica.self())) {
+                long behind = leader.replica.appliedIndex() - machine.replica.appliedIndex();
+                wrong(behind != 0, machine.ip + " is " + behind + " entries behind in the end");
+                wrong(
+                        !Arrays.equals(machine.state.state(), leader.state.state()),
+                        machine.ip + " has another state than the leader in the end");
+            }
+        }
+        int members = leader.replica.members().size();
+        wrong(members < setup.machines(), "only " + members + " members in the end");
+    }
+
     private void run(double until) {
         while (!events.isEmpty() && events.peek().at <= until) {
             Event e = events.poll();
--- a/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertNull;
 
 import java.util.Objects;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.LongStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -14,6 +15,8 @@
 public class ConsensusSimulationTest {
     private static final int HISTORIES = Integer.getInteger("histories", 2000);
     private static final int REAL_HISTORIES = Math.max(100, HISTORIES / 20);
+    private static final LongAdder CALLS = new LongAdder();
+    private static final LongAdder ORDERS = new LongAdder();
     private static final double LONG = 120_000;
 
     @DataProvider
@@ -36,7 +39,9 @@
         long begin = System.nanoTime();
         String found = found(histories, setup);
         double seconds = (System.nanoTime() - begin) / 1e9;
-        System.out.printf("%s: %d histories in %.1f s%n", name, histories, seconds);
+        System.out.printf(
+                "%s: %d histories in %.1f s, %d calls answered, %d orders acknowledged%n",
+                name, histories, seconds, CALLS.sumThenReset(), ORDERS.sumThenReset());
         assertNull(found, name);
     }
 
@@ -46,7 +51,10 @@
                 .parallel()
                 .mapToObj(
                         seed -> {
-                            String wrong = new ConsensusSimulation(seed, setup).play();
+                            ConsensusSimulation history = new ConsensusSimulation(seed, setup);
+                            String wrong = history.play();
+                            CALLS.add(history.operators.callsAnswered());
+                            ORDERS.add(history.operators.ordersAcknowledged());
                             return wrong == null ? null : "seed " + seed + ": " + wrong;
                         })
                 .filter(Objects::nonNull)
--- a/src/test/java/gingerspool/simulation/SimulatedOperators.java
+++ b/src/test/java/gingerspool/simulation/SimulatedOperators.java
@@ -40,6 +40,9 @@
         }
 
         void send(int redirects, String to) {
+            if (stopped) {
+                return;
+            }
             triesLeft--;
             List<ConsensusSimulation.Machine> all = new ArrayList<>(cluster.machines.values());
             ConsensusSimulation.Machine machine =
@@ -172,6 +175,7 @@
     private long known;
 
     private boolean calm;
+    private boolean stopped;
     private Errand lastOrder;
     private Errand lastRead;
 
@@ -299,6 +303,19 @@
         lastRead.send(REDIRECTS, null);
     }
 
+    /** Nothing more is sent. */
+    void stop() {
+        stopped = true;
+    }
+
+    int ordersAcknowledged() {
+        return acknowledged.size();
+    }
+
+    int callsAnswered() {
+        return (int) history.calls().stream().filter(c -> c.answer != null).count();
+    }
+
     /** What is wrong with what the operators saw, or null. */
     String verdict(ConfigurationReplica leader) {
         if (!lastOrder.settled || !lastRead.settled) {
