--- a/src/main/java/gingerspool/codec/MessageTypes.java
+++ b/src/main/java/gingerspool/codec/MessageTypes.java
@@ -4,6 +4,8 @@
 import gingerspool.consensus.LogEntry;
 import gingerspool.consensus.Member;
 import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.SnapshotPiece;
+import gingerspool.consensus.VoterSet;
 import java.util.List;
 
 /** All that is said between processes, in a fixed order, which is part of the form. */
@@ -40,7 +42,13 @@
                     Messages.RangeRepair.class,
                     Messages.SlotHoldings.class,
                     ConsensusMessage.PreVote.class,
-                    ConsensusMessage.PreVoteReply.class);
+                    ConsensusMessage.PreVoteReply.class,
+                    VoterSet.class,
+                    SnapshotPiece.class,
+                    ConsensusMessage.SnapshotReply.class,
+                    ConsensusMessage.Referral.class,
+                    ConsensusMessage.LeaveRequest.class,
+                    ConsensusMessage.LeaveReply.class);
 
     private MessageTypes() {}
 }
--- a/src/main/java/gingerspool/consensus/ConsensusMessage.java
+++ b/src/main/java/gingerspool/consensus/ConsensusMessage.java
@@ -2,57 +2,71 @@
 
 import java.util.List;
 
-/** What members say to each other; all bear the view in which they are said. */
+/** What replicas send to each other; each message bears the term in which it was sent. */
 public sealed interface ConsensusMessage {
     long term();
 
-    /**
-     * Stop for this view: the sender would lead it, and has entries up to this place, of this view.
-     */
-    record RequestVote(long term, long lastView, long last) implements ConsensusMessage {}
+    /** A candidate asks for a vote in its term; its log ends with this index and term. */
+    record RequestVote(long term, long lastTerm, long last) implements ConsensusMessage {}
 
-    /**
-     * Whether the other would stop for this view, if it were asked to: nothing is promised by
-     * either.
-     */
-    record PreVote(long term, long lastView, long last) implements ConsensusMessage {}
+    /** Whether the other would vote for the sender in this term; neither promises anything. */
+    record PreVote(long term, long lastTerm, long last) implements ConsensusMessage {}
 
-    /** The answer, with the view that it has itself. */
-    record PreVoteReply(long term, boolean yes, long own) implements ConsensusMessage {}
+    /** The answer to a pre-vote, with the term that the voter is in. */
+    record PreVoteReply(long term, boolean granted, long currentTerm) implements ConsensusMessage {}
 
-    /** The answer: granted, or refused; a stranger is told that it is no member. */
-    record VoteReply(long term, boolean granted, boolean stranger) implements ConsensusMessage {}
+    /** The answer to a request for a vote. */
+    record VoteReply(long term, boolean granted) implements ConsensusMessage {}
 
-    /**
-     * Entries after a place (the leader's beat if there are none), and how far the order is agreed
-     * on.
-     */
+    /** Entries after an index (none: a heartbeat), and how far the log is committed. */
     record AppendEntries(
             long term,
-            long before,
-            long beforeView,
+            long previous,
+            long previousTerm,
             List<LogEntry> entries,
-            long agreed,
+            long committed,
             double sentAt)
             implements ConsensusMessage {}
 
-    /** All up to a place as a state, for one that lacks what came before. */
-    record InstallSnapshot(long term, Snapshot snapshot, long agreed, double sentAt)
+    /** A piece of a snapshot, for a member that lacks entries that the leader no longer has. */
+    record InstallSnapshot(long term, SnapshotPiece piece, long committed, double sentAt)
             implements ConsensusMessage {}
 
     /**
-     * The answer to both: whether it fitted, up to where all is on disk, and the beat that is
-     * answered.
+     * The answer to AppendEntries. Where it matched, `last` is the last entry that is durable and
+     * known to match. Where it did not, `last` is the last entry that may match, and conflictTerm
+     * the term that differed there, or 0.
      */
-    record AppendReply(long term, boolean fitted, long last, double sentAt)
+    record AppendReply(long term, boolean matched, long last, long conflictTerm, double sentAt)
             implements ConsensusMessage {}
 
-    /** A stranger asks to be taken in. */
+    /** How many pieces of a snapshot have arrived without a gap. */
+    record SnapshotReply(long term, long index, String digest, int received, double sentAt)
+            implements ConsensusMessage {}
+
+    /** A machine that is no voter, or does not know the leader, asks to be brought up. */
     record JoinRequest(long term) implements ConsensusMessage {}
 
-    /** A leader that leaves gives up its lease; the heir is to lead at once. */
+    /** Where the leader and the members are, as far as the sender knows ("": no leader known). */
+    record Referral(long term, String leader, List<String> addresses) implements ConsensusMessage {}
+
+    /** A member that is about to leave asks for its replacement. */
+    record LeaveRequest(long term) implements ConsensusMessage {}
+
+    /** Whether there is a learner that can replace the member that asked. */
+    record LeaveReply(long term, boolean replacementWaits) implements ConsensusMessage {}
+
+    /** The leader gives up its lease; the heir is to stand for election at once. */
     record TimeoutNow(long term, Member heir) implements ConsensusMessage {}
 
-    /** A letter on its way: it is for this very member, not for another on the same machine. */
-    record Envelope(Member from, Member to, ConsensusMessage letter) {}
+    /** A message with its sender and receiver. */
+    record Envelope(Member from, Member to, ConsensusMessage message) {
+        /**
+         * Whether it is for this member, not for another that was or will be on the same machine.
+         * What is sent without an id is for whoever is there.
+         */
+        public boolean isFor(Member self) {
+            return to.id().isEmpty() || to.equals(self);
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/Election.java
@@ -0,0 +1,285 @@
+package gingerspool.consensus;
+
+import gingerspool.consensus.ReplicaContext.Role;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Elections: when this member stands for election, and whom it votes for. A member that heard a
+ * leader withholds its vote from others for a lease; that is what the leader's lease rests on.
+ */
+final class Election {
+    /** A leaving member stands for election only after so many more leases without a leader. */
+    private static final double LEAVING_WAITS = 4;
+
+    private final ReplicaContext context;
+    private final Durability durability;
+    private final BooleanSupplier leads;
+    private final Runnable onElected;
+
+    /** Until then this member votes for nobody but whom it follows. */
+    private double withheldUntil;
+
+    /** When this member stands for election if it hears of no leader. */
+    private double electionAt;
+
+    /** When a candidate asks again those that have not answered. */
+    private double retryAt;
+
+    /** The term that this member would stand in: beyond all that it was told of. */
+    private long candidateTerm;
+
+    private final Set<Member> votes = new HashSet<>();
+
+    Election(
+            ReplicaContext context,
+            Durability durability,
+            boolean founds,
+            BooleanSupplier leads,
+            Runnable onElected) {
+        this.context = context;
+        this.durability = durability;
+        this.leads = leads;
+        this.onElected = onElected;
+        // An earlier life may have granted a lease to whom it followed. Its own lease ended with
+        // its process, and in its own term it granted nobody else one.
+        boolean ownTerm = context.self.equals(context.votedFor);
+        boolean free =
+                founds || ownTerm || !context.guarded(Safeguard.LEASE_WAITED_OUT_AFTER_RESTART);
+        withheldUntil = free ? context.now : context.now + context.lease();
+        double spread = ownTerm ? 2 * ReplicaContext.HEARTBEATS : 2;
+        electionAt = withheldUntil + context.lease() * context.random.nextDouble() / spread;
+    }
+
+    /** The leader as far as it was heard of within a lease, or null. */
+    Member leader(double at) {
+        return at < withheldUntil ? context.leader : null;
+    }
+
+    void tick() {
+        if (!context.isVoter()) {
+            return;
+        }
+        if (context.now >= electionAt && context.now >= withheldUntil) {
+            standForPreVote();
+        } else if (isCandidate() && context.now >= retryAt) {
+            askForVotes();
+        }
+    }
+
+    double nextTick() {
+        double stands = Math.max(electionAt, withheldUntil);
+        return isCandidate() ? Math.min(retryAt, stands) : stands;
+    }
+
+    private boolean isCandidate() {
+        return context.role == Role.PRE_CANDIDATE || context.role == Role.CANDIDATE;
+    }
+
+    private void delayElection() {
+        double leases = (context.leaving ? LEAVING_WAITS : 0) + 0.5;
+        electionAt = context.now + context.lease() * (leases + context.random.nextDouble() / 2);
+    }
+
+    // ---- As a candidate ----
+
+    /** Asks first whether a majority would vote: a member that was cut off raises no term. */
+    private void standForPreVote() {
+        context.leader = null;
+        candidateTerm = Math.max(candidateTerm, context.term + 1);
+        delayElection();
+        if (!context.guarded(Safeguard.PRE_VOTE)) {
+            stand();
+            return;
+        }
+        context.role = Role.PRE_CANDIDATE;
+        votes.clear();
+        votes.add(context.self);
+        askForVotes();
+        countVotes();
+    }
+
+    private void stand() {
+        context.role = Role.CANDIDATE;
+        context.term = Math.max(context.term + 1, candidateTerm);
+        context.votedFor = context.self;
+        votes.clear();
+        retryAt = electionAt;
+        durability.saveVote();
+        long term = context.term;
+        Runnable ask =
+                () -> {
+                    if (context.role == Role.CANDIDATE && context.term == term) {
+                        votes.add(context.self);
+                        askForVotes();
+                        countVotes();
+                    }
+                };
+        if (context.guarded(Safeguard.VOTE_DURABLE_BEFORE_REPLY)) {
+            durability.whenSaved(ask);
+        } else {
+            ask.run();
+        }
+    }
+
+    /** Asks those that have not granted yet, again and again: links may come up only now. */
+    private void askForVotes() {
+        retryAt = context.now + context.heartbeat();
+        RaftLog log = context.log;
+        ConsensusMessage request =
+                context.role == Role.PRE_CANDIDATE
+                        ? new ConsensusMessage.PreVote(candidateTerm, log.lastTerm(), log.last())
+                        : new ConsensusMessage.RequestVote(
+                                context.term, log.lastTerm(), log.last());
+        for (Member member : log.voters().all()) {
+            if (!votes.contains(member)) {
+                context.send(member, request);
+            }
+        }
+    }
+
+    void onPreVoteReply(Member from, ConsensusMessage.PreVoteReply reply) {
+        candidateTerm = Math.max(candidateTerm, reply.currentTerm() + 1);
+        if (context.role == Role.PRE_CANDIDATE && reply.granted() && reply.term() > context.term) {
+            votes.add(from);
+            countVotes();
+        }
+    }
+
+    void onVoteReply(Member from, ConsensusMessage.VoteReply reply) {
+        if (context.role == Role.CANDIDATE && reply.term() == context.term && reply.granted()) {
+            votes.add(from);
+            countVotes();
+        }
+    }
+
+    private void countVotes() {
+        if (!context.quorumSet().hasQuorum(votes::contains)) {
+            return;
+        }
+        if (context.role == Role.PRE_CANDIDATE) {
+            stand();
+        } else {
+            context.role = Role.LEADER;
+            context.leader = context.self;
+            onElected.run();
+        }
+    }
+
+    // ---- As a voter ----
+
+    void onPreVote(Member from, ConsensusMessage.PreVote request) {
+        boolean granted =
+                mayVote(from, request.term()) && upToDate(request.lastTerm(), request.last());
+        context.send(
+                from, new ConsensusMessage.PreVoteReply(request.term(), granted, context.term));
+    }
+
+    void onRequestVote(Member from, ConsensusMessage.RequestVote request) {
+        boolean repeated =
+                from.equals(context.votedFor)
+                        || !context.guarded(Safeguard.ONE_VOTE_PER_TERM)
+                                && upToDate(request.lastTerm(), request.last());
+        if (request.term() == context.term && repeated && context.role != Role.LEADER) {
+            grant(from, request.term());
+            return;
+        }
+        if (!mayVote(from, request.term())) {
+            context.send(from, new ConsensusMessage.VoteReply(request.term(), false));
+            return;
+        }
+        context.term = request.term();
+        context.votedFor = null;
+        context.follow(null);
+        boolean granted = upToDate(request.lastTerm(), request.last());
+        if (granted) {
+            context.votedFor = from;
+            delayElection();
+        }
+        durability.saveVote();
+        if (granted) {
+            grant(from, request.term());
+        }
+    }
+
+    /** Whom this member follows may be voted for at any time: it has no lease while it stands. */
+    private boolean mayVote(Member from, long term) {
+        boolean withheld =
+                context.now < withheldUntil
+                        && context.guarded(Safeguard.VOTE_WITHHELD_DURING_LEASE);
+        return term > context.term
+                && (!withheld || from.equals(context.votedFor))
+                && !leads.getAsBoolean();
+    }
+
+    private boolean upToDate(long lastTerm, long last) {
+        RaftLog log = context.log;
+        return !context.guarded(Safeguard.VOTE_ONLY_FOR_UP_TO_DATE_LOG)
+                || lastTerm > log.lastTerm()
+                || lastTerm == log.lastTerm() && last >= log.last();
+    }
+
+    private void grant(Member to, long term) {
+        Runnable reply =
+                () -> {
+                    if (context.term == term) {
+                        context.send(to, new ConsensusMessage.VoteReply(term, true));
+                    }
+                };
+        if (context.guarded(Safeguard.VOTE_DURABLE_BEFORE_REPLY)) {
+            durability.whenSaved(reply);
+        } else {
+            reply.run();
+        }
+    }
+
+    // ---- As a follower ----
+
+    /** A leader was heard in its term, not older than ours: its lease is granted. */
+    void heardLeader(Member from, long term) {
+        if (!from.equals(context.votedFor) || term > context.term) {
+            context.term = term;
+            context.votedFor = from;
+            durability.saveVote();
+        }
+        context.follow(from);
+        withheldUntil = Math.max(withheldUntil, context.now + context.lease());
+        double leaving = context.leaving ? LEAVING_WAITS : 0;
+        electionAt = withheldUntil + context.lease() * (leaving + context.random.nextDouble() / 2);
+    }
+
+    /** Another member is in a higher term: this one leads no more. */
+    void sawHigherTerm(long term) {
+        context.term = term;
+        context.votedFor = null;
+        stepDown();
+        durability.saveVote();
+    }
+
+    /** Leads no more, and stands again after a while. */
+    void stepDown() {
+        context.follow(null);
+        electionAt = context.now + context.lease();
+        delayElectionIfLeaving();
+    }
+
+    private void delayElectionIfLeaving() {
+        if (context.leaving) {
+            electionAt = context.now + LEAVING_WAITS * context.lease();
+        }
+    }
+
+    void onTimeoutNow(Member from, ConsensusMessage.TimeoutNow message) {
+        if (message.term() == context.term && from.equals(context.leader)) {
+            // The lease was given up by its holder.
+            withheldUntil = context.now;
+            context.leader = null;
+            if (message.heir().equals(context.self)) {
+                electionAt = context.now;
+            } else {
+                delayElection();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/FollowerProgress.java
@@ -0,0 +1,82 @@
+package gingerspool.consensus;
+
+import java.util.ArrayDeque;
+import java.util.List;
+
+/** What the leader knows of a follower or learner: what it has, and what is on its way to it. */
+final class FollowerProgress {
+    /** Bounds of what is on its way to one follower, in entries and in bytes. */
+    private static final int ENTRIES_IN_FLIGHT = 1024;
+
+    private static final long BYTES_IN_FLIGHT = 1 << 20;
+
+    private record Batch(long last, int entries, long bytes) {}
+
+    /** The next entry to send. */
+    long next;
+
+    /** Up to here its log is durable and matches ours. */
+    long matched;
+
+    /** Whether it is being found out where its log matches: then one message goes at a time. */
+    boolean probing;
+
+    /** When the newest heartbeat that it answered, with a durable vote, was sent. */
+    double leaseAt = Double.NEGATIVE_INFINITY;
+
+    /** When it last answered, or when it was first known. */
+    double heardAt;
+
+    /** Whether it has answered in this term. */
+    boolean answered;
+
+    /** When it last said that it is about to leave. */
+    double leavingAt = Double.NEGATIVE_INFINITY;
+
+    /** The snapshot that it is sent, or null. */
+    SnapshotSender snapshot;
+
+    private final ArrayDeque<Batch> inFlight = new ArrayDeque<>();
+    private int entriesInFlight;
+    private long bytesInFlight;
+
+    FollowerProgress(long next, double now) {
+        this.next = next;
+        heardAt = now;
+    }
+
+    boolean hasRoom() {
+        return entriesInFlight < ENTRIES_IN_FLIGHT && bytesInFlight < BYTES_IN_FLIGHT;
+    }
+
+    void sent(List<LogEntry> batch) {
+        long bytes = batch.stream().mapToLong(LogEntry::size).sum();
+        next += batch.size();
+        if (!batch.isEmpty()) {
+            inFlight.add(new Batch(next - 1, batch.size(), bytes));
+            entriesInFlight += batch.size();
+            bytesInFlight += bytes;
+        }
+    }
+
+    /** All up to here has arrived and matches. */
+    void matchedUpTo(long index) {
+        matched = Math.max(matched, index);
+        probing = false;
+        next = Math.max(next, matched + 1);
+        while (!inFlight.isEmpty() && inFlight.peek().last() <= matched) {
+            Batch arrived = inFlight.poll();
+            entriesInFlight -= arrived.entries();
+            bytesInFlight -= arrived.bytes();
+        }
+    }
+
+    /** What is on its way is lost or does not fit: goes on from this index, 0 for a snapshot. */
+    void resumeAt(long index) {
+        next = index == 0 ? 0 : Math.max(matched + 1, index);
+        probing = false;
+        inFlight.clear();
+        entriesInFlight = 0;
+        bytesInFlight = 0;
+    }
+}
--- a/src/main/java/gingerspool/consensus/LogEntry.java
+++ b/src/main/java/gingerspool/consensus/LogEntry.java
@@ -1,9 +1,10 @@
 package gingerspool.consensus;
 
-import java.util.List;
-
 /** One log entry: the term of the leader that appended it, and a command, or the new voters. */
-public record LogEntry(long term, byte[] command, List<Member> members) {
+public record LogEntry(long term, byte[] command, VoterSet voters) {
+    /** What an entry takes besides its command, about, in bytes. */
+    private static final int OVERHEAD = 64;
+
     /** The first entry of each term; once it is committed, so is everything before it. */
     static LogEntry begin(long term) {
         return new LogEntry(term, null, null);
@@ -13,7 +14,12 @@
         return new LogEntry(term, command, null);
     }
 
-    static LogEntry members(long term, List<Member> members) {
-        return new LogEntry(term, null, members);
+    static LogEntry voters(long term, VoterSet voters) {
+        return new LogEntry(term, null, voters);
+    }
+
+    /** About how much room it takes, in bytes. */
+    int size() {
+        return OVERHEAD + (command == null ? 0 : command.length);
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/Membership.java
@@ -0,0 +1,174 @@
+package gingerspool.consensus;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The leader's part in changes of the voters. Learners are brought up as soon as they ask; voters
+ * that lost their disk, are about to leave or are silent are replaced by learners that are caught
+ * up, all at once, by one joint change, which does not wait for the log to be idle.
+ */
+final class Membership {
+    /** The least voters wanted, where there are machines for so many. */
+    private static final int LEAST = 3;
+
+    private final ReplicaContext context;
+    private final Replication replication;
+    private final LeaderLease lease;
+    private final Runnable handOver;
+
+    /** What was committed a heartbeat ago: who has that is caught up. */
+    private long committedBefore;
+
+    private double measuredAt;
+    private long committedThen;
+
+    Membership(
+            ReplicaContext context, Replication replication, LeaderLease lease, Runnable handOver) {
+        this.context = context;
+        this.replication = replication;
+        this.lease = lease;
+        this.handOver = handOver;
+    }
+
+    /** A new term is led: a learner must have its first entry to be caught up. */
+    void begin() {
+        committedBefore = replication.termStart();
+        committedThen = committedBefore;
+        measuredAt = context.now;
+    }
+
+    private void measure() {
+        if (context.now >= measuredAt + context.heartbeat()) {
+            committedBefore = Math.max(committedBefore, committedThen);
+            committedThen = context.committed;
+            measuredAt = context.now;
+        }
+    }
+
+    /** A machine asked to be brought up. */
+    void onJoinRequest(Member from) {
+        if (!context.log.voters().contains(from)) {
+            replication.addLearner(from);
+        }
+    }
+
+    /** A member is about to leave; tells it whether there is one to replace it. */
+    void onLeaveRequest(Member from) {
+        replication.progress(from).leavingAt = context.now;
+        boolean waits = learners().stream().anyMatch(this::isPresent);
+        context.send(from, new ConsensusMessage.LeaveReply(context.term, waits));
+        advance();
+    }
+
+    /** Takes the next step of a change that is under way, or begins one that is wanted. */
+    void advance() {
+        measure();
+        RaftLog log = context.log;
+        VoterSet voters = log.voters();
+        if (!lease.leads(context.now)
+                || !replication.isOwnTermCommitted()
+                        && context.guarded(Safeguard.MEMBERSHIP_CHANGE_AFTER_OWN_TERM)
+                || log.votersIndex() > context.committed
+                        && context.guarded(Safeguard.ONE_MEMBERSHIP_CHANGE_AT_A_TIME)) {
+            return;
+        }
+        if (voters.isJoint()) {
+            append(VoterSet.of(voters.incoming()));
+        } else if (!voters.contains(context.self)) {
+            handOver.run();
+        } else {
+            List<Member> next = nextVoters(voters.voters());
+            if (!next.equals(voters.voters())) {
+                append(voters.changedTo(next));
+            }
+        }
+    }
+
+    private void append(VoterSet voters) {
+        replication.append(LogEntry.voters(context.term, voters));
+        replication.advanceCommit();
+    }
+
+    private List<Member> nextVoters(List<Member> voters) {
+        List<Member> next = new ArrayList<>(voters);
+        List<Member> ready = new ArrayList<>(learners().stream().filter(this::isReady).toList());
+        for (Member voter : replaceable(voters)) {
+            if (ready.isEmpty()) {
+                return next;
+            }
+            Member learner = replacementOf(voter, ready);
+            ready.remove(learner);
+            next.set(next.indexOf(voter), learner);
+        }
+        int wanted = Math.max(LEAST, 2 * context.settings.tolerated() + 1);
+        while (next.size() < wanted && !ready.isEmpty()) {
+            next.add(ready.remove(0));
+        }
+        return next;
+    }
+
+    /** The one on the same machine, if it is ready. */
+    private static Member replacementOf(Member voter, List<Member> ready) {
+        for (Member learner : ready) {
+            if (learner.ip().equals(voter.ip())) {
+                return learner;
+            }
+        }
+        return ready.get(0);
+    }
+
+    /** Voters to be replaced: disk lost first, then leaving, then silent. */
+    private List<Member> replaceable(List<Member> voters) {
+        List<Member> found = new ArrayList<>();
+        for (Member voter : voters) {
+            if (!voter.equals(context.self) && urgency(voter) > 0) {
+                found.add(voter);
+            }
+        }
+        found.sort(Comparator.comparingInt(this::urgency).reversed());
+        return found;
+    }
+
+    private int urgency(Member voter) {
+        FollowerProgress progress = replication.progress(voter);
+        if (learners().stream().anyMatch(l -> l.ip().equals(voter.ip()) && isPresent(l))) {
+            return 3;
+        }
+        if (isLeaving(voter)) {
+            return 2;
+        }
+        boolean silent = context.now > progress.heardAt + ReplicaContext.SILENT * context.lease();
+        return silent ? 1 : 0;
+    }
+
+    private boolean isLeaving(Member member) {
+        FollowerProgress progress = replication.followers().get(member);
+        return progress != null && context.now <= progress.leavingAt + context.lease();
+    }
+
+    private List<Member> learners() {
+        VoterSet voters = context.log.voters();
+        List<Member> learners = new ArrayList<>();
+        for (Map.Entry<Member, FollowerProgress> e : replication.followers().entrySet()) {
+            if (!voters.contains(e.getKey())) {
+                learners.add(e.getKey());
+            }
+        }
+        return learners;
+    }
+
+    /** Whether a learner is there to stay: it answers, and is not about to leave. */
+    private boolean isPresent(Member learner) {
+        return replication.isHeard(learner, 1) && !isLeaving(learner);
+    }
+
+    private boolean isReady(Member learner) {
+        boolean caughtUp =
+                replication.progress(learner).matched >= committedBefore
+                        || !context.guarded(Safeguard.LEARNER_CAUGHT_UP_BEFORE_VOTING);
+        return isPresent(learner) && caughtUp;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/RaftLog.java
@@ -0,0 +1,150 @@
+package gingerspool.consensus;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The log in memory: a snapshot, the entries after it, and where among them the voters change. */
+final class RaftLog {
+    private Snapshot base;
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final TreeMap<Long, VoterSet> voterChanges = new TreeMap<>();
+    private long bytes;
+
+    RaftLog(Snapshot base, List<LogEntry> entries) {
+        this.base = base;
+        entries.forEach(this::append);
+    }
+
+    Snapshot base() {
+        return base;
+    }
+
+    /** The size of the entries after the snapshot, about, in bytes. */
+    long bytes() {
+        return bytes;
+    }
+
+    /** The index of the last entry. */
+    long last() {
+        return base.index() + entries.size();
+    }
+
+    long lastTerm() {
+        return termAt(last());
+    }
+
+    long termAt(long index) {
+        return index == base.index() ? base.term() : entry(index).term();
+    }
+
+    LogEntry entry(long index) {
+        return entries.get(position(index));
+    }
+
+    private int position(long index) {
+        return (int) (index - base.index() - 1);
+    }
+
+    /** Whether the log has an entry of this term there, or had one within its snapshot. */
+    boolean matches(long index, long term) {
+        return index <= last() && (index < base.index() || termAt(index) == term);
+    }
+
+    /** All entries from an index on. */
+    List<LogEntry> from(long index) {
+        return index > last()
+                ? List.of()
+                : List.copyOf(entries.subList(position(index), entries.size()));
+    }
+
+    /** Entries from an index on, at least one if there is any, up to a number and a size. */
+    List<LogEntry> batch(long index, int mostEntries, long mostBytes) {
+        List<LogEntry> batch = new ArrayList<>();
+        long size = 0;
+        for (long i = index; i <= last() && batch.size() < mostEntries; i++) {
+            size += entry(i).size();
+            if (size > mostBytes && !batch.isEmpty()) {
+                break;
+            }
+            batch.add(entry(i));
+        }
+        return batch;
+    }
+
+    /** The first index after the snapshot from which on up to this one all have its term. */
+    long firstOfTermAt(long index) {
+        long first = index;
+        while (first - 1 > base.index() && termAt(first - 1) == termAt(index)) {
+            first--;
+        }
+        return first;
+    }
+
+    /** The last index not beyond this one whose term is not above that. */
+    long lastUpToTerm(long index, long term) {
+        long found = Math.min(index, last());
+        while (found > base.index() && termAt(found) > term) {
+            found--;
+        }
+        return found;
+    }
+
+    void append(LogEntry entry) {
+        entries.add(entry);
+        bytes += entry.size();
+        if (entry.voters() != null) {
+            voterChanges.put(last(), entry.voters());
+        }
+    }
+
+    /** Removes all entries from an index on. */
+    void truncate(long index) {
+        entries.subList(position(index), entries.size()).clear();
+        voterChanges.tailMap(index, true).clear();
+        measure();
+    }
+
+    /** Replaces all entries up to the snapshot's by it, and keeps those after. */
+    void compact(Snapshot snapshot) {
+        entries.subList(0, position(snapshot.index()) + 1).clear();
+        base = snapshot;
+        voterChanges.headMap(snapshot.index(), true).clear();
+        measure();
+    }
+
+    /** Replaces everything by a snapshot. */
+    void reset(Snapshot snapshot) {
+        base = snapshot;
+        entries.clear();
+        voterChanges.clear();
+        bytes = 0;
+    }
+
+    private void measure() {
+        bytes = entries.stream().mapToLong(LogEntry::size).sum();
+    }
+
+    /** The voters by the newest entry, committed or not: these are in force. */
+    VoterSet voters() {
+        return voterChanges.isEmpty() ? base.voters() : voterChanges.lastEntry().getValue();
+    }
+
+    /** The index of the entry that made these the voters. */
+    long votersIndex() {
+        return voterChanges.isEmpty() ? base.index() : voterChanges.lastKey();
+    }
+
+    /** The voters once this index was appended. */
+    VoterSet votersAt(long index) {
+        Map.Entry<Long, VoterSet> change = voterChanges.floorEntry(index);
+        return change == null ? base.voters() : change.getValue();
+    }
+
+    /** The voters by the entries after an index. */
+    Collection<VoterSet> votersAfter(long index) {
+        return voterChanges.tailMap(index, false).values();
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/ReplicaSettings.java
@@ -0,0 +1,36 @@
+package gingerspool.consensus;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What a replica is told at its start.
+ *
+ * @param tolerated how many members may be lost at once
+ * @param lease the length of the leader's lease, in milliseconds
+ * @param seeds addresses of machines that may know the members; they may be stale
+ * @param randomSeed what the random part of timeouts is drawn from
+ * @param snapshotFloor the least size of the log, in bytes, that a snapshot replaces
+ * @param pieceBytes the most bytes of a snapshot that one message carries
+ * @param disabled safeguards that a test takes out; none in production
+ */
+public record ReplicaSettings(
+        int tolerated,
+        double lease,
+        List<String> seeds,
+        long randomSeed,
+        int snapshotFloor,
+        int pieceBytes,
+        Set<Safeguard> disabled) {
+    private static final int SNAPSHOT_FLOOR = 1 << 20;
+    private static final int PIECE_BYTES = 1 << 16;
+
+    /** Settings of a production replica. */
+    public ReplicaSettings(int tolerated, double lease, List<String> seeds, long randomSeed) {
+        this(tolerated, lease, seeds, randomSeed, SNAPSHOT_FLOOR, PIECE_BYTES, Set.of());
+    }
+
+    boolean guarded(Safeguard safeguard) {
+        return !disabled.contains(safeguard);
+    }
+}
--- a/src/main/java/gingerspool/consensus/Safeguard.java
+++ b/src/main/java/gingerspool/consensus/Safeguard.java
@@ -77,6 +77,12 @@
     /** A received snapshot is installed only if its digest is right. */
     SNAPSHOT_DIGEST_CHECKED,
 
-    /** Only a leader that holds a lease may tell another that it is no longer a member. */
-    REMOVAL_TOLD_ONLY_UNDER_LEASE
+    /** An installed snapshot keeps the entries after it that match: they may be acknowledged. */
+    SNAPSHOT_KEEPS_MATCHING_LOG,
+
+    /** A member takes itself for removed only once the change that removes it is committed. */
+    REMOVAL_ONLY_BY_COMMITTED_CHANGE,
+
+    /** A leader that had no lease for the length of one steps down by itself. */
+    STEP_DOWN_WITHOUT_LEASE
 }
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/SnapshotReceiver.java
@@ -0,0 +1,80 @@
+package gingerspool.consensus;
+
+import java.io.ByteArrayOutputStream;
+
+/**
+ * Collects the pieces of one snapshot. The same snapshot may go on from another leader; a newer one
+ * takes its place, and so does any that the leader of a newer term sends.
+ */
+final class SnapshotReceiver {
+    private final ReplicaContext context;
+    private SnapshotPiece first;
+    private long leaderTerm;
+    private byte[][] pieces = {};
+    private int received;
+
+    SnapshotReceiver(ReplicaContext context) {
+        this.context = context;
+    }
+
+    /** Takes a piece; the snapshot once all are there and the digest is right, else null. */
+    Snapshot take(long term, SnapshotPiece piece) {
+        if (!isOf(piece)) {
+            boolean superseded =
+                    first != null && term == leaderTerm && piece.index() <= first.index();
+            if (superseded) {
+                return null;
+            }
+            begin(piece);
+        }
+        leaderTerm = term;
+        if (piece.number() >= 0 && piece.number() < pieces.length) {
+            pieces[piece.number()] = piece.bytes();
+        }
+        while (received < pieces.length && pieces[received] != null) {
+            received++;
+        }
+        return received == pieces.length ? complete() : null;
+    }
+
+    private boolean isOf(SnapshotPiece piece) {
+        return first != null
+                && first.index() == piece.index()
+                && first.snapshotTerm() == piece.snapshotTerm()
+                && first.digest().equals(piece.digest())
+                && first.pieces() == piece.pieces();
+    }
+
+    private void begin(SnapshotPiece piece) {
+        first = piece;
+        pieces = new byte[piece.pieces()][];
+        received = 0;
+    }
+
+    /** How many pieces of this snapshot are there without a gap. */
+    int received(SnapshotPiece piece) {
+        return isOf(piece) ? received : 0;
+    }
+
+    private Snapshot complete() {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] piece : pieces) {
+            all.writeBytes(piece);
+        }
+        byte[] state = all.toByteArray();
+        SnapshotPiece of = first;
+        forget();
+        boolean right = SnapshotDigest.of(state).equals(of.digest());
+        if (!right && context.guarded(Safeguard.SNAPSHOT_DIGEST_CHECKED)) {
+            return null;
+        }
+        return new Snapshot(
+                of.index(), of.snapshotTerm(), of.voters(), of.index() == 0 ? null : state);
+    }
+
+    private void forget() {
+        first = null;
+        pieces = new byte[0][];
+        received = 0;
+    }
+}
--- a/src/main/java/gingerspool/consensus/package-info.java
+++ b/src/main/java/gingerspool/consensus/package-info.java
@@ -1,5 +1,5 @@
 /**
- * View and order: the members of a view deliver commands in one order; a change of view stops,
- * trims, goes on. Without I/O, clock or thread.
+ * The replicated log of commands: elections, the leader's lease, replication, snapshots and changes
+ * of the voters, by the Raft algorithm. Without I/O, clock or thread.
  */
 package gingerspool.consensus;
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -14,6 +14,7 @@
 import gingerspool.consensus.PersistedState;
 import gingerspool.consensus.Replica;
 import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.ReplicaSettings;
 import gingerspool.daemon.Loop;
 import gingerspool.settings.Settings;
 import gingerspool.storage.DurableLog;
@@ -28,7 +29,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -167,9 +167,13 @@
                         new Member(settings.ip, mark),
                         disk,
                         founders,
-                        settings.tolerated,
-                        LEASE * settings.beat,
-                        settings.name.hashCode(),
+                        new ReplicaSettings(
+                                settings.tolerated,
+                                LEASE * settings.beat,
+                                settings.seeds.stream()
+                                        .map(a -> a.getAddress().getHostAddress())
+                                        .toList(),
+                                settings.name.hashCode()),
                         loop.now(),
                         this);
         door = new OperatorEndpoint(loop, settings.control, this::run);
@@ -221,12 +225,7 @@
 
     private void look() {
         double now = loop.now();
-        Set<String> wanted = new HashSet<>();
-        replica.members().forEach(m -> wanted.add(m.ip()));
-        if (replica.isLearner() || replica.members().isEmpty()) {
-            settings.seeds.forEach(a -> wanted.add(a.getAddress().getHostAddress()));
-        }
-        wanted.remove(settings.ip);
+        Set<String> wanted = replica.contacts();
         wanted.forEach(ip -> connect(ip, now));
         for (Map.Entry<String, Peer> e : List.copyOf(peers.entrySet())) {
             Peer p = e.getValue();
@@ -245,13 +244,6 @@
                 e.getKey().close();
             }
         }
-        if (replica.isLearner()) {
-            wanted.forEach(
-                    ip ->
-                            post(
-                                    new Member(ip, ""),
-                                    new ConsensusMessage.JoinRequest(replica.term())));
-        }
         loop.after(settings.beat / 8, this::look);
     }
 
@@ -610,12 +602,14 @@
     private void letter(ConsensusMessage.Envelope p) {
         Peer peer = peers.computeIfAbsent(p.from().ip(), k -> new Peer());
         peer.heardAt = loop.now();
-        if (p.letter() instanceof ConsensusMessage.JoinRequest || p.to().equals(replica.self())) {
+        if (p.isFor(replica.self())) {
             if (peer.link == null) {
                 connect(p.from().ip(), loop.now());
             }
-            replica.receive(loop.now(), p.from(), p.letter());
+            replica.receive(loop.now(), p.from(), p.message());
             after();
+        } else {
+            replica.hear(p.from());
         }
     }
 
--- a/src/main/java/gingerspool/storage/DurableLog.java
+++ b/src/main/java/gingerspool/storage/DurableLog.java
@@ -7,6 +7,7 @@
 import gingerspool.consensus.Member;
 import gingerspool.consensus.PersistedState;
 import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.VoterSet;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -28,8 +29,10 @@
  * which is synced before the older is removed. Blocks; for one thread.
  */
 public final class DurableLog implements AutoCloseable {
-    /** The form of what is written here; another is not read. */
-    static final int FORM = 1;
+    /** The form of what is written here; of others only form 1 is read. */
+    static final int FORM = 2;
+
+    private static final int FORM_1 = 1;
 
     private static final String PREFIX = "ledger-";
     private static final String SUFFIX = ".mv";
@@ -49,7 +52,13 @@
 
     private final long fileMost;
     private final KryoCodec coder =
-            new KryoCodec(List.of(Vote.class, Member.class, LogEntry.class, Snapshot.class));
+            new KryoCodec(
+                    List.of(
+                            Vote.class,
+                            Member.class,
+                            LogEntry.class,
+                            Snapshot.class,
+                            VoterSet.class));
     private MVStore store;
     private MVMap<Long, byte[]> entries;
     private MVMap<String, byte[]> meta;
@@ -122,17 +131,16 @@
         try (MVStore from = new MVStore.Builder().fileName(scheme + file).readOnly().open()) {
             MVMap<String, byte[]> m = from.openMap("meta");
             byte[] form = m.get("form");
-            if (form == null || form.length != 1 || form[0] != FORM) {
-                return null;
-            }
-            if (!(coder.read(m.get("promise")) instanceof Vote p
-                    && coder.read(m.get("base")) instanceof Snapshot snapshot)) {
+            if (form == null || form.length != 1 || form[0] != FORM && form[0] != FORM_1) {
                 return null;
             }
+            KryoCodec codec = form[0] == FORM_1 ? LogForm1.codec() : coder;
+            Vote p = (Vote) codec.read(m.get("promise"));
+            Snapshot snapshot = snapshot(codec.read(m.get("base")));
             List<LogEntry> all = new ArrayList<>();
             MVMap<Long, byte[]> places = from.openMap("entries");
             for (byte[] e; (e = places.get(snapshot.index() + 1 + all.size())) != null; ) {
-                all.add((LogEntry) coder.read(e));
+                all.add(entry(codec.read(e)));
             }
             return new PersistedState(p.self(), p.term(), p.votedFor(), snapshot, all);
         } catch (MVStoreException
@@ -143,6 +151,14 @@
         }
     }
 
+    private static Snapshot snapshot(Object read) {
+        return read instanceof LogForm1.State old ? old.upgraded() : (Snapshot) read;
+    }
+
+    private static LogEntry entry(Object read) {
+        return read instanceof LogForm1.Entry old ? old.upgraded() : (LogEntry) read;
+    }
+
     private void begin() throws IOException {
         close();
         number++;
--- a/src/test/java/gingerspool/simulation/SimulationSetup.java
+++ b/src/test/java/gingerspool/simulation/SimulationSetup.java
@@ -16,6 +16,7 @@
         boolean realConfiguration,
         double span) {
     private static final double USUAL_SPAN = 30_000;
+    private static final int LEAST_VOTERS = 3;
 
     static SimulationSetup of(int machines, int tolerated) {
         return new SimulationSetup(machines, tolerated, Set.of(), true, false, USUAL_SPAN);
@@ -39,6 +40,11 @@
                 machines, tolerated, disabled, steadyClock, realConfiguration, milliseconds);
     }
 
+    /** How many machines vote once all has been calm for a while; the others are learners. */
+    int votersWanted() {
+        return Math.min(machines, Math.max(LEAST_VOTERS, 2 * tolerated + 1));
+    }
+
     boolean guarded(Safeguard safeguard) {
         return !disabled.contains(safeguard);
     }
