A voter that was swapped out counts as there only once it answers again

Cause: found by exhaustive search (script CHANGE, WIPE_FOLLOWER, CHANGE without any deviation): the old id of a wiped machine still counted as heard and was swapped in again, without end.

--- a/src/main/java/gingerspool/consensus/Membership.java
+++ b/src/main/java/gingerspool/consensus/Membership.java
@@ -88,6 +88,11 @@
     }
 
     private void append(VoterSet voters) {
+        for (Member member : context.log.voters().all()) {
+            if (!voters.contains(member)) {
+                replication.progress(member).answered = false;
+            }
+        }
         replication.append(LogEntry.voters(context.term, voters));
         replication.advanceCommit();
     }
