Permitted losses one right after the other; replaced members as told histories

Seeds are three distinct machines of a list that lags. A leader that leaves is now replaced before it hands over, where a learner is ready.

--- a/src/main/java/gingerspool/consensus/Departure.java
+++ b/src/main/java/gingerspool/consensus/Departure.java
@@ -1,26 +1,39 @@
 package gingerspool.consensus;
 
 import gingerspool.consensus.ReplicaContext.Role;
-import java.util.Map;
 
 /**
- * How this member leaves in order: it hands over leadership, asks the leader for its replacement,
- * and may stop once that is agreed on, or nobody is there to replace it.
+ * How this member leaves in order: a leader is replaced, if a learner is ready, or hands over; any
+ * other asks the leader for its replacement. It may stop once that is agreed on, or nobody is there
+ * to replace it.
  */
 final class Departure {
+    /** For so many leases a leader that leaves tries to be replaced before it hands over. */
+    private static final double REPLACED_WITHIN = 1;
+
     private final ReplicaContext context;
-    private final Replication replication;
     private final Election election;
+    private final Membership membership;
+    private final LeadershipTransfer transfer;
+    private double handsOverAt;
     private double askAt;
     private boolean noReplacement;
 
-    Departure(ReplicaContext context, Replication replication, Election election) {
+    Departure(
+            ReplicaContext context,
+            Election election,
+            Membership membership,
+            LeadershipTransfer transfer) {
         this.context = context;
-        this.replication = replication;
         this.election = election;
+        this.membership = membership;
+        this.transfer = transfer;
     }
 
     void begin() {
+        if (!context.leaving) {
+            handsOverAt = context.now + REPLACED_WITHIN * context.lease();
+        }
         context.leaving = true;
         askAt = context.now;
         tick();
@@ -32,7 +45,7 @@
         }
         askAt = context.now + context.heartbeat();
         if (context.role == Role.LEADER) {
-            handOver();
+            leaveAsLeader();
         } else if (context.isVoter()) {
             askForReplacement();
         }
@@ -42,36 +55,20 @@
         return context.leaving ? askAt : Double.POSITIVE_INFINITY;
     }
 
-    private void askForReplacement() {
-        ConsensusMessage request = new ConsensusMessage.LeaveRequest(context.term);
-        Member leader = election.leader(context.now);
-        if (leader != null) {
-            context.send(leader, request);
+    private void leaveAsLeader() {
+        boolean replaced = membership.hasReadyLearner() || context.log.voters().isJoint();
+        if (replaced && context.now < handsOverAt) {
+            membership.advance();
+        } else {
+            transfer.run();
         }
     }
 
-    /** Gives up the lease; the voter with the longest log that answers is to lead at once. */
-    void handOver() {
-        Member heir = null;
-        long most = -1;
-        for (Map.Entry<Member, FollowerProgress> e : replication.followers().entrySet()) {
-            boolean able =
-                    context.log.voters().contains(e.getKey()) && replication.isHeard(e.getKey(), 1);
-            if (able && e.getValue().matched > most) {
-                heir = e.getKey();
-                most = e.getValue().matched;
-            }
-        }
-        if (heir == null) {
-            return;
-        }
-        ConsensusMessage message = new ConsensusMessage.TimeoutNow(context.term, heir);
-        for (Member member : context.log.voters().all()) {
-            if (!member.equals(context.self)) {
-                context.send(member, message);
-            }
+    private void askForReplacement() {
+        Member leader = election.leader(context.now);
+        if (leader != null) {
+            context.send(leader, new ConsensusMessage.LeaveRequest(context.term));
         }
-        election.stepDown();
     }
 
     void onLeaveReply(ConsensusMessage.LeaveReply reply) {
--- /dev/null
+++ b/src/main/java/gingerspool/consensus/LeadershipTransfer.java
@@ -0,0 +1,44 @@
+package gingerspool.consensus;
+
+import java.util.Map;
+
+/** How a leader gives up its lease, so that another leads at once and no lease must run out. */
+final class LeadershipTransfer {
+    private final ReplicaContext context;
+    private final Replication replication;
+    private final Election election;
+
+    LeadershipTransfer(ReplicaContext context, Replication replication, Election election) {
+        this.context = context;
+        this.replication = replication;
+        this.election = election;
+    }
+
+    /**
+     * The voter with the longest log that answers is to lead at once; learners are told, too, and
+     * look for the new leader. Nothing happens where no voter answers.
+     */
+    void run() {
+        Member heir = heir();
+        if (heir == null) {
+            return;
+        }
+        ConsensusMessage message = new ConsensusMessage.TimeoutNow(context.term, heir);
+        replication.followers().keySet().forEach(member -> context.send(member, message));
+        election.stepDown();
+    }
+
+    private Member heir() {
+        Member heir = null;
+        long most = -1;
+        for (Map.Entry<Member, FollowerProgress> e : replication.followers().entrySet()) {
+            boolean able =
+                    context.log.voters().contains(e.getKey()) && replication.isHeard(e.getKey(), 1);
+            if (able && e.getValue().matched > most) {
+                heir = e.getKey();
+                most = e.getValue().matched;
+            }
+        }
+        return heir;
+    }
+}
--- a/src/main/java/gingerspool/consensus/Membership.java
+++ b/src/main/java/gingerspool/consensus/Membership.java
@@ -14,10 +14,19 @@
     /** The least voters wanted, where there are machines for so many. */
     private static final int LEAST = 3;
 
+    /**
+     * A voter that has not answered a new leader at all counts as silent after so many leases: its
+     * silence began before.
+     */
+    private static final double SILENT_FROM_START = 0.5;
+
+    /** Leases within which a learner finds a new leader. */
+    private static final double FINDS_LEADER = 2;
+
     private final ReplicaContext context;
     private final Replication replication;
     private final LeaderLease lease;
-    private final Runnable handOver;
+    private final LeadershipTransfer transfer;
 
     /** What was committed a heartbeat ago: who has that is caught up. */
     private long committedBefore;
@@ -26,11 +35,14 @@
     private long committedThen;
 
     Membership(
-            ReplicaContext context, Replication replication, LeaderLease lease, Runnable handOver) {
+            ReplicaContext context,
+            Replication replication,
+            LeaderLease lease,
+            LeadershipTransfer transfer) {
         this.context = context;
         this.replication = replication;
         this.lease = lease;
-        this.handOver = handOver;
+        this.transfer = transfer;
     }
 
     /** A new term is led: a learner must have its first entry to be caught up. */
@@ -55,10 +67,17 @@
         }
     }
 
+    /** Whether a learner could replace this member at once. */
+    boolean hasReadyLearner() {
+        return learners().stream().anyMatch(this::isReady);
+    }
+
     /** A member is about to leave; tells it whether there is one to replace it. */
     void onLeaveRequest(Member from) {
         replication.progress(from).leavingAt = context.now;
-        boolean waits = learners().stream().anyMatch(this::isPresent);
+        // A new leader does not know the learners yet: they find it within about a lease.
+        boolean maybe = context.now < replication.electedAt() + FINDS_LEADER * context.lease();
+        boolean waits = maybe || learners().stream().anyMatch(this::isPresent);
         context.send(from, new ConsensusMessage.LeaveReply(context.term, waits));
         advance();
     }
@@ -78,7 +97,7 @@
         if (voters.isJoint()) {
             append(VoterSet.of(voters.incoming()));
         } else if (!voters.contains(context.self)) {
-            handOver.run();
+            transfer.run();
         } else {
             List<Member> next = nextVoters(voters.voters());
             if (!next.equals(voters.voters())) {
@@ -129,7 +148,7 @@
     private List<Member> replaceable(List<Member> voters) {
         List<Member> found = new ArrayList<>();
         for (Member voter : voters) {
-            if (!voter.equals(context.self) && urgency(voter) > 0) {
+            if (urgency(voter) > 0) {
                 found.add(voter);
             }
         }
@@ -138,6 +157,9 @@
     }
 
     private int urgency(Member voter) {
+        if (voter.equals(context.self)) {
+            return context.leaving ? 2 : 0;
+        }
         FollowerProgress progress = replication.progress(voter);
         if (learners().stream().anyMatch(l -> l.ip().equals(voter.ip()) && isPresent(l))) {
             return 3;
@@ -145,8 +167,8 @@
         if (isLeaving(voter)) {
             return 2;
         }
-        boolean silent = context.now > progress.heardAt + ReplicaContext.SILENT * context.lease();
-        return silent ? 1 : 0;
+        double patience = progress.answered ? ReplicaContext.SILENT : SILENT_FROM_START;
+        return context.now > progress.heardAt + patience * context.lease() ? 1 : 0;
     }
 
     private boolean isLeaving(Member member) {
--- a/src/main/java/gingerspool/consensus/Replica.java
+++ b/src/main/java/gingerspool/consensus/Replica.java
@@ -63,8 +63,9 @@
                         founds,
                         () -> lease.leads(context.now),
                         this::onElected);
-        departure = new Departure(context, replication, election);
-        membership = new Membership(context, replication, lease, departure::handOver);
+        LeadershipTransfer transfer = new LeadershipTransfer(context, replication, election);
+        membership = new Membership(context, replication, lease, transfer);
+        departure = new Departure(context, election, membership, transfer);
         contacts = new Contacts(context, election);
         follower = new Follower(context, durability, this::onCommitted);
         if (base.state() != null) {
--- a/src/test/java/gingerspool/simulation/ConsensusSimulation.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -39,9 +39,6 @@
     /** The usual time of a write, in milliseconds. */
     static final double DISK_MS = 5;
 
-    /** How many machines the settings name. */
-    private static final int SEEDS = 3;
-
     private record Event(double at, long serial, Runnable what) {}
 
     final class Machine implements ReplicaEnvironment {
@@ -112,7 +109,7 @@
                             new ReplicaSettings(
                                     setup.tolerated(),
                                     LEASE,
-                                    seedsNow(this),
+                                    seedLists.of(ip, firstStart),
                                     chance.nextLong(),
                                     snapshotFloor,
                                     pieceBytes,
@@ -280,10 +277,11 @@
     /** The share of messages between machines that is lost. */
     double loss;
 
+    private final SeedLists seedLists;
     private final Set<String> cuts = new HashSet<>();
     private final Map<Long, Integer> commands = new HashMap<>();
     final SimulatedOperators operators;
-    private final SimulatedFaults faults;
+    private FaultPlan faults;
     private long lastFence;
     private String lastLeader = "";
     private String wrong;
@@ -293,39 +291,23 @@
         this.setup = setup;
         snapshotFloor = SNAPSHOT_FLOORS[chance.nextInt(SNAPSHOT_FLOORS.length)];
         pieceBytes = PIECE_BYTES[chance.nextInt(PIECE_BYTES.length)];
+        seedLists = new SeedLists(chance, seeds, machines::keySet);
         operators = new SimulatedOperators(this, new SplittableRandom(~seed));
         faults = new SimulatedFaults(this, chance.split());
         for (int i = 0; i < setup.machines(); i++) {
             String ip = "10.0.0." + i;
             machines.put(ip, new Machine(ip, true));
-            if (i < SEEDS) {
+            if (i < SeedLists.SEEDS) {
                 seeds.add(ip);
             }
         }
+        noteMachines();
         machines.values().forEach(m -> after(chance.nextInt(300), m::start));
     }
 
-    /**
-     * The seeds in a machine's settings: at the first start the same for all, later often others.
-     * They may be this machine itself, down, or gone, but not all of them gone for good.
-     */
-    private List<String> seedsNow(Machine machine) {
-        if (machine.firstStart || chance.nextBoolean() && lists(seeds, machine)) {
-            return seeds;
-        }
-        List<String> all = new ArrayList<>(machines.keySet());
-        List<String> drawn = new ArrayList<>();
-        do {
-            drawn.clear();
-            for (int i = 0; i < SEEDS; i++) {
-                drawn.add(all.get(chance.nextInt(all.size())));
-            }
-        } while (!lists(drawn, machine));
-        return drawn;
-    }
-
-    private boolean lists(List<String> addresses, Machine besides) {
-        return addresses.stream().anyMatch(a -> !a.equals(besides.ip) && machines.containsKey(a));
+    private void noteMachines() {
+        seedLists.note();
+        after(SeedLists.NOTED_EVERY, this::noteMachines);
     }
 
     static PersistedState merged(PersistedState disk, LogWrite c) {
@@ -411,10 +393,22 @@
     }
 
     /** A new machine with an empty disk. */
-    void addEmpty() {
+    Machine addEmpty() {
         Machine machine = new Machine("10.0.1." + serial, false);
         machines.put(machine.ip, machine);
         machine.start();
+        return machine;
+    }
+
+    /** Plays other troubles than those drawn from all kinds. */
+    ConsensusSimulation with(FaultPlan plan) {
+        faults = plan;
+        return this;
+    }
+
+    /** Plays the history with losses as close as they are permitted. */
+    ConsensusSimulation withPermittedLosses() {
+        return with(new PermittedLosses(this, chance.split()));
     }
 
     /** Plays the history, lets all come back, and tells what is wrong with it, or null. */
--- a/src/test/java/gingerspool/simulation/SimulatedFaults.java
+++ b/src/test/java/gingerspool/simulation/SimulatedFaults.java
@@ -10,7 +10,7 @@
  * frozen, which costs only service; disks are lost no more than are tolerated until all have been
  * calm for long enough to catch up.
  */
-final class SimulatedFaults {
+final class SimulatedFaults implements FaultPlan {
     /** After so long without trouble a machine that lost its disk counts again, milliseconds. */
     private static final double CATCH_UP = 6000;
 
@@ -40,7 +40,8 @@
     }
 
     /** One trouble after the other, from now on until calm; some overlap. */
-    void begin() {
+    @Override
+    public void begin() {
         if (calm) {
             return;
         }
@@ -60,7 +61,8 @@
     }
 
     /** Everything that can be mended is; nothing more happens. */
-    void calm() {
+    @Override
+    public void calm() {
         calm = true;
         aimed = null;
     }
@@ -160,7 +162,8 @@
     }
 
     /** A process has acknowledged an order: what is aimed at that strikes now. */
-    void acknowledged(Machine by) {
+    @Override
+    public void acknowledged(Machine by) {
         FaultKind kind = aimed;
         aimed = null;
         if (kind == null) {
