--- a/src/main/java/gingerspool/configuration/ConfigurationState.java
+++ b/src/main/java/gingerspool/configuration/ConfigurationState.java
@@ -6,13 +6,10 @@
 import gingerspool.wire.Json;
 import gingerspool.wire.Tree;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,21 +22,25 @@
  * included.
  */
 public final class ConfigurationState {
-    /** So many versions are remembered, by which a command that comes again is known. */
-    private static final int REMEMBERED = 64;
-
     public static final int TAKEN = 200;
     public static final int OTHER_VERSION = 412;
     public static final int INVALID = 400;
 
-    /** What became of a command. */
-    public record Verdict(int status, String text) {}
+    /** What became of a change: where it was taken, now or before, the version that it made. */
+    public record Verdict(int status, String text, long version) {
+        static Verdict taken(long version) {
+            return new Verdict(TAKEN, "taken", version);
+        }
+
+        static Verdict refused(int status, String why) {
+            return new Verdict(status, why, 0);
+        }
+    }
 
     private Map<String, Object> tree = Map.of();
     private Configuration configuration = Configuration.getDefaultInstance();
 
-    /** What made each version, by digest. */
-    private final TreeMap<Long, String> taken = new TreeMap<>();
+    private AcceptedChanges accepted = new AcceptedChanges();
 
     public long version() {
         return configuration.getVersion();
@@ -58,45 +59,33 @@
 
     /** A whole configuration, or changes to the one in force, made on a version. */
     public Verdict take(boolean whole, long on, byte[] body) {
-        String digest = digest(whole, on, body);
+        byte[] digest = AcceptedChanges.digest(whole, on, body);
         try {
             Object sent = Json.read(body, 0, body.length);
             if (!(sent instanceof Map<?, ?> said)) {
                 throw new InvalidConfigurationException("the body is no JSON object");
             }
             long version = version(said);
-            if (digest.equals(taken.get(version))) {
-                return new Verdict(TAKEN, "taken before");
+            if (accepted.contains(version, digest)) {
+                return Verdict.taken(version);
             }
             if (on != version()) {
-                return new Verdict(OTHER_VERSION, "the version in force is " + version());
+                return Verdict.refused(OTHER_VERSION, "the version in force is " + version());
             }
             Map<String, Object> next = whole ? copy(said) : changed(said);
             Configuration typed = typed(next);
             check(typed);
+            checkWeights(next);
             if (version <= version()) {
                 throw new InvalidConfigurationException(
                         "Version " + version + " is not higher than " + version());
             }
             tree = next;
             configuration = typed;
-            taken.put(version, digest);
-            while (taken.size() > REMEMBERED) {
-                taken.pollFirstEntry();
-            }
-            return new Verdict(TAKEN, "taken");
+            accepted.add(version, digest);
+            return Verdict.taken(version);
         } catch (BadMessage | InvalidConfigurationException e) {
-            return new Verdict(INVALID, e.getMessage());
-        }
-    }
-
-    private static String digest(boolean whole, long on, byte[] body) {
-        try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            sha.update((whole + " " + on + " ").getBytes(StandardCharsets.US_ASCII));
-            return HexFormat.of().formatHex(sha.digest(body));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
+            return Verdict.refused(INVALID, e.getMessage());
         }
     }
 
@@ -200,11 +189,41 @@
         }
     }
 
+    /**
+     * Where a route is split over a list, the weights in it must not sum to 0. Routes of today's
+     * sites name one service, so no field of our own has weights.
+     */
+    private static void checkWeights(Map<String, Object> tree)
+            throws InvalidConfigurationException {
+        for (Object route : list(tree.get("Routes"), "Routes")) {
+            if (route instanceof Map<?, ?> fields) {
+                for (Map.Entry<?, ?> field : fields.entrySet()) {
+                    if (field.getValue() instanceof List<?> parts && weighsNothing(parts)) {
+                        throw new InvalidConfigurationException(
+                                "Routes: \"%s\" has weights in %s that sum to 0"
+                                        .formatted(fields.get("Name"), field.getKey()));
+                    }
+                }
+            }
+        }
+    }
+
+    private static boolean weighsNothing(List<?> parts) {
+        double sum = 0;
+        for (Object part : parts) {
+            if (!(Tree.at(part, "Weight") instanceof Number weight)) {
+                return false;
+            }
+            sum += weight.doubleValue();
+        }
+        return !parts.isEmpty() && sum <= 0;
+    }
+
     // ---- Repair ----
 
     /**
      * All that is kept, as items by key: `F/field`, `N/list` (its length), `L/list/index`,
-     * `T/version`.
+     * `T/version` (a block of accepted changes, by its first version).
      */
     public Map<String, String> items() {
         Map<String, String> all = new TreeMap<>();
@@ -219,7 +238,8 @@
                         all.put("F/" + field, Json.write(Arrays.asList(value)));
                     }
                 });
-        taken.forEach((version, digest) -> all.put("T/" + version, Json.write(List.of(digest))));
+        accepted.blocks()
+                .forEach((first, block) -> all.put("T/" + first, Json.write(List.of(block))));
         return all;
     }
 
@@ -228,12 +248,12 @@
      */
     public void mend(Map<String, String> items) throws InvalidConfigurationException {
         Map<String, Object> next = new LinkedHashMap<>();
-        TreeMap<Long, String> versions = new TreeMap<>();
+        Map<String, Object> blocks = new TreeMap<>();
         try {
             for (Map.Entry<String, String> e : items.entrySet()) {
                 String name = e.getKey().substring(2);
                 switch (e.getKey().charAt(0)) {
-                    case 'T' -> versions.put(Long.parseLong(name), (String) value(e.getValue()));
+                    case 'T' -> blocks.put(name, value(e.getValue()));
                     case 'F' -> next.put(name, value(e.getValue()));
                     case 'N' ->
                             next.put(
@@ -249,10 +269,10 @@
             throw new InvalidConfigurationException("items that can't be read: " + e.getMessage());
         }
         Configuration typed = typed(next);
+        AcceptedChanges changes = AcceptedChanges.of(blocks);
         tree = next;
         configuration = typed;
-        taken.clear();
-        taken.putAll(versions);
+        accepted = changes;
     }
 
     private static List<Object> list(Map<String, String> items, String name, int length)
@@ -276,9 +296,8 @@
     // ---- To and from a snapshot ----
 
     public byte[] state() {
-        Map<String, String> versions = new LinkedHashMap<>();
-        taken.forEach((v, digest) -> versions.put(Long.toString(v), digest));
-        return Json.write(Map.of("tree", tree, "taken", versions)).getBytes(StandardCharsets.UTF_8);
+        return Json.write(Map.of("tree", tree, "accepted", accepted.blocks()))
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** Takes the place of whatever is known here. */
@@ -287,9 +306,10 @@
             Object all = Json.read(state, 0, state.length);
             tree = copy((Map<?, ?>) Tree.at(all, "tree"));
             configuration = typed(tree);
-            taken.clear();
-            ((Map<?, ?>) Tree.at(all, "taken"))
-                    .forEach((v, d) -> taken.put(Long.parseLong((String) v), (String) d));
+            accepted =
+                    Tree.at(all, "taken") instanceof Map<?, ?> earlier
+                            ? AcceptedChanges.ofEarlierForm(earlier)
+                            : AcceptedChanges.of((Map<?, ?>) Tree.at(all, "accepted"));
         } catch (BadMessage | InvalidConfigurationException e) {
             throw new IllegalStateException(
                     "a state that was made here can't be read: " + e.getMessage(), e);
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -495,7 +495,7 @@
                 refused++;
             }
             if (waiter != null) {
-                answer(waiter.call, verdict.status(), verdict.text());
+                answer(waiter.call, verdict);
             }
         } catch (MalformedMessageException e) {
             throw new IllegalStateException(
@@ -566,11 +566,19 @@
         }
     }
 
-    private void answer(OperatorCall call, int status, String text) {
-        String body =
-                status == 200
-                        ? "{\"Version\":" + configurationState.version() + "}"
-                        : gingerspool.wire.Json.write(Map.of("Error", text));
+    private void answer(OperatorCall call, ConfigurationState.Verdict verdict) {
+        if (verdict.status() == ConfigurationState.TAKEN) {
+            answerJson(call, verdict.status(), "{\"Version\":" + verdict.version() + "}");
+        } else {
+            answer(call, verdict.status(), verdict.text());
+        }
+    }
+
+    private void answer(OperatorCall call, int status, String error) {
+        answerJson(call, status, gingerspool.wire.Json.write(Map.of("Error", error)));
+    }
+
+    private void answerJson(OperatorCall call, int status, String body) {
         call.from()
                 .answer(
                         status,
--- a/src/test/java/gingerspool/configuration/ConfigurationStateTest.java
+++ b/src/test/java/gingerspool/configuration/ConfigurationStateTest.java
@@ -1,6 +1,7 @@
 package gingerspool.configuration;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
@@ -8,7 +9,10 @@
 import gingerspool.wire.Json;
 import gingerspool.wire.Tree;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -62,11 +66,90 @@
         assertEquals(configurationState.version(), 7);
     }
 
+    /**
+     * A repeat may come after a long cut, hundreds of versions later, from wherever the state is.
+     */
+    @Test
+    public void knowsARepeatAfterHundredsOfVersionsASnapshotAndARepair() throws Exception {
+        ConfigurationState first = new ConfigurationState();
+        for (int version = 1; version <= 700; version++) {
+            assertEquals(change(first, version).status(), 200);
+        }
+        ConfigurationState restored = new ConfigurationState();
+        restored.restore(first.state());
+        ConfigurationState repaired = new ConfigurationState();
+        repaired.mend(first.items());
+        Map<String, String> items = first.items();
+        for (ConfigurationState state : new ConfigurationState[] {first, restored, repaired}) {
+            for (int version = 1; version <= 700; version++) {
+                ConfigurationState.Verdict v = change(state, version);
+                assertEquals(v.status(), 200, "version " + version);
+                assertEquals(v.version(), version, "the version that it made");
+            }
+            assertEquals(state.version(), 700);
+            assertEquals(state.items(), items);
+            assertEquals(
+                    state.take(true, 8, bytes(whole(9, route("x", "/x/", "s", 1)))).status(),
+                    412,
+                    "another under a number that was taken");
+            assertEquals(
+                    state.take(true, 7, bytes(whole(9, ""))).status(),
+                    412,
+                    "the same content on another version");
+            assertEquals(change(state, 701).status(), 200);
+        }
+    }
+
+    private static ConfigurationState.Verdict change(ConfigurationState state, int version) {
+        return state.take(true, version - 1, bytes(whole(version, "")));
+    }
+
+    @Test
+    public void readsTheStateOfAnEarlierBuild() throws Exception {
+        byte[] change = bytes(whole(3, ""));
+        byte[] before = bytes("true 0 ");
+        byte[] digested = Arrays.copyOf(before, before.length + change.length);
+        System.arraycopy(change, 0, digested, before.length, change.length);
+        String digest =
+                HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(digested));
+        ConfigurationState state = new ConfigurationState();
+        state.restore(
+                bytes("{\"tree\":%s,\"taken\":{\"3\":\"%s\"}}".formatted(whole(3, ""), digest)));
+        assertEquals(state.take(true, 0, change).version(), 3);
+    }
+
+    @Test
+    public void remembersSoManyAndForgetsTheOldestFirst() throws Exception {
+        AcceptedChanges all = new AcceptedChanges();
+        int added = AcceptedChanges.MOST + 1000;
+        for (int version = 1; version <= added; version++) {
+            all.add(2L * version, AcceptedChanges.digest(true, version, new byte[0]));
+        }
+        assertTrue(
+                all.size() <= AcceptedChanges.MOST && all.size() > added - 1300, "" + all.size());
+        AcceptedChanges copy = AcceptedChanges.of(all.blocks());
+        for (int back = 0; back < all.size(); back += 97) {
+            int version = added - back;
+            byte[] digest = AcceptedChanges.digest(true, version, new byte[0]);
+            assertTrue(copy.contains(2L * version, digest), "" + back);
+            assertFalse(copy.contains(2L * version + 1, digest));
+        }
+        assertFalse(copy.contains(2, AcceptedChanges.digest(true, 1, new byte[0])));
+        assertEquals(copy.blocks(), all.blocks());
+    }
+
     @DataProvider
     Object[][] invalid() {
         return new Object[][] {
             {"{\"Version\":9,\"Routes\":[", "wanted"},
+            {whole(9, route("r", "/a/", "s", 1)).substring(0, 80), "wanted"},
+            {"", "wanted"},
             {"[]", "object"},
+            {whole(2, ""), "Version 2"},
+            {whole(0, ""), "Version"},
+            {whole(9, route("r", "/a/", "s", -1)), "TimeoutMs"},
+            {whole(9, route("r", "/a/", "", 1)), "Service"},
+            {whole(9, split(0, 0)), "weights"},
             {whole(3, ""), "Version 3"},
             {"{\"Routes\":[]}", "Version"},
             {"{\"Version\":9,\"Routes\":7}", "outes"},
@@ -77,6 +160,38 @@
         };
     }
 
+    private static String split(int one, int other) {
+        return ("{\"Name\":\"w\",\"HostName\":\"h\",\"PathPrefix\":\"/w/\",\"Service\":\"s\","
+                        + "\"Split\":[{\"Service\":\"s\",\"Weight\":%d},"
+                        + "{\"Service\":\"s\",\"Weight\":%d}]}")
+                .formatted(one, other);
+    }
+
+    @DataProvider
+    Object[][] valid() {
+        String noTimeout =
+                "{\"Name\":\"r\",\"HostName\":\"h\",\"PathPrefix\":\"/\",\"Service\":\"s\"}";
+        return new Object[][] {
+            {whole(9, "")},
+            {whole(4, route("r", "/a/", "s", 1))},
+            {whole(1_000_000_007, route("r", "/a/", "s", 1))},
+            {whole(9, noTimeout)},
+            {whole(9, route("r", "/a/", "s", 1) + "," + route("q", "/a/b/", "s", 1))},
+            {whole(9, split(0, 3))},
+            {"{\"Version\":9}"},
+            {"{\"Version\":9,\"Routes\":null,\"Services\":[],\"New\":[{\"Weight\":0}]}"},
+            {whole(9, route("r", "/a/", "s", 1).replace("}", ",\"Tags\":[],\"Odd\":[1,2]}"))}
+        };
+    }
+
+    @Test(dataProvider = "valid")
+    public void takesWhateverIsValid(String text) {
+        ConfigurationState fresh = new ConfigurationState();
+        fresh.take(true, 0, bytes(whole(3, route("keep", "/k/", "s", 5))));
+        ConfigurationState.Verdict v = fresh.take(true, 3, bytes(text));
+        assertEquals(v.status(), 200, v.text());
+    }
+
     @Test(dataProvider = "invalid")
     public void refusesWithTheItemsName(String text, String named) {
         ConfigurationState fresh = new ConfigurationState();
