--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/InternalEndpoint.java
@@ -0,0 +1,121 @@
+package gingerspool.controlplane;
+
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.MalformedMessageException;
+import gingerspool.settings.Settings;
+import gingerspool.wire.Frames;
+import gingerspool.wire.Listener;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Where other processes of ours, members and schedulers, open their links. */
+final class InternalEndpoint implements Frames.Owner, Listener.Owner {
+    private static final Logger LOG = LogManager.getLogger(InternalEndpoint.class);
+    private static final int LINKS_MOST = 1024;
+
+    /** Who is told of what comes on the links. */
+    interface Owner {
+        void received(Link link, Object message);
+
+        void closed(Link link);
+    }
+
+    /** A link that another process opened, as the rest of the control node sees it. */
+    interface Link {
+        void send(Object message);
+    }
+
+    private final class Accepted implements Link {
+        private final Frames frames;
+        private double heardAt = turns.now();
+
+        Accepted(Frames frames) {
+            this.frames = frames;
+        }
+
+        @Override
+        public void send(Object message) {
+            frames.send(codec.write(message));
+        }
+    }
+
+    private final Turns turns;
+    private final Settings settings;
+    private final KryoCodec codec;
+    private final Owner owner;
+    private final Listener listener;
+    private final Map<Frames, Accepted> links = new LinkedHashMap<>();
+
+    InternalEndpoint(Turns turns, Settings settings, KryoCodec codec, Owner owner)
+            throws IOException {
+        this.turns = turns;
+        this.settings = settings;
+        this.codec = codec;
+        this.owner = owner;
+        listener =
+                new Listener(turns, new InetSocketAddress(settings.ip, settings.innerPort), this);
+    }
+
+    void begin() {
+        listener.acceptOn();
+    }
+
+    void closeSilent() {
+        for (Map.Entry<Frames, Accepted> e : List.copyOf(links.entrySet())) {
+            if (turns.now() > e.getValue().heardAt + PeerLinks.SILENCE * settings.beat) {
+                e.getKey().close();
+            }
+        }
+    }
+
+    void sendToAll(Object message) {
+        byte[] bytes = codec.write(message);
+        links.keySet().forEach(frames -> frames.send(bytes));
+    }
+
+    @Override
+    public boolean hasRoom() {
+        return links.size() < LINKS_MOST;
+    }
+
+    @Override
+    public void outOfDescriptors() {}
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel) {
+        Frames frames = Frames.accepted(turns, channel, this);
+        links.put(frames, new Accepted(frames));
+    }
+
+    @Override
+    public void came(Frames frames, byte[] frame) {
+        Accepted link = links.get(frames);
+        if (link == null) {
+            return;
+        }
+        try {
+            Object message = codec.read(frame);
+            link.heardAt = turns.now();
+            owner.received(link, message);
+        } catch (MalformedMessageException e) {
+            LOG.warn("link.bad_message why=\"{}\"", e.getMessage());
+            frames.close();
+        }
+    }
+
+    @Override
+    public void closed(Frames frames) {
+        Accepted link = links.remove(frames);
+        if (link != null) {
+            owner.closed(link);
+        }
+        listener.acceptOn();
+    }
+}
--- a/src/main/java/gingerspool/controlplane/LeaderDuties.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -23,7 +23,7 @@
  * stops instances. The term's number is the fence. Every call asks first whether the lease still
  * holds. Ends with the term.
  */
-final class LeaderDuties implements Autoscaler.Outlet, SlotKeeper.Outlet {
+final class LeaderDuties implements Autoscaler.Outlet, SlotKeeper.Outlet, SchedulerRegistry.Slots {
     private static final Logger LOG = LogManager.getLogger(LeaderDuties.class);
     private static final double LOOK = 50;
 
@@ -93,6 +93,30 @@
         keeper.configured(c);
     }
 
+    // ---- Schedulers ----
+
+    @Override
+    public void registered(String scheduler, Messages.Register message) {
+        keeper.enrolled(turns.now(), scheduler, message);
+    }
+
+    @Override
+    public void received(String scheduler, Object message) {
+        double now = turns.now();
+        if (message instanceof Messages.SlotDemand m) {
+            keeper.want(now, scheduler, m);
+        } else if (message instanceof Messages.SlotReturn m) {
+            keeper.back(now, scheduler, m);
+        } else if (message instanceof Messages.SlotHoldings m && !keeper.holds(now, scheduler, m)) {
+            LOG.warn("front.slots_differed front={}", scheduler);
+        }
+    }
+
+    @Override
+    public void lost(String scheduler) {
+        keeper.lost(turns.now(), scheduler);
+    }
+
     private boolean mayAct() {
         return !ended && holds.getAsBoolean();
     }
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/OperatorCalls.java
@@ -0,0 +1,136 @@
+package gingerspool.controlplane;
+
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.Messages;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.Replica;
+import gingerspool.wire.Address;
+import gingerspool.wire.Json;
+import gingerspool.wire.Turns;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Runs the operators' calls: the leader answers them from the state, or once the log has committed
+ * them; other members name the leader, or say that they know none.
+ */
+final class OperatorCalls {
+    /** A caller allows a second of silence; it is answered before, in milliseconds. */
+    private static final double ANSWER_WITHIN = 800;
+
+    private final Turns turns;
+    private final int controlPort;
+    private final KryoCodec codec;
+    private final ConfigurationState state;
+    private final Supplier<Replica> replica;
+    private final Supplier<String> status;
+
+    /** Changes that were proposed here and not answered, by the id of their command. */
+    private final Map<Long, OperatorCall.Change> pending = new HashMap<>();
+
+    private long commands;
+    private int reads;
+    private int changes;
+    private int refused;
+
+    /** The replica is null until the disk was read. */
+    OperatorCalls(
+            Turns turns,
+            int controlPort,
+            KryoCodec codec,
+            ConfigurationState state,
+            Supplier<Replica> replica,
+            Supplier<String> status) {
+        this.turns = turns;
+        this.controlPort = controlPort;
+        this.codec = codec;
+        this.state = state;
+        this.replica = replica;
+        this.status = status;
+    }
+
+    String counters() {
+        return "reads=%d changes=%d refused=%d".formatted(reads, changes, refused);
+    }
+
+    /** Runs one call; whoever calls this looks after the replica next. */
+    void run(OperatorCall call) {
+        if (call instanceof OperatorCall.Bad bad) {
+            answerError(call, bad.status(), bad.text());
+        } else if (replica.get() == null) {
+            answerError(call, 503, "the disk has not been read yet");
+        } else if (call instanceof OperatorCall.Status) {
+            byte[] text = status.get().getBytes(StandardCharsets.UTF_8);
+            call.reply().answer(200, List.of("Content-Type: text/plain"), text);
+        } else if (!replica.get().leads(turns.now())) {
+            redirect(call);
+        } else if (call instanceof OperatorCall.Read) {
+            read(call);
+        } else if (call instanceof OperatorCall.Change change) {
+            propose(change);
+        }
+    }
+
+    private void redirect(OperatorCall call) {
+        Member leader = replica.get().leader(turns.now());
+        if (leader == null || leader.equals(replica.get().self())) {
+            answerError(call, 503, "no leader is known here just now");
+        } else {
+            String there = Address.text(new InetSocketAddress(leader.ip(), controlPort));
+            List<String> fields = List.of("Location: http://" + there + call.target());
+            call.reply().answer(307, fields, new byte[0]);
+        }
+    }
+
+    private void read(OperatorCall call) {
+        reads++;
+        if (state.version() == 0) {
+            answerError(call, 404, "there is no configuration yet");
+        } else {
+            answer(call, 200, state.text());
+        }
+    }
+
+    private void propose(OperatorCall.Change call) {
+        changes++;
+        long id = replica.get().term() << 32 | ++commands;
+        pending.put(id, call);
+        turns.after(
+                ANSWER_WITHIN,
+                () -> {
+                    if (pending.remove(id) != null) {
+                        answerError(call, 503, "not agreed on in time; it may still be");
+                    }
+                });
+        byte[] command =
+                codec.write(new Messages.ChangeCommand(id, call.whole(), call.on(), call.body()));
+        replica.get().propose(turns.now(), command);
+    }
+
+    /** A command was committed and applied. */
+    void applied(long id, ConfigurationState.Verdict verdict) {
+        boolean isTaken = verdict.status() == ConfigurationState.TAKEN;
+        refused += isTaken ? 0 : 1;
+        OperatorCall.Change call = pending.remove(id);
+        if (call != null && isTaken) {
+            String body = "{\"Version\":" + verdict.version() + "}";
+            answer(call, verdict.status(), body.getBytes(StandardCharsets.UTF_8));
+        } else if (call != null) {
+            answerError(call, verdict.status(), verdict.text());
+        }
+    }
+
+    private static void answerError(OperatorCall call, int status, String why) {
+        byte[] body = Json.write(Map.of("Error", why)).getBytes(StandardCharsets.UTF_8);
+        answer(call, status, body);
+    }
+
+    private static void answer(OperatorCall call, int status, byte[] body) {
+        call.reply().answer(status, List.of("Content-Type: application/json"), body);
+    }
+}
--- a/src/main/java/gingerspool/controlplane/OperatorEndpoint.java
+++ b/src/main/java/gingerspool/controlplane/OperatorEndpoint.java
@@ -56,7 +56,7 @@
 
     @Override
     public void asked(Inbound from, Message request) {
-        run.accept(OperatorCall.decode(from, request));
+        run.accept(OperatorCall.decode(from::answer, request));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/PeerLinks.java
@@ -0,0 +1,140 @@
+package gingerspool.controlplane;
+
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.Messages;
+import gingerspool.settings.Settings;
+import gingerspool.wire.Frames;
+import gingerspool.wire.Turns;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Our own links to the other members of the core, by the address of their machines. Only we send on
+ * them; what a peer says comes on the link that it opened itself.
+ */
+final class PeerLinks implements Frames.Owner {
+    private static final Logger LOG = LogManager.getLogger(PeerLinks.class);
+
+    /** In heartbeat intervals: silence after which a link is given up. */
+    static final double SILENCE = 1.5;
+
+    /** In heartbeat intervals: how long connecting may take. */
+    private static final double CONNECT = 0.25;
+
+    /** In heartbeat intervals: the pause between two attempts to connect. */
+    private static final double RETRY = 0.125;
+
+    /** In heartbeat intervals: how long a link is kept to one that is wanted no more. */
+    private static final double UNWANTED = 4;
+
+    private final Turns turns;
+    private final Settings settings;
+    private final KryoCodec codec;
+    private final Map<String, Peer> peers = new HashMap<>();
+
+    private static final class Peer {
+        Frames link;
+        boolean isUp;
+        double triedAt = Double.NEGATIVE_INFINITY;
+        double heardAt;
+    }
+
+    PeerLinks(Turns turns, Settings settings, KryoCodec codec) {
+        this.turns = turns;
+        this.settings = settings;
+        this.codec = codec;
+    }
+
+    /** Opens links that lack, and closes those that are silent or not wanted. */
+    void maintain(Set<String> wanted) {
+        double now = turns.now();
+        wanted.forEach(this::connect);
+        for (Map.Entry<String, Peer> e : List.copyOf(peers.entrySet())) {
+            Peer p = e.getValue();
+            // Guards against links that a cut has left half dead: a new one works as soon as the
+            // cut ends.
+            boolean isSilent =
+                    p.isUp && now > Math.max(p.heardAt, p.triedAt) + SILENCE * settings.beat;
+            boolean isUnwanted =
+                    !wanted.contains(e.getKey()) && now > p.heardAt + UNWANTED * settings.beat;
+            if (p.link != null && (isSilent || isUnwanted)) {
+                p.link.close();
+            }
+        }
+    }
+
+    private void connect(String ip) {
+        double now = turns.now();
+        Peer p = peers.computeIfAbsent(ip, k -> new Peer());
+        if (p.link == null && now >= p.triedAt + RETRY * settings.beat) {
+            p.triedAt = now;
+            try {
+                p.link =
+                        Frames.open(
+                                turns,
+                                new InetSocketAddress(ip, settings.innerPort),
+                                CONNECT * settings.beat,
+                                this);
+            } catch (IOException e) {
+                LOG.warn("link.failed to={} why=\"{}\"", ip, e.getMessage());
+            }
+        }
+    }
+
+    /** A member's message came; an answer to it needs a link. */
+    void heardMember(String ip) {
+        peers.computeIfAbsent(ip, k -> new Peer()).heardAt = turns.now();
+    }
+
+    void connectBack(String ip) {
+        connect(ip);
+    }
+
+    /** A heartbeat came; false where none of the peers sent it. */
+    boolean heardHeartbeat(String ip) {
+        Peer p = peers.get(ip);
+        if (p != null) {
+            p.heardAt = turns.now();
+        }
+        return p != null;
+    }
+
+    /** Sends, where there is a link. */
+    void send(String ip, Object message) {
+        Peer p = peers.get(ip);
+        if (p != null && p.isUp) {
+            p.link.send(codec.write(message));
+        }
+    }
+
+    void sendHeartbeats() {
+        byte[] heartbeat = codec.write(new Messages.Heartbeat(settings.ip));
+        peers.values().stream().filter(p -> p.isUp).forEach(p -> p.link.send(heartbeat));
+    }
+
+    @Override
+    public void up(Frames link) {
+        peers.values().forEach(p -> p.isUp |= p.link == link);
+    }
+
+    @Override
+    public void came(Frames link, byte[] frame) {
+        // Announcements that are made to all who called: a member knows who leads by itself.
+    }
+
+    @Override
+    public void closed(Frames link) {
+        for (Peer p : peers.values()) {
+            if (p.link == link) {
+                p.link = null;
+                p.isUp = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
@@ -0,0 +1,166 @@
+package gingerspool.controlplane;
+
+import gingerspool.antientropy.RangeDigests;
+import gingerspool.codec.Messages;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.settings.Settings;
+import gingerspool.wire.Turns;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The schedulers that this leader has registered, each on one link: what they are told, the
+ * configuration above all, and what they tell.
+ */
+final class SchedulerRegistry {
+    private static final Logger LOG = LogManager.getLogger(SchedulerRegistry.class);
+
+    /** What the registry needs of the leader's duties; none where this member doesn't lead. */
+    interface Slots {
+        void registered(String scheduler, Messages.Register message);
+
+        void received(String scheduler, Object message);
+
+        void lost(String scheduler);
+    }
+
+    private static final class Scheduler {
+        final String name;
+        final InternalEndpoint.Link link;
+
+        /** The newest version that it has in force, and when it was last sent one again. */
+        long version;
+
+        double sentAt = Double.NEGATIVE_INFINITY;
+
+        Scheduler(String name, InternalEndpoint.Link link, long version) {
+            this.name = name;
+            this.link = link;
+            this.version = version;
+        }
+    }
+
+    private final Turns turns;
+    private final Settings settings;
+    private final ConfigurationState state;
+    private final Map<InternalEndpoint.Link, Scheduler> byLink = new HashMap<>();
+    private final Map<String, Scheduler> byName = new HashMap<>();
+
+    /** Null where this member doesn't lead. */
+    private Slots slots;
+
+    /** The configuration as it was last pushed: its number, its digest, and when. */
+    private long pushedVersion;
+
+    private long pushedDigest;
+    private double pushedAt;
+
+    SchedulerRegistry(Turns turns, Settings settings, ConfigurationState state) {
+        this.turns = turns;
+        this.settings = settings;
+        this.state = state;
+    }
+
+    void lead(Slots duties) {
+        slots = duties;
+    }
+
+    void leadNoMore() {
+        slots = null;
+        byLink.clear();
+        byName.clear();
+    }
+
+    int size() {
+        return byName.size();
+    }
+
+    List<String> status() {
+        return byName.values().stream().map(s -> "front " + s.name + " news " + s.version).toList();
+    }
+
+    /** Only where this member leads. */
+    void register(InternalEndpoint.Link link, Messages.Register message, long term) {
+        Scheduler scheduler = new Scheduler(message.name(), link, message.news());
+        byLink.put(link, scheduler);
+        byName.put(message.name(), scheduler);
+        slots.registered(message.name(), message);
+        link.send(new Messages.Registered(term));
+        push(scheduler, message.news(), false);
+        tellCount();
+    }
+
+    /** A message of a scheduler; one that isn't registered on this link is passed over. */
+    void received(InternalEndpoint.Link link, Object message) {
+        Scheduler scheduler = byLink.get(link);
+        if (scheduler == null || slots == null) {
+            return;
+        }
+        if (message instanceof Messages.ConfigurationAck ack) {
+            acknowledged(scheduler, ack);
+        } else {
+            slots.received(scheduler.name, message);
+        }
+    }
+
+    void closed(InternalEndpoint.Link link) {
+        Scheduler scheduler = byLink.remove(link);
+        if (scheduler != null && byName.remove(scheduler.name, scheduler) && slots != null) {
+            slots.lost(scheduler.name);
+            tellCount();
+        }
+    }
+
+    void tell(String name, Object message) {
+        Scheduler scheduler = byName.get(name);
+        if (scheduler != null) {
+            scheduler.link.send(message);
+        }
+    }
+
+    void tellAll(Object message) {
+        byName.values().forEach(s -> s.link.send(message));
+    }
+
+    private void tellCount() {
+        tellAll(new Messages.SchedulerCount(byName.size()));
+    }
+
+    // ---- Configuration ----
+
+    /** The configuration has changed. */
+    void configured() {
+        byte[] form = state.configuration().toByteArray();
+        pushedDigest = RangeDigests.digest(form);
+        pushedVersion = state.version();
+        pushedAt = turns.now();
+        if (slots != null) {
+            tellAll(new Messages.ConfigurationPush(pushedVersion, form, false));
+        }
+    }
+
+    private void push(Scheduler to, long has, boolean again) {
+        byte[] form = state.configuration().toByteArray();
+        // Guards schedulers, which never go back: a copy that is not what was taken is told to
+        // nobody.
+        if (pushedVersion > has && RangeDigests.digest(form) == pushedDigest) {
+            to.sentAt = turns.now();
+            to.link.send(new Messages.ConfigurationPush(pushedVersion, form, again));
+        }
+    }
+
+    /** Counts the acknowledgement; a copy that differs from ours under its number is sent again. */
+    private void acknowledged(Scheduler from, Messages.ConfigurationAck ack) {
+        from.version = Math.max(from.version, ack.number());
+        boolean differs = ack.number() == pushedVersion && ack.digest() != pushedDigest;
+        if (ack.number() > 0 && differs && turns.now() > from.sentAt + settings.beat) {
+            LOG.warn("front.copy_differs front={} version={}", from.name, ack.number());
+            push(from, 0, true);
+        } else if (ack.number() < pushedVersion && turns.now() > pushedAt + settings.beat) {
+            push(from, ack.number(), false);
+        }
+    }
+}
