A leader without its lease grants no slots; its duties end as it steps down

What still came on an earlier link of a scheduler that had registered anew was counted: a return of slots twice.

Grants and recalls ask for the lease; Leadership ends the duties as the replica steps down and lets them stand while a lease lapses within its term, so they begin once a term and their nonces are never used twice; who hears only this member is told that nobody leads. Who registers is told what leaves; earlier links of a scheduler count for nothing. A proposal that fails is answered at once; 503 bears Retry-After where nothing ran. Replica.isElected is new.

--- a/src/main/java/gingerspool/consensus/Replica.java
+++ b/src/main/java/gingerspool/consensus/Replica.java
@@ -112,6 +112,11 @@
         return lease.leads(at);
     }
 
+    /** Whether this member was elected for its term and has not stepped down; see leads(). */
+    public boolean isElected() {
+        return context.role == Role.LEADER;
+    }
+
     /** The index of the last applied entry. */
     public long appliedIndex() {
         return context.applied;
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -43,6 +43,9 @@
     /** The leader's lease, in heartbeat intervals. */
     private static final double LEASE = 0.5;
 
+    /** A call of the platform has failed without an answer by then, in heartbeat intervals. */
+    private static final double PLATFORM_PATIENCE = 0.8;
+
     /** Links are looked after so often in a heartbeat interval. */
     private static final double MAINTAINED = 8;
 
@@ -66,10 +69,7 @@
 
     private RepairExchange repair;
 
-    /** Null where this member doesn't lead, and the term of it. */
-    private LeaderDuties duties;
-
-    private long dutiesTerm;
+    private Leadership leadership;
     private double wakesAt = Double.POSITIVE_INFINITY;
     private int announcements;
 
@@ -146,6 +146,7 @@
                         replica,
                         peers::send,
                         this::configured);
+        leadership = new Leadership(replica, this::beginDuties, this::endDuties);
         LOG.info(
                 "start member={} members={} term={} version={}",
                 replica.self(),
@@ -219,42 +220,30 @@
 
     /** What follows from whatever the replica was just told. */
     private void afterReplica() {
-        double now = loop.now();
-        boolean leads = replica.leads(now);
-        if (duties != null
-                && (replica.term() != dutiesTerm
-                        || !replica.self().equals(replica.leader(now))
-                                && !leads
-                                && replica.leader(now) != null)) {
-            endDuties();
-        }
-        if (leads && duties == null) {
-            beginDuties();
-        }
+        leadership.update(loop.now());
         wakeReplica();
     }
 
-    private void beginDuties() {
-        dutiesTerm = replica.term();
-        duties =
+    private LeaderDuties beginDuties(long term) {
+        LeaderDuties duties =
                 new LeaderDuties(
                         loop,
                         settings,
-                        dutiesTerm,
+                        new PlatformClient(loop, settings.cloud, PLATFORM_PATIENCE * settings.beat),
+                        term,
                         () -> replica.leads(loop.now()),
                         schedulers::tell,
                         schedulers::tellAll);
         duties.configured(configurationState.configuration());
         schedulers.lead(duties);
-        LOG.info("duty.begins term={} members={}", dutiesTerm, replica.members());
         announce();
+        return duties;
     }
 
+    /** Schedulers that hear only this member are told that it leads no more. */
     private void endDuties() {
-        LOG.info("duty.ends term={}", dutiesTerm);
-        duties.end();
-        duties = null;
         schedulers.leadNoMore();
+        announce();
     }
 
     private void announceRegularly() {
@@ -297,8 +286,8 @@
                 writer.isFailing(),
                 repair.differing(),
                 repair.undecided());
-        if (duties != null) {
-            duties.log();
+        if (leadership.duties() != null) {
+            leadership.duties().log();
         }
     }
 
@@ -356,8 +345,8 @@
 
     /** The configuration has changed. */
     private void configured() {
-        if (duties != null) {
-            duties.configured(configurationState.configuration());
+        if (leadership != null && leadership.duties() != null) {
+            leadership.duties().configured(configurationState.configuration());
         }
         schedulers.configured();
     }
@@ -379,8 +368,8 @@
         lines.add(
                 "version " + configurationState.version() + " delivered " + replica.appliedIndex());
         lines.addAll(schedulers.status());
-        if (duties != null) {
-            lines.addAll(duties.keeper.status());
+        if (leadership.duties() != null) {
+            lines.addAll(leadership.duties().keeper.status());
         }
         return String.join("\n", lines) + "\n";
     }
@@ -420,7 +409,7 @@
     }
 
     private void register(InternalEndpoint.Link link, Messages.Register message) {
-        if (duties != null && replica.leads(loop.now())) {
+        if (leadership.duties() != null && replica.leads(loop.now())) {
             schedulers.register(link, message, replica.term());
         } else {
             link.send(announcement());
--- a/src/main/java/gingerspool/controlplane/LeaderDuties.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -34,9 +34,6 @@
 
     private static final double RATE = 0.5;
 
-    /** A call of the platform that has no answer by then is asked again, in parts of a beat. */
-    private static final double PATIENCE = 0.8;
-
     private static final int TRIES = 4;
 
     private final Turns turns;
@@ -45,7 +42,7 @@
     private final BooleanSupplier holds;
     private final BiConsumer<String, Object> tell;
     private final Consumer<Object> tellAll;
-    private final PlatformClient platform;
+    private final Platform platform;
     final SlotKeeper keeper;
     private final Autoscaler scaler;
     private boolean ended;
@@ -61,6 +58,7 @@
     LeaderDuties(
             Turns turns,
             Settings settings,
+            Platform platform,
             long term,
             BooleanSupplier holds,
             BiConsumer<String, Object> tell,
@@ -71,7 +69,7 @@
         this.holds = holds;
         this.tell = tell;
         this.tellAll = tellAll;
-        platform = new PlatformClient(turns, settings.cloud, PATIENCE * settings.beat);
+        this.platform = platform;
         keeper = new SlotKeeper(settings.beat, turns.now(), this);
         scaler =
                 new Autoscaler(
@@ -98,6 +96,15 @@
     @Override
     public void registered(String scheduler, Messages.Register message) {
         keeper.enrolled(turns.now(), scheduler, message);
+        // Guards one that was with nobody, or another leader, as these were seen to leave.
+        List<String> leaving =
+                keeper.instances().stream()
+                        .filter(i -> i.state == Instance.State.LEAVING)
+                        .map(i -> i.id)
+                        .toList();
+        if (!leaving.isEmpty()) {
+            tell(scheduler, new Messages.InstanceWithdrawal(leaving));
+        }
     }
 
     @Override
@@ -296,6 +303,12 @@
         tell.accept(front, word);
     }
 
+    /** Guards slots: without the lease another leader may grant the same ones. */
+    @Override
+    public boolean mayGrant() {
+        return mayAct();
+    }
+
     void log() {
         LOG.info(
                 "duty term={} functions={} fronts={} starts={} stops={} refused={} {}",
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/Leadership.java
@@ -0,0 +1,52 @@
+package gingerspool.controlplane;
+
+import gingerspool.consensus.Replica;
+import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Begins the leader's duties once it leads, and ends them when its term is over: when it was not
+ * elected for the present one, or has stepped down, as it does without a lease. They don't end with
+ * a lease that lapses and is renewed in the same term, since nobody else can have led meanwhile;
+ * each of their actions asks for the lease itself. So they begin once a term at the most, and names
+ * that are made from the term are never used twice.
+ */
+final class Leadership {
+    private static final Logger LOG = LogManager.getLogger(Leadership.class);
+
+    private final Replica replica;
+    private final LongFunction<LeaderDuties> begin;
+    private final Runnable end;
+    private LeaderDuties duties;
+    private long term;
+
+    /**
+     * The duties of a term are made by the first, and what else hangs on them ends by the second.
+     */
+    Leadership(Replica replica, LongFunction<LeaderDuties> begin, Runnable end) {
+        this.replica = replica;
+        this.begin = begin;
+        this.end = end;
+    }
+
+    /** The duties at hand, or null. */
+    LeaderDuties duties() {
+        return duties;
+    }
+
+    /** To be called after whatever the replica was told. */
+    void update(double now) {
+        if (duties != null && (!replica.isElected() || replica.term() != term)) {
+            LOG.info("duty.ends term={}", term);
+            duties.end();
+            duties = null;
+            end.run();
+        }
+        if (duties == null && replica.leads(now)) {
+            term = replica.term();
+            LOG.info("duty.begins term={} members={}", term, replica.members());
+            duties = begin.apply(term);
+        }
+    }
+}
--- a/src/main/java/gingerspool/controlplane/OperatorCalls.java
+++ b/src/main/java/gingerspool/controlplane/OperatorCalls.java
@@ -23,6 +23,9 @@
     /** A caller allows a second of silence; it is answered before, in milliseconds. */
     private static final double ANSWER_WITHIN = 800;
 
+    /** Seconds until a member that knows no leader may be worth another call. */
+    private static final int RETRY_AFTER_S = 1;
+
     private final Turns turns;
     private final int controlPort;
     private final KryoCodec codec;
@@ -63,7 +66,7 @@
         if (call instanceof OperatorCall.Bad bad) {
             answerError(call, bad.status(), bad.text());
         } else if (replica.get() == null) {
-            answerError(call, 503, "the disk has not been read yet");
+            answerNothingRan(call, "the disk has not been read yet");
         } else if (call instanceof OperatorCall.Status) {
             byte[] text = status.get().getBytes(StandardCharsets.UTF_8);
             call.reply().answer(200, List.of("Content-Type: text/plain"), text);
@@ -79,7 +82,7 @@
     private void redirect(OperatorCall call) {
         Member leader = replica.get().leader(turns.now());
         if (leader == null || leader.equals(replica.get().self())) {
-            answerError(call, 503, "no leader is known here just now");
+            answerNothingRan(call, "no leader is known here just now");
         } else {
             String there = Address.text(new InetSocketAddress(leader.ip(), controlPort));
             List<String> fields = List.of("Location: http://" + there + call.target());
@@ -109,7 +112,10 @@
                 });
         byte[] command =
                 codec.write(new Messages.ChangeCommand(id, call.whole(), call.on(), call.body()));
-        replica.get().propose(turns.now(), command);
+        if (!replica.get().propose(turns.now(), command)) {
+            pending.remove(id);
+            answerNothingRan(call, "the lease has just ended here");
+        }
     }
 
     /** A command was committed and applied. */
@@ -125,9 +131,21 @@
         }
     }
 
+    /** Nothing of the call was or will be done; another member may know better. */
+    private static void answerNothingRan(OperatorCall call, String why) {
+        call.reply()
+                .answer(
+                        503,
+                        List.of("Content-Type: application/json", "Retry-After: " + RETRY_AFTER_S),
+                        error(why));
+    }
+
+    private static byte[] error(String why) {
+        return Json.write(Map.of("Error", why)).getBytes(StandardCharsets.UTF_8);
+    }
+
     private static void answerError(OperatorCall call, int status, String why) {
-        byte[] body = Json.write(Map.of("Error", why)).getBytes(StandardCharsets.UTF_8);
-        answer(call, status, body);
+        answer(call, status, error(why));
     }
 
     private static void answer(OperatorCall call, int status, byte[] body) {
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/Platform.java
@@ -0,0 +1,26 @@
+package gingerspool.controlplane;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The platform's interface, as the leader calls it. Every call has one end. */
+interface Platform {
+    /** What a call came to: its status, 0 where no answer came that could be read; and the body. */
+    record Answer(int status, Object tree) {}
+
+    /** All pages of the list of instances; null where one could not be had. */
+    void instances(Consumer<List<Object>> then);
+
+    void hosts(Consumer<Answer> then);
+
+    /** The fence is the leader's term; the same nonce gives the same instance. */
+    void start(
+            String holder,
+            long fence,
+            String service,
+            String host,
+            String nonce,
+            Consumer<Answer> then);
+
+    void stop(String holder, long fence, String instance, Consumer<Answer> then);
+}
--- a/src/main/java/gingerspool/controlplane/PlatformClient.java
+++ b/src/main/java/gingerspool/controlplane/PlatformClient.java
@@ -21,12 +21,7 @@
  * Calls of the platform's interface: lists, starts and stops. Every call has one end; silence and
  * answers that can't be read are ends as well.
  */
-final class PlatformClient {
-    /**
-     * What a call came to: its status, 0 where no answer came that could be read; and the answer.
-     */
-    record Answer(int status, Object tree) {}
-
+final class PlatformClient implements Platform {
     private static final int MOST = 32;
     private static final double KEPT = 5000;
 
@@ -42,8 +37,8 @@
         pool = new Pool(turns, patience, KEPT, MOST);
     }
 
-    /** All pages of the list of instances; null where one could not be had. */
-    void instances(Consumer<List<Object>> then) {
+    @Override
+    public void instances(Consumer<List<Object>> then) {
         page("/instances", new ArrayList<>(), then);
     }
 
@@ -51,12 +46,13 @@
         get(
                 target,
                 a -> {
-                    if (a.status != 200 || !(Tree.at(a.tree, "Instances") instanceof List<?> l)) {
+                    if (a.status() != 200
+                            || !(Tree.at(a.tree(), "Instances") instanceof List<?> l)) {
                         then.accept(null);
                         return;
                     }
                     all.addAll(l);
-                    String next = Tree.text("", a.tree, "NextPageToken");
+                    String next = Tree.text("", a.tree(), "NextPageToken");
                     if (next.isEmpty()) {
                         then.accept(all);
                     } else {
@@ -65,11 +61,13 @@
                 });
     }
 
-    void hosts(Consumer<Answer> then) {
+    @Override
+    public void hosts(Consumer<Answer> then) {
         get("/v1/workers", then);
     }
 
-    void start(
+    @Override
+    public void start(
             String holder,
             long fence,
             String service,
@@ -83,7 +81,8 @@
         post("/v1/begin", holder, fence, body, then);
     }
 
-    void stop(String holder, long fence, String instance, Consumer<Answer> then) {
+    @Override
+    public void stop(String holder, long fence, String instance, Consumer<Answer> then) {
         post("/v1/stop", holder, fence, Map.of("Identifier", instance), then);
     }
 
--- a/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
+++ b/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
@@ -86,9 +86,13 @@
     void register(InternalEndpoint.Link link, Messages.Register message, long term) {
         Scheduler scheduler = new Scheduler(message.name(), link, message.news());
         byLink.put(link, scheduler);
-        byName.put(message.name(), scheduler);
-        slots.registered(message.name(), message);
+        Scheduler earlier = byName.put(message.name(), scheduler);
+        // Guards the counts of slots: what still comes on an earlier link was told before this.
+        if (earlier != null && earlier.link != link) {
+            byLink.remove(earlier.link);
+        }
         link.send(new Messages.Registered(term));
+        slots.registered(message.name(), message);
         push(scheduler, message.news(), false);
         tellCount();
     }
--- a/src/main/java/gingerspool/slots/SlotKeeper.java
+++ b/src/main/java/gingerspool/slots/SlotKeeper.java
@@ -37,6 +37,11 @@
     /** What a keeper calls to act. */
     public interface Outlet {
         void tell(String front, Object word);
+
+        /** Whether slots may be granted and recalled now: nobody else may be their keeper. */
+        default boolean mayGrant() {
+            return true;
+        }
     }
 
     private static final class Front {
@@ -196,7 +201,7 @@
         d.came = word.came();
         f.run = word.run() > 0 ? f.run == 0 ? word.run() : f.run + (word.run() - f.run) / 8 : f.run;
         give(f);
-        if (d.lacks > 0 && now >= from) {
+        if (d.lacks > 0 && now >= from && out.mayGrant()) {
             recall(f);
         }
     }
@@ -292,7 +297,7 @@
     // ---- Giving ----
 
     private void give(Function f) {
-        while (now >= from && giveOne(f)) {
+        while (now >= from && out.mayGrant() && giveOne(f)) {
             continue;
         }
     }
--- /dev/null
+++ b/src/test/java/gingerspool/controlplane/CoreModel.java
@@ -0,0 +1,261 @@
+package gingerspool.controlplane;
+
+import gingerspool.codec.KryoCodec;
+import gingerspool.codec.MalformedMessageException;
+import gingerspool.codec.MessageTypes;
+import gingerspool.codec.Messages;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.consensus.ConsensusMessage;
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.PersistedState;
+import gingerspool.consensus.Replica;
+import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.ReplicaSettings;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Three control nodes in memory, over the real replica, state and operators' calls: links that are
+ * cut, processes that are killed and started, disks that keep what was synced.
+ */
+final class CoreModel {
+    static final double LEASE = 500;
+    private static final double LINK_MS = 2;
+    private static final double DISK_MS = 3;
+    private static final int CONTROL_PORT = 8248;
+    private static final int SNAPSHOT_FLOOR = 2_000;
+
+    /** What an operator was answered; 0 while there is no answer. */
+    static final class Answer {
+        int status;
+        String body = "";
+        double at;
+    }
+
+    final ModelTurns turns = new ModelTurns();
+    final List<Node> nodes = new ArrayList<>();
+
+    /** Links that carry nothing, as "from>to". */
+    final Set<String> cuts = new HashSet<>();
+
+    private final KryoCodec codec = new KryoCodec(MessageTypes.ALL);
+    private final List<String> seeds = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
+
+    CoreModel(long seed) {
+        for (String ip : seeds) {
+            nodes.add(new Node(ip, seed));
+        }
+        nodes.forEach(Node::start);
+    }
+
+    final class Node implements ReplicaEnvironment {
+        final String ip;
+        ConfigurationState state;
+        Replica replica;
+        OperatorCalls calls;
+        int restored;
+        private final long seed;
+        private PersistedState disk;
+        private int life;
+
+        Node(String ip, long seed) {
+            this.ip = ip;
+            this.seed = seed;
+        }
+
+        void start() {
+            life++;
+            state = new ConfigurationState();
+            List<Member> founders =
+                    disk == null
+                            ? seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList()
+                            : List.of();
+            replica =
+                    new Replica(
+                            new Member(ip, Member.FOUNDER),
+                            disk,
+                            founders,
+                            new ReplicaSettings(
+                                    1,
+                                    LEASE,
+                                    seeds,
+                                    seed + ip.hashCode(),
+                                    SNAPSHOT_FLOOR,
+                                    1 << 16,
+                                    Set.of()),
+                            turns.now(),
+                            this);
+            calls =
+                    new OperatorCalls(
+                            turns, CONTROL_PORT, codec, state, () -> replica, () -> "status");
+            tick(life);
+        }
+
+        void kill() {
+            life++;
+            replica = null;
+        }
+
+        boolean isUp() {
+            return replica != null;
+        }
+
+        boolean leads() {
+            return isUp() && replica.leads(turns.now());
+        }
+
+        private void tick(int of) {
+            if (of == life) {
+                replica.tick(turns.now());
+                turns.after(5, () -> tick(of));
+            }
+        }
+
+        Answer change(boolean whole, long on, String body) {
+            Answer answer = new Answer();
+            byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+            calls.run(new OperatorCall.Change(replyTo(answer), "/v1/x", whole, on, bytes));
+            return answer;
+        }
+
+        Answer read() {
+            Answer answer = new Answer();
+            calls.run(new OperatorCall.Read(replyTo(answer), "/v1/configuration/read"));
+            return answer;
+        }
+
+        private OperatorCall.Reply replyTo(Answer answer) {
+            int of = life;
+            return (status, fields, body) -> {
+                if (of != life) {
+                    return;
+                }
+                if (answer.status != 0) {
+                    throw new IllegalStateException("answered twice");
+                }
+                answer.status = status;
+                answer.body = new String(body, StandardCharsets.UTF_8);
+                answer.at = turns.now();
+            };
+        }
+
+        @Override
+        public void send(Member to, ConsensusMessage message) {
+            Member from = replica.self();
+            turns.after(
+                    LINK_MS,
+                    () -> {
+                        for (Node node : nodes) {
+                            if (node.ip.equals(to.ip())) {
+                                node.receive(ip, from, to, message);
+                            }
+                        }
+                    });
+        }
+
+        private void receive(String sender, Member from, Member to, ConsensusMessage message) {
+            boolean isFor = to.id().isEmpty() || isUp() && to.equals(replica.self());
+            if (isUp() && isFor && !cuts.contains(sender + ">" + ip)) {
+                replica.receive(turns.now(), from, message);
+            }
+        }
+
+        @Override
+        public void persist(LogWrite write) {
+            int of = life;
+            turns.after(
+                    DISK_MS,
+                    () -> {
+                        if (of == life) {
+                            disk = merged(disk, write);
+                            replica.persisted(turns.now(), write.ticket());
+                        }
+                    });
+        }
+
+        @Override
+        public void apply(long index, byte[] command) {
+            try {
+                Messages.ChangeCommand c = (Messages.ChangeCommand) codec.read(command);
+                calls.applied(c.mark(), state.take(c.whole(), c.on(), c.body()));
+            } catch (MalformedMessageException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Override
+        public void restore(long index, byte[] bytes) {
+            restored++;
+            state.restore(bytes);
+        }
+
+        @Override
+        public byte[] snapshotState() {
+            return state.state();
+        }
+    }
+
+    private static PersistedState merged(PersistedState disk, LogWrite w) {
+        List<LogEntry> entries = new ArrayList<>();
+        if (w.snapshot() == null) {
+            long kept = w.from() - disk.snapshot().index() - 1;
+            entries.addAll(disk.entries().subList(0, (int) Math.min(kept, disk.entries().size())));
+        }
+        entries.addAll(w.entries());
+        return new PersistedState(
+                w.self(),
+                w.term(),
+                w.votedFor(),
+                w.snapshot() == null ? disk.snapshot() : w.snapshot(),
+                entries);
+    }
+
+    /** The leader, once there is one among these. */
+    Node awaitLeader(List<Node> among) {
+        for (int i = 0; i < 2_000; i++) {
+            for (Node node : among) {
+                if (node.leads()) {
+                    return node;
+                }
+            }
+            turns.run(5);
+        }
+        throw new IllegalStateException("nobody leads");
+    }
+
+    Node awaitLeader() {
+        return awaitLeader(nodes);
+    }
+
+    List<Node> others(Node node) {
+        return nodes.stream().filter(n -> n != node).toList();
+    }
+
+    void cut(Node node) {
+        for (Node other : others(node)) {
+            cuts.add(node.ip + ">" + other.ip);
+            cuts.add(other.ip + ">" + node.ip);
+        }
+    }
+
+    /** Sends it to whoever leads until the answer is clear. */
+    Answer until(boolean whole, long on, String body) {
+        for (int i = 0; i < 20; i++) {
+            Answer answer = awaitLeader().change(whole, on, body);
+            turns.run(900);
+            if (answer.status != 503 && answer.status != 307) {
+                return answer;
+            }
+        }
+        throw new IllegalStateException("no clear answer");
+    }
+
+    static String whole(long version, String note) {
+        return "{\"Version\":%d,\"Routes\":[],\"Note\":\"%s\"}".formatted(version, note);
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/controlplane/LeaderDutiesTest.java
@@ -0,0 +1,296 @@
+package gingerspool.controlplane;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.codec.Messages;
+import gingerspool.configuration.ConfigurationState;
+import gingerspool.controlplane.CoreModel.Node;
+import gingerspool.settings.Settings;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What the leader's duties do while the lease holds, has lapsed, and once the term is over. */
+public class LeaderDutiesTest {
+    private static final double BEAT = 2 * CoreModel.LEASE;
+    private static final String CONFIGURATION =
+            "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"HostName\":\"h\",\"PathPrefix\":\"/\","
+                    + "\"Service\":\"f\",\"TargetLatencyMs\":100}],\"Services\":[{\"Name\":\"f\","
+                    + "\"MemoryMb\":128,\"BootMs\":200,\"MaxConcurrency\":2}]}";
+
+    private CoreModel core;
+    private final Settings settings = settings();
+    private ModelPlatform platform;
+
+    private static Settings settings() {
+        try {
+            Path file = Files.createTempFile("settings", ".toml");
+            Files.writeString(
+                    file,
+                    """
+                    NodeName = "core-1"
+                    IpAddress = "10.0.0.1"
+                    Zone = "a"
+                    InternalPortRange = [7400,7415]
+                    HeartbeatIntervalMs = 1000
+                    [Zones]
+                    a = "r"
+                    [Cloud]
+                    Address = "10.0.9.9:1"
+                    RatePerS = 50.0
+                    LagMs = 100
+                    DutyPerS = 50.0
+                    """);
+            return Settings.read(file);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A platform that does what it is asked at once, and notes it. */
+    private final class ModelPlatform implements Platform {
+        final List<String> calls = new ArrayList<>();
+        final Set<String> nonces = new HashSet<>();
+        final Map<String, String> instances = new HashMap<>();
+        final Set<String> draining = new HashSet<>();
+
+        @Override
+        public void instances(Consumer<List<Object>> then) {
+            calls.add("list");
+            List<Object> all = new ArrayList<>();
+            instances.forEach(
+                    (id, host) ->
+                            all.add(
+                                    Map.of(
+                                            "Identifier",
+                                            id,
+                                            "Service",
+                                            "f",
+                                            "Address",
+                                            "10.1.0.1:1",
+                                            "Zone",
+                                            "a",
+                                            "Worker",
+                                            host,
+                                            "ConcurrencySlots",
+                                            2,
+                                            "State",
+                                            draining.contains(id) ? "draining" : "ready")));
+            core.turns.after(10, () -> then.accept(all));
+        }
+
+        @Override
+        public void hosts(Consumer<Answer> then) {
+            Map<String, Object> host =
+                    Map.of(
+                            "Name", "w",
+                            "Zone", "a",
+                            "MemoryMb", 1024,
+                            "FreeMemoryMb", 1024,
+                            "State", "ready");
+            Answer answer = new Answer(200, Map.of("Workers", List.of(host)));
+            core.turns.after(10, () -> then.accept(answer));
+        }
+
+        @Override
+        public void start(
+                String holder,
+                long fence,
+                String service,
+                String host,
+                String nonce,
+                Consumer<Answer> then) {
+            calls.add("start");
+            assertTrue(nonces.add(nonce), "the same nonce for another start: " + nonce);
+            String id = "i-" + nonces.size();
+            instances.put(id, host);
+            core.turns.after(
+                    10,
+                    () ->
+                            then.accept(
+                                    new Answer(
+                                            200,
+                                            Map.of("Identifier", id, "Address", "10.1.0.1:1"))));
+        }
+
+        @Override
+        public void stop(String holder, long fence, String instance, Consumer<Answer> then) {
+            calls.add("stop");
+            core.turns.after(10, () -> then.accept(new Answer(200, null)));
+        }
+    }
+
+    /** A scheduler's link, and all that came on it. */
+    private static final class Link implements InternalEndpoint.Link {
+        final List<Object> received = new ArrayList<>();
+
+        @Override
+        public void send(Object message) {
+            received.add(message);
+        }
+
+        int grants() {
+            return (int) received.stream().filter(Messages.SlotGrant.class::isInstance).count();
+        }
+    }
+
+    /** The leader's part of a control node, as ControlNode joins it. */
+    private final class Leading {
+        final Node node;
+        final Leadership leadership;
+        final SchedulerRegistry schedulers;
+        int ended;
+
+        Leading(Node node) {
+            this.node = node;
+            ConfigurationState state = new ConfigurationState();
+            state.take(true, 0, CONFIGURATION.getBytes(StandardCharsets.UTF_8));
+            schedulers = new SchedulerRegistry(core.turns, settings, state);
+            schedulers.configured();
+            leadership =
+                    new Leadership(
+                            node.replica,
+                            term -> {
+                                LeaderDuties duties =
+                                        new LeaderDuties(
+                                                core.turns,
+                                                settings,
+                                                platform,
+                                                term,
+                                                node::leads,
+                                                schedulers::tell,
+                                                schedulers::tellAll);
+                                duties.configured(state.configuration());
+                                schedulers.lead(duties);
+                                return duties;
+                            },
+                            () -> {
+                                ended++;
+                                schedulers.leadNoMore();
+                            });
+            update();
+        }
+
+        private void update() {
+            leadership.update(core.turns.now());
+            core.turns.after(5, this::update);
+        }
+    }
+
+    private static Messages.Register register(Map<String, Integer> held) {
+        return new Messages.Register("s", "a", 0, held);
+    }
+
+    private static Messages.SlotDemand demand(int lacks, long granted) {
+        return new Messages.SlotDemand("f", lacks, granted, lacks, lacks, 50);
+    }
+
+    private Leading leading;
+    private Link link;
+
+    @BeforeMethod
+    public void lead() {
+        core = new CoreModel(3);
+        platform = new ModelPlatform();
+        leading = new Leading(core.awaitLeader());
+        core.turns.run(BEAT / 2);
+        link = new Link();
+        leading.schedulers.register(link, register(Map.of()), 1);
+        leading.schedulers.received(link, demand(1, 0));
+        core.turns.run(BEAT);
+        assertTrue(link.grants() >= 1, "nothing was granted under the lease");
+    }
+
+    @Test
+    public void withoutTheLeaseNothingIsGrantedRecalledStartedOrListed() {
+        core.cut(leading.node);
+        while (leading.node.leads()) {
+            core.turns.run(5);
+        }
+        platform.calls.clear();
+        link.received.clear();
+        for (int i = 0; i < 40; i++) {
+            leading.schedulers.received(link, demand(5, 0));
+            leading.schedulers.received(link, new Messages.SlotReturn("i-1", 1, 0));
+            core.turns.run(100);
+        }
+        assertEquals(link.grants(), 0);
+        assertTrue(link.received.stream().noneMatch(Messages.SlotRecall.class::isInstance));
+        assertEquals(platform.calls, List.of());
+        assertEquals(leading.ended, 1, "it steps down, and the duties end once");
+        assertEquals(leading.schedulers.size(), 0);
+    }
+
+    /** A lease that lapses and is renewed in its term goes on with the same duties. */
+    @Test
+    public void aLeaseThatLapsesForAMomentEndsNothing() {
+        long term = leading.node.replica.term();
+        core.cut(leading.node);
+        while (leading.node.leads()) {
+            core.turns.run(5);
+        }
+        core.cuts.clear();
+        core.turns.run(CoreModel.LEASE);
+        assertTrue(leading.node.leads());
+        assertEquals(leading.node.replica.term(), term);
+        assertEquals(leading.ended, 0);
+        int before = link.grants();
+        leading.schedulers.received(link, demand(1, before));
+        core.turns.run(BEAT);
+        assertTrue(link.grants() > before);
+    }
+
+    /** What still comes on an earlier link was told before the scheduler registered anew. */
+    @Test
+    public void messagesOfAnEarlierLinkCountForNothing() {
+        String held =
+                link.received.stream()
+                        .filter(Messages.SlotGrant.class::isInstance)
+                        .map(m -> ((Messages.SlotGrant) m).instance())
+                        .findFirst()
+                        .orElseThrow();
+        Link next = new Link();
+        leading.schedulers.register(next, register(Map.of(held, 2)), 1);
+        leading.schedulers.received(link, new Messages.SlotReturn(held, 2, 0));
+        leading.schedulers.closed(link);
+        assertEquals(leading.leadership.duties().keeper.instance(held).inHands(), 2);
+        assertEquals(leading.schedulers.size(), 1);
+    }
+
+    /** It holds slots of what a new leader saw leave before this scheduler came to it. */
+    @Test
+    public void whoeverRegistersIsToldWhatLeaves() {
+        Node old = leading.node;
+        core.cut(old);
+        platform.draining.addAll(platform.instances.keySet());
+        Set<String> leaving = Set.copyOf(platform.draining);
+        Leading next = new Leading(core.awaitLeader(core.others(old)));
+        core.turns.run(2 * BEAT);
+        Link moved = new Link();
+        Map<String, Integer> held = new HashMap<>();
+        leaving.forEach(id -> held.put(id, 1));
+        next.schedulers.register(moved, register(held), 2);
+        next.schedulers.received(moved, demand(2, 0));
+        core.turns.run(2 * BEAT);
+        Set<String> told = new HashSet<>();
+        for (Object message : moved.received) {
+            if (message instanceof Messages.InstanceWithdrawal w) {
+                told.addAll(w.instances());
+            } else if (message instanceof Messages.SlotGrant g) {
+                assertFalse(leaving.contains(g.instance()), "a leaving instance was granted");
+            }
+        }
+        assertEquals(told, leaving);
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/controlplane/ModelTurns.java
@@ -0,0 +1,57 @@
+package gingerspool.controlplane;
+
+import gingerspool.wire.Turns;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+
+/** A loop whose time passes only as a test says. */
+final class ModelTurns implements Turns {
+    private record Timer(double at, long serial, Runnable what, CompletableFuture<Void> end)
+            implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Double.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(serial, other.serial);
+        }
+    }
+
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private double now = 1_000;
+    private long serial;
+
+    @Override
+    public void turn(Runnable what) {
+        after(0, what);
+    }
+
+    @Override
+    public Future<?> after(double span, Runnable what) {
+        CompletableFuture<Void> end = new CompletableFuture<>();
+        timers.add(new Timer(now + Math.max(0, span), ++serial, what, end));
+        return end;
+    }
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public AsynchronousChannelGroup group() {
+        throw new UnsupportedOperationException("no sockets in a model");
+    }
+
+    void run(double span) {
+        double until = now + span;
+        while (!timers.isEmpty() && timers.peek().at <= until) {
+            Timer next = timers.poll();
+            now = Math.max(now, next.at);
+            if (!next.end.isDone()) {
+                next.what.run();
+            }
+        }
+        now = until;
+    }
+}
--- a/src/test/java/gingerspool/controlplane/PlatformCallsTest.java
+++ b/src/test/java/gingerspool/controlplane/PlatformCallsTest.java
@@ -85,7 +85,7 @@
         return end.get(5, TimeUnit.SECONDS);
     }
 
-    private PlatformClient.Answer start() throws Exception {
+    private Platform.Answer start() throws Exception {
         return call(then -> platform.start("core-1", 3, "f", "h1", "n1", then));
     }
 
@@ -109,7 +109,7 @@
         answers.add(answer);
         assertEquals(start().status(), status);
         answers.add(GOOD);
-        PlatformClient.Answer next = start();
+        Platform.Answer next = start();
         assertEquals(next.status(), 200);
         assertEquals(Tree.text("", next.tree(), "Identifier"), "i-1234");
     }
