A control process starts while its disk is full, and tells a lost log from an empty disk

A log that couldn't be read was taken for an empty disk.

Now the log's thread reads the disk, with retries; nothing is written for it, what was found is made durable by a sync of its file and folder before it counts (it may come from a process killed before its sync). Operators are answered 503 until then. The first write is a new file, tried until there is room; failed attempts are removed. A removal is synced before a rewrite counts as done, so an older file that is still there holds all that was confirmed. A log with no readable file is never a first start: the member joins anew under another id (log.lost). A newer format ends the process with code 1 and a clear error, files untouched. An I/O error while reading is tried again.

--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -4,10 +4,10 @@
 import gingerspool.dataplane.SchedulerNode;
 import gingerspool.settings.Settings;
 import gingerspool.settings.SettingsException;
-import gingerspool.storage.StorageException;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import sun.misc.Signal;
@@ -17,18 +17,28 @@
  * 2 settings.
  */
 public final class NodeProgram {
+    private static final int DONE = 0;
+    private static final int CAN_NOT_RUN = 1;
+    private static final int WRONG_SETTINGS = 2;
+
     private NodeProgram() {}
 
     public static int run(String program, Map<String, String> environment) {
         Logger log = LogManager.getLogger(NodeProgram.class);
         CountDownLatch ended = new CountDownLatch(1);
+        AtomicInteger code = new AtomicInteger(DONE);
         try {
             Settings settings = Settings.read(environment);
             if (program.equals("control")) {
                 ControlNode b = new ControlNode(settings);
                 Signal.handle(new Signal("TERM"), s -> b.stop(ended::countDown));
                 Signal.handle(new Signal("HUP"), s -> {});
-                b.begin();
+                b.begin(
+                        why -> {
+                            log.error("start.failed why=\"{}\"", why.getMessage());
+                            code.set(CAN_NOT_RUN);
+                            ended.countDown();
+                        });
             } else {
                 SchedulerNode a = new SchedulerNode(settings);
                 Signal.handle(new Signal("TERM"), s -> a.stop(ended::countDown));
@@ -36,15 +46,15 @@
                 a.begin();
             }
             ended.await();
-            return 0;
+            return code.get();
         } catch (SettingsException e) {
             log.error("settings.fault why=\"{}\"", e.getMessage());
-            return 2;
-        } catch (IOException | StorageException e) {
+            return WRONG_SETTINGS;
+        } catch (IOException e) {
             log.error("start.failed why=\"{}\"", e.getMessage());
-            return 1;
+            return CAN_NOT_RUN;
         } catch (InterruptedException e) {
-            return 1;
+            return CAN_NOT_RUN;
         }
     }
 
--- a/src/main/java/gingerspool/cli/Platforms.java
+++ b/src/main/java/gingerspool/cli/Platforms.java
@@ -7,7 +7,6 @@
 import gingerspool.settings.Settings;
 import gingerspool.settings.SettingsException;
 import gingerspool.standin.Cloud;
-import gingerspool.storage.StorageException;
 import gingerspool.wire.Address;
 import java.io.IOException;
 import java.net.URI;
@@ -175,7 +174,7 @@
         private final List<SchedulerNode> front = new ArrayList<>();
 
         /** Starts all of it; what it keeps on disk goes under the folder. */
-        public Running(Path folder) throws IOException, SettingsException, StorageException {
+        public Running(Path folder) throws IOException, SettingsException {
             this.folder = folder;
             cloud = new Cloud(loop, "127.0.7.1", Map.of("h1", "a", "h2", "b"), 200, 20, 100, 2);
             for (int i = 1; i <= CORES; i++) {
@@ -184,7 +183,12 @@
             for (int i = 1; i <= FRONTS; i++) {
                 front.add(new SchedulerNode(settings("front-" + i, "127.0.6." + i)));
             }
-            core.forEach(ControlNode::begin);
+            core.forEach(
+                    node ->
+                            node.begin(
+                                    why -> {
+                                        throw new IllegalStateException(why);
+                                    }));
             front.forEach(SchedulerNode::begin);
         }
 
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -18,6 +18,7 @@
 import gingerspool.settings.Settings;
 import gingerspool.storage.DurableLog;
 import gingerspool.storage.LogWriter;
+import gingerspool.storage.RecoveredLog;
 import gingerspool.storage.StorageException;
 import gingerspool.wire.Address;
 import gingerspool.wire.Frames;
@@ -34,6 +35,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -42,7 +44,8 @@
  * door and the duty. Everything happens on one loop; only the ledger has a thread besides. Decides
  * nothing itself.
  */
-public final class ControlNode implements ReplicaEnvironment, Frames.Owner, Listener.Owner {
+public final class ControlNode
+        implements ReplicaEnvironment, Frames.Owner, Listener.Owner, LogWriter.Owner {
     private static final Logger LOG = LogManager.getLogger(ControlNode.class);
     private static final int LINKS_MOST = 1024;
 
@@ -72,8 +75,12 @@
     final Loop loop;
     private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
     final ConfigurationState configurationState = new ConfigurationState();
-    private final Replica replica;
+
+    /** Null until the disk was read. */
+    private Replica replica;
+
     private final LogWriter writer;
+    private Consumer<StorageException> whenUnusable = why -> {};
     private final OperatorEndpoint door;
     private final Listener listener;
 
@@ -143,12 +150,19 @@
 
     private record Waiter(OperatorCall.Change call) {}
 
-    public ControlNode(Settings settings) throws IOException, StorageException {
+    public ControlNode(Settings settings) throws IOException {
         this.settings = settings;
         loop = new Loop();
-        DurableLog ledger = new DurableLog(settings.data, settings.diskMb);
-        PersistedState disk = ledger.open();
-        boolean founds = disk == null && settings.firstStart;
+        writer = new LogWriter(new DurableLog(settings.data, settings.diskMb), loop::enter, this);
+        door = new OperatorEndpoint(loop, settings.control, this::run);
+        listener = new Listener(loop, new InetSocketAddress(settings.ip, settings.innerPort), this);
+    }
+
+    /** Only an empty disk may be that of a first start; one that can't be read has lost votes. */
+    @Override
+    public void recovered(RecoveredLog found) {
+        PersistedState disk = found.state();
+        boolean founds = found.isEmpty() && settings.firstStart;
         List<Member> founders =
                 founds
                         ? settings.seeds.stream()
@@ -159,9 +173,13 @@
                                                         Member.FOUNDER))
                                 .toList()
                         : List.of();
+        if (found.isLost()) {
+            LOG.error(
+                    "log.lost why=\"no file of the log can be read: this member joins anew under"
+                            + " another id\"");
+        }
         // Never the same twice, whatever was on a disk before: so not from a seed.
         String mark = founds ? Member.FOUNDER : UUID.randomUUID().toString();
-        writer = new LogWriter(ledger, loop::enter, this::onSaved, this::whole);
         replica =
                 new Replica(
                         new Member(settings.ip, mark),
@@ -172,35 +190,55 @@
                         settings.name.hashCode(),
                         loop.now(),
                         this);
-        door = new OperatorEndpoint(loop, settings.control, this::run);
-        listener = new Listener(loop, new InetSocketAddress(settings.ip, settings.innerPort), this);
         LOG.info(
                 "start member={} members={} term={} version={}",
                 replica.self(),
                 replica.members(),
                 replica.term(),
                 configurationState.version());
+        listener.acceptOn();
+        after();
+        look();
+        standings();
     }
 
-    public void begin() {
+    /** Answers operators at once, with 503 until the disk was read; takes part from then on. */
+    public void begin(Consumer<StorageException> whenUnusable) {
+        this.whenUnusable = whenUnusable;
         writer.start();
         loop.enter(
                 () -> {
                     door.begin();
-                    listener.acceptOn();
-                    after();
-                    look();
-                    standings();
                     summary();
                 });
     }
 
+    @Override
+    public void unusable(StorageException why) {
+        whenUnusable.accept(why);
+    }
+
+    /** Whether the disk was read, so that this process is a member. */
+    boolean isRecovered() {
+        return replica != null;
+    }
+
+    boolean isLeading() {
+        return replica != null && replica.leads(loop.now());
+    }
+
+    boolean isLearner() {
+        return replica != null && replica.isLearner();
+    }
+
     /** Leaves in order: the duty goes to another at once. */
     public void stop(Runnable then) {
         loop.enter(
                 () -> {
-                    replica.leave(loop.now());
-                    after();
+                    if (replica != null) {
+                        replica.leave(loop.now());
+                        after();
+                    }
                     door.end();
                     loop.after(
                             settings.beat / 8,
@@ -396,6 +434,11 @@
     }
 
     private void summary() {
+        loop.after(SUMMARY, this::summary);
+        if (replica == null) {
+            LOG.info("summary member=none disk_failing={}", writer.isFailing());
+            return;
+        }
         LOG.info(
                 "summary member={} term={} leads={} delivered={} version={} fronts={} reads={} changes={}"
                         + " refused={} disk_failing={} ranges_differed={} undecided={}",
@@ -414,7 +457,6 @@
         if (duty != null) {
             duty.log();
         }
-        loop.after(SUMMARY, this::summary);
     }
 
     // ---- The order's outlet ----
@@ -436,12 +478,14 @@
         writer.save(change);
     }
 
-    private void onSaved(long ticket) {
+    @Override
+    public void persisted(long ticket) {
         replica.persisted(loop.now(), ticket);
         after();
     }
 
-    private LogWrite whole() {
+    @Override
+    public LogWrite fullState() {
         return replica.fullState();
     }
 
@@ -484,6 +528,8 @@
         double now = loop.now();
         if (call instanceof OperatorCall.Bad b) {
             answer(b, b.status(), b.text());
+        } else if (replica == null) {
+            answer(call, 503, "the disk has not been read yet");
         } else if (call instanceof OperatorCall.Status) {
             call.from().answer(200, List.of("Content-Type: text/plain"), status());
         } else if (!replica.leads(now)) {
--- a/src/main/java/gingerspool/storage/DurableLog.java
+++ b/src/main/java/gingerspool/storage/DurableLog.java
@@ -7,32 +7,33 @@
 import gingerspool.consensus.Member;
 import gingerspool.consensus.PersistedState;
 import gingerspool.consensus.Snapshot;
+import java.io.EOFException;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
-import java.util.stream.Stream;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
 
 /**
- * The member's store on disk: one MVStore file, `ledger-N.mv`, of which the highest N that can be
- * read counts. Map `entries`: place to entry. Map `meta`: `form`, `promise` (member, view, granted)
- * and `base`. A change is one commit, synced. Space in a file is never used again, so what was
- * synced stays whatever a cut tears; once a file has grown, the whole content goes to the next one,
- * which is synced before the older is removed. Blocks; for one thread.
+ * The member's durable log: one MVStore file, `ledger-N.mv`, of which the highest N that can be
+ * read counts. Map `entries`: log index to entry. Map `meta`: `form`, `promise` (member, term,
+ * vote) and `base` (the snapshot). A change is one commit, synced. Space in a file is never used
+ * again, so what was synced stays whatever a loss of power tears. Once a file has grown, the whole
+ * content goes to the next one, which is synced; then the older ones are removed, and their removal
+ * is synced before the rewrite counts as done. So an older file that is still there holds all that
+ * was confirmed, and may take the place of a newer one that can't be read. Blocks; for one thread.
  */
 public final class DurableLog implements AutoCloseable {
-    /** The form of what is written here; another is not read. */
-    static final int FORM = 1;
+    private static final Logger LOG = LogManager.getLogger(DurableLog.class);
 
-    private static final String PREFIX = "ledger-";
-    private static final String SUFFIX = ".mv";
+    /** The format of what is written here. */
+    static final int FORM = 1;
 
     /** A file that is larger than this part of the disk is replaced. */
     private static final double FULL = 0.2;
@@ -42,13 +43,13 @@
     /** What stands under `promise`. */
     public record Vote(Member self, long term, Member votedFor) {}
 
-    private final Path folder;
+    private final LogFolder folder;
 
     /** What comes before a file's name for H2's file layer: "" for the disk itself. */
     private final String scheme;
 
     private final long fileMost;
-    private final KryoCodec coder =
+    private final KryoCodec codec =
             new KryoCodec(List.of(Vote.class, Member.class, LogEntry.class, Snapshot.class));
     private MVStore store;
     private MVMap<Long, byte[]> entries;
@@ -56,101 +57,104 @@
     private long number;
 
     public DurableLog(Path folder, double diskMb) {
-        this(folder, diskMb, "");
+        this(new LogFolder(folder), diskMb, "");
     }
 
-    DurableLog(Path folder, double diskMb, String scheme) {
+    DurableLog(LogFolder folder, double diskMb, String scheme) {
         this.folder = folder;
         this.scheme = scheme;
         fileMost = (long) Math.max(MB, diskMb * MB * FULL);
     }
 
     /**
-     * Opens the newest content, or begins with none; null where there is none, or none that can be
-     * read.
+     * Finds the newest whole content and makes it durable as it stands, since the process that
+     * wrote it may have ended before its sync. Writes nothing, so that it works on a full disk;
+     * rewrite() must come before the first save(), as nothing is written behind torn bytes.
      */
-    public PersistedState open() throws StorageException {
+    public RecoveredLog open() throws StorageException {
+        close();
         try {
-            Files.createDirectories(folder);
-            TreeMap<Long, Path> files = files();
-            number = files.isEmpty() ? 0 : files.lastKey();
-            for (Path file : files.descendingMap().values()) {
-                PersistedState found = read(file);
-                if (found != null) {
-                    // What was found goes on in a file of its own: nothing is written behind torn
-                    // bytes.
-                    rewrite(whole(found));
-                    return found;
-                }
-            }
-            begin();
-            return null;
-        } catch (IOException | MVStoreException e) {
-            throw new StorageException("can't open the ledger in " + folder, e);
-        }
-    }
-
-    private static LogWrite whole(PersistedState found) {
-        return new LogWrite(
-                0,
-                found.self(),
-                found.term(),
-                found.votedFor(),
-                found.snapshot().index() + 1,
-                found.entries(),
-                found.snapshot());
-    }
-
-    private TreeMap<Long, Path> files() throws IOException {
-        TreeMap<Long, Path> files = new TreeMap<>();
-        try (Stream<Path> all = Files.list(folder)) {
-            for (Path p : all.toList()) {
-                String n = p.getFileName().toString();
-                if (n.startsWith(PREFIX) && n.endsWith(SUFFIX)) {
-                    String digits = n.substring(PREFIX.length(), n.length() - SUFFIX.length());
-                    if (digits.matches("[0-9]{1,15}")) {
-                        files.put(Long.parseLong(digits), p);
+            folder.create();
+            List<String> unreadable = new ArrayList<>();
+            for (Map.Entry<Long, Path> file : folder.files().descendingMap().entrySet()) {
+                number = Math.max(number, file.getKey());
+                // A file that was made and never written holds nothing that was confirmed.
+                if (Files.size(file.getValue()) > 0) {
+                    try {
+                        PersistedState found = read(file.getValue());
+                        folder.syncFile(file.getValue());
+                        folder.sync();
+                        return new RecoveredLog(found, unreadable);
+                    } catch (UnreadableLogException e) {
+                        unreadable.add(file.getValue().getFileName() + ": " + e.getMessage());
                     }
                 }
             }
+            return new RecoveredLog(null, unreadable);
+        } catch (IOException e) {
+            throw new StorageException("can't open the log in " + folder, e);
         }
-        return files;
     }
 
-    /** Null where the file holds no whole content. */
-    private PersistedState read(Path file) {
+    private PersistedState read(Path file)
+            throws IOException, UnreadableLogException, StorageException {
         try (MVStore from = new MVStore.Builder().fileName(scheme + file).readOnly().open()) {
-            MVMap<String, byte[]> m = from.openMap("meta");
-            byte[] form = m.get("form");
-            if (form == null || form.length != 1 || form[0] != FORM) {
-                return null;
-            }
-            if (!(coder.read(m.get("promise")) instanceof Vote p
-                    && coder.read(m.get("base")) instanceof Snapshot snapshot)) {
-                return null;
+            MVMap<String, byte[]> header = from.openMap("meta");
+            checkFormat(file, header.get("form"));
+            if (!(codec.read(header.get("promise")) instanceof Vote vote
+                    && codec.read(header.get("base")) instanceof Snapshot snapshot)) {
+                throw new UnreadableLogException("no vote or no snapshot");
             }
-            List<LogEntry> all = new ArrayList<>();
-            MVMap<Long, byte[]> places = from.openMap("entries");
-            for (byte[] e; (e = places.get(snapshot.index() + 1 + all.size())) != null; ) {
-                all.add((LogEntry) coder.read(e));
+            List<LogEntry> all = entries(from.openMap("entries"), snapshot.index());
+            return new PersistedState(vote.self(), vote.term(), vote.votedFor(), snapshot, all);
+        } catch (MVStoreException e) {
+            // A disk in trouble says nothing of the file; one that ends too early does.
+            if (e.getCause() instanceof IOException io && !(io instanceof EOFException)) {
+                throw io;
             }
-            return new PersistedState(p.self(), p.term(), p.votedFor(), snapshot, all);
-        } catch (MVStoreException
-                | MalformedMessageException
+            throw new UnreadableLogException(e.getMessage());
+        } catch (MalformedMessageException
                 | ClassCastException
-                | NullPointerException e) {
-            return null;
+                | NullPointerException
+                | UnsupportedOperationException e) {
+            throw new UnreadableLogException(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static void checkFormat(Path file, byte[] form)
+            throws UnreadableLogException, UnsupportedFormatException {
+        if (form == null || form.length != 1) {
+            throw new UnreadableLogException("no format");
+        }
+        if (form[0] > FORM) {
+            throw new UnsupportedFormatException(file, form[0], FORM);
+        }
+        if (form[0] < FORM) {
+            throw new UnreadableLogException("format " + form[0]);
+        }
+    }
+
+    private List<LogEntry> entries(MVMap<Long, byte[]> from, long snapshotIndex)
+            throws MalformedMessageException, UnreadableLogException {
+        List<LogEntry> all = new ArrayList<>();
+        for (byte[] e; (e = from.get(snapshotIndex + 1 + all.size())) != null; ) {
+            all.add((LogEntry) codec.read(e));
+        }
+        Long last = from.lastKey();
+        if (last != null && last > snapshotIndex + all.size()) {
+            throw new UnreadableLogException(
+                    "entry " + (snapshotIndex + 1 + all.size()) + " is missing, " + last + " not");
         }
+        return all;
     }
 
-    private void begin() throws IOException {
+    /** The next file, empty. */
+    private void create() {
         close();
         number++;
-        Path file = folder.resolve(PREFIX + number + SUFFIX);
-        Files.deleteIfExists(file);
         store =
                 new MVStore.Builder()
-                        .fileName(scheme + file)
+                        .fileName(scheme + folder.file(number))
                         .autoCommitDisabled()
                         .cacheSize(1)
                         .open();
@@ -166,12 +170,15 @@
     public void save(List<LogWrite> changes) throws StorageException {
         try {
             if (store == null || store.isClosed()) {
-                throw new IOException("the ledger is closed");
+                throw new IOException("the log is closed");
             }
             changes.forEach(this::put);
             store.commit();
             store.sync();
         } catch (IOException | MVStoreException | IllegalStateException e) {
+            // Guards against a sync that failed once and then says that all is well: this file is
+            // never written again.
+            close();
             throw new StorageException("can't write to " + folder, e);
         }
     }
@@ -181,42 +188,61 @@
         return store != null && !store.isClosed() && store.getFileStore().size() > fileMost;
     }
 
-    /** Writes all content to a new file; older ones go once it is on disk. */
+    /** Writes all content to a new file; older ones are gone for good when this returns. */
     public void rewrite(LogWrite whole) throws StorageException {
+        boolean isWhole = false;
         try {
-            begin();
-            meta.put("form", new byte[] {FORM});
+            create();
             put(whole);
             store.commit();
             store.sync();
-            syncFolder();
-            for (var f : files().headMap(number).values()) {
-                Files.deleteIfExists(f);
-            }
+            folder.sync();
+            isWhole = true;
+            removeOlder();
         } catch (IOException | MVStoreException | IllegalStateException e) {
+            abandon(isWhole);
             throw new StorageException("can't write to " + folder, e);
         }
     }
 
+    private void removeOlder() throws IOException {
+        var older = folder.files().headMap(number).values();
+        for (Path file : older) {
+            folder.delete(file);
+        }
+        if (!older.isEmpty()) {
+            folder.sync();
+        }
+    }
+
+    /**
+     * Guards a full disk against what failed attempts leave. A file that is whole stays: of the
+     * older ones some may be gone already.
+     */
+    private void abandon(boolean isWhole) {
+        close();
+        try {
+            if (!isWhole) {
+                folder.delete(folder.file(number));
+            }
+        } catch (IOException e) {
+            LOG.warn("log.not_removed file={} why=\"{}\"", folder.file(number), e.getMessage());
+        }
+    }
+
     private void put(LogWrite c) {
         meta.put("form", new byte[] {FORM});
-        meta.put("promise", coder.write(new Vote(c.self(), c.term(), c.votedFor())));
+        meta.put("promise", codec.write(new Vote(c.self(), c.term(), c.votedFor())));
         if (c.snapshot() != null) {
-            meta.put("base", coder.write(c.snapshot()));
+            meta.put("base", codec.write(c.snapshot()));
             entries.clear();
         }
         Long last = entries.lastKey();
-        for (long place = c.from(); last != null && place <= last; place++) {
-            entries.remove(place);
+        for (long index = c.from(); last != null && index <= last; index++) {
+            entries.remove(index);
         }
         for (int i = 0; i < c.entries().size(); i++) {
-            entries.put(c.from() + i, coder.write(c.entries().get(i)));
-        }
-    }
-
-    private void syncFolder() throws IOException {
-        try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
-            dir.force(true);
+            entries.put(c.from() + i, codec.write(c.entries().get(i)));
         }
     }
 
--- /dev/null
+++ b/src/main/java/gingerspool/storage/LogFolder.java
@@ -0,0 +1,73 @@
+package gingerspool.storage;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * The folder of the log's files, `ledger-N.mv`: what names stand there, and when that is durable.
+ */
+class LogFolder {
+    private static final String PREFIX = "ledger-";
+    private static final String SUFFIX = ".mv";
+    private static final String NUMBER = "[0-9]{1,15}";
+
+    private final Path path;
+
+    LogFolder(Path path) {
+        this.path = path;
+    }
+
+    void create() throws IOException {
+        Files.createDirectories(path);
+    }
+
+    Path file(long number) {
+        return path.resolve(PREFIX + number + SUFFIX);
+    }
+
+    /** The log's files by number. */
+    TreeMap<Long, Path> files() throws IOException {
+        TreeMap<Long, Path> files = new TreeMap<>();
+        try (Stream<Path> all = Files.list(path)) {
+            for (Path file : all.toList()) {
+                String name = file.getFileName().toString();
+                if (name.startsWith(PREFIX) && name.endsWith(SUFFIX)) {
+                    String number =
+                            name.substring(PREFIX.length(), name.length() - SUFFIX.length());
+                    if (number.matches(NUMBER)) {
+                        files.put(Long.parseLong(number), file);
+                    }
+                }
+            }
+        }
+        return files;
+    }
+
+    void delete(Path file) throws IOException {
+        Files.deleteIfExists(file);
+    }
+
+    /** Makes a file's content durable, whoever wrote it. */
+    void syncFile(Path file) throws IOException {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            channel.force(true);
+        }
+    }
+
+    /** Makes names that were made or removed durable. */
+    void sync() throws IOException {
+        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return path.toString();
+    }
+}
--- a/src/main/java/gingerspool/storage/LogWriter.java
+++ b/src/main/java/gingerspool/storage/LogWriter.java
@@ -3,6 +3,7 @@
 import dev.failsafe.Failsafe;
 import dev.failsafe.FailsafeException;
 import dev.failsafe.RetryPolicy;
+import dev.failsafe.function.CheckedRunnable;
 import gingerspool.consensus.LogWrite;
 import java.time.Duration;
 import java.util.List;
@@ -10,15 +11,13 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.LongConsumer;
-import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * The ledger's own thread: takes changes from the loop and writes them one after the other,
- * whatever the disk does. When the disk fails it asks for the whole content and tries to write
- * that, until it can.
+ * The durable log's own thread: reads what the disk holds, then takes changes from the loop and
+ * writes them one after the other, whatever the disk does. At the start, and when the disk has
+ * failed, it asks for the whole content and tries to write that, until it can.
  */
 public final class LogWriter {
     private static final Logger LOG = LogManager.getLogger(LogWriter.class);
@@ -26,35 +25,47 @@
     /** How long it waits after the disk has failed. */
     private static final Duration PAUSE = Duration.ofMillis(100);
 
-    private final DurableLog ledger;
+    /** Who the log is kept for; all calls come on the loop. */
+    public interface Owner {
+        /** What the disk held; from now on changes may be saved. */
+        void recovered(RecoveredLog found);
+
+        /** The log can't be used by this version; the thread has ended. */
+        void unusable(StorageException why);
+
+        /** The changes up to this ticket are durable. */
+        void persisted(long ticket);
+
+        /** All content, under a ticket of its own. */
+        LogWrite fullState();
+    }
+
+    private final DurableLog log;
     private final Executor loop;
-    private final LongConsumer saved;
-    private final Supplier<LogWrite> whole;
+    private final Owner owner;
     private final WriteQueue backlog = new WriteQueue();
-    private final Thread thread = new Thread(this::run, "ledger");
+    private final Thread thread = new Thread(this::run, "log");
     private volatile boolean ended;
     private volatile boolean failing;
 
-    /**
-     * A disk that fails is tried for as long as it takes: what it holds is unknown until all is
-     * written.
-     */
-    private final RetryPolicy<Object> untilWritten =
+    /** What the newest file holds is unknown, or there may be torn bytes behind it. */
+    private boolean mustRewrite = true;
+
+    /** A disk that fails is tried for as long as it takes. */
+    private final RetryPolicy<Object> untilDone =
             RetryPolicy.builder()
                     .handle(StorageException.class)
+                    .abortOn(UnsupportedFormatException.class)
                     .withMaxRetries(-1)
                     .withDelay(PAUSE)
                     .abortIf((done, why) -> ended)
                     .onFailedAttempt(e -> failed(e.getLastException()))
                     .build();
 
-    /** What is saved, and the demand for the whole content, come as turns of the loop. */
-    public LogWriter(
-            DurableLog ledger, Executor loop, LongConsumer saved, Supplier<LogWrite> whole) {
-        this.ledger = ledger;
+    public LogWriter(DurableLog log, Executor loop, Owner owner) {
+        this.log = log;
         this.loop = loop;
-        this.saved = saved;
-        this.whole = whole;
+        this.owner = owner;
         thread.setDaemon(true);
     }
 
@@ -68,7 +79,7 @@
         LockSupport.unpark(thread);
     }
 
-    /** Whether the last attempt to write failed. */
+    /** Whether the last attempt to read or write failed. */
     public boolean isFailing() {
         return failing;
     }
@@ -79,23 +90,45 @@
     }
 
     private void run() {
-        while (!ended) {
-            if (backlog.isEmpty() && !ledger.isFull()) {
-                LockSupport.park(this);
-            } else {
-                try {
-                    Failsafe.with(untilWritten).run(this::work);
-                } catch (FailsafeException e) {
-                    // Only where it ends: whatever could not be written was promised to nobody.
-                    LOG.warn("ledger.ends_failing why=\"{}\"", e.getCause().getMessage());
+        if (tried(this::recover)) {
+            while (!ended) {
+                if (backlog.isEmpty() && !log.isFull() && !mustRewrite) {
+                    LockSupport.park(this);
+                } else {
+                    tried(this::work);
                 }
             }
         }
-        ledger.close();
+        log.close();
+    }
+
+    /** False where it ended first, or the log can't be used. */
+    private boolean tried(CheckedRunnable what) {
+        try {
+            Failsafe.with(untilDone).run(what);
+            return true;
+        } catch (FailsafeException e) {
+            if (e.getCause() instanceof UnsupportedFormatException why) {
+                loop.execute(() -> owner.unusable(why));
+            } else {
+                // Whatever could not be written was confirmed to nobody.
+                LOG.warn("log.ends_failing why=\"{}\"", e.getCause().getMessage());
+            }
+            return false;
+        }
+    }
+
+    private void recover() throws StorageException {
+        RecoveredLog found = log.open();
+        for (String file : found.unreadable()) {
+            LOG.warn("log.unreadable file=\"{}\" older_used={}", file, found.state() != null);
+        }
+        worksAgain();
+        loop.execute(() -> owner.recovered(found));
     }
 
     private void work() throws StorageException {
-        if (failing || ledger.isFull()) {
+        if (mustRewrite || log.isFull()) {
             rewrite();
         } else {
             write(backlog.takeBeyond(0));
@@ -104,14 +137,22 @@
 
     private void failed(Throwable why) {
         if (!failing) {
-            LOG.warn("ledger.failing why=\"{}\"", why.getMessage());
+            LOG.warn("log.failing why=\"{}\"", why.getMessage());
         }
         failing = true;
+        mustRewrite = true;
+    }
+
+    private void worksAgain() {
+        if (failing) {
+            LOG.info("log.works_again");
+        }
+        failing = false;
     }
 
     private void write(List<LogWrite> changes) throws StorageException {
         if (!changes.isEmpty()) {
-            ledger.save(changes);
+            log.save(changes);
             done(changes.get(changes.size() - 1).ticket());
         }
     }
@@ -119,7 +160,7 @@
     /** The newest content holds whatever waits, up to its ticket. */
     private void rewrite() throws StorageException {
         CompletableFuture<LogWrite> content = new CompletableFuture<>();
-        loop.execute(() -> content.complete(whole.get()));
+        loop.execute(() -> content.complete(owner.fullState()));
         LogWrite all;
         try {
             all = content.get();
@@ -127,16 +168,14 @@
             throw new StorageException("no content to write", e);
         }
         List<LogWrite> later = backlog.takeBeyond(all.ticket());
-        ledger.rewrite(all);
-        if (failing) {
-            LOG.info("ledger.writing_again");
-        }
-        failing = false;
+        log.rewrite(all);
+        worksAgain();
+        mustRewrite = false;
         done(all.ticket());
         write(later);
     }
 
     private void done(long ticket) {
-        loop.execute(() -> saved.accept(ticket));
+        loop.execute(() -> owner.persisted(ticket));
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/storage/UnsupportedFormatException.java
@@ -0,0 +1,21 @@
+package gingerspool.storage;
+
+import java.nio.file.Path;
+
+/**
+ * The log was written by a newer version of this program, in a format that this one doesn't know.
+ * It is left as it is: to go on without it would forget votes and acknowledged changes.
+ */
+public final class UnsupportedFormatException extends StorageException {
+    private static final long serialVersionUID = 1L;
+
+    UnsupportedFormatException(Path file, int format, int known) {
+        super(
+                file
+                        + " has format "
+                        + format
+                        + ", this version knows formats up to "
+                        + known
+                        + "; start a newer version, or empty the folder to join anew");
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/storage/LogWriterTest.java
@@ -0,0 +1,155 @@
+package gingerspool.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.consensus.LogEntry;
+import gingerspool.consensus.LogWrite;
+import gingerspool.consensus.Member;
+import gingerspool.consensus.Snapshot;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.h2.mvstore.MVStore;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The log's thread on a disk that is in trouble as it starts. */
+public class LogWriterTest {
+    private static final Member SELF = new Member("10.0.0.1", "m");
+    private static final Snapshot EMPTY = new Snapshot(0, 0, List.of(SELF), null);
+    private static final long WHOLE = 7;
+    private static final long PATIENCE_S = 10;
+
+    private final LinkedBlockingQueue<Object> events = new LinkedBlockingQueue<>();
+    private ExecutorService loop;
+    private LogWriter writer;
+
+    private static LogWrite whole(long ticket) {
+        List<LogEntry> entries = List.of(new LogEntry(1, new byte[] {1}, null));
+        return new LogWrite(ticket, SELF, 1, null, 1, entries, EMPTY);
+    }
+
+    @BeforeMethod
+    public void begin() {
+        ModelDisk.begin();
+        events.clear();
+        loop =
+                new ThreadPoolExecutor(
+                        1,
+                        1,
+                        0,
+                        TimeUnit.SECONDS,
+                        new LinkedBlockingQueue<>(),
+                        new ThreadPoolExecutor.DiscardPolicy());
+    }
+
+    @AfterMethod
+    public void end() {
+        writer.end();
+        loop.shutdown();
+    }
+
+    private void start(LogFolder folder) {
+        DurableLog log = new DurableLog(folder, 128, ModelDisk.SCHEME);
+        writer =
+                new LogWriter(
+                        log,
+                        loop,
+                        new LogWriter.Owner() {
+                            @Override
+                            public void recovered(RecoveredLog found) {
+                                events.add(found);
+                            }
+
+                            @Override
+                            public void unusable(StorageException why) {
+                                events.add(why);
+                            }
+
+                            @Override
+                            public void persisted(long ticket) {
+                                events.add(ticket);
+                            }
+
+                            @Override
+                            public LogWrite fullState() {
+                                events.add("asked");
+                                return whole(WHOLE);
+                            }
+                        });
+        writer.start();
+    }
+
+    private Object next() throws InterruptedException {
+        Object event = events.poll(PATIENCE_S, TimeUnit.SECONDS);
+        assertNotNull(event, "nothing came");
+        return event;
+    }
+
+    private static Path folder() throws Exception {
+        return Files.createTempDirectory("log");
+    }
+
+    @Test
+    public void startsOnAFullDiskConfirmsNothingAndGoesOnOnceThereIsRoom() throws Exception {
+        Path at = folder();
+        try (DurableLog before = new DurableLog(at, 128)) {
+            before.open();
+            before.rewrite(whole(1));
+        }
+        ModelDisk.full = true;
+        start(ModelDisk.folder(at));
+        assertEquals(((RecoveredLog) next()).state().entries().size(), 1);
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertEquals(next(), "asked", "nothing is confirmed, it is tried again");
+        }
+        assertTrue(writer.isFailing());
+        assertEquals(new LogFolder(at).files().size(), 1, "failed attempts leave nothing");
+        ModelDisk.full = false;
+        Object event = next();
+        while (event.equals("asked")) {
+            event = next();
+        }
+        assertEquals(event, WHOLE);
+        writer.save(whole(WHOLE + 1));
+        assertEquals(next(), WHOLE + 1);
+    }
+
+    @Test
+    public void aDiskThatCanNotBeReadIsTriedAgainAndIsNoEmptyOne() throws Exception {
+        start(
+                new LogFolder(folder()) {
+                    private int attempts;
+
+                    @Override
+                    void create() throws IOException {
+                        events.add("tried");
+                        if (++attempts < 3) {
+                            throw new IOException("Input/output error");
+                        }
+                    }
+                });
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertEquals(next(), "tried");
+        }
+        assertTrue(((RecoveredLog) next()).isEmpty());
+    }
+
+    @Test
+    public void aNewerFormatEndsIt() throws Exception {
+        Path at = folder();
+        try (MVStore newer = MVStore.open(at.resolve("ledger-1.mv").toString())) {
+            newer.openMap("meta").put("form", new byte[] {DurableLog.FORM + 1});
+        }
+        start(ModelDisk.folder(at));
+        assertTrue(next() instanceof UnsupportedFormatException);
+    }
+}
