Split the Dispatcher by what each part decides; only moves

Change: a part for each term (ServerChoice, Score, QueuedWork, OwnSends, PairTable, LaterWork, Reports, ColdBudget, Health, GivingUp, FurtherTries, Worth, RunningTimes, Speed, Rules), which share the learned figures; Dispatcher takes the inputs, Sender, PendingTasks and OverdueSends keep book. policy in both deploy files lists what decides.

--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/FurtherTries.java
@@ -0,0 +1,72 @@
+package gingerspool.dispatch;
+
+import java.util.SplittableRandom;
+
+/**
+ * Further assignments of a task: whether its effect, its terms and their budget allow one, and
+ * when.
+ */
+final class FurtherTries {
+    private final Learned known;
+    private final SplittableRandom chance;
+
+    FurtherTries(Learned known, SplittableRandom chance) {
+        this.known = known;
+        this.chance = chance;
+    }
+
+    /** Guards rule two: what may have run goes out again only as its profile allows. */
+    boolean mayNotRunAgain(Task task) {
+        return task.tries >= triesOf(task)
+                || known.now >= task.expiry
+                || !task.terms.goesAgainAfter(task.last)
+                || task.ran != null
+                        && (task.profile.effect == Profile.Effect.SIDE_EFFECTING
+                                || task.profile.effect == Profile.Effect.FINGERPRINTED
+                                        && known.now >= task.ran.sentAt + task.profile.window);
+    }
+
+    private int triesOf(Task t) {
+        return Math.min(known.mostTries, t.terms.assignments);
+    }
+
+    /** Guards against storms: further assignments are a share of first ones. */
+    boolean budgetSpent(Task task) {
+        return task.tries > 0 && task.terms.purse != null && !task.terms.purse.holds(known.now);
+    }
+
+    /** Whether a second copy may join what is out. */
+    boolean mayCopy(Task t) {
+        return t.out < t.terms.copies
+                && t.tries < triesOf(t)
+                && t.profile.effect == Profile.Effect.IDEMPOTENT
+                && !budgetSpent(t);
+    }
+
+    /** Whether an assignment at a worker that hangs is called back, so that it may go elsewhere. */
+    boolean mayCallBack(Assignment a) {
+        Task t = a.task;
+        return a.teller < 0
+                && !t.ended
+                && !a.cancelled
+                && Double.isNaN(a.startedAt)
+                && t.tries < triesOf(t)
+                && t.terms.goesAgainAfter(Outcome.CANCELLED)
+                && t.profile.effect != Profile.Effect.SIDE_EFFECTING;
+    }
+
+    boolean pauseDue(Task task) {
+        return task.tries > task.restedAfter && task.terms.firstPause > 0;
+    }
+
+    /**
+     * Guards final answers: where the pause would outlast the task it is given up now, not after
+     * it.
+     */
+    boolean rest(Task task) {
+        task.restedAfter = task.tries;
+        task.restUntil = known.now + task.terms.pause(task.tries, chance.nextDouble());
+        task.lookAt = task.restUntil;
+        return task.restUntil < task.expiry;
+    }
+}
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -5,6 +5,9 @@
 
 /** What a Dispatcher has learned: figures only, and how they pass from one process to the next. */
 abstract class Learned extends Figures {
+    /** N_S: pair rows, mixes and running times look back over about this many samples. */
+    static final int SAMPLES = 64;
+
     final Workers fleet;
     final double[][] pool;
     final double[] profileWork;
@@ -54,6 +57,10 @@
     double firstArrival = Double.NaN;
     final double[] tenantRate;
     final double[] tenantAt;
+
+    /** The time of the input being handled. */
+    double now;
+
     boolean reportsCome;
     boolean reportsQueue;
     private List<String> afresh = List.of();
@@ -78,6 +85,10 @@
         tenantAt = new double[tenants];
     }
 
+    final double fadeSpan() {
+        return 8 * mixWork;
+    }
+
     /** All that is learned, under names, for the next process of this scheduler. */
     public final Map<String, Object> learned() {
         Memory m = Memory.toTell();
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/OwnSends.java
@@ -0,0 +1,104 @@
+package gingerspool.dispatch;
+
+/** Own unfinished sends, which count in O at once, and the sends that other dispatchers tell of. */
+final class OwnSends {
+    private final Learned known;
+    private final Workers fleet;
+    private final Speed speed;
+    private final QueuedWork queued;
+    private final Outlet out;
+
+    /** Work from which on a send is told, in shares of the mean. */
+    private double tellFrom;
+
+    OwnSends(Learned known, Speed speed, QueuedWork queued, Outlet out) {
+        this.known = known;
+        fleet = known.fleet;
+        this.speed = speed;
+        this.queued = queued;
+        this.out = out;
+        tellFrom = -Math.log(Math.max(1e-9, known.tellShare));
+    }
+
+    /**
+     * Word of another dispatcher: it has sent a task of so much work to a worker, or that has
+     * ended.
+     */
+    void told(int teller, byte[] word) {
+        int w = fleet.tagged(Word.tag(word));
+        if (w >= 0 && Word.begins(word)) {
+            Task t = new Task("");
+            t.work = known.tick * Word.size(word);
+            t.hint = t.work;
+            Assignment a =
+                    new Assignment(
+                            t,
+                            w,
+                            0,
+                            known.now,
+                            t.work / speed.pace(w),
+                            queued.waitAt(w, queued.regionOf(w)),
+                            0);
+            a.teller = teller;
+            smoothOwn(w);
+            fleet.link(a);
+        } else if (w >= 0) {
+            Assignment a = fleet.oldest[w];
+            while (a != null && a.teller != teller) {
+                a = a.after;
+            }
+            forget(a);
+        }
+    }
+
+    /**
+     * Guards against words that were lost: an assignment of others is not believed out for ever.
+     */
+    void forgetOld(int w) {
+        for (Assignment a = fleet.oldest[w]; a != null; ) {
+            Assignment next = a.after;
+            if (a.teller >= 0 && known.now > a.sentAt + 2 * (a.wait + 2 * a.run)) {
+                forget(a);
+            }
+            a = next;
+        }
+    }
+
+    private void forget(Assignment a) {
+        if (a != null) {
+            smoothOwn(a.worker);
+            fleet.unlink(a);
+        }
+    }
+
+    /**
+     * Guards against words that cost more than they tell: of our sends only the largest are told.
+     */
+    void tell(Assignment a, boolean begins) {
+        if (begins && known.tellShare > 0) {
+            a.told = a.task.work >= tellFrom * known.mixWork;
+            tellFrom *= Math.exp(((a.told ? 1 : 0) - known.tellShare) / 4);
+        }
+        if (a.told) {
+            out.tell(-1, Word.of(fleet.tag[a.worker], begins ? a.task.work / known.tick : 0));
+        }
+    }
+
+    /**
+     * A report is old when it comes, so own sends are taken off it as they were on average then.
+     */
+    void smoothOwn(int w) {
+        double past = 1 - Math.exp(-(known.now - fleet.ownAt[w]) / (2 * known.mixWork));
+        fleet.ownSmooth[w] += (fleet.own[w] - fleet.ownSmooth[w]) * past;
+        fleet.ownAt[w] = known.now;
+    }
+
+    /** Our sends to the worker a millisecond, counting so many more now. */
+    double sendRate(int w, int more) {
+        double span = Learned.SAMPLES * known.mixWork;
+        fleet.sendRate[w] =
+                fleet.sendRate[w] * Math.exp((fleet.rateAt[w] - known.now) / span) + more / span;
+        fleet.rateAt[w] = known.now;
+        return fleet.sendRate[w];
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/PairTable.java
@@ -0,0 +1,67 @@
+package gingerspool.dispatch;
+
+/** p(k given O): counts of the region believed at a send against the region told afterwards. */
+final class PairTable {
+    private final Learned known;
+    private final Workers fleet;
+    private final Speed speed;
+    private final QueuedWork queued;
+
+    PairTable(Learned known, Speed speed, QueuedWork queued) {
+        this.known = known;
+        fleet = known.fleet;
+        this.speed = speed;
+        this.queued = queued;
+    }
+
+    /** The weight of a region, given the one believed: its count there and in all, from one on. */
+    double weight(int w, int believed, int told) {
+        return 1 + fleet.pairs[w][believed][told] + known.pool[believed][told];
+    }
+
+    /**
+     * Counts pairs of the region believed at a send and the one reported next, or told by its wait.
+     */
+    void count(int w, int believed, int told, int times) {
+        if (times > 0) {
+            fleet.pairs[w][believed][told] += times;
+            known.pool[believed][told] += times;
+            Workers.halve(fleet.pairs[w][believed], Learned.SAMPLES);
+            Workers.halve(known.pool[believed], Learned.SAMPLES);
+        }
+    }
+
+    /** Counts the wait that a send met, as its start tells it. */
+    void countWait(Assignment a) {
+        double load = queued.loadAtWait(a.worker, known.now - a.sentAt);
+        count(a.worker, a.region, load < 1 ? Math.min(1, a.region) : QueuedWork.region(load), 1);
+    }
+
+    /** Counts how late an answer was beyond the expected run, where nothing else shows the wait. */
+    void countLateness(Assignment a) {
+        if (waitsUnseen()) {
+            double wait = (known.now - a.sentAt - a.run) * speed.pace(a.worker) / known.mixWork;
+            count(
+                    a.worker,
+                    a.region,
+                    wait > 0.5 ? QueuedWork.region(1 + wait) : Math.min(1, a.region),
+                    1);
+        }
+    }
+
+    /** A worker that was full had the top region. */
+    void countFull(Assignment a, Outcome how) {
+        count(
+                a.worker,
+                a.region,
+                QueuedWork.K - 1,
+                known.tellsStart && how == Outcome.FULL ? 1 : 0);
+    }
+
+    /**
+     * Guards against queues that neither reports nor start notes show: there, lateness is counted.
+     */
+    boolean waitsUnseen() {
+        return !known.tellsStart && !known.reportsQueue;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/PendingTasks.java
@@ -0,0 +1,80 @@
+package gingerspool.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The tasks that wait for a decision, and the timer that brings us back to them. */
+final class PendingTasks {
+    private final Learned known;
+    private final Outlet out;
+    private final List<Task> tasks = new ArrayList<>();
+    private double wakeAt = Double.POSITIVE_INFINITY;
+
+    PendingTasks(Learned known, Outlet out) {
+        this.known = known;
+        this.out = out;
+    }
+
+    /** Adds a task that is to be looked at now. */
+    void add(Task t) {
+        t.lookAt = known.now;
+        if (!t.held) {
+            t.held = true;
+            tasks.add(t);
+        }
+    }
+
+    void remove(Task t) {
+        t.held = false;
+        tasks.remove(t);
+    }
+
+    /** The first task whose time to be looked at has come, or null; drops those that have ended. */
+    Task nextDue() {
+        for (int i = 0; i < tasks.size(); i++) {
+            Task t = tasks.get(i);
+            if (t.ended) {
+                t.held = false;
+                tasks.remove(i--);
+            } else if (t.lookAt <= known.now) {
+                return t;
+            }
+        }
+        return null;
+    }
+
+    /** Whoever waits is looked at anew, since other workers may take it now. */
+    void lookAgain() {
+        for (Task t : tasks) {
+            t.lookAt = t.out > 0 ? t.lookAt : Math.max(known.now, t.restUntil);
+        }
+    }
+
+    /** This worker's report came: tasks that waited for nothing else are looked at. */
+    void lookAgainAfter(int w, Reports reports) {
+        for (Task t : tasks) {
+            t.lookAt =
+                    t.out == 0 && reports.told(t, w) ? Math.max(known.now, t.restUntil) : t.lookAt;
+        }
+    }
+
+    /**
+     * Guards against waiting forever: hosts count time in steps, so a timer may fire a little
+     * before it.
+     */
+    void woken() {
+        wakeAt = known.now > wakeAt - known.tick / 2 ? Double.POSITIVE_INFINITY : wakeAt;
+    }
+
+    /** Asks to be woken for the next task, or at this time if that is sooner. */
+    void planWake(double other) {
+        double next = other;
+        for (int i = 0; i < tasks.size(); i++) {
+            next = Math.min(next, tasks.get(i).lookAt);
+        }
+        if (next < wakeAt) {
+            wakeAt = Math.max(next, known.now + known.tick);
+            out.wakeAfter(wakeAt - known.now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/QueuedWork.java
@@ -0,0 +1,123 @@
+package gingerspool.dispatch;
+
+/** O, the work believed queued at a worker, and the K regions that it is cut into. */
+final class QueuedWork {
+    /**
+     * Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open.
+     */
+    private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5, 7, 10, 14, 20};
+
+    static final int K = TH.length + 1;
+
+    private final Learned known;
+    private final Workers fleet;
+    private final Speed speed;
+
+    QueuedWork(Learned known, Speed speed) {
+        this.known = known;
+        fleet = known.fleet;
+        this.speed = speed;
+    }
+
+    /**
+     * The others' jobs there: what was heard fades to their mean as it ages; unheard, it is the
+     * mean.
+     */
+    double othersNow(int w) {
+        double mean = fleet.groupOthers[group(w)] * speed.slotsOf(w);
+        double fresh =
+                Double.isNaN(fleet.heardAt[w])
+                        ? 0
+                        : Math.exp((fleet.heardAt[w] - known.now) / known.fadeSpan());
+        return mean + (fleet.others[w] - mean) * fresh;
+    }
+
+    /**
+     * Workers of one kind, here or elsewhere: a mean of all would follow the few that are mostly
+     * asked.
+     */
+    int group(int w) {
+        return 2 * fleet.kindOf[w] + (fleet.zoneOf[w] == known.zone ? 0 : 1);
+    }
+
+    /** O: the work believed ahead of a new job at the worker, as a region. */
+    int regionOf(int w) {
+        double load = load(w, othersNow(w));
+        for (Assignment a = known.tellsStart ? fleet.oldest[w] : null; a != null; a = a.after) {
+            if (Double.isNaN(a.startedAt)) {
+                load = Math.max(load, loadAtWait(w, known.now - a.sentAt));
+                break;
+            }
+        }
+        return region(load);
+    }
+
+    /**
+     * O with our unfinished sends at their own expected rest and so many jobs of others at the mean
+     * running time: below 1 the share of busy slots, from 1 on the wait in mean running times. The
+     * next slot is free as the first running job ends; what waits is shared by slots whose jobs end
+     * within a mean running time.
+     */
+    double load(int w, double ofOthers) {
+        double n = speed.slotsOf(w);
+        if (!known.tellsStart && ofOthers + fleet.out[w] + 1 <= n) {
+            // Every job has a slot, and there is one more: the long way round comes to the same.
+            return (ofOthers + fleet.out[w]) / n;
+        }
+        double mean = known.mixWork / speed.pace(w);
+        double busy = Math.min(n, ofOthers);
+        double ending = busy / mean;
+        double turning = busy;
+        double queue = (ofOthers - busy) * mean;
+        for (Assignment a = fleet.oldest[w]; a != null; a = a.after) {
+            double rest = rest(a);
+            if (busy + 1 <= n
+                    && (!known.tellsStart
+                            || !Double.isNaN(a.startedAt)
+                            || known.now - a.sentAt < mean / 4)) {
+                busy++;
+                ending += 1 / rest;
+                turning += Math.min(1, mean / rest);
+            } else {
+                queue += rest;
+            }
+        }
+        return queue == 0 && busy + 1 <= n
+                ? busy / n
+                : 1 + (1 / ending + queue / Math.max(0.25, turning)) / mean;
+    }
+
+    /** Running time still expected: a job without a hint hardly gets nearer its end by running. */
+    private double rest(Assignment a) {
+        double since = Double.isNaN(a.startedAt) ? a.sentAt + a.wait : a.startedAt;
+        return Math.max(
+                a.run - Math.max(0, known.now - since), a.run * (a.task.hint > 0 ? 0.25 : 0.75));
+    }
+
+    static int region(double load) {
+        int k = 0;
+        while (k < TH.length && load >= TH[k]) {
+            k++;
+        }
+        return k;
+    }
+
+    /**
+     * The wait that a region's midpoint means; a worker has several servers, so a free slot means
+     * none.
+     */
+    double waitAt(int w, int k) {
+        if (k < 2) {
+            return 0;
+        }
+        double mid = k == K - 1 ? 1.25 * TH[k - 1] : (TH[k - 1] + TH[k]) / 2;
+        return known.mixWork / speed.pace(w) * (mid - 1);
+    }
+
+    /**
+     * The load that a wait speaks for; connecting and the way take the first part of a mean run.
+     */
+    double loadAtWait(int w, double wait) {
+        return 1 + wait * speed.pace(w) / known.mixWork - 0.25;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/dispatch/RunningTimes.java
@@ -0,0 +1,123 @@
+package gingerspool.dispatch;
+
+/** Learning of running times: the work to expect of a task, and how fast workers do it. */
+final class RunningTimes {
+    private final Learned known;
+    private final Workers fleet;
+    private final Speed speed;
+
+    RunningTimes(Learned known, Speed speed) {
+        this.known = known;
+        fleet = known.fleet;
+        this.speed = speed;
+    }
+
+    /**
+     * Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs
+     * show.
+     */
+    double fromHint(int p, double hint) {
+        double n = Math.min(++known.hintsSeen[p], 4 * Learned.SAMPLES);
+        double x = Math.log(hint);
+        known.profileWork[p] += (hint - known.profileWork[p]) / n;
+        known.hintLog[p] += (x - known.hintLog[p]) / n;
+        double power = hintPower();
+        double bend = Math.exp(power * (x - known.hintLog[p]));
+        known.hintBend[p] += (bend - known.hintBend[p]) / n;
+        double work = known.profileWork[p] * bend / known.hintBend[p];
+        known.mixWork += (work - known.mixWork) / (2 * Learned.SAMPLES);
+        return work;
+    }
+
+    private double hintPower() {
+        return Math.max(0, Math.min(1, known.hintRun / known.hintVar));
+    }
+
+    /** Learns how far hints can be believed, from a running time in standard work. */
+    private void learnHint(int p, double hint, double work) {
+        double y = Math.log(work);
+        double n = Math.min(++known.profileSeen[p], 4 * Learned.SAMPLES);
+        known.runLog[p] += (y - known.runLog[p]) / n;
+        double x = Math.log(hint) - known.hintLog[p];
+        double keep = 1 - 1.0 / (8 * Learned.SAMPLES);
+        known.hintVar = known.hintVar * keep + x * x;
+        known.hintRun = known.hintRun * keep + x * (y - known.runLog[p]);
+        double off = y - known.runLog[p] - x * hintPower();
+        known.runVar[p] += (off * off - known.runVar[p]) / (n + 8);
+    }
+
+    /**
+     * Learns speed and work from a running time: by the start note, else by sends that met a free
+     * slot.
+     */
+    void learnRun(Assignment a) {
+        boolean noted = !Double.isNaN(a.startedAt);
+        if (!noted && (known.tellsStart || !a.metFree)) {
+            return;
+        }
+        double run = Math.max(known.tick, known.now - (noted ? a.startedAt : a.sentAt));
+        int w = a.worker;
+        int k = fleet.kindOf[w];
+        int p = a.task.profile.index;
+        double warm = speed.warmth(w, known.thaw);
+        if (a.task.hint <= 0) {
+            // Without hints only the workers' relation can be seen: the fastest kind is the
+            // standard core.
+            known.unit = 0;
+            for (int i = 0; i < fleet.kindWork.length; i++) {
+                known.unit = Math.max(known.unit, speed.kindPace(i));
+            }
+            double n = Math.min(++known.profileSeen[p] + 8, 4 * Learned.SAMPLES);
+            known.profileWork[p] += (run * speed.pace(w) - known.profileWork[p]) / n;
+            double off = Math.log(run * speed.pace(w)) - known.runLog[p];
+            known.runLog[p] += off / n;
+            known.runVar[p] += (off * off - known.runVar[p]) / n;
+            known.mixWork += (a.task.work - known.mixWork) / Learned.SAMPLES;
+        } else {
+            learnHint(p, a.task.hint, run * speed.pace(w));
+        }
+        // In logarithms, since running times are spread so widely that sums follow the few longest.
+        double told =
+                a.task.hint > 0 ? Math.log(a.task.work) - known.runVar[p] / 2 : known.runLog[p];
+        double off = told - Math.log(run * warm * speed.kindPace(k) / known.unit);
+        // Guards against a slowdown of all, which one worker's few answers show much too late.
+        known.thaw =
+                warm < 1
+                        ? Math.max(1, known.thaw * Math.exp(off * 4 / Learned.SAMPLES))
+                        : known.thaw;
+        known.tide +=
+                a.task.hint > 0
+                        ? (off - known.tide) * 2 / Learned.SAMPLES
+                                - known.tide / (4 * Learned.SAMPLES)
+                        : 0;
+        fleet.swift[w] +=
+                (off - known.tide - fleet.swift[w])
+                        * 2
+                        * (a.task.hint > 0 ? newest() : 1.0 / Learned.SAMPLES);
+        double keep = 1 - 1.0 / (8 * Learned.SAMPLES);
+        fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
+        fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
+    }
+
+    /** Progress tells how long the whole run will take. */
+    void progressed(Assignment a, double share) {
+        // Where starts are not told, the first word of progress tells one: it comes so long after
+        // it.
+        if (Double.isNaN(a.startedAt) && !known.tellsStart && known.progressEvery > 0) {
+            a.startedAt = Math.max(a.sentAt, known.now - known.progressEvery);
+        }
+        if (share > 0 && share <= 1 && !Double.isNaN(a.startedAt)) {
+            a.run = (known.now - a.startedAt) / share;
+        }
+    }
+
+    /**
+     * Weight of the newest task in what shows strain: where few come to us they must tell it
+     * sooner.
+     */
+    double newest() {
+        return Math.max(
+                1.0 / Learned.SAMPLES,
+                Math.min(4.0 / Learned.SAMPLES, known.gap / known.fadeSpan()));
+    }
+}
