--- a/src/main/java/gingerspool/dispatch/ColdBudget.java
+++ b/src/main/java/gingerspool/dispatch/ColdBudget.java
@@ -22,8 +22,7 @@
     }
 
     boolean inBudget(int w, double work) {
-        // Guards against idling for good: who answered, or was seen to start, is warm when settings
-        // say so.
+        // Guards against idling for good: who answered or was seen to start is warm in time.
         if (known.budgetSpan <= 0
                 || speed.warmth(w, 1) >= 1 && fleet.answeredAt[w] + fleet.startedAt[w] > 0) {
             return true;
@@ -37,10 +36,7 @@
                 || level <= 0 && work <= budget(w) * known.dispatchers * COLD_GRAIN;
     }
 
-    /**
-     * Work that we may send a cold worker in one window: half at once, half refills over the
-     * window.
-     */
+    /** Work that we may send a cold worker in one window: half at once, half over the window. */
     private double budget(int w) {
         return known.budgetShare
                 * speed.slotsOf(w)
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -22,8 +22,10 @@
     private final RunningTimes runs;
     private final QueuedWork queued;
     private final OwnSends ownSends;
+    private final PeerSends peerSends;
     private final PairTable pairs;
     private final Reports reports;
+    private final ReportReader reportReader;
     private final LaterWork later;
     private final ColdBudget coldBudget;
     private final Health health;
@@ -55,9 +57,11 @@
         speed = new Speed(this);
         runs = new RunningTimes(this, speed);
         queued = new QueuedWork(this, speed);
-        ownSends = new OwnSends(this, speed, queued, out);
+        ownSends = new OwnSends(this, out);
         pairs = new PairTable(this, speed, queued);
         reports = new Reports(this, speed, queued, ownSends, pairs, out);
+        reportReader = new ReportReader(this, reports);
+        peerSends = new PeerSends(this, speed, queued, ownSends);
         later = new LaterWork(this, speed, queued, ownSends);
         coldBudget = new ColdBudget(this, speed);
         health = new Health(this);
@@ -161,14 +165,14 @@
      */
     public void suspended(double at, int w) {
         now = at;
-        fleet.bannedAt[w] = choice.banned(w) ? fleet.bannedAt[w] : now;
+        fleet.bannedAt[w] = fleet.banned(w) ? fleet.bannedAt[w] : now;
         rules.settle();
     }
 
     /** Puts the worker back; what failed there under the ban says nothing of it now. */
     public void resumed(double at, int w) {
         now = at;
-        if (choice.banned(w)) {
+        if (fleet.banned(w)) {
             // Guards rule four: it was restarted under the ban, and the list may tell so only
             // later.
             began(w, fleet.startedAt[w] < fleet.bannedAt[w] ? now : fleet.startedAt[w]);
@@ -187,7 +191,7 @@
     }
 
     public boolean banned(int w) {
-        return choice.banned(w);
+        return fleet.banned(w);
     }
 
     // ---- Inputs: what another process has learned ----
@@ -246,7 +250,7 @@
         t.findRan();
         t.last = how;
         learnFrom(a, how);
-        reports.reported(a.worker, report);
+        reportReader.reported(a.worker, report);
         if (over) {
             t.ended = true;
             callBack(t);
@@ -321,8 +325,8 @@
     public void probed(double at, int w, double[] report) {
         now = at;
         fleet.probing[w] = false;
-        reports.reported(w, report);
-        pending.lookAgainAfter(w, reports);
+        reportReader.reported(w, report);
+        pending.lookAgainAfter(w);
         rules.settle();
     }
 
@@ -348,7 +352,7 @@
      */
     public void told(double at, int teller, byte[] word) {
         now = at;
-        ownSends.told(teller, word);
+        peerSends.told(teller, word);
         rules.settle();
     }
 
--- a/src/main/java/gingerspool/dispatch/FurtherTries.java
+++ b/src/main/java/gingerspool/dispatch/FurtherTries.java
@@ -2,10 +2,7 @@
 
 import java.util.SplittableRandom;
 
-/**
- * Further assignments of a task: whether its effect, its terms and their budget allow one, and
- * when.
- */
+/** Further assignments: whether a task's effect, its terms and its budget allow one, and when. */
 final class FurtherTries {
     private final Learned known;
     private final SplittableRandom chance;
@@ -59,10 +56,7 @@
         return task.tries > task.restedAfter && task.terms.firstPause > 0;
     }
 
-    /**
-     * Guards final answers: where the pause would outlast the task it is given up now, not after
-     * it.
-     */
+    /** Begins a pause; false where it would outlast the task, which is then given up now. */
     boolean rest(Task task) {
         task.restedAfter = task.tries;
         task.restUntil = known.now + task.terms.pause(task.tries, chance.nextDouble());
--- a/src/main/java/gingerspool/dispatch/GivingUp.java
+++ b/src/main/java/gingerspool/dispatch/GivingUp.java
@@ -1,14 +1,13 @@
 package gingerspool.dispatch;
 
+import static gingerspool.dispatch.Learned.SAMPLES;
+
 /** When a task is given up: its best chance is under a bound that rises with strain. */
 final class GivingUp {
     /** A task whose best chance is lower than this is given up. */
     static final double HOPELESS = 0.08;
 
-    /**
-     * How much higher that bound is when every task has to wait: a late one then costs another its
-     * place.
-     */
+    /** How much higher that bound is when every task waits: a late one costs another its place. */
     private static final double PRESSED = 0.6;
 
     private final Learned known;
@@ -36,10 +35,9 @@
         }
         double density = Math.max(task.worth / task.work, ServerChoice.NEAR * known.meanDensity);
         double weight = Math.max(0.5, Math.min(1.6, Math.sqrt(known.meanDensity / density)));
-        known.meanDensity += (task.worth / task.work - known.meanDensity) / Learned.SAMPLES;
-        known.press += ((queued.regionOf(best) > 1 ? 1 : 0) - known.press) / Learned.SAMPLES;
-        // Guards against turning tasks away in vain: believed queues count in full where answers
-        // are late.
+        known.meanDensity += (task.worth / task.work - known.meanDensity) / SAMPLES;
+        known.press += ((queued.regionOf(best) > 1 ? 1 : 0) - known.press) / SAMPLES;
+        // Guards against refusing in vain: believed queues count in full where answers are late.
         double missed = lateNow();
         double strain =
                 Math.max(
@@ -48,19 +46,14 @@
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
-    /**
-     * How far late answers count: in the first seconds only workers believed full tell of queues.
-     */
+    /** How far late answers count: in the first seconds, only as workers are believed full. */
     private double heed() {
         return Math.max(
                 1 - Math.exp((known.firstArrival - known.now) / (2 * known.fadeSpan())),
                 Math.min(1, 2 * known.full));
     }
 
-    /**
-     * Guards against learning of a jam by its late answers only: what is out past its due time is
-     * late.
-     */
+    /** Share of late answers; what is out past its due time counts, so a jam shows sooner. */
     double lateNow() {
         double seen = 1 / runs.newest();
         int out = overdue.count(known.now);
--- a/src/main/java/gingerspool/dispatch/Health.java
+++ b/src/main/java/gingerspool/dispatch/Health.java
@@ -35,10 +35,7 @@
         fleet.answeredAt[w] = known.now;
     }
 
-    /**
-     * An error counts for its profile, and for a third of that for the others, which may well go
-     * on.
-     */
+    /** An error counts for its profile, and for a third of that for the others. */
     void failed(int w, int profile) {
         for (int p = 0; p < known.profiles.length; p++) {
             double f = failNow(w, p);
@@ -54,9 +51,7 @@
         fleet.shunUntil[w] = known.now + fleet.shunSpan[w];
     }
 
-    /**
-     * Guards against workers that hang: most reports come in a few turns, and theirs come never.
-     */
+    /** Guards against workers that hang: other reports come in a few turns, theirs never. */
     boolean silent(int w) {
         return fleet.probing[w] && known.now > fleet.probedAt[w] + 8 * known.tick;
     }
--- a/src/main/java/gingerspool/dispatch/LaterWork.java
+++ b/src/main/java/gingerspool/dispatch/LaterWork.java
@@ -2,10 +2,7 @@
 
 /** X: later work that runs first, on workers that order by priority. */
 final class LaterWork {
-    /**
-     * Bins of running time, and of X, on priority workers; a bin is a quarter of the mean running
-     * time.
-     */
+    /** Bins of running time and of X; a bin is a quarter of the mean running time. */
     static final int BINS = 16;
 
     private static final double BINS_PER_RUN = 4;
@@ -44,42 +41,43 @@
         if (wait <= 0) {
             return 1;
         }
-        if (fleet.overtaken[w] == null
-                || known.now >= fleet.overtakenAt[w] + Reports.REFRESH * known.mixWork) {
-            if (fleet.overtaken[w] == null) {
-                fleet.overtaken[w] = new double[known.profiles.length][QueuedWork.K][BINS + 1];
-            }
-            fleet.overtakenAt[w] = known.now;
-            double[] run = new double[BINS + 1];
-            double all = Workers.sum(fleet.mixRun[w]) + BINS + 1;
-            for (int i = 0; i <= BINS; i++) {
-                run[i] = (fleet.mixRun[w][i] + 1) / all;
-            }
-            for (Profile q : known.profiles) {
-                double higher = 0;
-                for (Profile o : known.profiles) {
-                    higher += o.prio > q.prio ? fleet.mixProfile[w][o.index] + 1 : 0;
-                }
-                double rate =
-                        Reports.sane(fleet.reportedRate[w])
-                                ? fleet.reportedRate[w] / 1000
-                                : ownSends.sendRate(w, 0) * known.dispatchers;
-                double lambda =
-                        rate
-                                * higher
-                                / speed.slotsOf(w)
-                                / (Workers.sum(fleet.mixProfile[w]) + known.profiles.length);
-                for (int k = 0; k < QueuedWork.K; k++) {
-                    int bins = Math.max(1, bin(queued.waitAt(w, k)));
-                    BusyPeriods.within(
-                            bins,
-                            lambda * known.mixWork / BINS_PER_RUN,
-                            run,
-                            fleet.overtaken[w][q.index][k]);
-                }
-            }
+        if (fleet.overtaken[w] == null) {
+            fleet.overtaken[w] = new double[known.profiles.length][QueuedWork.K][BINS + 1];
+            renew(w);
+        } else if (known.now >= fleet.overtakenAt[w] + Reports.REFRESH * known.mixWork) {
+            renew(w);
         }
         double[] within = fleet.overtaken[w][p.index][region];
         return within[Math.min(BINS, (int) (x / known.mixWork * BINS_PER_RUN))];
     }
+
+    private void renew(int w) {
+        fleet.overtakenAt[w] = known.now;
+        double[] run = new double[BINS + 1];
+        double all = Workers.sum(fleet.mixRun[w]) + BINS + 1;
+        for (int i = 0; i <= BINS; i++) {
+            run[i] = (fleet.mixRun[w][i] + 1) / all;
+        }
+        for (Profile q : known.profiles) {
+            double lambda = tighterRate(w, q) * known.mixWork / BINS_PER_RUN;
+            for (int k = 0; k < QueuedWork.K; k++) {
+                int bins = Math.max(1, bin(queued.waitAt(w, k)));
+                BusyPeriods.within(bins, lambda, run, fleet.overtaken[w][q.index][k]);
+            }
+        }
+    }
+
+    /** lambda_h a slot: the rate of jobs there times the share of those with a higher priority. */
+    private double tighterRate(int w, Profile profile) {
+        double rate =
+                Reports.sane(fleet.reportedRate[w])
+                        ? fleet.reportedRate[w] / 1000
+                        : ownSends.sendRate(w, 0) * known.dispatchers;
+        double higher = 0;
+        for (Profile o : known.profiles) {
+            higher += o.prio > profile.prio ? fleet.mixProfile[w][o.index] + 1 : 0;
+        }
+        double jobs = Workers.sum(fleet.mixProfile[w]) + known.profiles.length;
+        return rate * higher / speed.slotsOf(w) / jobs;
+    }
 }
--- a/src/main/java/gingerspool/dispatch/OwnSends.java
+++ b/src/main/java/gingerspool/dispatch/OwnSends.java
@@ -4,56 +4,19 @@
 final class OwnSends {
     private final Learned known;
     private final Workers fleet;
-    private final Speed speed;
-    private final QueuedWork queued;
     private final Outlet out;
 
     /** Work from which on a send is told, in shares of the mean. */
     private double tellFrom;
 
-    OwnSends(Learned known, Speed speed, QueuedWork queued, Outlet out) {
+    OwnSends(Learned known, Outlet out) {
         this.known = known;
         fleet = known.fleet;
-        this.speed = speed;
-        this.queued = queued;
         this.out = out;
         tellFrom = -Math.log(Math.max(1e-9, known.tellShare));
     }
 
-    /**
-     * Word of another dispatcher: it has sent a task of so much work to a worker, or that has
-     * ended.
-     */
-    void told(int teller, byte[] word) {
-        int w = fleet.tagged(Word.tag(word));
-        if (w >= 0 && Word.begins(word)) {
-            Task t = new Task("");
-            t.work = known.tick * Word.size(word);
-            t.hint = t.work;
-            Assignment a =
-                    new Assignment(
-                            t,
-                            w,
-                            0,
-                            known.now,
-                            t.work / speed.pace(w),
-                            queued.waitAt(w, queued.regionOf(w)),
-                            0);
-            a.teller = teller;
-            smoothOwn(w);
-            fleet.link(a);
-        } else if (w >= 0) {
-            Assignment a = fleet.oldest[w];
-            while (a != null && a.teller != teller) {
-                a = a.after;
-            }
-            forget(a);
-        }
-    }
-
-    /**
-     * Guards against words that were lost: an assignment of others is not believed out for ever.
-     */
+    /** Guards against lost messages: what others told of is not believed out for ever. */
     void forgetOld(int w) {
         for (Assignment a = fleet.oldest[w]; a != null; ) {
             Assignment next = a.after;
@@ -64,16 +27,14 @@
         }
     }
 
-    private void forget(Assignment a) {
+    void forget(Assignment a) {
         if (a != null) {
             smoothOwn(a.worker);
             fleet.unlink(a);
         }
     }
 
-    /**
-     * Guards against words that cost more than they tell: of our sends only the largest are told.
-     */
+    /** Guards against messages that cost more than they tell: only the largest sends are told. */
     void tell(Assignment a, boolean begins) {
         if (begins && known.tellShare > 0) {
             a.told = a.task.work >= tellFrom * known.mixWork;
@@ -84,9 +45,7 @@
         }
     }
 
-    /**
-     * A report is old when it comes, so own sends are taken off it as they were on average then.
-     */
+    /** Own sends are taken off a report as they were on average when it was made. */
     void smoothOwn(int w) {
         double past = 1 - Math.exp(-(known.now - fleet.ownAt[w]) / (2 * known.mixWork));
         fleet.ownSmooth[w] += (fleet.own[w] - fleet.ownSmooth[w]) * past;
--- a/src/main/java/gingerspool/dispatch/PairTable.java
+++ b/src/main/java/gingerspool/dispatch/PairTable.java
@@ -19,9 +19,7 @@
         return 1 + fleet.pairs[w][believed][told] + known.pool[believed][told];
     }
 
-    /**
-     * Counts pairs of the region believed at a send and the one reported next, or told by its wait.
-     */
+    /** Counts pairs of the region believed at a send and the one reported next, or met. */
     void count(int w, int believed, int told, int times) {
         if (times > 0) {
             fleet.pairs[w][believed][told] += times;
@@ -31,36 +29,32 @@
         }
     }
 
+    private void count(Assignment a, int told) {
+        count(a.worker, a.region, told, 1);
+    }
+
     /** Counts the wait that a send met, as its start tells it. */
     void countWait(Assignment a) {
         double load = queued.loadAtWait(a.worker, known.now - a.sentAt);
-        count(a.worker, a.region, load < 1 ? Math.min(1, a.region) : QueuedWork.region(load), 1);
+        count(a, load < 1 ? Math.min(1, a.region) : QueuedWork.region(load));
     }
 
     /** Counts how late an answer was beyond the expected run, where nothing else shows the wait. */
     void countLateness(Assignment a) {
         if (waitsUnseen()) {
             double wait = (known.now - a.sentAt - a.run) * speed.pace(a.worker) / known.mixWork;
-            count(
-                    a.worker,
-                    a.region,
-                    wait > 0.5 ? QueuedWork.region(1 + wait) : Math.min(1, a.region),
-                    1);
+            count(a, wait > 0.5 ? QueuedWork.region(1 + wait) : Math.min(1, a.region));
         }
     }
 
     /** A worker that was full had the top region. */
     void countFull(Assignment a, Outcome how) {
-        count(
-                a.worker,
-                a.region,
-                QueuedWork.K - 1,
-                known.tellsStart && how == Outcome.FULL ? 1 : 0);
+        if (known.tellsStart && how == Outcome.FULL) {
+            count(a, QueuedWork.K - 1);
+        }
     }
 
-    /**
-     * Guards against queues that neither reports nor start notes show: there, lateness is counted.
-     */
+    /** Whether neither reports nor start notes show queues: then lateness is counted. */
     boolean waitsUnseen() {
         return !known.tellsStart && !known.reportsQueue;
     }
--- a/src/main/java/gingerspool/dispatch/PendingTasks.java
+++ b/src/main/java/gingerspool/dispatch/PendingTasks.java
@@ -51,13 +51,24 @@
     }
 
     /** This worker's report came: tasks that waited for nothing else are looked at. */
-    void lookAgainAfter(int w, Reports reports) {
+    void lookAgainAfter(int w) {
         for (Task t : tasks) {
-            t.lookAt =
-                    t.out == 0 && reports.told(t, w) ? Math.max(known.now, t.restUntil) : t.lookAt;
+            t.lookAt = t.out == 0 && waitedFor(t, w) ? Math.max(known.now, t.restUntil) : t.lookAt;
         }
     }
 
+    /** Whether this worker's report was the last one that the task waited for. */
+    private boolean waitedFor(Task t, int w) {
+        boolean its = false;
+        for (int i = 0; t.asked != null && i < t.asked.length; i++) {
+            its |= t.asked[i] == w;
+            if (known.fleet.probing[t.asked[i]]) {
+                return false;
+            }
+        }
+        return its;
+    }
+
     /**
      * Guards against waiting forever: hosts count time in steps, so a timer may fire a little
      * before it.
--- a/src/main/java/gingerspool/dispatch/QueuedWork.java
+++ b/src/main/java/gingerspool/dispatch/QueuedWork.java
@@ -2,9 +2,7 @@
 
 /** O, the work believed queued at a worker, and the K regions that it is cut into. */
 final class QueuedWork {
-    /**
-     * Upper ends of the K regions of queued work, in shares of a worker's slots; the last is open.
-     */
+    /** Upper ends of the K regions of O, in shares of a worker's slots; the last is open. */
     private static final double[] TH = {0.5, 1, 1.15, 1.35, 1.6, 2, 2.5, 3.5, 5, 7, 10, 14, 20};
 
     static final int K = TH.length + 1;
@@ -19,10 +17,7 @@
         this.speed = speed;
     }
 
-    /**
-     * The others' jobs there: what was heard fades to their mean as it ages; unheard, it is the
-     * mean.
-     */
+    /** The others' jobs: what was heard fades to their mean as it ages; unheard, it is the mean. */
     double othersNow(int w) {
         double mean = fleet.groupOthers[group(w)] * speed.slotsOf(w);
         double fresh =
@@ -32,10 +27,7 @@
         return mean + (fleet.others[w] - mean) * fresh;
     }
 
-    /**
-     * Workers of one kind, here or elsewhere: a mean of all would follow the few that are mostly
-     * asked.
-     */
+    /** Workers of a kind, here or elsewhere: a mean of all would follow the few mostly asked. */
     int group(int w) {
         return 2 * fleet.kindOf[w] + (fleet.zoneOf[w] == known.zone ? 0 : 1);
     }
@@ -102,10 +94,7 @@
         return k;
     }
 
-    /**
-     * The wait that a region's midpoint means; a worker has several servers, so a free slot means
-     * none.
-     */
+    /** The wait at a region's midpoint; a worker has several servers: a free slot means none. */
     double waitAt(int w, int k) {
         if (k < 2) {
             return 0;
@@ -114,9 +103,7 @@
         return known.mixWork / speed.pace(w) * (mid - 1);
     }
 
-    /**
-     * The load that a wait speaks for; connecting and the way take the first part of a mean run.
-     */
+    /** The load that a wait tells; connecting takes the first part of a mean run. */
     double loadAtWait(int w, double wait) {
         return 1 + wait * speed.pace(w) / known.mixWork - 0.25;
     }
--- a/src/main/java/gingerspool/dispatch/Rules.java
+++ b/src/main/java/gingerspool/dispatch/Rules.java
@@ -5,7 +5,6 @@
 /** The rules, gone through in order after each input until none fires. */
 final class Rules {
     private final Learned known;
-    private final Workers fleet;
     private final Reports reports;
     private final ServerChoice choice;
     private final GivingUp givingUp;
@@ -34,7 +33,6 @@
             SplittableRandom chance,
             Outlet out) {
         this.known = known;
-        fleet = known.fleet;
         this.reports = reports;
         this.choice = choice;
         this.givingUp = givingUp;
@@ -65,10 +63,7 @@
         askGap = Math.min(2 * askGap, known.askSpan / 2);
     }
 
-    /**
-     * The rules, in order: the first whose condition holds acts. Those on a task look at the one
-     * due.
-     */
+    /** The rules, in order: the first whose condition holds acts, on the task that is due. */
     private boolean ruleFires() {
         if (known.listOnRequest && known.now >= askAt) {
             askAt = Double.POSITIVE_INFINITY;
@@ -95,10 +90,7 @@
         return true;
     }
 
-    /**
-     * Another assignment beside those out, if the terms, the budget and the ordinary score allow
-     * one now.
-     */
+    /** A second copy, if the terms, the budget and the ordinary score allow one now. */
     private void sendCopy() {
         boolean allowed = tries.mayCopy(task);
         if (allowed) {
@@ -118,8 +110,7 @@
 
     /** Nobody may take it just now: look again shortly. */
     private void hold() {
-        // Guards rule one: absurd hints make that long, and a task may not be parked past its last
-        // chance.
+        // Guards rule one: absurd hints make that long, and a task may not outwait its last chance.
         task.lookAt =
                 Math.min(
                         known.now + Math.max(known.tick, known.mixWork / 8),
@@ -127,13 +118,12 @@
     }
 
     private void giveUp() {
-        Task t = task;
-        t.ended = true;
-        pending.remove(t);
-        if (GivingUp.harmless(t)) {
-            out.bounce(t, known.longestAdvice);
+        task.ended = true;
+        pending.remove(task);
+        if (GivingUp.harmless(task)) {
+            out.bounce(task, known.longestAdvice);
         } else {
-            out.abandon(t);
+            out.abandon(task);
         }
     }
 }
--- a/src/main/java/gingerspool/dispatch/RunningTimes.java
+++ b/src/main/java/gingerspool/dispatch/RunningTimes.java
@@ -1,5 +1,7 @@
 package gingerspool.dispatch;
 
+import static gingerspool.dispatch.Learned.SAMPLES;
+
 /** Learning of running times: the work to expect of a task, and how fast workers do it. */
 final class RunningTimes {
     private final Learned known;
@@ -12,12 +14,9 @@
         this.speed = speed;
     }
 
-    /**
-     * Work to expect at a hint. Hints are rough: far ones are drawn to the profile's mean, as runs
-     * show.
-     */
+    /** Work to expect at a hint: far hints are drawn to the profile's mean, as runs show. */
     double fromHint(int p, double hint) {
-        double n = Math.min(++known.hintsSeen[p], 4 * Learned.SAMPLES);
+        double n = Math.min(++known.hintsSeen[p], 4 * SAMPLES);
         double x = Math.log(hint);
         known.profileWork[p] += (hint - known.profileWork[p]) / n;
         known.hintLog[p] += (x - known.hintLog[p]) / n;
@@ -25,7 +24,7 @@
         double bend = Math.exp(power * (x - known.hintLog[p]));
         known.hintBend[p] += (bend - known.hintBend[p]) / n;
         double work = known.profileWork[p] * bend / known.hintBend[p];
-        known.mixWork += (work - known.mixWork) / (2 * Learned.SAMPLES);
+        known.mixWork += (work - known.mixWork) / (2 * SAMPLES);
         return work;
     }
 
@@ -36,20 +35,17 @@
     /** Learns how far hints can be believed, from a running time in standard work. */
     private void learnHint(int p, double hint, double work) {
         double y = Math.log(work);
-        double n = Math.min(++known.profileSeen[p], 4 * Learned.SAMPLES);
+        double n = Math.min(++known.profileSeen[p], 4 * SAMPLES);
         known.runLog[p] += (y - known.runLog[p]) / n;
         double x = Math.log(hint) - known.hintLog[p];
-        double keep = 1 - 1.0 / (8 * Learned.SAMPLES);
+        double keep = 1 - 1.0 / (8 * SAMPLES);
         known.hintVar = known.hintVar * keep + x * x;
         known.hintRun = known.hintRun * keep + x * (y - known.runLog[p]);
         double off = y - known.runLog[p] - x * hintPower();
         known.runVar[p] += (off * off - known.runVar[p]) / (n + 8);
     }
 
-    /**
-     * Learns speed and work from a running time: by the start note, else by sends that met a free
-     * slot.
-     */
+    /** Learns from a running time, known by the start note or by a send that met a free slot. */
     void learnRun(Assignment a) {
         boolean noted = !Double.isNaN(a.startedAt);
         if (!noted && (known.tellsStart || !a.metFree)) {
@@ -61,18 +57,17 @@
         int p = a.task.profile.index;
         double warm = speed.warmth(w, known.thaw);
         if (a.task.hint <= 0) {
-            // Without hints only the workers' relation can be seen: the fastest kind is the
-            // standard core.
+            // Without hints the fastest kind is the standard core: only the relation can be seen.
             known.unit = 0;
             for (int i = 0; i < fleet.kindWork.length; i++) {
                 known.unit = Math.max(known.unit, speed.kindPace(i));
             }
-            double n = Math.min(++known.profileSeen[p] + 8, 4 * Learned.SAMPLES);
+            double n = Math.min(++known.profileSeen[p] + 8, 4 * SAMPLES);
             known.profileWork[p] += (run * speed.pace(w) - known.profileWork[p]) / n;
             double off = Math.log(run * speed.pace(w)) - known.runLog[p];
             known.runLog[p] += off / n;
             known.runVar[p] += (off * off - known.runVar[p]) / n;
-            known.mixWork += (a.task.work - known.mixWork) / Learned.SAMPLES;
+            known.mixWork += (a.task.work - known.mixWork) / SAMPLES;
         } else {
             learnHint(p, a.task.hint, run * speed.pace(w));
         }
@@ -81,28 +76,21 @@
                 a.task.hint > 0 ? Math.log(a.task.work) - known.runVar[p] / 2 : known.runLog[p];
         double off = told - Math.log(run * warm * speed.kindPace(k) / known.unit);
         // Guards against a slowdown of all, which one worker's few answers show much too late.
-        known.thaw =
-                warm < 1
-                        ? Math.max(1, known.thaw * Math.exp(off * 4 / Learned.SAMPLES))
-                        : known.thaw;
+        known.thaw = warm < 1 ? Math.max(1, known.thaw * Math.exp(off * 4 / SAMPLES)) : known.thaw;
         known.tide +=
-                a.task.hint > 0
-                        ? (off - known.tide) * 2 / Learned.SAMPLES
-                                - known.tide / (4 * Learned.SAMPLES)
-                        : 0;
+                a.task.hint > 0 ? (off - known.tide) * 2 / SAMPLES - known.tide / (4 * SAMPLES) : 0;
         fleet.swift[w] +=
                 (off - known.tide - fleet.swift[w])
                         * 2
-                        * (a.task.hint > 0 ? newest() : 1.0 / Learned.SAMPLES);
-        double keep = 1 - 1.0 / (8 * Learned.SAMPLES);
+                        * (a.task.hint > 0 ? newest() : 1.0 / SAMPLES);
+        double keep = 1 - 1.0 / (8 * SAMPLES);
         fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
         fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
     }
 
     /** Progress tells how long the whole run will take. */
     void progressed(Assignment a, double share) {
-        // Where starts are not told, the first word of progress tells one: it comes so long after
-        // it.
+        // Where starts are not told, the first progress tells one: it comes so long after it.
         if (Double.isNaN(a.startedAt) && !known.tellsStart && known.progressEvery > 0) {
             a.startedAt = Math.max(a.sentAt, known.now - known.progressEvery);
         }
@@ -111,13 +99,8 @@
         }
     }
 
-    /**
-     * Weight of the newest task in what shows strain: where few come to us they must tell it
-     * sooner.
-     */
+    /** Weight of the newest task in what shows strain: larger where few tasks come to us. */
     double newest() {
-        return Math.max(
-                1.0 / Learned.SAMPLES,
-                Math.min(4.0 / Learned.SAMPLES, known.gap / known.fadeSpan()));
+        return Math.max(1.0 / SAMPLES, Math.min(4.0 / SAMPLES, known.gap / known.fadeSpan()));
     }
 }
--- a/src/main/java/gingerspool/dispatch/ServerChoice.java
+++ b/src/main/java/gingerspool/dispatch/ServerChoice.java
@@ -1,5 +1,7 @@
 package gingerspool.dispatch;
 
+import static gingerspool.dispatch.Learned.SAMPLES;
+
 import java.util.SplittableRandom;
 
 /** The location rule: scores the ready workers and picks at random among the near-best. */
@@ -64,13 +66,11 @@
         for (int i = 0; i < fleet.count; i++) {
             int w = fleet.order[i];
             fleet.value[w] = Double.NEGATIVE_INFINITY;
-            // Guards against new workers idling: cold ones are open to all, since each has a share
-            // of them.
+            // Cold workers are open to all dispatchers, since each has a share of them.
             boolean warm = speed.warmth(w, 1) >= 1;
             double here = fleet.zoneOf[w] == known.zone ? 1 : 0;
             if (warm && (here == 1 ? room : away) <= 0 || !ready(w, task)) {
-                // Guards against trying a cut-off place worker by worker: those shunned keep their
-                // seats.
+                // Guards against trying a cut-off zone one by one: those shunned keep their seats.
                 away -= warm && known.now < fleet.shunUntil[w] ? 1 - here : 0;
                 continue;
             }
@@ -82,8 +82,7 @@
             double load = queued.load(w, queued.othersNow(w));
             weighed++;
             busyAll += load < 1 ? 0 : 1;
-            // Where reports hide queues our own sends pile up first at slow workers, so busy slots
-            // cost too.
+            // Where reports hide queues, own sends pile up at slow workers: busy slots cost.
             double busy = known.reportsQueue ? 0 : Math.min(1, load) / 2;
             c -= CROWDED * (busy + (load < 1 ? 0 : 1 - 1 / load));
             for (int j = 0; j < task.tries; j++) {
@@ -93,8 +92,7 @@
             fleet.value[w] = c - (1 - here) * crossing;
             top = Math.max(top, fleet.value[w]);
         }
-        known.full +=
-                weighed == 0 ? 0 : ((double) busyAll / weighed - known.full) * 4 / Learned.SAMPLES;
+        known.full += weighed == 0 ? 0 : ((double) busyAll / weighed - known.full) * 4 / SAMPLES;
         best = -1;
         for (int w = 0, near = 0; w < fleet.count && anyReady; w++) {
             best = fleet.value[w] >= top - NEAR && chance.nextInt(++near) == 0 ? w : best;
@@ -102,12 +100,10 @@
         bestChance = best < 0 ? 0 : top;
     }
 
-    /**
-     * Listed as running, of the task's kind, with room for it, not shunned, inside the cold budget.
-     */
+    /** Listed as running, of the task's kind, with room, not shunned, inside the cold budget. */
     private boolean ready(int w, Task t) {
         return fleet.state[w] == Dispatcher.RUNNING
-                && !banned(w)
+                && !fleet.banned(w)
                 && known.now >= fleet.shunUntil[w]
                 && !health.silent(w)
                 && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
@@ -115,20 +111,10 @@
                 && t.memory <= speed.slotsOf(w)
                 && inGroup(w, t)
                 && coldBudget.inBudget(w, t.work)
-                && !outAt(w, t)
+                && !t.outAt(w)
                 && fleet.out[w] < fleet.ours[w];
     }
 
-    /** Guards against two assignments of one task at one worker. */
-    private static boolean outAt(int w, Task t) {
-        for (int i = 0; i < t.tries && t.out > 0; i++) {
-            if (t.sent[i].worker == w && !t.sent[i].over) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private boolean inGroup(int w, Task t) {
         if (t.ran == null || t.profile.effect != Profile.Effect.FINGERPRINTED) {
             return true;
@@ -141,10 +127,6 @@
         };
     }
 
-    boolean banned(int w) {
-        return !Double.isNaN(fleet.bannedAt[w]);
-    }
-
     /** A place in an order of our own, so that dispatchers don't all lean on the same workers. */
     double rank(double size) {
         return -Math.log(chance.nextDouble()) / Math.max(0.1, size);
--- a/src/main/java/gingerspool/dispatch/Speed.java
+++ b/src/main/java/gingerspool/dispatch/Speed.java
@@ -19,9 +19,7 @@
                 : Math.max(told, Math.max(1, Math.rint(fleet.size[w])));
     }
 
-    /**
-     * Speed of a slot: the worker's last running times, leaning on its kind's, cold share included.
-     */
+    /** Speed of a slot: its last running times, leaning on its kind's, cold share included. */
     double pace(int w) {
         return kindPace(fleet.kindOf[w])
                 * Math.exp(known.tide + fleet.swift[w])
@@ -34,10 +32,7 @@
         return (fleet.kindWork[k] + lean) / (fleet.kindRun[k] + lean);
     }
 
-    /**
-     * The share of its capacity that a worker has reached if it warms so many times sooner than
-     * promised.
-     */
+    /** The share of its capacity reached by a worker that warms this much sooner than promised. */
     double warmth(int w, double times) {
         double age = times * (known.now - fleet.startedAt[w]);
         return age >= known.warmWithin || fleet.startedAt[w] <= 0
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -78,6 +78,22 @@
         ran = ran == null ? a : ran;
     }
 
+    /** Whether an assignment at this worker has no outcome yet. */
+    boolean outAt(int w) {
+        for (int i = 0; i < tries && out > 0; i++) {
+            if (sent[i].worker == w && !sent[i].over) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Notes that this worker was asked for a report on its behalf. */
+    void addAsked(int w) {
+        asked = Arrays.copyOf(asked, asked.length + 1);
+        asked[asked.length - 1] = w;
+    }
+
     /** Finds the earliest assignment that may have run. */
     void findRan() {
         ran = null;
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -231,6 +231,20 @@
         a.after = null;
     }
 
+    boolean banned(int w) {
+        return !Double.isNaN(bannedAt[w]);
+    }
+
+    /** The worker with the highest value, or -1 if none has one. */
+    int highestValued() {
+        int best = -1;
+        for (int w = 0; w < count; w++) {
+            double least = best < 0 ? Double.NEGATIVE_INFINITY : value[best];
+            best = value[w] > least ? w : best;
+        }
+        return best;
+    }
+
     /** The worker whose tag ends like this, or -1. */
     int tagged(int end) {
         int w = count - 1;
--- a/src/main/java/gingerspool/dispatch/Worth.java
+++ b/src/main/java/gingerspool/dispatch/Worth.java
@@ -11,8 +11,7 @@
     /** The due time counts from the client's first try. */
     double due(Task t) {
         int p = t.profile.index;
-        // Guards against serving a later try after the due time of the first: the expiry tells its
-        // age.
+        // The expiry tells a later try's age: none is served after the due time of the first.
         double age = known.now - t.expiry + t.profile.expiry;
         known.youngest[p] = Math.min(known.youngest[p], age);
         double due =
@@ -58,9 +57,7 @@
         return (known.served[p] + prior) / (known.came[p] + prior);
     }
 
-    /**
-     * What the task's utility is cut to when its tenant is beyond its allowance, in expectation.
-     */
+    /** What a task's utility is cut to, in expectation, if its tenant is over its allowance. */
     double withinShare(Task t) {
         if (t.tenant < 0) {
             return 1;
--- /dev/null
+++ b/src/test/java/gingerspool/dispatch/PolicyFilesTest.java
@@ -0,0 +1,46 @@
+package gingerspool.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import org.testng.annotations.Test;
+
+/**
+ * The files that decide, as both deploy files list them under `policy`, stay small enough to read.
+ */
+public class PolicyFilesTest {
+    private static final int MOST_LINES = 1100;
+
+    private static List<String> policy(String deployFile) throws IOException {
+        String line =
+                Files.readAllLines(Path.of("deploy", deployFile)).stream()
+                        .filter(l -> l.startsWith("policy = "))
+                        .findFirst()
+                        .orElseThrow();
+        return Pattern.compile("\"([^\"]+)\"")
+                .matcher(line)
+                .results()
+                .map((MatchResult m) -> m.group(1))
+                .toList();
+    }
+
+    @Test
+    public void bothProgramsListTheSameFiles() throws IOException {
+        assertEquals(policy("system.toml"), policy("balancer.toml"));
+    }
+
+    @Test
+    public void theFilesThatDecideHoldElevenHundredLinesTogether() throws IOException {
+        long lines = 0;
+        for (String file : policy("balancer.toml")) {
+            lines += Files.readAllLines(Path.of(file)).stream().filter(l -> !l.isBlank()).count();
+        }
+        assertTrue(lines > 0 && lines <= MOST_LINES, lines + " non-blank lines");
+    }
+}
