--- /dev/null
+++ b/src/test/java/gingerspool/ci/KnownRedTest.java
@@ -0,0 +1,136 @@
+package gingerspool.ci;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** `.ci/run` in a folder of its own, before an `mvn` that notes its arguments and fails as told. */
+public class KnownRedTest {
+    private static final String RED = "gingerspool.a.SlowTest#fails | a race in X | 43\n";
+    private static final String USUAL = "-B verify";
+    private static final String LEFT_OUT =
+            "-B verify -Dtest=Test*,*Test,*Tests,*TestCase,!gingerspool.a.SlowTest#fails";
+
+    private Path root;
+    private String printed;
+
+    @BeforeMethod
+    public void makeFolder() throws IOException {
+        root = Files.createTempDirectory("known-red");
+        Files.createDirectories(root.resolve("target"));
+        Path source = root.resolve("src/test/java/gingerspool/a/SlowTest.java");
+        Files.createDirectories(source.getParent());
+        Files.writeString(
+                source,
+                "public class SlowTest {\n    @Test\n    public void fails() {}\n\n"
+                        + "    @Test\n    void other() {}\n}\n");
+        Files.createDirectories(root.resolve(".ci"));
+        Files.copy(Path.of(".ci", "run"), root.resolve(".ci/run"));
+        Files.createDirectories(root.resolve("bin"));
+        Path mvn = root.resolve("bin/mvn");
+        Files.writeString(
+                mvn,
+                "#!/bin/sh\necho \"$*\" >> calls\n"
+                        + "case \"$*\" in *verify*) exit \"$VERIFY\";; *) exit \"$ALONE\";; esac\n");
+        assertTrue(mvn.toFile().setExecutable(true));
+    }
+
+    @AfterMethod
+    public void removeFolder() throws IOException {
+        try (Stream<Path> all = Files.walk(root)) {
+            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
+    private int run(String list, int verify, int alone) throws Exception {
+        if (list != null) {
+            Files.writeString(root.resolve("KNOWN-RED.txt"), list);
+        }
+        ProcessBuilder b = new ProcessBuilder("bash", ".ci/run").directory(root.toFile());
+        b.environment().put("PATH", root.resolve("bin") + ":" + System.getenv("PATH"));
+        b.environment().put("VERIFY", "" + verify);
+        b.environment().put("ALONE", "" + alone);
+        Process p = b.redirectErrorStream(true).start();
+        printed = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return p.waitFor();
+    }
+
+    private List<String> calls() throws IOException {
+        Path calls = root.resolve("calls");
+        return Files.exists(calls) ? Files.readAllLines(calls) : List.of();
+    }
+
+    @DataProvider
+    public Object[][] nothingListed() {
+        return new Object[][] {{null}, {""}, {"\n  \n"}};
+    }
+
+    @Test(dataProvider = "nothingListed")
+    public void withNothingListedItRunsAsItStands(String list) throws Exception {
+        assertEquals(run(list, 0, 0), 0);
+        assertEquals(calls(), List.of(USUAL));
+        assertEquals(run(list, 1, 0), 1);
+    }
+
+    @Test
+    public void aListedTestIsLeftOutAndPrinted() throws Exception {
+        assertEquals(run(RED, 0, 1), 0);
+        assertEquals(
+                calls(),
+                List.of(LEFT_OUT, "-B -q surefire:test -Dtest=gingerspool.a.SlowTest#fails"));
+        assertTrue(printed.contains("known red: " + RED), printed);
+    }
+
+    @Test
+    public void aListedTestThatPassesIsReported() throws Exception {
+        assertEquals(run(RED, 0, 0), 0);
+        assertTrue(printed.contains("passes now, take it out of KNOWN-RED.txt: " + RED), printed);
+    }
+
+    @Test
+    public void whatIsNotListedStillFails() throws Exception {
+        assertEquals(run(RED, 1, 1), 1);
+        assertEquals(calls(), List.of(LEFT_OUT));
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {"gingerspool.a.SlowTest#fails\n"},
+            {"gingerspool.a.SlowTest#fails | a race\n"},
+            {"gingerspool.a.SlowTest#fails | a race | \n"},
+            {"gingerspool.a.SlowTest#fails |   | 43\n"},
+            {"gingerspool.a.SlowTest#fails | a race | none\n"},
+            {"gingerspool.a.SlowTest | a race | 43\n"},
+            {"gingerspool.a.SlowTest#* | a race | 43\n"},
+            {"gingerspool.a.*#fails | a race | 43\n"},
+            {"gingerspool.a.SlowTest#fails,*Test | a race | 43\n"},
+            {"gingerspool.a.SlowTest#gone | a race | 43\n"},
+            {"gingerspool.b.SlowTest#fails | a race | 43\n"},
+            {RED + "\n" + RED},
+            {"# a comment\n"},
+            {RED + RED + RED + RED},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aFaultyListFailsBeforeAnythingRuns(String list) throws Exception {
+        assertNotEquals(run(list, 0, 0), 0);
+        assertEquals(calls(), List.of());
+        assertTrue(printed.startsWith("KNOWN-RED.txt: "), printed);
+    }
+}
