--- a/src/main/java/gingerspool/config/Check.java
+++ b/src/main/java/gingerspool/config/Check.java
@@ -62,6 +62,13 @@
     Check(OperatorFile file, List<Fault> faults) {
         this.file = file;
         this.faults = faults;
+        rulesOfCopies();
+        rulesOfRepeats();
+        rulesOfTime();
+        rulesOfLimits();
+    }
+
+    private void rulesOfCopies() {
         int most = file.limits.assignments();
         rule(
                 c -> c.said.assignments != null && c.said.assignments.value() > most,
@@ -116,6 +123,9 @@
                                 + OperatorFile.where(
                                         c.timesOut() ? c.said.timeout : c.profile.expiry)
                                 + ": none would go out");
+    }
+
+    private void rulesOfRepeats() {
         rule(
                 c ->
                         c.repeats()
@@ -164,6 +174,9 @@
                                 + OperatorFile.where(c.profile.effect)
                                 + ", may have run; set assignments = 1, or again = "
                                 + "[\"unreachable\", \"full\"]");
+    }
+
+    private void rulesOfTime() {
         rule(
                 Check::tooLong,
                 "timeout",
@@ -199,6 +212,9 @@
                                 + ", "
                                 + Units.text(c.profile.expiry.value())
                                 + OperatorFile.where(c.profile.expiry));
+    }
+
+    private void rulesOfLimits() {
         rule(
                 c -> above(c.policy.tenantLimit(), c.policy.limit()) != null,
                 "tenant_limit",
