--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -610,7 +610,7 @@
 
                                 @Override
                                 public void broke(boolean allWritten) {
-                                    dispatcher.mute(turns.now(), worker);
+                                    dispatcher.reportMissing(turns.now(), worker);
                                 }
                             });
         } catch (IOException e) {
--- a/src/main/java/gingerspool/dispatch/Assignment.java
+++ b/src/main/java/gingerspool/dispatch/Assignment.java
@@ -31,7 +31,7 @@
     boolean neverRan;
 
     /** It is another dispatcher's, who told of it; -1: our own. */
-    int teller = -1;
+    int peer = -1;
 
     /** Other dispatchers know of it. */
     boolean told;
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -199,7 +199,7 @@
     /** Takes what the process before this one had learned and still means the same here. */
     public void learn(double at, Map<?, ?> told) {
         now = at;
-        Memory m = Memory.toTake(told);
+        LearnedSnapshot m = LearnedSnapshot.reader(told);
         carry(m);
         // What it still has out there is the work of others from here on.
         double[] out = new double[fleet.count];
@@ -331,7 +331,7 @@
     }
 
     /** The worker answered a request for a report with nothing in time, or turned it away. */
-    public void mute(double at, int w) {
+    public void reportMissing(double at, int w) {
         now = at;
         fleet.probing[w] = false;
         health.shun(w);
@@ -350,9 +350,9 @@
      * Word of another dispatcher: it has sent a task of so much work to a worker, or that has
      * ended.
      */
-    public void told(double at, int teller, byte[] word) {
+    public void peerTold(double at, int peer, byte[] message) {
         now = at;
-        peerSends.told(teller, word);
+        peerSends.peerTold(peer, message);
         rules.settle();
     }
 
--- a/src/main/java/gingerspool/dispatch/FurtherTries.java
+++ b/src/main/java/gingerspool/dispatch/FurtherTries.java
@@ -29,7 +29,7 @@
 
     /** Guards against storms: further assignments are a share of first ones. */
     boolean budgetSpent(Task task) {
-        return task.tries > 0 && task.terms.purse != null && !task.terms.purse.holds(known.now);
+        return task.tries > 0 && task.terms.budget != null && !task.terms.budget.allows(known.now);
     }
 
     /** Whether a second copy may join what is out. */
@@ -43,7 +43,7 @@
     /** Whether an assignment at a worker that hangs is called back, so that it may go elsewhere. */
     boolean mayCallBack(Assignment a) {
         Task t = a.task;
-        return a.teller < 0
+        return a.peer < 0
                 && !t.ended
                 && !a.cancelled
                 && Double.isNaN(a.startedAt)
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** What a Dispatcher has learned: figures only, and how they pass from one process to the next. */
-abstract class Learned extends Figures {
+abstract class Learned extends Parameters {
     /** N_S: pair rows, mixes and running times look back over about this many samples. */
     static final int SAMPLES = 64;
 
@@ -91,7 +91,7 @@
 
     /** All that is learned, under names, for the next process of this scheduler. */
     public final Map<String, Object> learned() {
-        Memory m = Memory.toTell();
+        LearnedSnapshot m = LearnedSnapshot.writer();
         carry(m);
         m.each("own", fleet.own, fleet.count);
         return m.fields();
@@ -110,17 +110,17 @@
     /**
      * Each part passes only to a process for which it means the same; the rest begins afresh there.
      */
-    final void carry(Memory m) {
+    final void carry(LearnedSnapshot m) {
         fleet.carryStanding(m);
-        m.sense("machines", senseOfMachines);
+        m.basis("machines", basisOfMachines);
         fleet.carryMachines(m);
         thaw = m.number("thaw", thaw);
         unit = m.number("unit", unit);
-        m.sense("reports", senseOfReports);
+        m.basis("reports", basisOfReports);
         fleet.carryReports(m);
-        reportsCome = m.mark("reportsCome", reportsCome);
-        reportsQueue = m.mark("reportsQueue", reportsQueue);
-        m.sense("tasks", senseOfTasks);
+        reportsCome = m.flag("reportsCome", reportsCome);
+        reportsQueue = m.flag("reportsQueue", reportsQueue);
+        m.basis("tasks", basisOfTasks);
         fleet.carryTasks(m);
         for (int k = 0; k < pool.length; k++) {
             m.numbers("pool." + k, pool[k]);
@@ -149,7 +149,7 @@
         gap = m.number("gap", gap);
         lastArrival = m.number("lastArrival", lastArrival);
         firstArrival = m.number("firstArrival", firstArrival);
-        m.anySense();
+        m.anyBasis();
         afresh = m.afresh();
     }
 }
--- a/src/main/java/gingerspool/dispatch/Memory.java
+++ b/src/main/java/gingerspool/dispatch/LearnedSnapshot.java
@@ -12,7 +12,7 @@
  * place, where that has the same size and was learned in the same sense. What is of workers goes by
  * their names. No decisions here.
  */
-public final class Memory {
+public final class LearnedSnapshot {
     private final Map<String, Object> fields;
     private final boolean taken;
 
@@ -25,21 +25,21 @@
     /** Where each worker told of stands here, -1 for nowhere. */
     private int[] places = new int[0];
 
-    private Memory(Map<String, Object> fields, boolean taken) {
+    private LearnedSnapshot(Map<String, Object> fields, boolean taken) {
         this.fields = fields;
         this.taken = taken;
     }
 
     /** One that notes what passes. */
-    static Memory toTell() {
-        return new Memory(new LinkedHashMap<>(), false);
+    static LearnedSnapshot writer() {
+        return new LearnedSnapshot(new LinkedHashMap<>(), false);
     }
 
     /** One that gives back what another noted: names with numbers and lists of them. */
-    static Memory toTake(Map<?, ?> told) {
+    static LearnedSnapshot reader(Map<?, ?> told) {
         Map<String, Object> fields = new LinkedHashMap<>();
         told.forEach((name, value) -> fields.put(String.valueOf(name), value));
-        return new Memory(fields, true);
+        return new LearnedSnapshot(fields, true);
     }
 
     List<String> afresh() {
@@ -51,7 +51,7 @@
     }
 
     /** What passes from here on means the same only where this text is the same. */
-    void sense(String part, String text) {
+    void basis(String part, String text) {
         same = !taken || text.equals(fields.get("sense." + part));
         if (!same) {
             afresh.add(part);
@@ -60,7 +60,7 @@
     }
 
     /** What passes from here on means the same everywhere. */
-    void anySense() {
+    void anyBasis() {
         same = true;
     }
 
@@ -105,13 +105,13 @@
         return v;
     }
 
-    boolean mark(String name, boolean v) {
+    boolean flag(String name, boolean v) {
         return number(name, v ? 1 : 0) == 1;
     }
 
     void numbers(String name, double[] v) {
         if (!taken) {
-            fields.put(name, Arrays.stream(v).map(Memory::told).toArray());
+            fields.put(name, Arrays.stream(v).map(LearnedSnapshot::told).toArray());
         } else if (same && fields.get(name) instanceof List<?> l && l.size() == v.length) {
             for (int i = 0; i < v.length; i++) {
                 v[i] = heard(l.get(i), v[i]);
@@ -122,7 +122,7 @@
     /** A number of each worker. */
     void each(String name, double[] v, int count) {
         if (!taken) {
-            fields.put(name, Arrays.stream(v, 0, count).map(Memory::told).toArray());
+            fields.put(name, Arrays.stream(v, 0, count).map(LearnedSnapshot::told).toArray());
         } else if (same && fields.get(name) instanceof List<?> l && l.size() == places.length) {
             for (int i = 0; i < places.length; i++) {
                 int w = places[i];
--- a/src/main/java/gingerspool/dispatch/Outlet.java
+++ b/src/main/java/gingerspool/dispatch/Outlet.java
@@ -19,7 +19,7 @@
      * Tells the dispatcher with this number, or all others at -1; only where settings say that it
      * may.
      */
-    default void tell(int dispatcher, byte[] word) {
+    default void tell(int dispatcher, byte[] message) {
         throw new IllegalStateException("this host has no way to other dispatchers");
     }
 
--- a/src/main/java/gingerspool/dispatch/OwnSends.java
+++ b/src/main/java/gingerspool/dispatch/OwnSends.java
@@ -20,7 +20,7 @@
     void forgetOld(int w) {
         for (Assignment a = fleet.oldest[w]; a != null; ) {
             Assignment next = a.after;
-            if (a.teller >= 0 && known.now > a.sentAt + 2 * (a.wait + 2 * a.run)) {
+            if (a.peer >= 0 && known.now > a.sentAt + 2 * (a.wait + 2 * a.run)) {
                 forget(a);
             }
             a = next;
@@ -41,7 +41,8 @@
             tellFrom *= Math.exp(((a.told ? 1 : 0) - known.tellShare) / 4);
         }
         if (a.told) {
-            out.tell(-1, Word.of(fleet.tag[a.worker], begins ? a.task.work / known.tick : 0));
+            out.tell(
+                    -1, PeerMessage.of(fleet.tag[a.worker], begins ? a.task.work / known.tick : 0));
         }
     }
 
--- a/src/main/java/gingerspool/dispatch/Figures.java
+++ b/src/main/java/gingerspool/dispatch/Parameters.java
@@ -1,7 +1,7 @@
 package gingerspool.dispatch;
 
 /** The deployment, as the few figures that decisions use. */
-abstract class Figures {
+abstract class Parameters {
     /**
      * What telling others of sends may cost in service, and bytes of telling one's begin and end.
      */
@@ -48,12 +48,12 @@
      * What learned figures of machines, of reports and of tasks rest on; they mean nothing
      * elsewhere.
      */
-    final String senseOfMachines;
+    final String basisOfMachines;
 
-    final String senseOfReports;
-    final String senseOfTasks;
+    final String basisOfReports;
+    final String basisOfTasks;
 
-    Figures(Settings s) {
+    Parameters(Settings s) {
         if (s.profiles.length == 0) {
             throw new IllegalArgumentException("settings without profiles");
         }
@@ -89,21 +89,21 @@
         budgetShare = s.overloadFactor * s.fallWindow / dispatchers;
         crossFee = s.crossFee;
         worstWeight = s.worstProfile;
-        senseOfMachines = String.join(",", s.kinds);
-        senseOfReports =
+        basisOfMachines = String.join(",", s.kinds);
+        basisOfReports =
                 String.join(
                         " ",
-                        senseOfMachines,
+                        basisOfMachines,
                         "at " + s.place,
                         s.order.toString(),
                         tellsStart ? "starts" : "",
                         s.reportsByProbe ? "probes" : s.reportsInAnswers ? "answers" : "",
                         String.join(",", s.reportNames));
         StringBuilder tasks =
-                new StringBuilder(senseOfReports).append(byWork ? " by work" : " by task");
+                new StringBuilder(basisOfReports).append(byWork ? " by work" : " by task");
         for (Profile p : profiles) {
             tasks.append(", ").append(p);
         }
-        senseOfTasks = tasks.toString();
+        basisOfTasks = tasks.toString();
     }
 }
--- a/src/main/java/gingerspool/dispatch/Word.java
+++ b/src/main/java/gingerspool/dispatch/PeerMessage.java
@@ -5,10 +5,10 @@
  * one for its size; without it the task has ended. The size is told in sixteenths of a power of
  * two, from 1 on.
  */
-final class Word {
+final class PeerMessage {
     private static final double STEPS = 16;
 
-    private Word() {}
+    private PeerMessage() {}
 
     /** A size of 0 tells an end. */
     static byte[] of(int tag, double size) {
@@ -20,15 +20,15 @@
     }
 
     /** The last two bytes of the worker's tag, or -1 where the word is too short. */
-    static int tag(byte[] word) {
-        return word.length < 2 ? -1 : (word[0] & 255) << 8 | word[1] & 255;
+    static int tag(byte[] message) {
+        return message.length < 2 ? -1 : (message[0] & 255) << 8 | message[1] & 255;
     }
 
-    static boolean begins(byte[] word) {
-        return word.length > 2;
+    static boolean begins(byte[] message) {
+        return message.length > 2;
     }
 
-    static double size(byte[] word) {
-        return Math.pow(2, (word[2] & 255) / STEPS);
+    static double size(byte[] message) {
+        return Math.pow(2, (message[2] & 255) / STEPS);
     }
 }
--- a/src/main/java/gingerspool/dispatch/PeerSends.java
+++ b/src/main/java/gingerspool/dispatch/PeerSends.java
@@ -17,11 +17,11 @@
     }
 
     /** Another dispatcher tells that it has sent a task to a worker, or that one has ended. */
-    void told(int teller, byte[] word) {
-        int w = fleet.tagged(Word.tag(word));
-        if (w >= 0 && Word.begins(word)) {
+    void peerTold(int peer, byte[] message) {
+        int w = fleet.tagged(PeerMessage.tag(message));
+        if (w >= 0 && PeerMessage.begins(message)) {
             Task t = new Task("");
-            t.work = known.tick * Word.size(word);
+            t.work = known.tick * PeerMessage.size(message);
             t.hint = t.work;
             Assignment a =
                     new Assignment(
@@ -32,12 +32,12 @@
                             t.work / speed.pace(w),
                             queued.waitAt(w, queued.regionOf(w)),
                             0);
-            a.teller = teller;
+            a.peer = peer;
             ownSends.smoothOwn(w);
             fleet.link(a);
         } else if (w >= 0) {
             Assignment a = fleet.oldest[w];
-            while (a != null && a.teller != teller) {
+            while (a != null && a.peer != peer) {
                 a = a.after;
             }
             ownSends.forget(a);
--- a/src/main/java/gingerspool/dispatch/Purse.java
+++ b/src/main/java/gingerspool/dispatch/RetryBudget.java
@@ -3,12 +3,12 @@
 /**
  * A budget of further assignments and copies, as the Dispatcher uses it. Times are milliseconds.
  */
-public interface Purse {
+public interface RetryBudget {
     /** A first assignment goes out, which earns a part of a further one. */
     void earn(double now);
 
     /** Whether a further assignment or copy is allowed now. */
-    boolean holds(double now);
+    boolean allows(double now);
 
     void spend(double now);
 }
--- a/src/main/java/gingerspool/dispatch/Terms.java
+++ b/src/main/java/gingerspool/dispatch/Terms.java
@@ -27,7 +27,7 @@
     final int copies;
 
     final double copyAfter;
-    final Purse purse;
+    final RetryBudget budget;
     private final Set<Outcome> again;
 
     /**
@@ -41,7 +41,7 @@
             double jitter,
             int copies,
             double copyAfter,
-            Purse purse,
+            RetryBudget budget,
             Set<Outcome> again) {
         this.assignments = assignments;
         this.timeout = timeout;
@@ -50,7 +50,7 @@
         this.jitter = jitter;
         this.copies = copies;
         this.copyAfter = copyAfter;
-        this.purse = purse;
+        this.budget = budget;
         this.again = again == null ? EnumSet.allOf(Outcome.class) : again;
     }
 
@@ -60,10 +60,10 @@
 
     /** An assignment goes out after so many others of its task. */
     void sent(int tries, double now) {
-        if (purse != null && tries == 0) {
-            purse.earn(now);
-        } else if (purse != null) {
-            purse.spend(now);
+        if (budget != null && tries == 0) {
+            budget.earn(now);
+        } else if (budget != null) {
+            budget.spend(now);
         }
     }
 
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -159,7 +159,7 @@
      * Passes on what holds of a worker whatever its work: our place for it, its rest, its cold
      * budget.
      */
-    void carryStanding(Memory m) {
+    void carryStanding(LearnedSnapshot m) {
         m.workers(tag, count);
         m.each("rank", rank, count);
         m.each("shunUntil", shunUntil, count);
@@ -170,7 +170,7 @@
     }
 
     /** Passes on what holds of a worker's machine. */
-    void carryMachines(Memory m) {
+    void carryMachines(LearnedSnapshot m) {
         m.each("slots", slots, count);
         m.each("swift", swift, count);
         m.numbers("kindSlots", kindSlots);
@@ -179,7 +179,7 @@
     }
 
     /** Passes on what reports have shown. */
-    void carryReports(Memory m) {
+    void carryReports(LearnedSnapshot m) {
         m.each("others", others, count);
         m.each("heardAt", heardAt, count);
         m.each("probedAt", probedAt, count);
@@ -189,7 +189,7 @@
     }
 
     /** Passes on what the tasks there have shown. */
-    void carryTasks(Memory m) {
+    void carryTasks(LearnedSnapshot m) {
         m.each("sendRate", sendRate, count);
         m.each("rateAt", rateAt, count);
         m.rows("fail", fail, count);
--- a/src/main/java/gingerspool/route/Budget.java
+++ b/src/main/java/gingerspool/route/Budget.java
@@ -1,6 +1,6 @@
 package gingerspool.route;
 
-import gingerspool.dispatch.Purse;
+import gingerspool.dispatch.RetryBudget;
 
 /**
  * The budget of further assignments and copies: each first assignment earns a share of one, and so
@@ -11,7 +11,7 @@
  * <p>In any span of T seconds with n first assignments, at most cap + share * n + leastPerS * T go
  * out, where cap is RESERVE seconds of both (one at the least).
  */
-public final class Budget implements Purse {
+public final class Budget implements RetryBudget {
     /** Seconds of earnings that may be kept. */
     static final double RESERVE = 1;
 
@@ -58,7 +58,7 @@
     }
 
     @Override
-    public boolean holds(double now) {
+    public boolean allows(double now) {
         pass(now);
         return level >= 1;
     }
--- a/src/main/java/gingerspool/route/Routes.java
+++ b/src/main/java/gingerspool/route/Routes.java
@@ -119,7 +119,7 @@
     private Entry entry(Rule r, String profile, Policy p, Routes before) {
         Entry e = new Entry(r.name());
         String byProfile = "profile " + profile;
-        Budget purse =
+        Budget budget =
                 p.repeats() == null
                         ? null
                         : budgets.computeIfAbsent(
@@ -138,7 +138,7 @@
                         pause == null ? 0 : pause.jitter(),
                         p.copies() == null ? 1 : p.copies().most(),
                         p.copies() == null ? 0 : p.copies().after(),
-                        purse,
+                        budget,
                         p.again());
         e.limit =
                 p.limit() == null
--- a/src/main/java/gingerspool/simhost/Instance.java
+++ b/src/main/java/gingerspool/simhost/Instance.java
@@ -47,7 +47,7 @@
             case "HINT_UPDATE" -> note(at, f);
             case "HEALTH" -> {
                 if (f.text("how").equals("timeout") || f.text("how").equals("full")) {
-                    dispatcher.mute(at, worker(f));
+                    dispatcher.reportMissing(at, worker(f));
                 } else {
                     dispatcher.probed(at, worker(f), report(f));
                 }
@@ -68,7 +68,7 @@
                 }
             }
             case "NEIGHBOUR_SAYS" -> {
-                dispatcher.told(
+                dispatcher.peerTold(
                         at, (int) f.whole("who"), HexFormat.of().parseHex(f.text("payload")));
             }
             default -> throw new WireException("unknown event");
--- a/src/test/java/gingerspool/dispatch/Bench.java
+++ b/src/test/java/gingerspool/dispatch/Bench.java
@@ -16,7 +16,7 @@
 public final class Bench implements Outlet {
     final List<String> acts = new ArrayList<>();
     final List<Assignment> sent = new ArrayList<>();
-    final List<byte[]> words = new ArrayList<>();
+    final List<byte[]> messages = new ArrayList<>();
     final Settings settings = new Settings();
     Dispatcher d;
 
@@ -139,9 +139,9 @@
     }
 
     @Override
-    public void tell(int dispatcher, byte[] word) {
+    public void tell(int dispatcher, byte[] message) {
         acts.add("tell " + dispatcher);
-        words.add(word);
+        messages.add(message);
     }
 
     @Override
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -555,20 +555,20 @@
         from.d.arrived(2, from.task(0, 2, 1600));
         Bench to = Bench.of(ONCE).start(2);
         double idle = to.d.load(0, 0);
-        to.d.told(3, 1, from.words.get(0));
+        to.d.peerTold(3, 1, from.messages.get(0));
         assertEquals(to.d.load(0, 0), idle + 0.5);
-        to.d.told(4, 2, new byte[] {from.words.get(0)[0], from.words.get(0)[1]});
+        to.d.peerTold(4, 2, new byte[] {from.messages.get(0)[0], from.messages.get(0)[1]});
         assertEquals(to.d.load(0, 0), idle + 0.5, "an end told by one who had sent nothing");
         from.d.ended(900, from.last(), Outcome.OK, true, null);
-        to.d.told(901, 1, from.words.get(1));
+        to.d.peerTold(901, 1, from.messages.get(1));
         assertEquals(to.d.load(0, 0), idle);
-        to.d.told(902, 1, from.words.get(0));
+        to.d.peerTold(902, 1, from.messages.get(0));
         to.d.wake(60000);
         to.arrive(0, 60000);
         assertEquals(
                 to.d.load(1 - to.last().worker, 0), 0.0, "a word that was lost counts for ever");
-        to.d.told(60001, 1, new byte[] {1});
-        to.d.told(60001, 1, new byte[] {0, 0, 0, 0});
+        to.d.peerTold(60001, 1, new byte[] {1});
+        to.d.peerTold(60001, 1, new byte[] {0, 0, 0, 0});
     }
 
     /** Found on sofia-topup big-1: telling all sends to 158 others cost 0.06 of service. */
@@ -587,7 +587,7 @@
         long told = b.sent.stream().filter(a -> a.told).count();
         assertTrue(told > 20 && told < 60, "told " + told);
         assertTrue(b.sent.stream().filter(a -> a.told && a.task.hint < 100).count() < told / 3);
-        assertEquals(b.words.size(), 2 * told);
+        assertEquals(b.messages.size(), 2 * told);
     }
 
     /**
@@ -611,7 +611,7 @@
         assertEquals(b.count("send 1"), 3, b.acts.toString());
         b.d.started(5, begun.sent[0]);
         b.list(6, false, 1, Dispatcher.RUNNING, 0);
-        b.d.mute(60, 1);
+        b.d.reportMissing(60, 1);
         assertEquals(b.count("cancel"), 1);
         b.d.ended(61, safe.sent[0], Outcome.CANCELLED, false, null);
         assertEquals(b.last().task, safe);
--- a/src/test/java/gingerspool/dispatch/TermsTest.java
+++ b/src/test/java/gingerspool/dispatch/TermsTest.java
@@ -19,7 +19,7 @@
     private static final Effect SAFE = Effect.IDEMPOTENT;
 
     /** A budget of so many, which nothing fills up. */
-    private static final class Coins implements Purse {
+    private static final class Coins implements RetryBudget {
         int left;
         int earned;
 
@@ -33,7 +33,7 @@
         }
 
         @Override
-        public boolean holds(double now) {
+        public boolean allows(double now) {
             return left > 0;
         }
 
@@ -43,12 +43,12 @@
         }
     }
 
-    private static Terms terms(int assignments, double first, double most, Purse purse) {
-        return new Terms(assignments, 0, first, most, 0, 1, 0, purse, null);
+    private static Terms terms(int assignments, double first, double most, RetryBudget budget) {
+        return new Terms(assignments, 0, first, most, 0, 1, 0, budget, null);
     }
 
-    private static Terms copies(int most, double after, Purse purse) {
-        return new Terms(4, 0, 0, 0, 0, most, after, purse, null);
+    private static Terms copies(int most, double after, RetryBudget budget) {
+        return new Terms(4, 0, 0, 0, 0, most, after, budget, null);
     }
 
     private static Task arrive(Bench b, double at, Terms terms) {
@@ -407,9 +407,9 @@
      * Simulated time: a fleet that fails everything after a while; gives firsts and repeats by
      * second.
      */
-    private static int[][] storm(Purse purse, int seed) {
+    private static int[][] storm(RetryBudget budget, int seed) {
         Bench b = Bench.of(SAFE).start(200);
-        Terms terms = new Terms(4, 0, 0, 0, 0, 1, 0, purse, null);
+        Terms terms = new Terms(4, 0, 0, 0, 0, 1, 0, budget, null);
         SplittableRandom r = new SplittableRandom(seed);
         int seconds = 30;
         int[][] counts = new int[2][seconds];
--- a/src/test/java/gingerspool/route/LimitsTest.java
+++ b/src/test/java/gingerspool/route/LimitsTest.java
@@ -94,7 +94,7 @@
                     b.earn(now);
                     firsts++;
                 }
-                for (int k = r.nextInt(3); k > 0 && b.holds(now); k--) {
+                for (int k = r.nextInt(3); k > 0 && b.allows(now); k--) {
                     b.spend(now);
                     repeats++;
                 }
@@ -108,14 +108,14 @@
     public void aBudgetOfNothingAllowsNothing() {
         Budget b = new Budget(new Policy.Repeats(0, 0));
         b.earn(0);
-        assertFalse(b.holds(1e9));
+        assertFalse(b.allows(1e9));
     }
 
     @Test
     public void aQuietHourDoesNotPayForAStorm() {
         Budget b = new Budget(new Policy.Repeats(0.1, 2));
         int n = 0;
-        for (; b.holds(3.6e6); n++) {
+        for (; b.allows(3.6e6); n++) {
             b.spend(3.6e6);
         }
         assertEquals(n, 2);
