--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -159,7 +159,7 @@
      * Passes on what holds of a worker whatever its work: our place for it, its rest, its cold
      * budget.
      */
-    void carryStanding(Memory m) {
+    void carryStanding(LearnedSnapshot m) {
         m.workers(tag, count);
         m.each("rank", rank, count);
         m.each("shunUntil", shunUntil, count);
@@ -170,7 +170,7 @@
     }
 
     /** Passes on what holds of a worker's machine. */
-    void carryMachines(Memory m) {
+    void carryMachines(LearnedSnapshot m) {
         m.each("slots", slots, count);
         m.each("swift", swift, count);
         m.numbers("kindSlots", kindSlots);
@@ -179,7 +179,7 @@
     }
 
     /** Passes on what reports have shown. */
-    void carryReports(Memory m) {
+    void carryReports(LearnedSnapshot m) {
         m.each("others", others, count);
         m.each("heardAt", heardAt, count);
         m.each("probedAt", probedAt, count);
@@ -189,7 +189,7 @@
     }
 
     /** Passes on what the tasks there have shown. */
-    void carryTasks(Memory m) {
+    void carryTasks(LearnedSnapshot m) {
         m.each("sendRate", sendRate, count);
         m.each("rateAt", rateAt, count);
         m.rows("fail", fail, count);
@@ -231,6 +231,20 @@
         a.after = null;
     }
 
+    boolean banned(int w) {
+        return !Double.isNaN(bannedAt[w]);
+    }
+
+    /** The worker with the highest value, or -1 if none has one. */
+    int highestValued() {
+        int best = -1;
+        for (int w = 0; w < count; w++) {
+            double least = best < 0 ? Double.NEGATIVE_INFINITY : value[best];
+            best = value[w] > least ? w : best;
+        }
+        return best;
+    }
+
     /** The worker whose tag ends like this, or -1. */
     int tagged(int end) {
         int w = count - 1;
