--- a/src/test/java/gingerspool/controlplane/StartWithoutDiskTest.java
+++ b/src/test/java/gingerspool/controlplane/StartWithoutDiskTest.java
@@ -5,6 +5,8 @@
 
 import gingerspool.settings.Settings;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,7 +23,14 @@
 
     private final HttpClient client = HttpClient.newHttpClient();
 
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
+            return any.getLocalPort();
+        }
+    }
+
     private static ControlNode node(Path folder, Path data, int port) throws Exception {
+        int inner = freePort();
         Path file = folder.resolve("settings.toml");
         Files.writeString(
                 file,
@@ -41,7 +50,7 @@
                 [Cloud]
                 Address = "127.0.8.9:1"
                 """
-                        .formatted(IP, port + 1, port + 2, IP, port, data, IP, port));
+                        .formatted(IP, inner, inner, IP, port, data, IP, port));
         return new ControlNode(Settings.read(file));
     }
 
@@ -57,7 +66,7 @@
         Path folder = Files.createTempDirectory("start");
         Path inTheWay = folder.resolve("in-the-way");
         Files.write(inTheWay, new byte[1]);
-        int port = 18301;
+        int port = freePort();
         ControlNode node = node(folder, inTheWay.resolve("data"), port);
         try {
             CompletableFuture<Void> listens = new CompletableFuture<>();
@@ -88,7 +97,7 @@
         Path folder = Files.createTempDirectory("start");
         Path data = Files.createDirectories(folder.resolve("data"));
         Files.write(data.resolve("ledger-3.mv"), new byte[9000]);
-        ControlNode node = node(folder, data, 18311);
+        ControlNode node = node(folder, data, freePort());
         try {
             CompletableFuture<Boolean> learner = new CompletableFuture<>();
             node.begin(learner::completeExceptionally);
