SIGTERM of a control process: it stays a voter until it is replaced, then ends

Cause: it ended an eighth of a heartbeat after SIGTERM, whatever depended on its vote, and closed on operators who waited.

SIGHUP reads SeedNodes anew.

RepairTest not run on this text: another process of this machine held its addresses.

--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import sun.misc.Signal;
@@ -30,20 +31,21 @@
         try {
             Settings settings = Settings.read(environment);
             if (program.equals("control")) {
-                ControlNode b = new ControlNode(settings);
-                Signal.handle(new Signal("TERM"), s -> b.stop(ended::countDown));
-                Signal.handle(new Signal("HUP"), s -> {});
-                b.begin(
+                ControlNode control = new ControlNode(settings);
+                Signal.handle(new Signal("TERM"), s -> control.stop(ended::countDown));
+                Signal.handle(new Signal("HUP"), s -> reload(environment, control::reload, log));
+                control.begin(
                         why -> {
                             log.error("start.failed why=\"{}\"", why.getMessage());
                             code.set(CAN_NOT_RUN);
                             ended.countDown();
                         });
             } else {
-                SchedulerNode a = new SchedulerNode(settings);
-                Signal.handle(new Signal("TERM"), s -> a.stop(ended::countDown));
-                Signal.handle(new Signal("HUP"), s -> again(a, environment, log));
-                a.begin();
+                SchedulerNode scheduler = new SchedulerNode(settings);
+                Signal.handle(new Signal("TERM"), s -> scheduler.stop(ended::countDown));
+                Signal.handle(
+                        new Signal("HUP"), s -> reload(environment, scheduler::settings, log));
+                scheduler.begin();
             }
             ended.await();
             return code.get();
@@ -59,9 +61,9 @@
     }
 
     /** A file that can't be used changes nothing. */
-    private static void again(SchedulerNode a, Map<String, String> environment, Logger log) {
+    private static void reload(Map<String, String> environment, Consumer<Settings> to, Logger log) {
         try {
-            a.settings(Settings.read(environment));
+            to.accept(Settings.read(environment));
         } catch (SettingsException e) {
             log.warn("settings.fault why=\"{}\"", e.getMessage());
         }
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -70,6 +70,13 @@
     private RepairExchange repair;
 
     private Leadership leadership;
+
+    /** Null until SIGTERM. */
+    private OrderlyStop stopping;
+
+    /** The replica sees what is changed here. */
+    private final List<String> seeds;
+
     private double wakesAt = Double.POSITIVE_INFINITY;
     private int announcements;
 
@@ -89,6 +96,7 @@
         endpoint = new InternalEndpoint(loop, settings, codec, this);
         peers = new PeerLinks(loop, settings, codec);
         schedulers = new SchedulerRegistry(loop, settings, configurationState);
+        seeds = new ArrayList<>(seedsOf(settings));
     }
 
     // ---- Start and end ----
@@ -118,11 +126,11 @@
                     "log.lost why=\"no file of the log can be read: this member joins anew under"
                             + " another id\"");
         }
-        List<String> seeds =
-                settings.seeds.stream().map(a -> a.getAddress().getHostAddress()).toList();
         List<Member> founders =
                 founds
-                        ? seeds.stream().map(s -> new Member(s, Member.FOUNDER)).toList()
+                        ? seedsOf(settings).stream()
+                                .map(s -> new Member(s, Member.FOUNDER))
+                                .toList()
                         : List.of();
         // Never the same twice, whatever was on a disk before: so not from a seed.
         String id = founds ? Member.FOUNDER : UUID.randomUUID().toString();
@@ -172,24 +180,72 @@
         return replica != null && replica.isLearner();
     }
 
-    /** Leaves in order: the duty goes to another at once. */
+    /** SIGTERM: hands over what it leads, stays until that is safe, answers who waits, ends. */
     public void stop(Runnable then) {
         loop.enter(
                 () -> {
+                    if (stopping != null) {
+                        return;
+                    }
+                    LOG.info("stop.begins");
+                    stopping = new OrderlyStop(loop, settings.grace, new Stopping(then));
                     if (replica != null) {
                         replica.leave(loop.now());
                         afterReplica();
                     }
-                    operators.end();
-                    loop.after(
-                            settings.beat / 8,
-                            () -> {
-                                writer.end();
-                                then.run();
-                            });
+                    stopping.begin();
+                });
+    }
+
+    private final class Stopping implements OrderlyStop.Process {
+        private final Runnable then;
+
+        Stopping(Runnable then) {
+            this.then = then;
+        }
+
+        @Override
+        public boolean mayStop() {
+            return replica == null || replica.mayStop(loop.now());
+        }
+
+        @Override
+        public boolean isOwingAnswers() {
+            return calls.isOwingAnswers();
+        }
+
+        @Override
+        public void closeToOperators() {
+            LOG.info("stop.replaced={}", mayStop());
+            operators.end();
+        }
+
+        @Override
+        public void end() {
+            // What was answered just now is still on its way out.
+            loop.after(
+                    settings.beat / MAINTAINED,
+                    () -> {
+                        writer.end();
+                        then.run();
+                    });
+        }
+    }
+
+    /** SIGHUP: where to look for the core where no member that is known answers. */
+    public void reload(Settings now) {
+        loop.enter(
+                () -> {
+                    seeds.clear();
+                    seeds.addAll(seedsOf(now));
+                    LOG.info("settings.reloaded seeds={}", seeds);
                 });
     }
 
+    private static List<String> seedsOf(Settings settings) {
+        return settings.seeds.stream().map(a -> a.getAddress().getHostAddress()).toList();
+    }
+
     /** Gives back all that the process's end would, where the process goes on. */
     public void close() {
         writer.end();
--- a/src/main/java/gingerspool/controlplane/OperatorCalls.java
+++ b/src/main/java/gingerspool/controlplane/OperatorCalls.java
@@ -61,6 +61,11 @@
         return "reads=%d changes=%d refused=%d".formatted(reads, changes, refused);
     }
 
+    /** Whether a caller waits for the log. */
+    boolean isOwingAnswers() {
+        return !pending.isEmpty();
+    }
+
     /** Runs one call; whoever calls this looks after the replica next. */
     void run(OperatorCall call) {
         if (call instanceof OperatorCall.Bad bad) {
