--- a/src/test/java/gingerspool/storage/DurableLogTest.java
+++ b/src/test/java/gingerspool/storage/DurableLogTest.java
@@ -4,11 +4,13 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.codec.KryoCodec;
 import gingerspool.consensus.LogEntry;
 import gingerspool.consensus.LogWrite;
 import gingerspool.consensus.Member;
 import gingerspool.consensus.PersistedState;
 import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.VoterSet;
 import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
@@ -16,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.h2.mvstore.MVStore;
 import org.testng.annotations.Test;
 
 public class DurableLogTest {
@@ -151,4 +154,64 @@
             }
         }
     }
+
+    /** What was written in form 1, in which voters were one list, is read, and written anew. */
+    @Test
+    public void form1IsReadAndWrittenAnew() throws Exception {
+        Path at = folder();
+        KryoCodec codec = LogForm1.codec();
+        try (MVStore old =
+                new MVStore.Builder().fileName(at.resolve("ledger-3.mv").toString()).open()) {
+            old.openMap("meta").put("form", new byte[] {1});
+            old.openMap("meta").put("promise", codec.write(new DurableLog.Vote(SELF, 4, SELF)));
+            old.openMap("meta")
+                    .put(
+                            "base",
+                            codec.write(new LogForm1.State(5, 3, List.of(SELF), new byte[] {9})));
+            List<LogForm1.Entry> entries =
+                    List.of(
+                            new LogForm1.Entry(4, null, null),
+                            new LogForm1.Entry(4, new byte[] {1}, null),
+                            new LogForm1.Entry(4, null, List.of(SELF)));
+            for (int i = 0; i < entries.size(); i++) {
+                old.openMap("entries").put(6L + i, codec.write(entries.get(i)));
+            }
+        }
+        for (int i = 0; i < 2; i++) {
+            try (DurableLog log = new DurableLog(at, 128)) {
+                PersistedState s = log.open();
+                assertEquals(s.votedFor(), SELF);
+                assertEquals(s.term(), 4);
+                assertEquals(s.snapshot().voters(), VoterSet.of(List.of(SELF)));
+                assertEquals(s.snapshot().state(), new byte[] {9});
+                assertEquals(s.entries().get(1).command(), new byte[] {1});
+                assertEquals(s.entries().get(2).voters(), VoterSet.of(List.of(SELF)));
+            }
+        }
+    }
+
+    /** Voters in the midst of a change are kept. */
+    @Test
+    public void jointVotersAreKept() throws Exception {
+        Path at = folder();
+        VoterSet joint = new VoterSet(List.of(SELF), List.of(new Member("10.0.0.2", "n")));
+        try (DurableLog log = new DurableLog(at, 128)) {
+            log.open();
+            log.save(
+                    List.of(
+                            new LogWrite(
+                                    1,
+                                    SELF,
+                                    2,
+                                    null,
+                                    8,
+                                    List.of(new LogEntry(2, null, joint)),
+                                    new Snapshot(7, 1, joint, new byte[0]))));
+        }
+        try (DurableLog log = new DurableLog(at, 128)) {
+            PersistedState s = log.open();
+            assertEquals(s.snapshot().voters(), joint);
+            assertEquals(s.entries().get(0).voters(), joint);
+        }
+    }
 }
