--- a/src/test/java/gingerspool/storage/DurableLogTest.java
+++ b/src/test/java/gingerspool/storage/DurableLogTest.java
@@ -303,7 +303,7 @@
         }
         for (int i = 0; i < 2; i++) {
             try (DurableLog log = new DurableLog(at, 128)) {
-                PersistedState s = log.open();
+                PersistedState s = recovered(log);
                 assertEquals(s.votedFor(), SELF);
                 assertEquals(s.term(), 4);
                 assertEquals(s.snapshot().voters(), VoterSet.of(List.of(SELF)));
@@ -320,7 +320,7 @@
         Path at = folder();
         VoterSet joint = new VoterSet(List.of(SELF), List.of(new Member("10.0.0.2", "n")));
         try (DurableLog log = new DurableLog(at, 128)) {
-            log.open();
+            recovered(log);
             log.save(
                     List.of(
                             new LogWrite(
@@ -333,7 +333,7 @@
                                     new Snapshot(7, 1, joint, new byte[0]))));
         }
         try (DurableLog log = new DurableLog(at, 128)) {
-            PersistedState s = log.open();
+            PersistedState s = log.open().state();
             assertEquals(s.snapshot().voters(), joint);
             assertEquals(s.entries().get(0).voters(), joint);
         }
