--- a/src/main/java/gingerspool/antientropy/RangeDigests.java
+++ b/src/main/java/gingerspool/antientropy/RangeDigests.java
@@ -51,7 +51,7 @@
     }
 
     /**
-     * All items, with those of these ranges replaced; what is told beyond the ranges is passed
+     * All items, with those of these ranges replaced; what is sent beyond the ranges is passed
      * over.
      */
     public static Map<String, String> replaced(
--- a/src/main/java/gingerspool/antientropy/ReplicaRepair.java
+++ b/src/main/java/gingerspool/antientropy/ReplicaRepair.java
@@ -7,25 +7,25 @@
 import java.util.Map;
 
 /**
- * Compares the copies that members hold of one state at one place of the order, range by range.
+ * Compares the copies that members hold of one state at one index of the order, range by range.
  * What more than half of the members hold is right: a member that differs is sent it, and where it
  * is the comparing member itself that differs, it asks one that is right. Without such a majority
- * nothing is mended. Copies at other places say nothing.
+ * nothing is repaired. Copies at other indices say nothing.
  */
 public final class ReplicaRepair {
-    /** What a mender calls to act; range r is bit r. */
-    public interface Outlet {
-        /** This member is to send its items of these ranges, as of this place. */
-        void ask(String member, long place, int ranges);
+    /** What a repair calls to act; range r is bit r. */
+    public interface Exchange {
+        /** This member is to send its items of these ranges, as of this index. */
+        void ask(String member, long index, int ranges);
 
-        /** This member gets our items of these ranges, as of this place. */
-        void send(String member, long place, int ranges);
+        /** This member gets our items of these ranges, as of this index. */
+        void send(String member, long index, int ranges);
     }
 
     private record Copy(long index, List<Long> ranges) {}
 
     private final Map<String, Copy> copies = new HashMap<>();
-    private final Outlet out;
+    private final Exchange exchange;
 
     /**
      * RangeDigests that were found to differ, and those of them for which no copy has a majority.
@@ -34,8 +34,8 @@
 
     private int undecided;
 
-    public ReplicaRepair(Outlet out) {
-        this.out = out;
+    public ReplicaRepair(Exchange exchange) {
+        this.exchange = exchange;
     }
 
     public int differing() {
@@ -47,25 +47,25 @@
     }
 
     /** A member's digests. */
-    public void told(String member, long place, List<Long> ranges) {
+    public void received(String member, long index, List<Long> ranges) {
         if (ranges.size() == RangeDigests.COUNT) {
-            copies.put(member, new Copy(place, ranges));
+            copies.put(member, new Copy(index, ranges));
         }
     }
 
     /**
-     * Compares all that members have told since the last time and hold at the place that we are at.
+     * Compares all that members have told since the last time and hold at the index that we are at.
      */
-    public void compare(String self, List<String> members, long place, List<Long> own) {
-        judge(self, members, place, own);
-        // Guards against what was mended since: each copy counts once.
+    public void compare(String self, List<String> members, long index, List<Long> own) {
+        compareAt(self, members, index, own);
+        // Guards against what was repaired since: each copy counts once.
         copies.clear();
     }
 
-    private void judge(String self, List<String> members, long place, List<Long> own) {
+    private void compareAt(String self, List<String> members, long index, List<Long> own) {
         copies.keySet().retainAll(members);
-        copies.put(self, new Copy(place, own));
-        copies.values().removeIf(c -> c.index != place);
+        copies.put(self, new Copy(index, own));
+        copies.values().removeIf(c -> c.index != index);
         // By member: where it has what most hold and we don't, and where it is the other way round.
         Map<String, Integer> better = new HashMap<>();
         Map<String, Integer> worse = new HashMap<>();
@@ -79,7 +79,7 @@
             }
         }
         if (better.isEmpty()) {
-            worse.forEach((member, ranges) -> out.send(member, place, ranges));
+            worse.forEach((member, ranges) -> exchange.send(member, index, ranges));
         } else {
             // One that is right wherever we are wrong, if there is one: parts of copies may not
             // fit.
@@ -87,7 +87,7 @@
                     Collections.max(
                             better.keySet(),
                             Comparator.comparingInt(m -> Integer.bitCount(better.get(m))));
-            out.ask(best, place, better.get(best));
+            exchange.ask(best, index, better.get(best));
         }
     }
 
--- a/src/main/java/gingerspool/autoscaler/Autoscaler.java
+++ b/src/main/java/gingerspool/autoscaler/Autoscaler.java
@@ -47,10 +47,10 @@
     private static final double START_MOST = 8;
 
     /**
-     * What a scaler calls to act; each call's end comes back as started(), startFailed() or
+     * What an autoscaler calls to act; each call's end comes back as started(), startFailed() or
      * stopped().
      */
-    public interface Outlet {
+    public interface Actions {
         void start(Function function, String host, String nonce);
 
         void stop(String instance);
@@ -63,7 +63,7 @@
     private final double rate;
     private final double lag;
     private final String prefix;
-    private final Outlet out;
+    private final Actions actions;
     private final Map<String, WorkerHost> hosts = new LinkedHashMap<>();
 
     /** Starts that were asked for and not answered, by nonce. */
@@ -88,12 +88,17 @@
 
     /** The prefix makes this scaler's nonces its own. */
     public Autoscaler(
-            SlotKeeper keeper, double rate, double lag, String prefix, double now, Outlet out) {
+            SlotKeeper keeper,
+            double rate,
+            double lag,
+            String prefix,
+            double now,
+            Actions actions) {
         this.keeper = keeper;
         this.rate = RATE * rate / 1000;
         this.lag = lag;
         this.prefix = prefix;
-        this.out = out;
+        this.actions = actions;
         tokensAt = now;
         tokens = 1;
     }
@@ -246,7 +251,7 @@
         host.free -= f.memory;
         String nonce = prefix + ++nonces;
         asked.put(nonce, new Asked(f, host));
-        out.start(f, host.name, nonce);
+        actions.start(f, host.name, nonce);
         return true;
     }
 
@@ -321,7 +326,7 @@
             least = may && (least == null || i.inHands() < least.inHands()) ? i : least;
         }
         if (least != null) {
-            out.leaves(least);
+            actions.leaves(least);
             retiring.put(least, now);
             surplusSince.put(f, now - span + f.boot / 2);
         }
@@ -334,7 +339,7 @@
             if (free && tokens >= 1) {
                 tokens--;
                 retiring.remove(i);
-                out.stop(i.id);
+                actions.stop(i.id);
             }
         }
     }
--- a/src/main/java/gingerspool/codec/KryoCodec.java
+++ b/src/main/java/gingerspool/codec/KryoCodec.java
@@ -20,7 +20,7 @@
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(FIRST, -1);
 
-    public KryoCodec(List<Class<?>> words) {
+    public KryoCodec(List<Class<?>> types) {
         kryo.setReferences(false);
         kryo.register(byte[].class);
         kryo.addDefaultSerializer(List.class, new Lists());
@@ -29,15 +29,15 @@
         kryo.register(ArrayList.class, new Lists());
         kryo.register(Map.class, new Maps());
         kryo.register(HashMap.class, new Maps());
-        for (Class<?> word : words) {
-            if (word.isRecord()) {
-                RecordSerializer<?> serializer = new RecordSerializer<>(word);
+        for (Class<?> type : types) {
+            if (type.isRecord()) {
+                RecordSerializer<?> serializer = new RecordSerializer<>(type);
                 serializer.setFixedFieldTypes(true);
-                kryo.register(word, serializer);
-            } else if (word.isInterface()) {
-                kryo.register(word, new Any());
+                kryo.register(type, serializer);
+            } else if (type.isInterface()) {
+                kryo.register(type, new Any());
             } else {
-                kryo.register(word);
+                kryo.register(type);
             }
         }
     }
@@ -50,11 +50,11 @@
         }
     }
 
-    /** A component that may be one of several words. */
+    /** A component that may be one of several types. */
     private static final class Any extends Serializer<Object> {
         @Override
-        public void write(Kryo kryo, Output output, Object word) {
-            kryo.writeClassAndObject(output, word);
+        public void write(Kryo kryo, Output output, Object message) {
+            kryo.writeClassAndObject(output, message);
         }
 
         @Override
@@ -71,9 +71,9 @@
         }
     }
 
-    public byte[] write(Object word) {
+    public byte[] write(Object message) {
         output.reset();
-        kryo.writeClassAndObject(output, word);
+        kryo.writeClassAndObject(output, message);
         return output.toBytes();
     }
 
--- a/src/main/java/gingerspool/codec/Messages.java
+++ b/src/main/java/gingerspool/codec/Messages.java
@@ -4,26 +4,26 @@
 import java.util.Map;
 
 /**
- * What schedulers and the core say to each other. Spans are milliseconds. A scheduler's words are
- * one link's only: on a new link it tells anew what it holds.
+ * What schedulers and the core say to each other. Spans are milliseconds. A scheduler's messages
+ * are one link's only: on a new link it tells anew what it holds.
  */
 public final class Messages {
     private Messages() {}
 
-    /** A process's first word on a link, and its beat: the address of its machine. */
+    /** A process's first message on a link, and its heartbeat: the address of its machine. */
     public record Heartbeat(String ip) {}
 
     /**
-     * A member of the core on its view: its number, and the address of who leads it ("" if
+     * A member of the core on its term: its number, and the address of who leads it ("" if
      * unknown).
      */
     public record LeaderAnnouncement(long term, String leader, List<String> members) {}
 
     /**
-     * A scheduler asks the leader to take it on: the newest news it has, and each slot that it
+     * A scheduler asks the leader to take it on: the newest version it has, and each slot that it
      * holds.
      */
-    public record Register(String name, String zone, long news, Map<String, Integer> held) {}
+    public record Register(String name, String zone, long version, Map<String, Integer> held) {}
 
     /** The leader took it on: both begin to count anew. */
     public record Registered(long term) {}
@@ -38,18 +38,18 @@
     public record ConfigurationPush(long number, byte[] configuration, boolean again) {}
 
     /**
-     * The scheduler has put the news of this number in force; the digest is of the copy that it
-     * holds.
+     * The scheduler has put the configuration of this number in force; the digest is of the copy
+     * that it holds.
      */
     public record ConfigurationAck(long number, long digest) {}
 
-    /** The digests, by range, of a member's copy of the state at this place of the order. */
+    /** The digests, by range, of a member's copy of the state at this index of the log. */
     public record ReplicaDigest(String ip, long index, List<Long> ranges) {}
 
-    /** A member is asked for its items of these ranges at this place; range r is bit r. */
+    /** A member is asked for its items of these ranges at this index; range r is bit r. */
     public record RangeRequest(String ip, long index, int ranges) {}
 
-    /** Items that take the place of all in these ranges, where the state stands at this place. */
+    /** Items that take the place of all in these ranges, where the state stands at this index. */
     public record RangeRepair(String ip, long index, int ranges, Map<String, String> items) {}
 
     /**
@@ -78,9 +78,9 @@
     public record SlotRecall(String function, int slots) {}
 
     /**
-     * A command of the order: an operator's configuration, whole or as changes, made on a version.
+     * A command of the log: an operator's configuration, whole or as changes, made on a version.
      */
-    public record ChangeCommand(long mark, boolean whole, long on, byte[] body) {}
+    public record ChangeCommand(long id, boolean whole, long on, byte[] body) {}
 
     /** Slots given back; how the instance was: see the constants. */
     public record SlotReturn(String instance, int slots, int seen) {}
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -330,7 +330,7 @@
             return;
         }
         LOG.info(
-                "summary member={} term={} leads={} delivered={} version={} fronts={} {}"
+                "summary member={} term={} leads={} applied={} version={} schedulers={} {}"
                         + " disk_failing={} ranges_differed={} undecided={}",
                 replica.self(),
                 replica.term(),
@@ -381,7 +381,7 @@
                 LOG.info("config.taken version={} index={}", configurationState.version(), index);
                 configured();
             }
-            calls.applied(c.mark(), verdict);
+            calls.applied(c.id(), verdict);
         } catch (MalformedMessageException e) {
             throw new IllegalStateException(
                     "a command that was committed can't be read: " + e.getMessage(), e);
@@ -419,10 +419,9 @@
     private String status() {
         List<String> lines = new ArrayList<>();
         Member leader = replica.leader(loop.now());
-        lines.add("member " + replica.self() + " view " + replica.term() + " leader " + leader);
+        lines.add("member " + replica.self() + " term " + replica.term() + " leader " + leader);
         lines.add("members " + replica.members());
-        lines.add(
-                "version " + configurationState.version() + " delivered " + replica.appliedIndex());
+        lines.add("version " + configurationState.version() + " applied " + replica.appliedIndex());
         lines.addAll(schedulers.status());
         if (leadership.duties() != null) {
             lines.addAll(leadership.duties().keeper.status());
--- a/src/main/java/gingerspool/controlplane/LeaderDuties.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -23,9 +23,10 @@
  * stops instances. The term's number is the fence. Every call asks first whether the lease still
  * holds. Ends with the term.
  */
-final class LeaderDuties implements Autoscaler.Outlet, SlotKeeper.Outlet, SchedulerRegistry.Slots {
+final class LeaderDuties
+        implements Autoscaler.Actions, SlotKeeper.Messenger, SchedulerRegistry.Slots {
     private static final Logger LOG = LogManager.getLogger(LeaderDuties.class);
-    private static final double LOOK = 50;
+    private static final double TICK = 50;
 
     /**
      * Lists are read so often, in parts of how late they are, within a part of the platform's rate.
@@ -40,11 +41,11 @@
     private final Settings settings;
     private final long term;
     private final BooleanSupplier holds;
-    private final BiConsumer<String, Object> tell;
-    private final Consumer<Object> tellAll;
+    private final BiConsumer<String, Object> send;
+    private final Consumer<Object> sendToAll;
     private final Platform platform;
     final SlotKeeper keeper;
-    private final Autoscaler scaler;
+    private final Autoscaler autoscaler;
     private boolean ended;
     private double hostsAt;
 
@@ -61,17 +62,17 @@
             Platform platform,
             long term,
             BooleanSupplier holds,
-            BiConsumer<String, Object> tell,
-            Consumer<Object> tellAll) {
+            BiConsumer<String, Object> send,
+            Consumer<Object> sendToAll) {
         this.turns = turns;
         this.settings = settings;
         this.term = term;
         this.holds = holds;
-        this.tell = tell;
-        this.tellAll = tellAll;
+        this.send = send;
+        this.sendToAll = sendToAll;
         this.platform = platform;
         keeper = new SlotKeeper(settings.beat, turns.now(), this);
-        scaler =
+        autoscaler =
                 new Autoscaler(
                         keeper,
                         settings.dutyRate,
@@ -80,7 +81,7 @@
                         turns.now(),
                         this);
         list();
-        look();
+        tick();
     }
 
     void end() {
@@ -95,7 +96,7 @@
 
     @Override
     public void registered(String scheduler, Messages.Register message) {
-        keeper.enrolled(turns.now(), scheduler, message);
+        keeper.registered(turns.now(), scheduler, message);
         // Guards one that was with nobody, or another leader, as these were seen to leave.
         List<String> leaving =
                 keeper.instances().stream()
@@ -103,7 +104,7 @@
                         .map(i -> i.id)
                         .toList();
         if (!leaving.isEmpty()) {
-            tell(scheduler, new Messages.InstanceWithdrawal(leaving));
+            send(scheduler, new Messages.InstanceWithdrawal(leaving));
         }
     }
 
@@ -111,11 +112,11 @@
     public void received(String scheduler, Object message) {
         double now = turns.now();
         if (message instanceof Messages.SlotDemand m) {
-            keeper.want(now, scheduler, m);
+            keeper.demanded(now, scheduler, m);
         } else if (message instanceof Messages.SlotReturn m) {
-            keeper.back(now, scheduler, m);
+            keeper.returned(now, scheduler, m);
         } else if (message instanceof Messages.SlotHoldings m && !keeper.holds(now, scheduler, m)) {
-            LOG.warn("front.slots_differed front={}", scheduler);
+            LOG.warn("scheduler.slots_differed scheduler={}", scheduler);
         }
     }
 
@@ -128,15 +129,15 @@
         return !ended && holds.getAsBoolean();
     }
 
-    private void look() {
+    private void tick() {
         if (ended) {
             return;
         }
         if (mayAct()) {
             keeper.tick(turns.now());
-            scaler.tick(turns.now());
+            autoscaler.tick(turns.now());
         }
-        turns.after(LOOK, this::look);
+        turns.after(TICK, this::tick);
     }
 
     // ---- The platform's lists ----
@@ -146,7 +147,7 @@
             return;
         }
         if (!mayAct()) {
-            turns.after(LOOK, this::list);
+            turns.after(TICK, this::list);
             return;
         }
         double asked = turns.now();
@@ -154,7 +155,7 @@
                 all -> {
                     int calls = 1;
                     if (all != null && !ended) {
-                        instances(all, asked);
+                        listed(all, asked);
                         calls = 1 + all.size() / 100;
                     }
                     double pause =
@@ -177,19 +178,19 @@
     }
 
     private void hosts(List<?> all) {
-        scaler.hostsBegin();
+        autoscaler.hostsBegin();
         for (Object h : all) {
-            scaler.host(
+            autoscaler.host(
                     Tree.text("", h, "Name"),
                     Tree.text("", h, "Zone"),
                     Tree.number(0, h, "MemoryMb"),
                     Tree.number(0, h, "FreeMemoryMb"),
                     Tree.text("", h, "State").equals("ready"));
         }
-        scaler.hostsEnd();
+        autoscaler.hostsEnd();
     }
 
-    private void instances(List<Object> all, double asked) {
+    private void listed(List<Object> all, double asked) {
         double now = turns.now();
         Set<String> leave = new HashSet<>();
         for (Object e : all) {
@@ -228,10 +229,10 @@
             }
         }
         if (!leave.isEmpty()) {
-            tellAll.accept(new Messages.InstanceWithdrawal(List.copyOf(leave)));
+            sendToAll.accept(new Messages.InstanceWithdrawal(List.copyOf(leave)));
         }
         listedBefore = asked;
-        scaler.listed();
+        autoscaler.listed();
     }
 
     // ---- Starts, stops ----
@@ -256,15 +257,15 @@
                         return;
                     }
                     if (a.status() == 200 && !id.isEmpty()) {
-                        scaler.started(now, nonce, id, Tree.text("", a.tree(), "Address"));
+                        autoscaler.started(now, nonce, id, Tree.text("", a.tree(), "Address"));
                     } else if ((a.status() == 0 || a.status() >= 500) && tries < TRIES) {
                         // It may have been carried out: the same nonce gives the same instance.
                         again(
                                 () -> start(f, host, nonce, tries + 1),
-                                () -> scaler.startFailed(turns.now(), nonce, false));
+                                () -> autoscaler.startFailed(turns.now(), nonce, false));
                     } else {
                         refusals++;
-                        scaler.startFailed(now, nonce, a.status() == 409);
+                        autoscaler.startFailed(now, nonce, a.status() == 409);
                     }
                 });
     }
@@ -289,18 +290,18 @@
 
     /** Tries it once more after a pause, if the lease still holds then. */
     private void again(Runnable call, Runnable orElse) {
-        turns.after(LOOK, () -> (mayAct() ? call : orElse).run());
+        turns.after(TICK, () -> (mayAct() ? call : orElse).run());
     }
 
     @Override
     public void leaves(Instance i) {
         keeper.leaves(turns.now(), i);
-        tellAll.accept(new Messages.InstanceWithdrawal(List.of(i.id)));
+        sendToAll.accept(new Messages.InstanceWithdrawal(List.of(i.id)));
     }
 
     @Override
-    public void tell(String front, Object word) {
-        tell.accept(front, word);
+    public void send(String scheduler, Object message) {
+        send.accept(scheduler, message);
     }
 
     /** Guards slots: without the lease another leader may grant the same ones. */
@@ -311,10 +312,10 @@
 
     void log() {
         LOG.info(
-                "duty term={} functions={} fronts={} starts={} stops={} refused={} {}",
+                "duty term={} functions={} schedulers={} starts={} stops={} refused={} {}",
                 term,
                 keeper.functions().size(),
-                keeper.fronts(),
+                keeper.schedulers(),
                 starts,
                 stops,
                 refusals,
--- a/src/main/java/gingerspool/controlplane/RepairExchange.java
+++ b/src/main/java/gingerspool/controlplane/RepairExchange.java
@@ -28,7 +28,7 @@
     private final Runnable whenRepaired;
     private final ReplicaRepair repair =
             new ReplicaRepair(
-                    new ReplicaRepair.Outlet() {
+                    new ReplicaRepair.Exchange() {
                         @Override
                         public void ask(String member, long index, int ranges) {
                             askedFrom = member;
@@ -90,7 +90,7 @@
     }
 
     void received(Messages.ReplicaDigest message) {
-        repair.told(message.ip(), message.index(), message.ranges());
+        repair.received(message.ip(), message.index(), message.ranges());
     }
 
     void received(Messages.RangeRequest message) {
--- a/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
+++ b/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
@@ -79,12 +79,14 @@
     }
 
     List<String> status() {
-        return byName.values().stream().map(s -> "front " + s.name + " news " + s.version).toList();
+        return byName.values().stream()
+                .map(s -> "scheduler " + s.name + " version " + s.version)
+                .toList();
     }
 
     /** Only where this member leads. */
     void register(InternalEndpoint.Link link, Messages.Register message, long term) {
-        Scheduler scheduler = new Scheduler(message.name(), link, message.news());
+        Scheduler scheduler = new Scheduler(message.name(), link, message.version());
         byLink.put(link, scheduler);
         Scheduler earlier = byName.put(message.name(), scheduler);
         // Guards the counts of slots: what still comes on an earlier link was told before this.
@@ -93,7 +95,7 @@
         }
         link.send(new Messages.Registered(term));
         slots.registered(message.name(), message);
-        push(scheduler, message.news(), false);
+        push(scheduler, message.version(), false);
         tellCount();
     }
 
@@ -161,7 +163,7 @@
         from.version = Math.max(from.version, ack.number());
         boolean differs = ack.number() == pushedVersion && ack.digest() != pushedDigest;
         if (ack.number() > 0 && differs && turns.now() > from.sentAt + settings.beat) {
-            LOG.warn("front.copy_differs front={} version={}", from.name, ack.number());
+            LOG.warn("scheduler.copy_differs scheduler={} version={}", from.name, ack.number());
             push(from, 0, true);
         } else if (ack.number() < pushedVersion && turns.now() > pushedAt + settings.beat) {
             push(from, ack.number(), false);
--- a/src/main/java/gingerspool/slots/SlotKeeper.java
+++ b/src/main/java/gingerspool/slots/SlotKeeper.java
@@ -28,15 +28,15 @@
     /** An instance that nobody reached is left alone for so many beats. */
     private static final double SUSPECT = 1;
 
-    /** Schedulers have this part of a beat to tell a new keeper what they hold. */
+    /** Schedulers have this part of a heartbeat to tell a new keeper what they hold. */
     private static final double SETTLE = 0.15;
 
     /** The newest rates look back over so many beats. */
     private static final double SPAN = 0.8;
 
-    /** What a keeper calls to act. */
-    public interface Outlet {
-        void tell(String front, Object word);
+    /** Where a keeper sends its messages. */
+    public interface Messenger {
+        void send(String scheduler, Object message);
 
         /** Whether slots may be granted and recalled now: nobody else may be their keeper. */
         default boolean mayGrant() {
@@ -44,7 +44,7 @@
         }
     }
 
-    private static final class Front {
+    private static final class Scheduler {
         String zone = "";
 
         /** NaN while its link stands. */
@@ -54,25 +54,25 @@
         long grants;
     }
 
-    private final double beat;
-    private final Outlet out;
+    private final double heartbeat;
+    private final Messenger messenger;
     private final Map<String, Function> functions = new LinkedHashMap<>();
     private final Map<String, Instance> instances = new LinkedHashMap<>();
-    private final Map<String, Front> fronts = new LinkedHashMap<>();
+    private final Map<String, Scheduler> schedulers = new LinkedHashMap<>();
 
     /** Held slots of instances that were not known when a scheduler told of them. */
-    private final Map<String, Map<String, Integer>> early = new HashMap<>();
+    private final Map<String, Map<String, Integer>> heldBeforeListed = new HashMap<>();
 
     /** Nothing is given before that. */
-    private double from;
+    private double grantsFrom;
 
     private double now;
 
-    public SlotKeeper(double beat, double now, Outlet out) {
-        this.beat = beat;
-        this.out = out;
+    public SlotKeeper(double heartbeat, double now, Messenger messenger) {
+        this.heartbeat = heartbeat;
+        this.messenger = messenger;
         this.now = now;
-        from = now + SETTLE * beat;
+        grantsFrom = now + SETTLE * heartbeat;
     }
 
     public Collection<Function> functions() {
@@ -85,7 +85,7 @@
 
     /** The same, also where no configuration names it (any more). */
     public Function unrouted(String name) {
-        return functions.computeIfAbsent(name, n -> new Function(n, SPAN * beat));
+        return functions.computeIfAbsent(name, n -> new Function(n, SPAN * heartbeat));
     }
 
     public Instance instance(String id) {
@@ -96,15 +96,16 @@
         return List.copyOf(instances.values());
     }
 
-    /** Schedulers that are enrolled now. */
-    public int fronts() {
-        return (int) fronts.values().stream().filter(f -> Double.isNaN(f.lostAt)).count();
+    /** Schedulers that are registered now. */
+    public int schedulers() {
+        return (int) schedulers.values().stream().filter(f -> Double.isNaN(f.lostAt)).count();
     }
 
     /** Tasks in hand by zone of the schedulers. */
     public Map<String, Integer> demandByZone(Function f) {
         Map<String, Integer> by = new HashMap<>();
-        f.demands.forEach((front, d) -> by.merge(fronts.get(front).zone, d.inHand, Integer::sum));
+        f.demands.forEach(
+                (scheduler, d) -> by.merge(schedulers.get(scheduler).zone, d.inHand, Integer::sum));
         return by;
     }
 
@@ -129,21 +130,23 @@
     // ---- Schedulers ----
 
     /** A scheduler came, or came back: what it holds it says itself. */
-    public void enrolled(double at, String front, Messages.Register word) {
+    public void registered(double at, String scheduler, Messages.Register message) {
         now = at;
-        drop(front);
-        Front f = fronts.computeIfAbsent(front, k -> new Front());
-        f.zone = word.zone();
+        drop(scheduler);
+        Scheduler f = schedulers.computeIfAbsent(scheduler, k -> new Scheduler());
+        f.zone = message.zone();
         f.lostAt = Double.NaN;
         f.grants = 0;
-        word.held()
+        message.held()
                 .forEach(
                         (id, n) -> {
                             Instance i = instances.get(id);
                             if (i != null) {
-                                i.held.put(front, n);
+                                i.held.put(scheduler, n);
                             } else {
-                                early.computeIfAbsent(id, k -> new HashMap<>()).put(front, n);
+                                heldBeforeListed
+                                        .computeIfAbsent(id, k -> new HashMap<>())
+                                        .put(scheduler, n);
                             }
                         });
     }
@@ -152,18 +155,18 @@
      * All that a scheduler holds once so many grants had come to it. Where none is on its way this
      * is what we must have noted; what differs is mended from it, since it knows best.
      */
-    public boolean holds(double at, String front, Messages.SlotHoldings word) {
+    public boolean holds(double at, String scheduler, Messages.SlotHoldings message) {
         now = at;
-        Front f = fronts.get(front);
-        if (f == null || f.grants != word.grants()) {
+        Scheduler f = schedulers.get(scheduler);
+        if (f == null || f.grants != message.grants()) {
             return true;
         }
         boolean same = true;
         for (Instance i : instances.values()) {
-            Integer told = word.held().get(i.id);
-            if (!Objects.equals(i.held.get(front), told)) {
+            Integer told = message.held().get(i.id);
+            if (!Objects.equals(i.held.get(scheduler), told)) {
                 same = false;
-                i.held.put(front, told);
+                i.held.put(scheduler, told);
                 i.held.values().removeIf(Objects::isNull);
             }
         }
@@ -171,61 +174,67 @@
     }
 
     /** Its link broke. */
-    public void lost(double at, String front) {
+    public void lost(double at, String scheduler) {
         now = at;
-        if (fronts.containsKey(front)) {
-            fronts.get(front).lostAt = now;
-            functions.values().forEach(f -> f.demands.remove(front));
+        if (schedulers.containsKey(scheduler)) {
+            schedulers.get(scheduler).lostAt = now;
+            functions.values().forEach(f -> f.demands.remove(scheduler));
         }
     }
 
-    private void drop(String front) {
-        instances.values().forEach(i -> i.held.remove(front));
-        early.values().forEach(held -> held.remove(front));
-        functions.values().forEach(f -> f.demands.remove(front));
+    private void drop(String scheduler) {
+        instances.values().forEach(i -> i.held.remove(scheduler));
+        heldBeforeListed.values().forEach(held -> held.remove(scheduler));
+        functions.values().forEach(f -> f.demands.remove(scheduler));
     }
 
-    public void want(double at, String front, Messages.SlotDemand word) {
+    public void demanded(double at, String scheduler, Messages.SlotDemand message) {
         now = at;
-        Function f = functions.get(word.function());
-        if (f == null || !fronts.containsKey(front)) {
+        Function f = functions.get(message.function());
+        if (f == null || !schedulers.containsKey(scheduler)) {
             return;
         }
-        Function.Demand d = f.demands.computeIfAbsent(front, k -> new Function.Demand());
+        Function.Demand d = f.demands.computeIfAbsent(scheduler, k -> new Function.Demand());
         int before = d.lacks;
         // Guards against giving twice: what is on its way to the scheduler was not known to it yet.
-        d.lacks = (int) Math.max(0, word.lacks() - Math.max(0, d.granted - word.granted()));
+        d.lacks = (int) Math.max(0, message.lacks() - Math.max(0, d.granted - message.granted()));
         d.since = before == 0 ? now : d.since;
-        d.inHand = word.inHand();
-        f.arrivals.came(now, Math.max(0, word.came() - d.came));
-        d.came = word.came();
-        f.run = word.run() > 0 ? f.run == 0 ? word.run() : f.run + (word.run() - f.run) / 8 : f.run;
+        d.inHand = message.inHand();
+        f.arrivals.came(now, Math.max(0, message.came() - d.came));
+        d.came = message.came();
+        f.run =
+                message.run() > 0
+                        ? f.run == 0 ? message.run() : f.run + (message.run() - f.run) / 8
+                        : f.run;
         give(f);
-        if (d.lacks > 0 && now >= from && out.mayGrant()) {
+        if (d.lacks > 0 && now >= grantsFrom && messenger.mayGrant()) {
             recall(f);
         }
     }
 
-    public void back(double at, String front, Messages.SlotReturn word) {
+    public void returned(double at, String scheduler, Messages.SlotReturn message) {
         now = at;
-        Instance i = instances.get(word.instance());
+        Instance i = instances.get(message.instance());
         // Guards slots of instances that the lists have not named yet: else they would be held for
         // ever.
         Map<String, Integer> held =
-                i != null ? i.held : early.getOrDefault(word.instance(), new HashMap<>());
-        held.computeIfPresent(front, (k, n) -> n > word.slots() ? n - word.slots() : null);
+                i != null
+                        ? i.held
+                        : heldBeforeListed.getOrDefault(message.instance(), new HashMap<>());
+        held.computeIfPresent(
+                scheduler, (k, n) -> n > message.slots() ? n - message.slots() : null);
         if (i == null) {
             return;
         }
-        Function.Demand d = i.function.demands.get(front);
+        Function.Demand d = i.function.demands.get(scheduler);
         if (d != null) {
-            d.recalled = Math.max(0, d.recalled - word.slots());
+            d.recalled = Math.max(0, d.recalled - message.slots());
         }
         i.usedAt = now;
-        if (word.seen() == Messages.SEEN_UP && i.state == Instance.State.STARTING) {
+        if (message.seen() == Messages.SEEN_UP && i.state == Instance.State.STARTING) {
             i.state = Instance.State.READY;
-        } else if (word.seen() == Messages.SEEN_LOST) {
-            i.suspectUntil = now + SUSPECT * beat;
+        } else if (message.seen() == Messages.SEEN_LOST) {
+            i.suspectUntil = now + SUSPECT * heartbeat;
         }
         give(i.function);
     }
@@ -245,7 +254,7 @@
         Instance i = new Instance(id, f, address, zone, host, slots, state, now);
         instances.put(id, i);
         f.instances.put(id, i);
-        Map<String, Integer> told = early.remove(id);
+        Map<String, Integer> told = heldBeforeListed.remove(id);
         if (told != null) {
             i.held.putAll(told);
         }
@@ -279,10 +288,10 @@
 
     public void tick(double at) {
         now = at;
-        for (Map.Entry<String, Front> e : List.copyOf(fronts.entrySet())) {
-            if (now > e.getValue().lostAt + KEPT * beat) {
+        for (Map.Entry<String, Scheduler> e : List.copyOf(schedulers.entrySet())) {
+            if (now > e.getValue().lostAt + KEPT * heartbeat) {
                 drop(e.getKey());
-                fronts.remove(e.getKey());
+                schedulers.remove(e.getKey());
             }
         }
         for (Function f : functions.values()) {
@@ -297,7 +306,7 @@
     // ---- Giving ----
 
     private void give(Function f) {
-        while (now >= from && out.mayGrant() && giveOne(f)) {
+        while (now >= grantsFrom && messenger.mayGrant() && giveOne(f)) {
             continue;
         }
     }
@@ -317,13 +326,13 @@
         Function.Demand d = f.demands.get(who);
         i.held.merge(who, 1, Integer::sum);
         i.usedAt = now;
-        fronts.get(who).grants++;
+        schedulers.get(who).grants++;
         if (i.state == Instance.State.READY) {
             d.lacks--;
             d.granted++;
         }
         d.since = now;
-        out.tell(
+        messenger.send(
                 who,
                 new Messages.SlotGrant(
                         f.name, i.id, i.address, i.zone, i.slots, 1, i.startsIn(now), i.inHands()));
@@ -348,7 +357,7 @@
                         early
                                 ? -1 - i.startsIn(now)
                                 : (double) i.free(now) / i.slots
-                                        + (i.zone.equals(fronts.get(who).zone) ? 1 : 0);
+                                        + (i.zone.equals(schedulers.get(who).zone) ? 1 : 0);
                 if (best == null || value > bestValue) {
                     best = i;
                     bestValue = value;
@@ -368,7 +377,7 @@
         for (Instance i : f.instances.values()) {
             if (i.state == Instance.State.READY) {
                 slots += i.slots;
-                i.held.forEach((front, n) -> held.merge(front, n, Integer::sum));
+                i.held.forEach((scheduler, n) -> held.merge(scheduler, n, Integer::sum));
             }
         }
         int wanted = Math.max(1, f.inHand());
@@ -389,7 +398,7 @@
             }
             if (rich != null) {
                 f.demands.get(rich).recalled++;
-                out.tell(rich, new Messages.SlotRecall(f.name, 1));
+                messenger.send(rich, new Messages.SlotRecall(f.name, 1));
             }
         }
     }
--- a/src/test/java/gingerspool/antientropy/ReplicaRepairTest.java
+++ b/src/test/java/gingerspool/antientropy/ReplicaRepairTest.java
@@ -17,7 +17,7 @@
     private final Map<String, Map<String, String>> copies = new LinkedHashMap<>();
     private final ReplicaRepair mender =
             new ReplicaRepair(
-                    new ReplicaRepair.Outlet() {
+                    new ReplicaRepair.Exchange() {
                         @Override
                         public void ask(String member, long place, int ranges) {
                             take("m0", ranges, copies.get(member));
@@ -54,7 +54,7 @@
     /** Two rounds: a member that compares may first have to mend itself. */
     private void rounds() {
         for (int round = 0; round < 2; round++) {
-            copies.forEach((m, copy) -> mender.told(m, PLACE, RangeDigests.digests(copy)));
+            copies.forEach((m, copy) -> mender.received(m, PLACE, RangeDigests.digests(copy)));
             mender.compare(
                     "m0",
                     List.copyOf(copies.keySet()),
@@ -113,8 +113,8 @@
         members(3);
         copies.get("m1").put("L/Routes/1", "newer");
         copies.get("m2").put("L/Routes/1", "newer");
-        mender.told("m1", PLACE + 1, RangeDigests.digests(copies.get("m1")));
-        mender.told("m2", PLACE + 1, RangeDigests.digests(copies.get("m2")));
+        mender.received("m1", PLACE + 1, RangeDigests.digests(copies.get("m1")));
+        mender.received("m2", PLACE + 1, RangeDigests.digests(copies.get("m2")));
         mender.compare(
                 "m0", List.copyOf(copies.keySet()), PLACE, RangeDigests.digests(copies.get("m0")));
         assertEquals(copies.get("m0"), state());
@@ -129,7 +129,7 @@
         members(4);
         copies.get("m2").put("L/Routes/1", "other");
         copies.get("m3").put("L/Routes/1", "other");
-        copies.forEach((m, copy) -> mender.told(m, PLACE, RangeDigests.digests(copy)));
+        copies.forEach((m, copy) -> mender.received(m, PLACE, RangeDigests.digests(copy)));
         mender.compare(
                 "m0", List.of("m0", "m1", "m2"), PLACE, RangeDigests.digests(copies.get("m0")));
         assertEquals(copies.get("m2"), state());
--- a/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
+++ b/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
@@ -54,7 +54,7 @@
                         800,
                         "n-",
                         0,
-                        new Autoscaler.Outlet() {
+                        new Autoscaler.Actions() {
                             @Override
                             public void start(Function f, String host, String nonce) {
                                 starts.add(f.name + " on " + host);
@@ -83,8 +83,8 @@
     }
 
     private void want(String function, int lacks, int inHand, double at) {
-        keeper.enrolled(at, "a", new Messages.Register("a", "zb", 0, Map.of()));
-        keeper.want(at, "a", new Messages.SlotDemand(function, lacks, 0, inHand, inHand, 60));
+        keeper.registered(at, "a", new Messages.Register("a", "zb", 0, Map.of()));
+        keeper.demanded(at, "a", new Messages.SlotDemand(function, lacks, 0, inHand, inHand, 60));
     }
 
     @Test
@@ -129,7 +129,7 @@
     public void theLastInstanceStaysWhereTheNextTaskIsNear(double gap, boolean stays) {
         hosts(4096);
         double now = 600;
-        keeper.enrolled(now, "a", new Messages.Register("a", "zb", 0, Map.of()));
+        keeper.registered(now, "a", new Messages.Register("a", "zb", 0, Map.of()));
         keeper.add(
                 now,
                 "i1",
@@ -144,7 +144,7 @@
             boolean comes = now >= next;
             came += comes ? 1 : 0;
             next += comes ? gap : 0;
-            keeper.want(
+            keeper.demanded(
                     now, "a", new Messages.SlotDemand("rare", 0, came, comes ? 1 : 0, came, 60));
             keeper.tick(now);
             scaler.tick(now);
@@ -161,7 +161,7 @@
     @Test
     public void aSurplusIsRetiredWhereNoneIsIdle() {
         hosts(4096);
-        keeper.enrolled(
+        keeper.registered(
                 600, "a", new Messages.Register("a", "zb", 0, Map.of("b0", 1, "b1", 1, "b2", 1)));
         for (int i = 0; i < 3; i++) {
             keeper.add(
@@ -183,7 +183,7 @@
         assertEquals(leaving.size(), 2, "one is wanted, for its aim is shorter than a start");
         assertEquals(stops.size(), 0, "they have work");
         Instance first = leaving.get(0);
-        keeper.back(7000, "a", new Messages.SlotReturn(first.id, 1, Messages.SEEN_WELL));
+        keeper.returned(7000, "a", new Messages.SlotReturn(first.id, 1, Messages.SEEN_WELL));
         scaler.tick(7000);
         assertEquals(stops, List.of(first.id));
     }
@@ -212,7 +212,7 @@
                         .addRoutes(Route.newBuilder().setService("new").setAim(1000))
                         .build());
         want("rare", 0, 0, 600);
-        keeper.want(700, "a", new Messages.SlotDemand("new", 1, 0, 1, 1, 0));
+        keeper.demanded(700, "a", new Messages.SlotDemand("new", 1, 0, 1, 1, 0));
         scaler.tick(700);
         assertEquals(starts.stream().filter(s -> s.startsWith("new")).count(), 1);
     }
--- a/src/test/java/gingerspool/simulation/SlotSimulation.java
+++ b/src/test/java/gingerspool/simulation/SlotSimulation.java
@@ -96,7 +96,7 @@
             granted.clear();
             came.clear();
             Messages.Register word = new Messages.Register(name, "z", 0, Map.copyOf(held));
-            say(() -> keeper.enrolled(now, name, word));
+            say(() -> keeper.registered(now, name, word));
             FUNCTIONS.forEach(this::want);
             held.keySet().stream().toList().forEach(this::idle);
         }
@@ -138,7 +138,7 @@
                             inHand,
                             came.getOrDefault(f, 0L),
                             60);
-            say(() -> keeper.want(now, name, w));
+            say(() -> keeper.demanded(now, name, w));
         }
 
         void request(String f) {
@@ -163,7 +163,12 @@
         void knock(String id, long of) {
             Copy c = copies.get(id);
             if (of == link && now >= c.startsAt && now < c.endedAt) {
-                say(() -> keeper.back(now, name, new Messages.SlotReturn(id, 0, Messages.SEEN_UP)));
+                say(
+                        () ->
+                                keeper.returned(
+                                        now,
+                                        name,
+                                        new Messages.SlotReturn(id, 0, Messages.SEEN_UP)));
                 serve(c.function);
                 idle(id);
             } else if (of == link) {
@@ -237,7 +242,7 @@
                             boolean dropped =
                                     without != Without.NOTHING && keeper.instance(id) == null;
                             if (!dropped) {
-                                keeper.back(now, name, new Messages.SlotReturn(id, n, seen));
+                                keeper.returned(now, name, new Messages.SlotReturn(id, n, seen));
                             }
                         });
             }
@@ -312,7 +317,7 @@
                         LAG,
                         of + "-",
                         now,
-                        new Autoscaler.Outlet() {
+                        new Autoscaler.Actions() {
                             @Override
                             public void start(Function f, String host, String nonce) {
                                 begin(of, f.name, host, nonce, 1);
--- a/src/test/java/gingerspool/slots/SlotKeeperTest.java
+++ b/src/test/java/gingerspool/slots/SlotKeeperTest.java
@@ -50,7 +50,7 @@
                         .addRoutes(Route.newBuilder().setService("f").setAim(1000))
                         .build());
         for (String front : List.of("a", "b", "c")) {
-            keeper.enrolled(0, front, new Messages.Register(front, "z" + front, 0, Map.of()));
+            keeper.registered(0, front, new Messages.Register(front, "z" + front, 0, Map.of()));
         }
     }
 
@@ -81,13 +81,13 @@
             if (chance.nextBoolean()) {
                 // What it says of grants may be old: some were still on their way to it.
                 long knows = Math.max(0, granted.getOrDefault(front, 0L) - chance.nextInt(2));
-                keeper.want(now, front, want(chance.nextInt(4), knows, 3));
+                keeper.demanded(now, front, want(chance.nextInt(4), knows, 3));
             } else {
                 String id = "i" + chance.nextInt(3);
                 int has = held.getOrDefault(front + " " + id, 0);
                 int some = Math.min(has, 1 + chance.nextInt(2));
                 held.put(front + " " + id, has - some);
-                keeper.back(now, front, new Messages.SlotReturn(id, some, Messages.SEEN_WELL));
+                keeper.returned(now, front, new Messages.SlotReturn(id, some, Messages.SEEN_WELL));
             }
             for (Messages.SlotGrant g : grants.subList(before, grants.size())) {
                 assertEquals(g.slots(), 1);
@@ -108,16 +108,16 @@
     @Test
     public void aNewKeeperWaitsForWhatIsHeldAndRecallsForThoseWhoLack() {
         prepare();
-        keeper.enrolled(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
+        keeper.registered(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
         keeper.add(2, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
-        keeper.want(3, "b", want(1, 0, 1));
+        keeper.demanded(3, "b", want(1, 0, 1));
         assertEquals(grants.size(), 0, "nothing before schedulers had the time to enrol");
         keeper.tick(600);
         assertEquals(grants.size(), 0, "both slots are a's");
-        keeper.want(601, "a", want(0, 0, 0));
+        keeper.demanded(601, "a", want(0, 0, 0));
         keeper.tick(650);
         assertEquals(recalled, List.of("a"));
-        keeper.back(660, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
+        keeper.returned(660, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
         assertEquals(grants.size(), 1);
     }
 
@@ -127,12 +127,12 @@
     @Test
     public void whatComesBackBeforeItsInstanceIsKnownIsNotHeldForEver() {
         prepare();
-        keeper.enrolled(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
-        keeper.back(2, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
-        keeper.back(3, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
+        keeper.registered(1, "a", new Messages.Register("a", "za", 0, Map.of("i0", 2)));
+        keeper.returned(2, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
+        keeper.returned(3, "a", new Messages.SlotReturn("i0", 1, Messages.SEEN_WELL));
         keeper.add(
                 600, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
-        keeper.want(601, "b", want(2, 0, 2));
+        keeper.demanded(601, "b", want(2, 0, 2));
         assertEquals(grants.size(), 2);
     }
 
@@ -141,10 +141,10 @@
         prepare();
         keeper.add(
                 600, "i0", keeper.function("f"), "10.0.0.1:1", "za", "h", 2, Instance.State.READY);
-        keeper.want(601, "a", want(1, 0, 1));
-        keeper.want(602, "a", want(1, 0, 1));
+        keeper.demanded(601, "a", want(1, 0, 1));
+        keeper.demanded(602, "a", want(1, 0, 1));
         assertEquals(grants.size(), 1, "said before the grant had come");
-        keeper.want(603, "a", want(1, 1, 2));
+        keeper.demanded(603, "a", want(1, 1, 2));
         assertEquals(grants.size(), 2);
     }
 
@@ -160,14 +160,14 @@
                 "h",
                 2,
                 Instance.State.STARTING);
-        keeper.want(601, "a", want(1, 0, 1));
+        keeper.demanded(601, "a", want(1, 0, 1));
         assertEquals(grants.size(), 1);
         assertTrue(grants.get(0).startsIn() > 400);
-        keeper.back(1100, "a", new Messages.SlotReturn("i0", 0, Messages.SEEN_UP));
-        keeper.want(1101, "b", want(1, 0, 1));
+        keeper.returned(1100, "a", new Messages.SlotReturn("i0", 0, Messages.SEEN_UP));
+        keeper.demanded(1101, "b", want(1, 0, 1));
         assertEquals(grants.get(1).startsIn(), 0.0);
-        keeper.back(1200, "b", new Messages.SlotReturn("i0", 1, Messages.SEEN_LOST));
-        keeper.want(1201, "c", want(1, 0, 1));
+        keeper.returned(1200, "b", new Messages.SlotReturn("i0", 1, Messages.SEEN_LOST));
+        keeper.demanded(1201, "c", want(1, 0, 1));
         assertEquals(grants.size(), 2, "nobody is sent to one that was not reached just now");
     }
 }
