A scheduler believes an old leader that steps down, though it heard of a new term

Found by reading: a scheduler that had heard of a new term from a follower, and could not reach the new leader, passed over whatever came in an older term, also that its leader had stepped down. It stayed registered there, neither granted slots nor on its own. ControlLinksTest failed before (time-out), passes after.

--- a/src/main/java/gingerspool/dataplane/ControlLinks.java
+++ b/src/main/java/gingerspool/dataplane/ControlLinks.java
@@ -202,6 +202,11 @@
 
     private void standing(Link l, Messages.LeaderAnnouncement s) {
         if (s.term() < view) {
+            // What an old leader says of others is old; that it leads no more itself is not.
+            if (l == asked && !l.ip.equals(s.leader())) {
+                leader = null;
+                asked = null;
+            }
             return;
         }
         members = new LinkedHashSet<>(s.members());
