--- a/src/main/java/gingerspool/consensus/Contacts.java
+++ b/src/main/java/gingerspool/consensus/Contacts.java
@@ -13,7 +13,7 @@
     private static final int HEARD_OF_MOST = 32;
 
     /** Leases without a leader until a voter asks beyond the voters that it knows. */
-    private static final double PATIENCE = 4;
+    private static final double PATIENCE = 2;
 
     private final ReplicaContext context;
     private final Election election;
@@ -99,7 +99,7 @@
         referral.addresses().forEach(this::hear);
         if (!referral.leader().isEmpty()) {
             hear(referral.leader());
-            if (isLost() && !referral.leader().equals(context.self.ip())) {
+            if (!knowsLeader() && !referral.leader().equals(context.self.ip())) {
                 ask(referral.leader());
             }
         }
