--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -7,163 +7,17 @@
 
 import gingerspool.dispatch.Profile.Effect;
 import gingerspool.dispatch.Profile.Scope;
-import gingerspool.wire.Json;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** What a Dispatcher does with its inputs, from listing workers to giving up. */
 public class DispatcherTest {
     private static final Effect SAFE = Effect.IDEMPOTENT;
-    private static final Effect MARKED = Effect.FINGERPRINTED;
-    private static final Effect ONCE = Effect.SIDE_EFFECTING;
-
-    @Test
-    public void scoreOfAnUnseenRowIsTheShareOfRegionsWithinTheAllowedWait() {
-        Bench b = Bench.of(SAFE).start(1);
-        Task t = b.task(0, 0, 0);
-        t.work = 150;
-        t.due = 100 + 2 * 150;
-        // Mean 150, spread sqrt(0.5): likely works 52, 93, 146, 263, allowed waits 152, 193, 246,
-        // 363.
-        // Waits at midpoints 0, 0, 11, 37, 71, 120, 187, 300, 487 and more: 6, 7, 7 and 8 of 14
-        // regions fit.
-        assertEquals(b.d.inTime(t, 0), (6 + 7 + 7 + 8) / 56.0, 1e-9);
-    }
-
-    @Test
-    public void scoreFollowsThePairsCounted() {
-        Bench b = Bench.of(SAFE).start(2);
-        Task t = b.task(0, 0, 0);
-        t.work = 150;
-        t.due = 400;
-        b.d.count(0, 0, 0, 30);
-        b.d.count(1, 0, 9, 30);
-        assertTrue(b.d.inTime(t, 0) > b.d.inTime(t, 1) + 0.2);
-    }
-
-    @Test
-    public void laterWorkFollowsTheBusyPeriodLaw() {
-        double[] run = new double[17];
-        run[1] = 1;
-        double[] within = new double[17];
-        double lambda = 0.3;
-        BusyPeriods.within(1, lambda, run, within);
-        // Unit jobs behind one unit of work: Borel's law, P(0) = e^-a, P(1) = a e^-2a, P(2) = 3/2
-        // a^2 e^-3a.
-        assertEquals(within[0], Math.exp(-lambda), 1e-12);
-        assertEquals(within[1] - within[0], lambda * Math.exp(-2 * lambda), 1e-12);
-        assertEquals(within[2] - within[1], 1.5 * lambda * lambda * Math.exp(-3 * lambda), 1e-12);
-    }
-
-    @Test
-    public void jobsOfNoRunningTimeOvertakeNobody() {
-        double[] run = new double[17];
-        run[0] = 1;
-        double[] within = new double[17];
-        BusyPeriods.within(4, 0.5, run, within);
-        assertEquals(within[0], 1, 1e-12);
-    }
-
-    @Test
-    public void onPriorityWorkersOnlyHigherPriorityCostsChance() {
-        Bench b = Bench.of(SAFE, SAFE);
-        b.settings.order = Settings.Order.PRIORITY;
-        b.settings.profiles[1].prio = 1;
-        b.start(1);
-        for (int i = 0; i < 3; i++) {
-            b.arrive(1, i);
-        }
-        b.d.wake(500);
-        Task low = b.task(0, 500, 0);
-        Task high = b.task(1, 500, 0);
-        low.work = 100;
-        high.work = 100;
-        low.due = 1000;
-        high.due = 1000;
-        assertTrue(b.d.inTime(low, 0) < b.d.inTime(high, 0));
-    }
-
-    @Test
-    public void ownUnfinishedSendsRaiseTheWork() {
-        Bench b = Bench.of(SAFE).start(1);
-        double before = b.d.load(0, 0);
-        b.arrive(0, 1);
-        double one = b.d.load(0, 0);
-        b.arrive(0, 2);
-        assertEquals(before, 0.0);
-        assertEquals(one, 0.5);
-        assertTrue(b.d.load(0, 0) > 1);
-    }
-
-    /**
-     * Found on the first day: rows never visited are flat, so a worker full of our own sends looked
-     * good.
-     */
-    @Test
-    public void regionsBelowOurOwnSendsAreLeftOut() {
-        Bench b = Bench.of(SAFE).start(2);
-        for (int i = 0; i < 6; i++) {
-            b.arrive(0, 1);
-        }
-        assertEquals(b.count("send 0"), 3);
-        assertEquals(b.count("send 1"), 3);
-    }
-
-    /** Found on catania-trascrizioni: a worker once heard full was believed full for 28 s. */
-    @Test
-    public void whatWasHeardFadesToTheMean() {
-        Bench b = Bench.of(SAFE).start(4);
-        b.d.probed(10, 3, Bench.report(6, 0));
-        double full = b.d.othersNow(3);
-        b.d.wake(60000);
-        assertTrue(full > 2);
-        assertTrue(b.d.othersNow(3) < 1);
-    }
-
-    /** Found on both sites with hints: a hint far from the mean says less than it seems. */
-    @Test
-    public void farHintsAreDrawnToTheMean() {
-        Bench b = Bench.of(SAFE).start(4);
-        for (int i = 0; i < 20; i++) {
-            b.d.arrived(i, b.task(0, i, 100));
-        }
-        Task t = b.task(0, 30, 1600);
-        b.d.arrived(30, t);
-        assertTrue(t.work > 150 && t.work < 1000, "work " + t.work);
-    }
 
-    @Test
-    public void absurdReportsCountAsNotHeard() {
-        Bench b = Bench.of(SAFE).start(2);
-        double[] r = new double[Report.SIZE];
-        for (double v : new double[] {-1, 1e18, Double.NaN, Double.POSITIVE_INFINITY}) {
-            Arrays.fill(r, v);
-            b.d.probed(5, 0, r);
-            b.d.probed(5, 1, null);
-        }
-        assertEquals(b.d.slotsOf(0), 2.0);
-        b.d.arrived(6, b.task(0, 6, Double.MAX_VALUE));
-        b.d.arrived(6, b.task(0, 6, -3));
-        assertEquals(b.count("send"), 2);
-    }
+    private static final Effect MARKED = Effect.FINGERPRINTED;
 
-    @Test
-    public void aColdWorkerGetsNoMoreThanItsShare() {
-        Bench b = Bench.of(SAFE).start(1);
-        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
-        double work = 0;
-        for (int i = 0; i < 50; i++) {
-            b.arrive(0, 20000 + i);
-        }
-        for (Assignment a : b.sent) {
-            work += a.task.work;
-        }
-        // A third of 3 x a quarter of its capacity (2 slots) x 1000 ms.
-        assertTrue(work <= 500, "work " + work);
-        assertFalse(b.d.inBudget(0, 1000));
-    }
+    private static final Effect ONCE = Effect.SIDE_EFFECTING;
 
     @Test
     public void nothingGoesToDrainingOrGoneWorkers() {
@@ -385,25 +239,6 @@
         assertEquals(b.count("send"), 1);
     }
 
-    /** Found in incident ie2c056: with many dispatchers new workers idled until they were warm. */
-    @Test
-    public void amongManyDispatchersAColdWorkerStillGetsSingleTasks() {
-        Bench b = Bench.of(SAFE);
-        b.settings.dispatchers = 20;
-        b.settings.overloadFactor = 4;
-        b.start(1);
-        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
-        for (int i = 0; i < 400; i++) {
-            Task t = b.task(0, 20000 + i * 10, 40);
-            b.d.arrived(20000 + i * 10, t);
-        }
-        double work = b.sent.stream().mapToDouble(a -> a.task.work).sum();
-        // At most our part, 1/20, of 4 x capacity (2 slots, at most half warm) over 4 s, and one
-        // task more.
-        assertTrue(b.count("send") >= 1);
-        assertTrue(work <= 4 * 2 * 0.55 * 4000 / 20 + 40, "work " + work);
-    }
-
     /**
      * Found in incident ic80c1a: all workers slowed at once, each one's few answers showed it late.
      */
@@ -468,20 +303,6 @@
         assertTrue(b.d.inBudget(0, 5000));
     }
 
-    /**
-     * Found on incident i3d5089: most of 438 dispatchers kept workers long warm under the cold
-     * budget.
-     */
-    @Test
-    public void aWorkerSeenToStartIsWarmInTimeHeardOfOrNot() {
-        Bench b = Bench.of(SAFE).start(1);
-        b.list(20000, false, 1, Dispatcher.RUNNING, 20000);
-        b.d.wake(20000 + b.settings.warmWithin - 1);
-        assertFalse(b.d.inBudget(0, 5000));
-        b.d.wake(20000 + b.settings.warmWithin);
-        assertTrue(b.d.inBudget(0, 5000));
-    }
-
     /**
      * Found on the grown siracusa-indici: the best of 60 workers hardly heard of was mostly a wrong
      * one.
@@ -528,24 +349,6 @@
         assertTrue(late.ended || late.tries == 1);
     }
 
-    /**
-     * Found on kingston-returns big-1: slow workers nobody asked were believed as full as the fast.
-     */
-    @Test
-    public void anUnheardWorkerTakesTheMeanOfItsOwnKindAndPlace() {
-        Bench b = Bench.of(SAFE).start(6);
-        b.d.listBegins(2, false);
-        b.d.listed(6, 0, 1, 0, Dispatcher.RUNNING, 2, 0);
-        b.d.listed(7, 0, 0, 0, Dispatcher.RUNNING, 2, 0);
-        b.d.listEnds(2, false, false);
-        for (int i = 0; i < 400; i++) {
-            b.d.probed(10 + i, i % 3 * 2, Bench.report(6 + i % 2, 0));
-        }
-        assertTrue(b.d.othersNow(7) > 4, "others " + b.d.othersNow(7));
-        assertEquals(b.d.othersNow(6), 0.0);
-        assertTrue(b.d.othersNow(5) < 0.5, "others " + b.d.othersNow(5));
-    }
-
     /** Found on sofia-topup: what others sent since the last report was the weakest belief. */
     @Test
     public void whatAnotherDispatcherTellsCountsLikeOurOwnSendsUntilItEnds() {
@@ -665,22 +468,6 @@
         assertEquals(badly.worth, (3 + 0.4 / 0.6 * 11) * badly.work, badly.work);
     }
 
-    /**
-     * Found on sofia-topup: reports told 2 running and 3 waiting as 3 and 5, and 8 were believed.
-     */
-    @Test
-    public void whatWaitsIsNotCountedTwiceWhereInFlightHoldsIt() {
-        double[] believed = new double[2];
-        for (int i = 0; i < 2; i++) {
-            Bench b = Bench.of(SAFE).start(1);
-            double[] r = Bench.report(3, 0);
-            r[Report.IN_FLIGHT] = i == 0 ? 5 : Double.NaN;
-            b.d.probed(10, 0, r);
-            believed[i] = b.d.othersNow(0);
-        }
-        assertEquals(believed[0], believed[1]);
-    }
-
     /** Found on sofia-topup: progress is told, starts are not, and all of it was dropped. */
     @Test
     public void whereStartsAreNotToldTheFirstProgressTellsOne() {
@@ -720,85 +507,6 @@
                 b.sent.stream().mapToInt(a -> a.worker).distinct().count(), 4, b.acts.toString());
     }
 
-    /** Found on all grown sites: hundreds of dispatchers flocked after the same old report. */
-    @Test
-    public void aReportMovesTheBeliefPartOfTheWay() {
-        Bench b = Bench.of(SAFE).start(4);
-        b.d.probed(10, 3, Bench.report(6, 0));
-        double once = b.d.othersNow(3);
-        b.d.probed(11, 3, Bench.report(7, 0));
-        assertTrue(once > 2 && once < 4, "once " + once);
-        assertTrue(b.d.othersNow(3) > once + 1);
-    }
-
-    /**
-     * Found in incident ic7dd21: a new worker was in few buddy sets and idled until it was warm.
-     */
-    @Test
-    public void aColdWorkerIsWeighedBesideTheBuddySet() {
-        Bench b = Bench.of(SAFE);
-        b.settings.dispatchers = 20;
-        b.start(40);
-        b.d.listBegins(10000, false);
-        b.d.listed(40, 0, 0, 0, Dispatcher.RUNNING, 2, 10000);
-        b.d.listEnds(10000, false, false);
-        for (int i = 0; i < 8; i++) {
-            for (int w = 0; w < 40; w++) {
-                b.d.probed(18980 + i, w, Bench.report(20 + i, 0));
-            }
-        }
-        for (int i = 0; i < 4; i++) {
-            b.d.probed(18990 + i, 40, Bench.report(0, 2 - i / 10.0));
-        }
-        b.arrive(0, 19000);
-        assertEquals(b.last().worker, 40);
-    }
-
-    /**
-     * Found on fleet days: new workers, as full and slow as could be feared, idled while others
-     * jammed.
-     */
-    @Test
-    public void aNewWorkerIsBelievedEmpty() {
-        Bench b = Bench.of(SAFE).start(8);
-        for (int i = 0; i < 40; i++) {
-            for (int w = 0; w < 8; w++) {
-                b.d.probed(10 + i, w, Bench.report(9 + i, 0));
-            }
-        }
-        b.d.listBegins(10000, false);
-        b.d.listed(8, 0, 0, 0, Dispatcher.RUNNING, 2, 10000);
-        b.d.listEnds(10000, false, false);
-        assertTrue(b.d.othersNow(7) > 2, "others " + b.d.othersNow(7));
-        assertEquals(b.d.othersNow(8), 0.0);
-    }
-
-    /**
-     * The believed pace of a cold worker that never answered, over that of a warm one that did not.
-     */
-    @Test
-    public void whatSomeColdWorkersShowHoldsForTheOtherColdOnes() {
-        Bench b = Bench.of(SAFE);
-        b.settings.tellsStart = true;
-        b.start(7);
-        b.list(20000, false, 6, Dispatcher.RUNNING, 20000);
-        b.d.wake(20500);
-        double feared = b.d.pace(5) / b.d.pace(6);
-        runsOnColdOnes(b, 100);
-        double seen = b.d.pace(5) / b.d.pace(6);
-        assertTrue(seen > 1.1 * feared, seen + " of " + feared);
-        runsOnColdOnes(b, 2000);
-        assertTrue(b.d.pace(5) / b.d.pace(6) < seen, "no slower for slow answers");
-    }
-
-    private static void runsOnColdOnes(Bench b, double run) {
-        for (int i = 0; i < 20; i++) {
-            Assignment a = b.sentTo(b.task(0, 20500 - run, 100), i % 5, 20500 - run);
-            b.d.started(20500 - run, a);
-            b.d.ended(20500, a, Outcome.OK, true, null);
-        }
-    }
-
     /** Found in incident i8a9b13: a jam showed only when its late answers came. */
     @Test
     public void whatIsOutPastItsDueTimeCountsAsLate() {
@@ -915,30 +623,6 @@
         assertTrue(b.d.banned(0) && !b.d.banned(1));
     }
 
-    /**
-     * Guards rule four: it comes back cold, perhaps before the list tells so; a single call puts it
-     * back.
-     */
-    @Test
-    public void aResumedWorkerIsUsedAtOnceAndHeldToTheColdBudget() {
-        Bench b = Bench.of(SAFE);
-        b.settings.profiles[0].dueTime = 1000;
-        b.start(1);
-        Assignment a = b.sentTo(b.task(0, 5, 100), 0, 5);
-        b.d.suspended(10, 0);
-        b.d.suspended(11, 0);
-        b.d.ended(20, a, Outcome.UNREACHABLE, false, null);
-        assertEquals(b.count("send"), 0);
-        b.d.resumed(1000, 0);
-        assertEquals(b.d.fleet.startedAt[0], 1000.0);
-        assertEquals(b.d.failNow(0, 0), 0.0);
-        for (int i = 0; i < 50; i++) {
-            b.arrive(0, 1000 + i);
-        }
-        assertTrue(b.count("send") > 0, "it is weighed again");
-        assertTrue(b.count("send") < 10, b.count("send") + " sends to a cold worker");
-    }
-
     @Test
     public void aStartToldUnderTheBanIsTheOneThatCounts() {
         Bench b = Bench.of(SAFE).start(1);
@@ -950,106 +634,6 @@
         assertEquals(b.d.fleet.startedAt[0], 500.0, "what is not banned is left as it is");
     }
 
-    /** Infinite and missing figures included, all that is learned comes through JSON as it was. */
-    @Test
-    public void theNextProcessKnowsWhatThisOneHadLearned() throws Exception {
-        Bench old = Bench.of(SAFE, ONCE).start(3);
-        for (int i = 0; i < 30; i++) {
-            old.arrive(i % 2, 10 * i);
-            old.d.ended(
-                    10 * i + 7,
-                    old.last(),
-                    i % 7 == 0 ? Outcome.ERROR : Outcome.OK,
-                    true,
-                    Bench.report(i % 3, 2));
-        }
-        Assignment out = old.sentTo(old.task(0, 400, 100), 1, 400);
-        old.d.wake(400);
-        Map<?, ?> told = (Map<?, ?>) Json.read(Json.write(old.d.learned()));
-        Bench next = Bench.of(SAFE, ONCE);
-        next.d = new Dispatcher(next.settings, 99, next);
-        next.list(390, true, 3, Dispatcher.RUNNING, 0);
-        double before = old.d.fleet.others[1];
-        next.d.learn(400, told);
-        assertEquals(next.d.fleet.others[1], before + out.task.width, 1e-12);
-        assertEquals(next.d.fleet.out[1], 0);
-        next.d.fleet.others[1] = before;
-        old.d.fleet.own[1] = 0;
-        assertEquals(Json.write(next.d.learned()), Json.write(old.d.learned()));
-        assertEquals(next.d.fleet.order, old.d.fleet.order);
-        assertEquals(next.d.failNow(0, 0), old.d.failNow(0, 0));
-    }
-
-    /** A move: other tasks, a list in another order. Speeds and cold budgets hold by name. */
-    @Test
-    public void overAMoveMachinesAreKnownByNameAndTasksBeginAfresh() throws Exception {
-        Bench old = Bench.of(SAFE, ONCE);
-        old.settings.tellsStart = true;
-        old.start(3);
-        for (int i = 0; i < 90; i++) {
-            Assignment a = old.sentTo(old.task(0, 300 * i, 100), i % 3, 300 * i);
-            old.d.started(300 * i + 1, a);
-            old.d.ended(300 * i + (i % 3 == 2 ? 251 : 51), a, Outcome.OK, true, Bench.report(0, 2));
-        }
-        old.list(70000, false, 1, Dispatcher.RUNNING, 69990);
-        old.arrive(0, 70000);
-        Map<?, ?> told = (Map<?, ?>) Json.read(Json.write(old.d.learned()));
-        Bench next = Bench.of(SAFE, ONCE);
-        next.settings.tellsStart = true;
-        next.settings.profiles[0].dueTime = 2000;
-        next.d = new Dispatcher(next.settings, 99, next);
-        next.d.listBegins(70001, true);
-        for (int w = 0; w < 4; w++) {
-            next.d.called(w, "worker-" + (3 - w));
-            next.d.listed(w, w % 2, 0, 0, Dispatcher.RUNNING, 2, w == 3 ? 69990 : 0);
-        }
-        next.d.listEnds(70001, true, false);
-        double fresh = next.d.profileWork[0];
-        next.d.learn(70002, told);
-        assertEquals(next.d.fleet.swift[1], old.d.fleet.swift[2]);
-        assertTrue(next.d.pace(1) < 0.5 * next.d.pace(2), "worker-2 is the slow one");
-        assertEquals(next.d.fleet.swift[0], 0.0, "worker-3 is new");
-        assertEquals(next.d.fleet.coldLevel[3], old.d.fleet.coldLevel[0]);
-        assertEquals(next.d.thaw, old.d.thaw);
-        assertEquals(next.d.profileWork[0], fresh);
-        assertEquals(Workers.sum(next.d.pool[0]), 0.0);
-        assertEquals(next.d.late, 0.0);
-        // The first seconds: what is asked for is sent, most of it to the workers known to be fast.
-        for (int i = 0; i < 40; i++) {
-            Task t = next.task(0, 70010 + 50 * i, 100);
-            next.d.arrived(70010 + 50 * i, t);
-            if (t.out > 0) {
-                next.d.ended(70040 + 50 * i, next.last(), Outcome.OK, true, Bench.report(0, 2));
-            }
-        }
-        assertEquals(next.count("bounce") + next.count("abandon"), 0);
-        assertTrue(next.count("send 1") < next.count("send 2"), next.acts.toString());
-    }
-
-    /** What is of another size, or no number, is not taken; the rest is. */
-    @Test
-    public void whatDoesNotFitIsLeft() throws Exception {
-        Bench b = Bench.of(SAFE).start(2);
-        double[] work = b.d.fleet.slots.clone();
-        double tag0 = b.d.fleet.tag[0];
-        double tag1 = b.d.fleet.tag[1];
-        b.d.learn(
-                5,
-                (Map<?, ?>)
-                        Json.read(
-                                "{\"slots\":[7],\"others\":{},\"mixWork\":\"x\",\"odd\":1,"
-                                        + "\"swift\":[0.5,\"y\"],\"sense.machines\":\"\",\"workers\":["
-                                        + tag0
-                                        + ","
-                                        + tag1
-                                        + "]}"));
-        assertEquals(b.d.fleet.slots, work);
-        assertEquals(b.d.fleet.swift[0], 0.5);
-        assertEquals(b.d.fleet.swift[1], 0.0);
-        b.arrive(0, 6);
-        assertEquals(b.count("send"), 1);
-    }
-
     /** Errors at all workers that a repeat gets round are no reason to give up. */
     @Test
     public void whereRepeatsHelpTheyAreMade() {
