--- a/src/main/java/gingerspool/dispatch/PendingTasks.java
+++ b/src/main/java/gingerspool/dispatch/PendingTasks.java
@@ -1,6 +1,7 @@
 package gingerspool.dispatch;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 
 /** The tasks that wait for a decision, and the timer that brings us back to them. */
@@ -31,11 +32,11 @@
 
     /** The first task whose time to be looked at has come, or null; drops those that have ended. */
     Task nextDue() {
-        for (int i = 0; i < tasks.size(); i++) {
-            Task t = tasks.get(i);
+        for (Iterator<Task> i = tasks.iterator(); i.hasNext(); ) {
+            Task t = i.next();
             if (t.ended) {
                 t.held = false;
-                tasks.remove(i--);
+                i.remove();
             } else if (t.lookAt <= known.now) {
                 return t;
             }
--- a/src/main/java/gingerspool/standin/Machine.java
+++ b/src/main/java/gingerspool/standin/Machine.java
@@ -133,15 +133,17 @@
 
     private void end() {
         // Guards against waiting for less than the clock can tell: at Unix times its grain is a
-        // quarter of a
-        // us.
+        // quarter of a microsecond.
         double grain = Math.max(1e-6, 4 * Math.ulp(now) * rate());
-        for (int i = 0; i < running.size(); i++) {
+        int i = 0;
+        while (i < running.size()) {
             Job j = running.get(i);
             if (j.left <= grain) {
-                running.remove(i--);
+                running.remove(i);
                 free(j);
                 ear.ended(j, now);
+            } else {
+                i++;
             }
         }
     }
--- a/src/main/java/gingerspool/wire/ManagementDoor.java
+++ b/src/main/java/gingerspool/wire/ManagementDoor.java
@@ -224,8 +224,10 @@
     /** A part of a path without its percent signs. */
     static String plain(String part) throws BadMessage {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(part.length());
-        for (int i = 0; i < part.length(); i++) {
+        int i = 0;
+        while (i < part.length()) {
             int c = part.charAt(i);
+            int used = 1;
             if (c == '%') {
                 boolean two = i + 2 < part.length();
                 int high = two ? Character.digit(part.charAt(i + 1), 16) : -1;
@@ -234,9 +236,10 @@
                     throw new BadMessage(400, "a % in the path without two hex digits");
                 }
                 c = 16 * high + low;
-                i += 2;
+                used = 3;
             }
             bytes.write(c);
+            i += used;
         }
         return bytes.toString(StandardCharsets.UTF_8);
     }
