Dispatch: figures and methods named for what they are

Change: thaw -> warmUp, tide -> commonPace, swift -> ownPace, press -> queuedShare, late and full -> lateShare and fullShare, heed -> lateWeight, gap -> arrivalGap, unit -> standardPace, mixWork -> meanWork, youngest -> firstTryAge, bend -> spreadWork, ours -> granted, shun -> avoid, lookAt -> decideAt, lookAgain -> reconsiderAll, rest -> beginPause, held -> pending. Keys of what one process passes to the next stay. RunningTimes names its factor of forgetting once.

--- a/src/main/java/gingerspool/dispatch/ColdBudget.java
+++ b/src/main/java/gingerspool/dispatch/ColdBudget.java
@@ -17,7 +17,7 @@
 
     /** A worker has begun: its level starts anywhere, so that dispatchers take turns. */
     void begin(int w, double phase) {
-        fleet.coldLevel[w] = phase * known.mixWork;
+        fleet.coldLevel[w] = phase * known.meanWork;
         fleet.coldAt[w] = known.now;
     }
 
@@ -42,7 +42,7 @@
                 * speed.slotsOf(w)
                 * speed.pace(w)
                 * speed.warmth(w, 1)
-                / speed.warmth(w, known.thaw);
+                / speed.warmth(w, known.warmUp);
     }
 
     private double coldLevelNow(int w) {
--- a/src/main/java/gingerspool/dispatch/Dispatcher.java
+++ b/src/main/java/gingerspool/dispatch/Dispatcher.java
@@ -43,17 +43,17 @@
         super(s, QueuedWork.K, LaterWork.BINS + 1);
         this.out = out;
         chance = new SplittableRandom(seed);
-        Arrays.fill(youngest, Double.POSITIVE_INFINITY);
+        Arrays.fill(firstTryAge, Double.POSITIVE_INFINITY);
         for (int p = 0; p < profiles.length; p++) {
             runVar[p] = 0.5;
             profileWork[p] = Math.max(profiles[p].firstWork(), tick);
             runLog[p] = Math.log(profileWork[p]) - runVar[p] / 2;
-            mixWork += profileWork[p] / profiles.length;
+            meanWork += profileWork[p] / profiles.length;
             meanWorth += profiles[p].utility / profiles.length;
         }
-        meanDensity = byWork ? meanWorth : meanWorth / mixWork;
-        meanWorth *= byWork ? mixWork : 1;
-        gap = fadeSpan() / ServerChoice.BUDDIES;
+        meanDensity = byWork ? meanWorth : meanWorth / meanWork;
+        meanWorth *= byWork ? meanWork : 1;
+        arrivalGap = fadeSpan() / ServerChoice.BUDDIES;
         speed = new Speed(this);
         runs = new RunningTimes(this, speed);
         queued = new QueuedWork(this, speed);
@@ -125,7 +125,7 @@
         fleet.heardAt[w] = started;
         fleet.others[w] = 0;
         fleet.answeredAt[w] = 0;
-        fleet.shunUntil[w] = 0;
+        fleet.avoidUntil[w] = 0;
         Arrays.fill(fleet.fail[w], 0);
         coldBudget.begin(w, chance.nextDouble());
     }
@@ -142,12 +142,12 @@
             rules.listAnswered();
         }
         fleet.order();
-        lookAgain();
+        reconsiderAll();
     }
 
     /** Whoever waits is looked at anew, since other workers may take it now. */
-    private void lookAgain() {
-        pending.lookAgain();
+    private void reconsiderAll() {
+        pending.reconsiderAll();
         rules.settle();
     }
 
@@ -178,7 +178,7 @@
             began(w, fleet.startedAt[w] < fleet.bannedAt[w] ? now : fleet.startedAt[w]);
             fleet.bannedAt[w] = Double.NaN;
         }
-        lookAgain();
+        reconsiderAll();
     }
 
     /**
@@ -186,8 +186,8 @@
      */
     public void granted(double at, int w, int slots) {
         now = at;
-        fleet.ours[w] = slots;
-        lookAgain();
+        fleet.granted[w] = slots;
+        reconsiderAll();
     }
 
     public boolean banned(int w) {
@@ -208,7 +208,7 @@
             fleet.others[w] += out[w];
         }
         fleet.order();
-        lookAgain();
+        reconsiderAll();
     }
 
     // ---- Inputs: tasks ----
@@ -221,7 +221,7 @@
             out.bounce(t, t.advice > 0 ? Math.min(t.advice, longestAdvice) : longestAdvice);
             return;
         }
-        gap += (Math.min(now - lastArrival, gap * SAMPLES) - gap) / SAMPLES;
+        arrivalGap += (Math.min(now - lastArrival, arrivalGap * SAMPLES) - arrivalGap) / SAMPLES;
         lastArrival = now;
         firstArrival = Double.isNaN(firstArrival) ? now : firstArrival;
         int p = t.profile.index;
@@ -273,7 +273,7 @@
             case ERROR, RESET -> health.failed(a.worker, a.task.profile.index);
             case FULL, UNREACHABLE -> {
                 pairs.countFull(a, how);
-                health.shun(a.worker);
+                health.avoid(a.worker);
             }
             default -> {}
         }
@@ -326,7 +326,7 @@
         now = at;
         fleet.probing[w] = false;
         reportReader.reported(w, report);
-        pending.lookAgainAfter(w);
+        pending.reconsiderAfterReport(w);
         rules.settle();
     }
 
@@ -334,7 +334,7 @@
     public void reportMissing(double at, int w) {
         now = at;
         fleet.probing[w] = false;
-        health.shun(w);
+        health.avoid(w);
         // Guards tasks at workers that hang: what may go again is called back, and its outcome
         // decides anew.
         for (Assignment a = fleet.oldest[w]; a != null && mayCancel; a = a.after) {
@@ -343,11 +343,11 @@
                 out.cancel(a);
             }
         }
-        lookAgain();
+        reconsiderAll();
     }
 
     /**
-     * Word of another dispatcher: it has sent a task of so much work to a worker, or that has
+     * A message of another dispatcher: it has sent a task of so much work to a worker, or that has
      * ended.
      */
     public void peerTold(double at, int peer, byte[] message) {
--- a/src/main/java/gingerspool/dispatch/FurtherTries.java
+++ b/src/main/java/gingerspool/dispatch/FurtherTries.java
@@ -53,14 +53,14 @@
     }
 
     boolean pauseDue(Task task) {
-        return task.tries > task.restedAfter && task.terms.firstPause > 0;
+        return task.tries > task.pausedAfter && task.terms.firstPause > 0;
     }
 
     /** Begins a pause; false where it would outlast the task, which is then given up now. */
-    boolean rest(Task task) {
-        task.restedAfter = task.tries;
-        task.restUntil = known.now + task.terms.pause(task.tries, chance.nextDouble());
-        task.lookAt = task.restUntil;
-        return task.restUntil < task.expiry;
+    boolean beginPause(Task task) {
+        task.pausedAfter = task.tries;
+        task.pauseUntil = known.now + task.terms.pause(task.tries, chance.nextDouble());
+        task.decideAt = task.pauseUntil;
+        return task.pauseUntil < task.expiry;
     }
 }
--- a/src/main/java/gingerspool/dispatch/GivingUp.java
+++ b/src/main/java/gingerspool/dispatch/GivingUp.java
@@ -26,38 +26,38 @@
 
     /** An answer came, in time or late. */
     void answered(Task t) {
-        known.late += ((known.now > t.due ? 1 : 0) - known.late) * runs.newest();
+        known.lateShare += ((known.now > t.due ? 1 : 0) - known.lateShare) * runs.newest();
     }
 
     boolean hopeless(Task task, int best, double bestChance) {
-        if (best < 0 || fleet.ours[best] < Integer.MAX_VALUE) {
+        if (best < 0 || fleet.granted[best] < Integer.MAX_VALUE) {
             return best < 0;
         }
         double density = Math.max(task.worth / task.work, ServerChoice.NEAR * known.meanDensity);
         double weight = Math.max(0.5, Math.min(1.6, Math.sqrt(known.meanDensity / density)));
         known.meanDensity += (task.worth / task.work - known.meanDensity) / SAMPLES;
-        known.press += ((queued.regionOf(best) > 1 ? 1 : 0) - known.press) / SAMPLES;
+        known.queuedShare += ((queued.regionOf(best) > 1 ? 1 : 0) - known.queuedShare) / SAMPLES;
         // Guards against refusing in vain: believed queues count in full where answers are late.
         double missed = lateNow();
         double strain =
                 Math.max(
-                        known.press * Math.min(1, 10 * missed),
-                        heed() * Math.min(1, 5 * (missed - 0.16)));
+                        known.queuedShare * Math.min(1, 10 * missed),
+                        lateWeight() * Math.min(1, 5 * (missed - 0.16)));
         return bestChance < (HOPELESS + PRESSED * strain * strain) * weight;
     }
 
     /** How far late answers count: in the first seconds, only as workers are believed full. */
-    private double heed() {
+    private double lateWeight() {
         return Math.max(
                 1 - Math.exp((known.firstArrival - known.now) / (2 * known.fadeSpan())),
-                Math.min(1, 2 * known.full));
+                Math.min(1, 2 * known.fullShare));
     }
 
     /** Share of late answers; what is out past its due time counts, so a jam shows sooner. */
     double lateNow() {
         double seen = 1 / runs.newest();
         int out = overdue.count(known.now);
-        return (known.late * seen + out) / (seen + out);
+        return (known.lateShare * seen + out) / (seen + out);
     }
 
     /** Whether the client may be told to come again: nothing ran, or may run once more anywhere. */
--- a/src/main/java/gingerspool/dispatch/Health.java
+++ b/src/main/java/gingerspool/dispatch/Health.java
@@ -1,6 +1,6 @@
 package gingerspool.dispatch;
 
-/** What a worker can be trusted with: failures lately, overdue sends, shunning, silence. */
+/** What a worker can be trusted with: failures lately, overdue sends, back-off, silence. */
 final class Health {
     private final Learned known;
     private final Workers fleet;
@@ -26,12 +26,12 @@
         return fleet.fail[w][p] * Math.exp((fleet.failAt[w][p] - known.now) / span);
     }
 
-    /** An answer came: failures weigh less, and it is shunned no longer. */
+    /** An answer came: failures weigh less, and it is avoided no longer. */
     void answered(int w, int p) {
         fleet.fail[w][p] = failNow(w, p) * 0.8;
         fleet.failAt[w][p] = known.now;
         fleet.failRow[w][p] = 0;
-        fleet.shunSpan[w] = 0;
+        fleet.avoidSpan[w] = 0;
         fleet.answeredAt[w] = known.now;
     }
 
@@ -45,10 +45,10 @@
         }
     }
 
-    void shun(int w) {
-        fleet.shunSpan[w] =
-                Math.min(Math.max(known.mixWork, 2 * fleet.shunSpan[w]), 16 * known.mixWork);
-        fleet.shunUntil[w] = known.now + fleet.shunSpan[w];
+    void avoid(int w) {
+        fleet.avoidSpan[w] =
+                Math.min(Math.max(known.meanWork, 2 * fleet.avoidSpan[w]), 16 * known.meanWork);
+        fleet.avoidUntil[w] = known.now + fleet.avoidSpan[w];
     }
 
     /** Guards against workers that hang: other reports come in a few turns, theirs never. */
--- a/src/main/java/gingerspool/dispatch/LaterWork.java
+++ b/src/main/java/gingerspool/dispatch/LaterWork.java
@@ -22,7 +22,7 @@
     }
 
     private int bin(double run) {
-        return Math.min(BINS, Math.max(1, (int) Math.rint(run / known.mixWork * BINS_PER_RUN)));
+        return Math.min(BINS, Math.max(1, (int) Math.rint(run / known.meanWork * BINS_PER_RUN)));
     }
 
     /** Notes a job for the mixes of running times and profiles; one turned away runs for zero. */
@@ -44,11 +44,11 @@
         if (fleet.overtaken[w] == null) {
             fleet.overtaken[w] = new double[known.profiles.length][QueuedWork.K][BINS + 1];
             renew(w);
-        } else if (known.now >= fleet.overtakenAt[w] + Reports.REFRESH * known.mixWork) {
+        } else if (known.now >= fleet.overtakenAt[w] + Reports.REFRESH * known.meanWork) {
             renew(w);
         }
         double[] within = fleet.overtaken[w][p.index][region];
-        return within[Math.min(BINS, (int) (x / known.mixWork * BINS_PER_RUN))];
+        return within[Math.min(BINS, (int) (x / known.meanWork * BINS_PER_RUN))];
     }
 
     private void renew(int w) {
@@ -59,7 +59,7 @@
             run[i] = (fleet.mixRun[w][i] + 1) / all;
         }
         for (Profile q : known.profiles) {
-            double lambda = tighterRate(w, q) * known.mixWork / BINS_PER_RUN;
+            double lambda = tighterRate(w, q) * known.meanWork / BINS_PER_RUN;
             for (int k = 0; k < QueuedWork.K; k++) {
                 int bins = Math.max(1, bin(queued.waitAt(w, k)));
                 BusyPeriods.within(bins, lambda, run, fleet.overtaken[w][q.index][k]);
--- a/src/main/java/gingerspool/dispatch/Learned.java
+++ b/src/main/java/gingerspool/dispatch/Learned.java
@@ -14,7 +14,7 @@
     final double[] profileSeen;
 
     /** Least time that a task of the profile had been under way when it came. */
-    final double[] youngest;
+    final double[] firstTryAge;
 
     /** Work that came lately, and what of it was answered in time. */
     final double[] came;
@@ -22,36 +22,36 @@
     final double[] served;
     final double[] hintsSeen;
     final double[] hintLog;
-    final double[] hintBend;
+    final double[] hintWorkMean;
     final double[] runLog;
     final double[] runVar;
     double hintVar = 16;
     double hintRun = 8;
-    double mixWork;
+    double meanWork;
 
     /** How many times sooner than promised cold workers get warm, as their answers show. */
-    double thaw = 4;
+    double warmUp = 4;
 
     /** Pace that counts as a standard core's. */
-    double unit = 1;
+    double standardPace = 1;
 
     /** Logarithm of the whole fleet's pace lately over what its kinds have shown. */
-    double tide;
+    double commonPace;
 
     double meanWorth;
     double meanDensity;
 
     /** Share of tasks that met no free slot lately. */
-    double press;
+    double queuedShare;
 
     /** Share of answers that came after the due time lately. */
-    double late;
+    double lateShare;
 
     /** Share of the workers weighed that were believed full, lately. */
-    double full;
+    double fullShare;
 
     /** Time between tasks that come to us. */
-    double gap;
+    double arrivalGap;
 
     double lastArrival;
     double firstArrival = Double.NaN;
@@ -73,12 +73,12 @@
         pool = new double[regions][regions];
         profileWork = new double[profiles];
         profileSeen = new double[profiles];
-        youngest = new double[profiles];
+        firstTryAge = new double[profiles];
         came = new double[profiles];
         served = new double[profiles];
         hintsSeen = new double[profiles];
         hintLog = new double[profiles];
-        hintBend = new double[profiles];
+        hintWorkMean = new double[profiles];
         runLog = new double[profiles];
         runVar = new double[profiles];
         tenantRate = new double[tenants];
@@ -86,7 +86,7 @@
     }
 
     final double fadeSpan() {
-        return 8 * mixWork;
+        return 8 * meanWork;
     }
 
     /** All that is learned, under names, for the next process of this scheduler. */
@@ -114,8 +114,8 @@
         fleet.carryStanding(m);
         m.basis("machines", basisOfMachines);
         fleet.carryMachines(m);
-        thaw = m.number("thaw", thaw);
-        unit = m.number("unit", unit);
+        warmUp = m.number("thaw", warmUp);
+        standardPace = m.number("unit", standardPace);
         m.basis("reports", basisOfReports);
         fleet.carryReports(m);
         reportsCome = m.flag("reportsCome", reportsCome);
@@ -127,26 +127,26 @@
         }
         m.numbers("profileWork", profileWork);
         m.numbers("profileSeen", profileSeen);
-        m.numbers("youngest", youngest);
+        m.numbers("youngest", firstTryAge);
         m.numbers("came", came);
         m.numbers("served", served);
         m.numbers("hintsSeen", hintsSeen);
         m.numbers("hintLog", hintLog);
-        m.numbers("hintBend", hintBend);
+        m.numbers("hintBend", hintWorkMean);
         m.numbers("runLog", runLog);
         m.numbers("runVar", runVar);
         m.numbers("tenantRate", tenantRate);
         m.numbers("tenantAt", tenantAt);
         hintVar = m.number("hintVar", hintVar);
         hintRun = m.number("hintRun", hintRun);
-        mixWork = m.number("mixWork", mixWork);
-        tide = m.number("tide", tide);
+        meanWork = m.number("mixWork", meanWork);
+        commonPace = m.number("tide", commonPace);
         meanWorth = m.number("meanWorth", meanWorth);
         meanDensity = m.number("meanDensity", meanDensity);
-        press = m.number("press", press);
-        late = m.number("late", late);
-        full = m.number("full", full);
-        gap = m.number("gap", gap);
+        queuedShare = m.number("press", queuedShare);
+        lateShare = m.number("late", lateShare);
+        fullShare = m.number("full", fullShare);
+        arrivalGap = m.number("gap", arrivalGap);
         lastArrival = m.number("lastArrival", lastArrival);
         firstArrival = m.number("firstArrival", firstArrival);
         m.anyBasis();
--- a/src/main/java/gingerspool/dispatch/OwnSends.java
+++ b/src/main/java/gingerspool/dispatch/OwnSends.java
@@ -37,7 +37,7 @@
     /** Guards against messages that cost more than they tell: only the largest sends are told. */
     void tell(Assignment a, boolean begins) {
         if (begins && known.tellShare > 0) {
-            a.told = a.task.work >= tellFrom * known.mixWork;
+            a.told = a.task.work >= tellFrom * known.meanWork;
             tellFrom *= Math.exp(((a.told ? 1 : 0) - known.tellShare) / 4);
         }
         if (a.told) {
@@ -48,14 +48,14 @@
 
     /** Own sends are taken off a report as they were on average when it was made. */
     void smoothOwn(int w) {
-        double past = 1 - Math.exp(-(known.now - fleet.ownAt[w]) / (2 * known.mixWork));
+        double past = 1 - Math.exp(-(known.now - fleet.ownAt[w]) / (2 * known.meanWork));
         fleet.ownSmooth[w] += (fleet.own[w] - fleet.ownSmooth[w]) * past;
         fleet.ownAt[w] = known.now;
     }
 
     /** Our sends to the worker a millisecond, counting so many more now. */
     double sendRate(int w, int more) {
-        double span = Learned.SAMPLES * known.mixWork;
+        double span = Learned.SAMPLES * known.meanWork;
         fleet.sendRate[w] =
                 fleet.sendRate[w] * Math.exp((fleet.rateAt[w] - known.now) / span) + more / span;
         fleet.rateAt[w] = known.now;
--- a/src/main/java/gingerspool/dispatch/PairTable.java
+++ b/src/main/java/gingerspool/dispatch/PairTable.java
@@ -42,7 +42,7 @@
     /** Counts how late an answer was beyond the expected run, where nothing else shows the wait. */
     void countLateness(Assignment a) {
         if (waitsUnseen()) {
-            double wait = (known.now - a.sentAt - a.run) * speed.pace(a.worker) / known.mixWork;
+            double wait = (known.now - a.sentAt - a.run) * speed.pace(a.worker) / known.meanWork;
             count(a, wait > 0.5 ? QueuedWork.region(1 + wait) : Math.min(1, a.region));
         }
     }
--- a/src/main/java/gingerspool/dispatch/PeerMessage.java
+++ b/src/main/java/gingerspool/dispatch/PeerMessage.java
@@ -19,7 +19,7 @@
                 : new byte[] {high, (byte) tag, (byte) Math.min(255, step)};
     }
 
-    /** The last two bytes of the worker's tag, or -1 where the word is too short. */
+    /** The last two bytes of the worker's tag, or -1 where the message is too short. */
     static int tag(byte[] message) {
         return message.length < 2 ? -1 : (message[0] & 255) << 8 | message[1] & 255;
     }
--- a/src/main/java/gingerspool/dispatch/PeerSends.java
+++ b/src/main/java/gingerspool/dispatch/PeerSends.java
@@ -18,7 +18,7 @@
 
     /** Another dispatcher tells that it has sent a task to a worker, or that one has ended. */
     void peerTold(int peer, byte[] message) {
-        int w = fleet.tagged(PeerMessage.tag(message));
+        int w = fleet.withTag(PeerMessage.tag(message));
         if (w >= 0 && PeerMessage.begins(message)) {
             Task t = new Task("");
             t.work = known.tick * PeerMessage.size(message);
--- a/src/main/java/gingerspool/dispatch/PendingTasks.java
+++ b/src/main/java/gingerspool/dispatch/PendingTasks.java
@@ -18,15 +18,15 @@
 
     /** Adds a task that is to be looked at now. */
     void add(Task t) {
-        t.lookAt = known.now;
-        if (!t.held) {
-            t.held = true;
+        t.decideAt = known.now;
+        if (!t.pending) {
+            t.pending = true;
             tasks.add(t);
         }
     }
 
     void remove(Task t) {
-        t.held = false;
+        t.pending = false;
         tasks.remove(t);
     }
 
@@ -35,9 +35,9 @@
         for (Iterator<Task> i = tasks.iterator(); i.hasNext(); ) {
             Task t = i.next();
             if (t.ended) {
-                t.held = false;
+                t.pending = false;
                 i.remove();
-            } else if (t.lookAt <= known.now) {
+            } else if (t.decideAt <= known.now) {
                 return t;
             }
         }
@@ -45,16 +45,17 @@
     }
 
     /** Whoever waits is looked at anew, since other workers may take it now. */
-    void lookAgain() {
+    void reconsiderAll() {
         for (Task t : tasks) {
-            t.lookAt = t.out > 0 ? t.lookAt : Math.max(known.now, t.restUntil);
+            t.decideAt = t.out > 0 ? t.decideAt : Math.max(known.now, t.pauseUntil);
         }
     }
 
     /** This worker's report came: tasks that waited for nothing else are looked at. */
-    void lookAgainAfter(int w) {
+    void reconsiderAfterReport(int w) {
         for (Task t : tasks) {
-            t.lookAt = t.out == 0 && waitedFor(t, w) ? Math.max(known.now, t.restUntil) : t.lookAt;
+            t.decideAt =
+                    t.out == 0 && waitedFor(t, w) ? Math.max(known.now, t.pauseUntil) : t.decideAt;
         }
     }
 
@@ -82,7 +83,7 @@
     void planWake(double other) {
         double next = other;
         for (int i = 0; i < tasks.size(); i++) {
-            next = Math.min(next, tasks.get(i).lookAt);
+            next = Math.min(next, tasks.get(i).decideAt);
         }
         if (next < wakeAt) {
             wakeAt = Math.max(next, known.now + known.tick);
--- a/src/main/java/gingerspool/dispatch/QueuedWork.java
+++ b/src/main/java/gingerspool/dispatch/QueuedWork.java
@@ -56,7 +56,7 @@
             // Every job has a slot, and there is one more: the long way round comes to the same.
             return (ofOthers + fleet.out[w]) / n;
         }
-        double mean = known.mixWork / speed.pace(w);
+        double mean = known.meanWork / speed.pace(w);
         double busy = Math.min(n, ofOthers);
         double ending = busy / mean;
         double turning = busy;
@@ -100,11 +100,11 @@
             return 0;
         }
         double mid = k == K - 1 ? 1.25 * TH[k - 1] : (TH[k - 1] + TH[k]) / 2;
-        return known.mixWork / speed.pace(w) * (mid - 1);
+        return known.meanWork / speed.pace(w) * (mid - 1);
     }
 
     /** The load that a wait tells; connecting takes the first part of a mean run. */
     double loadAtWait(int w, double wait) {
-        return 1 + wait * speed.pace(w) / known.mixWork - 0.25;
+        return 1 + wait * speed.pace(w) / known.meanWork - 0.25;
     }
 }
--- a/src/main/java/gingerspool/dispatch/ReportReader.java
+++ b/src/main/java/gingerspool/dispatch/ReportReader.java
@@ -21,7 +21,7 @@
         known.reportsCome = true;
         double[] last = fleet.lastReport[w];
         fleet.answeredAt[w] = known.now;
-        if (Arrays.equals(r, last) && known.now - fleet.heardAt[w] < 4 * known.mixWork) {
+        if (Arrays.equals(r, last) && known.now - fleet.heardAt[w] < 4 * known.meanWork) {
             return;
         }
         System.arraycopy(r, 0, last, 0, r.length);
--- a/src/main/java/gingerspool/dispatch/Reports.java
+++ b/src/main/java/gingerspool/dispatch/Reports.java
@@ -77,7 +77,7 @@
 
     private boolean old(int w) {
         return known.now
-                >= REFRESH * known.mixWork
+                >= REFRESH * known.meanWork
                         + (known.fetchesAll
                                 ? fleet.probedAt[w]
                                 : Math.max(fleet.probedAt[w], fleet.answeredAt[w]));
@@ -98,6 +98,7 @@
             }
             next = fleet.highestValued();
         }
-        task.lookAt = known.now + Math.max(9 * known.tick, (task.due - known.now - task.work) / 8);
+        task.decideAt =
+                known.now + Math.max(9 * known.tick, (task.due - known.now - task.work) / 8);
     }
 }
--- a/src/main/java/gingerspool/dispatch/Rules.java
+++ b/src/main/java/gingerspool/dispatch/Rules.java
@@ -75,7 +75,7 @@
         } else if (tries.mayNotRunAgain(task) || tries.budgetSpent(task)) {
             giveUp();
         } else if (tries.pauseDue(task)) {
-            if (!tries.rest(task)) {
+            if (!tries.beginPause(task)) {
                 giveUp();
             }
         } else if (nobodyReady()) {
@@ -111,9 +111,9 @@
     /** Nobody may take it just now: look again shortly. */
     private void hold() {
         // Guards rule one: absurd hints make that long, and a task may not outwait its last chance.
-        task.lookAt =
+        task.decideAt =
                 Math.min(
-                        known.now + Math.max(known.tick, known.mixWork / 8),
+                        known.now + Math.max(known.tick, known.meanWork / 8),
                         Math.max(known.now + known.tick, task.due - task.work));
     }
 
--- a/src/main/java/gingerspool/dispatch/RunningTimes.java
+++ b/src/main/java/gingerspool/dispatch/RunningTimes.java
@@ -4,6 +4,9 @@
 
 /** Learning of running times: the work to expect of a task, and how fast workers do it. */
 final class RunningTimes {
+    /** What is kept of a sum at each new sample, where it looks back over eight times N_S. */
+    private static final double KEPT = 1 - 1.0 / (8 * SAMPLES);
+
     private final Learned known;
     private final Workers fleet;
     private final Speed speed;
@@ -21,10 +24,10 @@
         known.profileWork[p] += (hint - known.profileWork[p]) / n;
         known.hintLog[p] += (x - known.hintLog[p]) / n;
         double power = hintPower();
-        double bend = Math.exp(power * (x - known.hintLog[p]));
-        known.hintBend[p] += (bend - known.hintBend[p]) / n;
-        double work = known.profileWork[p] * bend / known.hintBend[p];
-        known.mixWork += (work - known.mixWork) / (2 * SAMPLES);
+        double spreadWork = Math.exp(power * (x - known.hintLog[p]));
+        known.hintWorkMean[p] += (spreadWork - known.hintWorkMean[p]) / n;
+        double work = known.profileWork[p] * spreadWork / known.hintWorkMean[p];
+        known.meanWork += (work - known.meanWork) / (2 * SAMPLES);
         return work;
     }
 
@@ -38,9 +41,8 @@
         double n = Math.min(++known.profileSeen[p], 4 * SAMPLES);
         known.runLog[p] += (y - known.runLog[p]) / n;
         double x = Math.log(hint) - known.hintLog[p];
-        double keep = 1 - 1.0 / (8 * SAMPLES);
-        known.hintVar = known.hintVar * keep + x * x;
-        known.hintRun = known.hintRun * keep + x * (y - known.runLog[p]);
+        known.hintVar = known.hintVar * KEPT + x * x;
+        known.hintRun = known.hintRun * KEPT + x * (y - known.runLog[p]);
         double off = y - known.runLog[p] - x * hintPower();
         known.runVar[p] += (off * off - known.runVar[p]) / (n + 8);
     }
@@ -55,37 +57,37 @@
         int w = a.worker;
         int k = fleet.kindOf[w];
         int p = a.task.profile.index;
-        double warm = speed.warmth(w, known.thaw);
+        double warm = speed.warmth(w, known.warmUp);
         if (a.task.hint <= 0) {
             // Without hints the fastest kind is the standard core: only the relation can be seen.
-            known.unit = 0;
+            known.standardPace = 0;
             for (int i = 0; i < fleet.kindWork.length; i++) {
-                known.unit = Math.max(known.unit, speed.kindPace(i));
+                known.standardPace = Math.max(known.standardPace, speed.kindPace(i));
             }
             double n = Math.min(++known.profileSeen[p] + 8, 4 * SAMPLES);
             known.profileWork[p] += (run * speed.pace(w) - known.profileWork[p]) / n;
             double off = Math.log(run * speed.pace(w)) - known.runLog[p];
             known.runLog[p] += off / n;
             known.runVar[p] += (off * off - known.runVar[p]) / n;
-            known.mixWork += (a.task.work - known.mixWork) / SAMPLES;
+            known.meanWork += (a.task.work - known.meanWork) / SAMPLES;
         } else {
             learnHint(p, a.task.hint, run * speed.pace(w));
         }
         // In logarithms, since running times are spread so widely that sums follow the few longest.
         double told =
                 a.task.hint > 0 ? Math.log(a.task.work) - known.runVar[p] / 2 : known.runLog[p];
-        double off = told - Math.log(run * warm * speed.kindPace(k) / known.unit);
+        double off = told - Math.log(run * warm * speed.kindPace(k) / known.standardPace);
         // Guards against a slowdown of all, which one worker's few answers show much too late.
-        known.thaw = warm < 1 ? Math.max(1, known.thaw * Math.exp(off * 4 / SAMPLES)) : known.thaw;
-        known.tide +=
-                a.task.hint > 0 ? (off - known.tide) * 2 / SAMPLES - known.tide / (4 * SAMPLES) : 0;
-        fleet.swift[w] +=
-                (off - known.tide - fleet.swift[w])
-                        * 2
-                        * (a.task.hint > 0 ? newest() : 1.0 / SAMPLES);
-        double keep = 1 - 1.0 / (8 * SAMPLES);
-        fleet.kindWork[k] = fleet.kindWork[k] * keep + a.task.work;
-        fleet.kindRun[k] = fleet.kindRun[k] * keep + run * warm;
+        known.warmUp =
+                warm < 1 ? Math.max(1, known.warmUp * Math.exp(off * 4 / SAMPLES)) : known.warmUp;
+        double common = known.commonPace;
+        if (a.task.hint > 0) {
+            known.commonPace += (off - common) * 2 / SAMPLES - common / (4 * SAMPLES);
+        }
+        double weight = a.task.hint > 0 ? newest() : 1.0 / SAMPLES;
+        fleet.ownPace[w] += (off - known.commonPace - fleet.ownPace[w]) * 2 * weight;
+        fleet.kindWork[k] = fleet.kindWork[k] * KEPT + a.task.work;
+        fleet.kindRun[k] = fleet.kindRun[k] * KEPT + run * warm;
     }
 
     /** Progress tells how long the whole run will take. */
@@ -101,6 +103,7 @@
 
     /** Weight of the newest task in what shows strain: larger where few tasks come to us. */
     double newest() {
-        return Math.max(1.0 / SAMPLES, Math.min(4.0 / SAMPLES, known.gap / known.fadeSpan()));
+        return Math.max(
+                1.0 / SAMPLES, Math.min(4.0 / SAMPLES, known.arrivalGap / known.fadeSpan()));
     }
 }
--- a/src/main/java/gingerspool/dispatch/Sender.java
+++ b/src/main/java/gingerspool/dispatch/Sender.java
@@ -54,7 +54,7 @@
                 a.region < 2
                         && (!known.reportsCome
                                 ? fleet.own[w] == 0
-                                : known.now - fleet.heardAt[w] < 4 * known.mixWork
+                                : known.now - fleet.heardAt[w] < 4 * known.meanWork
                                         && fleet.lastReport[w][Report.FREE_SLOTS] > 0.5);
         if (!known.tellsStart && !pairs.waitsUnseen()) {
             fleet.sentIn[w][a.region]++;
@@ -66,7 +66,7 @@
         overdue.sent(a);
         if (t.terms.copies > 1) {
             pending.add(t);
-            t.lookAt = known.now + t.terms.copyAfter;
+            t.decideAt = known.now + t.terms.copyAfter;
         }
         out.send(a, t.terms.timeout);
         ownSends.tell(a, true);
--- a/src/main/java/gingerspool/dispatch/ServerChoice.java
+++ b/src/main/java/gingerspool/dispatch/ServerChoice.java
@@ -57,7 +57,7 @@
         double crossing =
                 known.crossFee * known.meanWorth / Math.max(task.worth, known.meanWorth * NEAR);
         // The paper's buddy sets: no more workers than our own traffic keeps us informed of.
-        double room = Math.max(BUDDIES, known.fadeSpan() / known.gap);
+        double room = Math.max(BUDDIES, known.fadeSpan() / known.arrivalGap);
         double away = Math.max(BUDDIES, room / 2);
         anyReady = false;
         score.prepare(task);
@@ -70,8 +70,8 @@
             boolean warm = speed.warmth(w, 1) >= 1;
             double here = fleet.zoneOf[w] == known.zone ? 1 : 0;
             if (warm && (here == 1 ? room : away) <= 0 || !ready(w, task)) {
-                // Guards against trying a cut-off zone one by one: those shunned keep their seats.
-                away -= warm && known.now < fleet.shunUntil[w] ? 1 - here : 0;
+                // Guards against trying a cut-off zone one by one: those avoided keep their seats.
+                away -= warm && known.now < fleet.avoidUntil[w] ? 1 - here : 0;
                 continue;
             }
             room -= warm ? here : 0;
@@ -92,7 +92,8 @@
             fleet.value[w] = c - (1 - here) * crossing;
             top = Math.max(top, fleet.value[w]);
         }
-        known.full += weighed == 0 ? 0 : ((double) busyAll / weighed - known.full) * 4 / SAMPLES;
+        known.fullShare +=
+                weighed == 0 ? 0 : ((double) busyAll / weighed - known.fullShare) * 4 / SAMPLES;
         best = -1;
         for (int w = 0, near = 0; w < fleet.count && anyReady; w++) {
             best = fleet.value[w] >= top - NEAR && chance.nextInt(++near) == 0 ? w : best;
@@ -100,11 +101,11 @@
         bestChance = best < 0 ? 0 : top;
     }
 
-    /** Listed as running, of the task's kind, with room, not shunned, inside the cold budget. */
+    /** Listed as running, of the task's kind, with room, not avoided, inside the cold budget. */
     private boolean ready(int w, Task t) {
         return fleet.state[w] == Dispatcher.RUNNING
                 && !fleet.banned(w)
-                && known.now >= fleet.shunUntil[w]
+                && known.now >= fleet.avoidUntil[w]
                 && !health.silent(w)
                 && (t.profile.kind < 0 || fleet.kindOf[w] == t.profile.kind)
                 && t.width <= speed.slotsOf(w)
@@ -112,7 +113,7 @@
                 && inGroup(w, t)
                 && coldBudget.inBudget(w, t.work)
                 && !t.outAt(w)
-                && fleet.out[w] < fleet.ours[w];
+                && fleet.out[w] < fleet.granted[w];
     }
 
     private boolean inGroup(int w, Task t) {
--- a/src/main/java/gingerspool/dispatch/Settings.java
+++ b/src/main/java/gingerspool/dispatch/Settings.java
@@ -1,8 +1,8 @@
 package gingerspool.dispatch;
 
 /**
- * What a deployment tells a dispatcher at its start, in our words. Times in milliseconds, rates a
- * second.
+ * What a deployment tells a dispatcher at its start, in the terms used here. Times in milliseconds,
+ * rates a second.
  */
 public final class Settings {
     /** In which order workers take from their queues. */
--- a/src/main/java/gingerspool/dispatch/Speed.java
+++ b/src/main/java/gingerspool/dispatch/Speed.java
@@ -22,13 +22,13 @@
     /** Speed of a slot: its last running times, leaning on its kind's, cold share included. */
     double pace(int w) {
         return kindPace(fleet.kindOf[w])
-                * Math.exp(known.tide + fleet.swift[w])
-                * warmth(w, known.thaw)
-                / known.unit;
+                * Math.exp(known.commonPace + fleet.ownPace[w])
+                * warmth(w, known.warmUp)
+                / known.standardPace;
     }
 
     double kindPace(int k) {
-        double lean = 4 * known.mixWork;
+        double lean = 4 * known.meanWork;
         return (fleet.kindWork[k] + lean) / (fleet.kindRun[k] + lean);
     }
 
--- a/src/main/java/gingerspool/dispatch/Task.java
+++ b/src/main/java/gingerspool/dispatch/Task.java
@@ -41,17 +41,17 @@
     double due;
     double work;
     double worth;
-    double lookAt;
+    double decideAt;
 
     /** Until then it rests between two assignments, and after how many of them it last began to. */
-    double restUntil;
+    double pauseUntil;
 
-    int restedAfter;
+    int pausedAfter;
 
     /** How its last assignment ended, or null. */
     Outcome last;
 
-    boolean held;
+    boolean pending;
 
     /** The workers asked for reports on its behalf; null: none yet. */
     int[] asked;
--- a/src/main/java/gingerspool/dispatch/Terms.java
+++ b/src/main/java/gingerspool/dispatch/Terms.java
@@ -30,9 +30,7 @@
     final RetryBudget budget;
     private final Set<Outcome> again;
 
-    /**
-     * The purse may be null (no budget), and so may again (every outcome that the effect allows).
-     */
+    /** The budget may be null (none), and so may again (every outcome that the effect allows). */
     public Terms(
             int assignments,
             double timeout,
--- a/src/main/java/gingerspool/dispatch/Workers.java
+++ b/src/main/java/gingerspool/dispatch/Workers.java
@@ -35,7 +35,7 @@
     int[] out = new int[ROOM];
 
     /** How many of its slots we may use, without bound where nobody shares them out. */
-    int[] ours = new int[ROOM];
+    int[] granted = new int[ROOM];
 
     /** Our unfinished sends, in slots, now and smoothed over about a report's age. */
     double[] own = new double[ROOM];
@@ -50,19 +50,19 @@
     double[] heardAt = new double[ROOM];
 
     /** Logarithm of its pace over its kind's. */
-    double[] swift = new double[ROOM];
+    double[] ownPace = new double[ROOM];
 
     /** By profile: share of failures lately, when it was set, and failures in a row. */
     double[][] fail = new double[ROOM][];
 
     double[][] failAt = new double[ROOM][];
     int[][] failRow = new int[ROOM][];
-    double[] shunUntil = new double[ROOM];
+    double[] avoidUntil = new double[ROOM];
 
     /** Since when operators have kept it out of use; NaN: they don't. */
     double[] bannedAt = new double[ROOM];
 
-    double[] shunSpan = new double[ROOM];
+    double[] avoidSpan = new double[ROOM];
 
     /** Work counted against the cold budget, and when. */
     double[] coldLevel = new double[ROOM];
@@ -151,7 +151,7 @@
             heardAt[count] = Double.NaN;
             bannedAt[count] = Double.NaN;
             probedAt[count] = Double.NEGATIVE_INFINITY;
-            ours[count] = Integer.MAX_VALUE;
+            granted[count] = Integer.MAX_VALUE;
         }
     }
 
@@ -162,8 +162,8 @@
     void carryStanding(LearnedSnapshot m) {
         m.workers(tag, count);
         m.each("rank", rank, count);
-        m.each("shunUntil", shunUntil, count);
-        m.each("shunSpan", shunSpan, count);
+        m.each("shunUntil", avoidUntil, count);
+        m.each("shunSpan", avoidSpan, count);
         m.each("coldLevel", coldLevel, count);
         m.each("coldAt", coldAt, count);
         m.each("answeredAt", answeredAt, count);
@@ -172,7 +172,7 @@
     /** Passes on what holds of a worker's machine. */
     void carryMachines(LearnedSnapshot m) {
         m.each("slots", slots, count);
-        m.each("swift", swift, count);
+        m.each("swift", ownPace, count);
         m.numbers("kindSlots", kindSlots);
         m.numbers("kindWork", kindWork);
         m.numbers("kindRun", kindRun);
@@ -246,7 +246,7 @@
     }
 
     /** The worker whose tag ends like this, or -1. */
-    int tagged(int end) {
+    int withTag(int end) {
         int w = count - 1;
         while (w >= 0 && (tag[w] & 0xFFFF) != end) {
             w--;
@@ -299,17 +299,17 @@
         slots = Arrays.copyOf(slots, n);
         own = Arrays.copyOf(own, n);
         out = Arrays.copyOf(out, n);
-        ours = Arrays.copyOf(ours, n);
+        granted = Arrays.copyOf(granted, n);
         ownSmooth = Arrays.copyOf(ownSmooth, n);
         ownAt = Arrays.copyOf(ownAt, n);
         others = Arrays.copyOf(others, n);
         heardAt = Arrays.copyOf(heardAt, n);
-        swift = Arrays.copyOf(swift, n);
+        ownPace = Arrays.copyOf(ownPace, n);
         fail = Arrays.copyOf(fail, n);
         failAt = Arrays.copyOf(failAt, n);
         failRow = Arrays.copyOf(failRow, n);
-        shunUntil = Arrays.copyOf(shunUntil, n);
-        shunSpan = Arrays.copyOf(shunSpan, n);
+        avoidUntil = Arrays.copyOf(avoidUntil, n);
+        avoidSpan = Arrays.copyOf(avoidSpan, n);
         bannedAt = Arrays.copyOf(bannedAt, n);
         coldLevel = Arrays.copyOf(coldLevel, n);
         coldAt = Arrays.copyOf(coldAt, n);
--- a/src/main/java/gingerspool/dispatch/Worth.java
+++ b/src/main/java/gingerspool/dispatch/Worth.java
@@ -13,10 +13,10 @@
         int p = t.profile.index;
         // The expiry tells a later try's age: none is served after the due time of the first.
         double age = known.now - t.expiry + t.profile.expiry;
-        known.youngest[p] = Math.min(known.youngest[p], age);
+        known.firstTryAge[p] = Math.min(known.firstTryAge[p], age);
         double due =
                 known.now
-                        - Math.max(0, age - known.youngest[p])
+                        - Math.max(0, age - known.firstTryAge[p])
                         + t.profile.dueTime
                         + t.profile.stretch * t.work;
         return Math.min(t.expiry, due);
--- a/src/test/java/gingerspool/dispatch/DispatcherTest.java
+++ b/src/test/java/gingerspool/dispatch/DispatcherTest.java
@@ -271,7 +271,7 @@
         for (int i = 0; i < 12; i++) {
             Task t = b.arrive(0, 701);
             b.d.ended(701, t.sent[0], Outcome.FULL, true, null);
-            b.d.fleet.shunUntil[t.sent[0].worker] = 0;
+            b.d.fleet.avoidUntil[t.sent[0].worker] = 0;
         }
         assertEquals(b.count("send 1"), 12);
     }
@@ -437,7 +437,7 @@
         assertEquals(b.count("probe"), 2, b.acts.toString());
         b.d.probed(4, 1, Bench.report(3, 0));
         assertEquals(b.count("send"), 0);
-        b.d.wake(t.lookAt);
+        b.d.wake(t.decideAt);
         assertEquals(b.last().worker, 1);
     }
 
@@ -601,8 +601,8 @@
         b.list(3, true, 1, Dispatcher.DRAINING, 0);
         Task t = b.task(0, 4, 10);
         b.d.arrived(4, t);
-        assertTrue(t.held && t.lookAt > 4, "not held");
-        assertTrue(t.lookAt <= t.due - t.work, "looked at again at " + t.lookAt);
+        assertTrue(t.pending && t.decideAt > 4, "not held");
+        assertTrue(t.decideAt <= t.due - t.work, "looked at again at " + t.decideAt);
     }
 
     /** The operators' ban is theirs: no word of the list, and no start it tells, ends it. */
--- a/src/test/java/gingerspool/dispatch/LearnedSnapshotTest.java
+++ b/src/test/java/gingerspool/dispatch/LearnedSnapshotTest.java
@@ -69,14 +69,14 @@
         next.d.listEnds(70001, true, false);
         double fresh = next.d.profileWork[0];
         next.d.learn(70002, told);
-        assertEquals(next.d.fleet.swift[1], old.d.fleet.swift[2]);
+        assertEquals(next.d.fleet.ownPace[1], old.d.fleet.ownPace[2]);
         assertTrue(next.d.pace(1) < 0.5 * next.d.pace(2), "worker-2 is the slow one");
-        assertEquals(next.d.fleet.swift[0], 0.0, "worker-3 is new");
+        assertEquals(next.d.fleet.ownPace[0], 0.0, "worker-3 is new");
         assertEquals(next.d.fleet.coldLevel[3], old.d.fleet.coldLevel[0]);
-        assertEquals(next.d.thaw, old.d.thaw);
+        assertEquals(next.d.warmUp, old.d.warmUp);
         assertEquals(next.d.profileWork[0], fresh);
         assertEquals(Workers.sum(next.d.pool[0]), 0.0);
-        assertEquals(next.d.late, 0.0);
+        assertEquals(next.d.lateShare, 0.0);
         // The first seconds: what is asked for is sent, most of it to the workers known to be fast.
         for (int i = 0; i < 40; i++) {
             Task t = next.task(0, 70010 + 50 * i, 100);
@@ -107,8 +107,8 @@
                                         + tag1
                                         + "]}"));
         assertEquals(b.d.fleet.slots, work);
-        assertEquals(b.d.fleet.swift[0], 0.5);
-        assertEquals(b.d.fleet.swift[1], 0.0);
+        assertEquals(b.d.fleet.ownPace[0], 0.5);
+        assertEquals(b.d.fleet.ownPace[1], 0.0);
         b.arrive(0, 6);
         assertEquals(b.count("send"), 1);
     }
