Logic that stood twice in wire, load, standin and cli stands once

Change: a client's request goes from the door to its taker as one record, TaskRequest, in place of ten parameters written out in four places; ends of reads and writes become turns in Completions (Connection, Client, Link each had that); Listener.Owner has room and no descriptor care by default (Cloud twice, Acceptor); the commands standin and load share reading the scenario and the schedulers (OnScenario). Failed try: Connection's handlers made where the fields are declared took the loop before it was set; 69 tests of the wire failed by time-out. They are made in the constructor now.

--- a/src/main/java/gingerspool/cli/Rigs.java
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -61,13 +61,8 @@
         return all;
     }
 
-    @Command(
-            name = "standin",
-            mixinStandardHelpOptions = true,
-            description =
-                    "Runs discovery and the workers of a "
-                            + "scenario on loopback, and its faults, until it is ended or the scenario is over.")
-    static final class Standin implements Callable<Integer> {
+    /** What a command plays: a scenario, and the schedulers that it is played with. */
+    private abstract static class OnScenario implements Callable<Integer> {
         @Spec CommandSpec spec;
 
         @Parameters(paramLabel = "SCENARIO")
@@ -78,9 +73,32 @@
                 required = true,
                 split = ",",
                 paramLabel = "ADDRESS",
-                description = "Where call-backs go, one for each scheduler of the scenario.")
+                description = "The scenario's schedulers, one address each.")
         List<String> schedulers;
 
+        @Override
+        public final Integer call() throws IOException, InterruptedException {
+            PrintWriter err = spec.commandLine().getErr();
+            Scenario s = scenario(file, err);
+            List<InetSocketAddress> to = addresses(schedulers, err);
+            if (s == null || to == null) {
+                return 2;
+            }
+            play(Plan.make(s, s.seed, file.toAbsolutePath().getParent()), to);
+            return 0;
+        }
+
+        abstract void play(Plan plan, List<InetSocketAddress> to)
+                throws IOException, InterruptedException;
+    }
+
+    @Command(
+            name = "standin",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Runs discovery and the workers of a "
+                            + "scenario on loopback, and its faults, until it is ended or the scenario is over.")
+    static final class Standin extends OnScenario {
         @Option(
                 names = "--log",
                 defaultValue = "executions.tsv",
@@ -89,14 +107,8 @@
         Path log;
 
         @Override
-        public Integer call() throws IOException, InterruptedException {
+        void play(Plan plan, List<InetSocketAddress> to) throws IOException, InterruptedException {
             PrintWriter err = spec.commandLine().getErr();
-            Scenario s = scenario(file, err);
-            List<InetSocketAddress> to = addresses(schedulers, err);
-            if (s == null || to == null) {
-                return 2;
-            }
-            Plan plan = Plan.make(s, s.seed, file.toAbsolutePath().getParent());
             Loop loop = new Loop();
             Fleet fleet = new Fleet(loop, plan, to, log);
             CountDownLatch done = new CountDownLatch(1);
@@ -135,8 +147,7 @@
                                             Thread.currentThread().interrupt();
                                         }
                                     }));
-            done.await((long) s.length + 60_000, TimeUnit.MILLISECONDS);
-            return 0;
+            done.await((long) plan.scenario.length + 60_000, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -145,15 +156,7 @@
             mixinStandardHelpOptions = true,
             description =
                     "Plays the requests of a scenario in an open loop against schedulers on loopback.")
-    static final class LoadCommand implements Callable<Integer> {
-        @Spec CommandSpec spec;
-
-        @Parameters(paramLabel = "SCENARIO")
-        Path file;
-
-        @Option(names = "--schedulers", required = true, split = ",", paramLabel = "ADDRESS")
-        List<String> schedulers;
-
+    static final class LoadCommand extends OnScenario {
         @Option(
                 names = "--record",
                 defaultValue = "clients.tsv",
@@ -162,15 +165,9 @@
         Path record;
 
         @Override
-        public Integer call() throws IOException, InterruptedException {
+        void play(Plan plan, List<InetSocketAddress> to) throws IOException, InterruptedException {
             PrintWriter err = spec.commandLine().getErr();
             PrintWriter out = spec.commandLine().getOut();
-            Scenario s = scenario(file, err);
-            List<InetSocketAddress> to = addresses(schedulers, err);
-            if (s == null || to == null) {
-                return 2;
-            }
-            Plan plan = Plan.make(s, s.seed, file.toAbsolutePath().getParent());
             Loop loop = new Loop();
             Load load = new Load(loop, plan, to, record);
             CompletableFuture<Void> done = new CompletableFuture<>();
@@ -200,7 +197,6 @@
                     "sent late by %.2f ms at the 99.9th percentile%n",
                     load.lateness().getValueAtPercentile(99.9) / 1000.0);
             loop.stop();
-            return 0;
         }
     }
 
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -17,6 +17,7 @@
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
 import gingerspool.wire.Outbound;
+import gingerspool.wire.TaskRequest;
 import gingerspool.wire.ToWorker;
 import gingerspool.wire.Turns;
 import gingerspool.wire.Watch;
@@ -379,42 +380,34 @@
     }
 
     @Override
-    public void arrived(
-            Inbound client,
-            String id,
-            String profile,
-            String tenant,
-            double timeLeft,
-            double hint,
-            double width,
-            double memory,
-            boolean repeat,
-            Message request) {
-        HeldTask t = new HeldTask(id, client, request);
-        t.profile = deployment.profiles.get(profile);
+    public void arrived(TaskRequest request) {
+        HeldTask t = new HeldTask(request.id(), request.client(), request.message());
+        t.profile = deployment.profiles.get(request.profile());
+        String tenant = request.tenant();
         t.tenant = tenant == null ? -1 : deployment.tenants.getOrDefault(tenant, -1);
         double most = t.profile.expiry > 0 ? t.profile.expiry : LONGEST_WAIT;
-        double wait = Double.isNaN(timeLeft) ? most : Math.min(timeLeft, most);
+        double told = request.timeLeft();
+        double wait = Double.isNaN(told) ? most : Math.min(told, most);
         double at = turns.now();
         t.expiry = at + wait - Math.min(ahead, wait / 2);
-        t.hint = hint;
-        t.width = (int) Math.max(1, width);
-        t.memory = memory;
-        t.repeat = repeat;
+        t.hint = request.hint();
+        t.width = (int) Math.max(1, request.width());
+        t.memory = request.memory();
+        t.repeat = request.repeat();
         if (routes != null) {
-            String target = request.target();
+            String target = request.message().target();
             int query = target.indexOf('?');
             t.stay =
                     routes.admit(
                             at,
                             t,
                             query < 0 ? target : target.substring(0, query),
-                            request.field("host"),
+                            request.message().field("host"),
                             tenant);
         }
         hand.add(t);
         Trace.arrived(t);
-        client.whenGone(() -> gone(t));
+        request.client().whenGone(() -> gone(t));
         dispatcher.arrived(at, t);
         hand.release(t);
     }
--- a/src/main/java/gingerspool/load/Client.java
+++ b/src/main/java/gingerspool/load/Client.java
@@ -1,6 +1,7 @@
 package gingerspool.load;
 
 import gingerspool.wire.BadMessage;
+import gingerspool.wire.Completions;
 import gingerspool.wire.Message;
 import gingerspool.wire.Turns;
 import java.io.IOException;
@@ -10,7 +11,6 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.concurrent.Future;
-import java.util.function.IntConsumer;
 
 /**
  * A client's connection: one request at a time; notices what comes after an answer, which nothing
@@ -73,29 +73,15 @@
                 });
     }
 
-    private CompletionHandler<Integer, Void> handler(IntConsumer then) {
-        return new CompletionHandler<>() {
-            @Override
-            public void completed(Integer bytes, Void none) {
-                turns.turn(() -> then.accept(bytes));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                turns.turn(() -> then.accept(-1));
-            }
-        };
-    }
-
     private void connected() {
         if (!open) {
             return;
         }
         up = true;
         if (unsent != null) {
-            channel.write(unsent, null, handler(this::written));
+            channel.write(unsent, null, Completions.onTurn(turns, this::written));
         }
-        channel.read(buffer, null, handler(this::read));
+        channel.read(buffer, null, Completions.onTurn(turns, this::read));
     }
 
     boolean isOpen() {
@@ -114,7 +100,7 @@
     void send(byte[] bytes) {
         unsent = ByteBuffer.wrap(bytes);
         if (up) {
-            channel.write(unsent, null, handler(this::written));
+            channel.write(unsent, null, Completions.onTurn(turns, this::written));
         }
     }
 
@@ -129,7 +115,7 @@
         if (bytes < 0) {
             end();
         } else if (open && unsent.hasRemaining()) {
-            channel.write(unsent, null, handler(this::written));
+            channel.write(unsent, null, Completions.onTurn(turns, this::written));
         }
     }
 
@@ -180,7 +166,7 @@
         int left = buffer.position() - at;
         System.arraycopy(buffer.array(), at, buffer.array(), 0, left);
         buffer.position(left);
-        channel.read(buffer, null, handler(this::read));
+        channel.read(buffer, null, Completions.onTurn(turns, this::read));
     }
 
     /** The one place where it is given back. */
--- a/src/main/java/gingerspool/standin/Acceptor.java
+++ b/src/main/java/gingerspool/standin/Acceptor.java
@@ -27,9 +27,6 @@
         return room.getAsBoolean();
     }
 
-    @Override
-    public void outOfDescriptors() {}
-
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
         take.accept(channel);
--- a/src/main/java/gingerspool/standin/Cloud.java
+++ b/src/main/java/gingerspool/standin/Cloud.java
@@ -82,14 +82,6 @@
             }
         }
 
-        @Override
-        public boolean hasRoom() {
-            return true;
-        }
-
-        @Override
-        public void outOfDescriptors() {}
-
         @Override
         public void accepted(AsynchronousSocketChannel channel) {
             new Inbound(turns, channel, this).start();
@@ -162,14 +154,6 @@
         instances.values().forEach(Instance::stop);
     }
 
-    @Override
-    public boolean hasRoom() {
-        return true;
-    }
-
-    @Override
-    public void outOfDescriptors() {}
-
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
         new Inbound(turns, channel, this).start();
--- a/src/main/java/gingerspool/standin/Link.java
+++ b/src/main/java/gingerspool/standin/Link.java
@@ -1,13 +1,13 @@
 package gingerspool.standin;
 
 import gingerspool.wire.BadMessage;
+import gingerspool.wire.Completions;
 import gingerspool.wire.Message;
 import gingerspool.wire.Turns;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.concurrent.Future;
 
@@ -64,20 +64,6 @@
         }
     }
 
-    private CompletionHandler<Integer, Void> handler(java.util.function.IntConsumer then) {
-        return new CompletionHandler<>() {
-            @Override
-            public void completed(Integer bytes, Void none) {
-                turns.turn(() -> then.accept(bytes));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                turns.turn(() -> then.accept(-1));
-            }
-        };
-    }
-
     void start() {
         readOn();
     }
@@ -91,7 +77,7 @@
             // does.
             int most = resetAfter < 0 ? buffer.capacity() : Math.max(1, resetAfter - received);
             buffer.limit(Math.min(buffer.capacity(), buffer.position() + most));
-            channel.read(buffer, null, handler(this::read));
+            channel.read(buffer, null, Completions.onTurn(turns, this::read));
         }
     }
 
@@ -179,7 +165,7 @@
     private void writeOn() {
         if (open && !silent && !writing && !unsent.isEmpty()) {
             writing = true;
-            channel.write(unsent.peek(), null, handler(this::written));
+            channel.write(unsent.peek(), null, Completions.onTurn(turns, this::written));
         }
     }
 
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -8,6 +8,7 @@
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
 import java.util.concurrent.Future;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,8 +39,8 @@
 
     private Future<?> alarm;
 
-    private final CompletionHandler<Integer, Void> reads = handler(this::read);
-    private final CompletionHandler<Integer, Void> writes = handler(this::written);
+    private final CompletionHandler<Integer, Void> reads;
+    private final CompletionHandler<Integer, Void> writes;
 
     Connection(Turns turns, AsynchronousSocketChannel channel) {
         this(turns, channel, MOST);
@@ -49,6 +50,8 @@
         this.turns = turns;
         this.most = most;
         this.channel = channel;
+        reads = handler(this::read);
+        writes = handler(this::written);
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         } catch (IOException e) {
@@ -56,23 +59,9 @@
         }
     }
 
-    private interface Count {
-        void done(int bytes);
-    }
-
     /** An operation's end becomes a turn; a failure counts as -1 bytes. */
-    private CompletionHandler<Integer, Void> handler(Count then) {
-        return new CompletionHandler<>() {
-            @Override
-            public void completed(Integer bytes, Void none) {
-                turns.turn(() -> guarded(() -> then.done(bytes)));
-            }
-
-            @Override
-            public void failed(Throwable why, Void none) {
-                turns.turn(() -> guarded(() -> then.done(-1)));
-            }
-        };
+    private CompletionHandler<Integer, Void> handler(IntConsumer then) {
+        return Completions.onTurn(turns, bytes -> guarded(() -> then.accept(bytes)));
     }
 
     /** Guards the loop: what breaks in here costs this connection only. */
--- a/src/main/java/gingerspool/wire/Door.java
+++ b/src/main/java/gingerspool/wire/Door.java
@@ -25,17 +25,8 @@
         /** Whether another task can be taken, by its size. */
         boolean hasRoomFor(int bytes);
 
-        void arrived(
-                Inbound client,
-                String id,
-                String profile,
-                String tenant,
-                double timeLeft,
-                double hint,
-                double width,
-                double memory,
-                boolean repeat,
-                Message request);
+        /** A task that is to be decided on. */
+        void arrived(TaskRequest request);
 
         /**
          * A worker's word on an assignment; load is its report, or null. Tells whether the task is
@@ -336,16 +327,17 @@
             return;
         }
         desk.arrived(
-                client,
-                id,
-                profile,
-                request.field("x-account"),
-                timeLeft,
-                hint,
-                width,
-                memory,
-                "1".equals(request.field("x-repeat")),
-                request);
+                new TaskRequest(
+                        client,
+                        id,
+                        profile,
+                        request.field("x-account"),
+                        timeLeft,
+                        hint,
+                        width,
+                        memory,
+                        "1".equals(request.field("x-repeat")),
+                        request));
     }
 
     // ---- Answers ----
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -23,10 +23,12 @@
 
     /** Who takes the connections. */
     public interface Owner {
-        boolean hasRoom();
+        default boolean hasRoom() {
+            return true;
+        }
 
         /** The process holds all the descriptors that it may. */
-        void outOfDescriptors();
+        default void outOfDescriptors() {}
 
         void accepted(AsynchronousSocketChannel channel);
     }
--- a/src/test/java/gingerspool/experiment/BrokenScheduler.java
+++ b/src/test/java/gingerspool/experiment/BrokenScheduler.java
@@ -6,6 +6,7 @@
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
 import gingerspool.wire.Outbound;
+import gingerspool.wire.TaskRequest;
 import gingerspool.wire.ToWorker;
 import gingerspool.wire.Turns;
 import gingerspool.wire.Watch;
@@ -153,20 +154,13 @@
     }
 
     @Override
-    public void arrived(
-            Inbound client,
-            String id,
-            String profile,
-            String tenant,
-            double timeLeft,
-            double hint,
-            double width,
-            double memory,
-            boolean repeat,
-            Message request) {
+    public void arrived(TaskRequest request) {
+        Inbound client = request.client();
+        String id = request.id();
+        double timeLeft = request.timeLeft();
         Held t = new Held();
         t.client = client;
-        t.request = request;
+        t.request = request.message();
         t.worker = pick(null);
         hand.put(id, t);
         client.whenGone(() -> t.answered = true);
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -9,7 +9,7 @@
 import gingerspool.scenario.ScenarioFile;
 import gingerspool.wire.Door;
 import gingerspool.wire.Inbound;
-import gingerspool.wire.Message;
+import gingerspool.wire.TaskRequest;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -113,18 +113,8 @@
             }
 
             @Override
-            public void arrived(
-                    Inbound client,
-                    String id,
-                    String profile,
-                    String tenant,
-                    double timeLeft,
-                    double hint,
-                    double width,
-                    double memory,
-                    boolean repeat,
-                    Message request) {
-                clerk.answer(client, id, repeat);
+            public void arrived(TaskRequest request) {
+                clerk.answer(request.client(), request.id(), request.repeat());
             }
 
             @Override
