Scheduler's request path moved out of the process class into RequestRouter

SchedulerNode joins sockets, links and signals; RequestRouter holds clients' connections, the route table, the queues and each request's time, and needs no socket of its own, so that a model can drive it.

--- /dev/null
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -0,0 +1,359 @@
+package gingerspool.dataplane;
+
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Limits;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.RouteTable;
+import gingerspool.configuration.Service;
+import gingerspool.settings.Settings;
+import gingerspool.store.Pool;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import gingerspool.wire.Turns;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Clients' requests from their arrival to their one answer: the clients' connections, the route
+ * table in force, a queue for each function that was asked for, and the time that each request has.
+ */
+final class RequestRouter implements Inbound.Door, FunctionQueue.House {
+    /** Limits while there is no configuration: milliseconds and bytes. */
+    private static final double DEFAULT_IDLE_TIMEOUT = 15_000;
+
+    private static final double DEFAULT_READ_TIMEOUT = 5000;
+    private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
+    private static final int DEFAULT_BODY_BYTES = 256 * 1024;
+    private static final int LARGEST_HEADER = 1 << 20;
+    private static final int LARGEST_BODY = 1 << 26;
+
+    /** The part of a route's time-out that a first try comes with at the least. */
+    private static final double FIRST_TRY = 0.97;
+
+    /** How long a client waits that does not say it, in milliseconds. */
+    private static final double DEFAULT_DEADLINE = 10_000;
+
+    /** When to come back to a scheduler that has no configuration yet. */
+    private static final String RETRY_SOON = "Retry-After: 0.5";
+
+    /** What the router needs of the links to the core. */
+    interface ControlPlane {
+        /** Sends the leader a message, or returns false where there is none. */
+        boolean tell(Object message);
+
+        /** How long there has been no leader, in milliseconds. */
+        double leaderless();
+    }
+
+    /** Counts of requests since the start, for the log. */
+    record Counts(int taken, int served, int refused, int failed, int overfull) {}
+
+    private final Turns turns;
+    private final Settings settings;
+    private final Pool pool;
+    private final ControlPlane control;
+
+    /** Called whenever a client's connection has closed. */
+    private final Runnable whenClosed;
+
+    private final Set<Inbound> connections = new LinkedHashSet<>();
+    private final Set<Inbound> idle = new LinkedHashSet<>();
+    private final Set<PendingRequest> pending = new HashSet<>();
+    private final Map<String, FunctionQueue> queues = new HashMap<>();
+    private final ArrayDeque<Integer> freeBerths = new ArrayDeque<>();
+    private int berths;
+    private Configuration configuration = Configuration.getDefaultInstance();
+    private RouteTable routes;
+    private int schedulers = 1;
+    private boolean leaving;
+    private int taken;
+    private int served;
+    private int refused;
+    private int failed;
+
+    RequestRouter(
+            Turns turns, Settings settings, Pool pool, ControlPlane control, Runnable whenClosed) {
+        this.turns = turns;
+        this.settings = settings;
+        this.pool = pool;
+        this.control = control;
+        this.whenClosed = whenClosed;
+    }
+
+    // ---- Configuration ----
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    boolean isConfigured() {
+        return routes != null;
+    }
+
+    /** Puts this configuration in force for every request that comes from now on. */
+    void configure(Configuration newest) {
+        configuration = newest;
+        routes = new RouteTable(newest);
+        for (Service service : newest.getServicesList()) {
+            if (queues.containsKey(service.getName())) {
+                queues.get(service.getName()).configured(service, routesTo(service.getName()));
+            }
+        }
+    }
+
+    private List<Route> routesTo(String service) {
+        List<Route> all = new ArrayList<>();
+        for (Route route : configuration.getRoutesList()) {
+            if (route.getService().equals(service)) {
+                all.add(route);
+            }
+        }
+        return all;
+    }
+
+    /** So many schedulers share the budget of repeats, this one included. */
+    void schedulers(int count) {
+        schedulers = count;
+    }
+
+    // ---- Queues ----
+
+    Collection<FunctionQueue> queues() {
+        return queues.values();
+    }
+
+    /** The queue of this function, or null where none was asked for. */
+    FunctionQueue queue(String function) {
+        return queues.get(function);
+    }
+
+    /** All slots that this scheduler holds, by instance. */
+    Map<String, Integer> heldSlots() {
+        Map<String, Integer> held = new LinkedHashMap<>();
+        queues.values().forEach(queue -> queue.held(held));
+        return held;
+    }
+
+    private FunctionQueue queueOf(Route route) {
+        return queues.computeIfAbsent(
+                route.getService(),
+                name -> {
+                    FunctionQueue queue = new FunctionQueue(this, name);
+                    for (Service service : configuration.getServicesList()) {
+                        if (service.getName().equals(name)) {
+                            queue.configured(service, routesTo(name));
+                        }
+                    }
+                    return queue;
+                });
+    }
+
+    // ---- Clients' connections ----
+
+    void accept(AsynchronousSocketChannel channel) {
+        Limits limits = configuration.getLimits();
+        Inbound connection =
+                new Inbound(
+                        turns,
+                        channel,
+                        this,
+                        limits.getIdleTimeout() > 0
+                                ? limits.getIdleTimeout()
+                                : DEFAULT_IDLE_TIMEOUT,
+                        limits.getHeaderTimeout() > 0
+                                ? Math.max(limits.getHeaderTimeout(), DEFAULT_READ_TIMEOUT)
+                                : DEFAULT_READ_TIMEOUT,
+                        limits.getHeaderBytes() > 0
+                                ? (int) Math.min(limits.getHeaderBytes(), LARGEST_HEADER)
+                                : DEFAULT_HEADER_BYTES,
+                        limits.getBodyBytes() > 0
+                                ? (int) Math.min(limits.getBodyBytes(), LARGEST_BODY)
+                                : DEFAULT_BODY_BYTES);
+        connections.add(connection);
+        connection.endAfterAnswer(leaving);
+        connection.start();
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    int inHand() {
+        return pending.size();
+    }
+
+    Counts counts() {
+        int overfull = queues.values().stream().mapToInt(queue -> queue.refusals).sum();
+        return new Counts(taken, served, refused, failed, overfull);
+    }
+
+    /** The process is to end: every answer from now on is the last of its connection. */
+    void leave() {
+        leaving = true;
+        connections.forEach(connection -> connection.endAfterAnswer(true));
+    }
+
+    void closeIdle() {
+        List.copyOf(idle).forEach(Inbound::close);
+    }
+
+    @Override
+    public void idle(Inbound connection, boolean isIdle) {
+        if (isIdle) {
+            idle.add(connection);
+        } else {
+            idle.remove(connection);
+        }
+    }
+
+    @Override
+    public void unreadable(BadMessage fault) {
+        refused++;
+    }
+
+    @Override
+    public void closed(Inbound connection) {
+        connections.remove(connection);
+        idle.remove(connection);
+        whenClosed.run();
+    }
+
+    // ---- Requests ----
+
+    @Override
+    public void asked(Inbound from, Message request) {
+        taken++;
+        if (routes == null) {
+            refused++;
+            from.answer(503, List.of(RETRY_SOON), "no configuration here yet");
+            return;
+        }
+        String host = request.field("host");
+        Route route = host == null ? null : routes.find(host, request.target());
+        String id = request.field("request-id");
+        if (route == null || id == null) {
+            refused++;
+            from.answer(
+                    route == null ? 404 : 400,
+                    List.of(),
+                    route == null ? "no such route" : "no Request-Id");
+            return;
+        }
+        take(from, request, route, id);
+    }
+
+    private void take(Inbound from, Message request, Route route, String id) {
+        double now = turns.now();
+        double deadline = number(request.field("remaining-milliseconds"));
+        // Who comes with less than the route allows was turned away before, or is called by a
+        // worker.
+        double most = route.hasTimeout() ? route.getTimeout() : deadline;
+        boolean first = deadline >= FIRST_TRY * most;
+        PendingRequest taken =
+                new PendingRequest(
+                        id, from, request, route, now, now + Math.max(1, route.getAim()), first);
+        taken.expiry = now + Math.max(1, Math.min(deadline, most));
+        pending.add(taken);
+        from.whenGone(
+                () -> {
+                    taken.client = null;
+                    end(taken);
+                    queueOf(route).leave(taken);
+                });
+        taken.alarm = turns.after(taken.expiry - now, () -> expired(taken));
+        queueOf(route).take(taken);
+    }
+
+    private static double number(String field) {
+        try {
+            return field == null ? DEFAULT_DEADLINE : Double.parseDouble(field);
+        } catch (NumberFormatException e) {
+            return DEFAULT_DEADLINE;
+        }
+    }
+
+    /** Its time is over. */
+    private void expired(PendingRequest request) {
+        answer(
+                request,
+                request.mayHaveRun() ? 504 : 503,
+                List.of(),
+                InstanceResponse.text("out of time"));
+        queues.get(request.route.getService()).leave(request);
+    }
+
+    @Override
+    public void answer(PendingRequest request, int status, List<String> fields, byte[] body) {
+        Inbound client = request.client;
+        end(request);
+        served += status < 300 ? 1 : 0;
+        refused += status == 503 ? 1 : 0;
+        failed += status >= 300 && status != 503 ? 1 : 0;
+        if (client != null) {
+            client.answer(status, fields, body);
+        }
+    }
+
+    private void end(PendingRequest request) {
+        pending.remove(request);
+        request.client = null;
+        if (request.alarm != null) {
+            request.alarm.cancel(false);
+        }
+    }
+
+    // ---- What queues need ----
+
+    @Override
+    public Turns turns() {
+        return turns;
+    }
+
+    @Override
+    public Pool pool() {
+        return pool;
+    }
+
+    @Override
+    public Settings settings() {
+        return settings;
+    }
+
+    @Override
+    public int fronts() {
+        return schedulers;
+    }
+
+    @Override
+    public boolean say(Object message) {
+        return control.tell(message);
+    }
+
+    @Override
+    public double leaderless() {
+        return control.leaderless();
+    }
+
+    @Override
+    public int takeBerth() {
+        Integer free = freeBerths.poll();
+        return free != null ? free : berths++;
+    }
+
+    @Override
+    public void leaveBerth(int berth) {
+        pool.keep(berth, false);
+        pool.keep(berth, true);
+        freeBerths.add(berth);
+    }
+}
