Answers of another request, cut or surplus ones: found by a model of the data plane, mended

Now the id is asked for wherever an answer ends, a refusal must name our request, an answer whose length is not told is not whole, and any of these closes the connection. Callers of the older programs keep what they had (Outbound.Caller's defaults).

--- a/src/main/java/gingerspool/dataplane/Attempt.java
+++ b/src/main/java/gingerspool/dataplane/Attempt.java
@@ -4,6 +4,8 @@
 import gingerspool.dispatch.Outcome;
 import gingerspool.wire.Message;
 import gingerspool.wire.Outbound;
+import gingerspool.wire.Safeguard;
+import gingerspool.wire.Turns;
 import java.util.concurrent.Future;
 
 /** One assignment under way to an instance. The first of its possible ends counts. */
@@ -17,15 +19,17 @@
     final PendingRequest visit;
     final InstanceSlot seat;
     final double sentAt;
+    private final Turns turns;
     private final Home home;
     private Outbound connection;
     private Future<?> alarm;
     private Outcome how;
 
-    Attempt(Assignment assignment, InstanceSlot seat, double sentAt, Home home) {
+    Attempt(Assignment assignment, InstanceSlot seat, Turns turns, Home home) {
         this.assignment = assignment;
         this.seat = seat;
-        this.sentAt = sentAt;
+        this.turns = turns;
+        sentAt = turns.now();
         this.home = home;
         visit = (PendingRequest) assignment.task;
     }
@@ -40,6 +44,11 @@
         return how != null && how.neverRan();
     }
 
+    /** Whether a byte of it may have been written. */
+    boolean hasBegun() {
+        return connection != null && connection.hasBegun();
+    }
+
     boolean isOver() {
         return how != null;
     }
@@ -48,21 +57,34 @@
     @Override
     public boolean isMine(Message answer) {
         String id = answer.field("request-id");
-        return id == null || id.equals(visit.id);
+        return id == null || id.equals(visit.id) || !turns.has(Safeguard.RESPONSE_ID);
+    }
+
+    /** Guards against answers that are cut: only a length that was told shows that one is whole. */
+    @Override
+    public boolean takesUnframed() {
+        return false;
+    }
+
+    /** Guards the next request: who answers this doubtfully may have more of it under way. */
+    @Override
+    public boolean mayKeep(Message answer) {
+        return !InstanceResponse.isDoubtful(answer, visit.id)
+                || !turns.has(Safeguard.DOUBTFUL_RESPONSE_CLOSES);
     }
 
     @Override
     public void answered(Message answer) {
         connection = null;
-        end(InstanceResponse.outcome(answer), answer);
+        end(InstanceResponse.outcome(answer, visit.id, turns::has), answer);
     }
 
     @Override
     public void broke(boolean allWritten) {
         // Only where not a byte was written it is sure that it never ran.
-        boolean begun = connection != null && connection.hasBegun();
+        boolean begun = hasBegun();
         connection = null;
-        end(begun ? Outcome.RESET : Outcome.UNREACHABLE, null);
+        end(begun && turns.has(Safeguard.BYTE_WRITTEN) ? Outcome.RESET : Outcome.UNREACHABLE, null);
     }
 
     /** Ends it from here: the connection goes, and what the instance does of it is not known. */
--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -8,6 +8,7 @@
 import gingerspool.dispatch.Outcome;
 import gingerspool.dispatch.Outlet;
 import gingerspool.dispatch.Profile;
+import gingerspool.dispatch.Purse;
 import gingerspool.dispatch.Report;
 import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
@@ -18,6 +19,7 @@
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Message;
+import gingerspool.wire.Safeguard;
 import gingerspool.wire.Turns;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -84,6 +86,9 @@
     /** So many assignments of a request that reached no instance don't count as attempts. */
     private static final int UNREACHED_MOST = 3;
 
+    /** Assignments of a request in all, those that reached no instance included. */
+    private static final int ASSIGNMENTS_MOST = 8;
+
     private static final double CROSS_FEE = 0.05;
     private static final int SAMPLES = 16;
 
@@ -200,7 +205,7 @@
         s.mayCancel = true;
         s.mayAdvise = true;
         s.maxAdvice = service.getBoot();
-        s.mostAssignments = 8;
+        s.mostAssignments = ASSIGNMENTS_MOST;
         s.crossFee = CROSS_FEE;
         long seed = (house.settings().name + " " + name).hashCode();
         dispatcher = new Dispatcher(s, seed, this);
@@ -225,15 +230,24 @@
      * renewed.
      */
     private Terms terms(PendingRequest v) {
-        return !v.safe()
+        return !v.safe() && turns.has(Safeguard.UNSAFE_ONCE)
                 ? CAREFUL
                 : safeTerms.computeIfAbsent(
-                        Math.max(1, v.route.getAttempts()) + v.unreached,
-                        n -> new Terms(n, 0, 0, 0, 0, Math.min(2, n), copyAfter, purse, null));
+                        mostAttempts(v),
+                        n -> new Terms(n, 0, 0, 0, 0, Math.min(2, n), copyAfter, budget(), null));
+    }
+
+    private Purse budget() {
+        return turns.has(Safeguard.RETRY_BUDGET) ? purse : null;
+    }
+
+    private int mostAttempts(PendingRequest v) {
+        int most = turns.has(Safeguard.MOST_ATTEMPTS) ? v.route.getAttempts() : ASSIGNMENTS_MOST;
+        return Math.max(1, most) + v.unreached;
     }
 
     /** For each sort of its routes one profile in time and one for those past their aim. */
-    private static List<Profile> profilesOf(List<Route> routes) {
+    private List<Profile> profilesOf(List<Route> routes) {
         Map<String, Profile> all = new LinkedHashMap<>();
         for (Route r : routes) {
             for (boolean late : new boolean[] {false, true}) {
@@ -245,7 +259,7 @@
                 p.work = RUN * Math.max(1, r.getAim());
                 p.prio = -r.getPriority();
                 p.effect =
-                        r.getKind().equals("safe")
+                        r.getKind().equals("safe") || !turns.has(Safeguard.UNSAFE_ONCE)
                                 ? Profile.Effect.IDEMPOTENT
                                 : Profile.Effect.SIDE_EFFECTING;
                 all.putIfAbsent(p.name, p);
@@ -665,20 +679,24 @@
     public void send(Assignment a, double timeout) {
         InstanceSlot s = byWorker.get(a.worker);
         PendingRequest v = (PendingRequest) a.task;
-        Attempt trip = new Attempt(a, s, turns.now(), this);
+        Attempt trip = new Attempt(a, s, turns, this);
         v.trips.add(trip);
         s.used++;
         underWay += v.outstanding() == 1 ? 1 : 0;
         try {
             trip.begin(
                     house.pool().take(s.berth, s.address),
-                    InstanceResponse.request(v.request, s.instance, v.expiry - turns.now()),
+                    InstanceResponse.request(v.request, named(s), v.expiry - turns.now()),
                     null);
         } catch (IOException e) {
             turns.turn(trip::fail);
         }
     }
 
+    private String named(InstanceSlot s) {
+        return turns.has(Safeguard.EXPECTED_INSTANCE) ? s.instance : null;
+    }
+
     @Override
     public void bounce(Task task, double pause) {
         giveUp((PendingRequest) task, pause);
@@ -699,7 +717,7 @@
                     503,
                     retryAfter(pause > 0 ? pause : service.getBoot()),
                     InstanceResponse.text("no instance in time"));
-        } else if (InstanceResponse.mayPass(v.failure)) {
+        } else if (InstanceResponse.mayPass(v.failure, v.id, turns::has)) {
             house.answer(
                     v, v.failure.status(), InstanceResponse.fields(v.failure), v.failure.body());
         } else {
--- a/src/main/java/gingerspool/dataplane/InstanceResponse.java
+++ b/src/main/java/gingerspool/dataplane/InstanceResponse.java
@@ -3,11 +3,13 @@
 import gingerspool.dispatch.Outcome;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
+import gingerspool.wire.Safeguard;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * What is said to instances and clients, and what instances' answers mean. The protocol's names end
@@ -36,7 +38,7 @@
 
     private InstanceResponse() {}
 
-    /** The client's request for this instance, unchanged but for the time left. */
+    /** The client's request for this instance (null: any), unchanged but for the time left. */
     static byte[] request(Message from, String instance, double timeLeft) {
         byte[] body = from.body();
         StringBuilder head =
@@ -48,10 +50,10 @@
         for (String f : fields(from)) {
             head.append(f).append("\r\n");
         }
-        head.append("Remaining-Milliseconds: ")
-                .append((long) Math.max(1, timeLeft))
-                .append("\r\nExpected-Instance: ")
-                .append(instance);
+        head.append("Remaining-Milliseconds: ").append((long) Math.max(1, timeLeft));
+        if (instance != null) {
+            head.append("\r\nExpected-Instance: ").append(instance);
+        }
         if (body.length > 0
                 || from.field("content-length") != null
                 || from.field("transfer-encoding") != null) {
@@ -89,28 +91,47 @@
     /**
      * What an answer says of the assignment. Only its own word that it never ran counts as such.
      */
-    static Outcome outcome(Message answer) {
+    static Outcome outcome(Message answer, String id, Predicate<Safeguard> has) {
         int status = answer.status();
-        boolean told = answer.field("not-executed") != null || status == 421;
-        boolean whole =
-                answer.field("request-id") != null && answer.field("content-encoding") == null;
-        return told
-                ? Outcome.FULL
-                : !whole
-                                || status < 300 && answer.field("server-stamp") == null
-                                || status >= 500
-                                || PROMISES.contains(status)
-                        ? Outcome.ERROR
-                        : Outcome.OK;
+        boolean named = id.equals(answer.field("request-id"));
+        boolean says =
+                answer.field("not-executed") != null
+                        || status == 421
+                        || !has.test(Safeguard.REFUSAL_MARK) && PROMISES.contains(status);
+        // Guards unsafe requests: a refusal without our id may be another request's.
+        if (says && (named || !has.test(Safeguard.REFUSAL_ID))) {
+            return Outcome.FULL;
+        }
+        boolean encoded =
+                answer.field("content-encoding") != null && has.test(Safeguard.CONTENT_ENCODING);
+        boolean unstamped =
+                status < 300
+                        && answer.field("server-stamp") == null
+                        && has.test(Safeguard.SERVER_STAMP);
+        boolean failed = status >= 500 || PROMISES.contains(status);
+        boolean known = named || !has.test(Safeguard.RESPONSE_ID);
+        return !known || encoded || unstamped || failed ? Outcome.ERROR : Outcome.OK;
+    }
+
+    /** Whether an answer is not as a worker in order answers a request of this id. */
+    static boolean isDoubtful(Message answer, String id) {
+        boolean unstamped = answer.status() < 300 && answer.field("server-stamp") == null;
+        return !id.equals(answer.field("request-id"))
+                || answer.field("content-encoding") != null
+                || unstamped;
     }
 
     /** Whether a failure may be passed on as it is: it must not promise what is not so. */
-    static boolean mayPass(Message failure) {
+    static boolean mayPass(Message failure, String id, Predicate<Safeguard> has) {
+        boolean promises =
+                failure != null
+                        && PROMISES.contains(failure.status())
+                        && has.test(Safeguard.PROMISE);
         return failure != null
                 && failure.status() >= 400
-                && failure.field("request-id") != null
+                && id.equals(failure.field("request-id"))
                 && failure.field("content-encoding") == null
-                && !PROMISES.contains(failure.status());
+                && !promises;
     }
 
     static byte[] text(String s) {
--- a/src/main/java/gingerspool/wire/Frames.java
+++ b/src/main/java/gingerspool/wire/Frames.java
@@ -42,7 +42,7 @@
     /** Starts to connect; fails at once only where there is no descriptor left. */
     public static Frames open(Turns turns, SocketAddress to, double within, Owner owner)
             throws IOException {
-        Frames made = new Frames(turns, AsynchronousSocketChannel.open(turns.group()), owner);
+        Frames made = new Frames(turns, turns.channel(), owner);
         made.connect(to, within, () -> owner.up(made));
         return made;
     }
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -18,6 +18,16 @@
             return true;
         }
 
+        /** Whether an answer whose length is not told may count as whole when the peer closes. */
+        default boolean takesUnframed() {
+            return true;
+        }
+
+        /** Whether the connection may be used again after this answer to our request. */
+        default boolean mayKeep(Message answer) {
+            return true;
+        }
+
         /** The whole answer has come; called when the connection may be used again, or not. */
         void answered(Message answer);
 
@@ -54,6 +64,10 @@
     private double freeSince = Double.NaN;
 
     private double rested = Double.NaN;
+
+    /** An answer came on it that was to none of our requests. */
+    private boolean surplus;
+
     private Message.Sink sink;
     private Message answer;
     private final int bodyMost;
@@ -77,8 +91,7 @@
     public static Outbound open(
             Turns turns, SocketAddress to, double within, Owner owner, int bodyMost)
             throws IOException {
-        Outbound made =
-                new Outbound(turns, AsynchronousSocketChannel.open(turns.group()), owner, bodyMost);
+        Outbound made = new Outbound(turns, turns.channel(), owner, bodyMost);
         made.connect(to, within, made::connected);
         return made;
     }
@@ -181,15 +194,24 @@
     int received(byte[] b, int from, int to) {
         if (answer == null) {
             // Nothing was asked, so nothing may come.
-            close();
+            if (turns.has(Safeguard.UNASKED_BYTES_CLOSE)) {
+                close();
+            }
             return to - from;
         }
         try {
             int taken = answer.take(b, from, to);
-            if (answer.done()
-                    && (answer.status() < 200 || caller != null && !caller.isMine(answer))) {
+            if (answer.done() && answer.status() < 200) {
+                answer = Message.answer(sink, bodyMost);
+            } else if (answer.done() && caller != null && !caller.isMine(answer)) {
+                surplus |= turns.has(Safeguard.SURPLUS_RESPONSE_CLOSES);
                 answer = Message.answer(sink, bodyMost);
             } else {
+                // Guards the next request: what is behind a whole answer belongs to none.
+                surplus |=
+                        answer.done()
+                                && taken < to - from
+                                && turns.has(Safeguard.SURPLUS_BYTES_CLOSE);
                 finish();
             }
             return taken;
@@ -211,7 +233,8 @@
         Caller to = caller;
         answer = null;
         caller = null;
-        boolean keep = whole && done.keepsAlive();
+        boolean inTime = whole || !turns.has(Safeguard.EARLY_RESPONSE_CLOSES);
+        boolean keep = inTime && !surplus && done.keepsAlive() && (to == null || to.mayKeep(done));
         if (keep) {
             freeSince = turns.now();
             keptFor = keptFor(done.field("keep-alive"), keptFor);
@@ -235,10 +258,18 @@
         if (to == null) {
             return;
         }
-        if (answer != null && answer.headRead() && answer.endsWithClose()) {
+        if (answer != null && answer.headRead() && isWholeAtClose(to)) {
             to.answered(answer);
         } else {
             to.broke(begun && allWritten);
         }
     }
+
+    /** Guards callers: an answer that ends with its connection may be another's, or cut. */
+    private boolean isWholeAtClose(Caller to) {
+        boolean mine = to.isMine(answer) || !turns.has(Safeguard.RESPONSE_ID_AT_CLOSE);
+        boolean framed = !to.takesUnframed() && turns.has(Safeguard.LENGTH_TOLD);
+        boolean ends = !framed && answer.endsWithClose();
+        return mine && (ends || !turns.has(Safeguard.WHOLE_RESPONSE));
+    }
 }
--- a/src/main/java/gingerspool/wire/Turns.java
+++ b/src/main/java/gingerspool/wire/Turns.java
@@ -1,6 +1,8 @@
 package gingerspool.wire;
 
+import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousSocketChannel;
 import java.util.concurrent.Future;
 
 /** The one thread on which everything happens, as connections see it. */
@@ -18,4 +20,14 @@
     double now();
 
     AsynchronousChannelGroup group();
+
+    /** A channel that is not connected yet. A test may hand out modelled ones. */
+    default AsynchronousSocketChannel channel() throws IOException {
+        return AsynchronousSocketChannel.open(group());
+    }
+
+    /** Whether this guard is in its place; only a test that shows what it is for takes one out. */
+    default boolean has(Safeguard guard) {
+        return true;
+    }
 }
--- a/src/test/java/gingerspool/dataplane/InstanceResponseTest.java
+++ b/src/test/java/gingerspool/dataplane/InstanceResponseTest.java
@@ -37,6 +37,9 @@
             {"200", stamp + "Content-Encoding: gzip\r\n", Outcome.ERROR, false},
             {"503", id + "Not-Executed: 1\r\n", Outcome.FULL, false},
             {"421", id, Outcome.FULL, false},
+            {"503", "Not-Executed: 1\r\n", Outcome.ERROR, false},
+            {"421", "Request-Id: b\r\n", Outcome.ERROR, false},
+            {"500", "Request-Id: b\r\n", Outcome.ERROR, false},
             {"503", id, Outcome.ERROR, false},
             {"429", id, Outcome.ERROR, false},
             {"408", id, Outcome.ERROR, false},
@@ -53,8 +56,8 @@
     public void whatAnAnswerMeans(String status, String fields, Outcome how, boolean mayPass)
             throws BadMessage {
         Message m = answer(status, fields);
-        assertEquals(InstanceResponse.outcome(m), how);
-        assertEquals(InstanceResponse.mayPass(m), mayPass);
+        assertEquals(InstanceResponse.outcome(m, "a", guard -> true), how);
+        assertEquals(InstanceResponse.mayPass(m, "a", guard -> true), mayPass);
     }
 
     @Test
