--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -13,8 +13,6 @@
 import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
 import gingerspool.dispatch.Terms;
-import gingerspool.route.Budget;
-import gingerspool.route.Policy;
 import gingerspool.store.Pool;
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
@@ -78,11 +76,6 @@
     /** What was given up may run on for so many running times. */
     private static final double DOUBT = 3;
 
-    /** Parts of the platform's budget of repeats that are used: of the share, and of the floor. */
-    private static final double SHARE = 0.5;
-
-    private static final double FLOOR = 0.5;
-
     /** So many assignments of a request that reached no instance don't count as attempts. */
     private static final int UNREACHED_MOST = 3;
 
@@ -132,7 +125,7 @@
     private Service service;
     private Dispatcher dispatcher;
     private List<Profile> profiles = List.of();
-    private Budget purse;
+    private final RetryBudget retryBudget;
     private double copyAfter;
     private final Map<Integer, Terms> safeTerms = new HashMap<>();
     private boolean stale;
@@ -172,6 +165,7 @@
         this.house = house;
         this.name = name;
         turns = house.turns();
+        retryBudget = new RetryBudget(house.settings(), house.fronts());
     }
 
     /** The configuration as it now stands; the routes are those that lead here. */
@@ -209,16 +203,6 @@
         s.crossFee = CROSS_FEE;
         long seed = (house.settings().name + " " + name).hashCode();
         dispatcher = new Dispatcher(s, seed, this);
-        gingerspool.settings.Settings p = house.settings();
-        purse =
-                new Budget(
-                        new Policy.Repeats(
-                                SHARE * p.retryRatio,
-                                FLOOR
-                                        * p.retrySlack
-                                        * 1000
-                                        / p.retryWindow
-                                        / Math.max(1, house.fronts())));
         copyAfter = COPY_AFTER * profiles.stream().mapToDouble(q -> q.dueTime).min().orElse(1000);
         safeTerms.clear();
         seats.values().forEach(this::list);
@@ -230,6 +214,7 @@
      * renewed.
      */
     private Terms terms(PendingRequest v) {
+        retryBudget.share(house.fronts());
         return !v.safe() && turns.has(Safeguard.UNSAFE_ONCE)
                 ? CAREFUL
                 : safeTerms.computeIfAbsent(
@@ -238,7 +223,7 @@
     }
 
     private Purse budget() {
-        return turns.has(Safeguard.RETRY_BUDGET) ? purse : null;
+        return turns.has(Safeguard.RETRY_BUDGET) ? retryBudget : null;
     }
 
     private int mostAttempts(PendingRequest v) {
@@ -313,6 +298,7 @@
     void leave(PendingRequest v) {
         if (v.placed) {
             dispatcher.left(turns.now(), v);
+            takeBack(v);
         } else {
             queue.remove(v);
         }
@@ -320,6 +306,15 @@
         serve();
     }
 
+    /** What was not sent yet never will be: so it is sure not to have run there. */
+    private static void takeBack(PendingRequest v) {
+        for (Attempt attempt : List.copyOf(v.trips)) {
+            if (!attempt.hasBegun()) {
+                attempt.giveUp(Outcome.CANCELLED);
+            }
+        }
+    }
+
     /** Hands the Dispatcher those for whom a slot is there. */
     private void serve() {
         while (!queue.isEmpty() && free() > 0) {
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -74,7 +74,7 @@
     private int berths;
     private Configuration configuration = Configuration.getDefaultInstance();
     private RouteTable routes;
-    private int schedulers = 1;
+    private final SchedulerCount schedulers;
     private boolean leaving;
     private int taken;
     private int served;
@@ -88,6 +88,7 @@
         this.pool = pool;
         this.control = control;
         this.whenClosed = whenClosed;
+        schedulers = new SchedulerCount(settings.retryWindow);
     }
 
     // ---- Configuration ----
@@ -104,6 +105,7 @@
     void configure(Configuration newest) {
         configuration = newest;
         routes = new RouteTable(newest);
+        connections.forEach(this::limit);
         for (Service service : newest.getServicesList()) {
             if (queues.containsKey(service.getName())) {
                 queues.get(service.getName()).configured(service, routesTo(service.getName()));
@@ -123,7 +125,7 @@
 
     /** So many schedulers share the budget of repeats, this one included. */
     void schedulers(int count) {
-        schedulers = count;
+        schedulers.told(turns.now(), count);
     }
 
     // ---- Queues ----
@@ -161,29 +163,28 @@
     // ---- Clients' connections ----
 
     void accept(AsynchronousSocketChannel channel) {
-        Limits limits = configuration.getLimits();
         Inbound connection =
-                new Inbound(
-                        turns,
-                        channel,
-                        this,
-                        limits.getIdleTimeout() > 0
-                                ? limits.getIdleTimeout()
-                                : DEFAULT_IDLE_TIMEOUT,
-                        limits.getHeaderTimeout() > 0
-                                ? Math.max(limits.getHeaderTimeout(), DEFAULT_READ_TIMEOUT)
-                                : DEFAULT_READ_TIMEOUT,
-                        limits.getHeaderBytes() > 0
-                                ? (int) Math.min(limits.getHeaderBytes(), LARGEST_HEADER)
-                                : DEFAULT_HEADER_BYTES,
-                        limits.getBodyBytes() > 0
-                                ? (int) Math.min(limits.getBodyBytes(), LARGEST_BODY)
-                                : DEFAULT_BODY_BYTES);
+                new Inbound(turns, channel, this, DEFAULT_IDLE_TIMEOUT, DEFAULT_READ_TIMEOUT);
+        limit(connection);
         connections.add(connection);
         connection.endAfterAnswer(leaving);
         connection.start();
     }
 
+    /** Puts the operators' limits in force on this connection, as far as there are any. */
+    private void limit(Inbound connection) {
+        Limits limits = configuration.getLimits();
+        connection.limits(
+                limits.getIdleTimeout() > 0 ? limits.getIdleTimeout() : DEFAULT_IDLE_TIMEOUT,
+                limits.getHeaderTimeout() > 0 ? limits.getHeaderTimeout() : DEFAULT_READ_TIMEOUT,
+                limits.getHeaderBytes() > 0
+                        ? (int) Math.min(limits.getHeaderBytes(), LARGEST_HEADER)
+                        : DEFAULT_HEADER_BYTES,
+                limits.getBodyBytes() > 0
+                        ? (int) Math.min(limits.getBodyBytes(), LARGEST_BODY)
+                        : DEFAULT_BODY_BYTES);
+    }
+
     int connections() {
         return connections.size();
     }
@@ -284,12 +285,19 @@
 
     /** Its time is over. */
     private void expired(PendingRequest request) {
-        answer(
-                request,
-                request.mayHaveRun() ? 504 : 503,
-                List.of(),
-                InstanceResponse.text("out of time"));
+        giveUp(request, 504, "out of time");
+    }
+
+    /** Ends it for good: with a promise where nothing was sent, else with this status. */
+    private void giveUp(PendingRequest request, int statusIfSent, String why) {
         queues.get(request.route.getService()).leave(request);
+        boolean ran = request.mayHaveRun();
+        answer(request, ran ? statusIfSent : 503, List.of(), InstanceResponse.text(why));
+    }
+
+    /** The process ends: whoever still waits gets an answer, so that none is just cut off. */
+    void giveUpAll() {
+        List.copyOf(pending).forEach(request -> giveUp(request, 502, "the scheduler ends"));
     }
 
     @Override
@@ -331,7 +339,7 @@
 
     @Override
     public int fronts() {
-        return schedulers;
+        return schedulers.most(turns.now());
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/gingerspool/dataplane/RetryBudget.java
@@ -0,0 +1,57 @@
+package gingerspool.dataplane;
+
+import gingerspool.dispatch.Purse;
+import gingerspool.route.Budget;
+import gingerspool.route.Policy;
+import gingerspool.settings.Settings;
+
+/**
+ * This scheduler's part of the budget of repeats that the platform allows one function. The floor
+ * is divided by the number of schedulers, which may change while requests are in hand.
+ */
+final class RetryBudget implements Purse {
+    /**
+     * The parts of the platform's ratio and floor that are used: the rest is for calls that
+     * repeated runs make, and for schedulers that know another number of schedulers.
+     */
+    private static final double RATIO_USED = 0.5;
+
+    private static final double FLOOR_USED = 0.5;
+
+    private final Settings settings;
+    private Budget budget;
+    private int schedulers;
+
+    RetryBudget(Settings settings, int schedulers) {
+        this.settings = settings;
+        share(schedulers);
+    }
+
+    /** So many schedulers share the floor from now on; what was saved up is kept. */
+    void share(int among) {
+        if (budget != null && among == schedulers) {
+            return;
+        }
+        schedulers = among;
+        double floorPerS = FLOOR_USED * settings.retrySlack * 1000 / settings.retryWindow;
+        Policy.Repeats policy =
+                new Policy.Repeats(
+                        RATIO_USED * settings.retryRatio, floorPerS / Math.max(1, among));
+        budget = new Budget(policy, budget);
+    }
+
+    @Override
+    public void earn(double now) {
+        budget.earn(now);
+    }
+
+    @Override
+    public boolean holds(double now) {
+        return budget.holds(now);
+    }
+
+    @Override
+    public void spend(double now) {
+        budget.spend(now);
+    }
+}
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -37,6 +37,9 @@
     /** The process ends within this part of the grace period, whatever is in hand. */
     private static final double LAST_PART_OF_GRACE = 0.9;
 
+    /** What is in hand by then is given up, so that its answer is written before the end. */
+    private static final double GIVE_UP_PART_OF_GRACE = 0.85;
+
     /** Looks at whether all has ended, in parts of a heartbeat interval. */
     private static final double LEAVE_CHECK = 0.02;
 
@@ -133,6 +136,9 @@
             router.closeIdle();
         }
         boolean allEnded = router.inHand() == 0 && router.connections() == 0;
+        if (gone > GIVE_UP_PART_OF_GRACE * settings.grace) {
+            router.giveUpAll();
+        }
         if (quiet && allEnded || gone > LAST_PART_OF_GRACE * settings.grace) {
             listener.close();
             whenLeft.run();
--- a/src/main/java/gingerspool/store/Pool.java
+++ b/src/main/java/gingerspool/store/Pool.java
@@ -111,7 +111,10 @@
         // The latest one is on top: if it has rested too long, so have the others.
         double span = rest.span(turns.now());
         while (!berth.free.isEmpty() && berth.free.peek().restedFor() > span) {
-            berth.free.peek().close();
+            // Taken out first: one that still writes is told closed only later.
+            Outbound old = berth.free.poll();
+            resting.remove(old);
+            old.close();
         }
         Outbound connection = berth.free.poll();
         if (connection != null) {
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -21,7 +21,7 @@
     private static final int MOST = 32 * 1024;
 
     /** The largest buffer of this connection: what is taken only whole must fit. */
-    private final int most;
+    private int most;
 
     final Turns turns;
     private final AsynchronousSocketChannel channel;
@@ -56,6 +56,11 @@
         }
     }
 
+    /** From now on the buffer may grow to so many bytes. */
+    final void most(int bytes) {
+        most = bytes;
+    }
+
     private interface Count {
         void done(int bytes);
     }
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -46,10 +46,14 @@
     }
 
     private final Door door;
-    private final double idle;
+    private double idle;
     private final double stalled;
-    private final int headMost;
-    private final int bodyMost;
+
+    /** A head must have come within this span of its first byte; 0: within that of a message. */
+    private double headWithin;
+
+    private int headMost;
+    private int bodyMost;
     private State state = State.IDLE;
     private Message message;
     private boolean lastAnswer;
@@ -92,6 +96,22 @@
         this.bodyMost = bodyMost;
     }
 
+    /**
+     * Other limits from now on: milliseconds for it to be idle and for the head of a request, which
+     * is answered with 408 where it takes longer; bytes of head and body, from the next request on.
+     */
+    public void limits(double idle, double headWithin, int headMost, int bodyMost) {
+        this.idle = idle;
+        this.headWithin = headWithin;
+        this.headMost = headMost;
+        this.bodyMost = bodyMost;
+        most(headMost + LINE);
+        if (state == State.IDLE) {
+            message = Message.request(headMost, bodyMost);
+            alarm(Math.max(1, idle - idleFor()), this::close);
+        }
+    }
+
     /** Begins to read; separate from making it so that the owner knows it first. */
     public void start() {
         rest();
@@ -124,7 +144,7 @@
         }
         if (state == State.IDLE) {
             state = State.READING;
-            alarm(stalled, this::close);
+            alarm(headWithin > 0 ? headWithin : stalled, this::headTooLate);
             door.idle(this, false);
         }
         try {
@@ -135,8 +155,11 @@
                 alarm(0, null);
                 lastRequest = !message.keepsAlive();
                 door.asked(this, message);
-            } else if (!head && message.wantsContinue()) {
-                write(GO_ON);
+            } else if (!head && message.headRead()) {
+                alarm(stalled, this::close);
+                if (message.wantsContinue()) {
+                    write(GO_ON);
+                }
             }
             return taken;
         } catch (BadMessage e) {
@@ -148,6 +171,18 @@
         }
     }
 
+    private void headTooLate() {
+        if (headWithin == 0) {
+            close();
+            return;
+        }
+        state = State.ASKED;
+        lastRequest = true;
+        BadMessage late = new BadMessage(408, "the head took too long");
+        door.unreadable(late);
+        answer(late.status, List.of(), late.getMessage());
+    }
+
     public void answer(int status, List<String> fields, String text) {
         answer(status, fields, text.getBytes(StandardCharsets.UTF_8));
     }
@@ -192,6 +227,7 @@
             case 307 -> "Temporary Redirect";
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
+            case 408 -> "Request Timeout";
             case 412 -> "Precondition Failed";
             case 405 -> "Method Not Allowed";
             case 413 -> "Content Too Large";
--- a/src/main/java/gingerspool/wire/Outbound.java
+++ b/src/main/java/gingerspool/wire/Outbound.java
@@ -267,9 +267,8 @@
 
     /** Guards callers: an answer that ends with its connection may be another's, or cut. */
     private boolean isWholeAtClose(Caller to) {
-        boolean mine = to.isMine(answer) || !turns.has(Safeguard.RESPONSE_ID_AT_CLOSE);
         boolean framed = !to.takesUnframed() && turns.has(Safeguard.LENGTH_TOLD);
         boolean ends = !framed && answer.endsWithClose();
-        return mine && (ends || !turns.has(Safeguard.WHOLE_RESPONSE));
+        return to.isMine(answer) && (ends || !turns.has(Safeguard.WHOLE_RESPONSE));
     }
 }
--- a/src/main/java/gingerspool/wire/Safeguard.java
+++ b/src/main/java/gingerspool/wire/Safeguard.java
@@ -8,9 +8,6 @@
     /** An answer with the id of another request is passed over. */
     RESPONSE_ID,
 
-    /** The same for an answer that ends with its connection. */
-    RESPONSE_ID_AT_CLOSE,
-
     /** An answer whose length is not told is not known to be whole. */
     LENGTH_TOLD,
 
@@ -58,9 +55,6 @@
     /** Requests name the instance that is meant. */
     EXPECTED_INSTANCE,
 
-    /** What was not sent by a request's deadline is taken back before the client is told so. */
-    TAKEN_BACK_FIRST,
-
     /** A request goes to as many instances as its route allows. */
     MOST_ATTEMPTS,
 
--- a/src/test/java/gingerspool/dataplane/ModelNetwork.java
+++ b/src/test/java/gingerspool/dataplane/ModelNetwork.java
@@ -65,6 +65,11 @@
         acceptors.put(at, who);
     }
 
+    /** Whoever connects there hears nothing. */
+    void listenSilently(SocketAddress at) {
+        acceptors.put(at, null);
+    }
+
     void deafen(SocketAddress at) {
         acceptors.remove(at);
     }
@@ -237,6 +242,9 @@
         @Override
         public <A> void connect(SocketAddress to, A with, CompletionHandler<Void, ? super A> then) {
             Acceptor acceptor = acceptors.get(to);
+            if (acceptor == null && acceptors.containsKey(to)) {
+                return;
+            }
             at(
                     shortly(),
                     () -> {
--- /dev/null
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -0,0 +1,225 @@
+package gingerspool.dataplane;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.codec.Messages;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.Limits;
+import gingerspool.configuration.Route;
+import gingerspool.configuration.Service;
+import gingerspool.settings.Settings;
+import gingerspool.store.Pool;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What one caller sees of the router, on modelled connections and in modelled time. */
+public class RequestRouterTest implements RequestRouter.ControlPlane {
+    private static final double BEAT = 400;
+    private ModelNetwork network;
+    private RequestRouter router;
+    private List<Object> told;
+
+    /** What came on a connection, and when it was closed. */
+    private final class Line implements ModelNetwork.Remote {
+        final ModelNetwork.Channel channel = network.channel();
+        final StringBuilder came = new StringBuilder();
+        double cameAt = Double.NaN;
+        double closedAt = Double.NaN;
+
+        Line() {
+            channel.join(this);
+            network.turn(() -> router.accept(channel));
+        }
+
+        Line send(String text) {
+            channel.send(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        Line ask(String id, String kind, int deadline) {
+            return send(
+                    "GET /"
+                            + kind
+                            + "/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
+                            + id
+                            + "\r\nRemaining-Milliseconds: "
+                            + deadline
+                            + "\r\n\r\n");
+        }
+
+        String status() {
+            return came.length() < 12 ? "" : came.substring(9, 12);
+        }
+
+        @Override
+        public void received(byte[] bytes) {
+            came.append(new String(bytes, StandardCharsets.ISO_8859_1));
+            cameAt = network.now();
+        }
+
+        @Override
+        public void closed() {
+            closedAt = network.now();
+        }
+    }
+
+    @BeforeMethod
+    public void open() throws Exception {
+        Path file = Files.createTempFile("front", ".toml");
+        Files.writeString(
+                file,
+                """
+            NodeName = "front-1"
+            IpAddress = "127.0.0.1"
+            Zone = "a"
+            InternalPortRange = [7400,7401]
+            HeartbeatIntervalMs = 400
+            [Zones]
+            a = "r"
+            """);
+        Settings settings = Settings.read(file);
+        network = new ModelNetwork(1, Set.of());
+        told = new ArrayList<>();
+        Pool pool = new Pool(network, 10 * BEAT, 5000, 40);
+        router = new RequestRouter(network, settings, pool, this, () -> {});
+        router.configure(configuration(1, 3000, 15_000));
+    }
+
+    private static Configuration configuration(long version, long header, long idle) {
+        Configuration.Builder all =
+                Configuration.newBuilder()
+                        .setVersion(version)
+                        .setLimits(
+                                Limits.newBuilder()
+                                        .setHeaderBytes(1000)
+                                        .setBodyBytes(2000)
+                                        .setHeaderTimeout(header)
+                                        .setIdleTimeout(idle))
+                        .addServices(
+                                Service.newBuilder().setName("f").setBoot(100).setConcurrency(2));
+        for (String kind : List.of("safe", "unsafe")) {
+            all.addRoutes(
+                    Route.newBuilder()
+                            .setName(kind)
+                            .setHost("h.example")
+                            .setPrefix("/" + kind + "/")
+                            .setKind(kind)
+                            .setAttempts(1)
+                            .setTimeout(1000)
+                            .setAim(300)
+                            .setService("f"));
+        }
+        return all.build();
+    }
+
+    private void run(double span) {
+        network.run(network.now() + span);
+        assertEquals(network.fault(), null);
+    }
+
+    private void grant(String instance, int port, int slots) {
+        network.turn(
+                () ->
+                        router.queue("f")
+                                .granted(
+                                        new Messages.SlotGrant(
+                                                "f",
+                                                instance,
+                                                "127.0.0.1:" + port,
+                                                "a",
+                                                slots,
+                                                slots,
+                                                0,
+                                                slots)));
+    }
+
+    @Test
+    public void aHeadThatTakesTooLongIsAnswered408() {
+        double began = network.now();
+        Line slow = new Line().send("GET /safe/ HTTP/1.1\r\nHost");
+        run(2900);
+        assertEquals(slow.status(), "");
+        run(300);
+        assertEquals(slow.status(), "408");
+        assertTrue(slow.cameAt < began + 3100 && slow.closedAt > 0, "the limit is 3000");
+    }
+
+    @Test
+    public void limitsOfHeadAndBodyAreTheOperators() {
+        Line head = new Line().send("GET / HTTP/1.1\r\nX: " + "x".repeat(1000) + "\r\n\r\n");
+        Line body = new Line().send("POST /safe/ HTTP/1.1\r\nContent-Length: 2001\r\n\r\n");
+        run(100);
+        assertEquals(head.status(), "431");
+        assertEquals(body.status(), "413");
+    }
+
+    @Test
+    public void newLimitsHoldForConnectionsThatAreOpen() {
+        Line idle = new Line();
+        run(10_000);
+        router.configure(configuration(2, 3000, 30_000));
+        run(19_000);
+        assertTrue(Double.isNaN(idle.closedAt), "it may rest 30 s now");
+        run(2000);
+        assertFalse(Double.isNaN(idle.closedAt), "and no longer");
+    }
+
+    /** A 504 would leave the caller in doubt, and a 5xx without an offer costs half. */
+    @Test
+    public void whatWasNeverSentIsPromisedNotToHaveRun() {
+        InetSocketAddress silent = new InetSocketAddress("127.0.0.1", 9);
+        network.listenSilently(silent);
+        Line line = new Line().ask("a", "unsafe", 900);
+        run(20);
+        grant("i-1", 9, 1);
+        run(700);
+        assertEquals(line.status(), "", "it connects still");
+        run(300);
+        assertEquals(line.status(), "503");
+    }
+
+    @Test
+    public void atTheEndOfAProcessWhoeverWaitsGetsAnAnswer() {
+        Line line = new Line().ask("a", "safe", 900);
+        run(20);
+        router.leave();
+        network.turn(router::giveUpAll);
+        run(20);
+        assertEquals(line.status(), "503");
+        assertTrue(line.came.toString().contains("Connection: close"), line.came.toString());
+        assertEquals(router.inHand(), 0);
+    }
+
+    @Test
+    public void theMostSchedulersWithinAWindowShareTheBudget() {
+        SchedulerCount count = new SchedulerCount(10_000);
+        assertEquals(count.most(0), 1);
+        count.told(0, 8);
+        count.told(1000, 1);
+        count.told(1010, 2);
+        assertEquals(count.most(10_900), 8, "a new leader counts them one by one");
+        assertEquals(count.most(11_100), 2, "it stays at two");
+        count.told(12_000, 5);
+        assertEquals(count.most(12_000), 5);
+        assertEquals(count.most(90_000), 5);
+    }
+
+    @Override
+    public boolean tell(Object message) {
+        return told.add(message);
+    }
+
+    @Override
+    public double leaderless() {
+        return 0;
+    }
+}
