--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -22,7 +22,7 @@
     private static final int MOST = 32 * 1024;
 
     /** The largest buffer of this connection: what is taken only whole must fit. */
-    private final int most;
+    private int most;
 
     final Turns turns;
     private final AsynchronousSocketChannel channel;
@@ -59,6 +59,11 @@
         }
     }
 
+    /** From now on the buffer may grow to so many bytes. */
+    final void most(int bytes) {
+        most = bytes;
+    }
+
     /** An operation's end becomes a turn; a failure counts as -1 bytes. */
     private CompletionHandler<Integer, Void> handler(IntConsumer then) {
         return Completions.onTurn(turns, bytes -> guarded(() -> then.accept(bytes)));
