--- a/src/main/java/gingerspool/consensus/Departure.java
+++ b/src/main/java/gingerspool/consensus/Departure.java
@@ -56,7 +56,7 @@
     }
 
     private void leaveAsLeader() {
-        boolean replaced = membership.hasReadyLearner() || context.log.voters().isJoint();
+        boolean replaced = membership.hasReadyLearner() || membership.isChanging();
         if (replaced && context.now < handsOverAt) {
             membership.advance();
         } else {
--- a/src/main/java/gingerspool/consensus/Membership.java
+++ b/src/main/java/gingerspool/consensus/Membership.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Whether a change of the voters is under way. */
+    boolean isChanging() {
+        return context.log.voters().isJoint() || context.log.votersIndex() > context.committed;
+    }
+
     /** Whether a learner could replace this member at once. */
     boolean hasReadyLearner() {
         return learners().stream().anyMatch(this::isReady);
@@ -108,7 +113,7 @@
 
     private void append(VoterSet voters) {
         for (Member member : context.log.voters().all()) {
-            if (!voters.contains(member)) {
+            if (!voters.contains(member) && !member.equals(context.self)) {
                 replication.progress(member).answered = false;
             }
         }
