--- a/src/main/java/gingerspool/judge/Judge.java
+++ b/src/main/java/gingerspool/judge/Judge.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -21,7 +20,7 @@
      * How much later than its time something may be seen, in ms: clocks of two loops, a turn, a
      * full core.
      */
-    private static final double SLACK = 50;
+    static final double SLACK = 50;
 
     /** How long word of an end may be on its way to a worker before it counts as not sent. */
     private static final double ON_ITS_WAY = 150;
@@ -88,9 +87,10 @@
         j.effects();
         j.bounces();
         j.overlaps();
-        j.drains();
-        j.bans();
-        j.cold();
+        WorkerRules workers = new WorkerRules(r, j.duties, j::breach);
+        workers.drains();
+        workers.bans();
+        workers.cold();
         return new Verdict(r, j.violations);
     }
 
@@ -397,154 +397,6 @@
         return cuts != null && cuts.stream().anyMatch(c -> c[0] <= to && c[1] >= from);
     }
 
-    // ---- Workers that drain, and cold ones ----
-
-    private void drains() {
-        double grace = duties.number("grace", 0);
-        double deemed = duties.number("deemed", 0);
-        Set<Integer> all = new HashSet<>();
-        r.events.forEach(e -> all.add(e.scheduler()));
-        // By worker: what it was listed as last and since when; by scheduler besides: when that was
-        // told.
-        Map<String, Records.Event> listed = new HashMap<>();
-        Map<String, Double> told = new HashMap<>();
-        for (Records.Event e : r.events) {
-            if (e.what().equals("listed")) {
-                listed.put(e.who(), e);
-                all.forEach(s -> told.remove(e.who() + " " + s));
-            } else if (e.what().equals("told")) {
-                told.putIfAbsent(e.who() + " " + e.scheduler(), e.at());
-            } else if (e.what().equals("asked")
-                    || e.what().equals("failed") && e.detail().contains("first=")) {
-                Records.Event l = listed.get(e.who());
-                if (l == null || l.detail().equals("SERVING")) {
-                    continue;
-                }
-                double since =
-                        Math.min(
-                                l.at() + deemed,
-                                told.getOrDefault(
-                                        e.who() + " " + e.scheduler(), Double.POSITIVE_INFINITY));
-                double first = e.number("first", e.at());
-                if (first > since + grace + SLACK) {
-                    breach(
-                            Rule.DRAINS,
-                            e.task(),
-                            first,
-                            String.format(
-                                    Locale.ROOT,
-                                    "sent by scheduler %d to %s (line %d), which was told as %s %.0f ms before (line %d)",
-                                    e.scheduler(),
-                                    e.who(),
-                                    e.line(),
-                                    l.detail(),
-                                    first - since,
-                                    l.line()));
-                }
-            }
-        }
-    }
-
-    private void bans() {
-        for (Records.Event e : r.events) {
-            if (!e.what().equals("asked") && !e.detail().contains("first=")) {
-                continue;
-            }
-            double first = e.number("first", e.at());
-            Records.Befell ban = null;
-            for (Records.Befell b : r.schedulers) {
-                if (b.scheduler() == e.scheduler() && b.at() + SLACK < first) {
-                    ban =
-                            b.what().equals("suspended " + e.who())
-                                    ? b
-                                    : b.what().equals("resumed " + e.who()) ? null : ban;
-                }
-            }
-            if (ban != null && !resumedBy(e, first)) {
-                breach(
-                        Rule.BANS,
-                        e.task(),
-                        first,
-                        String.format(
-                                Locale.ROOT,
-                                "sent by scheduler %d to %s (line %d), which was suspended %.0f ms before",
-                                e.scheduler(),
-                                e.who(),
-                                e.line(),
-                                first - ban.at()));
-            }
-        }
-    }
-
-    /** A call back counts from when it is made, not only after some slack. */
-    private boolean resumedBy(Records.Event e, double first) {
-        return r.schedulers.stream()
-                .anyMatch(
-                        b ->
-                                b.scheduler() == e.scheduler()
-                                        && b.at() <= first
-                                        && b.at() + SLACK >= first
-                                        && b.what().equals("resumed " + e.who()));
-    }
-
-    private void cold() {
-        double overload = duties.number("overload", Double.POSITIVE_INFINITY);
-        double window = duties.number("window", 1000);
-        Map<String, Records.Event> up = new HashMap<>();
-        Map<String, List<double[]>> taken = new HashMap<>();
-        Map<String, Double> work = new HashMap<>();
-        Set<String> over = new HashSet<>();
-        for (Records.Event e : r.events) {
-            if (e.what().equals("up")) {
-                up.put(e.who(), e);
-                taken.put(e.who(), new ArrayList<>());
-                over.remove(e.who());
-            } else if (e.what().equals("asked")) {
-                work.put(e.task() + e.who(), e.number("work", 0));
-            } else if (e.what().equals("taken")
-                    && up.containsKey(e.who())
-                    && !over.contains(e.who())) {
-                Records.Event born = up.get(e.who());
-                double warm = born.number("warm", 0);
-                double age = e.at() - born.at();
-                if (warm <= 0 || age >= warm) {
-                    continue;
-                }
-                List<double[]> all = taken.get(e.who());
-                double w = work.getOrDefault(e.task() + e.who(), 0.0);
-                all.add(new double[] {e.at(), w});
-                all.removeIf(x -> x[0] < e.at() - window);
-                double from = born.number("from", 1);
-                double bears =
-                        overload
-                                * born.number("slots", 1)
-                                * born.number("speed", 1)
-                                * (from + (1 - from) * age / warm)
-                                * window;
-                double sum = all.stream().mapToDouble(x -> x[1]).sum();
-                // One task may come at any time: only what others add to it can be too much.
-                if (sum > bears && all.size() > 1) {
-                    over.add(e.who());
-                    breach(
-                            Rule.COLD,
-                            e.task(),
-                            e.at(),
-                            String.format(
-                                    Locale.ROOT,
-                                    "%s, up for %.0f ms (line %d), was given %.0f ms of work within %.0f ms and bears "
-                                            + "%.0f (line %d)",
-                                    e.who(),
-                                    age,
-                                    born.line(),
-                                    sum,
-                                    window,
-                                    bears,
-                                    e.line()));
-                }
-            }
-        }
-    }
-
     /** Violations by rule. */
     static Map<Rule, Integer> count(List<Violation> all) {
         Map<Rule, Integer> n = new LinkedHashMap<>();
