Measure how the control side grows: gingerspool capacity

Hollow schedulers (the real ControlLinks and FunctionQueue, no clients) share one process with one real ControlNode, behind a relay that counts frames; the rest is driven in memory, the log in a temporary folder. Every series has five sizes or more, a line by least squares with its error and R², and a bend where two lines do better.

ArchitectureTest gets the new package as a layer of its own, used by cli alone; the planes stay closed to all others as before.

Tests: LinearFitTest, CapacityTest, ArchitectureTest pass (14, then 6 again after the tolerance of one exact sum of squares went from 1e-9 to 1e-6: its rounding error is 1.4e-8).

--- /dev/null
+++ b/src/main/java/gingerspool/capacity/Meter.java
@@ -0,0 +1,83 @@
+package gingerspool.capacity;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Processor time of threads and heap that stays in use. The processor time holds no garbage
+ * collection, which runs on threads of the virtual machine.
+ */
+final class Meter {
+    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    private static final int COLLECTIONS = 3;
+    private static final double NANOS_IN_MICRO = 1000;
+
+    /** A loop is run for this long before it counts, so that it is compiled. */
+    private static final long WARM_NANOS = 60_000_000;
+
+    /** And then for this long. */
+    private static final long COUNTED_NANOS = 60_000_000;
+
+    private Meter() {}
+
+    /** A step that may fail. */
+    interface Step {
+        void run() throws Exception;
+    }
+
+    /** A thing that is made, and that stays in use while the heap is measured. */
+    interface Maker {
+        Object make() throws Exception;
+    }
+
+    /** Microseconds of this thread's processor time a run of the step. */
+    static double microsOf(Step step) throws Exception {
+        repeat(step, WARM_NANOS);
+        long before = THREADS.getCurrentThreadCpuTime();
+        long runs = repeat(step, COUNTED_NANOS);
+        return (THREADS.getCurrentThreadCpuTime() - before) / NANOS_IN_MICRO / runs;
+    }
+
+    private static long repeat(Step step, long nanos) throws Exception {
+        long runs = 0;
+        long end = System.nanoTime() + nanos;
+        do {
+            step.run();
+            runs++;
+        } while (System.nanoTime() < end);
+        return runs;
+    }
+
+    /** Bytes of heap that what is made keeps in use. */
+    static double heapOf(Maker maker) throws Exception {
+        long before = heap();
+        Object made = maker.make();
+        long after = heap();
+        java.lang.ref.Reference.reachabilityFence(made);
+        return after - before;
+    }
+
+    private static long heap() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    static Set<Long> threads() {
+        return java.util.Arrays.stream(THREADS.getAllThreadIds())
+                .boxed()
+                .collect(Collectors.toSet());
+    }
+
+    /** Microseconds of processor time of these threads so far. */
+    static double micros(Set<Long> threads) {
+        return threads.stream()
+                        .mapToLong(THREADS::getThreadCpuTime)
+                        .filter(nanos -> nanos > 0)
+                        .sum()
+                / NANOS_IN_MICRO;
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/capacity/SlotSeries.java
@@ -0,0 +1,315 @@
+package gingerspool.capacity;
+
+import gingerspool.autoscaler.Autoscaler;
+import gingerspool.capacity.Series.Medium;
+import gingerspool.codec.Messages;
+import gingerspool.slots.Function;
+import gingerspool.slots.Instance;
+import gingerspool.slots.SlotKeeper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** What the leader's slot keeper and scaler cost, by schedulers, functions, instances and slots. */
+final class SlotSeries {
+    private static final double INTERVAL = 1200;
+    private static final int SLOTS = 4;
+    private static final double RUN = 20;
+    private static final int FIXED_FUNCTIONS = 500;
+    private static final String ZONE = "zone-a";
+
+    /** The keeper gives nothing at first; by then it does. */
+    private static final double SETTLED = INTERVAL;
+
+    private final Scale scale;
+    private Messages.SlotGrant granted;
+    private long requests;
+
+    SlotSeries(Scale scale) {
+        this.scale = scale;
+    }
+
+    List<Series> measure() throws Exception {
+        List<Series> all = new ArrayList<>();
+        all.add(
+                heap(
+                        "keeper.heap.scheduler",
+                        "keeper's heap by schedulers",
+                        "scheduler",
+                        this::registered));
+        all.add(
+                heap(
+                        "keeper.heap.function",
+                        "keeper's heap by functions",
+                        "function",
+                        this::functions));
+        all.add(
+                heap(
+                        "keeper.heap.instance",
+                        "keeper's heap by instances",
+                        "instance",
+                        this::instances));
+        all.add(
+                heap(
+                        "keeper.heap.held",
+                        "keeper's heap by slots held, each by another scheduler",
+                        "held slot",
+                        this::held));
+        all.add(
+                heap(
+                        "keeper.heap.demand",
+                        "keeper's heap by demands (function and scheduler)",
+                        "demand",
+                        this::demands));
+        all.add(
+                time(
+                        "keeper.cycle.instances",
+                        "a slot given and returned, by instances of the function",
+                        "instance of the function",
+                        new int[] {25, 50, 100, 200, 400, 800},
+                        n -> cycle(1, n, 1)));
+        all.add(
+                time(
+                        "keeper.cycle.schedulers",
+                        "a slot given and returned, by schedulers that call the function",
+                        "scheduler that calls",
+                        new int[] {25, 50, 100, 200, 400, 800},
+                        n -> cycle(1, 25, n)));
+        all.add(
+                time(
+                        "keeper.cycle.functions",
+                        "a slot given and returned, by functions",
+                        "function",
+                        new int[] {1000, 2000, 4000, 8000, 16000},
+                        n -> cycle(n, 1, 1)));
+        all.add(
+                time(
+                        "keeper.holdings",
+                        "one scheduler's report of what it holds compared, by instances",
+                        "instance",
+                        new int[] {2000, 4000, 8000, 16000, 32000},
+                        this::holdings));
+        all.add(
+                time(
+                        "keeper.register",
+                        "one scheduler registered, by instances",
+                        "instance",
+                        new int[] {2000, 4000, 8000, 16000, 32000},
+                        this::register));
+        all.add(
+                time(
+                        "keeper.tick",
+                        "a tick of the keeper, by functions with a demand",
+                        "function",
+                        new int[] {1000, 2000, 4000, 8000, 16000},
+                        this::keeperTick));
+        all.add(
+                time(
+                        "scaler.tick.functions",
+                        "a tick of the scaler, by functions with one instance each",
+                        "function",
+                        new int[] {1000, 2000, 4000, 8000, 16000},
+                        n -> scalerTick(n, n)));
+        all.add(
+                time(
+                        "scaler.tick.instances",
+                        "a tick of the scaler, by instances of " + FIXED_FUNCTIONS + " functions",
+                        "instance",
+                        new int[] {1000, 2000, 4000, 8000, 16000},
+                        n -> scalerTick(Math.min(n, FIXED_FUNCTIONS), n)));
+        return all;
+    }
+
+    private Series heap(String key, String what, String per, HeapOf of) throws Exception {
+        return Series.measure(
+                key,
+                what,
+                "B",
+                per,
+                Medium.MEMORY,
+                scale,
+                new int[] {2000, 4000, 8000, 16000, 32000},
+                (n, seed) -> Meter.heapOf(() -> of.make(n)));
+    }
+
+    private Series time(String key, String what, String per, int[] sizes, TimeOf of)
+            throws Exception {
+        return Series.measure(
+                key, what, "us", per, Medium.MEMORY, scale, sizes, (n, seed) -> of.micros(n));
+    }
+
+    private interface HeapOf {
+        Object make(int size) throws Exception;
+    }
+
+    private interface TimeOf {
+        double micros(int size) throws Exception;
+    }
+
+    private SlotKeeper keeper() {
+        return new SlotKeeper(
+                INTERVAL,
+                0,
+                (scheduler, message) -> {
+                    if (message instanceof Messages.SlotGrant grant) {
+                        granted = grant;
+                    }
+                });
+    }
+
+    private static String scheduler(int number) {
+        return "front-" + number;
+    }
+
+    private static void register(SlotKeeper keeper, int number) {
+        keeper.enrolled(
+                0, scheduler(number), new Messages.Register(scheduler(number), ZONE, 0, Map.of()));
+    }
+
+    private SlotKeeper registered(int schedulers) {
+        SlotKeeper keeper = keeper();
+        for (int i = 0; i < schedulers; i++) {
+            register(keeper, i);
+        }
+        return keeper;
+    }
+
+    private SlotKeeper functions(int count) {
+        SlotKeeper keeper = keeper();
+        for (int i = 0; i < count; i++) {
+            Function f = keeper.unrouted("fn-" + i);
+            f.boot = 500;
+            f.concurrency = SLOTS;
+            f.memory = 128;
+            f.aim = 400;
+            f.routed = true;
+        }
+        return keeper;
+    }
+
+    /** Instances spread over the functions. */
+    private SlotKeeper instances(int functions, int count) {
+        SlotKeeper keeper = functions(functions);
+        List<Function> all = List.copyOf(keeper.functions());
+        for (int i = 0; i < count; i++) {
+            keeper.add(
+                    0,
+                    "i-" + i,
+                    all.get(i % functions),
+                    "10.0.0.1:" + i,
+                    ZONE,
+                    "host-" + i % 100,
+                    SLOTS,
+                    Instance.State.READY);
+        }
+        return keeper;
+    }
+
+    private SlotKeeper instances(int count) {
+        return instances(1, count);
+    }
+
+    /** Each scheduler tells as it registers that it holds one slot of one instance. */
+    private SlotKeeper held(int count) {
+        SlotKeeper keeper = instances(1, Math.max(1, count / SLOTS));
+        for (int i = 0; i < count; i++) {
+            Map<String, Integer> one = Map.of("i-" + i / SLOTS, 1);
+            keeper.enrolled(
+                    0,
+                    scheduler(i % 10),
+                    new Messages.Register(scheduler(i % 10), ZONE, 0, Map.of()));
+            keeper.holds(0, scheduler(i % 10), new Messages.SlotHoldings(0, one));
+        }
+        return keeper;
+    }
+
+    /** Ten schedulers that each have a request in hand of every function. */
+    private SlotKeeper demands(int count) {
+        int schedulers = 10;
+        int functions = Math.max(1, count / schedulers);
+        SlotKeeper keeper = functions(functions);
+        for (int i = 0; i < schedulers; i++) {
+            register(keeper, i);
+            for (int k = 0; k < functions; k++) {
+                keeper.want(0, scheduler(i), new Messages.SlotDemand("fn-" + k, 0, 0, 1, 1, RUN));
+            }
+        }
+        return keeper;
+    }
+
+    /** A request: demand, grant, return, and the demand that says that nothing is lacked. */
+    private double cycle(int functions, int instances, int schedulers) throws Exception {
+        SlotKeeper keeper = instances(functions, functions * instances);
+        for (int i = 0; i < schedulers; i++) {
+            register(keeper, i);
+            keeper.want(SETTLED, scheduler(i), new Messages.SlotDemand("fn-0", 0, 0, 1, 1, RUN));
+        }
+        requests = 1;
+        return Meter.microsOf(() -> oneCycle(keeper));
+    }
+
+    private void oneCycle(SlotKeeper keeper) {
+        granted = null;
+        long before = requests - 1;
+        requests++;
+        double now = SETTLED + requests;
+        keeper.want(
+                now, scheduler(0), new Messages.SlotDemand("fn-0", 1, before, 1, requests, RUN));
+        if (granted == null) {
+            throw new IllegalStateException("no slot was given");
+        }
+        keeper.back(
+                now,
+                scheduler(0),
+                new Messages.SlotReturn(granted.instance(), 1, Messages.SEEN_WELL));
+        keeper.want(
+                now,
+                scheduler(0),
+                new Messages.SlotDemand("fn-0", 0, before + 1, 0, requests, RUN));
+    }
+
+    private double holdings(int instances) throws Exception {
+        SlotKeeper keeper = instances(instances);
+        register(keeper, 0);
+        Messages.SlotHoldings none = new Messages.SlotHoldings(0, Map.of());
+        return Meter.microsOf(() -> keeper.holds(0, scheduler(0), none));
+    }
+
+    private double register(int instances) throws Exception {
+        SlotKeeper keeper = instances(instances);
+        return Meter.microsOf(() -> register(keeper, 0));
+    }
+
+    private double keeperTick(int functions) throws Exception {
+        SlotKeeper keeper = instances(functions, functions);
+        register(keeper, 0);
+        for (int i = 0; i < functions; i++) {
+            keeper.want(SETTLED, scheduler(0), new Messages.SlotDemand("fn-" + i, 0, 0, 1, 1, RUN));
+        }
+        return Meter.microsOf(() -> keeper.tick(SETTLED));
+    }
+
+    private double scalerTick(int functions, int instances) throws Exception {
+        SlotKeeper keeper = instances(functions, instances);
+        Autoscaler scaler = new Autoscaler(keeper, 0, 1000, "p-", 0, new NoActions());
+        scaler.hostsBegin();
+        for (int i = 0; i < 100; i++) {
+            scaler.host("host-" + i, ZONE, 7000, 0, true);
+        }
+        scaler.hostsEnd();
+        scaler.listed();
+        return Meter.microsOf(() -> scaler.tick(SETTLED));
+    }
+
+    /** A platform that is never asked for anything. */
+    private static final class NoActions implements Autoscaler.Outlet {
+        @Override
+        public void start(Function function, String host, String nonce) {}
+
+        @Override
+        public void stop(String instance) {}
+
+        @Override
+        public void leaves(Instance instance) {}
+    }
+}
--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -57,7 +57,8 @@
                 Platforms.CheckSettings.class,
                 Platforms.CheckConfiguration.class,
                 Platforms.Program.Front.class,
-                Platforms.Program.Core.class
+                Platforms.Program.Core.class,
+                CapacityCommand.class
             })
     static final class Top implements Callable<Integer> {
         @Spec CommandSpec spec;
