Capacity: least of three spans, quiet links, exact heaps, every point printed

Causes, from two trial runs on a machine under load (35 runnable threads on 16 processors): - an idle window right after 400 and 800 schedulers had registered still held SchedulerCount messages (59 a second and scheduler; n (n + 1) / 2 of them are told): the window now waits until none has come for 0.3 s.

--- a/src/main/java/gingerspool/capacity/CapacityReport.java
+++ b/src/main/java/gingerspool/capacity/CapacityReport.java
@@ -10,10 +10,12 @@
 /** Prints what was measured, and what follows from it, as tables in Markdown. */
 public final class CapacityReport {
     private final Measurement measurement;
+    private final boolean withPoints;
     private final PrintWriter out;
 
-    public CapacityReport(Measurement measurement, PrintWriter out) {
+    public CapacityReport(Measurement measurement, boolean withPoints, PrintWriter out) {
         this.measurement = measurement;
+        this.withPoints = withPoints;
         this.out = out;
     }
 
@@ -23,6 +25,9 @@
         messages();
         idleTypes();
         projections();
+        if (withPoints) {
+            points();
+        }
         out.flush();
     }
 
@@ -142,6 +147,22 @@
         new Alternatives(measurement).rows().forEach(this::role);
     }
 
+    /** Every value that was fitted, so that a fit can be checked or made anew. */
+    private void points() {
+        out.println("### Points");
+        out.println();
+        out.println("| key | unit | size: value |");
+        out.println("| --- | --- | --- |");
+        for (Series s : measurement.series()) {
+            String all =
+                    s.fit().points().stream()
+                            .map(p -> String.format(Locale.ROOT, "%.0f: %.5g", p.size(), p.value()))
+                            .collect(Collectors.joining(", "));
+            out.printf("| `%s` | %s | %s |%n", s.key(), s.unit(), all);
+        }
+        out.println();
+    }
+
     private void role(String role, List<Projection> rows) {
         out.println("#### " + role);
         out.println();
--- a/src/main/java/gingerspool/capacity/CountingRelay.java
+++ b/src/main/java/gingerspool/capacity/CountingRelay.java
@@ -59,6 +59,11 @@
         List.copyOf(pairs.keySet()).forEach(Frames::close);
     }
 
+    /** Frames of one type since the counts were last taken; in a turn. */
+    long frames(String type) {
+        return counts.getOrDefault(type, new Count(0, 0)).frames();
+    }
+
     /** What was counted since the last call; in a turn. */
     Map<String, Count> take() {
         Map<String, Count> taken = counts;
--- a/src/main/java/gingerspool/capacity/LinearFit.java
+++ b/src/main/java/gingerspool/capacity/LinearFit.java
@@ -84,6 +84,11 @@
         return upper.getSlope();
     }
 
+    /** Its standard error. */
+    public double slopeBeyondError() {
+        return upper.getSlopeStdErr();
+    }
+
     /** The value at a size beyond those measured, along the upper part of a bent line. */
     public double at(double size) {
         return upper.predict(size);
--- a/src/main/java/gingerspool/capacity/LinkSeries.java
+++ b/src/main/java/gingerspool/capacity/LinkSeries.java
@@ -70,7 +70,7 @@
                     register.add(n, r.micros());
                     double pairs = n * (n + 1) / 2.0;
                     byPairs.add(pairs, r.micros());
-                    counts.add(pairs, r.count("down SchedulerCount").frames());
+                    counts.add(pairs, r.count(LoopbackCore.COUNT).frames());
                     Watched w = core.watch(scale.intervals(), 0);
                     up.add(n, w.bytes() / w.seconds());
                     frames.add(n, w.frames() / w.seconds());
--- a/src/main/java/gingerspool/capacity/LoopbackCore.java
+++ b/src/main/java/gingerspool/capacity/LoopbackCore.java
@@ -39,6 +39,11 @@
 
     private static final double RUN = 20;
     private static final double POLL_MS = 20;
+    private static final double QUIET_MS = 300;
+
+    /** What a control node tells all schedulers whenever one comes or goes. */
+    static final String COUNT = "down SchedulerCount";
+
     private static final long PATIENCE_MS = 30_000;
 
     /**
@@ -306,6 +311,20 @@
                     return null;
                 });
         until(() -> allHave(version));
+        quieten();
+    }
+
+    /** Waits until nobody is told any more how many schedulers there are. */
+    private void quieten() throws Exception {
+        long before = -1;
+        for (long told = told(); told != before; told = told()) {
+            before = told;
+            pass(QUIET_MS);
+        }
+    }
+
+    private long told() throws Exception {
+        return on(relays, () -> relay.frames(COUNT));
     }
 
     private boolean allHave(long number) {
--- a/src/main/java/gingerspool/capacity/Measurement.java
+++ b/src/main/java/gingerspool/capacity/Measurement.java
@@ -18,9 +18,6 @@
     public static Measurement run(Scale scale, PrintWriter progress) throws Exception {
         long begun = System.nanoTime();
         List<Series> all = new ArrayList<>();
-        tell(progress, begun, "links over loopback");
-        LinkSeries links = new LinkSeries(scale);
-        all.addAll(links.measure());
         tell(progress, begun, "messages");
         Map<String, MessageTable.Row> messages = MessageTable.measure();
         tell(progress, begun, "slots and scaler");
@@ -31,6 +28,9 @@
         all.addAll(new ConsensusSeries(scale).measure());
         tell(progress, begun, "queues and the platform's list");
         all.addAll(new QueueSeries(scale).measure());
+        tell(progress, begun, "links over loopback");
+        LinkSeries links = new LinkSeries(scale);
+        all.addAll(links.measure());
         double seconds = (System.nanoTime() - begun) / 1e9;
         tell(progress, begun, "done");
         return new Measurement(scale, all, messages, links.idleTypes(), seconds);
--- a/src/main/java/gingerspool/capacity/Meter.java
+++ b/src/main/java/gingerspool/capacity/Meter.java
@@ -11,14 +11,19 @@
  */
 final class Meter {
     private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
-    private static final int COLLECTIONS = 3;
+
+    /** The serial collector leaves dead objects in place but for every fourth full collection. */
+    private static final int COLLECTIONS = 4;
+
     private static final double NANOS_IN_MICRO = 1000;
 
     /** A loop is run for this long before it counts, so that it is compiled. */
     private static final long WARM_NANOS = 60_000_000;
 
-    /** And then for this long. */
-    private static final long COUNTED_NANOS = 60_000_000;
+    /** And then so many times for this long; the least counts, as other load only adds. */
+    private static final long COUNTED_NANOS = 30_000_000;
+
+    private static final int SPANS = 3;
 
     private Meter() {}
 
@@ -35,9 +40,14 @@
     /** Microseconds of this thread's processor time a run of the step. */
     static double microsOf(Step step) throws Exception {
         repeat(step, WARM_NANOS);
-        long before = THREADS.getCurrentThreadCpuTime();
-        long runs = repeat(step, COUNTED_NANOS);
-        return (THREADS.getCurrentThreadCpuTime() - before) / NANOS_IN_MICRO / runs;
+        double least = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < SPANS; i++) {
+            long before = THREADS.getCurrentThreadCpuTime();
+            long runs = repeat(step, COUNTED_NANOS);
+            double micros = (THREADS.getCurrentThreadCpuTime() - before) / NANOS_IN_MICRO;
+            least = Math.min(least, micros / runs);
+        }
+        return least;
     }
 
     private static long repeat(Step step, long nanos) throws Exception {
--- a/src/main/java/gingerspool/capacity/Projections.java
+++ b/src/main/java/gingerspool/capacity/Projections.java
@@ -55,7 +55,7 @@
                         role,
                         figure,
                         factor * f.slopeBeyond(),
-                        factor * f.slopeError(),
+                        factor * f.slopeBeyondError(),
                         series.get(key).unit(),
                         budget,
                         "extrapolated, slope of `" + key + "` times " + how));
--- a/src/main/java/gingerspool/cli/CapacityCommand.java
+++ b/src/main/java/gingerspool/cli/CapacityCommand.java
@@ -28,13 +28,16 @@
     @Option(names = "--rounds", defaultValue = "2", description = "Rounds a size. Default: 2.")
     int rounds;
 
+    @Option(names = "--points", description = "Prints every value that was fitted, too.")
+    boolean points;
+
     @Override
     public Integer call() throws Exception {
         Scale of = quick ? Scale.SMALL : Scale.FULL;
         Scale scale =
                 new Scale(of.divisor(), quick ? 1 : rounds, of.intervals(), of.interval(), seed);
         Measurement measured = Measurement.run(scale, spec.commandLine().getErr());
-        new CapacityReport(measured, spec.commandLine().getOut()).print();
+        new CapacityReport(measured, points, spec.commandLine().getOut()).print();
         // Threads of the programs measured may outlive them.
         spec.commandLine().getOut().flush();
         return 0;
--- a/src/test/java/gingerspool/capacity/CapacityTest.java
+++ b/src/test/java/gingerspool/capacity/CapacityTest.java
@@ -90,7 +90,7 @@
     @Test
     public void theTablesNameWhatDoesNotFit() {
         StringWriter text = new StringWriter();
-        new CapacityReport(measured, new PrintWriter(text)).print();
+        new CapacityReport(measured, true, new PrintWriter(text)).print();
         String page = text.toString();
         measured.series().forEach(s -> assertTrue(page.contains("`" + s.key() + "`"), s.key()));
         Map<Boolean, List<Projection>> all =
