--- a/src/main/java/gingerspool/capacity/SlotSeries.java
+++ b/src/main/java/gingerspool/capacity/SlotSeries.java
@@ -52,7 +52,7 @@
         all.add(
                 heap(
                         "keeper.heap.held",
-                        "keeper's heap by slots held, each by another scheduler",
+                        "keeper's heap by slots held, an instance by up to four schedulers",
                         "held slot",
                         this::held));
         all.add(
