--- a/src/main/java/gingerspool/capacity/ConsensusSeries.java
+++ b/src/main/java/gingerspool/capacity/ConsensusSeries.java
@@ -149,7 +149,7 @@
         try (DurableLog log = new DurableLog(folder, DISK_MB)) {
             log.open();
             byte[] state = new SampleConfiguration(seed).state(functions).state();
-            log.save(List.of(write(1, 1, List.of(), new Snapshot(0, 0, List.of(), state))));
+            log.rewrite(write(1, 1, List.of(), new Snapshot(0, 0, List.of(), state)));
             long before = size(folder);
             for (int i = 1; i <= SNAPSHOT_EVERY; i++) {
                 byte[] change = new SampleConfiguration(seed).change(i + 1, functions);
@@ -168,7 +168,7 @@
         try (DurableLog log = new DurableLog(folder, DISK_MB)) {
             log.open();
             byte[] state = new SampleConfiguration(seed).state(functions).state();
-            log.save(List.of(write(1, 1, List.of(), new Snapshot(0, 0, List.of(), state))));
+            log.rewrite(write(1, 1, List.of(), new Snapshot(0, 0, List.of(), state)));
             long begun = System.nanoTime();
             log.save(List.of(write(2, 1, List.of(), new Snapshot(0, 0, List.of(), state))));
             return (System.nanoTime() - begun) / 1000.0;
