--- a/src/main/java/gingerspool/capacity/ConfigurationSeries.java
+++ b/src/main/java/gingerspool/capacity/ConfigurationSeries.java
@@ -11,6 +11,7 @@
 /** What the configuration costs by the number of its functions, at the core and at a scheduler. */
 final class ConfigurationSeries {
     private static final int[] SIZES = {500, 1000, 2000, 4000, 8000};
+    private static final int ROUTED = 20;
     private final Scale scale;
 
     ConfigurationSeries(Scale scale) {
@@ -85,9 +86,44 @@
                         "a scheduler's heap, a route each",
                         "B",
                         (n, seed) -> schedulerHeap(typed(n, seed).toByteArray())));
+        all.add(
+                Series.measure(
+                        "configuration.heap.route",
+                        "a scheduler's heap by routes, of " + ROUTED + " functions",
+                        "B",
+                        "route",
+                        Medium.MEMORY,
+                        scale,
+                        SIZES,
+                        this::routeHeap));
+        all.add(
+                Series.measure(
+                        "configuration.snapshot.versions",
+                        "a snapshot by versions taken, of 2 functions",
+                        "B",
+                        "version",
+                        Medium.MEMORY,
+                        scale,
+                        SIZES,
+                        this::versions));
         return all;
     }
 
+    private double routeHeap(int routes, long seed) throws Exception {
+        byte[] pushed =
+                new SampleConfiguration(seed).state(ROUTED, routes).configuration().toByteArray();
+        return schedulerHeap(pushed);
+    }
+
+    private double versions(int count, long seed) throws Exception {
+        SampleConfiguration sample = new SampleConfiguration(seed);
+        ConfigurationState state = sample.state(2);
+        for (int i = 0; i < count; i++) {
+            change(state, sample, 2);
+        }
+        return state.state().length;
+    }
+
     private Series series(String key, String what, String unit, Series.Probe probe)
             throws Exception {
         return Series.measure(key, what, unit, "function", Medium.MEMORY, scale, SIZES, probe);
@@ -120,15 +156,17 @@
     private double change(int functions, long seed) throws Exception {
         SampleConfiguration sample = new SampleConfiguration(seed);
         ConfigurationState state = sample.state(functions);
-        return Meter.microsOf(
-                () -> {
-                    long version = state.version();
-                    ConfigurationState.Verdict verdict =
-                            state.take(false, version, sample.change(version + 1, functions));
-                    if (verdict.status() != ConfigurationState.TAKEN) {
-                        throw new IllegalStateException(verdict.text());
-                    }
-                });
+        return Meter.microsOf(() -> change(state, sample, functions));
+    }
+
+    private static void change(
+            ConfigurationState state, SampleConfiguration sample, int functions) {
+        long version = state.version();
+        ConfigurationState.Verdict verdict =
+                state.take(false, version, sample.change(version + 1, functions));
+        if (verdict.status() != ConfigurationState.TAKEN) {
+            throw new IllegalStateException(verdict.text());
+        }
     }
 
     private double compare(int functions, long seed) throws Exception {
--- a/src/main/java/gingerspool/capacity/SampleConfiguration.java
+++ b/src/main/java/gingerspool/capacity/SampleConfiguration.java
@@ -31,7 +31,7 @@
                 + ",\"MaxConcurrency\":4}";
     }
 
-    private String route(int number) {
+    private String route(int number, int functions) {
         String name = function(number);
         return "{\"Name\":\"r-"
                 + name
@@ -41,17 +41,24 @@
                 + name
                 + "/\",\"RouteKind\":\"safe\",\"TimeoutMs\":5000,\"TargetLatencyMs\":400,"
                 + "\"Priority\":2,\"Service\":\""
-                + name
+                + function(number % functions)
                 + "\",\"MaxAttempts\":2}";
     }
 
     /** A whole configuration as an operator sends it. */
     public byte[] whole(long version, int functions) {
+        return whole(version, functions, functions);
+    }
+
+    /** The same with any number of routes, spread over the functions. */
+    public byte[] whole(long version, int functions, int allRoutes) {
         StringJoiner services = new StringJoiner(",");
         StringJoiner routes = new StringJoiner(",");
         for (int i = 0; i < functions; i++) {
             services.add(service(i, 500));
-            routes.add(route(i));
+        }
+        for (int i = 0; i < allRoutes; i++) {
+            routes.add(route(i, functions));
         }
         return ("{\"Version\":"
                         + version
@@ -76,8 +83,13 @@
 
     /** The state after the whole configuration was taken as version 1. */
     public ConfigurationState state(int functions) {
+        return state(functions, functions);
+    }
+
+    /** The same with any number of routes. */
+    public ConfigurationState state(int functions, int routes) {
         ConfigurationState state = new ConfigurationState();
-        ConfigurationState.Verdict verdict = state.take(true, 0, whole(1, functions));
+        ConfigurationState.Verdict verdict = state.take(true, 0, whole(1, functions, routes));
         if (verdict.status() != ConfigurationState.TAKEN) {
             throw new IllegalStateException(verdict.text());
         }
