--- a/src/main/java/gingerspool/capacity/HollowCore.java
+++ b/src/main/java/gingerspool/capacity/HollowCore.java
@@ -10,6 +10,7 @@
 import gingerspool.consensus.Member;
 import gingerspool.consensus.Replica;
 import gingerspool.consensus.ReplicaEnvironment;
+import gingerspool.consensus.ReplicaSettings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -110,9 +111,11 @@
                         member,
                         null,
                         founds ? founders : List.of(),
-                        0,
-                        LEASE,
-                        seed + nodes.size(),
+                        new ReplicaSettings(
+                                0,
+                                LEASE,
+                                founders.stream().map(Member::ip).toList(),
+                                seed + nodes.size()),
                         now,
                         node);
         deliverAll();
@@ -161,7 +164,7 @@
         }
         try {
             ConsensusMessage.Envelope e = (ConsensusMessage.Envelope) codec.read(sent.bytes);
-            to.replica.receive(now, e.from(), e.letter());
+            to.replica.receive(now, e.from(), e.message());
         } catch (MalformedMessageException e) {
             throw new IllegalStateException(e);
         }
--- a/src/main/java/gingerspool/capacity/LoopbackCore.java
+++ b/src/main/java/gingerspool/capacity/LoopbackCore.java
@@ -180,7 +180,10 @@
 
     private static ControlNode begun(Settings settings) throws Exception {
         ControlNode node = new ControlNode(settings);
-        node.begin();
+        node.begin(
+                why -> {
+                    throw new IllegalStateException(why);
+                });
         return node;
     }
 
