--- a/src/main/java/gingerspool/capacity/SlotSeries.java
+++ b/src/main/java/gingerspool/capacity/SlotSeries.java
@@ -162,7 +162,7 @@
     }
 
     private static void register(SlotKeeper keeper, int number) {
-        keeper.enrolled(
+        keeper.registered(
                 0, scheduler(number), new Messages.Register(scheduler(number), ZONE, 0, Map.of()));
     }
 
@@ -214,7 +214,7 @@
         SlotKeeper keeper = instances(1, Math.max(1, count / SLOTS));
         for (int i = 0; i < count; i++) {
             Map<String, Integer> one = Map.of("i-" + i / SLOTS, 1);
-            keeper.enrolled(
+            keeper.registered(
                     0,
                     scheduler(i % 10),
                     new Messages.Register(scheduler(i % 10), ZONE, 0, Map.of()));
@@ -231,7 +231,7 @@
         for (int i = 0; i < schedulers; i++) {
             register(keeper, i);
             for (int k = 0; k < functions; k++) {
-                keeper.want(0, scheduler(i), new Messages.SlotDemand("fn-" + k, 0, 0, 1, 1, RUN));
+                keeper.demanded(0, scheduler(i), new Messages.SlotDemand("fn-" + k, 0, 0, 1, 1, RUN));
             }
         }
         return keeper;
@@ -242,7 +242,7 @@
         SlotKeeper keeper = instances(functions, functions * instances);
         for (int i = 0; i < schedulers; i++) {
             register(keeper, i);
-            keeper.want(SETTLED, scheduler(i), new Messages.SlotDemand("fn-0", 0, 0, 1, 1, RUN));
+            keeper.demanded(SETTLED, scheduler(i), new Messages.SlotDemand("fn-0", 0, 0, 1, 1, RUN));
         }
         requests = 1;
         return Meter.microsOf(() -> oneCycle(keeper));
@@ -253,16 +253,16 @@
         long before = requests - 1;
         requests++;
         double now = SETTLED + requests;
-        keeper.want(
+        keeper.demanded(
                 now, scheduler(0), new Messages.SlotDemand("fn-0", 1, before, 1, requests, RUN));
         if (granted == null) {
             throw new IllegalStateException("no slot was given");
         }
-        keeper.back(
+        keeper.returned(
                 now,
                 scheduler(0),
                 new Messages.SlotReturn(granted.instance(), 1, Messages.SEEN_WELL));
-        keeper.want(
+        keeper.demanded(
                 now,
                 scheduler(0),
                 new Messages.SlotDemand("fn-0", 0, before + 1, 0, requests, RUN));
@@ -284,7 +284,7 @@
         SlotKeeper keeper = instances(functions, functions);
         register(keeper, 0);
         for (int i = 0; i < functions; i++) {
-            keeper.want(SETTLED, scheduler(0), new Messages.SlotDemand("fn-" + i, 0, 0, 1, 1, RUN));
+            keeper.demanded(SETTLED, scheduler(0), new Messages.SlotDemand("fn-" + i, 0, 0, 1, 1, RUN));
         }
         return Meter.microsOf(() -> keeper.tick(SETTLED));
     }
@@ -302,7 +302,7 @@
     }
 
     /** A platform that is never asked for anything. */
-    private static final class NoActions implements Autoscaler.Outlet {
+    private static final class NoActions implements Autoscaler.Actions {
         @Override
         public void start(Function function, String host, String nonce) {}
 
--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -8,7 +8,7 @@
 import gingerspool.dispatch.Outcome;
 import gingerspool.dispatch.Outlet;
 import gingerspool.dispatch.Profile;
-import gingerspool.dispatch.Purse;
+import gingerspool.dispatch.RetryBudget;
 import gingerspool.dispatch.Report;
 import gingerspool.dispatch.Settings;
 import gingerspool.dispatch.Task;
@@ -125,7 +125,7 @@
     private Service service;
     private Dispatcher dispatcher;
     private List<Profile> profiles = List.of();
-    private final RetryBudget retryBudget;
+    private final FunctionRetryBudget retryBudget;
     private double copyAfter;
     private final Map<Integer, Terms> safeTerms = new HashMap<>();
     private boolean stale;
@@ -165,7 +165,7 @@
         this.house = house;
         this.name = name;
         turns = house.turns();
-        retryBudget = new RetryBudget(house.settings(), house.fronts());
+        retryBudget = new FunctionRetryBudget(house.settings(), house.fronts());
     }
 
     /** The configuration as it now stands; the routes are those that lead here. */
@@ -222,7 +222,7 @@
                         n -> new Terms(n, 0, 0, 0, 0, Math.min(2, n), copyAfter, budget(), null));
     }
 
-    private Purse budget() {
+    private RetryBudget budget() {
         return turns.has(Safeguard.RETRY_BUDGET) ? retryBudget : null;
     }
 
--- a/src/main/java/gingerspool/dataplane/RetryBudget.java
+++ b/src/main/java/gingerspool/dataplane/FunctionRetryBudget.java
@@ -1,6 +1,6 @@
 package gingerspool.dataplane;
 
-import gingerspool.dispatch.Purse;
+import gingerspool.dispatch.RetryBudget;
 import gingerspool.route.Budget;
 import gingerspool.route.Policy;
 import gingerspool.settings.Settings;
@@ -9,7 +9,7 @@
  * This scheduler's part of the budget of repeats that the platform allows one function. The floor
  * is divided by the number of schedulers, which may change while requests are in hand.
  */
-final class RetryBudget implements Purse {
+final class FunctionRetryBudget implements RetryBudget {
     /**
      * The parts of the platform's ratio and floor that are used: the rest is for calls that
      * repeated runs make, and for schedulers that know another number of schedulers.
@@ -22,7 +22,7 @@
     private Budget budget;
     private int schedulers;
 
-    RetryBudget(Settings settings, int schedulers) {
+    FunctionRetryBudget(Settings settings, int schedulers) {
         this.settings = settings;
         share(schedulers);
     }
@@ -46,8 +46,8 @@
     }
 
     @Override
-    public boolean holds(double now) {
-        return budget.holds(now);
+    public boolean allows(double now) {
+        return budget.allows(now);
     }
 
     @Override
--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -187,7 +187,7 @@
         keeper.configured(configuration());
         byPort.forEach(this::add);
         Map<String, Integer> held = router.heldSlots();
-        keeper.enrolled(
+        keeper.registered(
                 network.now(), "front", new Messages.Register("front", ZONE, 1, Map.copyOf(held)));
         toScheduler(
                 of,
@@ -227,9 +227,9 @@
         toLeader(
                 () -> {
                     if (message instanceof Messages.SlotDemand demand) {
-                        keeper.want(network.now(), "front", demand);
+                        keeper.demanded(network.now(), "front", demand);
                     } else if (message instanceof Messages.SlotReturn back) {
-                        keeper.back(network.now(), "front", back);
+                        keeper.returned(network.now(), "front", back);
                     }
                 });
         return true;
