--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -119,10 +119,9 @@
         begun = turns.now();
         line(String.format(Locale.ROOT, "begin\t%.3f\t%.3f", begun, scenario.length));
         sendDue();
-        hostile(scenario.load.slowHeads, this::slowHead);
-        hostile(scenario.load.halfRequests, this::halfRequest);
-        hostile(scenario.load.floods, this::flood);
-        hostile(scenario.load.nonsense, this::nonsense);
+        double until = begun + scenario.length;
+        new HostileClients(turns, chance, schedulers, this::choose, () -> over, until)
+                .play(scenario.load);
     }
 
     /**
@@ -398,97 +397,6 @@
         }
     }
 
-    // ---- Clients that misbehave ----
-
-    private void hostile(double rate, Runnable what) {
-        if (rate > 0 && !over) {
-            turns.after(
-                    -1000 * Math.log(1 - chance.nextDouble()) / rate,
-                    () -> {
-                        if (!over && turns.now() < begun + scenario.length) {
-                            what.run();
-                            hostile(rate, what);
-                        }
-                    });
-        }
-    }
-
-    private Client bare() {
-        int s = choose();
-        try {
-            return s < 0
-                    ? null
-                    : new Client(
-                            turns,
-                            s,
-                            schedulers.get(s),
-                            new Client.Owner() {
-                                @Override
-                                public void answered(Client client, Message answer) {}
-
-                                @Override
-                                public void broke(Client client, boolean written, boolean up) {}
-
-                                @Override
-                                public void extra(Client client) {}
-                            });
-        } catch (IOException e) {
-            return null;
-        }
-    }
-
-    private void drip(Client c, byte[] bytes, int at) {
-        if (c.isOpen() && at < bytes.length && !over) {
-            c.send(new byte[] {bytes[at]});
-            turns.after(200, () -> drip(c, bytes, at + 1));
-        } else {
-            c.end();
-        }
-    }
-
-    private void slowHead() {
-        Client c = bare();
-        if (c != null) {
-            drip(
-                    c,
-                    "POST /x HTTP/1.1\r\nX-Correlation-Id: slow\r\nContent-Length: 100000000\r\n\r\n"
-                            .getBytes(StandardCharsets.ISO_8859_1),
-                    0);
-        }
-    }
-
-    private void halfRequest() {
-        Client c = bare();
-        if (c != null) {
-            c.send(
-                    "POST /x HTTP/1.1\r\nX-Correlation-Id: half\r\nContent-Length: 500\r\n\r\nonly this"
-                            .getBytes(StandardCharsets.ISO_8859_1));
-            turns.after(500 + chance.nextInt(1000), c::end);
-        }
-    }
-
-    private void flood() {
-        for (int i = 0; i < 50; i++) {
-            Client c = bare();
-            if (c != null) {
-                c.send("GET /healthz HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                turns.after(1000, c::end);
-            }
-        }
-    }
-
-    private void nonsense() {
-        Client c = bare();
-        if (c != null) {
-            byte[] bytes = new byte[1 + chance.nextInt(4000)];
-            for (int i = 0; i < bytes.length; i++) {
-                bytes[i] = (byte) chance.nextInt(256);
-            }
-            c.send(bytes);
-            turns.after(1000, c::end);
-        }
-    }
-
     // ---- Figures ----
 
     /** How far it has come, in words. */
