A scheduler registers once on a link; messages of a deposed leader are not followed

Now only the leader that answered is heard, a newer term that names another ends it, and an unanswered registration goes out again on a new link. In ControlNode (one line, not tested by itself): what a scheduler's older link still brings after it registered on a new one is passed over, else a slot comes back twice.

--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -672,7 +672,8 @@
             } else {
                 link.send(coder.write(standing()));
             }
-        } else if (caller.front != null && duty != null) {
+        } else if (caller.front != null && duty != null && fronts.get(caller.front) == link) {
+            // Guards the counts of slots: a scheduler that registered anew speaks on its new link.
             if (word instanceof Messages.SlotDemand w) {
                 duty.keeper.want(now, caller.front, w);
             } else if (word instanceof Messages.SlotReturn b) {
--- a/src/main/java/gingerspool/dataplane/ControlLinks.java
+++ b/src/main/java/gingerspool/dataplane/ControlLinks.java
@@ -47,7 +47,7 @@
 
     private Link asked;
     private double askedAt;
-    private long view;
+    private long term;
     private double lastLed;
 
     private static final class Link {
@@ -57,6 +57,9 @@
         double heardAt;
         double triedAt = Double.NEGATIVE_INFINITY;
 
+        /** A registration went out on it that has no answer yet. */
+        boolean unanswered;
+
         Link(String ip) {
             this.ip = ip;
         }
@@ -184,14 +187,10 @@
         try {
             Object word = coder.read(frame);
             if (word instanceof Messages.LeaderAnnouncement s) {
-                standing(l, s);
-            } else if (word instanceof Messages.Registered e && l == asked) {
-                if (leader != l) {
-                    leader = l;
-                    LOG.info("core.led by={} view={}", l.ip, e.term());
-                }
-                words.accept(word);
-            } else if (l == leader || l == asked) {
+                announced(l, s);
+            } else if (word instanceof Messages.Registered e) {
+                registered(l, e);
+            } else if (l == leader) {
                 words.accept(word);
             }
         } catch (MalformedMessageException e) {
@@ -200,27 +199,61 @@
         }
     }
 
-    private void standing(Link l, Messages.LeaderAnnouncement s) {
-        if (s.term() < view) {
+    /** A member says who leads, in which term. */
+    private void announced(Link link, Messages.LeaderAnnouncement said) {
+        if (said.term() < term) {
             return;
         }
-        members = new LinkedHashSet<>(s.members());
-        boolean leads = l.ip.equals(s.leader());
-        // Guards against an enrolment that came while the lease had lapsed: unanswered, it is said
-        // again.
-        boolean unanswered = leader != l && turns.now() > askedAt + AGAIN * settings.beat;
-        if (leads && (l != asked || s.term() > view || unanswered)) {
-            leader = null;
-            asked = l;
-            askedAt = turns.now();
-            LOG.info("core.enrols at={} view={}", l.ip, s.term());
-            l.frames.send(coder.write(enrol.get()));
-        } else if (!leads && l == asked) {
+        boolean newer = said.term() > term;
+        term = said.term();
+        members = new LinkedHashSet<>(said.members());
+        if (link.ip.equals(said.leader())) {
+            leads(link, newer);
+        } else if (link == asked) {
             // It leads no more; the next leader tells us itself.
-            leader = null;
-            asked = null;
+            forgetLeader();
+        } else if (newer && asked != null && !said.leader().isEmpty()) {
+            // Guards against a leader that was deposed and does not know it: what it still grants
+            // may be another's by now.
+            forgetLeader();
+        }
+    }
+
+    /** This member leads: a registration is said once on a link, and again on a new link only. */
+    private void leads(Link link, boolean newer) {
+        if (link == asked && !newer && leader == link) {
+            return;
+        }
+        if (!link.unanswered) {
+            forgetLeader();
+            register(link);
+        } else if (newer || turns.now() > askedAt + AGAIN * settings.beat) {
+            // Guards the counts of slots: an answer to the first registration would be taken for
+            // one to the second, with grants between them that only one side counts.
+            link.frames.close();
         }
-        view = s.term();
+    }
+
+    private void register(Link link) {
+        asked = link;
+        askedAt = turns.now();
+        link.unanswered = true;
+        LOG.info("core.registers at={} term={}", link.ip, term);
+        link.frames.send(coder.write(enrol.get()));
+    }
+
+    private void registered(Link link, Messages.Registered answer) {
+        link.unanswered = false;
+        if (link == asked && answer.term() >= term) {
+            leader = link;
+            LOG.info("core.led by={} term={}", link.ip, answer.term());
+            words.accept(answer);
+        }
+    }
+
+    private void forgetLeader() {
+        leader = null;
+        asked = null;
     }
 
     @Override
@@ -234,9 +267,9 @@
         }
         l.frames = null;
         l.up = false;
+        l.unanswered = false;
         if (l == leader || l == asked) {
-            leader = null;
-            asked = null;
+            forgetLeader();
         }
     }
 }
