Without a leader slots are used within the refusals allowed; calls and returned tries go first

Of one rank, a request that came with less time than its route gives (a worker's call, or one that was refused before) is served first; it waited behind newer ones before.

--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -126,6 +126,7 @@
     private Dispatcher dispatcher;
     private List<Profile> profiles = List.of();
     private final RetryBudget retryBudget;
+    private final UnassignedSlots unassigned;
     private double copyAfter;
     private final Map<Integer, Terms> safeTerms = new HashMap<>();
     private boolean stale;
@@ -135,7 +136,7 @@
     private final PriorityQueue<PendingRequest> queue =
             new PriorityQueue<>(
                     Comparator.comparingInt((PendingRequest v) -> v.route.getPriority())
-                            .thenComparingDouble(v -> v.dueAt));
+                            .thenComparingDouble(v -> v.urgentAt));
     private int inHand;
     private int underWay;
     private long granted;
@@ -165,6 +166,10 @@
         this.house = house;
         this.name = name;
         turns = house.turns();
+        unassigned =
+                new UnassignedSlots(
+                        house.settings().limitSlack,
+                        (house.settings().name + name).hashCode());
         retryBudget = new RetryBudget(house.settings(), house.fronts());
     }
 
@@ -290,6 +295,7 @@
         cameAt = turns.now();
         inHand++;
         came++;
+        unassigned.arrived(turns.now());
         queue.add(v);
         serve();
     }
@@ -437,14 +443,19 @@
      * were ours.
      */
     private void blind() {
+        if (house.leaderless() == 0) {
+            unassigned.led();
+        }
         if (queue.isEmpty()
                 || house.leaderless() < house.settings().beat / 2
+                || !unassigned.allows(turns.now(), house.fronts())
                 || seats.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
             return;
         }
         for (InstanceSlot s : seats.values()) {
             if (s.up && !s.leaving && s.doubtful == 0) {
                 s.held = 1;
+                s.unassigned = true;
                 s.idleSince = turns.now();
                 told(s);
                 serve();
@@ -507,6 +518,7 @@
             }
         }
         s.held += g.slots();
+        s.unassigned = false;
         s.idleSince = now;
         if (g.startsIn() > 0) {
             s.startsAt = now + g.startsIn();
@@ -797,6 +809,13 @@
             }
         } else if (how == Outcome.FULL) {
             refusals++;
+            if (s.unassigned) {
+                // Guards the platform's limit: who was refused waits before the next try.
+                s.unassigned = false;
+                s.held = Math.max(0, s.held - 1);
+                unassigned.refused(now, house.fronts());
+                told(s);
+            }
             back(s, Math.min(1, s.idle()), Messages.SEEN_FULL);
         }
     }
--- a/src/main/java/gingerspool/dataplane/InstanceSlot.java
+++ b/src/main/java/gingerspool/dataplane/InstanceSlot.java
@@ -25,6 +25,9 @@
     int doubtful;
     boolean up;
 
+    /** One of the slots held was taken while there was no leader. */
+    boolean unassigned;
+
     /** Nothing new goes there. */
     boolean leaving;
 
--- a/src/main/java/gingerspool/dataplane/PendingRequest.java
+++ b/src/main/java/gingerspool/dataplane/PendingRequest.java
@@ -17,6 +17,12 @@
     /** Within which the answer earns its full worth. */
     final double dueAt;
 
+    /**
+     * Orders requests of one rank. One that came with less time than its route gives was refused
+     * before, or is a call of a worker that keeps a slot busy until it is answered: it goes first.
+     */
+    final double urgentAt;
+
     /**
      * It came with nearly all the time that such requests have: no earlier try of it was turned
      * away.
@@ -47,6 +53,7 @@
             Route route,
             double cameAt,
             double dueAt,
+            double urgentAt,
             boolean first) {
         super(id);
         this.client = client;
@@ -54,6 +61,7 @@
         this.route = route;
         this.cameAt = cameAt;
         this.dueAt = dueAt;
+        this.urgentAt = urgentAt;
         this.first = first;
     }
 
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -260,9 +260,10 @@
         // worker.
         double most = route.hasTimeout() ? route.getTimeout() : deadline;
         boolean first = deadline >= FIRST_TRY * most;
+        double dueAt = now + Math.max(1, route.getAim());
+        double urgentAt = dueAt - Math.max(0, most - deadline);
         PendingRequest taken =
-                new PendingRequest(
-                        id, from, request, route, now, now + Math.max(1, route.getAim()), first);
+                new PendingRequest(id, from, request, route, now, dueAt, urgentAt, first);
         taken.expiry = now + Math.max(1, Math.min(deadline, most));
         pending.add(taken);
         from.whenGone(
--- a/src/main/java/gingerspool/settings/Settings.java
+++ b/src/main/java/gingerspool/settings/Settings.java
@@ -56,6 +56,9 @@
     public final double contact;
     public final double drain;
     public final double grace;
+    /** Requests that instances of one function may turn away as too many within five seconds. */
+    public final double limitSlack;
+
     public final double retryRatio;
     public final double retryWindow;
     public final double retrySlack;
@@ -94,6 +97,7 @@
         contact = figure(bounds, "ContactMs", 4000);
         drain = figure(bounds, "DrainMs", 3000);
         grace = 1000 * figure(bounds, "GracePeriodS", 6);
+        limitSlack = figure(bounds, "LimitSlack", 10);
         retryRatio = figure(bounds, "RetryBudgetRatio", 0.2);
         retryWindow = 1000 * figure(bounds, "BudgetWindowS", 10);
         retrySlack = figure(bounds, "RetryBudgetSlack", 0);
--- a/src/test/java/gingerspool/dataplane/FunctionQueueTest.java
+++ b/src/test/java/gingerspool/dataplane/FunctionQueueTest.java
@@ -138,6 +138,7 @@
                                     route,
                                     loop.now(),
                                     loop.now() + route.getAim(),
+                                    loop.now() + route.getAim(),
                                     true);
                     v.expiry = loop.now() + route.getTimeout();
                     desk.take(v);
--- a/src/test/java/gingerspool/dataplane/RequestRouterTest.java
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -199,6 +199,38 @@
         assertEquals(router.inHand(), 0);
     }
 
+    /** A call keeps a slot of its caller busy; who was refused once must not be refused twice. */
+    @Test
+    public void whoCameWithLessTimeThanItsRouteGivesIsServedFirst() {
+        List<String> order = new ArrayList<>();
+        network.listen(
+                new InetSocketAddress("127.0.0.1", 8),
+                channel ->
+                        new ModelNetwork.Remote() {
+                            @Override
+                            public void received(byte[] bytes) {
+                                String text = new String(bytes, StandardCharsets.ISO_8859_1);
+                                String id = text.replaceAll("(?s).*Request-Id: (\\w+)\r.*", "$1");
+                                order.add(id);
+                                channel.send(
+                                        ("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
+                                                        + id
+                                                        + "\r\nContent-Length: 0\r\n\r\n")
+                                                .getBytes(StandardCharsets.ISO_8859_1));
+                            }
+
+                            @Override
+                            public void closed() {}
+                        });
+        new Line().ask("first", "safe", 1000);
+        run(20);
+        new Line().ask("call", "safe", 600);
+        run(20);
+        grant("i-1", 8, 1);
+        run(100);
+        assertEquals(order, List.of("call", "first"));
+    }
+
     @Test
     public void theMostSchedulersWithinAWindowShareTheBudget() {
         SchedulerCount count = new SchedulerCount(10_000);
