--- a/src/main/java/gingerspool/capacity/LoopbackCore.java
+++ b/src/main/java/gingerspool/capacity/LoopbackCore.java
@@ -172,12 +172,18 @@
                     platform.begin();
                     return null;
                 });
-        schedulers = Meter.inGroup(schedulerThreads, Loop::new);
-        on(schedulers, () -> null);
+        schedulers = Meter.inGroup(schedulerThreads, LoopbackCore::loop);
         control = Meter.inGroup(controlThreads, () -> begun(settings("core", behind)));
         configure(true);
     }
 
+    /** A loop whose thread belongs to the group of the caller's. */
+    private static Loop loop() throws IOException {
+        Loop loop = new Loop();
+        loop.enter(() -> {});
+        return loop;
+    }
+
     private static ControlNode begun(Settings settings) throws Exception {
         ControlNode node = new ControlNode(settings);
         node.begin();
