--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -2,16 +2,17 @@
 """Plays days of our own side by side and says of each whether a rule was broken.
 
 usage: bench/play_days.py BENCH SITE OUT_DIR DAY... [--jobs N] [--budget-s S] [--small] [--no-log] [--why TEXT]
-       bench/play_days.py --table RESULTS...
+       bench/play_days.py --table SHA...
 
 BENCH is the bench's program. Each day runs as `BENCH run SITE DAY`, N at a time; none is started once S seconds have
 passed, so that a hold of the machine ends in time. OUT_DIR keeps each day's report and core log, and results.jsonl with
-a line a day; a day that stands there is not played again. --table reads such files and prints, by suite and trouble,
-days played and rules broken.
+a line a day; a day that stands there is not played again. --table reads journal/*.json and prints, by moment and
+trouble, the own days played on the sources whose digests begin with SHA, and the rules broken.
 """
 import argparse
 import collections
 import concurrent.futures
+import glob
 import json
 import pathlib
 import re
@@ -19,6 +20,8 @@
 import sys
 import time
 
+MOMENTS = ("alone", "twice", "replacing", "caught-up", "after-loss", "snapshot", "racing", "history", "closing")
+
 
 def days_of(results):
     """Lines of a results file, none if there is no such file."""
@@ -59,7 +62,8 @@
         return line
     report = json.loads(report_path.read_text(encoding="utf-8"))
     line.update(worth=round(report["G"], 3), rules=rules_of(report), fault=report["fault"], short=report["short"],
-                exits=report["exits_n"], missed=report["missed"])
+                exits=report["exits_n"], missed=len(report["missed"]),
+                first=[str(each)[:300] for each in report["first"]][:4])
     return line
 
 
@@ -87,26 +91,41 @@
     print(f"{len(waiting) - left} played, {left} left")
 
 
-def table(paths):
-    """Trouble x suite (moment or how often) x days x broken rules."""
+def played(texts):
+    """Own days that the journal holds for these sources: (site, day as the bench wrote it)."""
+    for path in sorted(glob.glob("journal/2*.json")):
+        try:
+            entry = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        except (OSError, ValueError) as e:
+            print(f"{path}: {e}", file=sys.stderr)
+            continue
+        digest = (entry.get("policy") or [{}])[0].get("sha256", "")
+        if entry.get("cmd") == "run" and any(digest.startswith(text) for text in texts):
+            for day in entry.get("days", []):
+                yield entry["site"], day
+
+
+def moment_of(name):
+    """The moment and the trouble that a day's name tells."""
+    for moment in MOMENTS:
+        if name.startswith(moment + "-"):
+            return moment, name[len(moment) + 1:]
+    return "other", name
+
+
+def table(texts):
+    """Trouble x moment x days x broken rules."""
     rows = collections.defaultdict(lambda: [0, 0, collections.Counter()])
-    for path in paths:
-        for line in days_of(path):
-            if "error" in line:
-                continue
-            suite, _, trouble = line["day"].partition("-")
-            for moment in ("caught-up", "after-loss"):
-                if line["day"].startswith(moment):
-                    suite, trouble = moment, line["day"][len(moment) + 1:]
-            row = rows[(line["site"], suite, trouble)]
-            row[0] += 1
-            row[1] += bool(line["rules"] or line["fault"])
-            row[2].update(line["rules"].keys())
-            if line["fault"]:
-                row[2][f"fault: {line['fault']}"] += 1
+    for site, day in played(texts):
+        row = rows[(site, *moment_of(day["name"]))]
+        row[0] += 1
+        row[1] += bool(day["rules"] or day["fault"])
+        row[2].update(day["rules"].keys())
+        if day["fault"]:
+            row[2][f"fault: {day['fault']}"] += 1
     print("| site | moment | trouble | days | days that broke a rule | rules |\n| --- | --- | --- | --- | --- | --- |")
-    for (site, suite, trouble), (days, broken, rules) in sorted(rows.items()):
-        print(f"| {site} | {suite} | `{trouble}` | {days} | {broken} | {', '.join(sorted(rules)) or '-'} |")
+    for (site, moment, trouble), (days, broken, rules) in sorted(rows.items()):
+        print(f"| {site} | {moment} | `{trouble}` | {days} | {broken} | {', '.join(sorted(rules)) or '-'} |")
     days = sum(row[0] for row in rows.values())
     broken = sum(row[1] for row in rows.values())
     print(f"\n{days} days, {broken} with a broken rule or a fault")
