--- a/bench/own_days.py
+++ b/bench/own_days.py
@@ -1,11 +1,19 @@
 #!/usr/bin/env python3
 """Writes days of our own for the bench: each trouble alone, twice over, and in pairs at the hurtful moments.
 
-usage: bench/own_days.py SITE OUT_DIR [--suite alone|twice|moments|closings]... [--seed N]
-                         [--fronts N] [--rate R] [--only WORD]
+usage: bench/own_days.py SITE OUT_DIR [--suite alone|twice|moments|histories|closings]... [--seed N]
+                         [--fronts N] [--rate R]
 
 SITE is a site file; its zones, traffic, machines, tolerance and catch-up time are read from it and nothing of it is
-known here. One TOML file is written for each day, named suite-trouble[-moment].toml. The same seed writes the same days.
+known here. One TOML file is written for each day, named suite-trouble[-moment].toml. The same seed and suites write
+the same days.
+
+alone, twice  each entry of `kinds` and each word of `how`, with changes all through the day and a drawn closing
+moments       each trouble of the core during a planned replacement (replacing), as its newcomer has had the catch-up time
+              (caught-up), the same after a loss without warning (after-loss), as a member comes back that was away for
+              hundreds of changes (snapshot), and while pairs of changes are under way all the time (racing)
+histories     a replacement, wipes, cuts and the closing wipe in several orders
+closings      each closing, after a calm day and after hundreds of changes
 
 --fronts N   add a small twin with N front machines a zone and every core machine; play it with `run ... --small`.
              Days about the core are then a few processes, and many of them can be played side by side.
