Seeds are read anew where no leader is known for long, and on SIGHUP

Cause: the settings file may change without a signal; a member whose seeds are all gone would never find the core again.

LeaderWatch says when, four heartbeat intervals without a leader; the file is read off the loop.

--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -6,6 +6,7 @@
 import gingerspool.settings.SettingsException;
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -33,7 +34,10 @@
             if (program.equals("control")) {
                 ControlNode control = new ControlNode(settings);
                 Signal.handle(new Signal("TERM"), s -> control.stop(ended::countDown));
-                Signal.handle(new Signal("HUP"), s -> reload(environment, control::reload, log));
+                Runnable reload = () -> reload(environment, control::reload, log);
+                Signal.handle(new Signal("HUP"), s -> reload.run());
+                // Not on the node's loop, which must not wait for a file.
+                control.whenLost(() -> CompletableFuture.runAsync(reload));
                 control.begin(
                         why -> {
                             log.error("start.failed why=\"{}\"", why.getMessage());
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -63,6 +63,7 @@
     private final PeerLinks peers;
     private final SchedulerRegistry schedulers;
     private Consumer<StorageException> whenUnusable = why -> {};
+    private Runnable reloadSettings = () -> {};
 
     /** Null until the disk was read. */
     private Replica replica;
@@ -70,6 +71,7 @@
     private RepairExchange repair;
 
     private Leadership leadership;
+    private LeaderWatch watch;
 
     /** Null until SIGTERM. */
     private OrderlyStop stopping;
@@ -154,6 +156,7 @@
                         replica,
                         peers::send,
                         this::configured);
+        watch = new LeaderWatch(settings.beat, loop.now());
         leadership = new Leadership(replica, this::beginDuties, this::endDuties);
         LOG.info(
                 "start member={} members={} term={} version={}",
@@ -232,13 +235,22 @@
         }
     }
 
-    /** SIGHUP: where to look for the core where no member that is known answers. */
+    /**
+     * What is to be run where no leader is known for long, to have reload() called; before begin.
+     */
+    public void whenLost(Runnable reload) {
+        reloadSettings = reload;
+    }
+
+    /** Where to look for the core where no member that is known answers. */
     public void reload(Settings now) {
         loop.enter(
                 () -> {
-                    seeds.clear();
-                    seeds.addAll(seedsOf(now));
-                    LOG.info("settings.reloaded seeds={}", seeds);
+                    if (!seeds.equals(seedsOf(now))) {
+                        seeds.clear();
+                        seeds.addAll(seedsOf(now));
+                        LOG.info("settings.reloaded seeds={}", seeds);
+                    }
                 });
     }
 
@@ -255,6 +267,9 @@
     // ---- Time ----
 
     private void maintainLinks() {
+        if (watch.isDue(replica.leader(loop.now()) != null, loop.now())) {
+            reloadSettings.run();
+        }
         peers.maintain(replica.contacts());
         endpoint.closeSilent();
         loop.after(settings.beat / MAINTAINED, this::maintainLinks);
--- /dev/null
+++ b/src/test/java/gingerspool/controlplane/LeaderWatchTest.java
@@ -0,0 +1,20 @@
+package gingerspool.controlplane;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+public class LeaderWatchTest {
+    @Test
+    public void isDueOnceInFourIntervalsWithoutALeader() {
+        LeaderWatch watch = new LeaderWatch(1_000, 0);
+        StringBuilder due = new StringBuilder();
+        for (int at = 500; at <= 20_000; at += 500) {
+            boolean knowsLeader = at > 1_000 && at <= 6_000 || at == 15_000;
+            if (watch.isDue(knowsLeader, at)) {
+                due.append(at).append(' ');
+            }
+        }
+        assertEquals(due.toString(), "10000 14000 19000 ");
+    }
+}
