--- a/src/main/java/gingerspool/consensus/Departure.java
+++ b/src/main/java/gingerspool/consensus/Departure.java
@@ -15,7 +15,7 @@
     private final Election election;
     private final Membership membership;
     private final LeadershipTransfer transfer;
-    private double handsOverAt;
+    private double begunAt;
     private double askAt;
     private boolean noReplacement;
 
@@ -32,7 +32,7 @@
 
     void begin() {
         if (!context.leaving) {
-            handsOverAt = context.now + REPLACED_WITHIN * context.lease();
+            begunAt = context.now;
         }
         context.leaving = true;
         askAt = context.now;
@@ -57,7 +57,8 @@
 
     private void leaveAsLeader() {
         boolean replaced = membership.hasReadyLearner() || membership.isChanging();
-        if (replaced && context.now < handsOverAt) {
+        double from = Math.max(begunAt, membership.leadsSince());
+        if (replaced && context.now < from + REPLACED_WITHIN * context.lease()) {
             membership.advance();
         } else {
             transfer.run();
--- a/src/main/java/gingerspool/consensus/Election.java
+++ b/src/main/java/gingerspool/consensus/Election.java
@@ -30,6 +30,9 @@
     /** The term that this member would stand in: beyond all that it was told of. */
     private long candidateTerm;
 
+    /** The last term whose leader gave up its lease. */
+    private long resignedTerm = -1;
+
     private final Set<Member> votes = new HashSet<>();
 
     Election(
@@ -236,8 +239,14 @@
 
     // ---- As a follower ----
 
-    /** A leader was heard in its term, not older than ours: its lease is granted. */
+    /**
+     * A leader was heard in its term, not older than ours: its lease is granted, unless it gave it
+     * up and this message was sent before.
+     */
     void heardLeader(Member from, long term) {
+        if (term == resignedTerm) {
+            return;
+        }
         if (!from.equals(context.votedFor) || term > context.term) {
             context.term = term;
             context.votedFor = from;
@@ -273,6 +282,7 @@
     void onTimeoutNow(Member from, ConsensusMessage.TimeoutNow message) {
         if (message.term() == context.term && from.equals(context.leader)) {
             // The lease was given up by its holder.
+            resignedTerm = message.term();
             withheldUntil = context.now;
             context.leader = null;
             if (message.heir().equals(context.self)) {
--- a/src/main/java/gingerspool/consensus/Membership.java
+++ b/src/main/java/gingerspool/consensus/Membership.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** When this member was elected. */
+    double leadsSince() {
+        return replication.electedAt();
+    }
+
     /** Whether a change of the voters is under way. */
     boolean isChanging() {
         return context.log.voters().isJoint() || context.log.votersIndex() > context.committed;
