--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -168,8 +168,7 @@
         turns = house.turns();
         unassigned =
                 new UnassignedSlots(
-                        house.settings().limitSlack,
-                        (house.settings().name + name).hashCode());
+                        house.settings().limitSlack, (house.settings().name + name).hashCode());
         retryBudget = new RetryBudget(house.settings(), house.fronts());
     }
 
--- a/src/main/java/gingerspool/settings/Settings.java
+++ b/src/main/java/gingerspool/settings/Settings.java
@@ -56,6 +56,7 @@
     public final double contact;
     public final double drain;
     public final double grace;
+
     /** Requests that instances of one function may turn away as too many within five seconds. */
     public final double limitSlack;
 
--- a/src/test/java/gingerspool/dataplane/ControlLinksTest.java
+++ b/src/test/java/gingerspool/dataplane/ControlLinksTest.java
@@ -47,12 +47,12 @@
                 public void received(byte[] bytes) {
                     ByteBuffer all = ByteBuffer.allocate(held.remaining() + bytes.length);
                     held = all.put(held).put(bytes).flip();
-                    while (held.remaining() >= 4 && held.remaining() >= 4 + held.getInt(held.position())) {
+                    while (held.remaining() >= 4
+                            && held.remaining() >= 4 + held.getInt(held.position())) {
                         byte[] frame = new byte[held.getInt()];
                         held.get(frame);
                         try {
-                            registrations +=
-                                    codec.read(frame) instanceof Messages.Register ? 1 : 0;
+                            registrations += codec.read(frame) instanceof Messages.Register ? 1 : 0;
                         } catch (gingerspool.codec.MalformedMessageException e) {
                             throw new IllegalStateException(e);
                         }
--- a/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
+++ b/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
@@ -40,7 +40,8 @@
         assertTrue(play(1, 8, 10, 50, false)[0] > 100, "the count of refusals is blind");
     }
 
-    private static int[] play(long seed, int schedulers, int allowed, double pause, boolean limited) {
+    private static int[] play(
+            long seed, int schedulers, int allowed, double pause, boolean limited) {
         SplittableRandom chance = new SplittableRandom(seed);
         List<UnassignedSlots> all = new ArrayList<>();
         double[] next = new double[schedulers];
