--- a/src/main/java/gingerspool/dataplane/Attempt.java
+++ b/src/main/java/gingerspool/dataplane/Attempt.java
@@ -12,12 +12,12 @@
 final class Attempt implements Outbound.Caller {
     /** Who is told how it ended; the answer is null where there is none of ours. */
     interface Home {
-        void ended(Attempt trip, Outcome how, Message answer);
+        void ended(Attempt attempt, Outcome how, Message answer);
     }
 
     final Assignment assignment;
-    final PendingRequest visit;
-    final InstanceSlot seat;
+    final PendingRequest pending;
+    final InstanceSlot slot;
     final double sentAt;
     private final Turns turns;
     private final Home home;
@@ -25,13 +25,13 @@
     private Future<?> alarm;
     private Outcome how;
 
-    Attempt(Assignment assignment, InstanceSlot seat, Turns turns, Home home) {
+    Attempt(Assignment assignment, InstanceSlot slot, Turns turns, Home home) {
         this.assignment = assignment;
-        this.seat = seat;
+        this.slot = slot;
         this.turns = turns;
         sentAt = turns.now();
         this.home = home;
-        visit = (PendingRequest) assignment.task;
+        pending = (PendingRequest) assignment.task;
     }
 
     void begin(Outbound on, byte[] request, Future<?> timer) {
@@ -57,7 +57,7 @@
     @Override
     public boolean isMine(Message answer) {
         String id = answer.field("request-id");
-        return id == null || id.equals(visit.id) || !turns.has(Safeguard.RESPONSE_ID);
+        return id == null || id.equals(pending.id) || !turns.has(Safeguard.RESPONSE_ID);
     }
 
     /** Guards against answers that are cut: only a length that was told shows that one is whole. */
@@ -69,14 +69,14 @@
     /** Guards the next request: who answers this doubtfully may have more of it under way. */
     @Override
     public boolean mayKeep(Message answer) {
-        return !InstanceResponse.isDoubtful(answer, visit.id)
+        return !InstanceResponse.isDoubtful(answer, pending.id)
                 || !turns.has(Safeguard.DOUBTFUL_RESPONSE_CLOSES);
     }
 
     @Override
     public void answered(Message answer) {
         connection = null;
-        end(InstanceResponse.outcome(answer, visit.id, turns::has), answer);
+        end(InstanceResponse.outcome(answer, pending.id, turns::has), answer);
     }
 
     @Override
--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -41,7 +41,7 @@
      * Spans in parts of a heartbeat interval: how long a slot is kept idle, and how often desks are
      * looked over.
      */
-    private static final double LINGER = 0.25;
+    private static final double IDLE_KEEP = 0.25;
 
     /** An instance where nothing was held for so many beats is forgotten. */
     private static final double FORGOTTEN = 50;
@@ -59,10 +59,10 @@
      * Parts of a start's time: the first knock at an instance, the pause between two, and the last
      * one.
      */
-    private static final double KNOCK_FIRST = 0.5;
+    private static final double CONNECT_FIRST = 0.5;
 
-    private static final double KNOCK_PAUSE = 0.03;
-    private static final double KNOCK_MOST = 8;
+    private static final double CONNECT_PAUSE = 0.03;
+    private static final double CONNECT_MOST = 8;
 
     /** A request may be turned away for the sake of a better try within this part of its aim, */
     private static final double EARLY = 0.25;
@@ -95,7 +95,7 @@
             new Terms(4, 0, 0, 0, 0, 1, 0, null, EnumSet.of(Outcome.UNREACHABLE, Outcome.MOOT));
 
     /** What a desk needs of the program round it. */
-    interface House {
+    interface Environment {
         Turns turns();
 
         Pool pool();
@@ -103,7 +103,7 @@
         gingerspool.settings.Settings settings();
 
         /** Schedulers that share the budget of repeats, this one included. */
-        int fronts();
+        int schedulers();
 
         /** Tells the leader, or returns false where there is none. */
         boolean say(Object word);
@@ -111,15 +111,15 @@
         /** How long there has been no leader. */
         double leaderless();
 
-        int takeBerth();
+        int takePoolIndex();
 
-        void leaveBerth(int berth);
+        void leavePoolIndex(int poolIndex);
 
         /** Answers the client for good. */
         void answer(PendingRequest v, int status, List<String> fields, byte[] body);
     }
 
-    private final House house;
+    private final Environment environment;
     private final Turns turns;
     private final String name;
     private Service service;
@@ -130,7 +130,7 @@
     private double copyAfter;
     private final Map<Integer, Terms> safeTerms = new HashMap<>();
     private boolean stale;
-    private final Map<String, InstanceSlot> seats = new LinkedHashMap<>();
+    private final Map<String, InstanceSlot> instances = new LinkedHashMap<>();
     private final List<InstanceSlot> byWorker = new ArrayList<>();
     private final ArrayDeque<Integer> freeWorkers = new ArrayDeque<>();
     private final PriorityQueue<PendingRequest> queue =
@@ -160,16 +160,17 @@
 
     private boolean looking;
     int refusals;
-    int bounces;
+    int givenUp;
 
-    FunctionQueue(House house, String name) {
-        this.house = house;
+    FunctionQueue(Environment environment, String name) {
+        this.environment = environment;
         this.name = name;
-        turns = house.turns();
+        turns = environment.turns();
         unassigned =
                 new UnassignedSlots(
-                        house.settings().limitSlack, (house.settings().name + name).hashCode());
-        retryBudget = new RetryBudget(house.settings(), house.fronts());
+                        environment.settings().limitSlack,
+                        (environment.settings().name + name).hashCode());
+        retryBudget = new RetryBudget(environment.settings(), environment.schedulers());
     }
 
     /** The configuration as it now stands; the routes are those that lead here. */
@@ -194,9 +195,9 @@
         for (int i = 0; i < s.profiles.length; i++) {
             s.profiles[i].index = i;
         }
-        s.zone = house.settings().zoneNumber(house.settings().zone);
-        s.place = house.settings().zone;
-        s.dispatchers = Math.max(1, house.fronts());
+        s.zone = environment.settings().zoneNumber(environment.settings().zone);
+        s.place = environment.settings().zone;
+        s.dispatchers = Math.max(1, environment.schedulers());
         s.kinds = new String[] {"instance"};
         s.reportNames = new String[] {"free"};
         s.reportsInAnswers = true;
@@ -205,11 +206,11 @@
         s.maxAdvice = service.getBoot();
         s.mostAssignments = ASSIGNMENTS_MOST;
         s.crossFee = CROSS_FEE;
-        long seed = (house.settings().name + " " + name).hashCode();
+        long seed = (environment.settings().name + " " + name).hashCode();
         dispatcher = new Dispatcher(s, seed, this);
         copyAfter = COPY_AFTER * profiles.stream().mapToDouble(q -> q.dueTime).min().orElse(1000);
         safeTerms.clear();
-        seats.values().forEach(this::list);
+        instances.values().forEach(this::list);
     }
 
     /**
@@ -218,7 +219,7 @@
      * renewed.
      */
     private Terms terms(PendingRequest v) {
-        retryBudget.share(house.fronts());
+        retryBudget.share(environment.schedulers());
         return !v.safe() && turns.has(Safeguard.UNSAFE_ONCE)
                 ? CAREFUL
                 : safeTerms.computeIfAbsent(
@@ -290,7 +291,9 @@
         if (inHand == 0) {
             renew();
         }
-        gap += (Math.min(turns.now() - cameAt, GAP_MOST * linger()) - gap) / Math.min(++gaps, GAPS);
+        gap +=
+                (Math.min(turns.now() - cameAt, GAP_MOST * idleKeep()) - gap)
+                        / Math.min(++gaps, GAPS);
         cameAt = turns.now();
         inHand++;
         came++;
@@ -313,7 +316,7 @@
 
     /** What was not sent yet never will be: so it is sure not to have run there. */
     private static void takeBack(PendingRequest v) {
-        for (Attempt attempt : List.copyOf(v.trips)) {
+        for (Attempt attempt : List.copyOf(v.attempts)) {
             if (!attempt.hasBegun()) {
                 attempt.giveUp(Outcome.CANCELLED);
             }
@@ -336,7 +339,7 @@
 
     private int free() {
         int n = 0;
-        for (InstanceSlot s : seats.values()) {
+        for (InstanceSlot s : instances.values()) {
             n += s.free();
         }
         return n - Math.min(n, waitingAtDispatcher());
@@ -356,14 +359,14 @@
 
     private int slotsFree() {
         int n = 0;
-        for (InstanceSlot s : seats.values()) {
+        for (InstanceSlot s : instances.values()) {
             n += s.free();
         }
         return n;
     }
 
     private void tellWant(int lacks) {
-        if (house.say(new Messages.SlotDemand(name, lacks, granted, inHand, came, run))) {
+        if (environment.say(new Messages.SlotDemand(name, lacks, granted, inHand, came, run))) {
             toldLacks = lacks;
             toldInHand = inHand;
             toldCame = came;
@@ -376,7 +379,7 @@
         if (!looking) {
             looking = true;
             turns.after(
-                    LOOK * house.settings().beat,
+                    LOOK * environment.settings().beat,
                     () -> {
                         looking = false;
                         look();
@@ -389,24 +392,24 @@
         for (PendingRequest v : List.copyOf(queue)) {
             patience(v, now);
         }
-        blind();
+        useUnassigned();
         giveBack(now);
         int lacks = Math.max(0, queue.size() + waitingAtDispatcher() - slotsFree());
         if (lacks != toldLacks || inHand != toldInHand || came != toldCame) {
             tellWant(lacks);
         }
-        if (inHand > 0 || toldInHand > 0 || seats.values().stream().anyMatch(s -> s.held > 0)) {
+        if (inHand > 0 || toldInHand > 0 || instances.values().stream().anyMatch(s -> s.held > 0)) {
             lookOn();
         }
     }
 
     /** Whether a request that waits is better told to come back, or that there is no hope. */
     private void patience(PendingRequest v, double now) {
-        boolean turning = seats.values().stream().anyMatch(s -> s.up && s.held > 0);
+        boolean turning = instances.values().stream().anyMatch(s -> s.up && s.held > 0);
         double wait = Double.NaN;
-        for (InstanceSlot s : seats.values()) {
+        for (InstanceSlot s : instances.values()) {
             if (!s.up && s.held > 0) {
-                double w = Math.max(LOOK * house.settings().beat, s.startsAt - now);
+                double w = Math.max(LOOK * environment.settings().beat, s.startsAt - now);
                 wait = Double.isNaN(wait) ? w : Math.min(wait, w);
             }
         }
@@ -429,8 +432,8 @@
     private void refuse(PendingRequest v, double pause) {
         queue.remove(v);
         inHand--;
-        bounces++;
-        house.answer(v, 503, retryAfter(pause), InstanceResponse.text("no instance in time"));
+        givenUp++;
+        environment.answer(v, 503, retryAfter(pause), InstanceResponse.text("no instance in time"));
     }
 
     private static List<String> retryAfter(double pause) {
@@ -441,17 +444,17 @@
      * Guards against a leader that is gone or stands still: without one, one slot is used as if it
      * were ours.
      */
-    private void blind() {
-        if (house.leaderless() == 0) {
+    private void useUnassigned() {
+        if (environment.leaderless() == 0) {
             unassigned.led();
         }
         if (queue.isEmpty()
-                || house.leaderless() < house.settings().beat / 2
-                || !unassigned.allows(turns.now(), house.fronts())
-                || seats.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
+                || environment.leaderless() < environment.settings().beat / 2
+                || !unassigned.allows(turns.now(), environment.schedulers())
+                || instances.values().stream().anyMatch(s -> s.up && !s.leaving && s.held > 0)) {
             return;
         }
-        for (InstanceSlot s : seats.values()) {
+        for (InstanceSlot s : instances.values()) {
             if (s.up && !s.leaving && s.doubtful == 0) {
                 s.held = 1;
                 s.unassigned = true;
@@ -464,33 +467,33 @@
     }
 
     private void giveBack(double now) {
-        for (InstanceSlot s : List.copyOf(seats.values())) {
+        for (InstanceSlot s : List.copyOf(instances.values())) {
             int n = s.idle();
             boolean starting = !s.up && (inHand > underWay);
             // A slot is kept idle only where the next request is likely to come meanwhile, or one
             // is held.
-            boolean near = gap < linger() || waitingAtDispatcher() > 0;
-            boolean lingers = now < s.idleSince + linger() && near && !s.leaving;
-            if (n > 0 && !starting && (!lingers || recalled > 0)) {
-                int some = lingers ? Math.min(n, recalled) : n;
+            boolean near = gap < idleKeep() || waitingAtDispatcher() > 0;
+            boolean isKept = now < s.idleSince + idleKeep() && near && !s.leaving;
+            if (n > 0 && !starting && (!isKept || recalled > 0)) {
+                int some = isKept ? Math.min(n, recalled) : n;
                 back(s, some, Messages.SEEN_WELL);
             } else if (s.held == 0
                     && s.used == 0
                     && s.doubtful == 0
-                    && !s.knocking
-                    && (s.leaving || now > s.idleSince + FORGOTTEN * house.settings().beat)) {
-                // Guards against seats that pile up: what is gone may never be told of again.
+                    && !s.connecting
+                    && (s.leaving || now > s.idleSince + FORGOTTEN * environment.settings().beat)) {
+                // Guards against instances that pile up: what is gone may never be told of again.
                 remove(s);
             }
         }
     }
 
-    private double linger() {
-        return LINGER * house.settings().beat;
+    private double idleKeep() {
+        return IDLE_KEEP * environment.settings().beat;
     }
 
     private void back(InstanceSlot s, int slots, int seen) {
-        if (house.say(new Messages.SlotReturn(s.instance, slots, seen))) {
+        if (environment.say(new Messages.SlotReturn(s.instance, slots, seen))) {
             s.held -= slots;
             recalled = Math.max(0, recalled - slots);
             told(s);
@@ -498,21 +501,22 @@
     }
 
     private void remove(InstanceSlot s) {
-        seats.remove(s.instance);
+        instances.remove(s.instance);
         byWorker.set(s.worker, null);
         freeWorkers.add(s.worker);
-        house.leaveBerth(s.berth);
+        environment.leavePoolIndex(s.poolIndex);
     }
 
     // ---- What the leader says ----
 
     void granted(Messages.SlotGrant g) {
         double now = turns.now();
-        InstanceSlot s = seats.get(g.instance());
+        InstanceSlot s = instances.get(g.instance());
         if (s == null) {
-            s = seat(g);
+            s = slot(g);
             if (s == null) {
-                house.say(new Messages.SlotReturn(g.instance(), g.slots(), Messages.SEEN_LOST));
+                environment.say(
+                        new Messages.SlotReturn(g.instance(), g.slots(), Messages.SEEN_LOST));
                 return;
             }
         }
@@ -521,7 +525,7 @@
         s.idleSince = now;
         if (g.startsIn() > 0) {
             s.startsAt = now + g.startsIn();
-            knockLater(s, KNOCK_FIRST * g.startsIn());
+            connectLater(s, CONNECT_FIRST * g.startsIn());
         } else {
             granted += g.slots();
             toldLacks = Math.max(0, toldLacks - g.slots());
@@ -539,7 +543,7 @@
         serve();
     }
 
-    private InstanceSlot seat(Messages.SlotGrant g) {
+    private InstanceSlot slot(Messages.SlotGrant g) {
         try {
             Integer worker = freeWorkers.poll();
             if (worker == null) {
@@ -553,9 +557,9 @@
                             Address.read(g.address()),
                             g.zone(),
                             g.capacity(),
-                            house.takeBerth(),
+                            environment.takePoolIndex(),
                             worker);
-            seats.put(s.instance, s);
+            instances.put(s.instance, s);
             byWorker.set(worker, s);
             dispatcher.called(worker, s.instance);
             list(s);
@@ -577,7 +581,7 @@
         dispatcher.called(s.worker, s.instance);
         dispatcher.listed(
                 s.worker,
-                house.settings().zoneNumber(s.zone),
+                environment.settings().zoneNumber(s.zone),
                 0,
                 0,
                 s.leaving ? Dispatcher.DRAINING : Dispatcher.RUNNING,
@@ -595,47 +599,48 @@
         }
     }
 
-    private void knockLater(InstanceSlot s, double span) {
-        if (!s.knocking && !s.up) {
-            s.knocking = true;
+    private void connectLater(InstanceSlot s, double span) {
+        if (!s.connecting && !s.up) {
+            s.connecting = true;
             turns.after(
                     span,
                     () -> {
-                        s.knocking = false;
-                        knock(s);
+                        s.connecting = false;
+                        connect(s);
                     });
         }
     }
 
-    private void knock(InstanceSlot s) {
+    private void connect(InstanceSlot s) {
         if (s.up || s.leaving || s.held == 0) {
             return;
         }
-        if (turns.now() > s.startsAt + KNOCK_MOST * service.getBoot()) {
+        if (turns.now() > s.startsAt + CONNECT_MOST * service.getBoot()) {
             back(s, s.held, Messages.SEEN_LOST);
             return;
         }
         try {
-            s.knocking = true;
-            house.pool()
+            s.connecting = true;
+            environment
+                    .pool()
                     .knock(
-                            s.berth,
+                            s.poolIndex,
                             s.address,
                             cameUp -> {
-                                s.knocking = false;
+                                s.connecting = false;
                                 if (cameUp) {
                                     up(s);
-                                    house.say(
+                                    environment.say(
                                             new Messages.SlotReturn(
                                                     s.instance, 0, Messages.SEEN_UP));
                                     serve();
                                 } else {
-                                    knockLater(s, KNOCK_PAUSE * service.getBoot());
+                                    connectLater(s, CONNECT_PAUSE * service.getBoot());
                                 }
                             });
         } catch (IOException e) {
-            s.knocking = false;
-            knockLater(s, KNOCK_PAUSE * service.getBoot());
+            s.connecting = false;
+            connectLater(s, CONNECT_PAUSE * service.getBoot());
         }
     }
 
@@ -645,20 +650,20 @@
     }
 
     /** Nothing new may go there. */
-    boolean shun(String instance) {
-        InstanceSlot s = seats.get(instance);
+    boolean withdraw(String instance) {
+        InstanceSlot s = instances.get(instance);
         if (s == null) {
             return false;
         }
         s.leaving = true;
-        house.pool().keep(s.berth, false);
+        environment.pool().keep(s.poolIndex, false);
         list(s);
         giveBack(turns.now());
         return true;
     }
 
     /** A new leader took this scheduler on: what it gave is counted anew. */
-    void enrolled() {
+    void registered() {
         granted = 0;
         came = 0;
         toldCame = 0;
@@ -670,7 +675,8 @@
     }
 
     void held(Map<String, Integer> all) {
-        seats.values()
+        instances
+                .values()
                 .forEach(
                         s -> {
                             if (s.held > 0) {
@@ -685,17 +691,17 @@
     public void send(Assignment a, double timeout) {
         InstanceSlot s = byWorker.get(a.worker);
         PendingRequest v = (PendingRequest) a.task;
-        Attempt trip = new Attempt(a, s, turns, this);
-        v.trips.add(trip);
+        Attempt attempt = new Attempt(a, s, turns, this);
+        v.attempts.add(attempt);
         s.used++;
         underWay += v.outstanding() == 1 ? 1 : 0;
         try {
-            trip.begin(
-                    house.pool().take(s.berth, s.address),
+            attempt.begin(
+                    environment.pool().take(s.poolIndex, s.address),
                     InstanceResponse.request(v.request, named(s), v.expiry - turns.now()),
                     null);
         } catch (IOException e) {
-            turns.turn(trip::fail);
+            turns.turn(attempt::fail);
         }
     }
 
@@ -716,25 +722,26 @@
     /** The Dispatcher has given the task up: what may be promised depends on what has run. */
     private void giveUp(PendingRequest v, double pause) {
         inHand--;
-        bounces++;
+        givenUp++;
         if (!v.mayHaveRun()) {
-            house.answer(
+            environment.answer(
                     v,
                     503,
                     retryAfter(pause > 0 ? pause : service.getBoot()),
                     InstanceResponse.text("no instance in time"));
         } else if (InstanceResponse.mayPass(v.failure, v.id, turns::has)) {
-            house.answer(
+            environment.answer(
                     v, v.failure.status(), InstanceResponse.fields(v.failure), v.failure.body());
         } else {
-            house.answer(v, 502, List.of(), InstanceResponse.text("no whole answer came"));
+            environment.answer(v, 502, List.of(), InstanceResponse.text("no whole answer came"));
         }
     }
 
     @Override
     public void cancel(Assignment a) {
         // Not at once: the Dispatcher is in the middle of its rules.
-        turns.turn(() -> ((PendingRequest) a.task).trips.get(a.number).giveUp(Outcome.CANCELLED));
+        turns.turn(
+                () -> ((PendingRequest) a.task).attempts.get(a.number).giveUp(Outcome.CANCELLED));
     }
 
     @Override
@@ -762,19 +769,20 @@
     // ---- Ends of assignments ----
 
     @Override
-    public void ended(Attempt trip, Outcome how, Message answer) {
+    public void ended(Attempt attempt, Outcome how, Message answer) {
         double now = turns.now();
-        InstanceSlot s = trip.seat;
-        PendingRequest v = trip.visit;
+        InstanceSlot s = attempt.slot;
+        PendingRequest v = attempt.pending;
         s.used--;
         s.idleSince = now;
         boolean over = v.ended();
         if (how == Outcome.OK) {
-            run += (now - trip.sentAt - run) / (run == 0 ? 1 : SAMPLES);
+            run += (now - attempt.sentAt - run) / (run == 0 ? 1 : SAMPLES);
             if (!over) {
                 inHand--;
                 over = true;
-                house.answer(v, answer.status(), InstanceResponse.fields(answer), answer.body());
+                environment.answer(
+                        v, answer.status(), InstanceResponse.fields(answer), answer.body());
             }
         } else {
             v.failure = answer != null ? answer : v.failure;
@@ -782,7 +790,7 @@
         }
         underWay -= v.outstanding() == 1 ? 1 : 0;
         told(s);
-        dispatcher.ended(now, trip.assignment, how, over, null);
+        dispatcher.ended(now, attempt.assignment, how, over, null);
         serve();
     }
 
@@ -799,7 +807,7 @@
                         serve();
                     });
         } else if (how == Outcome.UNREACHABLE || answer != null && answer.status() == 421) {
-            house.pool().empty(s.berth);
+            environment.pool().empty(s.poolIndex);
             back(s, s.idle(), Messages.SEEN_LOST);
             if (how == Outcome.UNREACHABLE && v.unreached < UNREACHED_MOST) {
                 // It was sent to nobody, so it is none of the attempts that its route allows.
@@ -812,7 +820,7 @@
                 // Guards the platform's limit: who was refused waits before the next try.
                 s.unassigned = false;
                 s.held = Math.max(0, s.held - 1);
-                unassigned.refused(now, house.fronts());
+                unassigned.refused(now, environment.schedulers());
                 told(s);
             }
             back(s, Math.min(1, s.idle()), Messages.SEEN_FULL);
--- a/src/main/java/gingerspool/dataplane/InstanceSlot.java
+++ b/src/main/java/gingerspool/dataplane/InstanceSlot.java
@@ -11,7 +11,7 @@
     final int capacity;
 
     /** Its number in the pool of connections. */
-    final int berth;
+    final int poolIndex;
 
     /** Its number in the function's Dispatcher. */
     final int worker;
@@ -31,7 +31,7 @@
     /** Nothing new goes there. */
     boolean leaving;
 
-    boolean knocking;
+    boolean connecting;
     double startsAt;
     double idleSince;
 
@@ -41,14 +41,14 @@
             InetSocketAddress address,
             String zone,
             int capacity,
-            int berth,
+            int poolIndex,
             int worker) {
         this.instance = instance;
         this.desk = desk;
         this.address = address;
         this.zone = zone;
         this.capacity = capacity;
-        this.berth = berth;
+        this.poolIndex = poolIndex;
         this.worker = worker;
     }
 
--- a/src/main/java/gingerspool/dataplane/PendingRequest.java
+++ b/src/main/java/gingerspool/dataplane/PendingRequest.java
@@ -38,7 +38,7 @@
     boolean placed;
 
     /** Those under way and those that ended, by number of the assignment. */
-    final List<Attempt> trips = new ArrayList<>(1);
+    final List<Attempt> attempts = new ArrayList<>(1);
 
     /** Assignments that reached no instance. */
     int unreached;
@@ -71,6 +71,6 @@
 
     /** Whether some worker may have run it. */
     boolean mayHaveRun() {
-        return trips.stream().anyMatch(t -> !t.neverRan());
+        return attempts.stream().anyMatch(t -> !t.neverRan());
     }
 }
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -27,7 +27,7 @@
  * Clients' requests from their arrival to their one answer: the clients' connections, the route
  * table in force, a queue for each function that was asked for, and the time that each request has.
  */
-final class RequestRouter implements Inbound.Door, FunctionQueue.House {
+final class RequestRouter implements Inbound.Door, FunctionQueue.Environment {
     /** Limits while there is no configuration: milliseconds and bytes. */
     private static final double DEFAULT_IDLE_TIMEOUT = 15_000;
 
@@ -70,8 +70,8 @@
     private final Set<Inbound> idle = new LinkedHashSet<>();
     private final Set<PendingRequest> pending = new HashSet<>();
     private final Map<String, FunctionQueue> queues = new HashMap<>();
-    private final ArrayDeque<Integer> freeBerths = new ArrayDeque<>();
-    private int berths;
+    private final ArrayDeque<Integer> freePoolIndexes = new ArrayDeque<>();
+    private int poolIndexes;
     private Configuration configuration = Configuration.getDefaultInstance();
     private RouteTable routes;
     private final SchedulerCount schedulers;
@@ -339,7 +339,7 @@
     }
 
     @Override
-    public int fronts() {
+    public int schedulers() {
         return schedulers.most(turns.now());
     }
 
@@ -354,15 +354,15 @@
     }
 
     @Override
-    public int takeBerth() {
-        Integer free = freeBerths.poll();
-        return free != null ? free : berths++;
+    public int takePoolIndex() {
+        Integer free = freePoolIndexes.poll();
+        return free != null ? free : poolIndexes++;
     }
 
     @Override
-    public void leaveBerth(int berth) {
-        pool.keep(berth, false);
-        pool.keep(berth, true);
-        freeBerths.add(berth);
+    public void leavePoolIndex(int poolIndex) {
+        pool.keep(poolIndex, false);
+        pool.keep(poolIndex, true);
+        freePoolIndexes.add(poolIndex);
     }
 }
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -190,7 +190,7 @@
     private void receive(Object message) {
         if (message instanceof Messages.Registered) {
             grants = 0;
-            router.queues().forEach(FunctionQueue::enrolled);
+            router.queues().forEach(FunctionQueue::registered);
         } else if (message instanceof Messages.SchedulerCount count) {
             router.schedulers(count.count());
         } else if (message instanceof Messages.ConfigurationPush push) {
@@ -205,7 +205,7 @@
         } else if (message instanceof Messages.InstanceWithdrawal withdrawal) {
             withdrawal
                     .instances()
-                    .forEach(id -> router.queues().stream().anyMatch(queue -> queue.shun(id)));
+                    .forEach(id -> router.queues().stream().anyMatch(queue -> queue.withdraw(id)));
         }
     }
 
--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -151,7 +151,7 @@
     }
 
     private void withdrawn(String id) {
-        router.queues().forEach(queue -> queue.shun(id));
+        router.queues().forEach(queue -> queue.withdraw(id));
     }
 
     private void toScheduler(long of, Runnable what) {
@@ -193,7 +193,7 @@
                 of,
                 () -> {
                     led = true;
-                    router.queues().forEach(FunctionQueue::enrolled);
+                    router.queues().forEach(FunctionQueue::registered);
                 });
         ticks(of);
     }
--- a/src/test/java/gingerspool/dataplane/FunctionQueueTest.java
+++ b/src/test/java/gingerspool/dataplane/FunctionQueueTest.java
@@ -37,7 +37,7 @@
 import org.testng.annotations.Test;
 
 /** One function's desk against instances of the stand-in; what it tells the leader is kept. */
-public class FunctionQueueTest implements FunctionQueue.House {
+public class FunctionQueueTest implements FunctionQueue.Environment {
     private static final double BEAT = 400;
     private Loop loop;
     private Cloud cloud;
@@ -46,14 +46,14 @@
     private FunctionQueue desk;
     private BlockingQueue<Object> said;
     private BlockingQueue<String> answers;
-    private int berths;
+    private int poolIndexes;
 
     @BeforeMethod
     public void open() throws Exception {
         loop = new Loop();
         said = new LinkedBlockingQueue<>();
         answers = new LinkedBlockingQueue<>();
-        berths = 0;
+        poolIndexes = 0;
         cloud = new Cloud(loop, "127.0.7.2", Map.of("h1", "a"), 1, 20, 0, 2);
         Path file = Files.createTempFile("desk", ".toml");
         Files.writeString(
@@ -275,7 +275,7 @@
         assertTrue(on(loop::now) < came + 1500, "long before its deadline");
     }
 
-    // ---- The house ----
+    // ---- The environment ----
 
     @Override
     public Turns turns() {
@@ -293,7 +293,7 @@
     }
 
     @Override
-    public int fronts() {
+    public int schedulers() {
         return 1;
     }
 
@@ -309,12 +309,12 @@
     }
 
     @Override
-    public int takeBerth() {
-        return berths++;
+    public int takePoolIndex() {
+        return poolIndexes++;
     }
 
     @Override
-    public void leaveBerth(int berth) {}
+    public void leavePoolIndex(int poolIndex) {}
 
     @Override
     public void answer(PendingRequest v, int status, List<String> fields, byte[] body) {
--- a/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
+++ b/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
@@ -37,7 +37,7 @@
 
     @Test
     public void withoutTheLimitRefusalsGoFarBeyond() {
-        assertTrue(play(1, 8, 10, 50, false)[0] > 100, "the count of refusals is blind");
+        assertTrue(play(1, 8, 10, 50, false)[0] > 100, "the count of refusals is useUnassigned");
     }
 
     private static int[] play(
