--- a/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
+++ b/src/test/java/gingerspool/dataplane/UnassignedSlotsTest.java
@@ -37,10 +37,11 @@
 
     @Test
     public void withoutTheLimitRefusalsGoFarBeyond() {
-        assertTrue(play(1, 8, 10, 50, false)[0] > 100, "the count of refusals is blind");
+        assertTrue(play(1, 8, 10, 50, false)[0] > 100, "the count of refusals is useUnassigned");
     }
 
-    private static int[] play(long seed, int schedulers, int allowed, double pause, boolean limited) {
+    private static int[] play(
+            long seed, int schedulers, int allowed, double pause, boolean limited) {
         SplittableRandom chance = new SplittableRandom(seed);
         List<UnassignedSlots> all = new ArrayList<>();
         double[] next = new double[schedulers];
