--- a/src/test/java/gingerspool/simulation/ConsensusSimulation.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulation.java
@@ -10,6 +10,7 @@
 import gingerspool.consensus.ReplicaSettings;
 import gingerspool.consensus.Safeguard;
 import gingerspool.consensus.Snapshot;
+import gingerspool.consensus.SnapshotPiece;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -39,6 +40,9 @@
     /** The usual time of a write, in milliseconds. */
     static final double DISK_MS = 5;
 
+    /** How long a message takes at most in usual times, in milliseconds. */
+    static final double USUAL_LATEST = 2.5;
+
     private record Event(double at, long serial, Runnable what) {}
 
     final class Machine implements ReplicaEnvironment {
@@ -274,6 +278,12 @@
     private long serial;
     double now;
 
+    /** Messages take up to so long, in milliseconds. */
+    double latest = USUAL_LATEST;
+
+    /** The share of pieces of snapshots that arrive with wrong bytes. */
+    double garbled;
+
     /** The share of messages between machines that is lost. */
     double loss;
 
@@ -337,15 +347,40 @@
             return;
         }
         long of = to.life;
+        ConsensusMessage.Envelope arrives = chance.nextDouble() < garbled ? garble(p) : p;
         after(
-                0.5 + 2 * chance.nextDouble(),
+                0.5 + (latest - 0.5) * chance.nextDouble(),
                 () -> {
                     if (to.life == of) {
-                        to.enter(() -> to.receive(p));
+                        to.enter(() -> to.receive(arrives));
                     }
                 });
     }
 
+    private ConsensusMessage.Envelope garble(ConsensusMessage.Envelope sent) {
+        if (!(sent.message() instanceof ConsensusMessage.InstallSnapshot m)
+                || m.piece().bytes().length == 0) {
+            return sent;
+        }
+        SnapshotPiece piece = m.piece();
+        byte[] bytes = piece.bytes().clone();
+        bytes[chance.nextInt(bytes.length)] ^= 1;
+        SnapshotPiece wrongBytes =
+                new SnapshotPiece(
+                        piece.index(),
+                        piece.snapshotTerm(),
+                        piece.voters(),
+                        piece.digest(),
+                        piece.pieces(),
+                        piece.number(),
+                        bytes);
+        return new ConsensusMessage.Envelope(
+                sent.from(),
+                sent.to(),
+                new ConsensusMessage.InstallSnapshot(
+                        m.term(), wrongBytes, m.committed(), m.sentAt()));
+    }
+
     /** One duty holder at a time, and fences that go up. */
     private void checkLeaders() {
         String holder = null;
@@ -419,6 +454,8 @@
         faults.calm();
         joinAll();
         loss = 0;
+        latest = USUAL_LATEST;
+        garbled = 0;
         run(now + MENDED);
         operators.calm();
         run(now + SERVES_WITHIN);
--- a/src/test/java/gingerspool/simulation/FaultKind.java
+++ b/src/test/java/gingerspool/simulation/FaultKind.java
@@ -24,7 +24,19 @@
     NODE_CUT(false),
     ACK_LOST(false),
     ROLL_TERM(false),
-    PACKET_LOSS(false);
+    PACKET_LOSS(false),
+
+    /** The link between two machines is cut. */
+    LINK_CUT(false),
+
+    /** The machines are cut into two parts. */
+    PARTITION(false),
+
+    /** Messages come late, and in another order. */
+    LATE_MESSAGES(false),
+
+    /** Pieces of snapshots arrive with wrong bytes. */
+    GARBLED_SNAPSHOTS(false);
 
     final boolean losesDisk;
 
--- a/src/test/java/gingerspool/simulation/SimulatedFaults.java
+++ b/src/test/java/gingerspool/simulation/SimulatedFaults.java
@@ -48,14 +48,16 @@
         if (cluster.now > quietSince + CATCH_UP) {
             wipesLeft = cluster.setup.tolerated();
         }
-        FaultKind[] kinds = FaultKind.values();
-        FaultKind kind = kinds[chance.nextInt(kinds.length)];
+        List<FaultKind> focus = cluster.setup.focus();
+        List<FaultKind> kinds = focus.isEmpty() ? List.of(FaultKind.values()) : focus;
+        FaultKind kind = kinds.get(chance.nextInt(kinds.size()));
         double span = 200 + chance.nextInt(3500);
         quietSince = Math.max(quietSince, cluster.now + span);
         if (!kind.losesDisk || wipesLeft > 0) {
             strike(kind, span);
         }
-        boolean overlapping = chance.nextInt(3) == 0;
+        boolean overlapping = chance.nextInt(focus.isEmpty() ? 3 : 8) != 1;
+        overlapping = focus.isEmpty() ? !overlapping : overlapping;
         double pause = overlapping ? chance.nextInt(1500) : CATCH_UP + chance.nextInt(2500);
         cluster.after(overlapping ? pause : span + pause, this::begin);
     }
@@ -138,10 +140,36 @@
                 cluster.loss = 0.2;
                 cluster.after(span, () -> cluster.loss = 0);
             }
+            case LINK_CUT -> {
+                cluster.cut(leaderOrAny(), machine, true, true);
+                cluster.after(span, cluster::joinAll);
+            }
+            case PARTITION -> partition(span);
+            case LATE_MESSAGES -> {
+                cluster.latest = 50 + chance.nextInt(300);
+                cluster.after(span, () -> cluster.latest = ConsensusSimulation.USUAL_LATEST);
+            }
+            case GARBLED_SNAPSHOTS -> {
+                cluster.garbled = 0.2;
+                cluster.after(span, () -> cluster.garbled = 0);
+            }
             default -> throw new IllegalStateException("no such fault: " + kind);
         }
     }
 
+    private void partition(double span) {
+        List<Machine> one = new ArrayList<>(cluster.machines.values());
+        one.removeIf(m -> chance.nextBoolean());
+        for (Machine side : one) {
+            for (Machine other : cluster.machines.values()) {
+                if (!one.contains(other)) {
+                    cluster.cut(side, other, true, true);
+                }
+            }
+        }
+        cluster.after(span, cluster::joinAll);
+    }
+
     private boolean wipe() {
         boolean may = wipesLeft > 0;
         wipesLeft -= may ? 1 : 0;
--- a/src/test/java/gingerspool/simulation/SmallCluster.java
+++ b/src/test/java/gingerspool/simulation/SmallCluster.java
@@ -36,6 +36,9 @@
         REPLACE_LEADER(true),
         WIPE_FOLLOWER(true),
         PLANNED_FOLLOWER(true),
+
+        /** Another voter is wiped as soon as the one that left has stopped. */
+        WIPE_AFTER_LEAVER(false),
         PLANNED_LEADER(true),
         RESTART_ALL(false),
         CUT_LEADER(false);
@@ -348,7 +351,10 @@
 
     /** A disk is lost by the script only while all machines are members and up to date. */
     private boolean mayPlay(Scripted what) {
-        return leader() != null && (!what.losesDisk || wipesLeft > 0);
+        boolean leaving = nodes.stream().anyMatch(n -> n.leaving && !n.gone);
+        return leader() != null
+                && (!what.losesDisk || wipesLeft > 0)
+                && !(what == Scripted.WIPE_AFTER_LEAVER && leaving);
     }
 
     private boolean isAnyCut() {
@@ -406,7 +412,7 @@
             case REPLACE_LEADER -> replace(leader);
             case PLANNED_FOLLOWER -> leave(follower);
             case PLANNED_LEADER -> leave(leader);
-            case WIPE_FOLLOWER -> wipe(follower);
+            case WIPE_FOLLOWER, WIPE_AFTER_LEAVER -> wipe(follower);
             case RESTART_ALL -> nodes.forEach(n -> n.start(false));
             case CUT_LEADER -> cut(leader, true, true);
             default -> throw new IllegalStateException();
