--- a/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
@@ -37,6 +37,8 @@
     /** No history goes wrong; the count and the time are printed. */
     @Test(dataProvider = "setups")
     public void histories(String name, SimulationSetup setup, int histories) {
+        CALLS.reset();
+        ORDERS.reset();
         long begin = System.nanoTime();
         String found = found(histories, setup);
         double seconds = (System.nanoTime() - begin) / 1e9;
--- a/src/test/java/gingerspool/simulation/SafeguardTableTest.java
+++ b/src/test/java/gingerspool/simulation/SafeguardTableTest.java
@@ -16,6 +16,7 @@
 import static org.testng.Assert.assertNull;
 
 import gingerspool.consensus.Safeguard;
+import gingerspool.simulation.SmallCluster.Scripted;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -28,6 +29,9 @@
 public class SafeguardTableTest {
     private static final int SEEDS = 400;
 
+    /** In bytes; so small that each applied command makes a snapshot. */
+    private static final int SNAPSHOT_FLOOR = 1;
+
     /** Without this guard logs grow without end, so histories take long. */
     private static final int FEW_SEEDS = 4;
 
@@ -50,7 +54,6 @@
                     Safeguard.MORE_COPIES_THAN_LOSSES,
                     Safeguard.MEMBERSHIP_CHANGE_AFTER_OWN_TERM,
                     Safeguard.LEARNER_CAUGHT_UP_BEFORE_VOTING,
-                    Safeguard.LEAVER_STAYS_UNTIL_SWAPPED,
                     Safeguard.REMOVAL_ONLY_BY_COMMITTED_CHANGE,
                     Safeguard.STEP_DOWN_WITHOUT_LEASE);
 
@@ -99,6 +102,27 @@
         assertNull(ConsensusSimulationTest.found(FEW_SEEDS * 25, setup));
     }
 
+    /** Another voter is lost as soon as the one that left has stopped: two of three go on. */
+    @Test
+    public void leaverStaysUntilSwapped() {
+        Safeguard safeguard = Safeguard.LEAVER_STAYS_UNTIL_SWAPPED;
+        assertNull(lossAfterLeaver(Set.of()).wrong());
+        SmallModelSearch.Result without = lossAfterLeaver(Set.of(safeguard));
+        table.add(String.format("| %s | search 3/1 | %s |", safeguard, without.wrong()));
+        assertNotNull(without.wrong());
+    }
+
+    private static SmallModelSearch.Result lossAfterLeaver(Set<Safeguard> disabled) {
+        List<Scripted> script =
+                List.of(
+                        Scripted.CHANGE,
+                        Scripted.PLANNED_FOLLOWER,
+                        Scripted.WIPE_AFTER_LEAVER,
+                        Scripted.CHANGE);
+        return SmallModelSearch.search(
+                new SmallModelSearch.Bound(3, 1, 1, script, SNAPSHOT_FLOOR, 0, 0, disabled));
+    }
+
     /** Each safeguard is in the table, or named as not shown. */
     @Test
     public void namesAllSafeguards() {
@@ -106,6 +130,7 @@
         for (Object[] finder : finders()) {
             named.add((Safeguard) finder[0]);
         }
+        named.add(Safeguard.LEAVER_STAYS_UNTIL_SWAPPED);
         assertEquals(named, EnumSet.allOf(Safeguard.class));
     }
 
