--- a/src/main/java/gingerspool/capacity/SlotSeries.java
+++ b/src/main/java/gingerspool/capacity/SlotSeries.java
@@ -231,7 +231,8 @@
         for (int i = 0; i < schedulers; i++) {
             register(keeper, i);
             for (int k = 0; k < functions; k++) {
-                keeper.demanded(0, scheduler(i), new Messages.SlotDemand("fn-" + k, 0, 0, 1, 1, RUN));
+                keeper.demanded(
+                        0, scheduler(i), new Messages.SlotDemand("fn-" + k, 0, 0, 1, 1, RUN));
             }
         }
         return keeper;
@@ -242,7 +243,8 @@
         SlotKeeper keeper = instances(functions, functions * instances);
         for (int i = 0; i < schedulers; i++) {
             register(keeper, i);
-            keeper.demanded(SETTLED, scheduler(i), new Messages.SlotDemand("fn-0", 0, 0, 1, 1, RUN));
+            keeper.demanded(
+                    SETTLED, scheduler(i), new Messages.SlotDemand("fn-0", 0, 0, 1, 1, RUN));
         }
         requests = 1;
         return Meter.microsOf(() -> oneCycle(keeper));
@@ -284,7 +286,8 @@
         SlotKeeper keeper = instances(functions, functions);
         register(keeper, 0);
         for (int i = 0; i < functions; i++) {
-            keeper.demanded(SETTLED, scheduler(0), new Messages.SlotDemand("fn-" + i, 0, 0, 1, 1, RUN));
+            keeper.demanded(
+                    SETTLED, scheduler(0), new Messages.SlotDemand("fn-" + i, 0, 0, 1, 1, RUN));
         }
         return Meter.microsOf(() -> keeper.tick(SETTLED));
     }
--- a/src/main/java/gingerspool/dataplane/HollowScheduler.java
+++ b/src/main/java/gingerspool/dataplane/HollowScheduler.java
@@ -57,7 +57,7 @@
     }
 
     /** What a queue needs; nothing is ever sent to an instance or answered to a client. */
-    private final class Surroundings implements FunctionQueue.House {
+    private final class Surroundings implements FunctionQueue.Environment {
         @Override
         public Turns turns() {
             return turns;
@@ -74,7 +74,7 @@
         }
 
         @Override
-        public int fronts() {
+        public int schedulers() {
             return 1;
         }
 
@@ -89,12 +89,12 @@
         }
 
         @Override
-        public int takeBerth() {
+        public int takePoolIndex() {
             return identities++;
         }
 
         @Override
-        public void leaveBerth(int identity) {}
+        public void leavePoolIndex(int identity) {}
 
         @Override
         public void answer(PendingRequest request, int status, List<String> fields, byte[] body) {}
