--- a/src/main/java/gingerspool/capacity/ConfigurationSeries.java
+++ b/src/main/java/gingerspool/capacity/ConfigurationSeries.java
@@ -20,6 +20,13 @@
 
     List<Series> measure() throws Exception {
         List<Series> all = new ArrayList<>();
+        addPushes(all);
+        addChangesAndSnapshots(all);
+        addHeaps(all);
+        return all;
+    }
+
+    private void addPushes(List<Series> all) throws Exception {
         all.add(
                 series(
                         "configuration.push.bytes",
@@ -44,6 +51,9 @@
                         "a scheduler digests its copy for a regular report",
                         "us",
                         (n, seed) -> encode(typed(n, seed))));
+    }
+
+    private void addChangesAndSnapshots(List<Series> all) throws Exception {
         all.add(
                 series(
                         "configuration.change",
@@ -74,6 +84,9 @@
                         "a member restores a snapshot",
                         "us",
                         this::restore));
+    }
+
+    private void addHeaps(List<Series> all) throws Exception {
         all.add(
                 series(
                         "configuration.heap.member",
@@ -106,7 +119,6 @@
                         scale,
                         SIZES,
                         this::versions));
-        return all;
     }
 
     private double routeHeap(int routes, long seed) throws Exception {
--- a/src/main/java/gingerspool/capacity/SlotSeries.java
+++ b/src/main/java/gingerspool/capacity/SlotSeries.java
@@ -31,6 +31,13 @@
 
     List<Series> measure() throws Exception {
         List<Series> all = new ArrayList<>();
+        addHeaps(all);
+        addKeeperTimes(all);
+        addTicks(all);
+        return all;
+    }
+
+    private void addHeaps(List<Series> all) throws Exception {
         all.add(
                 heap(
                         "keeper.heap.scheduler",
@@ -61,6 +68,9 @@
                         "keeper's heap by demands (function and scheduler)",
                         "demand",
                         this::demands));
+    }
+
+    private void addKeeperTimes(List<Series> all) throws Exception {
         all.add(
                 time(
                         "keeper.cycle.instances",
@@ -96,6 +106,9 @@
                         "instance",
                         new int[] {2000, 4000, 8000, 16000, 32000},
                         this::register));
+    }
+
+    private void addTicks(List<Series> all) throws Exception {
         all.add(
                 time(
                         "keeper.tick",
@@ -117,7 +130,6 @@
                         "instance",
                         new int[] {1000, 2000, 4000, 8000, 16000},
                         n -> scalerTick(Math.min(n, FIXED_FUNCTIONS), n)));
-        return all;
     }
 
     private Series heap(String key, String what, String per, HeapOf of) throws Exception {
--- a/src/main/java/gingerspool/capacity/Target.java
+++ b/src/main/java/gingerspool/capacity/Target.java
@@ -37,6 +37,12 @@
     }
 
     private void scheduler() {
+        schedulerHeap();
+        schedulerBytes();
+        schedulerTime();
+    }
+
+    private void schedulerHeap() {
         out.line(
                 SCHEDULER,
                 "heap, whole configuration, a route a function",
@@ -52,6 +58,9 @@
                 TargetSize.QUEUES,
                 TargetSize.SCHEDULER_HEAP,
                 "4,000 (assumed)");
+    }
+
+    private void schedulerBytes() {
         out.times(
                 SCHEDULER,
                 "bytes, idle links to 5 members",
@@ -75,7 +84,7 @@
                 "B/s",
                 TargetSize.SCHEDULER_BYTES,
                 "extrapolated, the same, and 66 B (assumed) for each of `link.idle.frames`");
-        double calls = TargetSize.CALLS / TargetSize.SCHEDULERS;
+        double calls = callsPerScheduler();
         out.times(
                 SCHEDULER,
                 "bytes, a slot asked for at each call",
@@ -99,6 +108,13 @@
                 TargetSize.CHANGES,
                 TargetSize.SCHEDULER_BYTES,
                 "0.579 changes a second");
+    }
+
+    private static double callsPerScheduler() {
+        return TargetSize.CALLS / TargetSize.SCHEDULERS;
+    }
+
+    private void schedulerTime() {
         out.times(
                 SCHEDULER,
                 "processor time, idle links to 5 members",
@@ -110,7 +126,7 @@
                 SCHEDULER,
                 "processor time, a slot asked for at each call",
                 "link.slot.own",
-                calls,
+                callsPerScheduler(),
                 TargetSize.SCHEDULER_MICROS,
                 "131 calls a second; the queues' own time is not in it");
         out.rate(
@@ -209,6 +225,13 @@
     }
 
     private void leader() {
+        leaderLinks();
+        leaderChanges();
+        leaderTicks();
+        leaderRegistrations();
+    }
+
+    private void leaderLinks() {
         out.times(
                 LEADER,
                 "messages, idle links",
@@ -223,6 +246,9 @@
                 TargetSize.SCHEDULERS,
                 TargetSize.LINK_BYTES,
                 "13,000; a link of 1,000 Mbit/s (assumed)");
+    }
+
+    private void leaderChanges() {
         out.line(
                 LEADER,
                 "bytes of one change pushed whole to all",
@@ -255,6 +281,9 @@
                 1,
                 TargetSize.APPLY_SECONDS * 1e6,
                 "");
+    }
+
+    private void leaderTicks() {
         out.line(
                 LEADER,
                 "a tick of the scaler, by functions",
@@ -279,6 +308,9 @@
                 1,
                 TargetSize.TICK_MICROS,
                 "; due each 50 ms");
+    }
+
+    private void leaderRegistrations() {
         out.line(
                 LEADER,
                 "all schedulers register: processor time of links",
--- a/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
+++ b/src/test/java/gingerspool/simulation/ConsensusSimulationTest.java
@@ -1,5 +1,6 @@
 package gingerspool.simulation;
 
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 
 import java.nio.BufferUnderflowException;
@@ -18,6 +19,7 @@
     private static final int REAL_HISTORIES = Math.max(100, HISTORIES / 20);
     private static final LongAdder CALLS = new LongAdder();
     private static final LongAdder ORDERS = new LongAdder();
+    private static final int CLOCK_STEP_HISTORIES = 400;
     private static final double LONG = 120_000;
 
     @DataProvider
@@ -48,6 +50,16 @@
         assertNull(found, name);
     }
 
+    /**
+     * Leases rest on steady clocks: with clocks that are stepped some history goes wrong, so the
+     * checker sees what a lease by the time of day would do.
+     */
+    @Test
+    public void clockStepsBreakTheLease() {
+        SimulationSetup setup = SimulationSetup.of(3, 1).withClockSteps();
+        assertNotNull(found(CLOCK_STEP_HISTORIES, setup));
+    }
+
     /** The first history in which something is wrong, and what, or null. */
     static String found(int histories, SimulationSetup setup) {
         return LongStream.rangeClosed(1, histories)
