--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -57,8 +57,7 @@
                 Platforms.CheckSettings.class,
                 Platforms.CheckConfiguration.class,
                 Platforms.Program.Front.class,
-                Platforms.Program.Core.class,
-                CapacityCommand.class
+                Platforms.Program.Core.class
             })
     static final class Top implements Callable<Integer> {
         @Spec CommandSpec spec;
--- a/src/test/java/gingerspool/ci/LogEventsPageTest.java
+++ b/src/test/java/gingerspool/ci/LogEventsPageTest.java
@@ -19,7 +19,7 @@
 
     /** What only the testbed and measurements load. */
     private static final Set<String> NOT_IN_SERVICE =
-            Set.of("standin", "load", "judge", "experiment", "scenario", "capacity");
+            Set.of("standin", "load", "judge", "experiment", "scenario");
 
     /** SLF4J's fluent form ends with the event, Log4j's text begins with it. */
     private static final Pattern LOGGED =
