Configurations are told as gathered deltas, one unacknowledged push a scheduler

Cause: each change was pushed whole to each scheduler (86 kB at 721 routes): a storm of 25 changes filled links of 2 Mbit/s for seconds and, at full size, the leader's heap (OutOfMemoryError), and every change made requests late. ConfigurationState types only changed items; routes are indexed by service once a version.

--- a/src/main/java/gingerspool/codec/MessageTypes.java
+++ b/src/main/java/gingerspool/codec/MessageTypes.java
@@ -52,7 +52,9 @@
                     ConsensusMessage.Referral.class,
                     ConsensusMessage.LeaveRequest.class,
                     ConsensusMessage.LeaveReply.class,
-                    Messages.InstanceCondition.class);
+                    Messages.InstanceCondition.class,
+                    Messages.ConfigurationDeltaPush.class,
+                    Messages.ConfigurationRequest.class);
 
     private MessageTypes() {}
 }
--- a/src/main/java/gingerspool/codec/Messages.java
+++ b/src/main/java/gingerspool/codec/Messages.java
@@ -38,8 +38,17 @@
     public record ConfigurationPush(long number, byte[] configuration, boolean again) {}
 
     /**
-     * The scheduler has put the configuration of this number in force; the digest is of the copy
-     * that it holds.
+     * What turns the base version into another, in protobuf's form; a scheduler applies it to just
+     * that version, or asks for a complete copy.
+     */
+    public record ConfigurationDeltaPush(long base, long number, byte[] changes) {}
+
+    /** A delta could not be applied to this version: a complete copy is needed. */
+    public record ConfigurationRequest(long version) {}
+
+    /**
+     * The scheduler has put the configuration of this number in force; the digest is the checksum
+     * of the copy that it holds.
      */
     public record ConfigurationAck(long number, long digest) {}
 
--- a/src/main/java/gingerspool/configuration/ConfigurationState.java
+++ b/src/main/java/gingerspool/configuration/ConfigurationState.java
@@ -1,7 +1,5 @@
 package gingerspool.configuration;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.util.JsonFormat;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.Json;
 import gingerspool.wire.JsonTree;
@@ -41,6 +39,7 @@
     private Map<String, Object> tree = Map.of();
     private Configuration configuration = Configuration.getDefaultInstance();
 
+    private final TypedConfiguration typed = new TypedConfiguration();
     private AcceptedChanges accepted = new AcceptedChanges();
 
     public long version() {
@@ -74,15 +73,15 @@
                 return Verdict.rejected(VERSION_CONFLICT, "the version in force is " + version());
             }
             Map<String, Object> next = whole ? copy(said) : changed(said);
-            Configuration typed = typed(next);
-            ConfigurationRules.check(typed);
+            Configuration changed = typed.read(next);
+            ConfigurationRules.check(changed);
             ConfigurationRules.checkWeights(next);
             if (version <= version()) {
                 throw new InvalidConfigurationException(
                         "Version " + version + " is not higher than " + version());
             }
             tree = next;
-            configuration = typed;
+            configuration = changed;
             accepted.add(version, digest);
             return Verdict.accepted(version);
         } catch (BadMessage | InvalidConfigurationException e) {
@@ -134,17 +133,6 @@
         return next;
     }
 
-    private static Configuration typed(Map<String, Object> tree)
-            throws InvalidConfigurationException {
-        try {
-            Configuration.Builder builder = Configuration.newBuilder();
-            JsonFormat.parser().ignoringUnknownFields().merge(Json.write(tree), builder);
-            return builder.build();
-        } catch (InvalidProtocolBufferException e) {
-            throw new InvalidConfigurationException(e.getMessage());
-        }
-    }
-
     // ---- Repair ----
 
     /**
@@ -194,10 +182,10 @@
                 | IndexOutOfBoundsException e) {
             throw new InvalidConfigurationException("items that can't be read: " + e.getMessage());
         }
-        Configuration typed = typed(next);
+        Configuration repaired = typed.read(next);
         AcceptedChanges changes = AcceptedChanges.of(blocks);
         tree = next;
-        configuration = typed;
+        configuration = repaired;
         accepted = changes;
     }
 
@@ -213,7 +201,7 @@
         try {
             Object all = Json.read(state, 0, state.length);
             tree = copy((Map<?, ?>) JsonTree.at(all, "tree"));
-            configuration = typed(tree);
+            configuration = typed.read(tree);
             accepted =
                     JsonTree.at(all, "taken") instanceof Map<?, ?> earlier
                             ? AcceptedChanges.ofEarlierForm(earlier)
--- /dev/null
+++ b/src/main/java/gingerspool/controlplane/ConfigurationPublisher.java
@@ -0,0 +1,172 @@
+package gingerspool.controlplane;
+
+import gingerspool.codec.Messages;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.ConfigurationHistory;
+import gingerspool.wire.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Tells the schedulers of this leader the configuration: as a delta from the version that each has
+ * in force, or as a complete copy where it asks for one or its version is not known here.
+ *
+ * <p>Invariants: a scheduler has one push unacknowledged at the most, so what waits in its link is
+ * bounded by one copy, and that copy's bytes are shared by all links; versions that come meanwhile
+ * are told together, by one delta, after the acknowledgement. Changes in quick succession are told
+ * at a pace of {@link #GATHER_PART}. Runs on the loop. Times are milliseconds.
+ */
+final class ConfigurationPublisher {
+    private static final Logger LOG = LogManager.getLogger(ConfigurationPublisher.class);
+
+    /**
+     * Changes are gathered for this part of the time in which they must be in force everywhere,
+     * counted from the last push: it bounds what a storm of changes costs schedulers and links.
+     */
+    private static final double GATHER_PART = 1.0 / 16;
+
+    /** A scheduler that is told the configuration, on one link. */
+    static final class Subscription {
+        private final String name;
+        private final InternalEndpoint.Link link;
+
+        /** The newest version that it has said to have in force. */
+        private long inForce;
+
+        /** The version last pushed; unacknowledged while it is above the one in force. */
+        private long pushed;
+
+        private double pushedAt = Double.NEGATIVE_INFINITY;
+
+        private Subscription(String name, InternalEndpoint.Link link, long inForce) {
+            this.name = name;
+            this.link = link;
+            this.inForce = inForce;
+        }
+
+        /** The newest version that it has said to have in force. */
+        long inForce() {
+            return inForce;
+        }
+    }
+
+    private final EventLoop loop;
+    private final double heartbeat;
+    private final double gatherFor;
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final Set<Subscription> subscriptions = new LinkedHashSet<>();
+
+    /** The newest version as it is sent, by the version that it is a delta to; 0: complete. */
+    private final Map<Long, SharedMessage> messages = new HashMap<>();
+
+    private double publishedAt = Double.NEGATIVE_INFINITY;
+    private boolean isPublishScheduled;
+
+    /** Times in milliseconds: the heartbeat interval, and how soon changes must be in force. */
+    ConfigurationPublisher(EventLoop loop, double heartbeat, double applyWithin) {
+        this.loop = loop;
+        this.heartbeat = heartbeat;
+        gatherFor = GATHER_PART * applyWithin;
+    }
+
+    /** A version took effect here; schedulers are told at once, or when the pause is over. */
+    void configured(Configuration configuration) {
+        history.add(configuration);
+        messages.clear();
+        if (subscriptions.isEmpty() || isPublishScheduled) {
+            return;
+        }
+        double wait = publishedAt + gatherFor - loop.now();
+        if (wait <= 0) {
+            publish();
+        } else {
+            isPublishScheduled = true;
+            loop.schedule(
+                    wait,
+                    () -> {
+                        isPublishScheduled = false;
+                        publish();
+                    });
+        }
+    }
+
+    private void publish() {
+        publishedAt = loop.now();
+        List.copyOf(subscriptions).forEach(this::pushNewest);
+    }
+
+    /** A scheduler registered, with this version in force. */
+    Subscription subscribe(String name, InternalEndpoint.Link link, long version) {
+        Subscription subscription = new Subscription(name, link, version);
+        subscriptions.add(subscription);
+        pushNewest(subscription);
+        return subscription;
+    }
+
+    void unsubscribe(Subscription subscription) {
+        subscriptions.remove(subscription);
+    }
+
+    /** This member leads no more: it tells nobody. */
+    void clear() {
+        subscriptions.clear();
+    }
+
+    /** A scheduler says what it has in force, and the checksum of its copy. */
+    void acknowledged(Subscription from, Messages.ConfigurationAck ack) {
+        from.inForce = Math.max(from.inForce, ack.number());
+        boolean isQuiet = loop.now() > from.pushedAt + heartbeat;
+        boolean differs = ack.number() == history.version() && ack.digest() != history.checksum();
+        if (ack.number() > 0 && differs && isQuiet) {
+            LOG.warn("scheduler.config_diverged scheduler={} version={}", from.name, ack.number());
+            push(from, completeCopy(true));
+        } else {
+            if (isQuiet) {
+                // Guards against a push that was passed over: nothing else would repeat it.
+                from.pushed = from.inForce;
+            }
+            if (!isPublishScheduled) {
+                pushNewest(from);
+            }
+        }
+    }
+
+    /** A scheduler could not apply a delta: it gets a complete copy. */
+    void copyRequested(Subscription from) {
+        LOG.warn("scheduler.config_copy_requested scheduler={}", from.name);
+        push(from, messages.computeIfAbsent(0L, version -> completeCopy(false)));
+    }
+
+    private void pushNewest(Subscription to) {
+        boolean isUnacknowledged = to.pushed > to.inForce;
+        if (to.inForce < history.version() && !isUnacknowledged) {
+            push(to, messages.computeIfAbsent(to.inForce, this::newestFrom));
+        }
+    }
+
+    private void push(Subscription to, SharedMessage message) {
+        to.pushed = history.version();
+        to.pushedAt = loop.now();
+        to.link.send(message);
+    }
+
+    private SharedMessage newestFrom(long version) {
+        return history.deltaFrom(version)
+                .map(
+                        delta ->
+                                new SharedMessage(
+                                        new Messages.ConfigurationDeltaPush(
+                                                version, history.version(), delta)))
+                .orElseGet(() -> completeCopy(false));
+    }
+
+    private SharedMessage completeCopy(boolean again) {
+        return new SharedMessage(
+                new Messages.ConfigurationPush(history.version(), history.copy(), again));
+    }
+}
--- a/src/main/java/gingerspool/controlplane/InternalEndpoint.java
+++ b/src/main/java/gingerspool/controlplane/InternalEndpoint.java
@@ -30,6 +30,11 @@
     /** A link that another process opened, as the rest of the control node sees it. */
     interface Link {
         void send(Object message);
+
+        /** Sends what other links are sent, too. */
+        default void send(SharedMessage message) {
+            send(message.message());
+        }
     }
 
     private final class Accepted implements Link {
@@ -44,6 +49,11 @@
         public void send(Object message) {
             frames.send(codec.write(message));
         }
+
+        @Override
+        public void send(SharedMessage message) {
+            frames.sendFrame(message.frame(codec));
+        }
     }
 
     private final EventLoop loop;
@@ -78,8 +88,8 @@
     }
 
     void sendToAll(Object message) {
-        byte[] bytes = codec.write(message);
-        links.keySet().forEach(frames -> frames.send(bytes));
+        byte[] frame = Frames.frame(codec.write(message));
+        links.keySet().forEach(frames -> frames.sendFrame(frame));
     }
 
     @Override
--- a/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
+++ b/src/main/java/gingerspool/controlplane/SchedulerRegistry.java
@@ -1,6 +1,5 @@
 package gingerspool.controlplane;
 
-import gingerspool.antientropy.RangeDigests;
 import gingerspool.codec.Messages;
 import gingerspool.configuration.ConfigurationState;
 import gingerspool.settings.NodeSettings;
@@ -8,16 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * The schedulers that this leader has registered, each on one link: what they are told, the
  * configuration above all, and what they tell.
  */
 final class SchedulerRegistry {
-    private static final Logger LOG = LogManager.getLogger(SchedulerRegistry.class);
-
     /** What the registry needs of the leader's duties; none where this member doesn't lead. */
     interface Slots {
         void registered(String scheduler, Messages.Register message);
@@ -27,41 +22,24 @@
         void lost(String scheduler);
     }
 
-    private static final class Scheduler {
-        final String name;
-        final InternalEndpoint.Link link;
-
-        /** The newest version that it has in force, and when it was last sent one again. */
-        long version;
-
-        double sentAt = Double.NEGATIVE_INFINITY;
-
-        Scheduler(String name, InternalEndpoint.Link link, long version) {
-            this.name = name;
-            this.link = link;
-            this.version = version;
-        }
-    }
+    private record Scheduler(
+            String name,
+            InternalEndpoint.Link link,
+            ConfigurationPublisher.Subscription configuration) {}
 
-    private final EventLoop loop;
-    private final NodeSettings settings;
     private final ConfigurationState state;
+    private final ConfigurationPublisher publisher;
     private final Map<InternalEndpoint.Link, Scheduler> byLink = new HashMap<>();
     private final Map<String, Scheduler> byName = new HashMap<>();
 
     /** Null where this member doesn't lead. */
     private Slots slots;
 
-    /** The configuration as it was last pushed: its number, its digest, and when. */
-    private long pushedVersion;
-
-    private long pushedDigest;
-    private double pushedAt;
-
     SchedulerRegistry(EventLoop loop, NodeSettings settings, ConfigurationState state) {
-        this.loop = loop;
-        this.settings = settings;
         this.state = state;
+        publisher =
+                new ConfigurationPublisher(
+                        loop, settings.heartbeatInterval, settings.configurationApplyTimeout);
     }
 
     void lead(Slots duties) {
@@ -72,6 +50,7 @@
         slots = null;
         byLink.clear();
         byName.clear();
+        publisher.clear();
     }
 
     int size() {
@@ -80,22 +59,27 @@
 
     List<String> status() {
         return byName.values().stream()
-                .map(s -> "scheduler " + s.name + " version " + s.version)
+                .map(s -> "scheduler " + s.name + " version " + s.configuration.inForce())
                 .toList();
     }
 
     /** Only where this member leads. */
     void register(InternalEndpoint.Link link, Messages.Register message, long term) {
-        Scheduler scheduler = new Scheduler(message.name(), link, message.version());
-        byLink.put(link, scheduler);
-        Scheduler earlier = byName.put(message.name(), scheduler);
-        // Guards the counts of slots: what still comes on an earlier link was told before this.
-        if (earlier != null && earlier.link != link) {
+        Scheduler earlier = byName.remove(message.name());
+        if (earlier != null) {
+            // Guards the counts of slots: what still comes on an earlier link was told before this.
             byLink.remove(earlier.link);
+            publisher.unsubscribe(earlier.configuration);
         }
         link.send(new Messages.Registered(term));
+        Scheduler scheduler =
+                new Scheduler(
+                        message.name(),
+                        link,
+                        publisher.subscribe(message.name(), link, message.version()));
+        byLink.put(link, scheduler);
+        byName.put(message.name(), scheduler);
         slots.registered(message.name(), message);
-        push(scheduler, message.version(), false);
         tellCount();
     }
 
@@ -106,7 +90,9 @@
             return;
         }
         if (message instanceof Messages.ConfigurationAck ack) {
-            acknowledged(scheduler, ack);
+            publisher.acknowledged(scheduler.configuration, ack);
+        } else if (message instanceof Messages.ConfigurationRequest) {
+            publisher.copyRequested(scheduler.configuration);
         } else {
             slots.received(scheduler.name, message);
         }
@@ -114,7 +100,11 @@
 
     void closed(InternalEndpoint.Link link) {
         Scheduler scheduler = byLink.remove(link);
-        if (scheduler != null && byName.remove(scheduler.name, scheduler) && slots != null) {
+        if (scheduler == null) {
+            return;
+        }
+        publisher.unsubscribe(scheduler.configuration);
+        if (byName.remove(scheduler.name, scheduler) && slots != null) {
             slots.lost(scheduler.name);
             tellCount();
         }
@@ -135,39 +125,8 @@
         tellAll(new Messages.SchedulerCount(byName.size()));
     }
 
-    // ---- Configuration ----
-
     /** The configuration has changed. */
     void configured() {
-        byte[] form = state.configuration().toByteArray();
-        pushedDigest = RangeDigests.digest(form);
-        pushedVersion = state.version();
-        pushedAt = loop.now();
-        if (slots != null) {
-            tellAll(new Messages.ConfigurationPush(pushedVersion, form, false));
-        }
-    }
-
-    private void push(Scheduler to, long has, boolean again) {
-        byte[] form = state.configuration().toByteArray();
-        // Guards schedulers, which never go back: a copy that is not what was taken is told to
-        // nobody.
-        if (pushedVersion > has && RangeDigests.digest(form) == pushedDigest) {
-            to.sentAt = loop.now();
-            to.link.send(new Messages.ConfigurationPush(pushedVersion, form, again));
-        }
-    }
-
-    /** Counts the acknowledgement; a copy that differs from ours under its number is sent again. */
-    private void acknowledged(Scheduler from, Messages.ConfigurationAck ack) {
-        from.version = Math.max(from.version, ack.number());
-        boolean differs = ack.number() == pushedVersion && ack.digest() != pushedDigest;
-        if (ack.number() > 0 && differs && loop.now() > from.sentAt + settings.heartbeatInterval) {
-            LOG.warn("scheduler.config_diverged scheduler={} version={}", from.name, ack.number());
-            push(from, 0, true);
-        } else if (ack.number() < pushedVersion
-                && loop.now() > pushedAt + settings.heartbeatInterval) {
-            push(from, ack.number(), false);
-        }
+        publisher.configured(state.configuration());
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
@@ -0,0 +1,101 @@
+package gingerspool.dataplane;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import gingerspool.codec.Messages;
+import gingerspool.configuration.Configuration;
+import gingerspool.configuration.ConfigurationChanges;
+import gingerspool.configuration.ConfigurationChecksum;
+import gingerspool.configuration.ConfigurationDelta;
+import gingerspool.configuration.DeltaMismatchException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * What a scheduler makes of the leader's pushes. Invariant: the version in force only goes up; a
+ * push takes it to the version that the leader pushed, at once, or changes nothing. Each push is
+ * answered, by an acknowledgement or by the request of a complete copy. For one thread, without
+ * I/O.
+ */
+public final class ConfigurationSubscriber {
+    private static final Logger LOG = LogManager.getLogger(ConfigurationSubscriber.class);
+
+    /** What follows from a push. */
+    public interface Listener {
+        /** This configuration is in force from now on. */
+        void onConfiguration(Configuration configuration);
+
+        /** A message for the leader. */
+        void tellLeader(Object message);
+    }
+
+    private final Listener listener;
+    private Configuration inForce = Configuration.getDefaultInstance();
+    private long checksum;
+
+    public ConfigurationSubscriber(Listener listener) {
+        this.listener = listener;
+    }
+
+    /** The configuration in force; of version 0 while none has come. */
+    public Configuration configuration() {
+        return inForce;
+    }
+
+    /** A complete copy, newer, or again under the same number where ours was found to differ. */
+    public void receive(Messages.ConfigurationPush push) {
+        boolean repairs = push.again() && push.number() == inForce.getVersion();
+        if (push.number() <= inForce.getVersion() && !repairs) {
+            acknowledge();
+            return;
+        }
+        try {
+            putInForce(Configuration.parseFrom(push.configuration()));
+        } catch (InvalidProtocolBufferException e) {
+            LOG.warn(
+                    "configuration.unreadable version={} why=\"{}\"",
+                    push.number(),
+                    e.getMessage());
+        }
+    }
+
+    /** What leads from one version to a newer one. */
+    public void receive(Messages.ConfigurationDeltaPush push) {
+        if (push.number() <= inForce.getVersion()) {
+            acknowledge();
+            return;
+        }
+        try {
+            putInForce(
+                    ConfigurationDelta.apply(
+                            inForce, ConfigurationChanges.parseFrom(push.changes())));
+        } catch (InvalidProtocolBufferException | DeltaMismatchException e) {
+            LOG.warn(
+                    "configuration.delta_mismatch version={} why=\"{}\"",
+                    push.number(),
+                    e.getMessage());
+            listener.tellLeader(new Messages.ConfigurationRequest(inForce.getVersion()));
+        }
+    }
+
+    /** Tells the leader what is in force; the checksum is made anew, so that damage to it shows. */
+    public void report() {
+        checksum = ConfigurationChecksum.of(inForce);
+        acknowledge();
+    }
+
+    private void putInForce(Configuration configuration) {
+        inForce = configuration;
+        checksum = ConfigurationChecksum.of(configuration);
+        listener.onConfiguration(configuration);
+        acknowledge();
+        LOG.info(
+                "configuration.in_force version={} routes={} services={}",
+                configuration.getVersion(),
+                configuration.getRoutesCount(),
+                configuration.getServicesCount());
+    }
+
+    private void acknowledge() {
+        listener.tellLeader(new Messages.ConfigurationAck(inForce.getVersion(), checksum));
+    }
+}
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -74,6 +74,7 @@
     private int poolIndexes;
     private Configuration configuration = Configuration.getDefaultInstance();
     private RouteTable routes;
+    private Map<String, List<Route>> routesByService = Map.of();
     private final SchedulerCount schedulers;
     private boolean leaving;
     private int taken;
@@ -107,26 +108,33 @@
 
     /** Puts this configuration in force for every request that comes from now on. */
     void configure(Configuration newest) {
+        boolean limitsChanged = !newest.getLimits().equals(configuration.getLimits());
         configuration = newest;
         routes = new RouteTable(newest);
-        connections.forEach(this::limit);
+        routesByService = byService(newest);
+        if (limitsChanged) {
+            connections.forEach(this::limit);
+        }
         for (Service service : newest.getServicesList()) {
-            if (queues.containsKey(service.getName())) {
-                queues.get(service.getName()).configured(service, routesTo(service.getName()));
+            FunctionQueue queue = queues.get(service.getName());
+            if (queue != null) {
+                queue.configured(service, routesTo(service.getName()));
             }
         }
     }
 
-    private List<Route> routesTo(String service) {
-        List<Route> all = new ArrayList<>();
+    private static Map<String, List<Route>> byService(Configuration configuration) {
+        Map<String, List<Route>> all = new HashMap<>();
         for (Route route : configuration.getRoutesList()) {
-            if (route.getService().equals(service)) {
-                all.add(route);
-            }
+            all.computeIfAbsent(route.getService(), name -> new ArrayList<>(1)).add(route);
         }
         return all;
     }
 
+    private List<Route> routesTo(String service) {
+        return routesByService.getOrDefault(service, List.of());
+    }
+
     /** So many schedulers share the retry budget, this one included. */
     void schedulers(int count) {
         schedulers.report(loop.now(), count);
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -1,7 +1,5 @@
 package gingerspool.dataplane;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import gingerspool.antientropy.RangeDigests;
 import gingerspool.codec.Messages;
 import gingerspool.configuration.Configuration;
 import gingerspool.settings.NodeSettings;
@@ -56,6 +54,8 @@
     private final RequestRouter router;
     private final int clientsMost;
 
+    private final ConfigurationSubscriber configuration;
+
     /** Grants that have come from this leader. */
     private long grants;
 
@@ -77,6 +77,7 @@
         readiness = new ReadinessEndpoint(loop, settings.readinessAddress, this::isReady);
         listener = new Listener(loop, settings.frontAddress, this);
         router = new RequestRouter(loop, settings, pool, this, listener::acceptOn);
+        configuration = new ConfigurationSubscriber(new PushListener());
     }
 
     /** Begins to look for the leader; clients are answered 503 until a configuration has come. */
@@ -100,7 +101,7 @@
         LOG.info(
                 "summary version={} led={} clients={} in_flight={} taken={} served={} refused={} failed={}"
                         + " full={}",
-                router.configuration().getVersion(),
+                configuration.configuration().getVersion(),
                 core.isLed(),
                 router.connections(),
                 router.inFlight(),
@@ -175,7 +176,7 @@
         return new Messages.Register(
                 settings.name,
                 settings.zone,
-                router.configuration().getVersion(),
+                configuration.configuration().getVersion(),
                 router.heldSlots());
     }
 
@@ -196,7 +197,9 @@
         } else if (message instanceof Messages.SchedulerCount count) {
             router.schedulers(count.count());
         } else if (message instanceof Messages.ConfigurationPush push) {
-            configure(push);
+            configuration.receive(push);
+        } else if (message instanceof Messages.ConfigurationDeltaPush push) {
+            configuration.receive(push);
         } else if (message instanceof Messages.SlotGrant grant) {
             granted(grant);
         } else if (message instanceof Messages.SlotRecall recall) {
@@ -211,6 +214,18 @@
         }
     }
 
+    private final class PushListener implements ConfigurationSubscriber.Listener {
+        @Override
+        public void onConfiguration(Configuration newest) {
+            router.configure(newest);
+        }
+
+        @Override
+        public void tellLeader(Object message) {
+            core.tellLeader(message);
+        }
+    }
+
     private void granted(Messages.SlotGrant grant) {
         grants++;
         FunctionQueue queue = router.queue(grant.function());
@@ -223,45 +238,8 @@
         }
     }
 
-    /**
-     * Puts a newer configuration in force, or the same again where ours differs; an older one
-     * never.
-     */
-    private void configure(Messages.ConfigurationPush push) {
-        long current = router.configuration().getVersion();
-        boolean repairs = push.again() && push.number() == current;
-        if (push.number() <= current && !repairs) {
-            return;
-        }
-        try {
-            router.configure(Configuration.parseFrom(push.configuration()));
-        } catch (InvalidProtocolBufferException e) {
-            LOG.warn(
-                    "configuration.unreadable version={} why=\"{}\"",
-                    push.number(),
-                    e.getMessage());
-            return;
-        }
-        acknowledge();
-        LOG.info(
-                "configuration.in_force version={} routes={} services={}",
-                push.number(),
-                router.configuration().getRoutesCount(),
-                router.configuration().getServicesCount());
-    }
-
-    /**
-     * Tells what is in force; the digest is made anew each time, so that damage to our copy shows.
-     */
-    private void acknowledge() {
-        core.tellLeader(
-                new Messages.ConfigurationAck(
-                        router.configuration().getVersion(),
-                        RangeDigests.digest(router.configuration().toByteArray())));
-    }
-
     private void acknowledgeAgain() {
-        acknowledge();
+        configuration.report();
         core.tellLeader(new Messages.SlotHoldings(grants, router.heldSlots()));
         loop.schedule(COMPARE_INTERVAL * settings.heartbeatInterval, this::acknowledgeAgain);
     }
--- a/src/main/java/gingerspool/settings/NodeSettings.java
+++ b/src/main/java/gingerspool/settings/NodeSettings.java
@@ -55,6 +55,10 @@
     public final double heartbeatInterval;
     public final double contactTimeout;
     public final double drainTimeout;
+
+    /** How soon an acknowledged configuration must be in force everywhere. */
+    public final double configurationApplyTimeout;
+
     public final double gracePeriod;
 
     /** Requests that instances of one function may turn away as too many within five seconds. */
@@ -97,6 +101,7 @@
         Section bounds = s.section("Bounds");
         contactTimeout = figure(bounds, "ContactMs", 4000);
         drainTimeout = figure(bounds, "DrainMs", 3000);
+        configurationApplyTimeout = figure(bounds, "ConfigApplyMs", 3000);
         gracePeriod = 1000 * figure(bounds, "GracePeriodS", 6);
         rejectionAllowance = figure(bounds, "LimitSlack", 10);
         retryBudgetRatio = figure(bounds, "RetryBudgetRatio", 0.2);
--- a/src/main/java/gingerspool/wire/Frames.java
+++ b/src/main/java/gingerspool/wire/Frames.java
@@ -48,7 +48,17 @@
     }
 
     public void send(byte[] bytes) {
-        write(ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).put(bytes).array());
+        sendFrame(frame(bytes));
+    }
+
+    /** The frame of these bytes, which may be sent on several links. */
+    public static byte[] frame(byte[] bytes) {
+        return ByteBuffer.allocate(HEAD + bytes.length).putInt(bytes.length).put(bytes).array();
+    }
+
+    /** Sends what frame() made; it is not copied, so nobody may write to it. */
+    public void sendFrame(byte[] frame) {
+        write(frame);
     }
 
     @Override
