Instances for chance stand only where starts would be dearer; one request is no burst

Cause: a third of the instances were never used. One request of a slow function (1.5 s of work, window of the rate 0.96 s) counted as a burst of 1.6 slots, for which Erlang's rule with 2 % wanted five instances, and its own waiting request was counted once more. Change: a burst needs more than one request beyond chance; where a start fits the aim, a further instance is wanted only if the starts that it saves are dearer than its standing (StartCost, the currency of the last instance's retirement), and what is in hand is provided for once.

--- a/src/main/java/gingerspool/autoscaler/CapacityPlan.java
+++ b/src/main/java/gingerspool/autoscaler/CapacityPlan.java
@@ -55,24 +55,43 @@
         double load = function.arrivals.provisioned() * serviceTime;
         double mayWait = Math.max(0, WAIT_PART * function.targetLatency - serviceTime);
         // What waits already is to be worked off within the same span.
+        double workedOffPart = serviceTime / Math.max(serviceTime, mayWait);
+        boolean mustStandReady = mustStandReady(function, serviceTime);
+        // Rare requests are in the rate as well: they are not to be provided for twice.
         double loadWithBacklog =
-                load + function.missingSlots() * serviceTime / Math.max(serviceTime, mayWait);
-        int wanted = mustStandReady(function, serviceTime) || function.inFlight() > 0 ? 1 : 0;
-        while (wanted > 0
-                && isTooFew(
-                        wanted * function.concurrency,
-                        load,
-                        loadWithBacklog,
-                        mayWait / serviceTime)) {
+                mustStandReady
+                        ? load + function.missingSlots() * workedOffPart
+                        : Math.max(load, function.inFlight() * workedOffPart);
+        int wanted = mustStandReady || function.inFlight() > 0 ? 1 : 0;
+        while (wanted > 0) {
+            int slots = wanted * function.concurrency;
+            boolean isTooFew =
+                    slots < loadWithBacklog
+                            || (mustStandReady
+                                    ? waitsTooLong(slots, load, mayWait / serviceTime)
+                                    : startsTooOften(function, slots, load, serviceTime));
+            if (!isTooFew) {
+                break;
+            }
             wanted++;
         }
         return wanted;
     }
 
-    private static boolean isTooFew(
-            int slots, double load, double loadWithBacklog, double serviceTimes) {
-        return slots < loadWithBacklog
-                || ErlangDelay.probabilityBeyond(slots, load, serviceTimes) > LATE_SHARE;
+    /** Whether too many requests wait for a slot for longer than this, in service times. */
+    private static boolean waitsTooLong(int slots, double load, double serviceTimes) {
+        return ErlangDelay.probabilityBeyond(slots, load, serviceTimes) > LATE_SHARE;
+    }
+
+    /**
+     * Where a start is quick enough for the request that needs it, nothing stands ready for chance:
+     * one more instance is worth it where requests would else cause starts at a higher price.
+     */
+    private static boolean startsTooOften(
+            Function function, int slots, double load, double serviceTime) {
+        double startTime = SLOW_START * function.startTime;
+        double needStart = ErlangDelay.probabilityBeyond(slots, load, startTime / serviceTime);
+        return function.arrivals.provisioned() * needStart * StartCost.idleTime(function) > 1;
     }
 
     private double serviceTime(Function function) {
--- a/src/main/java/gingerspool/autoscaler/SurplusRetirement.java
+++ b/src/main/java/gingerspool/autoscaler/SurplusRetirement.java
@@ -19,14 +19,6 @@
     /** The pause between two that retire, in start times. */
     private static final double PAUSE_START_TIMES = 0.5;
 
-    /**
-     * A start is worth so many start times of standing idle: the start's own, what the platform
-     * charges for it, and what waiting for it takes from the request. The last instance is kept
-     * where the next request is awaited within that; else it goes once unused, or after one start
-     * time where the rate isn't known yet.
-     */
-    private static final double WORTH_START_TIMES = 3;
-
     /** How long schedulers have to return the slots of one that retires, in start times. */
     private static final double DRAIN_START_TIMES = 20;
 
@@ -74,10 +66,13 @@
         return least;
     }
 
-    /** How long the last instance of a function is kept unused. */
+    /**
+     * How long the last instance of a function is kept unused: for good where the next request is
+     * awaited within the time that a start is worth; else not at all, or for one start time where
+     * the rate isn't known yet.
+     */
     private static double lastIsKeptFor(Function function) {
-        double worth = WORTH_START_TIMES * function.startTime;
-        if (function.arrivals.expected() * worth > 1) {
+        if (function.arrivals.expected() * StartCost.idleTime(function) > 1) {
             return Double.POSITIVE_INFINITY;
         }
         return function.arrivals.isKnown() ? 0 : function.startTime;
--- a/src/main/java/gingerspool/slots/ArrivalRate.java
+++ b/src/main/java/gingerspool/slots/ArrivalRate.java
@@ -69,12 +69,16 @@
         provisioned = Math.max(current, current + (provisioned - current) * decay);
     }
 
-    /** The rate over the medium window, unless the newest is surely above that. */
+    /**
+     * The rate over the medium window, unless the newest is surely above that. One request alone is
+     * no burst, however rare they are.
+     */
     private double current() {
         double usual = mediumTerm.rate(window);
         double newest = shortTerm.rate(window);
+        double oneRequest = 1 / window;
         double deviation = Math.sqrt(usual / (2 * window));
-        return newest > usual + BURST_DEVIATIONS * deviation ? newest : usual;
+        return newest > usual + BURST_DEVIATIONS * deviation + oneRequest ? newest : usual;
     }
 
     /** The rate to provide instances for: up at once, down slowly. */
--- a/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
+++ b/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
@@ -223,6 +223,47 @@
         assertEquals(starts.stream().filter(s -> s.startsWith("new")).count(), 1);
     }
 
+    /** A single request, though it runs for long, is no reason to have instances for others. */
+    @Test
+    public void aRareSlowRequestStartsOneInstance() {
+        allocator.configure(
+                Configuration.newBuilder()
+                        .addServices(
+                                Service.newBuilder()
+                                        .setName("slow")
+                                        .setBoot(300)
+                                        .setConcurrency(1)
+                                        .setMemory(128))
+                        .addRoutes(Route.newBuilder().setService("slow").setAim(4000))
+                        .build());
+        hosts(4096);
+        allocator.onRegister(600, "a", new Messages.Register("a", "zb", 0, Map.of()));
+        for (double now = 0; now < 15_000; now += 50) {
+            allocator.tick(now);
+        }
+        allocator.onDemand(15_000, "a", new Messages.SlotDemand("slow", 1, 0, 1, 1, 1500));
+        for (double now = 15_000; now < 15_400; now += 50) {
+            allocator.tick(now);
+            autoscaler.tick(now);
+        }
+        assertEquals(starts.stream().filter(s -> s.startsWith("slow")).count(), 1);
+    }
+
+    /** Frequent requests get instances that stand ready where starts would be dearer. */
+    @Test
+    public void aFrequentFunctionHasSpareSlotsThoughAStartFitsItsAim() {
+        hosts(4096);
+        allocator.onRegister(0, "a", new Messages.Register("a", "zb", 0, Map.of()));
+        for (int i = 1; i <= 100; i++) {
+            // Twenty a second that run for 60 ms: 1.2 slots in use.
+            allocator.onDemand(50 * i, "a", new Messages.SlotDemand("rare", 0, 0, 1, i, 60));
+            allocator.tick(50 * i);
+            autoscaler.tick(50 * i);
+        }
+        long rare = starts.stream().filter(s -> s.startsWith("rare")).count();
+        assertTrue(rare >= 2 && rare <= 4, rare + " instances");
+    }
+
     @Test
     public void aHostWithoutRoomIsPassedOverAndTheRateIsKept() {
         hosts(200);
