--- /dev/null
+++ b/src/main/java/gingerspool/cli/LogTimestamps.java
@@ -0,0 +1,57 @@
+package gingerspool.cli;
+
+import java.io.PrintStream;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
+
+/**
+ * Standard error with the time of day, in UTC, before each line. The simple loggers of Log4j and
+ * SLF4J would write it by the JDK's date formats, which take a process that starts on a small share
+ * of a processor longer than all else that it logs with.
+ */
+final class LogTimestamps extends PrintStream {
+    private static final String SLF4J_SHOWS_TIME = "org.slf4j.simpleLogger.showDateTime";
+    private static final int MS_PER_SECOND = 1000;
+    private static final int NANOS_PER_MS = 1_000_000;
+
+    private LogTimestamps(PrintStream out) {
+        super(out, true);
+    }
+
+    /** Before the first logger is made; a second time it changes nothing. */
+    static void install() {
+        if (!(System.err instanceof LogTimestamps)) {
+            System.setProperty(SLF4J_SHOWS_TIME, "false");
+            System.setErr(new LogTimestamps(System.err));
+        }
+    }
+
+    @Override
+    public void println(String line) {
+        super.println(time(System.currentTimeMillis()) + ' ' + line);
+    }
+
+    @Override
+    public void println(Object line) {
+        println(String.valueOf(line));
+    }
+
+    /** A time of day as 2026-12-02T11:05:09.042. */
+    static String time(long unixMs) {
+        int nanos = (int) Math.floorMod(unixMs, (long) MS_PER_SECOND) * NANOS_PER_MS;
+        LocalDateTime time =
+                LocalDateTime.ofEpochSecond(
+                        Math.floorDiv(unixMs, (long) MS_PER_SECOND), nanos, ZoneOffset.UTC);
+        StringBuilder text = new StringBuilder(24);
+        text.append(time.toLocalDate()).append('T');
+        append(text, time.getHour(), 2).append(':');
+        append(text, time.getMinute(), 2).append(':');
+        append(text, time.getSecond(), 2).append('.');
+        return append(text, nanos / NANOS_PER_MS, 3).toString();
+    }
+
+    private static StringBuilder append(StringBuilder text, int number, int digits) {
+        String plain = Integer.toString(number);
+        return text.append("0".repeat(digits - plain.length())).append(plain);
+    }
+}
--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -26,6 +26,7 @@
     private NodeProgram() {}
 
     public static int run(String program, Map<String, String> environment) {
+        LogTimestamps.install();
         Logger log = LogManager.getLogger(NodeProgram.class);
         CountDownLatch ended = new CountDownLatch(1);
         AtomicInteger code = new AtomicInteger(DONE);
--- a/src/main/java/gingerspool/toml/Layers.java
+++ b/src/main/java/gingerspool/toml/Layers.java
@@ -85,7 +85,10 @@
     /** Reads one file that includes nothing, and asks nothing of where it really lies. */
     public void readAlone(Path file) {
         String text = text(file, new SourceLocation(file, 0), "");
-        Node tree = text == null ? null : parse(file, text);
+        Node tree =
+                text == null
+                        ? null
+                        : PlainTomlReader.read(file, text).orElseGet(() -> parse(file, text));
         if (tree != null) {
             lay(tree);
         }
