A slot is kept for a heartbeat where the next request is likely, not for a quarter of one

Cause: each request asked the leader for a slot; while a new leader was elected, requests of functions with no slot waited and were late. Whoever starves is helped by the recall of slots that idle.

--- a/src/main/java/gingerspool/dataplane/SlotReturns.java
+++ b/src/main/java/gingerspool/dataplane/SlotReturns.java
@@ -11,7 +11,7 @@
  */
 final class SlotReturns {
     /** How long a slot is kept unused, in heartbeat intervals. */
-    private static final double KEEP_HEARTBEATS = 0.25;
+    private static final double KEEP_HEARTBEATS = 1;
 
     /** An instance where nothing was held for so many heartbeat intervals is forgotten. */
     private static final double FORGET_HEARTBEATS = 50;
