Repair counts only digests asked for in the comparison under way

Cause: members sent digests on their own timers and the leader compared whatever had come; a digest from before a member's repair, together with a later damage of the same kind, outvoted the copy that was right. Change: the leader asks in numbered comparisons (Messages.DigestRequest) and counts answers to the one under way only; items asked for are taken once, within their comparison. RepairTest looks at all copies again at the end.

--- a/src/main/java/gingerspool/codec/MessageTypes.java
+++ b/src/main/java/gingerspool/codec/MessageTypes.java
@@ -54,7 +54,8 @@
                     ConsensusMessage.LeaveReply.class,
                     Messages.InstanceCondition.class,
                     Messages.ConfigurationDeltaPush.class,
-                    Messages.ConfigurationRequest.class);
+                    Messages.ConfigurationRequest.class,
+                    Messages.DigestRequest.class);
 
     private MessageTypes() {}
 }
--- a/src/main/java/gingerspool/codec/Messages.java
+++ b/src/main/java/gingerspool/codec/Messages.java
@@ -52,8 +52,14 @@
      */
     public record ConfigurationAck(long number, long digest) {}
 
-    /** The digests, by range, of a member's copy of the state at this index of the log. */
-    public record ReplicaDigest(String ip, long index, List<Long> ranges) {}
+    /** The leader asks a member for the digests of its copy of the state, for one comparison. */
+    public record DigestRequest(String ip, long comparison) {}
+
+    /**
+     * The digests, by range, of a member's copy of the state at this index of the log; the answer
+     * to the request of this comparison.
+     */
+    public record ReplicaDigest(String ip, long comparison, long index, List<Long> ranges) {}
 
     /** A member is asked for its items of these ranges at this index; range r is bit r. */
     public record RangeRequest(String ip, long index, int ranges) {}
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -343,6 +343,8 @@
         CoreMember receiver = member.orElseThrow();
         if (message instanceof ConsensusMessage.Envelope m) {
             receiver.receive(m);
+        } else if (message instanceof Messages.DigestRequest m) {
+            receiver.repair().received(m);
         } else if (message instanceof Messages.ReplicaDigest m) {
             receiver.repair().received(m);
         } else if (message instanceof Messages.RangeRequest m) {
--- a/src/main/java/gingerspool/controlplane/CoreMember.java
+++ b/src/main/java/gingerspool/controlplane/CoreMember.java
@@ -83,7 +83,7 @@
         repair =
                 new RepairExchange(
                         loop,
-                        settings.ip,
+                        settings,
                         node.configurationState(),
                         replica,
                         toPeer,
--- a/src/main/java/gingerspool/controlplane/RepairExchange.java
+++ b/src/main/java/gingerspool/controlplane/RepairExchange.java
@@ -7,20 +7,24 @@
 import gingerspool.configuration.InvalidConfigurationException;
 import gingerspool.consensus.Member;
 import gingerspool.consensus.Replica;
+import gingerspool.settings.NodeSettings;
 import gingerspool.wire.EventLoop;
-import java.util.List;
 import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Compares the members' copies of the state and repairs what differs: each tells the leader the
- * digests of its copy, the leader sends what most hold, or asks for it.
+ * Compares the members' copies of the state and repairs what differs: the leader asks each for the
+ * digests of its copy, then sends what most hold, or asks for it.
  */
 final class RepairExchange {
     private static final Logger LOG = LogManager.getLogger(RepairExchange.class);
 
+    /** How long the leader waits for the members' digests, in heartbeat intervals. */
+    private static final double DIGEST_TIMEOUT_HEARTBEATS = 0.5;
+
     private final EventLoop loop;
+    private final double digestTimeout;
     private final String ip;
     private final ConfigurationState state;
     private final Replica replica;
@@ -29,9 +33,13 @@
     private final ReplicaRepair repair =
             new ReplicaRepair(
                     new ReplicaRepair.Exchange() {
+                        @Override
+                        public void requestDigests(String member, long comparison) {
+                            send.accept(member, new Messages.DigestRequest(ip, comparison));
+                        }
+
                         @Override
                         public void ask(String member, long index, int ranges) {
-                            askedFrom = member;
                             send.accept(member, new Messages.RangeRequest(ip, index, ranges));
                         }
 
@@ -41,18 +49,16 @@
                         }
                     });
 
-    /** The member whose items we asked for, as most hold what it does. */
-    private String askedFrom = "";
-
     RepairExchange(
             EventLoop loop,
-            String ip,
+            NodeSettings settings,
             ConfigurationState state,
             Replica replica,
             BiConsumer<String, Object> send,
             Runnable whenRepaired) {
         this.loop = loop;
-        this.ip = ip;
+        digestTimeout = DIGEST_TIMEOUT_HEARTBEATS * settings.heartbeatInterval;
+        ip = settings.ip;
         this.state = state;
         this.replica = replica;
         this.send = send;
@@ -67,21 +73,46 @@
         return repair.undecided();
     }
 
-    /** Tells the leader what our copy of the state comes to; the leader compares all copies. */
+    /**
+     * The leader begins a comparison of all copies; it ends with the last digest or the timeout.
+     */
     void compare() {
-        Member leader = replica.leader(loop.now());
-        List<Long> own = RangeDigests.digests(state.items());
+        if (!replica.isActiveLeader(loop.now())) {
+            return;
+        }
+        long comparison = repair.begin(ip, replica.members().stream().map(Member::ip).toList());
+        loop.schedule(
+                digestTimeout,
+                () -> {
+                    if (repair.isUnderWay(comparison)) {
+                        end();
+                    }
+                });
+    }
+
+    private void end() {
         if (replica.isActiveLeader(loop.now())) {
-            repair.compare(
-                    ip,
-                    replica.members().stream().map(Member::ip).toList(),
-                    replica.appliedIndex(),
-                    own);
-        } else if (leader != null && !replica.isLearner()) {
-            send.accept(leader.ip(), new Messages.ReplicaDigest(ip, replica.appliedIndex(), own));
+            repair.end(replica.appliedIndex(), RangeDigests.digests(state.items()));
         }
     }
 
+    void received(Messages.DigestRequest message) {
+        if (isLeader(message.ip()) && !replica.isLearner()) {
+            send.accept(
+                    message.ip(),
+                    new Messages.ReplicaDigest(
+                            ip,
+                            message.comparison(),
+                            replica.appliedIndex(),
+                            RangeDigests.digests(state.items())));
+        }
+    }
+
+    private boolean isLeader(String member) {
+        Member leader = replica.leader(loop.now());
+        return leader != null && leader.ip().equals(member);
+    }
+
     private void sendRanges(String member, long index, int ranges) {
         send.accept(
                 member,
@@ -90,7 +121,10 @@
     }
 
     void received(Messages.ReplicaDigest message) {
-        repair.received(message.ip(), message.index(), message.ranges());
+        if (repair.received(
+                message.ip(), message.comparison(), message.index(), message.ranges())) {
+            end();
+        }
     }
 
     void received(Messages.RangeRequest message) {
@@ -101,11 +135,8 @@
 
     /** A member says that it has these items where we have others: most hold them. */
     void received(Messages.RangeRepair message) {
-        Member leader = replica.leader(loop.now());
-        boolean isAsked = message.ip().equals(askedFrom);
-        askedFrom = "";
-        boolean isFromLeader = leader != null && leader.ip().equals(message.ip());
-        if (message.index() != replica.appliedIndex() || !isAsked && !isFromLeader) {
+        boolean isExpected = repair.takeAnswerOf(message.ip()) || isLeader(message.ip());
+        if (message.index() != replica.appliedIndex() || !isExpected) {
             return;
         }
         try {
--- a/src/test/java/gingerspool/antientropy/ReplicaRepairTest.java
+++ b/src/test/java/gingerspool/antientropy/ReplicaRepairTest.java
@@ -1,8 +1,10 @@
 package gingerspool.antientropy;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,18 +15,27 @@
 
 /** Copies of one state on several members, damaged on purpose. */
 public class ReplicaRepairTest {
-    private static final long PLACE = 7;
+    private static final long INDEX = 7;
     private final Map<String, Map<String, String>> copies = new LinkedHashMap<>();
-    private final ReplicaRepair mender =
+
+    /** The last request for digests, by the member that it went to. */
+    private final Map<String, Long> requests = new HashMap<>();
+
+    private final ReplicaRepair repair =
             new ReplicaRepair(
                     new ReplicaRepair.Exchange() {
                         @Override
-                        public void ask(String member, long place, int ranges) {
+                        public void requestDigests(String member, long comparison) {
+                            requests.put(member, comparison);
+                        }
+
+                        @Override
+                        public void ask(String member, long index, int ranges) {
                             take("m0", ranges, copies.get(member));
                         }
 
                         @Override
-                        public void send(String member, long place, int ranges) {
+                        public void send(String member, long index, int ranges) {
                             take(member, ranges, copies.get("m0"));
                         }
                     });
@@ -51,18 +62,31 @@
         }
     }
 
-    /** Two rounds: a member that compares may first have to mend itself. */
-    private void rounds() {
-        for (int round = 0; round < 2; round++) {
-            copies.forEach((m, copy) -> mender.received(m, PLACE, RangeDigests.digests(copy)));
-            mender.compare(
-                    "m0",
-                    List.copyOf(copies.keySet()),
-                    PLACE,
-                    RangeDigests.digests(copies.get("m0")));
+    /** Two comparisons: a member that compares may first have to be repaired itself. */
+    private void compareTwice() {
+        for (int n = 0; n < 2; n++) {
+            repair.begin("m0", List.copyOf(copies.keySet()));
+            copies.keySet().stream().filter(m -> !m.equals("m0")).forEach(this::answer);
+            end();
         }
     }
 
+    private boolean answer(String member) {
+        return answer(member, INDEX, digests(member));
+    }
+
+    private boolean answer(String member, long index, List<Long> digests) {
+        return repair.received(member, requests.get(member), index, digests);
+    }
+
+    private List<Long> digests(String member) {
+        return RangeDigests.digests(copies.get(member));
+    }
+
+    private void end() {
+        repair.end(INDEX, digests("m0"));
+    }
+
     private static void damage(Map<String, String> copy, SplittableRandom chance) {
         for (int n = 1 + chance.nextInt(20); n > 0; n--) {
             String key = "L/Routes/" + chance.nextInt(220);
@@ -92,7 +116,7 @@
             for (int i = 0; i < wrong; i++) {
                 damage(copies.get("m" + (first + i) % members), chance);
             }
-            rounds();
+            compareTwice();
             copies.forEach((m, copy) -> assertEquals(copy, state(), m));
         }
     }
@@ -103,9 +127,9 @@
         copies.get("m1").put("L/Routes/1", "other");
         copies.get("m2").put("L/Routes/1", "another");
         Map<String, Map<String, String>> before = Map.copyOf(copies);
-        rounds();
+        compareTwice();
         assertEquals(copies, before);
-        assertTrue(mender.undecided() > 0);
+        assertTrue(repair.undecided() > 0);
     }
 
     @Test
@@ -113,12 +137,12 @@
         members(3);
         copies.get("m1").put("L/Routes/1", "newer");
         copies.get("m2").put("L/Routes/1", "newer");
-        mender.received("m1", PLACE + 1, RangeDigests.digests(copies.get("m1")));
-        mender.received("m2", PLACE + 1, RangeDigests.digests(copies.get("m2")));
-        mender.compare(
-                "m0", List.copyOf(copies.keySet()), PLACE, RangeDigests.digests(copies.get("m0")));
+        repair.begin("m0", List.copyOf(copies.keySet()));
+        answer("m1", INDEX + 1, digests("m1"));
+        answer("m2", INDEX + 1, digests("m2"));
+        end();
         assertEquals(copies.get("m0"), state());
-        assertEquals(mender.differing(), 0);
+        assertEquals(repair.differing(), 0);
     }
 
     /**
@@ -129,10 +153,163 @@
         members(4);
         copies.get("m2").put("L/Routes/1", "other");
         copies.get("m3").put("L/Routes/1", "other");
-        copies.forEach((m, copy) -> mender.received(m, PLACE, RangeDigests.digests(copy)));
-        mender.compare(
-                "m0", List.of("m0", "m1", "m2"), PLACE, RangeDigests.digests(copies.get("m0")));
+        repair.begin("m0", List.of("m0", "m1", "m2", "m3"));
+        repair.begin("m0", List.of("m0", "m1", "m2"));
+        for (String member : List.of("m1", "m2", "m3")) {
+            repair.received(member, requests.get("m1"), INDEX, digests(member));
+        }
+        end();
         assertEquals(copies.get("m2"), state());
         assertEquals(copies.get("m0"), state());
     }
+
+    /**
+     * A digest from before its member was repaired says nothing: with the same damage to another
+     * copy it would outvote the copy that is right.
+     */
+    @Test
+    public void aDigestOfAnEarlierComparisonSaysNothing() {
+        members(3);
+        copies.get("m1").put("L/Routes/1", "other");
+        repair.begin("m0", List.copyOf(copies.keySet()));
+        List<Long> damaged = digests("m1");
+        answer("m1");
+        answer("m2");
+        end();
+        assertEquals(copies.get("m1"), state());
+        long earlier = requests.get("m1");
+
+        copies.get("m0").put("L/Routes/1", "other");
+        repair.received("m1", earlier, INDEX, damaged);
+        repair.begin("m0", List.copyOf(copies.keySet()));
+        repair.received("m1", earlier, INDEX, damaged);
+        answer("m2");
+        end();
+        assertEquals(copies.get("m2"), state());
+        assertEquals(copies.get("m1"), state());
+    }
+
+    @Test
+    public void aComparisonMayEndOnceAllHaveAnswered() {
+        members(3);
+        long comparison = repair.begin("m0", List.copyOf(copies.keySet()));
+        assertFalse(answer("m1"));
+        assertFalse(answer("m1"));
+        assertTrue(answer("m2"));
+        assertTrue(repair.isUnderWay(comparison));
+        end();
+        assertFalse(repair.isUnderWay(comparison));
+        assertFalse(answer("m2"));
+    }
+
+    /**
+     * Copies damaged one after the other in the same way, each once all are right, messages held
+     * back on links that keep their order: no copy that is right is ever replaced by a wrong one.
+     */
+    @Test
+    public void aRightCopyIsNeverReplacedByAWrongOne() {
+        for (int seed = 0; seed < 500; seed++) {
+            new DelayedLinks(seed).play();
+        }
+    }
+
+    /** Members m0, which compares, m1 and m2 over links whose messages wait. */
+    private static final class DelayedLinks implements ReplicaRepair.Exchange {
+        private static final int STEPS = 300;
+
+        private final SplittableRandom chance;
+        private final Map<String, Map<String, String>> copies = new LinkedHashMap<>();
+        private final Map<String, ArrayDeque<Runnable>> links = new LinkedHashMap<>();
+        private final ReplicaRepair repair = new ReplicaRepair(this);
+        private int damages;
+        private int repairs;
+
+        DelayedLinks(int seed) {
+            chance = new SplittableRandom(seed);
+            for (String member : List.of("m0", "m1", "m2")) {
+                copies.put(member, state());
+            }
+        }
+
+        void play() {
+            for (int step = 0; step < STEPS; step++) {
+                List<ArrayDeque<Runnable>> waiting =
+                        links.values().stream().filter(link -> !link.isEmpty()).toList();
+                int choice = chance.nextInt(10);
+                if (choice == 0) {
+                    damageOneIfAllAreRight();
+                } else if (choice <= 2) {
+                    repair.begin("m0", List.copyOf(copies.keySet()));
+                } else if (choice == 3) {
+                    end();
+                } else if (!waiting.isEmpty()) {
+                    waiting.get(chance.nextInt(waiting.size())).remove().run();
+                }
+            }
+            assertTrue(damages <= repairs + 1, damages + " damages, " + repairs + " repairs");
+        }
+
+        private void damageOneIfAllAreRight() {
+            if (copies.values().stream().allMatch(copy -> copy.equals(state()))) {
+                copies.get("m" + chance.nextInt(3)).put("L/Routes/1", "other");
+                damages++;
+            }
+        }
+
+        private void end() {
+            repair.end(INDEX, RangeDigests.digests(copies.get("m0")));
+        }
+
+        private void send(String from, String to, Runnable message) {
+            links.computeIfAbsent(from + ">" + to, key -> new ArrayDeque<>()).add(message);
+        }
+
+        @Override
+        public void requestDigests(String member, long comparison) {
+            send("m0", member, () -> answer(member, comparison));
+        }
+
+        private void answer(String member, long comparison) {
+            List<Long> digests = RangeDigests.digests(copies.get(member));
+            send(
+                    member,
+                    "m0",
+                    () -> {
+                        if (repair.received(member, comparison, INDEX, digests)) {
+                            end();
+                        }
+                    });
+        }
+
+        @Override
+        public void ask(String member, long index, int ranges) {
+            send("m0", member, () -> answerAsk(member, ranges));
+        }
+
+        @Override
+        public void send(String member, long index, int ranges) {
+            Map<String, String> items = RangeDigests.items(copies.get("m0"), ranges);
+            send("m0", member, () -> replace(member, ranges, items));
+        }
+
+        private void answerAsk(String member, int ranges) {
+            Map<String, String> items = RangeDigests.items(copies.get(member), ranges);
+            send(
+                    member,
+                    "m0",
+                    () -> {
+                        if (repair.takeAnswerOf(member)) {
+                            replace("m0", ranges, items);
+                        }
+                    });
+        }
+
+        private void replace(String member, int ranges, Map<String, String> items) {
+            boolean wasRight = copies.get(member).equals(state());
+            copies.put(member, RangeDigests.replaced(copies.get(member), ranges, items));
+            boolean isRight = copies.get(member).equals(state());
+            assertTrue(isRight || !wasRight, member + " was right");
+            repairs += isRight && !wasRight ? 1 : 0;
+        }
+    }
 }
--- a/src/test/java/gingerspool/controlplane/RepairTest.java
+++ b/src/test/java/gingerspool/controlplane/RepairTest.java
@@ -58,6 +58,11 @@
                         });
                 mended.get(20, TimeUnit.SECONDS);
             }
+            for (ControlNode member : platform.core) {
+                CompletableFuture<Map<String, String>> held = new CompletableFuture<>();
+                member.loop.submit(() -> held.complete(member.configurationState.items()));
+                assertEquals(held.get(10, TimeUnit.SECONDS), right);
+            }
         }
     }
 }
