--- a/src/main/java/gingerspool/cli/LogTimestamps.java
+++ b/src/main/java/gingerspool/cli/LogTimestamps.java
@@ -5,9 +5,9 @@
 import java.time.ZoneOffset;
 
 /**
- * Standard error with the time of day, in UTC, before each line. The simple loggers of Log4j and
- * SLF4J would write it by the JDK's date formats, which take a process that starts on a small share
- * of a processor longer than all else that it logs with.
+ * Standard error with the time of day, in UTC, before each line. SLF4J's simple logger would write
+ * it by the JDK's date formats, which take a process that starts on a small share of a processor
+ * longer than all else that it logs with.
  */
 final class LogTimestamps extends PrintStream {
     private static final String SLF4J_SHOWS_TIME = "org.slf4j.simpleLogger.showDateTime";
--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
 /**
@@ -27,7 +27,7 @@
 
     public static int run(String program, Map<String, String> environment) {
         LogTimestamps.install();
-        Logger log = LogManager.getLogger(NodeProgram.class);
+        Logger log = LoggerFactory.getLogger(NodeProgram.class);
         CountDownLatch ended = new CountDownLatch(1);
         AtomicInteger code = new AtomicInteger(DONE);
         try {
--- a/src/main/java/gingerspool/controlplane/ConfigurationPublisher.java
+++ b/src/main/java/gingerspool/controlplane/ConfigurationPublisher.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Tells the schedulers of this leader the configuration: as a delta from the version that each has
@@ -22,7 +22,7 @@
  * at a pace of {@link #GATHER_PART}. Runs on the loop. Times are milliseconds.
  */
 final class ConfigurationPublisher {
-    private static final Logger LOG = LogManager.getLogger(ConfigurationPublisher.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigurationPublisher.class);
 
     /**
      * Changes are gathered for this part of the time in which they must be in force everywhere,
--- a/src/main/java/gingerspool/controlplane/ControlNode.java
+++ b/src/main/java/gingerspool/controlplane/ControlNode.java
@@ -19,8 +19,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One control process: its endpoints, its links, its log and its end.
@@ -30,7 +30,7 @@
  * all state; only the log has a thread besides. Decides nothing itself.
  */
 public final class ControlNode implements LogWriter.Owner, InternalEndpoint.Owner {
-    private static final Logger LOG = LogManager.getLogger(ControlNode.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ControlNode.class);
 
     /** Leader announcements and heartbeats in a heartbeat interval. */
     private static final double ANNOUNCEMENTS_PER_HEARTBEAT = 2;
--- a/src/main/java/gingerspool/controlplane/CoreMember.java
+++ b/src/main/java/gingerspool/controlplane/CoreMember.java
@@ -18,8 +18,8 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.BiConsumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A control node as a member of the core, from the moment that its disk was read: the replica with
@@ -27,7 +27,7 @@
  * copies. All calls come on the loop. Owns the replica; the configuration's state is the node's.
  */
 final class CoreMember implements ReplicaEnvironment {
-    private static final Logger LOG = LogManager.getLogger(CoreMember.class);
+    private static final Logger LOG = LoggerFactory.getLogger(CoreMember.class);
 
     /** The leader's lease, in heartbeat intervals. */
     private static final double LEASE_HEARTBEATS = 0.5;
--- a/src/main/java/gingerspool/controlplane/InternalEndpoint.java
+++ b/src/main/java/gingerspool/controlplane/InternalEndpoint.java
@@ -12,12 +12,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Where other processes of ours, members and schedulers, open their links. */
 final class InternalEndpoint implements Frames.Owner, Listener.Owner {
-    private static final Logger LOG = LogManager.getLogger(InternalEndpoint.class);
+    private static final Logger LOG = LoggerFactory.getLogger(InternalEndpoint.class);
     private static final int LINKS_MOST = 1024;
 
     /** Who is told of what comes on the links. */
--- a/src/main/java/gingerspool/controlplane/LeaderDuties.java
+++ b/src/main/java/gingerspool/controlplane/LeaderDuties.java
@@ -15,8 +15,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What the leader of a term does alone: grants slots, and joins the platform's lists with the
@@ -28,7 +28,7 @@
                 SlotAllocator.Messenger,
                 SchedulerRegistry.Slots,
                 PlatformListReader.Listener {
-    private static final Logger LOG = LogManager.getLogger(LeaderDuties.class);
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderDuties.class);
 
     private static final double TICK_MS = 50;
 
--- a/src/main/java/gingerspool/controlplane/Leadership.java
+++ b/src/main/java/gingerspool/controlplane/Leadership.java
@@ -2,8 +2,8 @@
 
 import gingerspool.consensus.Replica;
 import java.util.function.LongFunction;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Begins the leader's duties once it leads, and ends them when its term is over: when it was not
@@ -13,7 +13,7 @@
  * that are made from the term are never used twice.
  */
 final class Leadership {
-    private static final Logger LOG = LogManager.getLogger(Leadership.class);
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
     private final Replica replica;
     private final LongFunction<LeaderDuties> begin;
--- a/src/main/java/gingerspool/controlplane/PeerLinks.java
+++ b/src/main/java/gingerspool/controlplane/PeerLinks.java
@@ -11,15 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Our own links to the other members of the core, by the address of their machines. Only we send on
  * them; what a peer says comes on the link that it opened itself.
  */
 final class PeerLinks implements Frames.Owner {
-    private static final Logger LOG = LogManager.getLogger(PeerLinks.class);
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLinks.class);
 
     /** In heartbeat intervals: silence after which a link is given up. */
     static final double SILENCE_HEARTBEATS = 1.5;
--- a/src/main/java/gingerspool/controlplane/RepairExchange.java
+++ b/src/main/java/gingerspool/controlplane/RepairExchange.java
@@ -10,15 +10,15 @@
 import gingerspool.settings.NodeSettings;
 import gingerspool.wire.EventLoop;
 import java.util.function.BiConsumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Compares the members' copies of the state and repairs what differs: the leader asks each for the
  * digests of its copy, then sends what most hold, or asks for it.
  */
 final class RepairExchange {
-    private static final Logger LOG = LogManager.getLogger(RepairExchange.class);
+    private static final Logger LOG = LoggerFactory.getLogger(RepairExchange.class);
 
     /** How long the leader waits for the members' digests, in heartbeat intervals. */
     private static final double DIGEST_TIMEOUT_HEARTBEATS = 0.5;
--- a/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
+++ b/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
@@ -7,8 +7,8 @@
 import gingerspool.configuration.ConfigurationChecksum;
 import gingerspool.configuration.ConfigurationDelta;
 import gingerspool.configuration.DeltaMismatchException;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What a scheduler makes of the leader's pushes. Invariant: the version in force only goes up; a
@@ -17,7 +17,7 @@
  * I/O.
  */
 public final class ConfigurationSubscriber {
-    private static final Logger LOG = LogManager.getLogger(ConfigurationSubscriber.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigurationSubscriber.class);
 
     /** What follows from a push. */
     public interface Listener {
--- a/src/main/java/gingerspool/dataplane/ControlLinks.java
+++ b/src/main/java/gingerspool/dataplane/ControlLinks.java
@@ -16,15 +16,15 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A scheduler's links to the control nodes, on the event loop: one to each member, messages only
  * with the leader. Invariant: a registration is sent once on a link, and again on a new link only.
  */
 final class ControlLinks implements Frames.Owner {
-    private static final Logger LOG = LogManager.getLogger(ControlLinks.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ControlLinks.class);
 
     /** The pause between two heartbeats of ours, in heartbeat intervals. */
     private static final double SEND_HEARTBEATS = 0.5;
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -8,15 +8,15 @@
 import gingerspool.wire.SingleThreadEventLoop;
 import java.io.IOException;
 import java.nio.channels.AsynchronousSocketChannel;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One scheduler process: joins the listeners for clients and readiness, the links to the core, and
  * the router of requests. Everything happens on one loop. Decides nothing itself.
  */
 public final class SchedulerNode implements Listener.Owner, RequestRouter.ControlPlane {
-    private static final Logger LOG = LogManager.getLogger(SchedulerNode.class);
+    private static final Logger LOG = LoggerFactory.getLogger(SchedulerNode.class);
 
     /** Descriptors that clients, and connections to instances, may hold, in parts of all. */
     private static final double CLIENT_SHARE = 0.6;
--- a/src/main/java/gingerspool/storage/DurableLog.java
+++ b/src/main/java/gingerspool/storage/DurableLog.java
@@ -15,11 +15,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The member's durable log: one MVStore file, `ledger-N.mv`, of which the highest N that can be
@@ -31,7 +31,7 @@
  * was confirmed, and may take the place of a newer one that can't be read. Blocks; for one thread.
  */
 public final class DurableLog implements AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(DurableLog.class);
+    private static final Logger LOG = LoggerFactory.getLogger(DurableLog.class);
 
     /** The format of what is written here; of older ones format 1 is read. */
     static final int FORMAT = 2;
--- a/src/main/java/gingerspool/storage/LogWriter.java
+++ b/src/main/java/gingerspool/storage/LogWriter.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.LockSupport;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The durable log's own thread: reads what the disk holds, then takes changes from the loop and
@@ -20,7 +20,7 @@
  * failed, it asks for the whole content and tries to write that, until it can.
  */
 public final class LogWriter {
-    private static final Logger LOG = LogManager.getLogger(LogWriter.class);
+    private static final Logger LOG = LoggerFactory.getLogger(LogWriter.class);
 
     /** How long it waits after the disk has failed. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
