A start without date formats, locales and reflection on reflection

Cause: by the times at which classes load, a start spent 80 ms in SLF4J's date format (made as soon as its settings name one, used or not), 20 ms in String.format of limits that were never shown, 30 ms in Kryo's RecordSerializer, which looks for records by reflection for Java 8's sake and so has the JDK parse annotations through proxies. Change: LogTimestamps serves all programs and the settings name no format; Units.plain writes by BigDecimal; records go through codec.ComponentSerializer in the same form. KryoCodecTest holds the bytes to RecordSerializer's own.

--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -1,6 +1,7 @@
 package gingerspool;
 
 import gingerspool.cli.Commands;
+import gingerspool.cli.LogTimestamps;
 import gingerspool.cli.NodeProgram;
 import gingerspool.daemon.Daemon;
 import gingerspool.simhost.SimHost;
@@ -10,6 +11,7 @@
     private Main() {}
 
     public static void main(String[] args) {
+        LogTimestamps.install();
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> System.exit(Daemon.serve(System.getenv()));
--- a/src/main/java/gingerspool/cli/LogTimestamps.java
+++ b/src/main/java/gingerspool/cli/LogTimestamps.java
@@ -7,10 +7,9 @@
 /**
  * Standard error with the time of day, in UTC, before each line. SLF4J's simple logger would write
  * it by the JDK's date formats, which take a process that starts on a small share of a processor
- * longer than all else that it logs with.
+ * longer than all else that it logs with; it makes them as soon as its settings name a format.
  */
-final class LogTimestamps extends PrintStream {
-    private static final String SLF4J_SHOWS_TIME = "org.slf4j.simpleLogger.showDateTime";
+public final class LogTimestamps extends PrintStream {
     private static final int MS_PER_SECOND = 1000;
     private static final int NANOS_PER_MS = 1_000_000;
 
@@ -19,9 +18,8 @@
     }
 
     /** Before the first logger is made; a second time it changes nothing. */
-    static void install() {
+    public static void install() {
         if (!(System.err instanceof LogTimestamps)) {
-            System.setProperty(SLF4J_SHOWS_TIME, "false");
             System.setErr(new LogTimestamps(System.err));
         }
     }
--- a/src/main/java/gingerspool/cli/NodeProgram.java
+++ b/src/main/java/gingerspool/cli/NodeProgram.java
@@ -26,7 +26,6 @@
     private NodeProgram() {}
 
     public static int run(String program, Map<String, String> environment) {
-        LogTimestamps.install();
         Logger log = LoggerFactory.getLogger(NodeProgram.class);
         CountDownLatch ended = new CountDownLatch(1);
         AtomicInteger code = new AtomicInteger(DONE);
--- a/src/main/java/gingerspool/codec/KryoCodec.java
+++ b/src/main/java/gingerspool/codec/KryoCodec.java
@@ -7,11 +7,11 @@
 import com.esotericsoftware.kryo.io.Output;
 import com.esotericsoftware.kryo.serializers.CollectionSerializer;
 import com.esotericsoftware.kryo.serializers.MapSerializer;
-import com.esotericsoftware.kryo.serializers.RecordSerializer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /** Messages to bytes and back, by Kryo. Only what is registered is read; for one thread. */
 public final class KryoCodec {
@@ -22,6 +22,11 @@
 
     /** A type is written as its number in this list, which both sides must share. */
     public KryoCodec(List<Class<?>> types) {
+        this(types, ComponentSerializer::new);
+    }
+
+    /** With another serializer of records, as tests compare them. */
+    KryoCodec(List<Class<?>> types, Function<Class<?>, Serializer<?>> ofRecords) {
         kryo.setReferences(false);
         kryo.register(byte[].class);
         kryo.addDefaultSerializer(List.class, new Lists());
@@ -32,9 +37,7 @@
         kryo.register(HashMap.class, new Maps());
         for (Class<?> type : types) {
             if (type.isRecord()) {
-                RecordSerializer<?> serializer = new RecordSerializer<>(type);
-                serializer.setFixedFieldTypes(true);
-                kryo.register(type, serializer);
+                kryo.register(type, ofRecords.apply(type));
             } else if (type.isInterface()) {
                 kryo.register(type, new Any());
             } else {
--- a/src/main/java/gingerspool/toml/Units.java
+++ b/src/main/java/gingerspool/toml/Units.java
@@ -1,12 +1,16 @@
 package gingerspool.toml;
 
-import java.util.Locale;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Numbers with units, as in "250ms" and "64KiB". */
 public final class Units {
+    /** Of numbers with a fraction. */
+    private static final int DECIMALS = 6;
+
     private static final Pattern FORM =
             Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,9})?) ?([A-Za-z]{1,3})");
 
@@ -63,8 +67,14 @@
 
     /** A number without an empty fraction. */
     public static String plain(double n) {
+        if (!Double.isFinite(n)) {
+            return String.valueOf(n);
+        }
         return n == Math.rint(n) && Math.abs(n) < 1e15
                 ? Long.toString((long) n)
-                : String.format(Locale.ROOT, "%.6f", n).replaceAll("0+$", "");
+                : BigDecimal.valueOf(n)
+                        .setScale(DECIMALS, RoundingMode.HALF_UP)
+                        .stripTrailingZeros()
+                        .toPlainString();
     }
 }
--- a/src/test/java/gingerspool/codec/KryoCodecTest.java
+++ b/src/test/java/gingerspool/codec/KryoCodecTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.expectThrows;
 
+import com.esotericsoftware.kryo.serializers.RecordSerializer;
 import gingerspool.consensus.ConsensusMessage;
 import gingerspool.consensus.LogEntry;
 import gingerspool.consensus.Member;
@@ -19,6 +20,24 @@
     private static final Member A = new Member("10.0.0.1", "0");
     private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
 
+    /** Kryo's own serializer of records wrote what stands on disks. */
+    private final KryoCodec libraryCoder =
+            new KryoCodec(
+                    MessageTypes.ALL,
+                    type -> {
+                        RecordSerializer<?> serializer = new RecordSerializer<>(type);
+                        serializer.setFixedFieldTypes(true);
+                        return serializer;
+                    });
+
+    @Test(dataProvider = "words")
+    public void recordsHaveTheFormOfKryosOwnSerializer(Object word) throws Exception {
+        byte[] bytes = libraryCoder.write(word);
+        assertEquals(coder.write(word), bytes);
+        assertEquals(coder.read(bytes), word);
+        assertEquals(libraryCoder.read(coder.write(word)), word);
+    }
+
     @DataProvider
     Object[][] words() {
         return new Object[][] {
