--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -103,11 +103,16 @@
         return isDrained() || isSucceeded() || isClosing(now);
     }
 
-    /** Clients' connections that have been idle for longer are to be closed. */
+    /**
+     * Clients' connections that have been idle for longer are to be closed. Guards first requests
+     * under way: one that is closed at once may be new, and its client would get no answer.
+     */
     double idleMost(double now) {
-        return isClosing(now)
-                ? 0
-                : isDrained() && now >= drainedAt + STILL_COMING ? FRESH : Double.POSITIVE_INFINITY;
+        if (isOver(now)) {
+            return 0;
+        }
+        boolean isEmptied = isDrained() && now >= drainedAt + STILL_COMING;
+        return isClosing(now) || isEmptied ? FRESH : Double.POSITIVE_INFINITY;
     }
 
     /** Whether it is time to leave for those who have nothing out. */
