The data plane's record checks GONE: nothing runs on half a second after a caller's close

Change: ModelRecord notes when a caller closed; a request that comes to a worker, or a repeatable one that a worker is still at work on, over 500 ms later is a fault of the history.

--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -352,6 +352,7 @@
                 return;
             }
             asked.gone = true;
+            asked.goneAt = network.now();
             if (network.chance.nextBoolean()) {
                 channel.end();
             } else {
--- a/src/test/java/gingerspool/dataplane/ModelRecord.java
+++ b/src/test/java/gingerspool/dataplane/ModelRecord.java
@@ -15,6 +15,9 @@
  * at once what may not be.
  */
 final class ModelRecord {
+    /** How long after its caller's close a request may still come to a worker, or run there. */
+    private static final double GONE_MS = 500;
+
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     /** One request as a caller sent it. */
@@ -32,6 +35,9 @@
         int promised;
         boolean gone;
 
+        /** When its caller closed the connection; NaN while it waits. */
+        double goneAt = Double.NaN;
+
         Sent(
                 String id,
                 boolean safe,
@@ -107,6 +113,7 @@
         if (request == null) {
             return arrival;
         }
+        network.check(!isLongGone(request), "GONE: " + id + " goes out after its caller's close");
         for (Arrival before : request.arrivals) {
             network.check(
                     request.safe || before.refused,
@@ -140,6 +147,18 @@
                 "UNASKED: " + request.id + " was changed");
     }
 
+    private boolean isLongGone(Sent request) {
+        return network.now() > request.goneAt + GONE_MS;
+    }
+
+    /** A worker is still at work on it, on a connection that was not closed. */
+    void stillRuns(String id) {
+        Sent request = all.get(id);
+        network.check(
+                request == null || !request.safe || !isLongGone(request),
+                "GONE: a worker is at work on " + id + ", which may be repeated");
+    }
+
     /** The stamp of an answer that a worker forms for this request. */
     String stamp(String id, int status, byte[] body) {
         String stamp = "stamp-" + stamps++;
--- a/src/test/java/gingerspool/dataplane/ModelWorker.java
+++ b/src/test/java/gingerspool/dataplane/ModelWorker.java
@@ -184,6 +184,7 @@
                 return;
             }
             String own = asked.field("request-id");
+            record.stillRuns(own);
             switch (as) {
                 case SILENT, EARLY_RESET -> {}
                 case CHUNKED -> channel.send(success(own, Framing.CHUNKS, ""));
