--- a/src/main/java/gingerspool/cli/Commands.java
+++ b/src/main/java/gingerspool/cli/Commands.java
@@ -87,8 +87,8 @@
             name = "serve",
             mixinStandardHelpOptions = true,
             description =
-                    "Serves in the foreground. Without "
-                            + "--file the platform's GW_CONFIG tells all; with it and without GW_CONFIG the file does.")
+                    "Serves in the foreground. Without --file the platform's GW_CONFIG tells all; "
+                            + "with it and without GW_CONFIG the file does.")
     static final class Serve implements Callable<Integer> {
         @Option(names = "--file", paramLabel = "FILE", description = "The operator's file.")
         String file;
--- a/src/main/java/gingerspool/cli/Platforms.java
+++ b/src/main/java/gingerspool/cli/Platforms.java
@@ -114,9 +114,9 @@
             name = "platform",
             mixinStandardHelpOptions = true,
             description =
-                    "Starts a small platform on "
-                            + "loopback, three control nodes, two schedulers and a stand-in for the machines that instances run "
-                            + "on, gives it a configuration, sends a request, and ends.")
+                    "Starts a small platform on loopback, three control nodes, two schedulers and "
+                            + "a stand-in for the machines that instances run on, gives it a "
+                            + "configuration, sends a request, and ends.")
     static final class Small implements Callable<Integer> {
         @Spec CommandSpec spec;
 
--- a/src/main/java/gingerspool/cli/Rigs.java
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -96,8 +96,8 @@
             name = "standin",
             mixinStandardHelpOptions = true,
             description =
-                    "Runs discovery and the workers of a "
-                            + "scenario on loopback, and its faults, until it is ended or the scenario is over.")
+                    "Runs discovery and the workers of a scenario on loopback, and its faults, "
+                            + "until it is ended or the scenario is over.")
     static final class Standin extends OnScenario {
         @Option(
                 names = "--log",
@@ -204,10 +204,8 @@
             name = "judge",
             mixinStandardHelpOptions = true,
             description =
-                    "Holds a clients' record and an "
-                            + "execution log against the rules. Exit code 0 where all hold, 1 where one broke, 2 where they "
-                            + "can't be "
-                            + "read.")
+                    "Holds a clients' record and an execution log against the rules. Exit code 0 "
+                            + "where all hold, 1 where one broke, 2 where they can't be read.")
     static final class JudgeCommand implements Callable<Integer> {
         @Spec CommandSpec spec;
 
@@ -239,10 +237,9 @@
             name = "experiment",
             mixinStandardHelpOptions = true,
             description =
-                    "Starts schedulers, stand-ins and "
-                            + "load, plays a scenario over seeds and judges by what workers and clients wrote down. Exit code 0 "
-                            + "where all "
-                            + "rules hold, 1 where one broke, 2 for a scenario that can't be played.")
+                    "Starts schedulers, stand-ins and load, plays a scenario over seeds and judges "
+                            + "by what workers and clients wrote down. Exit code 0 where all rules "
+                            + "hold, 1 where one broke, 2 for a scenario that can't be played.")
     static final class ExperimentCommand implements Callable<Integer> {
         @Spec CommandSpec spec;
 
