--- a/src/main/java/gingerspool/config/Deployment.java
+++ b/src/main/java/gingerspool/config/Deployment.java
@@ -24,7 +24,8 @@
     private static final double DAY = 8.64e7;
     private static final Pattern ADDRESS =
             Pattern.compile(
-                    "(?:(\\[[0-9a-fA-F:.]{2,45}\\])|(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})):(\\d{1,5})");
+                    "(?:(\\[[0-9a-fA-F:.]{2,45}\\])|(\\d{1,3})\\.(\\d{1,3})"
+                            + "\\.(\\d{1,3})\\.(\\d{1,3})):(\\d{1,5})");
     private static final List<String> ORDERS = List.of("first-come", "backfill", "priority");
     private static final List<String> REPORTS = List.of("none", "probe", "answers");
     private static final List<String> LISTS = List.of("pushed", "asked");
--- a/src/main/java/gingerspool/experiment/Experiment.java
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -117,7 +117,8 @@
         to.printf(
                 Locale.ROOT,
                 "  service %.3f; of %d asked %d finished, %d bounced, %d abandoned, %d left; latency "
-                        + "median %.0f ms, 99th %.0f ms; waste %.3f; CPU of schedulers %.1f s; load late by %.1f ms "
+                        + "median %.0f ms, 99th %.0f ms; waste %.3f; CPU of schedulers %.1f s; "
+                        + "load late by %.1f ms "
                         + "(99.9th)%n",
                 g.service(),
                 g.asked,
--- a/src/main/java/gingerspool/experiment/Report.java
+++ b/src/main/java/gingerspool/experiment/Report.java
@@ -63,7 +63,8 @@
                         .append(
                                 "</title><style>body{font:14px "
                                         + "sans-serif;max-width:960px;margin:2em auto}"
-                                        + "table{border-collapse:collapse}td,th{border:1px solid #999;padding:2px 8px;text-align:right}"
+                                        + "table{border-collapse:collapse}td,th{border:1px solid #999;"
+                                        + "padding:2px 8px;text-align:right}"
                                         + ".broken{color:#b00}</style></head><body><h1>")
                         .append(text(s.name))
                         .append("</h1>");
--- a/src/main/java/gingerspool/judge/WorkerRules.java
+++ b/src/main/java/gingerspool/judge/WorkerRules.java
@@ -60,7 +60,8 @@
                             first,
                             String.format(
                                     Locale.ROOT,
-                                    "sent by scheduler %d to %s (line %d), which was told as %s %.0f ms before (line %d)",
+                                    "sent by scheduler %d to %s (line %d), "
+                                            + "which was told as %s %.0f ms before (line %d)",
                                     e.scheduler(),
                                     e.who(),
                                     e.line(),
@@ -160,7 +161,8 @@
                             e.at(),
                             String.format(
                                     Locale.ROOT,
-                                    "%s, up for %.0f ms (line %d), was given %.0f ms of work within %.0f ms and bears "
+                                    "%s, up for %.0f ms (line %d), was given %.0f ms of work "
+                                            + "within %.0f ms and bears "
                                             + "%.0f (line %d)",
                                     e.who(),
                                     age,
