Six tests of replacements that fail: a process ends, or serves on, beside its successor

The tear-down waits for files on their way to the disk: one came after its folder was removed (DirectoryNotEmpty, seen once).

--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -38,11 +39,16 @@
     }
 
     @AfterMethod
-    public void stop() throws IOException {
+    public void stop() throws Exception {
         // The first first, so that it does not take back what the next one had.
         for (Daemon d : daemons) {
             d.loop.stop();
         }
+        for (Daemon d : daemons) {
+            // A file on its way to the disk would come after its folder is gone.
+            d.files.shutdown();
+            assertTrue(d.files.awaitTermination(10, TimeUnit.SECONDS));
+        }
         daemons.clear();
         close();
         Folders.remove(folder);
@@ -431,4 +437,146 @@
         ready(first);
         assertFalse(first.scheduler.suspended().contains("s-1"));
     }
+
+    // ---- Several processes at once ----
+
+    /** A call of the hand-over, as another process makes it; its answer, or what came of it. */
+    private String linkCall(Daemon to, String secret, String path, String body) throws IOException {
+        return Bench.read(beginLinkCall(to, secret, path, body));
+    }
+
+    private Socket beginLinkCall(Daemon to, String secret, String path, String body)
+            throws IOException {
+        return to(
+                to.management.address(),
+                "POST /v1/link/"
+                        + path
+                        + " HTTP/1.1\r\nX-Token: "
+                        + secret
+                        + "\r\nX-From: 127.0.0.1:"
+                        + discovery.getLocalPort()
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body);
+    }
+
+    private String secretOfNote() throws IOException {
+        return Files.readString(folder.resolve("gingerspool-n1.json"))
+                .replaceAll("(?s).*\"token\":\"([0-9a-f]+)\".*", "$1");
+    }
+
+    private static final String JOIN = "{\"v\":1,\"token\":\"of the heir\",\"ask\":1";
+
+    /** Another process, played by the test, has the clients of this one. */
+    private void takeFrom(Daemon first) throws IOException {
+        String secret = secretOfNote();
+        assertTrue(linkCall(first, secret, "join", JOIN + "}").startsWith("HTTP/1.1 200 "));
+        assertTrue(linkCall(first, secret, "take", "{\"n\":0}").startsWith("HTTP/1.1 200 "));
+    }
+
+    /**
+     * A client of a replaced process lost its first request. The process had nothing left and
+     * ended, but its listener was still open, so the kernel let the client in and reset it with the
+     * end: at each such request the log said `left` with `listening=true`.
+     */
+    @Test
+    public void aProcessThatWasSucceededEndsOnlyOnceItsListenerHasClosed() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        takeFrom(first);
+        boolean endedTooSoon =
+                on(
+                        first,
+                        () -> {
+                            first.leave(first.loop.now());
+                            return first.ended.getCount() == 0 && first.clients.listens();
+                        });
+        assertFalse(endedTooSoon);
+        assertEquals(healthz(port), "200");
+    }
+
+    /** Until its successor listens, clients go on coming to the process before it. */
+    @Test
+    public void nobodyIsRefusedBeforeTheSuccessorListens() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        takeFrom(first);
+        long since = System.nanoTime();
+        while (System.nanoTime() - since < 500_000_000L) {
+            assertEquals(healthz(port), "200");
+        }
+        assertTrue(linkCall(first, secretOfNote(), "bound", "").startsWith("HTTP/1.1 200 "));
+        untilItListensNoMore(first);
+    }
+
+    /**
+     * Two processes were started one after the other, and one of them had taken over before the
+     * other asked. That one got a 409 (`handover.no_state why=status 409`), served alone beside it
+     * and was still there when both runs had ended. It is told who serves, and asks there.
+     */
+    @Test
+    public void aProcessThatComesTooLateAsksTheOneThatServes() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        takeFrom(first);
+        Daemon late = start(port, true);
+        discovery.setSoTimeout(5000);
+        String asked = "";
+        while (!asked.startsWith("POST /v1/link/join ")) {
+            // Watches of the list come here as well.
+            Socket s = discovery.accept();
+            open.add(s);
+            asked = Bench.read(s);
+        }
+        assertTrue(asked.contains("X-Token: of the heir\r\n"), asked);
+        assertFalse(on(late, late.clients::listens));
+    }
+
+    /** Whoever starts a process ends all that it started before, so the last one has to serve. */
+    @Test
+    public void ofTwoTheOneThatStartedLaterServes() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        String answer = linkCall(first, secretOfNote(), "join", JOIN + ",\"started\":1000}");
+        assertTrue(answer.startsWith("HTTP/1.1 410 "), answer);
+        assertEquals(call(first, "GET", "/v1/readyz"), 200);
+    }
+
+    @Test
+    public void aProcessThatALaterOneHasOvertakenEnds() throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            String at = "127.0.0.1:" + peer.getLocalPort();
+            Files.writeString(
+                    folder.resolve("gingerspool-n1.json"),
+                    "{\"v\":1,\"at\":\""
+                            + at
+                            + "\",\"token\":\"t\",\"suspended\":[],\"drained\":false}");
+            Daemon overtaken = start(0, true);
+            Socket s = peer.accept();
+            open.add(s);
+            Bench.read(s);
+            Bench.write(s, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n");
+            assertTrue(overtaken.ended.await(10, TimeUnit.SECONDS));
+            assertEquals(overtaken.exitCode, 1);
+            assertFalse(on(overtaken, overtaken.clients::listens));
+        }
+    }
+
+    /** SIGTERM comes in the middle of taking over: the process must take nothing any more. */
+    @Test
+    public void aProcessThatIsToEndBeforeItServesTakesNothingOver() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        Daemon second = start(port, false);
+        second.loop.submit(() -> second.leave(second.loop.now()));
+        assertTrue(second.ended.await(10, TimeUnit.SECONDS));
+        assertEquals(healthz(port), "200");
+        ready(first);
+        assertFalse(on(second, second.clients::listens));
+    }
 }
