A replaced process closes its listener when nobody comes, and ends after it

The process ended while its listener was open (`left` with `listening=true` at the lost requests): the kernel let clients in and reset them with the end. It now ends only when no accept can come any more (Listener.mayAccept). 2. Closing the listener resets the handshakes under way. The successor now has the kernel give it all new connections (a filter on the group of listeners, by JNA, tried out with a connection of its own), and the old process listens until none has come for as long as a connection may take. It takes clients until the successor listens: no gap. 3. A loop that was late closed new connections as idle whose request had come 490 to 1150 ms before and not been looked at. Idle connections are closed a turn later, those without a request yet at the end of the time to leave. Beside it: a process that was refused with 409 served alone beside the one that serves and was never ended; it now asks that one. Of several the one that started last serves; SIGTERM before it serves takes nothing over. Elsewhere: SchedulerNode ended with accepts under way and RequestRouter closed new connections; both mended.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.ClientEndpoint;
+import gingerspool.wire.ConnectionSteering;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.JsonTree;
 import gingerspool.wire.ManagementEndpoint;
@@ -85,11 +86,12 @@
     /** Null where no other process can follow this one. */
     private final Handover handover;
 
-    private boolean listening;
-
-    /** Files are written here, beside the loop; tests hold it up. */
+    /** Files are written and system calls made here, beside the loop; tests hold it up. */
     ExecutorService files;
 
+    /** Null where no other process can follow this one. */
+    private ConnectionSteering steering;
+
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
         int toWorkers = (node.sockets - RESERVE) / WORKER_SHARE;
@@ -109,7 +111,6 @@
         }
         if (handover == null || !handover.hasNote()) {
             clients.listen();
-            listening = true;
         }
     }
 
@@ -229,6 +230,9 @@
     /** To leave from this time on. */
     void leave(double from) {
         LOG.atInfo().addKeyValue("in_hand", scheduler.unanswered()).log("leaving");
+        if (handover != null) {
+            handover.leave();
+        }
         lifecycle.leave(
                 from,
                 ProcessLifecycle.STILL_COMING
@@ -256,9 +260,11 @@
         clients.ready(lifecycle.isReady());
         clients.lastAnswers(lifecycle.lastAnswers(now), lifecycle.isSucceeded());
         if (lifecycle.idleMost(now) < Double.POSITIVE_INFINITY) {
-            clients.closeIdle(lifecycle.idleMost(now), lifecycle.isClosing(now));
+            clients.closeIdle(
+                    lifecycle.idleMost(now), lifecycle.freshMost(now), lifecycle.isClosing(now));
         }
-        if (lifecycle.mayEnd(now, handover != null && handover.standsBetween())) {
+        if (ended.getCount() > 0
+                && lifecycle.mayEnd(now, handover != null && handover.standsBetween())) {
             lookForEnd(now);
         }
     }
@@ -271,11 +277,12 @@
             scheduler.abandonAll();
             unanswered = 0;
         }
-        if (unanswered == 0 && (lifecycle.isClosing(now) || clients.connections() == 0)) {
-            clients.shut();
+        if (unanswered == 0) {
+            closeListener(now);
         }
-        if (unanswered == 0
-                && (lifecycle.isSucceeded() ? clients.ofClients() : clients.connections()) == 0) {
+        int open = lifecycle.isSucceeded() ? clients.ofClients() : clients.connections();
+        // Guards the clients: until the listener has closed, the kernel lets more of them in.
+        if (unanswered == 0 && open == 0 && !clients.listens()) {
             LoggingEventBuilder line = LOG.atInfo();
             scheduler.summary(line);
             line.log("left");
@@ -283,6 +290,15 @@
         }
     }
 
+    /** The listener of a process that was succeeded closes when its successor has the clients. */
+    private void closeListener(double now) {
+        if (lifecycle.isOver(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
+            clients.shut();
+        } else if (lifecycle.isClosing(now)) {
+            clients.drainListener();
+        }
+    }
+
     private void setDrained(boolean drained) {
         if (drained) {
             lifecycle.drain(loop.now());
@@ -302,6 +318,7 @@
                             t.setDaemon(true);
                             return t;
                         });
+        steering = new ConnectionSteering(loop, files, loop::submit, handshake());
         return new Handover(
                 loop,
                 files,
@@ -313,6 +330,14 @@
                 new Household());
     }
 
+    /**
+     * A client's handshake takes no longer than this, in milliseconds: what the deployment allows a
+     * connection, and no more than clients come for after they are sent elsewhere.
+     */
+    private double handshake() {
+        return Math.min(node.deployment.connectWithin, ProcessLifecycle.STILL_COMING);
+    }
+
     /** What hand-over does here. */
     private final class Household implements Handover.House {
         /** The list was told, and is followed. */
@@ -369,10 +394,7 @@
 
         @Override
         public void bind() throws IOException {
-            if (!listening) {
-                clients.listen();
-                listening = true;
-            }
+            clients.listen();
         }
 
         @Override
@@ -380,15 +402,57 @@
             Daemon.this.serve();
         }
 
+        @Override
+        public void claim(Consumer<Boolean> done) {
+            clients.claim(
+                    steering,
+                    claimed -> {
+                        if (claimed && handover.hasBefore()) {
+                            loop.schedule(handshake(), this::claimAgain);
+                        }
+                        done.accept(claimed);
+                    });
+        }
+
+        /**
+         * Guards against a third process whose listener closes: that numbers the others anew, so
+         * that they get each other's connections.
+         */
+        private void claimAgain() {
+            if (handover.hasBefore() && !lifecycle.isSucceeded()) {
+                claim(claimed -> {});
+            }
+        }
+
+        @Override
+        public void alone() {
+            if (!lifecycle.isSucceeded()) {
+                release();
+            }
+        }
+
+        private void release() {
+            try {
+                steering.release(((InetSocketAddress) clients.address()).getPort());
+            } catch (IOException e) {
+                // It listens no more, so there is nothing to give back.
+                LOG.atDebug().addKeyValue("why", e.getMessage()).log("steering.unavailable");
+            }
+        }
+
         @Override
         public void retire() {
             lifecycle.succeeded(loop.now());
-            clients.retire();
-            listening = false;
             scheduler.mostToWorkers(Math.max(LEAST, scheduler.toWorkers()));
             look();
         }
 
+        @Override
+        public void closeListener() {
+            clients.shutWhenQuiet(handshake());
+            look();
+        }
+
         @Override
         public void takeBack() {
             lifecycle.aloneAgain();
@@ -396,6 +460,7 @@
             try {
                 bind();
                 clients.open();
+                release();
             } catch (IOException e) {
                 LOG.atError().addKeyValue("why", e.getMessage()).log("listen.failed");
             }
--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -115,6 +115,18 @@
         return isClosing(now) || isEmptied ? FRESH : Double.POSITIVE_INFINITY;
     }
 
+    /**
+     * The same for connections that have had no request yet: a client's first one is lost if it
+     * crosses the close. A process that leaves keeps them as long as it can; one that was drained
+     * has to send its clients away, and closes what has waited so long for a first request.
+     */
+    double freshMost(double now) {
+        if (isOver(now)) {
+            return 0;
+        }
+        return isLeaving() ? Double.POSITIVE_INFINITY : 2 * STILL_COMING;
+    }
+
     /** Whether it is time to leave for those who have nothing out. */
     boolean isClosing(double now) {
         return isLeaving()
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -216,8 +216,9 @@
         connections.forEach(connection -> connection.endAfterAnswer(true));
     }
 
-    void closeIdle() {
-        List.copyOf(idle).forEach(Inbound::close);
+    /** Closes connections between requests, and those that have had none for `fresh` ms. */
+    void closeIdle(double fresh) {
+        List.copyOf(idle).forEach(connection -> connection.closeIfIdle(0, fresh));
     }
 
     @Override
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -134,16 +134,21 @@
 
     private void leave() {
         double elapsed = loop.now() - leavingAt;
-        boolean quiet = elapsed > STILL_COMING * settings.heartbeatInterval;
+        double stillComing = STILL_COMING * settings.heartbeatInterval;
+        boolean quiet = elapsed > stillComing;
         if (quiet) {
-            router.closeIdle();
+            router.closeIdle(stillComing);
         }
         boolean allEnded = router.inFlight() == 0 && router.connections() == 0;
         if (elapsed > GIVE_UP_PART_OF_GRACE * settings.gracePeriod) {
             router.giveUpAll();
         }
-        if (quiet && allEnded || elapsed > LAST_PART_OF_GRACE * settings.gracePeriod) {
+        boolean isLate = elapsed > LAST_PART_OF_GRACE * settings.gracePeriod;
+        if (quiet && allEnded || isLate) {
             listener.close();
+        }
+        // A client whose accept was under way at the close is seen one look later.
+        if (quiet && allEnded && !listener.mayAccept() || isLate) {
             whenLeft.run();
         } else {
             loop.schedule(LEAVE_CHECK * settings.heartbeatInterval, this::leave);
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -39,7 +39,22 @@
     /** An heir that has taken over holds a call open from then on, this soon. */
     private static final double HELD_WITHIN = 2000;
 
+    /**
+     * A process that has a successor under way, or is not serving yet, is asked again this soon.
+     */
+    private static final double ASK_AGAIN = 50;
+
+    /** The process that serves is looked for so long; then this one serves alone. */
+    private static final double SEARCH_WITHIN = 2 * PATIENCE_STATE;
+
     private static final String PATH = "/v1/link/";
+
+    /** How calls end; 0 stands for no answer. */
+    private static final int OK = 200;
+
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int NO_ANSWER = 0;
     private static final byte[] NOTHING = new byte[0];
 
     /** What the process does for it. */
@@ -58,9 +73,18 @@
 
         void serve();
 
-        /** Takes no more clients: another process has them. */
+        /** Has all new connections come to this process; then tells whether they do. */
+        void claim(Consumer<Boolean> done);
+
+        /** The process before this one is gone: nobody listens beside it. */
+        void alone();
+
+        /** Another process has the clients; who still comes here is served all the same. */
         void retire();
 
+        /** That process has the new connections as well: listens until none comes any more. */
+        void closeListener();
+
         /** That process is gone: takes clients again. */
         void takeBack();
 
@@ -95,6 +119,18 @@
     private final House house;
     private final Succession succession = new Succession();
     private final HandoverFile found;
+
+    /** When this process started, in milliseconds of Unix time. */
+    private final double startedAt;
+
+    /** The process that is asked for its state: the one of the file, or one that came after it. */
+    private HandoverFile asked;
+
+    private double searchedFrom;
+
+    /** The process is to end before it has taken over. */
+    private boolean leaving;
+
     private String token = "";
     private Peer before;
     private Peer after;
@@ -128,6 +164,13 @@
         this.house = house;
         file = HandoverFile.path(folder, name);
         found = HandoverFile.read(file);
+        asked = found;
+        startedAt =
+                ProcessHandle.current()
+                        .info()
+                        .startInstant()
+                        .map(at -> (double) at.toEpochMilli())
+                        .orElse(0.0);
     }
 
     /** The workers under a ban that a state tells of. */
@@ -142,6 +185,11 @@
         return before != null && after != null;
     }
 
+    /** Whether the process before this one still lives, as far as is known. */
+    public boolean hasBefore() {
+        return before != null;
+    }
+
     /** Whether a note names a process before this one. */
     public boolean hasNote() {
         return found != null;
@@ -153,15 +201,27 @@
         byte[] secret = new byte[16];
         new SecureRandom().nextBytes(secret);
         token = HexFormat.of().formatHex(secret);
+        searchedFrom = loop.now();
         act(succession.begin(found != null));
     }
 
+    /** The process is to end: one that does not serve yet takes nothing over any more. */
+    public void leave() {
+        if (!succession.isServing()) {
+            leaving = true;
+            dropBefore();
+        }
+    }
+
     private void act(Succession.Action act) {
+        if (leaving) {
+            return;
+        }
         switch (act) {
             case ASK -> ask();
             case SERVE_ALONE -> serveAlone();
             case TAKE -> askToRetire();
-            case SERVE -> serve();
+            case SERVE -> serveAfter();
             case TAKE_BACK -> {
                 after.close();
                 after = null;
@@ -174,7 +234,10 @@
     }
 
     private void ask() {
-        if (found.at().equals(Address.text(own))) {
+        if (leaving) {
+            return;
+        }
+        if (asked.at().equals(Address.text(own))) {
             stateFailed("it was called where this one is, so it has ended");
             return;
         }
@@ -183,8 +246,8 @@
                     before == null
                             ? new Peer(
                                     loop,
-                                    Address.read(found.at()),
-                                    found.token(),
+                                    Address.read(asked.at()),
+                                    asked.token(),
                                     own,
                                     connectWithin)
                             : before;
@@ -195,41 +258,115 @@
         heard = 0;
         asks++;
         early.clear();
-        byte[] call = body(Map.of("v", HandoverFile.VERSION, "token", token, "ask", asks));
-        before.words.call(
-                "join",
-                call,
-                PATIENCE_STATE,
-                (status, body) -> {
-                    try {
-                        if (status != 200) {
-                            stateFailed(status == 0 ? "no answer" : "status " + status);
-                            return;
-                        }
-                        Object state = Json.read(body, 0, body.length);
-                        if (JsonTree.number(0, state, "v") != HandoverFile.VERSION) {
-                            throw new BadMessage(400, "of another version");
-                        }
-                        house.take(state);
-                        LOG.atInfo().addKeyValue("bytes", body.length).log("handover.state");
-                        act(succession.stateCame());
-                    } catch (BadMessage e) {
-                        stateFailed("the state is " + e.getMessage());
-                    }
+        Map<String, Object> call = new LinkedHashMap<>();
+        call.put("v", HandoverFile.VERSION);
+        call.put("token", token);
+        call.put("ask", asks);
+        call.put("started", startedAt);
+        before.words.call("join", body(call), PATIENCE_STATE, this::stateAnswered);
+    }
+
+    private void stateAnswered(int status, byte[] body) {
+        if (leaving) {
+            return;
+        }
+        switch (status) {
+            case OK -> stateCame(body);
+            case CONFLICT -> lookFurther(body);
+            case GONE -> house.fail("a process that started later serves");
+            case NO_ANSWER -> lookUpAgain();
+            default -> stateFailed("status " + status);
+        }
+    }
+
+    private void stateCame(byte[] body) {
+        try {
+            Object state = Json.read(body, 0, body.length);
+            if (JsonTree.number(0, state, "v") != HandoverFile.VERSION) {
+                throw new BadMessage(400, "of another version");
+            }
+            house.take(state);
+            LOG.atInfo().addKeyValue("bytes", body.length).log("handover.state");
+            act(succession.stateCame());
+        } catch (BadMessage e) {
+            stateFailed("the state is " + e.getMessage());
+        }
+    }
+
+    /**
+     * It has no state to tell: its successor serves, which is asked instead, or it does not serve
+     * itself yet. Guards against a second process that serves beside that one and knows nothing of
+     * it.
+     */
+    private void lookFurther(byte[] refusal) {
+        if (loop.now() > searchedFrom + SEARCH_WITHIN) {
+            stateFailed("nobody told a state within " + Math.round(SEARCH_WITHIN) + " ms");
+            return;
+        }
+        HandoverFile next = successorIn(refusal);
+        if (next == null) {
+            loop.schedule(ASK_AGAIN, this::ask);
+            return;
+        }
+        LOG.atInfo()
+                .addKeyValue("of", asked.at())
+                .addKeyValue("at", next.at())
+                .log("handover.next");
+        askInstead(next, 0);
+    }
+
+    private void askInstead(HandoverFile next, double pause) {
+        dropBefore();
+        asked = next;
+        loop.schedule(pause, this::ask);
+    }
+
+    private HandoverFile successorIn(byte[] refusal) {
+        try {
+            Object tree = Json.read(refusal, 0, refusal.length);
+            String at = JsonTree.text("", tree, "at");
+            String secret = JsonTree.text("", tree, "token");
+            return at.isEmpty() ? null : found.calledAt(at, secret);
+        } catch (BadMessage e) {
+            return null;
+        }
+    }
+
+    /**
+     * It is gone, perhaps since another one has taken over after the file was read: the file then
+     * names that one by now.
+     */
+    private void lookUpAgain() {
+        files.execute(
+                () -> {
+                    HandoverFile newest = HandoverFile.read(file);
+                    anyThread.execute(() -> lookedUp(newest));
                 });
     }
 
+    private void lookedUp(HandoverFile newest) {
+        if (leaving) {
+            return;
+        }
+        boolean isAnother = newest != null && !newest.at().equals(asked.at());
+        if (isAnother && loop.now() <= searchedFrom + SEARCH_WITHIN) {
+            askInstead(newest, ASK_AGAIN);
+        } else {
+            stateFailed("no answer");
+        }
+    }
+
     private void stateFailed(String why) {
         LOG.atWarn()
                 .addKeyValue("why", why)
-                .addKeyValue("bans", found.suspended().size())
+                .addKeyValue("bans", asked.suspended().size())
                 .log("handover.no_state");
         act(succession.stateFailed());
     }
 
     private void serveAlone() {
         dropBefore();
-        house.ban(found == null ? List.of() : found.suspended(), found != null && found.drained());
+        house.ban(asked == null ? List.of() : asked.suspended(), asked != null && asked.drained());
         if (bind()) {
             serve();
         }
@@ -245,29 +382,46 @@
         }
     }
 
+    /** It goes on taking who comes to it until this one listens too, so nobody is refused. */
     private void askToRetire() {
         runEarly();
+        before.words.call("take", body(Map.of("n", heard)), PATIENCE_RETIRE, this::retireAnswered);
+    }
+
+    private void retireAnswered(int status, byte[] body) {
+        if (leaving) {
+            return;
+        }
+        if (status == OK) {
+            house.sharesWith(descriptors(body));
+            before.held.call("hold", NOTHING, 0, (ended, none) -> beforeGone());
+            act(succession.retired());
+        } else if (status == CONFLICT) {
+            act(succession.refused());
+        } else {
+            LOG.atWarn().addKeyValue("status", status).log("handover.not_retired");
+            Succession.Action then = succession.beforeGone();
+            dropBefore();
+            act(then);
+        }
+    }
+
+    /** Serves, and has the one before listen no more once all new connections come here. */
+    private void serveAfter() {
         if (!bind()) {
             return;
         }
-        before.words.call(
-                "take",
-                body(Map.of("n", heard)),
-                PATIENCE_RETIRE,
-                (status, body) -> {
-                    if (status == 200) {
-                        house.sharesWith(descriptors(body));
-                        act(succession.retired());
-                        before.held.call("hold", NOTHING, 0, (ended, none) -> beforeGone());
-                    } else if (status == 409) {
-                        act(succession.refused());
-                    } else {
-                        LOG.atWarn().addKeyValue("status", status).log("handover.not_retired");
-                        Succession.Action then = succession.beforeGone();
-                        dropBefore();
-                        act(then);
-                    }
-                });
+        serve();
+        if (before != null) {
+            house.claim(this::claimed);
+        }
+    }
+
+    private void claimed(boolean all) {
+        LOG.atInfo().addKeyValue("all", all).log("handover.claimed");
+        if (before != null) {
+            before.words.call("bound", NOTHING, PATIENCE, (status, none) -> {});
+        }
     }
 
     private static int descriptors(byte[] body) {
@@ -305,6 +459,7 @@
         if (before != null) {
             LOG.atInfo().log("handover.alone");
             dropBefore();
+            house.alone();
             act(succession.beforeGone());
         }
     }
@@ -492,9 +647,10 @@
                             from,
                             who,
                             (long) JsonTree.number(-1, Json.read(body, 0, body.length), "n"));
+            case "bound" -> bound(from, who);
             case "hold" -> {
                 if (after == null || !after.name().equals(who)) {
-                    from.answer(409, List.of(), "not the heir\n");
+                    from.answer(CONFLICT, List.of(), "not the heir\n");
                 } else {
                     after.holds = true;
                     from.whenGone(() -> successorGone(who));
@@ -520,6 +676,11 @@
         if (JsonTree.number(0, call, "v") != HandoverFile.VERSION) {
             throw new BadMessage(400, "v is not " + HandoverFile.VERSION);
         }
+        if (JsonTree.number(startedAt, call, "started") < startedAt) {
+            // Guards the order of starts: whoever starts a process ends the ones before it.
+            from.answer(GONE, List.of(), "started before this one\n");
+            return;
+        }
         Peer successor =
                 new Peer(
                         loop,
@@ -528,7 +689,7 @@
                         own,
                         connectWithin);
         if (succession.asked(who) != Succession.Action.TELL) {
-            from.answer(409, List.of(), "not serving\n");
+            from.answer(CONFLICT, List.of(), body(whoServes()));
             return;
         }
         if (after != null) {
@@ -545,9 +706,25 @@
         from.answer(200, List.of(), body(state));
     }
 
+    /** Where the process is called that has the clients, as far as this one knows. */
+    private Map<String, Object> whoServes() {
+        return succession.after() == Succession.After.SUCCEEDED
+                ? Map.of("at", after.name(), "token", after.token())
+                : Map.of();
+    }
+
+    private void bound(Inbound from, String who) {
+        if (succession.bound(who) == Succession.Action.CLOSE) {
+            house.closeListener();
+            from.answer(OK, List.of(), NOTHING);
+        } else {
+            from.answer(CONFLICT, List.of(), "not the successor\n");
+        }
+    }
+
     private void take(Inbound from, String who, long words) {
         if (succession.asksToTake(who, words) != Succession.Action.RETIRE) {
-            from.answer(409, List.of(), "not yet\n");
+            from.answer(CONFLICT, List.of(), "not yet\n");
             return;
         }
         LOG.atInfo().addKeyValue("successor", who).log("handover.retired");
--- a/src/main/java/gingerspool/handover/HandoverFile.java
+++ b/src/main/java/gingerspool/handover/HandoverFile.java
@@ -53,6 +53,11 @@
         }
     }
 
+    /** The same bans, told by a process that is called elsewhere. */
+    HandoverFile calledAt(String address, String secret) {
+        return new HandoverFile(address, secret, suspended, drained);
+    }
+
     static HandoverFile read(String text) throws BadMessage {
         Object tree = Json.read(text);
         if (JsonTree.number(0, tree, "v") != VERSION) {
--- a/src/main/java/gingerspool/handover/Peer.java
+++ b/src/main/java/gingerspool/handover/Peer.java
@@ -91,6 +91,11 @@
         return Address.text(at);
     }
 
+    /** What calls to it must carry. */
+    String token() {
+        return token;
+    }
+
     /** Calls that go out in turn on a few connections. */
     final class Line {
         private final int most;
--- a/src/main/java/gingerspool/handover/Succession.java
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -2,7 +2,7 @@
 
 /**
  * Which of two processes has the clients, without I/O. A process asks the one before it (if a note
- * names one) for its state, binds, and takes over; later one after it may do the same. Each input
+ * names one) for its state, takes over, and binds; later one after it may do the same. Each input
  * is a call that returns what is to be done; what is not said by the rules below changes nothing.
  */
 final class Succession {
@@ -29,16 +29,21 @@
         NONE,
         /** Ask the process before this one for its state. */
         ASK,
-        /** Use the state that came, bind, and ask the one before to retire. */
+        /** Use the state that came, and ask the one before to retire. */
         TAKE,
         /** Use the note's bans, bind and serve. */
         SERVE_ALONE,
-        /** Serve; the process before this one lives on until it has ended what it has. */
+        /**
+         * Bind and serve, then have all new connections; the process before this one lives on until
+         * it has ended what it has.
+         */
         SERVE,
         /** Tell the process after this one the state. */
         TELL,
-        /** Stop taking clients: the process after this one has them. */
+        /** The process after this one has the clients, and is about to listen. */
         RETIRE,
+        /** The process after this one listens: stop once no connection comes here any more. */
+        CLOSE,
         /** Take clients again: the process after this one is gone. */
         TAKE_BACK,
         /** Say no: it has not had every word, or is not the latest to ask. */
@@ -142,7 +147,7 @@
         return true;
     }
 
-    /** The heir has bound and asks us to retire; it has had so many words since the state. */
+    /** The heir asks us to retire; it has had so many words since the state. */
     Action asksToTake(String who, long words) {
         if (after != After.JOINED || !who.equals(successor) || !counted(words)) {
             return Action.REFUSE;
@@ -151,6 +156,11 @@
         return Action.RETIRE;
     }
 
+    /** The heir listens for clients. */
+    Action bound(String who) {
+        return after == After.SUCCEEDED && who.equals(successor) ? Action.CLOSE : Action.NONE;
+    }
+
     /** Whether just so many words were told. */
     boolean counted(long words) {
         return words == told;
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,10 +52,9 @@
     /** Where other processes may listen at this address beside us. */
     private final boolean shared;
 
-    /** Null while we don't listen. */
+    /** Null before we have listened; closed where we do no more. */
     private Listener listener;
 
-    private Listener retired;
     private final Set<Inbound> all = new LinkedHashSet<>();
 
     /** The longest idle first. */
@@ -78,8 +78,12 @@
         this.shared = shared;
     }
 
-    /** Listens from now on, and takes who comes from open() on. */
+    /** Listens from now on, unless it does, and takes who comes from open() on. */
     public void listen() throws IOException {
+        if (isListening()) {
+            listener.stayOpen();
+            return;
+        }
         listener = new Listener(loop, at, shared, this);
         // Guards a port that the system chose: who listens again does so where clients know it.
         at = listener.address();
@@ -181,13 +185,13 @@
     }
 
     /**
-     * Closes the clients' connections that have had no request for so long, and call-backs' too if
-     * told.
+     * Closes the clients' connections that have had no request for so long, or for `fresh` if never
+     * one, and call-backs' too if told.
      */
-    public void closeIdle(double longerThan, boolean callBacksToo) {
+    public void closeIdle(double usedFor, double fresh, boolean callBacksToo) {
         for (Inbound c : List.copyOf(idle)) {
-            if (c.idleFor() >= longerThan && (callBacksToo || !c.hasCallBacks())) {
-                c.close();
+            if (callBacksToo || !c.hasCallBacks()) {
+                c.closeIfIdle(usedFor, fresh);
             }
         }
     }
@@ -201,23 +205,39 @@
         return n;
     }
 
-    /** No more connections. */
+    /** No more connections, from now on or as soon as an accept under way has ended. */
     public void shut() {
         if (listener != null) {
             listener.close();
         }
     }
 
-    /** No more connections here: another process listens, and has those that are not ours yet. */
-    public void retire() {
-        retired = listener;
-        listener = null;
-        retired.retire();
+    /** The same though clients may come: takes those that wait first. */
+    public void drainListener() {
+        if (listener != null) {
+            listener.drainAndClose();
+        }
+    }
+
+    /** Another process has the new connections: listens until none has come for so long. */
+    public void shutWhenQuiet(double quiet) {
+        if (listener != null) {
+            listener.closeWhenQuiet(quiet);
+        }
+    }
+
+    /** Has all new connections come here, where others listen too; then tells whether they do. */
+    public void claim(ConnectionSteering steering, Consumer<Boolean> done) {
+        steering.claim(listener, done);
+    }
+
+    private boolean isListening() {
+        return listener != null && listener.isOpen();
     }
 
     /** Whether connections may still come here. */
     public boolean listens() {
-        return listener != null && listener.isOpen() || retired != null && retired.isOpen();
+        return listener != null && listener.mayAccept();
     }
 
     // ---- Requests ----
--- a/src/main/java/gingerspool/wire/EventLoop.java
+++ b/src/main/java/gingerspool/wire/EventLoop.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
+import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.concurrent.Future;
 
@@ -29,6 +30,11 @@
         return AsynchronousSocketChannel.open(group());
     }
 
+    /** A channel that does not listen yet. A test may hand out modelled ones. */
+    default AsynchronousServerSocketChannel serverChannel() throws IOException {
+        return AsynchronousServerSocketChannel.open(group());
+    }
+
     /**
      * Whether a safeguard is in place. No class of src/main overrides this (see ArchitectureTest):
      * only a test's loop takes one out, to show what it is for.
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -62,6 +62,9 @@
     private double since;
     private boolean callBacks;
 
+    /** A whole request has come on it. */
+    private boolean used;
+
     public Inbound(EventLoop loop, AsynchronousSocketChannel channel, Handler clients) {
         this(loop, channel, clients, IDLE, STALLED);
     }
@@ -152,6 +155,7 @@
             int taken = message.take(b, from, to);
             if (message.done()) {
                 state = State.ASKED;
+                used = true;
                 alarm(0, null);
                 lastRequest = !message.keepsAlive();
                 clients.asked(this, message);
@@ -230,6 +234,8 @@
             case 408 -> "Request Timeout";
             case 412 -> "Precondition Failed";
             case 405 -> "Method Not Allowed";
+            case 409 -> "Conflict";
+            case 410 -> "Gone";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
@@ -276,6 +282,22 @@
         return callBacks;
     }
 
+    /**
+     * Closes it if it has been idle for so long, or for `fresh` if no request has come on it yet: a
+     * client may send a request again that crosses the close of a connection in use, but not the
+     * first one on a new connection. Guards against a loop that is late, which sees the time that
+     * has passed before it sees what has come meanwhile: that is looked at first.
+     */
+    public void closeIfIdle(double usedFor, double fresh) {
+        loop.schedule(
+                0,
+                () -> {
+                    if (state == State.IDLE && idleFor() >= (used ? usedFor : fresh)) {
+                        close();
+                    }
+                });
+    }
+
     /** How long it has been idle, in milliseconds. */
     public double idleFor() {
         return loop.now() - since;
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -6,12 +6,23 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The listening socket: accepts while its owner has room. */
+/**
+ * The listening socket: accepts while its owner has room.
+ *
+ * <p>Closing resets every connection that the kernel holds for it, also one whose handshake is not
+ * over, though its client has been let in. A process that another one has succeeded therefore
+ * closes it only once no connection comes any more ({@link #closeWhenQuiet}), and ends only once
+ * the last accept has told its end ({@link #mayAccept}).
+ *
+ * <p>Thread: the event loop. Times are milliseconds.
+ */
 public final class Listener implements CompletionHandler<AsynchronousSocketChannel, Void> {
     private static final Logger LOG = LoggerFactory.getLogger(Listener.class);
     private static final int BACKLOG = 1024;
@@ -36,8 +47,24 @@
     private final EventLoop loop;
     private final Owner owner;
     private final AsynchronousServerSocketChannel channel;
+
+    /** Connections of our own, by where they come from; they are not the owner's. */
+    private final Map<SocketAddress, Runnable> expected = new HashMap<>();
+
+    /** An accept is under way, or the pause after one that failed. */
     private boolean accepting;
-    private boolean retiring;
+
+    /** Since when an accept has waited for a connection, or none was to be waited for. */
+    private double quietSince;
+
+    /** It closes after so long without a connection; NaN while it is to stay open. */
+    private double closesAfter = Double.NaN;
+
+    /** It closes at the first moment when nothing waits. */
+    private boolean draining;
+
+    /** Connections accepted since it was first told to close. */
+    private int acceptedClosing;
 
     /** Listens at once, alone at its address. */
     public Listener(EventLoop loop, SocketAddress at, Owner owner) throws IOException {
@@ -49,7 +76,7 @@
             throws IOException {
         this.loop = loop;
         this.owner = owner;
-        channel = AsynchronousServerSocketChannel.open(loop.group());
+        channel = loop.serverChannel();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             if (shared) {
@@ -70,12 +97,21 @@
         return channel.isOpen();
     }
 
+    /**
+     * Whether a connection may still come of it: while it is open, and until an accept under way at
+     * its close has told its end. Guards the clients: the process must not end before.
+     */
+    public boolean mayAccept() {
+        return channel.isOpen() || accepting;
+    }
+
     /** Goes on accepting, if it does not and there is room. */
     public void acceptOn() {
         // Making room may close a connection, which asks for this again: so the mark is looked at
         // last.
         if (channel.isOpen() && owner.hasRoom() && !accepting) {
             accepting = true;
+            quietSince = loop.now();
             channel.accept(null, this);
         }
     }
@@ -85,49 +121,149 @@
         loop.execute(
                 () -> {
                     accepting = false;
-                    owner.accepted(accepted);
-                    if (retiring) {
-                        emptyAndClose();
+                    take(accepted);
+                    if (draining) {
+                        drain();
                     }
                     acceptOn();
                 });
     }
 
+    private void take(AsynchronousSocketChannel accepted) {
+        Runnable arrived = expected.isEmpty() ? null : expected.remove(remote(accepted));
+        if (arrived != null) {
+            closeQuietly(accepted);
+            arrived.run();
+            return;
+        }
+        acceptedClosing += isClosing() ? 1 : 0;
+        owner.accepted(accepted);
+    }
+
+    private static SocketAddress remote(AsynchronousSocketChannel accepted) {
+        try {
+            return accepted.getRemoteAddress();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private static void closeQuietly(AsynchronousSocketChannel accepted) {
+        try {
+            accepted.close();
+        } catch (IOException e) {
+            LOG.atDebug().addKeyValue("why", e.getMessage()).log("connection.close_failed");
+        }
+    }
+
     @Override
     public void failed(Throwable why, Void none) {
         loop.execute(
                 () -> {
-                    if (channel.isOpen()) {
-                        LOG.atWarn()
-                                .addKeyValue("why", why.getMessage())
-                                .log("listener.accept_failed");
-                        if (OUT_OF_DESCRIPTORS.equals(why.getMessage())) {
-                            owner.outOfDescriptors();
-                        }
-                        loop.schedule(
-                                PAUSE,
-                                () -> {
-                                    accepting = false;
-                                    acceptOn();
-                                });
+                    if (!channel.isOpen()) {
+                        accepting = false;
+                        return;
                     }
+                    LOG.atWarn().addKeyValue("why", why.getMessage()).log("listener.accept_failed");
+                    if (OUT_OF_DESCRIPTORS.equals(why.getMessage())) {
+                        owner.outOfDescriptors();
+                    }
+                    loop.schedule(
+                            PAUSE,
+                            () -> {
+                                accepting = false;
+                                acceptOn();
+                            });
                 });
     }
 
     /**
-     * Another process listens here too: takes what still waits, then closes. Guards the clients:
-     * closing resets what waits, so it closes at the moment when nothing does.
+     * A connection that this process makes to its own address: if this listener gets it, `arrived`
+     * runs and the owner is told nothing.
+     */
+    void expect(SocketAddress from, Runnable arrived) {
+        expected.put(from, arrived);
+    }
+
+    void expectNoMore(SocketAddress from) {
+        expected.remove(from);
+    }
+
+    // ---- Closing ----
+
+    private boolean isClosing() {
+        return draining || !Double.isNaN(closesAfter);
+    }
+
+    /**
+     * Another process gets the new connections: closes once an accept has waited for so long in
+     * vain. Guards the clients whose handshakes were under way when that process got the rest.
      */
-    public void retire() {
-        retiring = true;
+    public void closeWhenQuiet(double quiet) {
+        boolean watched = !Double.isNaN(closesAfter);
+        closesAfter = quiet;
+        quietSince = loop.now();
+        if (!watched) {
+            lookWhetherQuiet();
+        }
+    }
+
+    /** That process is gone: stays open after all. */
+    public void stayOpen() {
+        closesAfter = Double.NaN;
+        draining = false;
+        acceptOn();
+    }
+
+    private void lookWhetherQuiet() {
+        if (Double.isNaN(closesAfter) || !channel.isOpen()) {
+            return;
+        }
+        // Where there is no room, connections may wait that no accept has been told of.
+        double quietFor = accepting ? loop.now() - quietSince : 0;
+        if (quietFor >= closesAfter) {
+            double since = quietSince;
+            loop.schedule(0, () -> closeIfQuietSince(since));
+        } else {
+            loop.schedule(closesAfter - quietFor, this::lookWhetherQuiet);
+        }
+    }
+
+    /**
+     * Guards against a loop that is late: a timer runs before the ends of accepts that came while
+     * it was due, and a client may wait behind each of these.
+     */
+    private void closeIfQuietSince(double since) {
+        if (accepting && quietSince == since && !Double.isNaN(closesAfter)) {
+            close();
+        } else {
+            lookWhetherQuiet();
+        }
+    }
+
+    /**
+     * Closes though connections may come, at the moment when none waits, or soon. The kernel may
+     * reset one that comes at that very moment.
+     */
+    public void drainAndClose() {
+        if (draining || !channel.isOpen()) {
+            return;
+        }
+        draining = true;
         if (!accepting) {
-            emptyAndClose();
+            drain();
         }
         // An accept that is under way ends with the next client; none may come.
-        loop.schedule(PAUSE, this::close);
+        loop.schedule(PAUSE, this::closeIfDraining);
+    }
+
+    private void closeIfDraining() {
+        if (draining) {
+            close();
+        }
     }
 
-    private void emptyAndClose() {
+    private void drain() {
         try {
             while (channel.isOpen()) {
                 Future<AsynchronousSocketChannel> next = channel.accept();
@@ -135,7 +271,7 @@
                     close();
                     return;
                 }
-                owner.accepted(next.get());
+                take(next.get());
             }
         } catch (ExecutionException | InterruptedException e) {
             LOG.atWarn().addKeyValue("why", e.getMessage()).log("listener.accept_failed");
@@ -143,10 +279,15 @@
         }
     }
 
+    /** Closes at once; see {@link #mayAccept} for what may still come. */
     public void close() {
         if (!channel.isOpen()) {
             return;
         }
+        LOG.atInfo()
+                .addKeyValue("accepting", accepting)
+                .addKeyValue("accepted_closing", acceptedClosing)
+                .log("listener.closed");
         try {
             channel.close();
         } catch (IOException e) {
--- /dev/null
+++ b/src/main/java/gingerspool/wire/ReusePortGroup.java
@@ -0,0 +1,155 @@
+package gingerspool.wire;
+
+import com.sun.jna.Library;
+import com.sun.jna.Memory;
+import com.sun.jna.Native;
+import com.sun.jna.Pointer;
+import com.sun.jna.ptr.IntByReference;
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * The sockets that listen at one port with SO_REUSEPORT, in whichever processes. Linux keeps them
+ * as a group with numbered members and shares new connections out among them by a hash; a member
+ * may be selected instead, which then gets all of them. A selected number without a member leaves
+ * the choice to the hash.
+ *
+ * <p>Thread: any; the calls block for as long as a few system calls take. The first one loads the
+ * native library.
+ */
+final class ReusePortGroup {
+    /** More processes than this do not listen beside each other. */
+    static final int MOST_MEMBERS = 4;
+
+    private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
+    private static final String SOCKET_LINK = "socket:";
+
+    // asm-generic/socket.h, as on x86-64 and aarch64.
+    private static final int SOL_SOCKET = 1;
+    private static final int SO_REUSEPORT = 15;
+    private static final int SO_ACCEPTCONN = 30;
+    private static final int SO_ATTACH_REUSEPORT_CBPF = 51;
+    private static final int SO_DETACH_REUSEPORT_BPF = 68;
+
+    /** linux/filter.h: a program of one instruction, "return this constant". */
+    private static final short RETURN_CONSTANT = 0x06;
+
+    private static final int INSTRUCTION_BYTES = 8;
+    private static final int CONSTANT_OFFSET = 4;
+    private static final int PROGRAM_BYTES = 16;
+    private static final int PROGRAM_POINTER_OFFSET = 8;
+
+    /** Room for a sockaddr of either family; the port stands in its third and fourth byte. */
+    private static final int ADDRESS_BYTES = 128;
+
+    private static final int PORT_OFFSET = 2;
+
+    /** The system calls that are needed, by their names in the C library. */
+    interface SocketCalls extends Library {
+        int getsockopt(int descriptor, int level, int option, IntByReference to, IntByReference n);
+
+        int setsockopt(int descriptor, int level, int option, Pointer value, int bytes);
+
+        int getsockname(int descriptor, byte[] address, IntByReference bytes);
+    }
+
+    /** Loaded with the first call, and only by a process that hands over or takes over. */
+    private static final class Calls {
+        static final SocketCalls C = Native.load("c", SocketCalls.class);
+    }
+
+    private ReusePortGroup() {}
+
+    /** Has all new connections at this port go to one member; tells whether the system did it. */
+    static boolean select(int port, int member) {
+        if (!isSupported()) {
+            return false;
+        }
+        int descriptor = listening(port);
+        if (descriptor < 0) {
+            return false;
+        }
+        try (Memory instruction = new Memory(INSTRUCTION_BYTES);
+                Memory program = new Memory(PROGRAM_BYTES)) {
+            instruction.clear();
+            instruction.setShort(0, RETURN_CONSTANT);
+            instruction.setInt(CONSTANT_OFFSET, member);
+            program.clear();
+            program.setShort(0, (short) 1);
+            program.setPointer(PROGRAM_POINTER_OFFSET, instruction);
+            return Calls.C.setsockopt(
+                            descriptor,
+                            SOL_SOCKET,
+                            SO_ATTACH_REUSEPORT_CBPF,
+                            program,
+                            PROGRAM_BYTES)
+                    == 0;
+        }
+    }
+
+    /** Leaves the choice to the hash again; nothing changes where no member was selected. */
+    static void selectByHash(int port) {
+        if (!isSupported()) {
+            return;
+        }
+        int descriptor = listening(port);
+        if (descriptor >= 0) {
+            try (Memory none = new Memory(Integer.BYTES)) {
+                none.clear();
+                Calls.C.setsockopt(
+                        descriptor, SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, none, Integer.BYTES);
+            }
+        }
+    }
+
+    private static boolean isSupported() {
+        String architecture = System.getProperty("os.arch");
+        return System.getProperty("os.name").equals("Linux")
+                && (architecture.equals("amd64") || architecture.equals("aarch64"));
+    }
+
+    /** A socket of this process that listens at this port beside others, or -1. */
+    private static int listening(int port) {
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(OWN_DESCRIPTORS)) {
+            for (Path entry : all) {
+                int descriptor = Integer.parseInt(entry.getFileName().toString());
+                if (isSocket(entry)
+                        && isSet(descriptor, SO_ACCEPTCONN)
+                        && isSet(descriptor, SO_REUSEPORT)
+                        && port(descriptor) == port) {
+                    return descriptor;
+                }
+            }
+        } catch (IOException e) {
+            return -1;
+        }
+        return -1;
+    }
+
+    /** A descriptor may be closed while the folder is read: it is then no socket. */
+    private static boolean isSocket(Path entry) {
+        try {
+            return Files.readSymbolicLink(entry).toString().startsWith(SOCKET_LINK);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static boolean isSet(int descriptor, int option) {
+        IntByReference value = new IntByReference();
+        IntByReference size = new IntByReference(Integer.BYTES);
+        return Calls.C.getsockopt(descriptor, SOL_SOCKET, option, value, size) == 0
+                && value.getValue() != 0;
+    }
+
+    private static int port(int descriptor) {
+        byte[] address = new byte[ADDRESS_BYTES];
+        if (Calls.C.getsockname(descriptor, address, new IntByReference(ADDRESS_BYTES)) != 0) {
+            return -1;
+        }
+        return Byte.toUnsignedInt(address[PORT_OFFSET]) << Byte.SIZE
+                | Byte.toUnsignedInt(address[PORT_OFFSET + 1]);
+    }
+}
--- a/src/test/java/gingerspool/controlplane/ConfigurationPublishingTest.java
+++ b/src/test/java/gingerspool/controlplane/ConfigurationPublishingTest.java
@@ -12,6 +12,7 @@
 import gingerspool.configuration.Route;
 import gingerspool.configuration.Service;
 import gingerspool.dataplane.ConfigurationSubscriber;
+import gingerspool.peers.ModelEventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/src/test/java/gingerspool/controlplane/CoreModel.java
+++ b/src/test/java/gingerspool/controlplane/CoreModel.java
@@ -13,6 +13,7 @@
 import gingerspool.consensus.Replica;
 import gingerspool.consensus.ReplicaEnvironment;
 import gingerspool.consensus.ReplicaSettings;
+import gingerspool.peers.ModelEventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/test/java/gingerspool/controlplane/GracefulShutdownTest.java
+++ b/src/test/java/gingerspool/controlplane/GracefulShutdownTest.java
@@ -7,6 +7,7 @@
 
 import gingerspool.controlplane.CoreModel.Answer;
 import gingerspool.controlplane.CoreModel.Node;
+import gingerspool.peers.ModelEventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
--- a/src/test/java/gingerspool/daemon/ProcessLifecycleTest.java
+++ b/src/test/java/gingerspool/daemon/ProcessLifecycleTest.java
@@ -140,4 +140,17 @@
         assertFalse(lifecycle.mayEnd(1000 + WITHIN - 1, true));
         assertTrue(lifecycle.mayEnd(1000 + WITHIN, true));
     }
+
+    /**
+     * A first request under way on a new connection is lost with it: one that leaves keeps new
+     * connections to the end, a drained one for the time in which clients still come, and again.
+     */
+    @Test
+    public void connectionsWithoutARequestAreKeptLonger() {
+        ProcessLifecycle leaving = after("started succeeded term");
+        assertTrue(leaving.isClosing(WITHIN - 1));
+        assertEquals(leaving.freshMost(WITHIN - 1), Double.POSITIVE_INFINITY);
+        assertEquals(leaving.freshMost(WITHIN), 0.0);
+        assertEquals(after("started drain").freshMost(800), 1400.0);
+    }
 }
--- a/src/test/java/gingerspool/peers/ModelEventLoop.java
+++ b/src/test/java/gingerspool/peers/ModelEventLoop.java
@@ -1,4 +1,4 @@
-package gingerspool.controlplane;
+package gingerspool.peers;
 
 import gingerspool.wire.EventLoop;
 import java.nio.channels.AsynchronousChannelGroup;
@@ -6,8 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 
-/** A loop whose time passes only as a test says. */
-final class ModelEventLoop implements EventLoop {
+/** A loop whose time passes only as a test says, in milliseconds. */
+public class ModelEventLoop implements EventLoop {
     private record Timer(double at, long serial, Runnable what, CompletableFuture<Void> end)
             implements Comparable<Timer> {
         @Override
@@ -43,7 +43,13 @@
         throw new UnsupportedOperationException("no sockets in a model");
     }
 
-    void run(double span) {
+    /** Time passes in which the loop runs nothing, as when its thread gets no processor. */
+    public void stall(double span) {
+        now += span;
+    }
+
+    /** Runs what comes due within this span, in the order of its times. */
+    public void run(double span) {
         double until = now + span;
         while (!timers.isEmpty() && timers.peek().at <= until) {
             Timer next = timers.poll();
--- /dev/null
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -0,0 +1,47 @@
+package gingerspool.wire;
+
+import gingerspool.peers.ModelEventLoop;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.util.ArrayDeque;
+import java.util.concurrent.Future;
+
+/**
+ * A loop for modelled channels, in whose order ends of operations and timers run as on the real
+ * one: each in a turn of its own, in the order in which they came due.
+ */
+final class ModelChannelLoop extends ModelEventLoop {
+    private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
+    private boolean isRunning;
+
+    /** The last listening socket. */
+    ModelServerChannel listening;
+
+    /** The runtime has ended an operation: its handler runs as soon as the thread is free. */
+    void complete(Runnable handler) {
+        super.schedule(0, handler);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        if (isRunning) {
+            return;
+        }
+        isRunning = true;
+        for (Runnable next = tasks.poll(); next != null; next = tasks.poll()) {
+            next.run();
+        }
+        isRunning = false;
+    }
+
+    @Override
+    public Future<?> schedule(double span, Runnable task) {
+        return super.schedule(span, () -> execute(task));
+    }
+
+    @Override
+    public AsynchronousServerSocketChannel serverChannel() {
+        listening = new ModelServerChannel(this);
+        return listening;
+    }
+}
