Experiments end every scheduler process that they start; scheduler-hangup

A fault also looked at the process in the place, not at its own, and operators were sent to a new process before it answered (a suspension got lost that way). All started processes are kept in order; SIGTERM goes to all that started before the one that says yes; nothing starts after the end.

New fault scheduler-hangup: SIGHUP to the newest process, for soaks.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -55,7 +56,9 @@
     private final Path folder;
     private final PrintStream out;
     private final List<InetSocketAddress> addresses = new ArrayList<>();
-    private final List<Process> processes = new ArrayList<>();
+
+    /** Each scheduler's processes in the order of their starts; the last one is the newest. */
+    private final List<List<Process>> processes = new ArrayList<>();
 
     /** Where operators call each scheduler's latest process; empty where they don't. */
     private final List<InetSocketAddress> managed = new ArrayList<>();
@@ -84,7 +87,7 @@
         try {
             for (int i = 0; i < s.schedulers.count; i++) {
                 addresses.add(freePort());
-                processes.add(null);
+                processes.add(new CopyOnWriteArrayList<>());
             }
             Fleet fleet = new Fleet(fleetLoop, plan, addresses, executions);
             on(fleetLoop, fleet::start);
@@ -96,13 +99,13 @@
                     managed.add(freePort());
                     Files.createDirectories(scratch(i));
                 }
-                processes.set(i, start(i));
+                start(i);
             }
             for (int i = 0; i < s.schedulers.count; i++) {
                 ready(i);
             }
             Thread.sleep(SETTLES);
-            processes.forEach(p -> cpu -= cpuOf(p));
+            processes.forEach(all -> all.forEach(p -> cpu -= cpuOf(p)));
             load = new Load(loadLoop, plan, addresses, clients);
             CompletableFuture<Void> done = new CompletableFuture<>();
             fleetLoop.submit(fleet::play);
@@ -116,12 +119,7 @@
             stopAll();
             on(fleetLoop, fleet::close);
         } finally {
-            processes.forEach(
-                    p -> {
-                        if (p != null) {
-                            p.destroyForcibly();
-                        }
-                    });
+            processes.forEach(all -> all.forEach(Process::destroyForcibly));
             loadLoop.stop();
             fleetLoop.stop();
         }
@@ -198,6 +196,11 @@
     }
 
     private Process start(int i) throws IOException {
+        return start(i, managed.isEmpty() ? null : managed.get(i));
+    }
+
+    /** Operators call the process at this address; null where they don't. */
+    private Process start(int i, InetSocketAddress operators) throws IOException {
         List<String> command = new ArrayList<>();
         if (s.schedulers.pinFrom >= 0) {
             command.addAll(List.of("taskset", "-c", Integer.toString(s.schedulers.pinFrom + i)));
@@ -222,14 +225,27 @@
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().keySet().removeIf(k -> k.startsWith("GW_"));
         b.environment().put("GW_CONFIG", folder.resolve("n" + i + ".json").toString());
-        if (!managed.isEmpty()) {
-            b.environment().put("GW_MANAGEMENT", Address.text(managed.get(i)));
+        if (operators != null) {
+            b.environment().put("GW_MANAGEMENT", Address.text(operators));
             b.environment().put("TMPDIR", scratch(i).toAbsolutePath().toString());
         }
         b.redirectOutput(
                 ProcessBuilder.Redirect.appendTo(folder.resolve("n" + i + ".log").toFile()));
         b.redirectErrorStream(true);
-        return b.start();
+        synchronized (processes) {
+            // Guards against a process that nobody ends: those that stopAll() has not seen.
+            if (over) {
+                throw new IOException("the run is over");
+            }
+            Process started = b.start();
+            processes.get(i).add(started);
+            return started;
+        }
+    }
+
+    private Process newest(int i) {
+        List<Process> all = processes.get(i);
+        return all.get(all.size() - 1);
     }
 
     /** Whether this call is answered with yes. */
@@ -252,14 +268,14 @@
     }
 
     private void ready(int i) throws IOException, InterruptedException {
-        until(i, addresses.get(i), "/healthz");
+        until(i, newest(i), addresses.get(i), "/healthz");
     }
 
-    private void until(int i, InetSocketAddress at, String path)
+    private void until(int i, Process process, InetSocketAddress at, String path)
             throws IOException, InterruptedException {
         long from = System.nanoTime();
         while (!call(at, "GET", path)) {
-            if (!processes.get(i).isAlive()) {
+            if (!process.isAlive()) {
                 throw new IOException(
                         "scheduler "
                                 + i
@@ -291,11 +307,13 @@
                                 try {
                                     befall(loop, b, from);
                                 } catch (IOException | InterruptedException e) {
-                                    out.println(
-                                            "  a fault on scheduler "
-                                                    + b.fault().scheduler
-                                                    + " went wrong: "
-                                                    + e.getMessage());
+                                    if (!over) {
+                                        out.println(
+                                                "  a fault on scheduler "
+                                                        + b.fault().scheduler
+                                                        + " went wrong: "
+                                                        + e.getMessage());
+                                    }
                                 }
                             },
                             "fault");
@@ -316,38 +334,72 @@
             case "scheduler-replaced" -> replace(loop, f.scheduler);
             case "heir-killed" -> killHeir(loop, f);
             case "scheduler-drained" -> drain(loop, f);
+            case "scheduler-hangup" -> hangUp(f.scheduler);
             case "suspend" -> suspend(loop, b);
             default -> end(loop, f);
         }
     }
 
-    /** Starts a second process beside the first; once it has the clients, the first is to leave. */
+    /**
+     * Starts another process beside those of the scheduler; once it has the clients, all before it
+     * are to leave. One that a later replacement has overtaken is not waited for.
+     */
     private void replace(SingleThreadEventLoop loop, int i)
             throws IOException, InterruptedException {
-        Process old = processes.get(i);
-        managed.set(i, freePort());
-        processes.set(i, start(i));
-        until(i, managed.get(i), "/v1/readyz");
+        InetSocketAddress own = freePort();
+        Process successor;
+        List<Process> before;
+        synchronized (processes) {
+            before = List.copyOf(processes.get(i));
+            successor = start(i, own);
+        }
+        try {
+            until(i, successor, own, "/v1/readyz");
+        } catch (IOException e) {
+            if (newest(i) == successor) {
+                throw e;
+            }
+            return;
+        }
+        managed.set(i, own);
         noted(loop, i, "replaced");
-        old.destroy();
-        if (!old.waitFor(LEAVES_WITHIN, TimeUnit.SECONDS)) {
+        before.forEach(Process::destroy);
+        if (!allEnded(before)) {
             noted(loop, i, "killed");
-            old.destroyForcibly().waitFor();
+            for (Process old : before) {
+                old.destroyForcibly().waitFor();
+            }
             noted(loop, i, "up");
         }
     }
 
+    /** Whether all of them have ended in the time that they have for it together. */
+    private static boolean allEnded(List<Process> all) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LEAVES_WITHIN);
+        boolean ended = true;
+        for (Process p : all) {
+            ended &= p.waitFor(Math.max(0, until - System.nanoTime()), TimeUnit.NANOSECONDS);
+        }
+        return ended;
+    }
+
     /** The second process is killed this long after its start, wherever it stands then. */
     private void killHeir(SingleThreadEventLoop loop, Scenario.Fault f)
             throws IOException, InterruptedException {
         InetSocketAddress own = managed.get(f.scheduler);
-        managed.set(f.scheduler, freePort());
-        Process heir = start(f.scheduler);
-        managed.set(f.scheduler, own);
+        Process old = newest(f.scheduler);
+        Process heir = start(f.scheduler, freePort());
         Thread.sleep((long) f.length);
         noted(loop, f.scheduler, "heir-killed");
         heir.destroyForcibly().waitFor();
-        until(f.scheduler, own, "/v1/readyz");
+        processes.get(f.scheduler).remove(heir);
+        until(f.scheduler, old, own, "/v1/readyz");
+    }
+
+    /** Has the newest process read its configuration again, wherever it stands. */
+    private void hangUp(int i) throws IOException, InterruptedException {
+        String pid = Long.toString(newest(i).pid());
+        new ProcessBuilder("kill", "-HUP", pid).inheritIO().start().waitFor();
     }
 
     private void drain(SingleThreadEventLoop loop, Scenario.Fault f)
@@ -381,7 +433,7 @@
 
     private void end(SingleThreadEventLoop loop, Scenario.Fault f)
             throws IOException, InterruptedException {
-        Process p = processes.get(f.scheduler);
+        Process p = newest(f.scheduler);
         boolean kill = f.what.equals("scheduler-killed");
         noted(loop, f.scheduler, kill ? "killed" : "terminated");
         cpu += cpuOf(p);
@@ -397,7 +449,7 @@
             Thread.sleep((long) f.length);
         }
         if (!over) {
-            processes.set(f.scheduler, start(f.scheduler));
+            start(f.scheduler);
             ready(f.scheduler);
             noted(loop, f.scheduler, "up");
         }
@@ -412,13 +464,18 @@
         return p.toHandle().info().totalCpuDuration().map(d -> d.toNanos() / 1e6).orElse(0.0);
     }
 
+    /** Ends every process that was started, the latest of a scheduler last. */
     private void stopAll() throws InterruptedException {
-        for (Process p : processes) {
+        List<Process> all;
+        synchronized (processes) {
+            all = processes.stream().flatMap(List::stream).toList();
+        }
+        for (Process p : all) {
             cpu += cpuOf(p);
             p.destroy();
         }
-        for (Process p : processes) {
-            if (!p.waitFor(LEAVES_WITHIN, TimeUnit.SECONDS)) {
+        if (!allEnded(all)) {
+            for (Process p : all) {
                 p.destroyForcibly().waitFor();
             }
         }
--- a/src/main/java/gingerspool/scenario/ScenarioFile.java
+++ b/src/main/java/gingerspool/scenario/ScenarioFile.java
@@ -50,6 +50,7 @@
         FAULTS.put("scheduler-killed", List.of("scheduler"));
         FAULTS.put("scheduler-terminated", List.of("scheduler"));
         FAULTS.put("scheduler-replaced", List.of("scheduler"));
+        FAULTS.put("scheduler-hangup", List.of("scheduler"));
         FAULTS.put("heir-killed", List.of("scheduler"));
         FAULTS.put("scheduler-drained", List.of("scheduler"));
         FAULTS.put("suspend", List.of());
