Claims of connections move nobody else; a stalled process does not take its listener for quiet

A number without a member left it to the hash where the trial connection went, so that a wrong one could look right. Change: until its number is known, only the trial connection is moved (a filter on its source port), all others go where they went; numbers are tried up to the count of listeners; a claim that finds none is made again. A listener is quiet only if its loop was on time in each tenth of the span. Only a process that shares its clients drains its listener in mid-time.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -92,6 +92,9 @@
     /** Null where no other process can follow this one. */
     private ConnectionSteering steering;
 
+    /** Another process has the clients, but the kernel still lets some of them come here. */
+    private boolean sharesClients;
+
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
         int toWorkers = (node.sockets - RESERVE) / WORKER_SHARE;
@@ -294,7 +297,7 @@
     private void closeListener(double now) {
         if (lifecycle.isOver(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
             clients.shut();
-        } else if (lifecycle.isClosing(now)) {
+        } else if (lifecycle.isClosing(now) && (sharesClients || !lifecycle.isSucceeded())) {
             clients.drainListener();
         }
     }
@@ -403,10 +406,22 @@
         }
 
         @Override
-        public void claim(Consumer<Boolean> done) {
+        public int listenerNumber() {
+            return steering.member();
+        }
+
+        @Override
+        public void claim(int before, Consumer<Boolean> done) {
             clients.claim(
                     steering,
-                    claimed -> {
+                    before,
+                    outcome -> {
+                        boolean isLate = outcome == ConnectionSteering.Outcome.NOT_FOUND;
+                        if (isLate && handover.hasBefore() && !lifecycle.isSucceeded()) {
+                            loop.schedule(LOOK_EVERY, () -> claim(before, done));
+                            return;
+                        }
+                        boolean claimed = outcome == ConnectionSteering.Outcome.CLAIMED;
                         if (claimed && handover.hasBefore()) {
                             loop.schedule(handshake(), this::claimAgain);
                         }
@@ -420,7 +435,7 @@
          */
         private void claimAgain() {
             if (handover.hasBefore() && !lifecycle.isSucceeded()) {
-                claim(claimed -> {});
+                claim(steering.member(), claimed -> {});
             }
         }
 
@@ -448,7 +463,8 @@
         }
 
         @Override
-        public void closeListener() {
+        public void closeListener(boolean claimed) {
+            sharesClients = !claimed;
             clients.shutWhenQuiet(handshake());
             look();
         }
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -2,6 +2,7 @@
 
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
+import gingerspool.wire.ConnectionSteering;
 import gingerspool.wire.EventLoop;
 import gingerspool.wire.Inbound;
 import gingerspool.wire.Json;
@@ -73,8 +74,14 @@
 
         void serve();
 
-        /** Has all new connections come to this process; then tells whether they do. */
-        void claim(Consumer<Boolean> done);
+        /**
+         * Has all new connections come to this process; then tells whether they do. Until then they
+         * go to the listener of this number, that of the process before it.
+         */
+        void claim(int before, Consumer<Boolean> done);
+
+        /** The number of this process's listener, for the next one's claim. */
+        int listenerNumber();
 
         /** The process before this one is gone: nobody listens beside it. */
         void alone();
@@ -82,8 +89,11 @@
         /** Another process has the clients; who still comes here is served all the same. */
         void retire();
 
-        /** That process has the new connections as well: listens until none comes any more. */
-        void closeListener();
+        /**
+         * That process listens: stop once no connection comes here any more. Tells whether all new
+         * ones go there.
+         */
+        void closeListener(boolean claimed);
 
         /** That process is gone: takes clients again. */
         void takeBack();
@@ -128,6 +138,9 @@
 
     private double searchedFrom;
 
+    /** The number of its listener, as it said. */
+    private int listenerBefore = ConnectionSteering.UNKNOWN;
+
     /** The process is to end before it has taken over. */
     private boolean leaving;
 
@@ -393,7 +406,8 @@
             return;
         }
         if (status == OK) {
-            house.sharesWith(descriptors(body));
+            house.sharesWith((int) number(body, "descriptors", 0));
+            listenerBefore = (int) number(body, "listener", ConnectionSteering.UNKNOWN);
             before.held.call("hold", NOTHING, 0, (ended, none) -> beforeGone());
             act(succession.retired());
         } else if (status == CONFLICT) {
@@ -413,22 +427,22 @@
         }
         serve();
         if (before != null) {
-            house.claim(this::claimed);
+            house.claim(listenerBefore, this::claimed);
         }
     }
 
     private void claimed(boolean all) {
         LOG.atInfo().addKeyValue("all", all).log("handover.claimed");
         if (before != null) {
-            before.words.call("bound", NOTHING, PATIENCE, (status, none) -> {});
+            before.words.call("bound", body(Map.of("all", all)), PATIENCE, (status, none) -> {});
         }
     }
 
-    private static int descriptors(byte[] body) {
+    private static double number(byte[] body, String key, double otherwise) {
         try {
-            return (int) JsonTree.number(0, Json.read(body, 0, body.length), "descriptors");
+            return JsonTree.number(otherwise, Json.read(body, 0, body.length), key);
         } catch (BadMessage e) {
-            return 0;
+            return otherwise;
         }
     }
 
@@ -647,7 +661,7 @@
                             from,
                             who,
                             (long) JsonTree.number(-1, Json.read(body, 0, body.length), "n"));
-            case "bound" -> bound(from, who);
+            case "bound" -> bound(from, who, Json.read(body, 0, body.length));
             case "hold" -> {
                 if (after == null || !after.name().equals(who)) {
                     from.answer(CONFLICT, List.of(), "not the heir\n");
@@ -713,9 +727,9 @@
                 : Map.of();
     }
 
-    private void bound(Inbound from, String who) {
+    private void bound(Inbound from, String who, Object call) {
         if (succession.bound(who) == Succession.Action.CLOSE) {
-            house.closeListener();
+            house.closeListener(JsonTree.mark(call, "all"));
             from.answer(OK, List.of(), NOTHING);
         } else {
             from.answer(CONFLICT, List.of(), "not the successor\n");
@@ -729,7 +743,10 @@
         }
         LOG.atInfo().addKeyValue("successor", who).log("handover.retired");
         house.retire();
-        from.answer(200, List.of(), body(Map.of("descriptors", house.descriptors())));
+        Map<String, Object> held = new LinkedHashMap<>();
+        held.put("descriptors", house.descriptors());
+        held.put("listener", house.listenerNumber());
+        from.answer(OK, List.of(), body(held));
         Peer successor = after;
         loop.schedule(
                 HELD_WITHIN,
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -226,9 +226,13 @@
         }
     }
 
-    /** Has all new connections come here, where others listen too; then tells whether they do. */
-    public void claim(ConnectionSteering steering, Consumer<Boolean> done) {
-        steering.claim(listener, done);
+    /**
+     * Has all new connections come here, where others listen too; then tells whether they do. Until
+     * then they go to the member `others`.
+     */
+    public void claim(
+            ConnectionSteering steering, int others, Consumer<ConnectionSteering.Outcome> done) {
+        steering.claim(listener, others, done);
     }
 
     private boolean isListening() {
--- a/src/main/java/gingerspool/wire/ConnectionSteering.java
+++ b/src/main/java/gingerspool/wire/ConnectionSteering.java
@@ -5,7 +5,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,13 +25,28 @@
 public final class ConnectionSteering {
     private static final Logger LOG = LoggerFactory.getLogger(ConnectionSteering.class);
 
+    /** How a claim ended. */
+    public enum Outcome {
+        /** All new connections come to the listener. */
+        CLAIMED,
+        /** No number led to it; it may be late to see its own connection. */
+        NOT_FOUND,
+        /** The system does not say which listener gets a connection. */
+        UNSUPPORTED
+    }
+
+    /** No member is known. */
+    public static final int UNKNOWN = ReusePortGroup.BY_HASH;
+
     /** Who listens beside one other has usually come after it, as the second member. */
-    private static final int FIRST_GUESS = 1;
+    private static final List<Integer> GUESSES = List.of(1, 0, 2, 3);
 
     /** Says which member gets new connections; blocks. The system's own, or a test's. */
     interface Group {
         boolean select(int port, int member);
 
+        boolean selectFor(InetSocketAddress from, int port, int member, int others);
+
         void selectByHash(int port);
     }
 
@@ -37,6 +56,14 @@
             return ReusePortGroup.select(port, member);
         }
 
+        @Override
+        public boolean selectFor(InetSocketAddress from, int port, int member, int others) {
+            // A number without a member would leave it to the hash, and luck, where the probe
+            // arrives.
+            return member < ReusePortGroup.members(port)
+                    && ReusePortGroup.selectFor(from, port, member, others);
+        }
+
         @Override
         public void selectByHash(int port) {
             ReusePortGroup.selectByHash(port);
@@ -50,7 +77,7 @@
     private final Group group;
 
     /** The member that we were when we last knew. */
-    private int member = FIRST_GUESS;
+    private int member = UNKNOWN;
 
     /**
      * System calls are made by `blocking`, whose ends `onLoop` brings to the loop. A connection to
@@ -70,15 +97,27 @@
         this.group = group;
     }
 
+    /** Which member this process was when all new connections came to it last, or UNKNOWN. */
+    public int member() {
+        return member;
+    }
+
     /**
      * Has all new connections come to this listener, which must be accepting; then tells whether
-     * they do. Where they can't be had, the kernel shares them out as before.
+     * they do. Until it is known which member it is, clients go to the member `others`. Where they
+     * can't be had, the kernel shares them out as before.
      */
-    public void claim(Listener listener, Consumer<Boolean> done) {
+    public void claim(Listener listener, int others, Consumer<Outcome> done) {
+        List<Integer> candidates = new ArrayList<>(GUESSES);
+        if (member != UNKNOWN) {
+            candidates.remove((Integer) member);
+            candidates.add(0, member);
+        }
         try {
-            new Claim(listener, (InetSocketAddress) listener.address(), done).attempt(0);
+            InetSocketAddress address = (InetSocketAddress) listener.address();
+            new Claim(listener, address, candidates.iterator(), others, done).next();
         } catch (IOException e) {
-            done.accept(false);
+            done.accept(Outcome.NOT_FOUND);
         }
     }
 
@@ -95,64 +134,82 @@
                 });
     }
 
-    /** One search for our own number. */
+    /** One search for our own number. Guards the clients: it moves none but our own connection. */
     private final class Claim {
         private final Listener listener;
         private final InetSocketAddress address;
-        private final Consumer<Boolean> done;
+        private final Iterator<Integer> candidates;
+        private final int others;
+        private final Consumer<Outcome> done;
+
+        /** The system took at least one number. */
+        private boolean isSupported;
 
-        Claim(Listener listener, InetSocketAddress address, Consumer<Boolean> done) {
+        Claim(
+                Listener listener,
+                InetSocketAddress address,
+                Iterator<Integer> candidates,
+                int others,
+                Consumer<Outcome> done) {
             this.listener = listener;
             this.address = address;
+            this.candidates = candidates;
+            this.others = others;
             this.done = done;
         }
 
-        /** The number that was ours first, then the others. */
-        void attempt(int attempts) {
-            if (attempts > ReusePortGroup.MOST_MEMBERS || !listener.isOpen()) {
-                release(address.getPort());
-                done.accept(false);
+        void next() {
+            if (!candidates.hasNext() || !listener.isOpen()) {
+                done.accept(isSupported ? Outcome.NOT_FOUND : Outcome.UNSUPPORTED);
                 return;
             }
-            int candidate = attempts == 0 ? member : attempts - 1;
+            int candidate = candidates.next();
+            try {
+                Probe probe = new Probe(listener, address, arrived -> probed(arrived, candidate));
+                call(
+                        () -> group.selectFor(probe.from, address.getPort(), candidate, others),
+                        selected -> {
+                            isSupported |= selected;
+                            if (selected) {
+                                probe.begin();
+                            } else {
+                                probe.end(false);
+                            }
+                        });
+            } catch (IOException e) {
+                done.accept(Outcome.NOT_FOUND);
+            }
+        }
+
+        private void probed(boolean arrived, int candidate) {
+            if (!arrived) {
+                next();
+                return;
+            }
+            call(
+                    () -> group.select(address.getPort(), candidate),
+                    selected -> {
+                        member = selected ? candidate : member;
+                        done.accept(selected ? Outcome.CLAIMED : Outcome.NOT_FOUND);
+                    });
+        }
+
+        private void call(BooleanSupplier systemCall, Consumer<Boolean> then) {
             blocking.execute(
                     () -> {
-                        boolean selected = select(candidate);
-                        onLoop.execute(() -> selected(selected, candidate, attempts));
+                        boolean done = succeeds(systemCall);
+                        onLoop.execute(() -> then.accept(done));
                     });
         }
 
-        private boolean select(int candidate) {
+        private boolean succeeds(BooleanSupplier systemCall) {
             try {
-                return group.select(address.getPort(), candidate);
+                return systemCall.getAsBoolean();
             } catch (LinkageError e) {
                 LOG.atDebug().addKeyValue("why", e.toString()).log("steering.unavailable");
                 return false;
             }
         }
-
-        private void selected(boolean selected, int candidate, int attempts) {
-            if (!selected) {
-                done.accept(false);
-                return;
-            }
-            try {
-                new Probe(
-                                listener,
-                                address,
-                                arrived -> {
-                                    if (arrived) {
-                                        member = candidate;
-                                        done.accept(true);
-                                    } else {
-                                        attempt(attempts + 1);
-                                    }
-                                })
-                        .begin();
-            } catch (IOException e) {
-                done.accept(false);
-            }
-        }
     }
 
     /** One connection to our own address, and whether our own listener is the one that gets it. */
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -30,6 +30,9 @@
     /** How long it waits after an accept that failed, as when there is no descriptor left. */
     private static final double PAUSE = 100;
 
+    /** A span without connections is watched in so many parts. */
+    private static final int QUIET_PARTS = 10;
+
     private static final String OUT_OF_DESCRIPTORS = "Too many open files";
 
     /** Who takes the connections. */
@@ -215,24 +218,34 @@
         acceptOn();
     }
 
+    /** Looks once in each part of the span; all parts together must have been quiet. */
     private void lookWhetherQuiet() {
+        double part = closesAfter / QUIET_PARTS;
+        double due = loop.now() + part;
+        loop.schedule(part, () -> look(due, part));
+    }
+
+    /**
+     * Guards against a process that gets no processor: what came meanwhile has not been accepted,
+     * so the parts in which its loop was late count for nothing.
+     */
+    private void look(double due, double part) {
         if (Double.isNaN(closesAfter) || !channel.isOpen()) {
             return;
         }
         // Where there is no room, connections may wait that no accept has been told of.
-        double quietFor = accepting ? loop.now() - quietSince : 0;
-        if (quietFor >= closesAfter) {
-            double since = quietSince;
-            loop.schedule(0, () -> closeIfQuietSince(since));
-        } else {
-            loop.schedule(closesAfter - quietFor, this::lookWhetherQuiet);
+        if (!accepting || loop.now() > due + part) {
+            quietSince = loop.now();
+        }
+        if (loop.now() - quietSince < closesAfter) {
+            lookWhetherQuiet();
+            return;
         }
+        double since = quietSince;
+        // The ends of accepts that came while this timer was due run first.
+        loop.schedule(0, () -> closeIfQuietSince(since));
     }
 
-    /**
-     * Guards against a loop that is late: a timer runs before the ends of accepts that came while
-     * it was due, and a client may wait behind each of these.
-     */
     private void closeIfQuietSince(double since) {
         if (accepting && quietSince == since && !Double.isNaN(closesAfter)) {
             close();
--- a/src/main/java/gingerspool/wire/ReusePortGroup.java
+++ b/src/main/java/gingerspool/wire/ReusePortGroup.java
@@ -6,9 +6,14 @@
 import com.sun.jna.Pointer;
 import com.sun.jna.ptr.IntByReference;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Inet4Address;
+import java.net.InetSocketAddress;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * The sockets that listen at one port with SO_REUSEPORT, in whichever processes. Linux keeps them
@@ -26,6 +31,14 @@
     private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
     private static final String SOCKET_LINK = "socket:";
 
+    /** The kernel's tables of TCP sockets; a row's columns are separated by spaces. */
+    private static final Path IPV4_SOCKETS = Path.of("/proc/net/tcp");
+
+    private static final Path IPV6_SOCKETS = Path.of("/proc/net/tcp6");
+    private static final int ADDRESS_COLUMN = 1;
+    private static final int STATE_COLUMN = 3;
+    private static final String LISTENING = "0A";
+
     // asm-generic/socket.h, as on x86-64 and aarch64.
     private static final int SOL_SOCKET = 1;
     private static final int SO_REUSEPORT = 15;
@@ -33,14 +46,26 @@
     private static final int SO_ATTACH_REUSEPORT_CBPF = 51;
     private static final int SO_DETACH_REUSEPORT_BPF = 68;
 
-    /** linux/filter.h: a program of one instruction, "return this constant". */
+    /** linux/filter.h: "load two bytes", "go on if equal", "return this constant". */
+    private static final short LOAD_TWO_BYTES = 0x28;
+
+    private static final short JUMP_IF_EQUAL = 0x15;
     private static final short RETURN_CONSTANT = 0x06;
 
+    /** Offsets from here on count from the packet's network header. */
+    private static final int NETWORK_HEADER = -0x100000;
+
+    private static final int IPV4_HEADER_BYTES = 20;
+    private static final int IPV6_HEADER_BYTES = 40;
     private static final int INSTRUCTION_BYTES = 8;
+    private static final int JUMP_ELSE_OFFSET = 3;
     private static final int CONSTANT_OFFSET = 4;
     private static final int PROGRAM_BYTES = 16;
     private static final int PROGRAM_POINTER_OFFSET = 8;
 
+    /** Stands for no member: the hash chooses. */
+    static final int BY_HASH = -1;
+
     /** Room for a sockaddr of either family; the port stands in its third and fourth byte. */
     private static final int ADDRESS_BYTES = 128;
 
@@ -62,23 +87,48 @@
 
     private ReusePortGroup() {}
 
+    /** One instruction of a filter. */
+    private record Instruction(short code, int jumpElse, int constant) {}
+
     /** Has all new connections at this port go to one member; tells whether the system did it. */
     static boolean select(int port, int member) {
-        if (!isSupported()) {
-            return false;
-        }
-        int descriptor = listening(port);
+        return attach(port, List.of(new Instruction(RETURN_CONSTANT, 0, member)));
+    }
+
+    /**
+     * Has the connection from one address go to a member, and all others to another one or, with
+     * BY_HASH, to any; tells whether the system did it.
+     */
+    static boolean selectFor(InetSocketAddress from, int port, int member, int others) {
+        int header =
+                from.getAddress() instanceof Inet4Address ? IPV4_HEADER_BYTES : IPV6_HEADER_BYTES;
+        return attach(
+                port,
+                List.of(
+                        // The source port is the first field of the header behind that.
+                        new Instruction(LOAD_TWO_BYTES, 0, NETWORK_HEADER + header),
+                        new Instruction(JUMP_IF_EQUAL, 1, from.getPort()),
+                        new Instruction(RETURN_CONSTANT, 0, member),
+                        new Instruction(RETURN_CONSTANT, 0, others)));
+    }
+
+    private static boolean attach(int port, List<Instruction> filter) {
+        int descriptor = isSupported() ? listening(port) : -1;
         if (descriptor < 0) {
             return false;
         }
-        try (Memory instruction = new Memory(INSTRUCTION_BYTES);
+        try (Memory instructions = new Memory((long) INSTRUCTION_BYTES * filter.size());
                 Memory program = new Memory(PROGRAM_BYTES)) {
-            instruction.clear();
-            instruction.setShort(0, RETURN_CONSTANT);
-            instruction.setInt(CONSTANT_OFFSET, member);
+            instructions.clear();
+            for (int i = 0; i < filter.size(); i++) {
+                long at = (long) INSTRUCTION_BYTES * i;
+                instructions.setShort(at, filter.get(i).code());
+                instructions.setByte(at + JUMP_ELSE_OFFSET, (byte) filter.get(i).jumpElse());
+                instructions.setInt(at + CONSTANT_OFFSET, filter.get(i).constant());
+            }
             program.clear();
-            program.setShort(0, (short) 1);
-            program.setPointer(PROGRAM_POINTER_OFFSET, instruction);
+            program.setShort(0, (short) filter.size());
+            program.setPointer(PROGRAM_POINTER_OFFSET, instructions);
             return Calls.C.setsockopt(
                             descriptor,
                             SOL_SOCKET,
@@ -89,6 +139,27 @@
         }
     }
 
+    /** How many sockets listen at this port on this machine; 0 if the system does not say. */
+    static int members(int port) {
+        return listeners(IPV4_SOCKETS, port) + listeners(IPV6_SOCKETS, port);
+    }
+
+    private static int listeners(Path table, int port) {
+        String suffix = String.format(":%04X", port);
+        try (Stream<String> lines = Files.lines(table)) {
+            return (int)
+                    lines.map(line -> line.strip().split(" +"))
+                            .filter(
+                                    row ->
+                                            row.length > STATE_COLUMN
+                                                    && row[STATE_COLUMN].equals(LISTENING)
+                                                    && row[ADDRESS_COLUMN].endsWith(suffix))
+                            .count();
+        } catch (IOException | UncheckedIOException e) {
+            return 0;
+        }
+    }
+
     /** Leaves the choice to the hash again; nothing changes where no member was selected. */
     static void selectByHash(int port) {
         if (!isSupported()) {
