Numbers of listeners are confirmed by three connections; soak drawn from a seed

A number without a member leaves the trial connection to the hash, so three in a row must arrive. Operators' calls of experiments are made until a yes: a process that was asked may be replaced meanwhile.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -38,6 +38,9 @@
 
     private static final long LEAVES_WITHIN = 8;
 
+    /** How long operators try to get a yes, in ms. */
+    private static final long OPERATED_WITHIN = 5000;
+
     /** How soon the front notices that a scheduler says no, in ms. */
     private static final long FRONT_LOOKS = 300;
 
@@ -267,6 +270,21 @@
         }
     }
 
+    /**
+     * Whether an operators' call is answered with yes by the process that takes them, in the end:
+     * the one that was asked may be replaced meanwhile, and is then asked where it went.
+     */
+    private boolean operate(int i, String path) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OPERATED_WITHIN);
+        while (!call(managed.get(i), "POST", path)) {
+            if (System.nanoTime() > until) {
+                return false;
+            }
+            Thread.sleep(20);
+        }
+        return true;
+    }
+
     private void ready(int i) throws IOException, InterruptedException {
         until(i, newest(i), addresses.get(i), "/healthz");
     }
@@ -404,11 +422,11 @@
 
     private void drain(SingleThreadEventLoop loop, Scenario.Fault f)
             throws IOException, InterruptedException {
-        call(managed.get(f.scheduler), "POST", "/v1/scheduler/drain");
+        operate(f.scheduler, "/v1/scheduler/drain");
         Thread.sleep(FRONT_LOOKS);
         noted(loop, f.scheduler, "drained");
         Thread.sleep((long) f.length);
-        call(managed.get(f.scheduler), "POST", "/v1/scheduler/activate");
+        operate(f.scheduler, "/v1/scheduler/activate");
         ready(f.scheduler);
         noted(loop, f.scheduler, "up");
     }
@@ -422,7 +440,7 @@
                     if (!on) {
                         noted(loop, i, "resumed " + Plan.name(w));
                     }
-                    if (call(managed.get(i), "POST", path) && on) {
+                    if (operate(i, path) && on) {
                         noted(loop, i, "suspended " + Plan.name(w));
                     }
                 }
--- a/src/main/java/gingerspool/wire/ConnectionSteering.java
+++ b/src/main/java/gingerspool/wire/ConnectionSteering.java
@@ -41,6 +41,12 @@
     /** Who listens beside one other has usually come after it, as the second member. */
     private static final List<Integer> GUESSES = List.of(1, 0, 2, 3);
 
+    /**
+     * A number without a member leaves it to the hash where a probe arrives: so many in a row are
+     * no luck.
+     */
+    private static final int PROBES = 3;
+
     /** Says which member gets new connections; blocks. The system's own, or a test's. */
     interface Group {
         boolean select(int port, int member);
@@ -58,10 +64,7 @@
 
         @Override
         public boolean selectFor(InetSocketAddress from, int port, int member, int others) {
-            // A number without a member would leave it to the hash, and luck, where the probe
-            // arrives.
-            return member < ReusePortGroup.members(port)
-                    && ReusePortGroup.selectFor(from, port, member, others);
+            return ReusePortGroup.selectFor(from, port, member, others);
         }
 
         @Override
@@ -163,9 +166,16 @@
                 done.accept(isSupported ? Outcome.NOT_FOUND : Outcome.UNSUPPORTED);
                 return;
             }
-            int candidate = candidates.next();
+            probe(candidates.next(), PROBES);
+        }
+
+        private void probe(int candidate, int probes) {
             try {
-                Probe probe = new Probe(listener, address, arrived -> probed(arrived, candidate));
+                Probe probe =
+                        new Probe(
+                                listener,
+                                address,
+                                arrived -> probed(arrived, candidate, probes - 1));
                 call(
                         () -> group.selectFor(probe.from, address.getPort(), candidate, others),
                         selected -> {
@@ -181,11 +191,15 @@
             }
         }
 
-        private void probed(boolean arrived, int candidate) {
+        private void probed(boolean arrived, int candidate, int left) {
             if (!arrived) {
                 next();
                 return;
             }
+            if (left > 0) {
+                probe(candidate, left);
+                return;
+            }
             call(
                     () -> group.select(address.getPort(), candidate),
                     selected -> {
--- a/src/main/java/gingerspool/wire/ReusePortGroup.java
+++ b/src/main/java/gingerspool/wire/ReusePortGroup.java
@@ -6,14 +6,12 @@
 import com.sun.jna.Pointer;
 import com.sun.jna.ptr.IntByReference;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Stream;
 
 /**
  * The sockets that listen at one port with SO_REUSEPORT, in whichever processes. Linux keeps them
@@ -31,14 +29,6 @@
     private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
     private static final String SOCKET_LINK = "socket:";
 
-    /** The kernel's tables of TCP sockets; a row's columns are separated by spaces. */
-    private static final Path IPV4_SOCKETS = Path.of("/proc/net/tcp");
-
-    private static final Path IPV6_SOCKETS = Path.of("/proc/net/tcp6");
-    private static final int ADDRESS_COLUMN = 1;
-    private static final int STATE_COLUMN = 3;
-    private static final String LISTENING = "0A";
-
     // asm-generic/socket.h, as on x86-64 and aarch64.
     private static final int SOL_SOCKET = 1;
     private static final int SO_REUSEPORT = 15;
@@ -139,27 +129,6 @@
         }
     }
 
-    /** How many sockets listen at this port on this machine; 0 if the system does not say. */
-    static int members(int port) {
-        return listeners(IPV4_SOCKETS, port) + listeners(IPV6_SOCKETS, port);
-    }
-
-    private static int listeners(Path table, int port) {
-        String suffix = String.format(":%04X", port);
-        try (Stream<String> lines = Files.lines(table)) {
-            return (int)
-                    lines.map(line -> line.strip().split(" +"))
-                            .filter(
-                                    row ->
-                                            row.length > STATE_COLUMN
-                                                    && row[STATE_COLUMN].equals(LISTENING)
-                                                    && row[ADDRESS_COLUMN].endsWith(suffix))
-                            .count();
-        } catch (IOException | UncheckedIOException e) {
-            return 0;
-        }
-    }
-
     /** Leaves the choice to the hash again; nothing changes where no member was selected. */
     static void selectByHash(int port) {
         if (!isSupported()) {
--- /dev/null
+++ b/src/test/java/gingerspool/experiment/SoakScenario.java
@@ -0,0 +1,105 @@
+package gingerspool.experiment;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * A few seconds of traffic at two schedulers, in which operators' work and troubles come at any
+ * moment and overlap; all of it drawn from a seed, so that a play that fails can be played again.
+ */
+final class SoakScenario {
+    private static final double LENGTH = 7000;
+
+    /** No fault comes so shortly before the end. */
+    private static final double CALM_END = 1500;
+
+    private static final int SCHEDULERS = 2;
+    private static final int WORKERS = 4;
+    private static final int FEWEST_FAULTS = 5;
+    private static final int FAULTS_SPREAD = 6;
+
+    /** What may come; what stands there more often comes more often. */
+    private static final List<String> KINDS =
+            List.of(
+                    "scheduler-replaced",
+                    "scheduler-replaced",
+                    "scheduler-replaced",
+                    "heir-killed",
+                    "heir-killed",
+                    "scheduler-hangup",
+                    "scheduler-hangup",
+                    "scheduler-terminated",
+                    "scheduler-killed",
+                    "scheduler-drained",
+                    "suspend",
+                    "kill");
+
+    private final SplittableRandom chance;
+    private final StringBuilder text = new StringBuilder();
+
+    private SoakScenario(long seed) {
+        chance = new SplittableRandom(seed);
+    }
+
+    /** The scenario file of this seed, with so many requests a second. */
+    static String of(long seed, int ratePerS) {
+        return new SoakScenario(seed).write(seed, ratePerS);
+    }
+
+    private String write(long seed, int ratePerS) {
+        line("seed = %d%nlength = \"%.0fms\"", seed, LENGTH);
+        line("[fleet]%nworkers = %d", WORKERS);
+        line("[schedulers]%ncount = %d", SCHEDULERS);
+        line("[profile.search]%nshare = 3%nwork = \"15ms\"%ndue = \"500ms\"");
+        line("[profile.copy]%neffect = \"fingerprinted\"%nwork = \"20ms\"");
+        line("due = \"500ms\"%nwindow = \"800ms\"");
+        line("[profile.stamp]%neffect = \"side-effecting\"%nwork = \"20ms\"%ndue = \"500ms\"");
+        line("[load]%nrate_per_s = %d%nretries = 1", ratePerS);
+        int faults = FEWEST_FAULTS + chance.nextInt(FAULTS_SPREAD);
+        for (int i = 0; i < faults; i++) {
+            fault(KINDS.get(chance.nextInt(KINDS.size())));
+        }
+        return text.toString();
+    }
+
+    private void fault(String kind) {
+        line("[[fault]]%nwhat = \"%s\"%nat = \"%.0fms\"", kind, span(0, LENGTH - CALM_END));
+        switch (kind) {
+            case "scheduler-replaced", "scheduler-hangup", "scheduler-terminated" -> scheduler();
+            case "scheduler-killed" -> {
+                scheduler();
+                lasts(100, 500);
+            }
+            case "heir-killed" -> {
+                // From before its first line to after it has taken over.
+                scheduler();
+                lasts(50, 1200);
+            }
+            case "scheduler-drained" -> {
+                scheduler();
+                lasts(500, 1500);
+            }
+            default -> {
+                line("worker = \"w%d\"", chance.nextInt(WORKERS));
+                lasts(300, 1500);
+            }
+        }
+    }
+
+    private void scheduler() {
+        line("scheduler = %d", chance.nextInt(SCHEDULERS));
+    }
+
+    private void lasts(double least, double most) {
+        line("for = \"%.0fms\"", span(least, most));
+    }
+
+    private double span(double least, double most) {
+        return least + (most - least) * chance.nextDouble();
+    }
+
+    private void line(String form, Object... parts) {
+        text.append(String.format(Locale.ROOT, form, parts)).append('\n');
+    }
+}
