A new process uses the descriptors that the old one gives up; room is not made with new requests

Cause: the new process was told once, at the start, what the old one holds (about 900 descriptors beside many clients), so it took 54 or 108 clients (log: `all 18 connections to workers are busy`, a quarter of the rest) and let the others wait in the kernel's queue until the old one had ended, which lasts longer since that one waits for its last clients. Whoever waited when the limit rose was not told. And room was made by closing new connections whose request had not been read. Change: it asks every 100 ms what the old one holds and accepts as soon as it may; a connection without a request makes room only after 200 ms.

--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -48,6 +48,9 @@
     /** The process that serves is looked for so long; then this one serves alone. */
     private static final double SEARCH_WITHIN = 2 * PATIENCE_STATE;
 
+    /** How often the process before this one is asked what it holds, in milliseconds. */
+    private static final double SHARE_EVERY = 100;
+
     private static final String PATH = "/v1/link/";
 
     /** How calls end; 0 stands for no answer. */
@@ -409,6 +412,7 @@
             house.sharesWith((int) number(body, "descriptors", 0));
             listenerBefore = (int) number(body, "listener", ConnectionSteering.UNKNOWN);
             before.held.call("hold", NOTHING, 0, (ended, none) -> beforeGone());
+            loop.schedule(SHARE_EVERY, this::shareAgain);
             act(succession.retired());
         } else if (status == CONFLICT) {
             act(succession.refused());
@@ -420,6 +424,26 @@
         }
     }
 
+    /**
+     * Asks again what the one before holds. Guards the clients: it gives up a connection with each
+     * answer, and what it held at first would leave this one few for long.
+     */
+    private void shareAgain() {
+        if (before == null) {
+            return;
+        }
+        before.words.call(
+                "held",
+                NOTHING,
+                PATIENCE,
+                (status, body) -> {
+                    if (status == OK && before != null) {
+                        house.sharesWith((int) number(body, "descriptors", 0));
+                    }
+                    loop.schedule(SHARE_EVERY, this::shareAgain);
+                });
+    }
+
     /** Serves, and has the one before listen no more once all new connections come here. */
     private void serveAfter() {
         if (!bind()) {
@@ -662,6 +686,7 @@
                             who,
                             (long) JsonTree.number(-1, Json.read(body, 0, body.length), "n"));
             case "bound" -> bound(from, who, Json.read(body, 0, body.length));
+            case "held" -> from.answer(OK, List.of(), body(held()));
             case "hold" -> {
                 if (after == null || !after.name().equals(who)) {
                     from.answer(CONFLICT, List.of(), "not the heir\n");
@@ -743,10 +768,7 @@
         }
         LOG.atInfo().addKeyValue("successor", who).log("handover.retired");
         house.retire();
-        Map<String, Object> held = new LinkedHashMap<>();
-        held.put("descriptors", house.descriptors());
-        held.put("listener", house.listenerNumber());
-        from.answer(OK, List.of(), body(held));
+        from.answer(OK, List.of(), body(held()));
         Peer successor = after;
         loop.schedule(
                 HELD_WITHIN,
@@ -757,6 +779,13 @@
                 });
     }
 
+    private Map<String, Object> held() {
+        Map<String, Object> held = new LinkedHashMap<>();
+        held.put("descriptors", house.descriptors());
+        held.put("listener", house.listenerNumber());
+        return held;
+    }
+
     private void successorGone(String who) {
         act(succession.successorGone(who));
     }
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -44,6 +44,9 @@
         }
     }
 
+    /** A new connection's first request has come by then, in milliseconds. */
+    private static final double FRESH = 200;
+
     private final EventLoop loop;
     private final RequestHandler handler;
     private int most;
@@ -60,6 +63,9 @@
     /** The longest idle first. */
     private final Set<Inbound> idle = new LinkedHashSet<>();
 
+    /** It is looked for room once more, when new connections have had time for a request. */
+    private boolean looksAgain;
+
     private boolean ready = true;
     private boolean lastAnswers;
     private boolean lastCallBacks;
@@ -100,6 +106,8 @@
     /** Holds so many connections at the most from now on. */
     public void most(int connections) {
         most = connections;
+        // Those who wait for room are told of it by nobody else.
+        acceptOn();
     }
 
     public int connections() {
@@ -117,13 +125,34 @@
 
     // ---- Connections ----
 
-    /** Guards the limit on descriptors: the longest idle connections make room for new ones. */
+    /**
+     * Guards the limit on descriptors: the longest idle connections make room for new ones. One on
+     * which a first request may be under way does so only after a while.
+     */
     @Override
     public boolean hasRoom() {
-        while (all.size() >= most && !idle.isEmpty()) {
-            idle.iterator().next().close();
+        while (all.size() >= most && makeRoom()) {}
+        boolean hasRoom = all.size() < most;
+        if (!hasRoom && !idle.isEmpty() && !looksAgain) {
+            looksAgain = true;
+            loop.schedule(FRESH, this::lookForRoom);
+        }
+        return hasRoom;
+    }
+
+    private boolean makeRoom() {
+        for (Inbound connection : idle) {
+            if (connection.makesRoom(FRESH)) {
+                connection.close();
+                return true;
+            }
         }
-        return all.size() < most;
+        return false;
+    }
+
+    private void lookForRoom() {
+        looksAgain = false;
+        acceptOn();
     }
 
     /**
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -298,6 +298,11 @@
                 });
     }
 
+    /** Whether nothing is lost with it: it is between requests, or has had none for so long. */
+    boolean makesRoom(double fresh) {
+        return state == State.IDLE && (used || idleFor() >= fresh);
+    }
+
     /** How long it has been idle, in milliseconds. */
     public double idleFor() {
         return loop.now() - since;
--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -581,4 +581,36 @@
         ready(first);
         assertFalse(on(second, second.clients::listens));
     }
+
+    /**
+     * Answers came up to 900 ms after their expiry: the new process had been told once that the old
+     * one holds about 900 descriptors, took 54 clients and let the others wait until that one had
+     * ended. It asks again, and takes those who wait as soon as it may.
+     */
+    @Test
+    public void whatTheProcessBeforeGivesUpIsUsedAtOnce() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        List<Socket> held = new ArrayList<>();
+        for (int i = 0; i < first.node.sockets; i++) {
+            held.add(new Socket(InetAddress.getLoopbackAddress(), port));
+        }
+        Daemon second = start(port, false);
+        ready(second);
+        untilItListensNoMore(first);
+        // One more than it may hold beside what the first holds, each busy with its request.
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            clients.add(to(second.clients.address(), "GET /healthz HTTP/1.1\r\n"));
+        }
+        for (Socket s : held) {
+            s.close();
+        }
+        for (Socket s : clients) {
+            Bench.write(s, "\r\n");
+            assertTrue(Bench.read(s).startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals(first.ended.getCount(), 1, "the first one has not ended");
+    }
 }
