Experiments restart a killed process beside the one before it; the soak sees its processes

It now gets its own address and succeeds what lives. The test's look at processes saw none: Java leaves out long arguments of a process. It reads the system's record now and asserts that it saw two or more, so the checks of processes, descriptors and memory can fail.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -20,8 +20,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -63,6 +65,9 @@
     /** Each scheduler's processes in the order of their starts; the last one is the newest. */
     private final List<List<Process>> processes = new ArrayList<>();
 
+    /** Those that a fault ended, wherever they stood. */
+    private final Set<Process> killed = ConcurrentHashMap.newKeySet();
+
     /** Where operators call each scheduler's latest process; empty where they don't. */
     private final List<InetSocketAddress> managed = new ArrayList<>();
 
@@ -358,11 +363,17 @@
         }
     }
 
+    /** Another process beside those of the scheduler takes the clients. */
+    private void replace(SingleThreadEventLoop loop, int i)
+            throws IOException, InterruptedException {
+        succeed(loop, i, "replaced");
+    }
+
     /**
-     * Starts another process beside those of the scheduler; once it has the clients, all before it
-     * are to leave. One that a later replacement has overtaken is not waited for.
+     * Starts another process; once it has the clients, this is noted, and all before it are to
+     * leave. One that a later process has overtaken is not waited for.
      */
-    private void replace(SingleThreadEventLoop loop, int i)
+    private void succeed(SingleThreadEventLoop loop, int i, String note)
             throws IOException, InterruptedException {
         InetSocketAddress own = freePort();
         Process successor;
@@ -374,13 +385,13 @@
         try {
             until(i, successor, own, "/v1/readyz");
         } catch (IOException e) {
-            if (newest(i) == successor) {
+            if (newest(i) == successor && !killed.contains(successor)) {
                 throw e;
             }
             return;
         }
         managed.set(i, own);
-        noted(loop, i, "replaced");
+        noted(loop, i, note);
         before.forEach(Process::destroy);
         if (!allEnded(before)) {
             noted(loop, i, "killed");
@@ -453,23 +464,28 @@
             throws IOException, InterruptedException {
         Process p = newest(f.scheduler);
         boolean kill = f.what.equals("scheduler-killed");
+        killed.add(p);
         noted(loop, f.scheduler, kill ? "killed" : "terminated");
         cpu += cpuOf(p);
         if (kill) {
             p.destroyForcibly().waitFor();
+            Thread.sleep((long) f.length);
         } else {
             p.destroy();
             if (!p.waitFor(LEAVES_WITHIN, TimeUnit.SECONDS)) {
                 p.destroyForcibly().waitFor();
             }
         }
-        if (kill) {
-            Thread.sleep((long) f.length);
+        if (over) {
+            return;
         }
-        if (!over) {
+        if (managed.isEmpty()) {
             start(f.scheduler);
             ready(f.scheduler);
             noted(loop, f.scheduler, "up");
+        } else {
+            // Beside it another process may live: it was killed while it replaced that one.
+            succeed(loop, f.scheduler, "up");
         }
     }
 
--- a/src/test/java/gingerspool/experiment/SoakTest.java
+++ b/src/test/java/gingerspool/experiment/SoakTest.java
@@ -75,6 +75,7 @@
         assertTrue(!text.contains("went wrong"), text);
         assertEquals(schedulers(), List.of(), "processes are left");
         assertEquals(listening(folder.resolve("out/a-" + seed)), List.of(), "listeners are left");
+        assertTrue(sampler.mostProcesses >= 2, "the processes were not seen");
         assertTrue(sampler.mostDescriptors <= DESCRIPTORS, sampler.worst());
         assertTrue(sampler.mostResidentKb <= RESIDENT_KB, sampler.worst());
         Folders.remove(folder);
@@ -88,11 +89,14 @@
                 .toList();
     }
 
+    /** The system's own record: what Java tells of a process leaves out long arguments. */
     private static boolean isScheduler(ProcessHandle process) {
-        return process.info()
-                .arguments()
-                .map(arguments -> List.of(arguments).contains("serve"))
-                .orElse(false);
+        try {
+            Path line = Path.of("/proc", Long.toString(process.pid()), "cmdline");
+            return List.of(Files.readString(line).split("\0")).contains("serve");
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** The schedulers' ports that somebody still listens at. */
