--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -478,7 +478,7 @@
     /**
      * A client of a replaced process lost its first request. The process had nothing left and
      * ended, but its listener was still open, so the kernel let the client in and reset it with the
-     * end: at each such request the log said `left` with `listening=true`.
+     * end: in seed 1501 the log said `left` with `listening=true` just before.
      */
     @Test
     public void aProcessThatWasSucceededEndsOnlyOnceItsListenerHasClosed() throws Exception {
--- a/src/test/java/gingerspool/wire/ClosingListenerTest.java
+++ b/src/test/java/gingerspool/wire/ClosingListenerTest.java
@@ -12,10 +12,10 @@
 /**
  * Clients of a process that another one has replaced lost their first requests. The kernel lets a
  * client in before the process has accepted it; the process closed its listener, or ended, with
- * such clients in the queue, and they were reset. The log showed it: at each of these requests the
- * process said `left` with `listening=true`, or `listener.closed` in the same millisecond. So a
- * listener closes only after an accept has waited in vain, and the process ends only once the last
- * accept has told its end. Here the queue is modelled and time passes as the test says.
+ * such clients in the queue, and they were reset. The log of seed 1501 shows the end: the process
+ * said `left` with `listening=true` 20 ms before the resets. So a listener closes only after an
+ * accept has waited in vain, and the process ends only once the last accept has told its end. Here
+ * the queue is modelled and time passes as the test says.
  */
 public class ClosingListenerTest {
     private static final double QUIET = 250;
