A process that ends before it takes over holds no operators' call up

Cause: the first process keeps one that has asked for its state as its successor, and only a call held open after the take tells of its end. One that was killed or stopped before that is never seen to go; each word to it fails, and the operator gets a no.

Evidence: handover.joined, no take, then handover.notification_failed status=0 for each call.

Change: a joined process that refuses a word, or does not acknowledge it within 0.4 s, is the successor no more (handover.successor_dropped). One that was only slow is refused at its take (409) and asks for the state again, with the word in it. Whatever other processes do, an operator has an answer 0.8 s after the call: words were given 0.7 s and connectTimeoutMs on top, so a stopped successor made the answer come after 1.5 s, where 1 s is owed.

Weighed: watching the connection of the join (a killed process is seen at once, a stopped one never, and the connection may rest and close by itself); a bound between join and take alone (calls are refused until it passes).

--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.slf4j.Logger;
@@ -32,6 +33,12 @@
     /** How long the other process may take over a word or a call-back, in milliseconds. */
     private static final double PATIENCE = 700;
 
+    /** An operator's call is answered by then, whoever else has to know of it. */
+    private static final double ANSWER_WITHIN = 800;
+
+    /** A process that has the state and acknowledges no word by then is the successor no more. */
+    private static final double JOINED_WITHIN = ANSWER_WITHIN / 2;
+
     /** The same for telling its state, and for retiring. */
     private static final double PATIENCE_STATE = 2000;
 
@@ -528,6 +535,7 @@
     /** All but the one that it came from are told. */
     private void spread(String what, String worker, String except, Consumer<Boolean> done) {
         Waiting all = new Waiting(done);
+        loop.schedule(ANSWER_WITHIN, all::giveUp);
         if (after != null && !after.name().equals(except) && succession.word()) {
             all.add();
             tell(after, what, worker, all);
@@ -565,6 +573,14 @@
                 done.accept(good);
             }
         }
+
+        /** Not all have answered in time: that is a no, and what comes later changes nothing. */
+        void giveUp() {
+            if (left > 0) {
+                left = 0;
+                done.accept(false);
+            }
+        }
     }
 
     private void tell(Peer peer, String what, String worker, Waiting all) {
@@ -573,23 +589,42 @@
         word.put("worker", worker);
         word.put("n", ++peer.told);
         word.put("ask", peer.ask);
+        Future<?> tooLate = loop.schedule(JOINED_WITHIN, () -> dropJoined(peer));
         peer.words.call(
                 "word",
                 body(word),
                 PATIENCE,
                 (status, body) -> {
-                    if (status != 200) {
+                    tooLate.cancel(false);
+                    if (status != OK) {
                         LOG.atWarn()
                                 .addKeyValue("word", what)
                                 .addKeyValue("status", status)
                                 .log("handover.notification_failed");
+                        dropJoined(peer);
                     }
                     // Guards against a no for want of a process that is gone: what it had, it takes
                     // with it.
-                    all.one(status == 200 || peer != before && peer != after);
+                    all.one(status == OK || peer != before && peer != after);
                 });
     }
 
+    /**
+     * A process that has the state but has not taken over does not acknowledge a word: it is
+     * forgotten. Guards operators' calls: no call tells when such a process ends, and each would be
+     * refused for want of it. One that was only slow may not take over then, and asks for the state
+     * again.
+     */
+    private void dropJoined(Peer peer) {
+        if (peer != after || succession.after() != Succession.After.JOINED) {
+            return;
+        }
+        LOG.atWarn().addKeyValue("successor", peer.name()).log("handover.successor_dropped");
+        succession.successorGone(peer.name());
+        after = null;
+        peer.close();
+    }
+
     /** Writes the note beside the loop; what can't be written is told, and holds nothing up. */
     private void note(Runnable written) {
         HandoverFile note =
