The number of a listener is the lowest one whose connection of our own arrives

Callers saw: in a hand-over that overlaps another one, half of the new connections went on to a process that had been told that all come to its successor, and which closes its listener on that word.

Cause: the numbers were tried one after the other, each by three connections that had to arrive. A number without a member leaves it to the kernel's hash; with two listeners left three arrivals are luck in one of eight. After the first of three listeners closes, the kernel moves the last into its place, so the number that is tried first has no member any more.

Change: one filter sends a connection each to the numbers 0, 1, 2, 3 (8 where none is ours), all under way at once. Numbers without a member are above all members' numbers, so the first arrival is ours and luck plays no part; a second round must find the same. A wrong number costs no time-out any more, which a claim waited for up to four times. A claim ends when its process is succeeded. The library is loaded ahead of the claim, and system calls have a thread beside the one that writes files. Log events tell each claim's rounds, time and room.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -90,7 +91,10 @@
     ExecutorService files;
 
     /** Null where no other process can follow this one. */
-    private ConnectionSteering steering;
+    ConnectionSteering steering;
+
+    /** System calls on who gets new connections are made here; tests hold it up. */
+    ExecutorService systemCalls;
 
     /** Another process has the clients, but the kernel still lets some of them come here. */
     private boolean sharesClients;
@@ -185,6 +189,9 @@
                 scheduler.begin(node.known, true);
                 serve();
             } else {
+                if (handover.hasNote()) {
+                    steering.prepare();
+                }
                 handover.begin();
             }
             summarise();
@@ -314,14 +321,9 @@
     // ---- Another process before or after this one ----
 
     private Handover handover() throws IOException {
-        files =
-                Executors.newSingleThreadExecutor(
-                        r -> {
-                            Thread t = new Thread(r, "files");
-                            t.setDaemon(true);
-                            return t;
-                        });
-        steering = new ConnectionSteering(loop, files, loop::submit, handshake());
+        files = blockingThread("files");
+        systemCalls = blockingThread("system-calls");
+        steering = new ConnectionSteering(loop, systemCalls, loop::submit, handshake());
         return new Handover(
                 loop,
                 files,
@@ -333,6 +335,16 @@
                 new Household());
     }
 
+    /** One thread for what blocks, started with its first task. */
+    private static ExecutorService blockingThread(String name) {
+        return Executors.newSingleThreadExecutor(
+                task -> {
+                    Thread thread = new Thread(task, name);
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
     /**
      * A client's handshake takes no longer than this, in milliseconds: what the deployment allows a
      * connection, and no more than clients come for after they are sent elsewhere.
@@ -346,6 +358,9 @@
         /** The list was told, and is followed. */
         private boolean begun;
 
+        /** When new connections are claimed once more; null before the first claim has ended. */
+        private Future<?> nextClaim;
+
         @Override
         public Map<String, Object> state() {
             Map<String, Object> state = new LinkedHashMap<>();
@@ -412,29 +427,51 @@
 
         @Override
         public void claim(int before, Consumer<Boolean> done) {
-            clients.claim(
-                    steering,
-                    before,
-                    outcome -> {
-                        boolean isLate = outcome == ConnectionSteering.Outcome.NOT_FOUND;
-                        if (isLate && handover.hasBefore() && !lifecycle.isSucceeded()) {
-                            loop.schedule(LOOK_EVERY, () -> claim(before, done));
-                            return;
-                        }
-                        boolean claimed = outcome == ConnectionSteering.Outcome.CLAIMED;
-                        if (claimed && handover.hasBefore()) {
-                            loop.schedule(handshake(), this::claimAgain);
-                        }
-                        done.accept(claimed);
-                    });
+            clients.claim(steering, before, outcome -> claimEnded(outcome, before, done));
+        }
+
+        private void claimEnded(
+                ConnectionSteering.Outcome outcome, int before, Consumer<Boolean> done) {
+            if (outcome == ConnectionSteering.Outcome.NOT_FOUND && isBeside()) {
+                nextClaim(LOOK_EVERY, () -> claim(before, done));
+                return;
+            }
+            boolean claimed = outcome == ConnectionSteering.Outcome.CLAIMED;
+            if (claimed && isBeside()) {
+                nextClaim(handshake(), this::verifyClaim);
+            }
+            done.accept(claimed);
+        }
+
+        /** Whether the process before this one lives, and none after it has the clients. */
+        private boolean isBeside() {
+            return handover.hasBefore() && !lifecycle.isSucceeded();
+        }
+
+        private void nextClaim(double pause, Runnable claim) {
+            if (nextClaim != null) {
+                nextClaim.cancel(false);
+            }
+            nextClaim = loop.schedule(pause, claim);
         }
 
         /**
          * Guards against a third process whose listener closes: that numbers the others anew, so
          * that they get each other's connections.
          */
-        private void claimAgain() {
-            if (handover.hasBefore() && !lifecycle.isSucceeded()) {
+        private void verifyClaim() {
+            if (isBeside() && !steering.isClaiming()) {
+                clients.verifyClaim(steering, this::claimVerified);
+            }
+        }
+
+        private void claimVerified(boolean stands) {
+            if (!isBeside() || steering.isClaiming()) {
+                return;
+            }
+            if (stands) {
+                nextClaim(handshake(), this::verifyClaim);
+            } else {
                 claim(steering.member(), claimed -> {});
             }
         }
@@ -442,6 +479,7 @@
         @Override
         public void alone() {
             if (!lifecycle.isSucceeded()) {
+                steering.cancel();
                 release();
             }
         }
@@ -458,6 +496,7 @@
         @Override
         public void retire() {
             lifecycle.succeeded(loop.now());
+            steering.cancel();
             scheduler.mostToWorkers(Math.max(LEAST, scheduler.toWorkers()));
             look();
         }
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -264,6 +264,11 @@
         steering.claim(listener, others, done);
     }
 
+    /** Tells whether they still do. */
+    public void verifyClaim(ConnectionSteering steering, Consumer<Boolean> done) {
+        steering.verify(listener, done);
+    }
+
     private boolean isListening() {
         return listener != null && listener.isOpen();
     }
--- a/src/main/java/gingerspool/wire/ConnectionSteering.java
+++ b/src/main/java/gingerspool/wire/ConnectionSteering.java
@@ -6,21 +6,22 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Has all new connections at a shared address come to this process, so that another one can close
  * its listener there while none is on its way to it. The kernel numbers the listeners of a group in
- * an order that nobody is told; so each number is tried and a connection of our own shows where it
- * leads.
+ * an order that nobody is told; so connections of our own, one to each number, show where it leads.
  *
- * <p>Thread: the event loop; system calls are made by the executor for blocking work.
+ * <p>Thread: the event loop; system calls are made by the executor for blocking work. Times are
+ * milliseconds.
  */
 public final class ConnectionSteering {
     private static final Logger LOG = LoggerFactory.getLogger(ConnectionSteering.class);
@@ -32,39 +33,48 @@
         /** No number led to it; it may be late to see its own connection. */
         NOT_FOUND,
         /** The system does not say which listener gets a connection. */
-        UNSUPPORTED
+        UNSUPPORTED,
+        /** {@link #cancel} was called, or another claim begun. */
+        CANCELLED
     }
 
     /** No member is known. */
     public static final int UNKNOWN = ReusePortGroup.BY_HASH;
 
-    /** Who listens beside one other has usually come after it, as the second member. */
-    private static final List<Integer> GUESSES = List.of(1, 0, 2, 3);
+    /** How many numbers a round tries: those of a hand-over and of one that overlaps it. */
+    private static final int USUAL_MEMBERS = 4;
 
-    /**
-     * A number without a member leaves it to the hash where a probe arrives: so many in a row are
-     * no luck.
-     */
-    private static final int PROBES = 3;
+    /** How many it tries where none of those is ours; more processes are not looked for. */
+    private static final int MOST_MEMBERS = 2 * USUAL_MEMBERS;
+
+    /** How many connections of our own show whether a claim still stands. */
+    private static final int VERIFYING_PROBES = 3;
 
     /** Says which member gets new connections; blocks. The system's own, or a test's. */
     interface Group {
+        void load();
+
         boolean select(int port, int member);
 
-        boolean selectFor(InetSocketAddress from, int port, int member, int others);
+        boolean selectFor(List<ReusePortGroup.Route> routes, int port, int others);
 
         void selectByHash(int port);
     }
 
     private static final class KernelGroup implements Group {
+        @Override
+        public void load() {
+            ReusePortGroup.load();
+        }
+
         @Override
         public boolean select(int port, int member) {
             return ReusePortGroup.select(port, member);
         }
 
         @Override
-        public boolean selectFor(InetSocketAddress from, int port, int member, int others) {
-            return ReusePortGroup.selectFor(from, port, member, others);
+        public boolean selectFor(List<ReusePortGroup.Route> routes, int port, int others) {
+            return ReusePortGroup.selectFor(routes, port, others);
         }
 
         @Override
@@ -82,6 +92,9 @@
     /** The member that we were when we last knew. */
     private int member = UNKNOWN;
 
+    /** The claim under way, or null. */
+    private Claim current;
+
     /**
      * System calls are made by `blocking`, whose ends `onLoop` brings to the loop. A connection to
      * our own address shows within `probeWithin` milliseconds where it arrives.
@@ -105,25 +118,58 @@
         return member;
     }
 
+    /** Gets the native library ready ahead of a claim, beside whatever else is done. */
+    public void prepare() {
+        blocking.execute(
+                () -> {
+                    try {
+                        group.load();
+                    } catch (LinkageError e) {
+                        unavailable(e);
+                    }
+                });
+    }
+
     /**
      * Has all new connections come to this listener, which must be accepting; then tells whether
      * they do. Until it is known which member it is, clients go to the member `others`. Where they
-     * can't be had, the kernel shares them out as before.
+     * can't be had, the kernel shares them out as before. A claim under way is cancelled by this.
      */
     public void claim(Listener listener, int others, Consumer<Outcome> done) {
-        List<Integer> candidates = new ArrayList<>(GUESSES);
-        if (member != UNKNOWN) {
-            candidates.remove((Integer) member);
-            candidates.add(0, member);
-        }
+        cancel();
         try {
             InetSocketAddress address = (InetSocketAddress) listener.address();
-            new Claim(listener, address, candidates.iterator(), others, done).next();
+            current = new Claim(listener, address, others, done);
+            current.beginRound();
         } catch (IOException e) {
             done.accept(Outcome.NOT_FOUND);
         }
     }
 
+    /**
+     * Tells whether new connections still come to this listener, as after a claim. While they do,
+     * no other member gets a connection by this, so that it can close once it is quiet.
+     */
+    public void verify(Listener listener, Consumer<Boolean> done) {
+        try {
+            new Verification((InetSocketAddress) listener.address(), done).begin(listener);
+        } catch (IOException e) {
+            done.accept(false);
+        }
+    }
+
+    /** Whether a claim is under way. */
+    public boolean isClaiming() {
+        return current != null;
+    }
+
+    /** Another process is to have the connections: a claim under way ends without them. */
+    public void cancel() {
+        if (current != null) {
+            current.end(Outcome.CANCELLED);
+        }
+    }
+
     /** Leaves it to the kernel again who of those that listen at this port gets a connection. */
     public void release(int port) {
         blocking.execute(
@@ -132,87 +178,167 @@
                         group.selectByHash(port);
                     } catch (LinkageError e) {
                         // Without the native library nothing was selected either.
-                        LOG.atDebug().addKeyValue("why", e.toString()).log("steering.unavailable");
+                        unavailable(e);
                     }
                 });
     }
 
-    /** One search for our own number. Guards the clients: it moves none but our own connection. */
+    private static void unavailable(LinkageError why) {
+        LOG.atDebug().addKeyValue("why", why.toString()).log("steering.unavailable");
+    }
+
+    /**
+     * One search for our own number, in rounds. A round sends one connection of our own to each
+     * number from 0 on; the first one that arrives tells the number. Those of other members never
+     * arrive here. Numbers without a member, which leave it to the hash where a connection arrives,
+     * are higher than all members' numbers, so ours arrives before theirs. A second round has to
+     * find the same, lest the order of one round was disturbed.
+     *
+     * <p>Guards the clients: it moves none but our own connections.
+     */
     private final class Claim {
         private final Listener listener;
         private final InetSocketAddress address;
-        private final Iterator<Integer> candidates;
         private final int others;
         private final Consumer<Outcome> done;
+        private final double begunAt = loop.now();
+
+        /** Empty between rounds. */
+        private final List<Probe> probes = new ArrayList<>();
+
+        /** How many numbers are tried at once. */
+        private int members = USUAL_MEMBERS;
 
-        /** The system took at least one number. */
-        private boolean isSupported;
+        /** What the round before found, or UNKNOWN. */
+        private int found = UNKNOWN;
 
-        Claim(
-                Listener listener,
-                InetSocketAddress address,
-                Iterator<Integer> candidates,
-                int others,
-                Consumer<Outcome> done) {
+        private int rounds;
+        private int roundsInVain;
+        private Future<?> roundEnds;
+
+        Claim(Listener listener, InetSocketAddress address, int others, Consumer<Outcome> done) {
             this.listener = listener;
             this.address = address;
-            this.candidates = candidates;
             this.others = others;
             this.done = done;
         }
 
-        void next() {
-            if (!candidates.hasNext() || !listener.isOpen()) {
-                done.accept(isSupported ? Outcome.NOT_FOUND : Outcome.UNSUPPORTED);
-                return;
-            }
-            probe(candidates.next(), PROBES);
+        private boolean isOver() {
+            return current != this;
         }
 
-        private void probe(int candidate, int probes) {
+        void beginRound() {
+            if (!listener.isOpen()) {
+                end(Outcome.NOT_FOUND);
+                return;
+            }
+            rounds++;
+            List<ReusePortGroup.Route> routes = new ArrayList<>();
             try {
-                Probe probe =
-                        new Probe(
-                                listener,
-                                address,
-                                arrived -> probed(arrived, candidate, probes - 1));
-                call(
-                        () -> group.selectFor(probe.from, address.getPort(), candidate, others),
-                        selected -> {
-                            isSupported |= selected;
-                            if (selected) {
-                                probe.begin();
-                            } else {
-                                probe.end(false);
-                            }
-                        });
+                for (int number = 0; number < members; number++) {
+                    Probe probe = new Probe(listener, address, number, this::arrived);
+                    probes.add(probe);
+                    routes.add(new ReusePortGroup.Route(probe.from, probe.member));
+                }
             } catch (IOException e) {
-                done.accept(Outcome.NOT_FOUND);
+                end(Outcome.NOT_FOUND);
+                return;
             }
+            call(
+                    () -> group.selectFor(routes, address.getPort(), others),
+                    selected -> {
+                        if (selected) {
+                            sendProbes();
+                        } else {
+                            end(Outcome.UNSUPPORTED);
+                        }
+                    });
         }
 
-        private void probed(boolean arrived, int candidate, int left) {
-            if (!arrived) {
-                next();
+        private void sendProbes() {
+            roundEnds = loop.schedule(probeWithin, this::noneArrived);
+            probes.forEach(Probe::begin);
+        }
+
+        private void arrived(int number) {
+            if (isOver()) {
                 return;
             }
-            if (left > 0) {
-                probe(candidate, left);
+            endRound();
+            if (number == found) {
+                select(number);
+            } else {
+                found = number;
+                beginRound();
+            }
+        }
+
+        private void noneArrived() {
+            if (isOver()) {
                 return;
             }
+            endRound();
+            roundsInVain++;
+            LOG.atInfo()
+                    .addKeyValue("members", members)
+                    .addKeyValue("accepting", listener.isAccepting())
+                    .log("steering.none_arrived");
+            if (members == MOST_MEMBERS) {
+                end(Outcome.NOT_FOUND);
+                return;
+            }
+            found = UNKNOWN;
+            members = MOST_MEMBERS;
+            beginRound();
+        }
+
+        private void endRound() {
+            if (roundEnds != null) {
+                roundEnds.cancel(false);
+                roundEnds = null;
+            }
+            probes.forEach(Probe::end);
+            probes.clear();
+        }
+
+        private void select(int number) {
             call(
-                    () -> group.select(address.getPort(), candidate),
+                    () -> group.select(address.getPort(), number),
                     selected -> {
-                        member = selected ? candidate : member;
-                        done.accept(selected ? Outcome.CLAIMED : Outcome.NOT_FOUND);
+                        Level level = selected && member == number ? Level.DEBUG : Level.INFO;
+                        member = selected ? number : member;
+                        LOG.atLevel(level)
+                                .addKeyValue("member", number)
+                                .addKeyValue("selected", selected)
+                                .addKeyValue("rounds", rounds)
+                                .addKeyValue("in_vain", roundsInVain)
+                                .addKeyValue("ms", Math.round(loop.now() - begunAt))
+                                .log("steering.found");
+                        end(selected ? Outcome.CLAIMED : Outcome.NOT_FOUND);
                     });
         }
 
+        /** Ends the claim, once. */
+        void end(Outcome outcome) {
+            if (isOver()) {
+                return;
+            }
+            endRound();
+            current = null;
+            done.accept(outcome);
+        }
+
+        /** Makes a system call and goes on with its result, unless the claim is over by then. */
         private void call(BooleanSupplier systemCall, Consumer<Boolean> then) {
             blocking.execute(
                     () -> {
-                        boolean done = succeeds(systemCall);
-                        onLoop.execute(() -> then.accept(done));
+                        boolean succeeded = succeeds(systemCall);
+                        onLoop.execute(
+                                () -> {
+                                    if (!isOver()) {
+                                        then.accept(succeeded);
+                                    }
+                                });
                     });
         }
 
@@ -220,25 +346,61 @@
             try {
                 return systemCall.getAsBoolean();
             } catch (LinkageError e) {
-                LOG.atDebug().addKeyValue("why", e.toString()).log("steering.unavailable");
+                unavailable(e);
                 return false;
             }
         }
     }
 
+    /** Some connections of our own, all of which have to arrive. */
+    private final class Verification {
+        private final InetSocketAddress address;
+        private final Consumer<Boolean> done;
+        private final List<Probe> probes = new ArrayList<>();
+        private Future<?> tooLate;
+        private int missing = VERIFYING_PROBES;
+
+        Verification(InetSocketAddress address, Consumer<Boolean> done) {
+            this.address = address;
+            this.done = done;
+        }
+
+        void begin(Listener listener) throws IOException {
+            for (int i = 0; i < VERIFYING_PROBES; i++) {
+                probes.add(new Probe(listener, address, member, number -> arrived()));
+            }
+            tooLate = loop.schedule(probeWithin, () -> end(false));
+            probes.forEach(Probe::begin);
+        }
+
+        private void arrived() {
+            missing--;
+            if (missing == 0) {
+                tooLate.cancel(false);
+                end(true);
+            }
+        }
+
+        private void end(boolean stands) {
+            probes.forEach(Probe::end);
+            done.accept(stands);
+        }
+    }
+
     /** One connection to our own address, and whether our own listener is the one that gets it. */
     private final class Probe {
         private final Listener listener;
         private final AsynchronousSocketChannel channel;
         private final InetSocketAddress to;
         private final InetSocketAddress from;
-        private final Consumer<Boolean> done;
-        private boolean ended;
+        private final int member;
+        private final Consumer<Integer> arrived;
 
-        Probe(Listener listener, InetSocketAddress address, Consumer<Boolean> done)
+        Probe(Listener listener, InetSocketAddress address, int member, Consumer<Integer> arrived)
                 throws IOException {
             this.listener = listener;
-            this.done = done;
+            this.member = member;
+            this.arrived = arrived;
             InetAddress host =
                     address.getAddress().isAnyLocalAddress()
                             ? InetAddress.getLoopbackAddress()
@@ -251,8 +413,10 @@
         }
 
         void begin() {
-            listener.expect(from, () -> end(true));
-            loop.schedule(probeWithin, () -> end(false));
+            if (!channel.isOpen()) {
+                return;
+            }
+            listener.expect(from, () -> arrived.accept(member));
             channel.connect(
                     to,
                     null,
@@ -264,23 +428,18 @@
 
                         @Override
                         public void failed(Throwable why, Void none) {
-                            loop.execute(() -> end(false));
+                            // It arrives nowhere, which the end of the round shows.
                         }
                     });
         }
 
-        private void end(boolean arrived) {
-            if (ended) {
-                return;
-            }
-            ended = true;
+        void end() {
             listener.expectNoMore(from);
             try {
                 channel.close();
             } catch (IOException e) {
                 LOG.atDebug().addKeyValue("why", e.getMessage()).log("steering.close_failed");
             }
-            done.accept(arrived);
         }
     }
 }
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -108,6 +108,11 @@
         return channel.isOpen() || accepting;
     }
 
+    /** Whether it waits for the next connection: not so while its owner has no room for one. */
+    boolean isAccepting() {
+        return channel.isOpen() && accepting;
+    }
+
     /** Goes on accepting, if it does not and there is room. */
     public void acceptOn() {
         // Making room may close a connection, which asks for this again: so the mark is looked at
--- a/src/main/java/gingerspool/wire/ReusePortGroup.java
+++ b/src/main/java/gingerspool/wire/ReusePortGroup.java
@@ -11,6 +11,7 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -23,9 +24,6 @@
  * native library.
  */
 final class ReusePortGroup {
-    /** More processes than this do not listen beside each other. */
-    static final int MOST_MEMBERS = 4;
-
     private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
     private static final String SOCKET_LINK = "socket:";
 
@@ -80,26 +78,44 @@
     /** One instruction of a filter. */
     private record Instruction(short code, int jumpElse, int constant) {}
 
+    /** The connection from this address goes to this member. */
+    record Route(InetSocketAddress from, int member) {}
+
+    /**
+     * Loads the native library, which takes as long as some hundred of the calls that need it.
+     *
+     * @throws LinkageError where there is none for this system
+     */
+    static void load() {
+        if (isSupported()) {
+            isSet(0, SO_ACCEPTCONN);
+        }
+    }
+
     /** Has all new connections at this port go to one member; tells whether the system did it. */
     static boolean select(int port, int member) {
         return attach(port, List.of(new Instruction(RETURN_CONSTANT, 0, member)));
     }
 
     /**
-     * Has the connection from one address go to a member, and all others to another one or, with
-     * BY_HASH, to any; tells whether the system did it.
+     * Has the connections from some addresses, all of one family, go each to its member, and all
+     * others to another member or, with BY_HASH, to any; tells whether the system did it.
      */
-    static boolean selectFor(InetSocketAddress from, int port, int member, int others) {
-        int header =
-                from.getAddress() instanceof Inet4Address ? IPV4_HEADER_BYTES : IPV6_HEADER_BYTES;
-        return attach(
-                port,
-                List.of(
-                        // The source port is the first field of the header behind that.
-                        new Instruction(LOAD_TWO_BYTES, 0, NETWORK_HEADER + header),
-                        new Instruction(JUMP_IF_EQUAL, 1, from.getPort()),
-                        new Instruction(RETURN_CONSTANT, 0, member),
-                        new Instruction(RETURN_CONSTANT, 0, others)));
+    static boolean selectFor(List<Route> routes, int port, int others) {
+        List<Instruction> filter = new ArrayList<>();
+        // The source port is the first field of the header behind the network's.
+        int sourcePort = NETWORK_HEADER + headerBytes(routes.get(0).from());
+        filter.add(new Instruction(LOAD_TWO_BYTES, 0, sourcePort));
+        for (Route route : routes) {
+            filter.add(new Instruction(JUMP_IF_EQUAL, 1, route.from().getPort()));
+            filter.add(new Instruction(RETURN_CONSTANT, 0, route.member()));
+        }
+        filter.add(new Instruction(RETURN_CONSTANT, 0, others));
+        return attach(port, filter);
+    }
+
+    private static int headerBytes(InetSocketAddress from) {
+        return from.getAddress() instanceof Inet4Address ? IPV4_HEADER_BYTES : IPV6_HEADER_BYTES;
     }
 
     private static boolean attach(int port, List<Instruction> filter) {
--- a/src/test/java/gingerspool/wire/ConnectionSteeringTest.java
+++ b/src/test/java/gingerspool/wire/ConnectionSteeringTest.java
@@ -1,6 +1,7 @@
 package gingerspool.wire;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.wire.ConnectionSteering.Outcome;
@@ -10,7 +11,9 @@
 import java.net.Socket;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -23,6 +26,7 @@
 public class ConnectionSteeringTest {
     private static final double PROBE_WITHIN = 250;
     private static final int CLIENTS = 60;
+    private static final int MOST_LISTENERS = 8;
 
     private SingleThreadEventLoop loop;
     private ExecutorService blocking;
@@ -140,12 +144,78 @@
         assertEquals(connect(), List.of(0, 0, CLIENTS));
     }
 
+    /** Guards first requests: whichever of up to eight listeners closes, a claim gets all. */
+    @Test(timeOut = 60_000)
+    public void aClaimGetsAllWhicheverListenersHaveClosed() throws Exception {
+        SplittableRandom chance = new SplittableRandom(61);
+        for (int i = 0; i < MOST_LISTENERS; i++) {
+            new Counter();
+        }
+        while (!listeners.isEmpty()) {
+            int claimant = chance.nextInt(listeners.size());
+            ConnectionSteering steering = steering();
+            Outcome outcome = claim(steering, listeners.get(claimant), ConnectionSteering.UNKNOWN);
+            assertEquals(outcome, Outcome.CLAIMED);
+            List<Integer> all = new ArrayList<>(Collections.nCopies(listeners.size(), 0));
+            all.set(claimant, CLIENTS);
+            assertEquals(connect(), all);
+            assertTrue(verified(steering, listeners.get(claimant)));
+            listeners.remove(chance.nextInt(listeners.size())).listener.close();
+        }
+    }
+
+    private boolean verified(ConnectionSteering steering, Counter of) throws Exception {
+        CompletableFuture<Boolean> stands = new CompletableFuture<>();
+        loop.submit(() -> steering.verify(of.listener, stands::complete));
+        return stands.get(20, TimeUnit.SECONDS);
+    }
+
+    /** Guards the process before: a claim that stands is looked at without a connection to it. */
+    @Test(timeOut = 60_000)
+    public void aClaimIsVerifiedWithoutAConnectionToOthers() throws Exception {
+        Counter first = new Counter();
+        Counter second = new Counter();
+        ConnectionSteering steering = steering();
+        assertEquals(claim(steering, second, ConnectionSteering.UNKNOWN), Outcome.CLAIMED);
+        int before = accepted(first);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(verified(steering, second));
+        }
+        assertEquals(accepted(first), before);
+        assertEquals(claim(steering(), first, steering.member()), Outcome.CLAIMED);
+        assertFalse(verified(steering, second));
+    }
+
+    /** Guards the successor: one that is succeeded while it claims takes nothing afterwards. */
+    @Test(timeOut = 60_000)
+    public void aCancelledClaimSelectsNothing() throws Exception {
+        Counter first = new Counter();
+        Counter second = new Counter();
+        assertEquals(claim(steering(), first, ConnectionSteering.UNKNOWN), Outcome.CLAIMED);
+        ConnectionSteering cancelled = steering();
+        CompletableFuture<Outcome> done = new CompletableFuture<>();
+        loop.submit(
+                () -> {
+                    cancelled.claim(second.listener, 0, done::complete);
+                    cancelled.cancel();
+                });
+        assertEquals(done.get(20, TimeUnit.SECONDS), Outcome.CANCELLED);
+        blocking.submit(() -> {}).get(10, TimeUnit.SECONDS);
+        assertEquals(cancelled.member(), ConnectionSteering.UNKNOWN);
+        assertEquals(connect(), List.of(CLIENTS, 0));
+    }
+
     /** Where the system has no such option, clients come as before, and it is said so. */
     @Test(timeOut = 60_000)
     public void withoutTheOptionNothingIsClaimed() throws Exception {
         Counter only = new Counter();
         ConnectionSteering.Group none =
                 new ConnectionSteering.Group() {
+                    @Override
+                    public void load() {
+                        throw new UnsatisfiedLinkError("no native library");
+                    }
+
                     @Override
                     public boolean select(int port, int member) {
                         return false;
@@ -153,7 +223,7 @@
 
                     @Override
                     public boolean selectFor(
-                            InetSocketAddress from, int port, int member, int others) {
+                            List<ReusePortGroup.Route> routes, int port, int others) {
                         throw new UnsatisfiedLinkError("no native library");
                     }
 
@@ -164,6 +234,7 @@
                 };
         ConnectionSteering steering =
                 new ConnectionSteering(loop, blocking, loop::submit, PROBE_WITHIN, none);
+        steering.prepare();
         assertEquals(claim(steering, only, ConnectionSteering.UNKNOWN), Outcome.UNSUPPORTED);
         steering.release(port);
         assertEquals(connect(), List.of(CLIENTS));
