A process is ready once new connections come to it; one whose time is over refuses, not resets

Cause: the new process said yes to readyz when it listened and began to claim new connections after that. The yes is what SIGTERM follows, so the old one's time to leave ran while the kernel still dealt it clients; a claim took 0.1 s on a calm machine and up to 2.9 s on a busy one, and at the end of 2.4 s the old one closed its listener and every new connection though clients came. In a hand-over that overlaps the next, the claim was broken off and the first process told that it had failed.

Change: readyz is yes once the claim has ended, 2 s after serving at the latest (6 s are allowed from the start). A process that is succeeded while it claims says nothing of its own claim; its successor's word goes on to the one before. One that loses its successor claims again beside the one before it. What is not over when the time is gives way in two steps: tasks are given up and the listener drained as before; for 0.2 s more, until 0.1 s before SIGKILL may come, whoever was let in is answered 503. A listener that drains closes on time only: a late loop accepts first. ConnectionDraining holds what Daemon did for this.

Weighed: to drain at once where no claim stands (loses handshakes under way); no yes without a claim (where the system has none the yes would never come).

--- /dev/null
+++ b/src/main/java/gingerspool/daemon/ConnectionDraining.java
@@ -0,0 +1,91 @@
+package gingerspool.daemon;
+
+import gingerspool.wire.ClientEndpoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Has the clients' endpoint follow the process's lifecycle: what health checks are told, which
+ * connections end, and when the listener closes.
+ *
+ * <p>A listener that another process shares closes only once that one has all new connections and
+ * none has come here for a while. Where that does not happen before the time to leave ends, clients
+ * are let in and refused until shortly before the process is killed: a refusal is an answer, a
+ * reset is a lost request.
+ *
+ * <p>Thread: the event loop. Times are milliseconds on its clock.
+ */
+final class ConnectionDraining {
+    private static final Logger LOG = LoggerFactory.getLogger(ConnectionDraining.class);
+
+    /** The tasks of the process. */
+    interface Tasks {
+        /** How many have no answer yet. */
+        int unanswered();
+
+        /** Answers all of them without a promise about their effect. */
+        void abandonAll();
+    }
+
+    private final ProcessLifecycle lifecycle;
+    private final ClientEndpoint clients;
+    private final Tasks tasks;
+
+    /** Another process has the clients, but the kernel still lets some of them come here. */
+    private boolean sharesClients;
+
+    ConnectionDraining(ProcessLifecycle lifecycle, ClientEndpoint clients, Tasks tasks) {
+        this.lifecycle = lifecycle;
+        this.clients = clients;
+        this.tasks = tasks;
+    }
+
+    /**
+     * The successor listens: the listener closes once none has come for `quiet`. Where it has not
+     * got all new connections, that may never be, and the listener closes in the time to leave.
+     */
+    void successorListens(boolean hasAllClients, double quiet) {
+        sharesClients = !hasAllClients;
+        clients.shutWhenQuiet(quiet);
+    }
+
+    /** Has the endpoint do what the present state asks for. */
+    void apply(double now) {
+        clients.ready(lifecycle.isReady());
+        clients.lastAnswers(lifecycle.lastAnswers(now), lifecycle.isSucceeded());
+        clients.refuseTasks(lifecycle.isGivingUp(now));
+        if (lifecycle.idleMost(now) < Double.POSITIVE_INFINITY) {
+            clients.closeIdle(
+                    lifecycle.idleMost(now), lifecycle.freshMost(now), lifecycle.isClosing(now));
+        }
+    }
+
+    /**
+     * Gives up what is out when the time is over, and closes the listener when nothing is out;
+     * tells whether the process has nothing left to end. Guards what is in hand: call-backs must
+     * get in until the last task has its answer.
+     */
+    boolean isEmptied(double now) {
+        if (tasks.unanswered() > 0 && lifecycle.isGivingUp(now)) {
+            LOG.atWarn().addKeyValue("tasks", tasks.unanswered()).log("leaving.abandoned");
+            tasks.abandonAll();
+        }
+        if (tasks.unanswered() > 0) {
+            return false;
+        }
+        closeListener(now);
+        int open = lifecycle.isSucceeded() ? clients.ofClients() : clients.connections();
+        // Guards the clients: until the listener has closed, the kernel lets more of them in.
+        return open == 0 && !clients.listens();
+    }
+
+    /** The listener of a process that was succeeded closes when its successor has the clients. */
+    private void closeListener(double now) {
+        if (lifecycle.isOver(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
+            clients.shut();
+        } else if (lifecycle.isGivingUp(now)
+                || lifecycle.isClosing(now) && (sharesClients || !lifecycle.isSucceeded())) {
+            clients.drainListener();
+        }
+    }
+}
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -59,8 +59,8 @@
      */
     private static final double LONGEST = 3000;
 
-    /** What is not answered so long before the end of that is abandoned. */
-    private static final double SPARE = 300;
+    /** The process is over so long before the end of that. */
+    private static final double SPARE = 100;
 
     private static final double LOOK_EVERY = 20;
 
@@ -96,8 +96,7 @@
     /** System calls on who gets new connections are made here; tests hold it up. */
     ExecutorService systemCalls;
 
-    /** Another process has the clients, but the kernel still lets some of them come here. */
-    private boolean sharesClients;
+    private final ConnectionDraining draining;
 
     Daemon(NodeConfiguration node) throws IOException {
         this.node = node;
@@ -108,6 +107,7 @@
         clients =
                 new ClientEndpoint(
                         loop, node.listen, node.management != null, toClients, scheduler);
+        draining = new ConnectionDraining(lifecycle, clients, scheduler);
         management =
                 node.management == null
                         ? null
@@ -243,14 +243,17 @@
         if (handover != null) {
             handover.leave();
         }
-        lifecycle.leave(
-                from,
-                ProcessLifecycle.STILL_COMING
-                        + Math.min(LONGEST, node.deployment.longestExpiry)
-                        - SPARE);
+        lifecycle.leave(from, timeToLeave());
         look();
     }
 
+    /** From SIGTERM until nothing can be answered any more, in milliseconds. */
+    double timeToLeave() {
+        return ProcessLifecycle.STILL_COMING
+                + Math.min(LONGEST, node.deployment.longestExpiry)
+                - SPARE;
+    }
+
     /** Has the door do what the life's present state asks for, now and as time goes on. */
     private void look() {
         act();
@@ -267,32 +270,12 @@
 
     private void act() {
         double now = loop.now();
-        clients.ready(lifecycle.isReady());
-        clients.lastAnswers(lifecycle.lastAnswers(now), lifecycle.isSucceeded());
-        if (lifecycle.idleMost(now) < Double.POSITIVE_INFINITY) {
-            clients.closeIdle(
-                    lifecycle.idleMost(now), lifecycle.freshMost(now), lifecycle.isClosing(now));
-        }
+        draining.apply(now);
+        boolean mayEnd = lifecycle.mayEnd(now, handover != null && handover.standsBetween());
         if (ended.getCount() > 0
-                && lifecycle.mayEnd(now, handover != null && handover.standsBetween())) {
-            lookForEnd(now);
-        }
-    }
-
-    /** Guards what is in hand: call-backs must get in until the last task has its answer. */
-    private void lookForEnd(double now) {
-        int unanswered = scheduler.unanswered();
-        if (unanswered > 0 && lifecycle.isOver(now)) {
-            LOG.atWarn().addKeyValue("tasks", unanswered).log("leaving.abandoned");
-            scheduler.abandonAll();
-            unanswered = 0;
-        }
-        if (unanswered == 0) {
-            closeListener(now);
-        }
-        int open = lifecycle.isSucceeded() ? clients.ofClients() : clients.connections();
-        // Guards the clients: until the listener has closed, the kernel lets more of them in.
-        if (unanswered == 0 && open == 0 && !clients.listens()) {
+                && (mayEnd || lifecycle.isGivingUp(now))
+                && draining.isEmptied(now)
+                && mayEnd) {
             LoggingEventBuilder line = LOG.atInfo();
             scheduler.summary(line);
             line.log("left");
@@ -300,15 +283,6 @@
         }
     }
 
-    /** The listener of a process that was succeeded closes when its successor has the clients. */
-    private void closeListener(double now) {
-        if (lifecycle.isOver(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
-            clients.shut();
-        } else if (lifecycle.isClosing(now) && (sharesClients || !lifecycle.isSucceeded())) {
-            clients.drainListener();
-        }
-    }
-
     private void setDrained(boolean drained) {
         if (drained) {
             lifecycle.drain(loop.now());
@@ -503,8 +477,7 @@
 
         @Override
         public void closeListener(boolean claimed) {
-            sharesClients = !claimed;
-            clients.shutWhenQuiet(handshake());
+            draining.successorListens(claimed, handshake());
             look();
         }
 
@@ -515,7 +488,9 @@
             try {
                 bind();
                 clients.open();
-                release();
+                if (!handover.hasBefore()) {
+                    release();
+                }
             } catch (IOException e) {
                 LOG.atError().addKeyValue("why", e.getMessage()).log("listen.failed");
             }
@@ -583,7 +558,7 @@
     private final class Operators implements ManagementEndpoint.Operations {
         @Override
         public boolean takesClients() {
-            return lifecycle.takesClients() && (handover == null || handover.isAnnounced());
+            return lifecycle.takesClients() && (handover == null || handover.isSettled());
         }
 
         @Override
--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -21,6 +21,9 @@
     /** A connection that has been idle for less may have its first request under way. */
     private static final double FRESH = 200;
 
+    /** So long before the process is over, what is out is given up and what comes is refused. */
+    static final double REFUSING = 200;
+
     private boolean started;
     private double drainedAt = Double.NaN;
     private double succeededAt = Double.NaN;
@@ -133,7 +136,15 @@
                 && now >= leavingAt + leaveWithin * (isSucceeded() ? KEPT_SUCCEEDED : KEPT);
     }
 
-    /** Whether what is still out must be given up: the process is about to be ended. */
+    /**
+     * Whether what is still out must be given up, and what still comes be refused: the process is
+     * about to be ended.
+     */
+    boolean isGivingUp(double now) {
+        return isLeaving() && now >= leavingAt + leaveWithin - REFUSING;
+    }
+
+    /** Whether nothing can be answered any more: all that is open is to be closed. */
     boolean isOver(double now) {
         return isLeaving() && now >= leavingAt + leaveWithin;
     }
--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -47,7 +47,8 @@
         implements DispatchActions,
                 ClientEndpoint.RequestHandler,
                 DiscoveryClient.Follower,
-                WorkerAttempt.Owner {
+                WorkerAttempt.Owner,
+                ConnectionDraining.Tasks {
     private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
 
     /** The part of the heap that tasks' bodies may fill. */
@@ -632,7 +633,8 @@
     // ---- The end ----
 
     /** Abandons what is still in hand: better this answer than none. */
-    void abandonAll() {
+    @Override
+    public void abandonAll() {
         for (ClientTask t : tasks.all()) {
             if (t.client != null) {
                 Inbound client = t.client;
@@ -645,7 +647,8 @@
     }
 
     /** How many tasks have no answer yet. */
-    int unanswered() {
+    @Override
+    public int unanswered() {
         int n = 0;
         for (ClientTask t : tasks.all()) {
             n += t.client == null ? 0 : 1;
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -55,6 +55,12 @@
     /** The process that serves is looked for so long; then this one serves alone. */
     private static final double SEARCH_WITHIN = 2 * PATIENCE_STATE;
 
+    /**
+     * Operators are told yes once all new connections come here, and then at the latest: the
+     * process before this one may be ended as soon as they have it.
+     */
+    private static final double CLAIM_WITHIN = 2000;
+
     /** How often the process before this one is asked what it holds, in milliseconds. */
     private static final double SHARE_EVERY = 100;
 
@@ -154,6 +160,9 @@
     /** The process is to end before it has taken over. */
     private boolean leaving;
 
+    /** New connections still go to the process before this one as well, and it is not too late. */
+    private boolean claiming;
+
     private String token = "";
     private Peer before;
     private Peer after;
@@ -250,6 +259,9 @@
                 after = null;
                 LOG.atWarn().log("handover.successor_gone");
                 house.takeBack();
+                if (before != null) {
+                    claim(house.listenerNumber());
+                }
                 announce();
             }
             default -> {}
@@ -458,12 +470,36 @@
         }
         serve();
         if (before != null) {
-            house.claim(listenerBefore, this::claimed);
+            claim(listenerBefore);
         }
     }
 
+    private void claim(int others) {
+        claiming = true;
+        loop.schedule(CLAIM_WITHIN, this::claimTakesLong);
+        house.claim(others, this::claimed);
+    }
+
+    private void claimTakesLong() {
+        if (claiming) {
+            claiming = false;
+            LOG.atWarn().log("handover.claim_late");
+        }
+    }
+
+    /**
+     * A process that was succeeded meanwhile leaves it to its successor, which tells of its own.
+     */
     private void claimed(boolean all) {
-        LOG.atInfo().addKeyValue("all", all).log("handover.claimed");
+        claiming = false;
+        if (before != null && succession.after() != Succession.After.SUCCEEDED) {
+            LOG.atInfo().addKeyValue("all", all).log("handover.claimed");
+            tellBound(all);
+        }
+    }
+
+    /** The process before this one may stop listening once none of its clients go there. */
+    private void tellBound(boolean all) {
         if (before != null) {
             before.words.call("bound", body(Map.of("all", all)), PATIENCE, (status, none) -> {});
         }
@@ -494,15 +530,18 @@
     }
 
     /**
-     * Whether the next process will find this one, or can't since the note could not be written.
+     * Whether the next process will find this one, or can't since the note could not be written;
+     * and new connections all come here, or can't be had in time. Guards clients of the process
+     * before: operators end it as soon as this one is ready.
      */
-    public boolean isAnnounced() {
-        return unannounced == 0;
+    public boolean isSettled() {
+        return unannounced == 0 && !claiming;
     }
 
     private void beforeGone() {
         if (before != null) {
             LOG.atInfo().log("handover.alone");
+            claiming = false;
             dropBefore();
             house.alone();
             act(succession.beforeGone());
@@ -789,7 +828,9 @@
 
     private void bound(Inbound from, String who, Object call) {
         if (succession.bound(who) == Succession.Action.CLOSE) {
-            house.closeListener(JsonTree.mark(call, "all"));
+            boolean all = JsonTree.mark(call, "all");
+            house.closeListener(all);
+            tellBound(all);
             from.answer(OK, List.of(), NOTHING);
         } else {
             from.answer(CONFLICT, List.of(), "not the successor\n");
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -47,6 +47,9 @@
     /** A new connection's first request has come by then, in milliseconds. */
     private static final double FRESH = 200;
 
+    private static final String LEAVING = "about to end\n";
+    private static final String TOO_MANY = "too many tasks in hand\n";
+
     private final EventLoop loop;
     private final RequestHandler handler;
     private int most;
@@ -69,6 +72,7 @@
     private boolean ready = true;
     private boolean lastAnswers;
     private boolean lastCallBacks;
+    private boolean refusesTasks;
     private int turnedDown;
     private int refused;
 
@@ -202,6 +206,11 @@
         ready = is;
     }
 
+    /** Whether each task that comes is refused at once: the process is about to end. */
+    public void refuseTasks(boolean is) {
+        refusesTasks = is;
+    }
+
     /**
      * Whether the next answer on each of the clients' connections, or of the workers', is its last.
      */
@@ -380,9 +389,9 @@
         double hint = Facts.field(request, "x-weight-hint", 0) / 1000;
         double width = Facts.fact(request, "x-facts", "slots", 1);
         double memory = Facts.fact(request, "x-facts", "memory", 0);
-        if (!handler.hasRoomFor(request.body().length)) {
+        if (refusesTasks || !handler.hasRoomFor(request.body().length)) {
             refused++;
-            client.answer(503, List.of(), "too many tasks in hand\n");
+            client.answer(503, List.of(), refusesTasks ? LEAVING : TOO_MANY);
             return;
         }
         handler.arrived(
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -271,8 +271,26 @@
         if (!accepting) {
             drain();
         }
-        // An accept that is under way ends with the next client; none may come.
-        loop.schedule(PAUSE, this::closeIfDraining);
+        closeAfterPause();
+    }
+
+    /** An accept that is under way ends with the next client; none may come. */
+    private void closeAfterPause() {
+        double due = loop.now() + PAUSE;
+        loop.schedule(PAUSE, () -> closeIfOnTime(due));
+    }
+
+    /** Guards against a process that gets no processor: what came meanwhile is accepted first. */
+    private void closeIfOnTime(double due) {
+        if (!draining || !channel.isOpen()) {
+            return;
+        }
+        if (loop.now() > due + PAUSE) {
+            closeAfterPause();
+        } else {
+            // The ends of accepts that came while this timer was due run first.
+            loop.schedule(0, this::closeIfDraining);
+        }
     }
 
     private void closeIfDraining() {
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -3,7 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.dispatch.Bench;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -12,6 +15,8 @@
     /** Operators are owed an answer by then, in nanoseconds: 1 s. */
     private static final long ANSWER_OWED = 1_000_000_000L;
 
+    private static final long FAR_BEYOND = 10_000_000_000L;
+
     /** Operators' calls, by their paths. */
     @DataProvider
     public Object[][] calls() {
@@ -63,4 +68,116 @@
         assertTrue(System.nanoTime() - since < ANSWER_OWED, "the answer took over 1 s");
         held.close();
     }
+
+    /** A client that has come to this process and has not written its request yet. */
+    private Socket comes(Daemon to) throws Exception {
+        Socket client = to(to.clients.address(), "");
+        long since = System.nanoTime();
+        while (on(to, to.clients::connections) == 0) {
+            assertTrue(System.nanoTime() - since < FAR_BEYOND, "no client was accepted in 10 s");
+        }
+        return client;
+    }
+
+    /**
+     * Guards first requests: the successor serves, SIGTERM comes, its claim is late, the time to
+     * leave is over, and a client that was let in writes. The process had closed it with the end of
+     * that time (`leaving.abandoned`, then the reset, 5 to 30 ms after the request).
+     */
+    @Test
+    public void aFirstRequestAtTheEndOfTheTimeToLeaveIsAnswered() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        takeFrom(first);
+        Socket client = comes(first);
+        double within = on(first, () -> first.timeToLeave());
+        on(
+                first,
+                () -> {
+                    first.leave(first.loop.now() - within + ProcessLifecycle.REFUSING);
+                    return null;
+                });
+        Bench.write(client, task("i1"));
+        String answer = Bench.read(client);
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        assertTrue(answer.contains("Connection: close\r\n"), answer);
+        client.close();
+        assertTrue(first.ended.await(10, TimeUnit.SECONDS));
+    }
+
+    /**
+     * Guards first requests: operators end the process before as soon as this one says yes, so it
+     * says so once new connections come here. It takes clients all the while.
+     */
+    @Test
+    public void aProcessIsReadyOnceNewConnectionsComeToIt() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        Daemon second = start(port, false);
+        CountDownLatch steered = new CountDownLatch(1);
+        second.systemCalls.execute(() -> await(steered));
+        long since = System.nanoTime();
+        while (!on(second, second.clients::listens) || !"200".equals(healthz(port))) {
+            assertTrue(System.nanoTime() - since < FAR_BEYOND, "it does not listen in 10 s");
+        }
+        assertEquals(call(second, "GET", "/v1/readyz"), 503);
+        steered.countDown();
+        ready(second);
+        assertTrue(on(second, () -> second.steering.member()) >= 0);
+    }
+
+    /** Guards operators: where connections can't be had, it is ready all the same. */
+    @Test
+    public void aProcessIsReadyThoughItsClaimTakesForEver() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        Daemon second = start(port(first), false);
+        CountDownLatch never = new CountDownLatch(1);
+        second.systemCalls.execute(() -> await(never));
+        ready(second);
+        never.countDown();
+    }
+
+    /**
+     * Guards first requests: the second process is replaced before it has the connections
+     * (`handover.claimed all=false`), and the first closed its listener though clients came. It
+     * stops once they all go to the third.
+     */
+    @Test
+    public void theFirstOfThreeStopsOnceTheThirdHasTheClients() throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", 5000);
+        ready(first);
+        int port = port(first);
+        Daemon second = start(port, false, "'dueTimeMs':100", 5000);
+        CountDownLatch steered = new CountDownLatch(1);
+        second.systemCalls.execute(() -> await(steered));
+        ready(second);
+        Daemon third = start(port, false, "'dueTimeMs':100", 5000);
+        ready(third);
+        untilItListensNoMore(first);
+        untilItListensNoMore(second);
+        steered.countDown();
+        assertEquals(healthz(port), "200");
+    }
+
+    /** Guards first requests: the third is killed, and the second claims anew beside the first. */
+    @Test
+    public void theSecondOfThreeHasTheClientsWhenTheThirdIsKilled() throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", 5000);
+        ready(first);
+        int port = port(first);
+        // The first keeps a task, so it stays.
+        to(first.clients.address(), task("i1"));
+        atWorker("i1");
+        Daemon second = start(port, false, "'dueTimeMs':100", 5000);
+        ready(second);
+        Daemon third = start(port, false, "'dueTimeMs':100", 5000);
+        ready(third);
+        third.loop.stop();
+        ready(second);
+        untilItListensNoMore(first);
+        assertEquals(healthz(port), "200");
+        assertTrue(on(second, second.clients::listens));
+    }
 }
--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -9,12 +9,12 @@
  * A loop for modelled channels, in whose order ends of operations and timers run as on the real
  * one: each in a turn of its own, in the order in which they came due.
  */
-final class ModelChannelLoop extends ModelEventLoop {
+public final class ModelChannelLoop extends ModelEventLoop {
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean isRunning;
 
     /** The last listening socket. */
-    ModelServerChannel listening;
+    public ModelServerChannel listening;
 
     /** The runtime has ended an operation: its handler runs as soon as the thread is free. */
     void complete(Runnable handler) {
--- a/src/test/java/gingerspool/wire/ModelServerChannel.java
+++ b/src/test/java/gingerspool/wire/ModelServerChannel.java
@@ -21,7 +21,7 @@
  * of the kernel's; an accept under way takes the next one at once, on a thread of the runtime's,
  * and its end waits for a turn of the loop. Closing resets all that is still in the queue.
  */
-final class ModelServerChannel extends AsynchronousServerSocketChannel {
+public final class ModelServerChannel extends AsynchronousServerSocketChannel {
     private final ModelChannelLoop loop;
     private final Deque<ModelSocketChannel> queue = new ArrayDeque<>();
     private Runnable whenQueued;
@@ -30,7 +30,7 @@
     private boolean starved;
 
     /** Connections that were reset by the close. */
-    final List<ModelSocketChannel> reset = new ArrayList<>();
+    public final List<ModelSocketChannel> reset = new ArrayList<>();
 
     ModelServerChannel(ModelChannelLoop loop) {
         super(null);
@@ -38,7 +38,7 @@
     }
 
     /** A client's handshake is over; the client may write from now on. */
-    ModelSocketChannel arrive(int port) {
+    public ModelSocketChannel arrive(int port) {
         ModelSocketChannel client =
                 new ModelSocketChannel(
                         loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
@@ -52,7 +52,7 @@
     }
 
     /** The runtime's threads get no processor: nothing is accepted. */
-    void starve(boolean is) {
+    public void starve(boolean is) {
         starved = is;
         takeNext();
     }
--- a/src/test/java/gingerspool/wire/ModelSocketChannel.java
+++ b/src/test/java/gingerspool/wire/ModelSocketChannel.java
@@ -15,14 +15,14 @@
  * A connection in memory. What its client says is read at once by a thread of the runtime's, and
  * the end of that waits for a turn of the loop.
  */
-final class ModelSocketChannel extends AsynchronousSocketChannel {
+public final class ModelSocketChannel extends AsynchronousSocketChannel {
     private final ModelChannelLoop loop;
     private final SocketAddress remote;
     private Consumer<byte[]> reader;
     private boolean open = true;
 
     /** What the process has answered. */
-    final StringBuilder answered = new StringBuilder();
+    public final StringBuilder answered = new StringBuilder();
 
     ModelSocketChannel(ModelChannelLoop loop, SocketAddress remote) {
         super(null);
@@ -31,7 +31,7 @@
     }
 
     /** The client sends this; whatever comes after a close is lost. */
-    void say(String text) {
+    public void say(String text) {
         if (reader != null) {
             Consumer<byte[]> now = reader;
             reader = null;
