A process that is to end does not name itself in the hand-over file again

Callers would see: two schedulers that serve beside each other without each other's bans and call-backs.

Cause: the first of three processes loses sight of the second one (killed), takes its clients back and writes itself into the file, though SIGTERM has come and the third one serves. A fourth would take over from the first. It also gave the new connections back to the kernel's choice.

Change: with SIGTERM behind it a process does neither.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -488,7 +488,8 @@
             try {
                 bind();
                 clients.open();
-                if (!handover.hasBefore()) {
+                // Of a process that is to end nothing is known to have no other one beside it.
+                if (!handover.hasBefore() && !lifecycle.isLeaving()) {
                     release();
                 }
             } catch (IOException e) {
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -157,7 +157,10 @@
     /** The number of its listener, as it said. */
     private int listenerBefore = ConnectionSteering.UNKNOWN;
 
-    /** The process is to end before it has taken over. */
+    /** The process is to end. */
+    private boolean ending;
+
+    /** It is to end before it has taken over. */
     private boolean leaving;
 
     /** New connections still go to the process before this one as well, and it is not too late. */
@@ -239,6 +242,7 @@
 
     /** The process is to end: one that does not serve yet takes nothing over any more. */
     public void leave() {
+        ending = true;
         if (!succession.isServing()) {
             leaving = true;
             dropBefore();
@@ -262,7 +266,9 @@
                 if (before != null) {
                     claim(house.listenerNumber());
                 }
-                announce();
+                if (!ending) {
+                    announce();
+                }
             }
             default -> {}
         }
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -5,6 +5,8 @@
 
 import gingerspool.dispatch.Bench;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
@@ -180,4 +182,31 @@
         assertEquals(healthz(port), "200");
         assertTrue(on(second, second.clients::listens));
     }
+
+    /**
+     * Guards the process that serves: the one before it was taken over, is to end, and loses sight
+     * of its successor, after which a third may have come. It must not name itself in the file.
+     */
+    @Test
+    public void aProcessThatIsToEndDoesNotNameItselfAgain() throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        int port = port(first);
+        takeFrom(first);
+        String secret = secretOfNote();
+        Socket held = beginLinkCall(first, secret, "hold", "");
+        Path note = folder.resolve("gingerspool-n1.json");
+        String ofThird = Files.readString(note).replace(secret, "00ff");
+        Files.writeString(note, ofThird);
+        Socket client = comes(first);
+        first.loop.submit(() -> first.leave(first.loop.now()));
+        held.close();
+        long since = System.nanoTime();
+        while (!"503".equals(healthz(port))) {
+            assertTrue(System.nanoTime() - since < FAR_BEYOND, "it is not alone in 10 s");
+        }
+        first.files.submit(() -> {}).get();
+        assertEquals(Files.readString(note), ofThird);
+        client.close();
+    }
 }
