A claim waits for its own connection behind clients, who go to the process before meanwhile

Change: a round waits four times as long, since one of four numbers is ours unless five processes listen. While the claim is under way new connections go to the process before, also when that has never claimed: a listener without another beside it is number 0. readyz waits for the claim until 4.5 s after the start of the process, or 1 s after serving; 6 s are allowed.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -396,7 +396,7 @@
 
         @Override
         public int listenerNumber() {
-            return steering.member();
+            return handover.hasBefore() ? steering.member() : ConnectionSteering.FIRST;
         }
 
         @Override
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -56,10 +56,13 @@
     private static final double SEARCH_WITHIN = 2 * PATIENCE_STATE;
 
     /**
-     * Operators are told yes once all new connections come here, and then at the latest: the
-     * process before this one may be ended as soon as they have it.
+     * Operators are told yes once all new connections come here: the process before this one may be
+     * ended as soon as they have it. They have it so long after the start at the latest, or so long
+     * after this process serves where starting took longer; 6 s from the start are allowed.
      */
-    private static final double CLAIM_WITHIN = 2000;
+    private static final double READY_AFTER_START = 4500;
+
+    private static final double READY_AFTER_SERVING = 1000;
 
     /** How often the process before this one is asked what it holds, in milliseconds. */
     private static final double SHARE_EVERY = 100;
@@ -482,7 +485,8 @@
 
     private void claim(int others) {
         claiming = true;
-        loop.schedule(CLAIM_WITHIN, this::claimTakesLong);
+        double tooLate = Math.max(startedAt + READY_AFTER_START, loop.now() + READY_AFTER_SERVING);
+        loop.schedule(tooLate - loop.now(), this::claimTakesLong);
         house.claim(others, this::claimed);
     }
 
--- a/src/main/java/gingerspool/wire/ConnectionSteering.java
+++ b/src/main/java/gingerspool/wire/ConnectionSteering.java
@@ -41,12 +41,21 @@
     /** No member is known. */
     public static final int UNKNOWN = ReusePortGroup.BY_HASH;
 
+    /** The number of a listener without any beside it. */
+    public static final int FIRST = 0;
+
     /** How many numbers a round tries: those of a hand-over and of one that overlaps it. */
     private static final int USUAL_MEMBERS = 4;
 
     /** How many it tries where none of those is ours; more processes are not looked for. */
     private static final int MOST_MEMBERS = 2 * USUAL_MEMBERS;
 
+    /**
+     * How long a round waits, in times of a connection's: ours waits behind clients that came
+     * before it, and one of the usual numbers is ours unless more processes listen.
+     */
+    private static final double ROUND_WAITS = 4;
+
     /** How many connections of our own show whether a claim still stands. */
     private static final int VERIFYING_PROBES = 3;
 
@@ -256,7 +265,7 @@
         }
 
         private void sendProbes() {
-            roundEnds = loop.schedule(probeWithin, this::noneArrived);
+            roundEnds = loop.schedule(ROUND_WAITS * probeWithin, this::noneArrived);
             probes.forEach(Probe::begin);
         }
 
