Each operators' call is judged by itself; the soak's clients go on with open connections

Need: plays in which a scheduler answered 503 to every operators' call for 8 s ended "all rules held", since the tool asked again until one was answered yes. And the soak failed by faults of the tool: SIGHUP went to a process that could not take it yet, a fault waited for the yes of a process that another fault had ended.

Change: Operators (out of Run) writes each call and its end into the clients' record, and whether a yes was owed: the process had said that it serves, and was neither told to end nor followed by another meanwhile. SIGHUP goes to the process that said last that it serves; who waits for a yes asks the process that is there by then, and waits for none that was told to end. load.keeps_on: a share of requests goes on connections that are still open to a scheduler that leaves; half of them in the soak. -Dsoak.schedulers plays more schedulers with faults in proportion.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 
 /**
  * One playing of a scenario: schedulers as processes, fleet and load beside them, then the judge.
@@ -35,9 +36,6 @@
 
     private static final long LEAVES_WITHIN = 8;
 
-    /** How long operators try to get a yes, in ms. */
-    private static final long OPERATED_WITHIN = 5000;
-
     /** How soon the front notices that a scheduler says no, in ms. */
     private static final long FRONT_LOOKS = 300;
 
@@ -57,8 +55,8 @@
     /** Those that a fault ended, wherever they stood. */
     private final Set<Process> killed = ConcurrentHashMap.newKeySet();
 
-    /** Where operators call each scheduler's latest process; empty where they don't. */
-    private final List<InetSocketAddress> managed = new ArrayList<>();
+    /** Null where nobody operates the schedulers. */
+    private Operators operators;
 
     private Load load;
     private volatile boolean over;
@@ -88,15 +86,18 @@
             }
             Fleet fleet = new Fleet(fleetLoop, plan, addresses, executions);
             on(fleetLoop, fleet::start);
+            if (s.hasOperators()) {
+                operators =
+                        new Operators(
+                                loadLoop::now,
+                                killed::contains,
+                                call -> loadLoop.submit(() -> load.note(call)));
+            }
             for (int i = 0; i < s.schedulers.count; i++) {
                 Files.writeString(
                         folder.resolve("n" + i + ".json"),
                         NodeFile.of(s, i, plan.seed, addresses.get(i), fleet.discovery(i)));
-                if (s.hasOperators()) {
-                    managed.add(FreePorts.next());
-                    Files.createDirectories(scratch(i));
-                }
-                start(i);
+                startFirst(i);
             }
             for (int i = 0; i < s.schedulers.count; i++) {
                 ready(i);
@@ -175,8 +176,14 @@
         return folder.resolve("n" + i + ".tmp");
     }
 
-    private Process start(int i) throws IOException {
-        return start(i, managed.isEmpty() ? null : managed.get(i));
+    private void startFirst(int i) throws IOException {
+        if (operators == null) {
+            start(i, null);
+            return;
+        }
+        Files.createDirectories(scratch(i));
+        InetSocketAddress at = FreePorts.next();
+        operators.serves(i, at, start(i, at));
     }
 
     /** Operators call the process at this address; null where they don't. */
@@ -228,23 +235,31 @@
         return all.get(all.size() - 1);
     }
 
+    private boolean ready(int i) throws IOException, InterruptedException {
+        return untilOneServes(i, () -> newest(i), () -> addresses.get(i), "/healthz");
+    }
+
     /**
-     * Whether an operators' call is answered with yes by the process that takes them, in the end:
-     * the one that was asked may be replaced meanwhile, and is then asked where it went.
+     * Waits until the process of this scheduler says yes, whichever that is by then; tells whether
+     * it has. One that another fault has ended is waited for no more.
      */
-    private boolean operate(int i, String path) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OPERATED_WITHIN);
-        while (!HttpCalls.isYes(managed.get(i), "POST", path)) {
-            if (System.nanoTime() > until) {
-                return false;
+    private boolean untilOneServes(
+            int i, Supplier<Process> process, Supplier<InetSocketAddress> at, String path)
+            throws IOException, InterruptedException {
+        while (true) {
+            Process asked = process.get();
+            try {
+                until(i, asked, at.get(), path);
+                return true;
+            } catch (IOException e) {
+                if (killed.contains(asked)) {
+                    return false;
+                }
+                if (asked == process.get()) {
+                    throw e;
+                }
             }
-            Thread.sleep(20);
         }
-        return true;
-    }
-
-    private void ready(int i) throws IOException, InterruptedException {
-        until(i, newest(i), addresses.get(i), "/healthz");
     }
 
     private void until(int i, Process process, InetSocketAddress at, String path)
@@ -343,7 +358,7 @@
             }
             return;
         }
-        managed.set(i, own);
+        operators.serves(i, own, successor);
         noted(loop, i, note);
         before.forEach(Process::destroy);
         if (!allEnded(before)) {
@@ -368,31 +383,38 @@
     /** The second process is killed this long after its start, wherever it stands then. */
     private void killHeir(SingleThreadEventLoop loop, Scenario.Fault f)
             throws IOException, InterruptedException {
-        InetSocketAddress own = managed.get(f.scheduler);
-        Process old = newest(f.scheduler);
         Process heir = start(f.scheduler, FreePorts.next());
         Thread.sleep((long) f.length);
         noted(loop, f.scheduler, "heir-killed");
         heir.destroyForcibly().waitFor();
         processes.get(f.scheduler).remove(heir);
-        until(f.scheduler, old, own, "/v1/readyz");
+        untilOneServes(
+                f.scheduler,
+                () -> operators.process(f.scheduler),
+                () -> operators.address(f.scheduler),
+                "/v1/readyz");
     }
 
-    /** Has the newest process read its configuration again, wherever it stands. */
+    /**
+     * Has the process that operators know of read its configuration again. One that has just been
+     * started may not take the signal yet, whose default ends it.
+     */
     private void hangUp(int i) throws IOException, InterruptedException {
-        String pid = Long.toString(newest(i).pid());
+        Process serving = operators == null ? newest(i) : operators.process(i);
+        String pid = Long.toString(serving.pid());
         new ProcessBuilder("kill", "-HUP", pid).inheritIO().start().waitFor();
     }
 
     private void drain(SingleThreadEventLoop loop, Scenario.Fault f)
             throws IOException, InterruptedException {
-        operate(f.scheduler, "/v1/scheduler/drain");
+        operators.call(f.scheduler, "/v1/scheduler/drain");
         Thread.sleep(FRONT_LOOKS);
         noted(loop, f.scheduler, "drained");
         Thread.sleep((long) f.length);
-        operate(f.scheduler, "/v1/scheduler/activate");
-        ready(f.scheduler);
-        noted(loop, f.scheduler, "up");
+        operators.call(f.scheduler, "/v1/scheduler/activate");
+        if (ready(f.scheduler)) {
+            noted(loop, f.scheduler, "up");
+        }
     }
 
     private void suspend(SingleThreadEventLoop loop, Plan.Blow b)
@@ -404,7 +426,7 @@
                     if (!on) {
                         noted(loop, i, "resumed " + Plan.name(w));
                     }
-                    if (operate(i, path) && on) {
+                    if (operators.call(i, path) && on) {
                         noted(loop, i, "suspended " + Plan.name(w));
                     }
                 }
@@ -432,8 +454,8 @@
         if (over) {
             return;
         }
-        if (managed.isEmpty()) {
-            start(f.scheduler);
+        if (operators == null) {
+            start(f.scheduler, null);
             ready(f.scheduler);
             noted(loop, f.scheduler, "up");
         } else {
--- a/src/main/java/gingerspool/judge/Judge.java
+++ b/src/main/java/gingerspool/judge/Judge.java
@@ -52,7 +52,9 @@
         /** Nothing new to a worker that its scheduler has said is suspended. */
         BANS,
         /** Together, no more than a cold worker bears. */
-        COLD
+        COLD,
+        /** An operators' call that is owed a yes gets it in time. */
+        OPERATORS
     }
 
     /** One breach: times are ms since the begin of the load. */
@@ -91,6 +93,7 @@
         workers.drains();
         workers.bans();
         workers.cold();
+        new OperatorRules(r, j::breach).answers();
         return new Verdict(r, j.violations);
     }
 
--- a/src/main/java/gingerspool/judge/Records.java
+++ b/src/main/java/gingerspool/judge/Records.java
@@ -83,6 +83,16 @@
         }
     }
 
+    /** One call of an operator; the answer is a status, or 0 where none came. */
+    record OperatorCall(
+            int line,
+            int scheduler,
+            String path,
+            double sent,
+            double ended,
+            int answer,
+            boolean owed) {}
+
     /** What befell a scheduler. */
     record Befell(int scheduler, String what, double at) {}
 
@@ -90,6 +100,7 @@
     final List<Try> tries = new ArrayList<>();
     final List<Extra> extras = new ArrayList<>();
     final List<Befell> schedulers = new ArrayList<>();
+    final List<OperatorCall> operatorCalls = new ArrayList<>();
     final List<Event> events = new ArrayList<>();
 
     /** The events of each task, in order. */
@@ -148,6 +159,16 @@
                 }
                 case "scheduler" ->
                         schedulers.add(new Befell(Integer.parseInt(f[1]), f[2], number(f[3])));
+                case "operators" ->
+                        operatorCalls.add(
+                                new OperatorCall(
+                                        n,
+                                        Integer.parseInt(f[1]),
+                                        f[2],
+                                        number(f[3]),
+                                        number(f[4]),
+                                        Integer.parseInt(f[5]),
+                                        Boolean.parseBoolean(f[6])));
                 case "extra" ->
                         extras.add(new Extra(n, f[1], Integer.parseInt(f[2]), number(f[3])));
                 case "try" ->
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -55,7 +55,13 @@
     private final Plan plan;
     private final Scenario scenario;
     private final List<InetSocketAddress> schedulers;
+
+    /** No new connections go to these schedulers. */
     private final boolean[] closed;
+
+    /** Those of them whose connections are used while they stay open. */
+    private final boolean[] leaving;
+
     private final List<Deque<Client>> free = new ArrayList<>();
     private final Deque<Try> waiting = new ArrayDeque<>();
     private final BufferedWriter record;
@@ -85,6 +91,7 @@
         this.schedulers = schedulers;
         scenario = plan.scenario;
         closed = new boolean[schedulers.size()];
+        leaving = new boolean[schedulers.size()];
         schedulers.forEach(s -> free.add(new ArrayDeque<>()));
         record = Files.newBufferedWriter(file);
         chance = new SplittableRandom(plan.seed ^ 0x10adL);
@@ -131,9 +138,16 @@
     public void note(int scheduler, String what) {
         boolean down = what.equals("killed") || what.equals("terminated") || what.equals("drained");
         closed[scheduler] = down || closed[scheduler] && !what.equals("up");
+        leaving[scheduler] =
+                closed[scheduler] && (leaving[scheduler] || down) && !what.equals("killed");
         line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, loop.now()));
     }
 
+    /** Notes how a call of an operator ended. */
+    public void note(OperatorCall call) {
+        line(call.line());
+    }
+
     private void sendDue() {
         double now = loop.now() - begun;
         while (next < plan.requests.size() && plan.requests.get(next).due() <= now) {
@@ -161,8 +175,9 @@
     private void send(Plan.Request r, int number, double left) {
         double now = loop.now();
         Try t = new Try(r, number, id(r, number), now, now + left);
-        int scheduler = choose();
-        Client c = scheduler < 0 ? null : free.get(scheduler).poll();
+        Client kept = keepsOn();
+        int scheduler = kept == null ? choose() : kept.scheduler;
+        Client c = kept != null || scheduler < 0 ? kept : free.get(scheduler).poll();
         try {
             if (c == null && scheduler >= 0 && connections < scenario.load.connections) {
                 c = new Client(loop, scheduler, schedulers.get(scheduler), this);
@@ -179,6 +194,20 @@
         carry(c, t);
     }
 
+    /** A connection that is open to a scheduler that leaves, or null where none is to be used. */
+    private Client keepsOn() {
+        if (scenario.load.keepsOn == 0 || chance.nextDouble() >= scenario.load.keepsOn) {
+            return null;
+        }
+        for (int s = 0; s < leaving.length; s++) {
+            Client open = leaving[s] ? free.get(s).poll() : null;
+            if (open != null) {
+                return open;
+            }
+        }
+        return null;
+    }
+
     private int choose() {
         int up = 0;
         for (boolean c : closed) {
--- a/src/main/java/gingerspool/scenario/Scenario.java
+++ b/src/main/java/gingerspool/scenario/Scenario.java
@@ -136,6 +136,12 @@
         public boolean honoursAdvice;
         public boolean marksRetries;
 
+        /**
+         * The share of requests that go on a connection to a scheduler that leaves or is drained,
+         * while one is open: its clients go on using what they have.
+         */
+        public double keepsOn;
+
         /** Share of clients that go away before their answer. */
         public double leaves;
 
--- a/src/main/java/gingerspool/scenario/ScenarioFile.java
+++ b/src/main/java/gingerspool/scenario/ScenarioFile.java
@@ -212,6 +212,7 @@
         l.retryPause = t.span("retry_pause", 100.0, 1, HOUR).value();
         l.honoursAdvice = t.mark("honours_advice", true).value();
         l.marksRetries = t.mark("marks_retries", true).value();
+        l.keepsOn = t.number("keeps_on", 0.0, 0, 1).value();
         l.leaves = t.number("leaves", 0.0, 0, 1).value();
         l.slowHeads = t.number("slow_heads_per_s", 0.0, 0, 1000).value();
         l.halfRequests = t.number("half_requests_per_s", 0.0, 0, 1000).value();
--- a/src/test/java/gingerspool/experiment/SoakScenario.java
+++ b/src/test/java/gingerspool/experiment/SoakScenario.java
@@ -14,8 +14,11 @@
     /** No fault comes so shortly before the end. */
     private static final double CALM_END = 1500;
 
-    private static final int SCHEDULERS = 2;
     private static final int WORKERS = 4;
+
+    /** Two schedulers have 5 to 10 faults together; more have as many each. */
+    private static final int FEWEST_SCHEDULERS = 2;
+
     private static final int FEWEST_FAULTS = 5;
     private static final int FAULTS_SPREAD = 6;
 
@@ -35,28 +38,34 @@
                     "suspend",
                     "kill");
 
+    /** Half of the clients go on with the connections that they have to a scheduler that leaves. */
+    private static final double KEEPS_ON = 0.5;
+
     private final SplittableRandom chance;
+    private final int schedulers;
     private final StringBuilder text = new StringBuilder();
 
-    private SoakScenario(long seed) {
+    private SoakScenario(long seed, int schedulers) {
         chance = new SplittableRandom(seed);
+        this.schedulers = schedulers;
     }
 
-    /** The scenario file of this seed, with so many requests a second. */
-    static String of(long seed, int ratePerS) {
-        return new SoakScenario(seed).write(seed, ratePerS);
+    /** The scenario file of this seed, with so many requests a second at so many schedulers. */
+    static String of(long seed, int ratePerS, int schedulers) {
+        return new SoakScenario(seed, schedulers).write(seed, ratePerS);
     }
 
     private String write(long seed, int ratePerS) {
         line("seed = %d%nlength = \"%.0fms\"", seed, LENGTH);
         line("[fleet]%nworkers = %d", WORKERS);
-        line("[schedulers]%ncount = %d", SCHEDULERS);
+        line("[schedulers]%ncount = %d", schedulers);
         line("[profile.search]%nshare = 3%nwork = \"15ms\"%ndue = \"500ms\"");
         line("[profile.copy]%neffect = \"fingerprinted\"%nwork = \"20ms\"");
         line("due = \"500ms\"%nwindow = \"800ms\"");
         line("[profile.stamp]%neffect = \"side-effecting\"%nwork = \"20ms\"%ndue = \"500ms\"");
-        line("[load]%nrate_per_s = %d%nretries = 1", ratePerS);
-        int faults = FEWEST_FAULTS + chance.nextInt(FAULTS_SPREAD);
+        line("[load]%nrate_per_s = %d%nretries = 1%nkeeps_on = %.1f", ratePerS, KEEPS_ON);
+        int faults =
+                (FEWEST_FAULTS + chance.nextInt(FAULTS_SPREAD)) * schedulers / FEWEST_SCHEDULERS;
         for (int i = 0; i < faults; i++) {
             fault(KINDS.get(chance.nextInt(KINDS.size())));
         }
@@ -88,7 +97,7 @@
     }
 
     private void scheduler() {
-        line("scheduler = %d", chance.nextInt(SCHEDULERS));
+        line("scheduler = %d", chance.nextInt(schedulers));
     }
 
     private void lasts(double least, double most) {
--- a/src/test/java/gingerspool/experiment/SoakTest.java
+++ b/src/test/java/gingerspool/experiment/SoakTest.java
@@ -27,7 +27,8 @@
  *
  * <p>A short run of fixed seeds by itself; the long one by hand: {@code mvn test -Dtest=SoakTest
  * -Dsoak.from=1 -Dsoak.seeds=60 -Dsoak.out=FOLDER}, which keeps the folders of plays that fail, and
- * {@code -Dsoak.rate} for more than 60 requests a second. One play takes about 12 s.
+ * {@code -Dsoak.rate} for more than 60 requests a second, {@code -Dsoak.schedulers} for more than
+ * two. One play takes about 12 s.
  *
  * <p>Bounds, written before the first run: those of the judge (PROTOCOL's rules, 50 ms more for an
  * answer); no process and no listener beyond a play; descriptors within what the scenario gives;
@@ -61,7 +62,12 @@
                         ? Files.createTempDirectory("soak")
                         : Files.createDirectories(Path.of(kept, "seed-" + seed));
         Path file = folder.resolve("s.toml");
-        Files.writeString(file, SoakScenario.of(seed, Integer.getInteger("soak.rate", 60)));
+        Files.writeString(
+                file,
+                SoakScenario.of(
+                        seed,
+                        Integer.getInteger("soak.rate", 60),
+                        Integer.getInteger("soak.schedulers", 2)));
         ByteArrayOutputStream said = new ByteArrayOutputStream();
         Sampler sampler = new Sampler();
         sampler.start();
