A late timer tells how long its loop ran and how long it waited for a processor

Change: loop.timer_late carries within_ms, ran_ms and waited_ms of the loop's thread since the last such line, read from /proc/thread-self/schedstat. It is read only beside that line, once a second at the most, so an untroubled process does not pay for it; where the system does not tell, the fields are left out.

What the fields show of late answers is measured next.

--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * The event loop of a process: one thread on which completion handlers and timers end. It owns
@@ -38,6 +39,11 @@
     private long warnedAtNanos = startedAtNanos - WARNING_INTERVAL_NANOS;
     private double latestTimerMs;
 
+    /** What the thread had run and waited by the last late timer, or by its start. */
+    private ProcessorUse usedBefore = new ProcessorUse(0, 0);
+
+    private long usedBeforeAtNanos = startedAtNanos;
+
     public SingleThreadEventLoop() throws IOException {
         thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "loop"));
         thread.setRemoveOnCancelPolicy(true);
@@ -92,8 +98,25 @@
         latestTimerMs = Math.max(latestTimerMs, lateMs);
         if (lateMs > LATE_TIMER_MS && System.nanoTime() - warnedAtNanos > WARNING_INTERVAL_NANOS) {
             warnedAtNanos = System.nanoTime();
-            LOG.atWarn().addKeyValue("ms", Math.round(lateMs)).log("loop.timer_late");
+            LoggingEventBuilder line = LOG.atWarn().addKeyValue("ms", Math.round(lateMs));
+            addProcessorUse(line);
+            line.log("loop.timer_late");
+        }
+    }
+
+    /** Tells a loop that works for too long from one that gets no processor. */
+    private void addProcessorUse(LoggingEventBuilder line) {
+        ProcessorUse used = ProcessorUse.ofThisThread().orElse(null);
+        if (used == null) {
+            return;
         }
+        ProcessorUse meanwhile = used.since(usedBefore);
+        line.addKeyValue(
+                        "within_ms", Math.round((warnedAtNanos - usedBeforeAtNanos) / NANOS_PER_MS))
+                .addKeyValue("ran_ms", Math.round(meanwhile.ranMs()))
+                .addKeyValue("waited_ms", Math.round(meanwhile.waitedMs()));
+        usedBefore = used;
+        usedBeforeAtNanos = warnedAtNanos;
     }
 
     /** The most that a timer was late by, in milliseconds, since this was last called. */
--- /dev/null
+++ b/src/test/java/gingerspool/wire/ProcessorUseTest.java
@@ -0,0 +1,46 @@
+package gingerspool.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards the explanation of late answers: what the system tells of a thread is read right. */
+public class ProcessorUseTest {
+    @Test
+    public void runningAndWaitingAreReadInNanoseconds() {
+        ProcessorUse use = ProcessorUse.parse("1500000 2500000 7\n").orElseThrow();
+        assertEquals(use.ranMs(), 1.5);
+        assertEquals(use.waitedMs(), 2.5);
+        assertEquals(use.since(new ProcessorUse(1, 1)), new ProcessorUse(0.5, 1.5));
+    }
+
+    @DataProvider
+    public Object[][] unreadable() {
+        return new Object[][] {{""}, {"1"}, {"a b c"}, {"1 b"}};
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void whatCannotBeReadIsNotKnown(String line) {
+        assertEquals(ProcessorUse.parse(line), Optional.empty());
+    }
+
+    /** A thread that works is seen to have run, where the system tells. */
+    @Test
+    public void aThreadThatWorksIsSeenToRun() {
+        Optional<ProcessorUse> before = ProcessorUse.ofThisThread();
+        long until = System.nanoTime() + 20_000_000;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+        Optional<ProcessorUse> after = ProcessorUse.ofThisThread();
+        assertEquals(after.isPresent(), before.isPresent());
+        after.ifPresent(
+                use -> {
+                    ProcessorUse meanwhile = use.since(before.orElseThrow());
+                    assertTrue(meanwhile.ranMs() + meanwhile.waitedMs() > 0, meanwhile + "");
+                });
+    }
+}
