A test may stand in the list of known failures once; notes and six entries have tests

Need: the list may hold six entries in place of three (a fault isn't left out for want of a line), which the row of KnownRedTest with four entries no longer shows.

KnownRedTest keeps its rows and holds besides: seven entries are refused, six pass, notes without an entry and entries without a cause or with a fifth field are refused, command and notes are printed.

--- a/src/test/java/gingerspool/ci/KnownRedTest.java
+++ b/src/test/java/gingerspool/ci/KnownRedTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -19,6 +21,8 @@
 /** `.ci/run` in a folder of its own, before an `mvn` that notes its arguments and fails as told. */
 public class KnownRedTest {
     private static final String RED = "gingerspool.a.SlowTest#fails | a race in X | 43\n";
+    private static final String ENTRIES = "gingerspool.a.SlowTest#fails%d | a race | 43\n";
+    private static final int MOST = 6;
     private static final String USUAL = "-B verify";
     private static final String LEFT_OUT =
             "-B verify -Dtest=Test*,*Test,*Tests,*TestCase,!gingerspool.a.SlowTest#fails";
@@ -37,7 +41,9 @@
         Files.writeString(
                 source,
                 "public class SlowTest {\n    @Test\n    public void fails() {}\n\n"
-                        + "    @Test\n    void other() {}\n}\n");
+                        + "    @Test\n    void other() {}\n"
+                        + methods("    void fails%d() {}\n")
+                        + "}\n");
         Files.createDirectories(root.resolve(".ci"));
         Files.copy(Path.of(".ci", "run"), root.resolve(".ci/run"));
         Files.createDirectories(root.resolve("bin"));
@@ -58,6 +64,13 @@
         }
     }
 
+    /** This text for each number up to one more than the list may hold. */
+    private static String methods(String form) {
+        return IntStream.rangeClosed(1, MOST + 1)
+                .mapToObj(i -> String.format(form, i))
+                .collect(Collectors.joining());
+    }
+
     private int run(String list, int verify, int alone) throws Exception {
         if (list != null) {
             Files.writeString(root.resolve("KNOWN-RED.txt"), list);
@@ -97,6 +110,25 @@
         assertTrue(printed.contains("known red: " + RED), printed);
     }
 
+    /** Guards what was learned of a fault: notes are printed, and leave no other test out. */
+    @Test
+    public void commandAndNotesOfAnEntryArePrinted() throws Exception {
+        String entry = "gingerspool.a.SlowTest#fails | `mvn test`, seed 1 | a race in X | 43\n";
+        assertEquals(run(entry + "  seen again at a load of 20\n", 0, 1), 0);
+        assertEquals(
+                calls(), List.of(LEFT_OUT, "-B surefire:test -Dtest=gingerspool.a.SlowTest#fails"));
+        assertTrue(printed.contains("known red: " + entry), printed);
+        assertTrue(printed.contains("  seen again at a load of 20\n"), printed);
+    }
+
+    /** Guards real faults: none is left out for want of an entry, up to six. */
+    @Test
+    public void sixTestsMayBeListed() throws Exception {
+        String all = methods(ENTRIES);
+        assertEquals(run(all.substring(0, all.lastIndexOf("gingerspool.a")), 0, 1), 0);
+        assertEquals(calls().size(), 1 + MOST);
+    }
+
     @Test
     public void aListedTestThatPassesIsReported() throws Exception {
         assertEquals(run(RED, 0, 0), 0);
@@ -137,6 +169,12 @@
             {RED + "\n" + RED},
             {"# a comment\n"},
             {RED + RED + RED + RED},
+            {RED + RED},
+            {methods(ENTRIES)},
+            {"  a note without an entry\n" + RED},
+            {"gingerspool.a.SlowTest#fails | `mvn test`, seed 1 | a race\n"},
+            {"gingerspool.a.SlowTest#fails | `mvn test`, seed 1 |  | 43\n"},
+            {"gingerspool.a.SlowTest#fails | `mvn test` | a race | 43 | more\n"},
         };
     }
 
