The load tool tells the time that is left when it writes a request, and sends none that is over

Change: a request is made when its connection is up (PROTOCOL: a request's time counts from its last byte); one whose time is over by then is recorded as never sent, as one that found no connection in time.

--- a/src/main/java/gingerspool/load/Client.java
+++ b/src/main/java/gingerspool/load/Client.java
@@ -11,6 +11,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.concurrent.Future;
+import java.util.function.Supplier;
 
 /**
  * A client's connection: one request at a time; notices what comes after an answer, which nothing
@@ -28,6 +29,9 @@
          */
         void broke(Client client, boolean written, boolean up);
 
+        /** The request at hand was not sent, since its time was over when the connection was up. */
+        default void tooLate(Client client) {}
+
         /** Something came that no request is owed. */
         void extra(Client client);
     }
@@ -39,6 +43,10 @@
     private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
     private Message answer;
     private ByteBuffer unsent;
+
+    /** Makes the request at hand when it can be written; null once it has been. */
+    private Supplier<byte[]> pending;
+
     private boolean up;
     private boolean open = true;
     private Future<?> alarm;
@@ -78,7 +86,9 @@
             return;
         }
         up = true;
-        if (unsent != null) {
+        if (pending != null) {
+            writePending();
+        } else if (unsent != null) {
             channel.write(unsent, null, Completions.onTurn(loop, this::written));
         }
         channel.read(buffer, null, Completions.onTurn(loop, this::read));
@@ -88,12 +98,31 @@
         return open;
     }
 
-    /** Sends this request; the connection ends if no answer has come within so long. */
-    void ask(byte[] request, double patience) {
+    /**
+     * Sends this request, made when it can be written, since it tells how much time is left; null
+     * stands for none. The connection ends if no answer has come within so long.
+     */
+    void ask(Supplier<byte[]> request, double patience) {
         answer = Message.answer(null);
-        send(request);
+        pending = request;
         requests++;
         alarm(patience, this::end);
+        if (up) {
+            writePending();
+        }
+    }
+
+    private void writePending() {
+        byte[] request = pending.get();
+        pending = null;
+        if (request != null) {
+            send(request);
+        } else {
+            answer = null;
+            requests--;
+            alarm(0, null);
+            owner.tooLate(this);
+        }
     }
 
     /** Writes bytes of any sort. */
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -236,7 +236,7 @@
         c.carries = t;
         c.carried = t;
         double left = t.expiry - loop.now();
-        c.ask(request(t, left), left + LISTENS_ON);
+        c.ask(() -> requestInTime(t), left + LISTENS_ON);
         if (t.number == 0 && t.request.leaves()) {
             loop.schedule(
                     t.request.leavesAfter(),
@@ -249,6 +249,33 @@
         }
     }
 
+    /** The request with the time that is left now, or null where none is. */
+    private byte[] requestInTime(Try t) {
+        double left = t.expiry - loop.now();
+        return left > 0 ? request(t, left) : null;
+    }
+
+    /** No scheduler was asked: the load itself was late. */
+    @Override
+    public void tooLate(Client c) {
+        Try t = c.carries;
+        c.carries = null;
+        told(t, -1, "none", Double.NaN, "", false);
+        ended(t, false);
+        loop.execute(() -> useAgain(c));
+    }
+
+    private void useAgain(Client c) {
+        if (!c.isOpen()) {
+            return;
+        }
+        if (!waiting.isEmpty() && !closed[c.scheduler]) {
+            carry(c, waiting.poll());
+        } else {
+            free.get(c.scheduler).push(c);
+        }
+    }
+
     private byte[] request(Try t, double left) {
         Plan.Request r = t.request;
         String body = String.format(Locale.ROOT, "work=%.6f", r.work());
@@ -307,12 +334,8 @@
                 advice == null ? Double.NaN : number(advice),
                 new String(answer.body(), StandardCharsets.UTF_8),
                 c.requests > 1);
-        if (c.isOpen() && answer.keepsAlive()) {
-            if (!waiting.isEmpty() && !closed[c.scheduler]) {
-                carry(c, waiting.poll());
-            } else {
-                free.get(c.scheduler).push(c);
-            }
+        if (answer.keepsAlive()) {
+            useAgain(c);
         }
         boolean again =
                 answer.status() == 503
