--- /dev/null
+++ b/src/test/java/gingerspool/soak/PlatformClient.java
@@ -0,0 +1,125 @@
+package gingerspool.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A client of the platform: one request after the other, on the connection that it has for as long
+ * as that stays open; notes how each ended.
+ */
+final class PlatformClient extends Thread {
+    private static final int TIME_MS = 3000;
+    private static final long PAUSE_MS = 15;
+    static final String HOST = "soak.example";
+
+    /**
+     * One request. Times are System.nanoTime().
+     *
+     * @param status of the whole answer, 0 where the connection ended without one, -1 where no
+     *     connection came up
+     * @param mine whether the answer names this request
+     */
+    record Request(
+            PlatformProcesses.Node scheduler,
+            long sent,
+            long ended,
+            int status,
+            boolean reused,
+            boolean mine) {}
+
+    private final List<PlatformProcesses.Node> schedulers;
+    private final SplittableRandom chance;
+    private final int number;
+    final List<Request> requests = new CopyOnWriteArrayList<>();
+    private volatile boolean over;
+
+    PlatformClient(List<PlatformProcesses.Node> schedulers, int number, long seed) {
+        super("client-" + number);
+        this.schedulers = schedulers;
+        this.number = number;
+        chance = new SplittableRandom(seed * 1000 + number);
+        setDaemon(true);
+    }
+
+    @Override
+    public void run() {
+        HttpConnection connection = null;
+        PlatformProcesses.Node scheduler = null;
+        for (int i = 0; !over; i++) {
+            if (connection == null) {
+                scheduler = schedulers.get(chance.nextInt(schedulers.size()));
+                connection = connect(scheduler);
+            }
+            if (connection != null && !ask(connection, scheduler, "soak-" + number + "-" + i)) {
+                close(connection);
+                connection = null;
+            }
+            pause();
+        }
+        if (connection != null) {
+            close(connection);
+        }
+    }
+
+    private HttpConnection connect(PlatformProcesses.Node scheduler) {
+        long now = System.nanoTime();
+        try {
+            return new HttpConnection(scheduler.front(), 2 * TIME_MS);
+        } catch (IOException e) {
+            requests.add(new Request(scheduler, now, System.nanoTime(), -1, false, true));
+            return null;
+        }
+    }
+
+    /** Tells whether the connection can be used again. */
+    private boolean ask(HttpConnection connection, PlatformProcesses.Node scheduler, String id) {
+        boolean reused = connection.isReused();
+        long sent = System.nanoTime();
+        try {
+            HttpConnection.Answer answer =
+                    connection.ask(
+                            "GET",
+                            "/hello/world",
+                            Map.of(
+                                    "Host",
+                                    HOST,
+                                    "Request-Id",
+                                    id,
+                                    "Remaining-Milliseconds",
+                                    Integer.toString(TIME_MS)),
+                            "");
+            boolean mine = answer.status() != 200 || id.equals(answer.fields().get("request-id"));
+            requests.add(
+                    new Request(scheduler, sent, System.nanoTime(), answer.status(), reused, mine));
+            return answer.keepsAlive();
+        } catch (IOException e) {
+            requests.add(new Request(scheduler, sent, System.nanoTime(), 0, reused, true));
+            return false;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void close(HttpConnection connection) {
+        try {
+            connection.close();
+        } catch (IOException e) {
+            // It is of no use any more either way.
+            return;
+        }
+    }
+
+    void end() throws InterruptedException {
+        over = true;
+        join();
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/soak/PlatformOperator.java
@@ -0,0 +1,157 @@
+package gingerspool.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The operator of a platform: sends one change after the other, each until it is acknowledged, to
+ * any control node; one without a clear answer is sent again as it was.
+ */
+final class PlatformOperator extends Thread {
+    private static final int ANSWER_WITHIN_MS = 2000;
+    private static final long RETRY_PAUSE_MS = 100;
+    private static final long CHANGE_PAUSE_MS = 250;
+    private static final int OK = 200;
+    private static final int REDIRECTED = 307;
+
+    /** Callers follow so many redirections. */
+    private static final int MOST_FOLLOWED = 2;
+
+    private static final int STALE = 412;
+
+    private static final String CONFIGURATION =
+            """
+            {"Version":%d,"Routes":[{"Name":"r","HostName":"%s","PathPrefix":"/hello/",
+            "RouteKind":"safe",
+            "TimeoutMs":%d,"TargetLatencyMs":2000,"Priority":1,"Service":"hello","MaxAttempts":2}],
+            "Services":[{"Name":"hello","HealthPath":null,"ConnectionLimit":20,"MemoryMb":128,"BootMs":200,
+            "MaxConcurrency":8}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,
+            "IdleTimeoutMs":15000}}""";
+
+    private final List<PlatformProcesses.Node> controls;
+    private final SplittableRandom chance;
+    private volatile boolean over;
+    private volatile int acknowledged;
+
+    /** Orders that were refused though they built on the newest acknowledged version. */
+    final List<String> refused = new ArrayList<>();
+
+    PlatformOperator(List<PlatformProcesses.Node> controls, long seed) {
+        super("operator");
+        this.controls = controls;
+        chance = new SplittableRandom(seed);
+        setDaemon(true);
+    }
+
+    /** The newest version that was acknowledged. */
+    int acknowledged() {
+        return acknowledged;
+    }
+
+    /** The text of a version; its route's time-out tells it from others. */
+    static String configuration(int version) {
+        return CONFIGURATION.formatted(version, PlatformClient.HOST, timeout(version));
+    }
+
+    static int timeout(int version) {
+        return 4000 + version;
+    }
+
+    @Override
+    public void run() {
+        while (!over) {
+            change(Long.MAX_VALUE);
+            pause(CHANGE_PAUSE_MS);
+        }
+    }
+
+    /** Sends the next change until it is acknowledged; tells whether it was by then. */
+    boolean change(long untilNanos) {
+        int version = acknowledged + 1;
+        while (!over || untilNanos != Long.MAX_VALUE) {
+            if (System.nanoTime() > untilNanos) {
+                return false;
+            }
+            int status = send(version);
+            if (status == OK) {
+                acknowledged = version;
+                return true;
+            }
+            if (status == STALE) {
+                refused.add("version " + version + " on " + (version - 1));
+            }
+            pause(RETRY_PAUSE_MS);
+        }
+        return false;
+    }
+
+    private int send(int version) {
+        PlatformProcesses.Node to = controls.get(chance.nextInt(controls.size()));
+        try {
+            return call(
+                            to.control(),
+                            "POST",
+                            "/v1/configuration/replace",
+                            Map.of("Based-On-Version", Integer.toString(version - 1)),
+                            configuration(version))
+                    .status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** What this control node tells of the configuration; empty where it says nothing. */
+    static String read(PlatformProcesses.Node from) {
+        try {
+            HttpConnection.Answer answer =
+                    call(from.control(), "GET", "/v1/configuration/read", Map.of(), "");
+            return answer.status() == OK ? answer.body() : "";
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    /** One call, sent on to where it is told to go. */
+    private static HttpConnection.Answer call(
+            InetSocketAddress to,
+            String method,
+            String path,
+            Map<String, String> fields,
+            String body)
+            throws IOException {
+        InetSocketAddress next = to;
+        for (int followed = 0; ; followed++) {
+            Map<String, String> all = new LinkedHashMap<>(fields);
+            all.put("Host", next.getHostString());
+            HttpConnection.Answer answer;
+            try (HttpConnection connection = new HttpConnection(next, ANSWER_WITHIN_MS)) {
+                answer = connection.ask(method, path, all, body);
+            }
+            if (answer.status() != REDIRECTED || followed == MOST_FOLLOWED) {
+                return answer;
+            }
+            URI location = URI.create(answer.fields().get("location"));
+            next = new InetSocketAddress(location.getHost(), location.getPort());
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void end() throws InterruptedException {
+        over = true;
+        join();
+        over = false;
+    }
+}
--- a/src/test/java/gingerspool/soak/PlatformProcesses.java
+++ b/src/test/java/gingerspool/soak/PlatformProcesses.java
@@ -135,6 +135,9 @@
         }
 
         synchronized void start() throws IOException {
+            if (process != null) {
+                writeSettings(false);
+            }
             ProcessBuilder builder =
                     new ProcessBuilder(
                             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -154,7 +157,6 @@
                     ProcessBuilder.Redirect.appendTo(folder.resolve(name() + ".log").toFile()));
             process = builder.start();
             started.add(process);
-            writeSettings(false);
         }
 
         void signal(String signal) throws IOException, InterruptedException {
