--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -618,7 +618,7 @@
 
     /** All but the one that it came from are told. */
     private void spread(String what, String worker, String except, Consumer<Boolean> done) {
-        Waiting all = new Waiting(what, done);
+        Acknowledgements all = new Acknowledgements(what, done);
         loop.schedule(ANSWER_WITHIN, all::giveUp);
         if (after != null && !after.name().equals(except) && succession.word()) {
             all.addPeer();
@@ -637,77 +637,7 @@
         all.allTold();
     }
 
-    /** Waits for the other processes that are told, and for the file that is written. */
-    private static final class Waiting {
-        private final String what;
-        private final Consumer<Boolean> done;
-
-        /** One more than are told, until all of them are. */
-        private int peers = 1;
-
-        private boolean isWritten = true;
-        private boolean good = true;
-        private boolean isOver;
-
-        Waiting(String what, Consumer<Boolean> done) {
-            this.what = what;
-            this.done = done;
-        }
-
-        void addPeer() {
-            peers++;
-        }
-
-        void addFile() {
-            isWritten = false;
-        }
-
-        void written() {
-            isWritten = true;
-            endIfComplete();
-        }
-
-        void peerAnswered(boolean well) {
-            good &= well;
-            peers--;
-            endIfComplete();
-        }
-
-        /** All that are to be told have been. */
-        void allTold() {
-            peerAnswered(true);
-        }
-
-        private void endIfComplete() {
-            if (peers == 0 && isWritten) {
-                end(good);
-            }
-        }
-
-        /**
-         * It takes too long. A process that has not answered makes it a no; a file that is not
-         * written yet does not, as one that can't be written does not.
-         */
-        void giveUp() {
-            if (!isOver) {
-                LOG.atWarn()
-                        .addKeyValue("call", what)
-                        .addKeyValue("unanswered", peers)
-                        .addKeyValue("written", isWritten)
-                        .log("handover.notification_late");
-                end(good && peers == 0);
-            }
-        }
-
-        private void end(boolean well) {
-            if (!isOver) {
-                isOver = true;
-                done.accept(well);
-            }
-        }
-    }
-
-    private void tell(Peer peer, String what, String worker, Waiting all) {
+    private void tell(Peer peer, String what, String worker, Acknowledgements all) {
         Map<String, Object> word = new LinkedHashMap<>();
         word.put("do", what);
         word.put("worker", worker);
@@ -798,7 +728,8 @@
             }
         }
         // Whoever can't be asked and is not gone may own it: the worker then tells it again.
-        Waiting all = new Waiting("callback", heard -> answer.accept(heard ? 200 : 503));
+        Acknowledgements all =
+                new Acknowledgements("callback", heard -> answer.accept(heard ? 200 : 503));
         for (Peer p : to) {
             forwarded++;
             all.addPeer();
