--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -643,6 +643,7 @@
         word.put("worker", worker);
         word.put("n", ++peer.told);
         word.put("ask", peer.ask);
+        double sentAt = loop.now();
         Future<?> tooLate = loop.schedule(JOINED_WITHIN, () -> dropJoined(peer));
         peer.words.call(
                 "word",
@@ -657,6 +658,9 @@
                                 .log("handover.notification_failed");
                         dropJoined(peer);
                     }
+                    if (status == NO_ANSWER && loop.now() < sentAt + PATIENCE) {
+                        refusedBy(peer);
+                    }
                     if (status == NO_ANSWER) {
                         loop.schedule(GONE_SEEN_WITHIN, () -> all.peerAnswered(isGone(peer)));
                     } else {
@@ -665,6 +669,16 @@
                 });
     }
 
+    /**
+     * No connection to it comes up, so nobody listens there. A successor that has taken over and
+     * does not hold its call open yet has ended: nothing else would tell of it for a while.
+     */
+    private void refusedBy(Peer peer) {
+        if (peer == after && !peer.holds) {
+            successorGone(peer.name());
+        }
+    }
+
     /**
      * Guards against a no for want of a process that is gone: what it had, it takes with it. Its
      * end may be seen a little after the end of a call to it.
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -251,6 +251,21 @@
         assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 200);
     }
 
+    /**
+     * Guards operators: the second process is killed between taking over and holding its call open.
+     * Each call was answered 503 for the 2 s until the first saw it (26 times in a play of
+     * dayToDayKeepsAllRules, found by the rule OPERATORS).
+     */
+    @Test(dataProvider = "calls")
+    public void aProcessThatEndsRightAfterItTookOverHoldsNoCallUp(String path) throws Exception {
+        Daemon first = start(0, true);
+        ready(first);
+        takeFrom(first);
+        discovery.close();
+        assertEquals(call(first, "POST", path), 200);
+        assertEquals(call(first, "GET", "/v1/readyz"), 200);
+    }
+
     /**
      * Guards operators: a disk that takes its time holds no call up. A new process answered `drain`
      * 503 after 960 ms, with no word that failed (soak, seed 91022 at a load of 30).
