Connections are kept in a process that leaves for as long as before

Callers would see: answers said Connection: close 150 ms later in a process that leaves, since the 0.2 s of refusals at the end had made the span longer of which three quarters are kept.

Change: the kept part is counted of the time until tasks are given up, as it was.

--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -10,8 +10,8 @@
     static final double STILL_COMING = 700;
 
     /**
-     * The part of the time to leave in which connections are kept: others may be restarting as
-     * well.
+     * The part of the time until what is out is given up in which connections are kept: others may
+     * be restarting as well.
      */
     private static final double KEPT = 0.75;
 
@@ -132,8 +132,8 @@
 
     /** Whether it is time to leave for those who have nothing out. */
     boolean isClosing(double now) {
-        return isLeaving()
-                && now >= leavingAt + leaveWithin * (isSucceeded() ? KEPT_SUCCEEDED : KEPT);
+        double kept = isSucceeded() ? KEPT_SUCCEEDED : KEPT;
+        return isLeaving() && now >= leavingAt + (leaveWithin - REFUSING) * kept;
     }
 
     /**
