The time to leave is as long as before; refusals at its end come after it

Change: a process is over 0.3 s before SIGKILL may come, and its kept part is three quarters of that, as on. For 0.2 s after it, in which SIGKILL can't come yet, ConnectionDraining refuses whoever has been let in (ProcessLifecycle.isPast ends that).

--- a/src/main/java/gingerspool/daemon/ConnectionDraining.java
+++ b/src/main/java/gingerspool/daemon/ConnectionDraining.java
@@ -53,20 +53,25 @@
     void apply(double now) {
         clients.ready(lifecycle.isReady());
         clients.lastAnswers(lifecycle.lastAnswers(now), lifecycle.isSucceeded());
-        clients.refuseTasks(lifecycle.isGivingUp(now));
+        clients.refuseTasks(lifecycle.isOver(now));
         if (lifecycle.idleMost(now) < Double.POSITIVE_INFINITY) {
-            clients.closeIdle(
-                    lifecycle.idleMost(now), lifecycle.freshMost(now), lifecycle.isClosing(now));
+            clients.closeIdle(lifecycle.idleMost(now), freshMost(now), lifecycle.isClosing(now));
         }
     }
 
+    /** Who has been let in by the end gets its refusal before it is closed. */
+    private double freshMost(double now) {
+        boolean refuses = lifecycle.isOver(now) && !lifecycle.isPast(now);
+        return refuses ? Double.POSITIVE_INFINITY : lifecycle.freshMost(now);
+    }
+
     /**
      * Gives up what is out when the time is over, and closes the listener when nothing is out;
      * tells whether the process has nothing left to end. Guards what is in hand: call-backs must
      * get in until the last task has its answer.
      */
     boolean isEmptied(double now) {
-        if (tasks.unanswered() > 0 && lifecycle.isGivingUp(now)) {
+        if (tasks.unanswered() > 0 && lifecycle.isOver(now)) {
             LOG.atWarn().addKeyValue("tasks", tasks.unanswered()).log("leaving.abandoned");
             tasks.abandonAll();
         }
@@ -81,9 +86,9 @@
 
     /** The listener of a process that was succeeded closes when its successor has the clients. */
     private void closeListener(double now) {
-        if (lifecycle.isOver(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
+        if (lifecycle.isPast(now) || !lifecycle.isSucceeded() && clients.connections() == 0) {
             clients.shut();
-        } else if (lifecycle.isGivingUp(now)
+        } else if (lifecycle.isOver(now)
                 || lifecycle.isClosing(now) && (sharesClients || !lifecycle.isSucceeded())) {
             clients.drainListener();
         }
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -59,8 +59,8 @@
      */
     private static final double LONGEST = 3000;
 
-    /** The process is over so long before the end of that. */
-    private static final double SPARE = 100;
+    /** What is not answered so long before the end of that is abandoned. */
+    private static final double SPARE = 300;
 
     private static final double LOOK_EVERY = 20;
 
@@ -247,7 +247,7 @@
         look();
     }
 
-    /** From SIGTERM until nothing can be answered any more, in milliseconds. */
+    /** From SIGTERM until what is out is given up, in milliseconds. */
     double timeToLeave() {
         return ProcessLifecycle.STILL_COMING
                 + Math.min(LONGEST, node.deployment.longestExpiry)
@@ -271,11 +271,9 @@
     private void act() {
         double now = loop.now();
         draining.apply(now);
-        boolean mayEnd = lifecycle.mayEnd(now, handover != null && handover.standsBetween());
         if (ended.getCount() > 0
-                && (mayEnd || lifecycle.isGivingUp(now))
-                && draining.isEmptied(now)
-                && mayEnd) {
+                && lifecycle.mayEnd(now, handover != null && handover.standsBetween())
+                && draining.isEmptied(now)) {
             LoggingEventBuilder line = LOG.atInfo();
             scheduler.summary(line);
             line.log("left");
--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -10,8 +10,8 @@
     static final double STILL_COMING = 700;
 
     /**
-     * The part of the time until what is out is given up in which connections are kept: others may
-     * be restarting as well.
+     * The part of the time to leave in which connections are kept: others may be restarting as
+     * well.
      */
     private static final double KEPT = 0.75;
 
@@ -21,7 +21,7 @@
     /** A connection that has been idle for less may have its first request under way. */
     private static final double FRESH = 200;
 
-    /** So long before the process is over, what is out is given up and what comes is refused. */
+    /** For so long after its time is over a process refuses whoever it has let in. */
     static final double REFUSING = 200;
 
     private boolean started;
@@ -132,21 +132,18 @@
 
     /** Whether it is time to leave for those who have nothing out. */
     boolean isClosing(double now) {
-        double kept = isSucceeded() ? KEPT_SUCCEEDED : KEPT;
-        return isLeaving() && now >= leavingAt + (leaveWithin - REFUSING) * kept;
+        return isLeaving()
+                && now >= leavingAt + leaveWithin * (isSucceeded() ? KEPT_SUCCEEDED : KEPT);
     }
 
-    /**
-     * Whether what is still out must be given up, and what still comes be refused: the process is
-     * about to be ended.
-     */
-    boolean isGivingUp(double now) {
-        return isLeaving() && now >= leavingAt + leaveWithin - REFUSING;
+    /** Whether what is still out must be given up: the process is about to be ended. */
+    boolean isOver(double now) {
+        return isLeaving() && now >= leavingAt + leaveWithin;
     }
 
     /** Whether nothing can be answered any more: all that is open is to be closed. */
-    boolean isOver(double now) {
-        return isLeaving() && now >= leavingAt + leaveWithin;
+    boolean isPast(double now) {
+        return isLeaving() && now >= leavingAt + leaveWithin + REFUSING;
     }
 
     /** From when on the process may end if nothing is left: before that, clients may still come. */
--- a/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
+++ b/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
@@ -99,7 +99,7 @@
         lifecycle.started();
         lifecycle.succeeded(loop.now());
         leavingAt = loop.now();
-        lifecycle.leave(leavingAt, WITHIN);
+        lifecycle.leave(leavingAt, WITHIN - ProcessLifecycle.REFUSING);
         look();
     }
 
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -96,7 +96,7 @@
         on(
                 first,
                 () -> {
-                    first.leave(first.loop.now() - within + ProcessLifecycle.REFUSING);
+                    first.leave(first.loop.now() - within);
                     return null;
                 });
         Bench.write(client, task("i1"));
