A length that a message names is believed up to the bytes that are left

Cause: Kryo's input reserves what a message names before it reads, up to 2 GB for a few malformed bytes; a list of nulls takes no bytes at all, and lists in lists recurse without an end. A malformed frame would have ended the loop of its reader.

Change: MessageInput refuses bytes, characters and elements that cannot follow; messages nest 64 deep at most.

--- a/src/main/java/gingerspool/codec/KryoCodec.java
+++ b/src/main/java/gingerspool/codec/KryoCodec.java
@@ -15,10 +15,16 @@
 
 /** Messages to bytes and back, by Kryo. Only what is registered is read; for one thread. */
 public final class KryoCodec {
-    private static final int FIRST = 512;
+    private static final int INITIAL_BYTES = 512;
+
+    /** Far over what any message nests, far under what a thread's stack bears. */
+    private static final int MAX_DEPTH = 64;
+
+    /** What Kryo adds to a type's identifier, since nothing and names come before it. */
+    private static final int FIRST_NUMBER = 2;
 
     private final Kryo kryo = new Kryo();
-    private final Output output = new Output(FIRST, -1);
+    private final Output output = new Output(INITIAL_BYTES, -1);
 
     /** A type is written as its number in this list, which both sides must share. */
     public KryoCodec(List<Class<?>> types) {
@@ -28,6 +34,7 @@
     /** With another serializer of records, as tests compare them. */
     KryoCodec(List<Class<?>> types, Function<Class<?>, Serializer<?>> ofRecords) {
         kryo.setReferences(false);
+        kryo.setMaxDepth(MAX_DEPTH);
         kryo.register(byte[].class);
         kryo.addDefaultSerializer(List.class, new Lists());
         kryo.addDefaultSerializer(Map.class, new Maps());
@@ -46,11 +53,16 @@
         }
     }
 
+    private static void checkFollows(Input input, int size) {
+        ((MessageInput) input).checkFollows(size);
+    }
+
     /** Whatever sort of list is written, an ArrayList is read. */
     private static final class Lists extends CollectionSerializer<List<?>> {
         @Override
         protected List<?> create(Kryo kryo, Input input, Class<? extends List<?>> type, int size) {
-            return new ArrayList<>(Math.min(size, FIRST));
+            checkFollows(input, size);
+            return new ArrayList<>(size);
         }
     }
 
@@ -71,6 +83,7 @@
         @Override
         protected Map<?, ?> create(
                 Kryo kryo, Input input, Class<? extends Map<?, ?>> type, int size) {
+            checkFollows(input, size);
             return new HashMap<>();
         }
     }
@@ -82,10 +95,15 @@
         return output.toBytes();
     }
 
+    /** The number that a message of the type begins with. */
+    int number(Class<?> type) {
+        return kryo.getRegistration(type).getId() + FIRST_NUMBER;
+    }
+
     /** Reads a message; an exception says that the peer wrote none of ours. */
     public Object read(byte[] bytes) throws MalformedMessageException {
         try {
-            return kryo.readClassAndObject(new Input(bytes));
+            return kryo.readClassAndObject(new MessageInput(bytes));
         } catch (KryoException
                 | IllegalArgumentException
                 | IndexOutOfBoundsException
--- a/src/test/java/gingerspool/codec/KryoCodecTest.java
+++ b/src/test/java/gingerspool/codec/KryoCodecTest.java
@@ -3,20 +3,25 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.expectThrows;
 
+import com.esotericsoftware.kryo.io.Output;
 import com.esotericsoftware.kryo.serializers.RecordSerializer;
 import gingerspool.consensus.ConsensusMessage;
 import gingerspool.consensus.LogEntry;
 import gingerspool.consensus.Member;
 import gingerspool.consensus.SnapshotPiece;
 import gingerspool.consensus.VoterSet;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class KryoCodecTest {
+    private static final int NESTED_LISTS = 100_000;
     private static final Member A = new Member("10.0.0.1", "0");
     private final KryoCodec coder = new KryoCodec(MessageTypes.ALL);
 
@@ -103,4 +108,57 @@
             }
         }
     }
+
+    /** Guards against a message of a few bytes that takes the whole heap of its reader. */
+    @Test(dataProvider = "namedLengths")
+    public void aLengthThatCannotFollowIsRefusedBeforeItIsReserved(String what, byte[] message) {
+        expectThrows(MalformedMessageException.class, () -> coder.read(message));
+    }
+
+    @DataProvider
+    Object[][] namedLengths() {
+        return new Object[][] {
+            {"bytes", named(byte[].class, output -> output.writeVarInt(Integer.MAX_VALUE, true))},
+            {
+                "a string",
+                named(
+                        Messages.Heartbeat.class,
+                        output -> output.writeVarIntFlag(true, Integer.MAX_VALUE, true))
+            },
+            {
+                "nulls",
+                named(
+                        ArrayList.class,
+                        output -> {
+                            output.writeVarIntFlag(true, Integer.MAX_VALUE, true);
+                            output.writeVarInt(0, true);
+                        })
+            },
+            {"entries", named(HashMap.class, output -> output.writeVarInt(Integer.MAX_VALUE, true))}
+        };
+    }
+
+    /** Guards against a message of lists in lists that takes the whole stack of its reader. */
+    @Test
+    public void listsInListsAreRefusedBeforeTheStackEnds() {
+        byte[] message =
+                named(
+                        ArrayList.class,
+                        output -> {
+                            for (int i = 0; i < NESTED_LISTS; i++) {
+                                output.writeVarIntFlag(true, 2, true);
+                                output.writeVarInt(coder.number(ArrayList.class), true);
+                                output.writeBoolean(false);
+                            }
+                        });
+        expectThrows(MalformedMessageException.class, () -> coder.read(message));
+    }
+
+    /** A message that begins as one of the type and goes on as said. */
+    private byte[] named(Class<?> type, Consumer<Output> rest) {
+        Output output = new Output(64, -1);
+        output.writeVarInt(coder.number(type), true);
+        rest.accept(output);
+        return output.toBytes();
+    }
 }
