--- a/src/main/java/gingerspool/consensus/SnapshotReceiver.java
+++ b/src/main/java/gingerspool/consensus/SnapshotReceiver.java
@@ -1,16 +1,19 @@
 package gingerspool.consensus;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Collects the pieces of one snapshot. The same snapshot may go on from another leader; a newer one
- * takes its place, and so does any that the leader of a newer term sends.
+ * takes its place, and so does any that the leader of a newer term sends. Memory is taken by pieces
+ * that came, not by the count that a message names.
  */
 final class SnapshotReceiver {
     private final ReplicaContext context;
     private SnapshotPiece first;
     private long leaderTerm;
-    private byte[][] pieces = {};
+    private final Map<Integer, byte[]> pieces = new HashMap<>();
     private int received;
 
     SnapshotReceiver(ReplicaContext context) {
@@ -19,6 +22,9 @@
 
     /** Takes a piece; the snapshot once all are there and the digest is right, else null. */
     Snapshot take(long term, SnapshotPiece piece) {
+        if (piece.pieces() < 1) {
+            return null;
+        }
         if (!isOf(piece)) {
             boolean superseded =
                     first != null && term == leaderTerm && piece.index() <= first.index();
@@ -28,13 +34,14 @@
             begin(piece);
         }
         leaderTerm = term;
-        if (piece.number() >= 0 && piece.number() < pieces.length) {
-            pieces[piece.number()] = piece.bytes();
+        boolean isOneOfThem = piece.number() >= 0 && piece.number() < first.pieces();
+        if (isOneOfThem && piece.bytes() != null) {
+            pieces.put(piece.number(), piece.bytes());
         }
-        while (received < pieces.length && pieces[received] != null) {
+        while (pieces.containsKey(received)) {
             received++;
         }
-        return received == pieces.length ? complete() : null;
+        return received == first.pieces() ? complete() : null;
     }
 
     private boolean isOf(SnapshotPiece piece) {
@@ -47,7 +54,7 @@
 
     private void begin(SnapshotPiece piece) {
         first = piece;
-        pieces = new byte[piece.pieces()][];
+        pieces.clear();
         received = 0;
     }
 
@@ -58,8 +65,8 @@
 
     private Snapshot complete() {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
-        for (byte[] piece : pieces) {
-            all.writeBytes(piece);
+        for (int number = 0; number < received; number++) {
+            all.writeBytes(pieces.get(number));
         }
         byte[] state = all.toByteArray();
         SnapshotPiece of = first;
@@ -74,7 +81,7 @@
 
     private void forget() {
         first = null;
-        pieces = new byte[0][];
+        pieces.clear();
         received = 0;
     }
 }
--- a/src/test/java/gingerspool/consensus/SnapshotTransferTest.java
+++ b/src/test/java/gingerspool/consensus/SnapshotTransferTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Members that lack more than the leader's log still has are brought up by snapshots in pieces. */
@@ -258,4 +259,26 @@
         cluster.run(10);
         return node.disk.snapshot().index() + node.disk.entries().size();
     }
+
+    /** Guards against a count of pieces that takes the heap of who reads it, or ends its loop. */
+    @Test(dataProvider = "countsOfPieces")
+    public void aCountOfPiecesReservesNothing(int pieces) {
+        TestCluster cluster = new TestCluster(0, FLOOR, PIECE, 1);
+        Member self = new Member("n1", "0");
+        Member leader = new Member("n0", "0");
+        Node node = cluster.add(self);
+        Snapshot empty = new Snapshot(0, 0, List.of(self, leader), null);
+        node.disk = new PersistedState(self, 1, leader, empty, List.of());
+        node.start(List.of());
+        SnapshotPiece piece = new SnapshotPiece(4, 1, empty.voters(), "d", pieces, 0, new byte[8]);
+        node.replica.receive(
+                cluster.now, leader, new ConsensusMessage.InstallSnapshot(1, piece, 4, 0));
+        cluster.run(10);
+        assertEquals(node.disk.snapshot().index(), 0);
+    }
+
+    @DataProvider
+    Object[][] countsOfPieces() {
+        return new Object[][] {{Integer.MAX_VALUE}, {0}, {-1}};
+    }
 }
