The hand-over is split by concern: search, commands, call-backs, file, messages

PredecessorSearch finds the process that serves, CommandPropagation tells operators' commands, CallBackForwarding passes call-backs on, HandoverFileWriter writes the file, HandoverEndpoint knows its callers, HandoverMessages are typed in place of maps; the daemon's claims are ConnectionClaims. Nothing on the wire, in the file or in logged events changes, but for the text of one error ("v is not 1"). A successor that ends is dropped before its open calls are told so, as the process before already was.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package gingerspool.daemon;
 
 import gingerspool.handover.Handover;
+import gingerspool.handover.HandoverOwner;
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.ClientEndpoint;
@@ -20,7 +21,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -93,6 +93,9 @@
     /** Null where no other process can follow this one. */
     ConnectionSteering steering;
 
+    /** Null where no other process can follow this one. */
+    private ConnectionClaims claims;
+
     /** System calls on who gets new connections are made here; tests hold it up. */
     ExecutorService systemCalls;
 
@@ -116,7 +119,7 @@
         if (handover != null) {
             scheduler.elsewhere(handover::callBack);
         }
-        if (handover == null || !handover.hasNote()) {
+        if (handover == null || !handover.hasFile()) {
             clients.listen();
         }
     }
@@ -189,7 +192,7 @@
                 scheduler.begin(node.known, true);
                 serve();
             } else {
-                if (handover.hasNote()) {
+                if (handover.hasFile()) {
                     steering.prepare();
                 }
                 handover.begin();
@@ -296,6 +299,7 @@
         files = blockingThread("files");
         systemCalls = blockingThread("system-calls");
         steering = new ConnectionSteering(loop, systemCalls, loop::submit, handshake());
+        claims = new ConnectionClaims(loop, steering, clients, handshake(), this::isBeside);
         return new Handover(
                 loop,
                 files,
@@ -304,7 +308,12 @@
                 node.name,
                 (InetSocketAddress) management.address(),
                 node.deployment.connectWithin,
-                new Household());
+                new HandoverState());
+    }
+
+    /** Whether the process before this one lives, and none after it has the clients. */
+    private boolean isBeside() {
+        return handover.hasBefore() && !lifecycle.isSucceeded();
     }
 
     /** One thread for what blocks, started with its first task. */
@@ -326,13 +335,10 @@
     }
 
     /** What hand-over does here. */
-    private final class Household implements Handover.House {
+    private final class HandoverState implements HandoverOwner {
         /** The list was told, and is followed. */
         private boolean begun;
 
-        /** When new connections are claimed once more; null before the first claim has ended. */
-        private Future<?> nextClaim;
-
         @Override
         public Map<String, Object> state() {
             Map<String, Object> state = new LinkedHashMap<>();
@@ -345,7 +351,7 @@
         }
 
         @Override
-        public void take(Object state) throws BadMessage {
+        public void adoptState(Object state) throws BadMessage {
             List<String> suspended = Handover.suspended(state);
             if (!(JsonTree.at(state, "list") instanceof Map)) {
                 throw new BadMessage(400, "without a list");
@@ -369,7 +375,7 @@
         }
 
         @Override
-        public void ban(List<String> suspended, boolean drained) {
+        public void adoptBans(List<String> suspended, boolean drained) {
             try {
                 if (!begun) {
                     scheduler.begin(node.known, true);
@@ -394,81 +400,26 @@
 
         @Override
         public int listenerNumber() {
-            return handover.hasBefore() ? steering.member() : ConnectionSteering.FIRST;
+            return handover.hasBefore() ? claims.listenerNumber() : ConnectionSteering.FIRST;
         }
 
         @Override
         public void claim(int before, Consumer<Boolean> done) {
-            clients.claim(steering, before, outcome -> claimEnded(outcome, before, done));
-        }
-
-        private void claimEnded(
-                ConnectionSteering.Outcome outcome, int before, Consumer<Boolean> done) {
-            if (outcome == ConnectionSteering.Outcome.NOT_FOUND && isBeside()) {
-                nextClaim(LOOK_EVERY, () -> claim(before, done));
-                return;
-            }
-            boolean claimed = outcome == ConnectionSteering.Outcome.CLAIMED;
-            if (claimed && isBeside()) {
-                nextClaim(handshake(), this::verifyClaim);
-            }
-            done.accept(claimed);
-        }
-
-        /** Whether the process before this one lives, and none after it has the clients. */
-        private boolean isBeside() {
-            return handover.hasBefore() && !lifecycle.isSucceeded();
-        }
-
-        private void nextClaim(double pause, Runnable claim) {
-            if (nextClaim != null) {
-                nextClaim.cancel(false);
-            }
-            nextClaim = loop.schedule(pause, claim);
-        }
-
-        /**
-         * Guards against a third process whose listener closes: that numbers the others anew, so
-         * that they get each other's connections.
-         */
-        private void verifyClaim() {
-            if (isBeside() && !steering.isClaiming()) {
-                clients.verifyClaim(steering, this::claimVerified);
-            }
-        }
-
-        private void claimVerified(boolean stands) {
-            if (!isBeside() || steering.isClaiming()) {
-                return;
-            }
-            if (stands) {
-                nextClaim(handshake(), this::verifyClaim);
-            } else {
-                claim(steering.member(), claimed -> {});
-            }
+            claims.claim(before, done);
         }
 
         @Override
-        public void alone() {
+        public void predecessorGone() {
             if (!lifecycle.isSucceeded()) {
-                steering.cancel();
-                release();
-            }
-        }
-
-        private void release() {
-            try {
-                steering.release(((InetSocketAddress) clients.address()).getPort());
-            } catch (IOException e) {
-                // It listens no more, so there is nothing to give back.
-                LOG.atDebug().addKeyValue("why", e.getMessage()).log("steering.unavailable");
+                claims.cancel();
+                claims.release();
             }
         }
 
         @Override
         public void retire() {
             lifecycle.succeeded(loop.now());
-            steering.cancel();
+            claims.cancel();
             scheduler.mostToWorkers(Math.max(LEAST, scheduler.toWorkers()));
             look();
         }
@@ -488,7 +439,7 @@
                 clients.open();
                 // Of a process that is to end nothing is known to have no other one beside it.
                 if (!handover.hasBefore() && !lifecycle.isLeaving()) {
-                    release();
+                    claims.release();
                 }
             } catch (IOException e) {
                 LOG.atError().addKeyValue("why", e.getMessage()).log("listen.failed");
@@ -517,7 +468,7 @@
         }
 
         @Override
-        public void word(String what, String worker) {
+        public void carryOut(String what, String worker) {
             LOG.atInfo()
                     .addKeyValue("call", what)
                     .addKeyValue("worker", worker)
@@ -531,7 +482,7 @@
         }
 
         @Override
-        public boolean told(byte[] callBack) throws BadMessage {
+        public boolean callBackCame(byte[] callBack) throws BadMessage {
             return clients.callBack(callBack);
         }
 
@@ -592,7 +543,7 @@
             if (handover == null) {
                 reply.answer(ManagementEndpoint.Answer.YES);
             } else {
-                handover.word(
+                handover.propagate(
                         what,
                         worker,
                         told ->
--- /dev/null
+++ b/src/main/java/gingerspool/handover/CallStatus.java
@@ -0,0 +1,16 @@
+package gingerspool.handover;
+
+/** How calls between two processes end, as HTTP statuses. */
+final class CallStatus {
+    /** Stands for no answer. */
+    static final int NO_ANSWER = 0;
+
+    static final int OK = 200;
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int CONFLICT = 409;
+    static final int GONE = 410;
+    static final int UNAVAILABLE = 503;
+
+    private CallStatus() {}
+}
--- /dev/null
+++ b/src/main/java/gingerspool/handover/CommandPropagation.java
@@ -0,0 +1,181 @@
+package gingerspool.handover;
+
+import gingerspool.wire.EventLoop;
+import gingerspool.wire.Inbound;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells operators' commands to the processes before and after this one and to the hand-over file,
+ * and carries out those that the other processes tell.
+ *
+ * <p>Thread: the event loop.
+ */
+final class CommandPropagation {
+    private static final Logger LOG = LoggerFactory.getLogger(CommandPropagation.class);
+
+    /** How long the other process may take over a command, in milliseconds. */
+    static final double PATIENCE = 700;
+
+    /** An operator's call is answered by then, whoever else has to know of it, in milliseconds. */
+    private static final double ANSWER_WITHIN = 800;
+
+    /**
+     * A process that has the state and acknowledges no command by then is the successor no more, in
+     * milliseconds.
+     */
+    private static final double JOINED_WITHIN = ANSWER_WITHIN / 2;
+
+    /**
+     * The end of another process is seen so soon after a call to it has broken, in milliseconds.
+     */
+    private static final double GONE_SEEN_WITHIN = 100;
+
+    private static final byte[] NOTHING = {};
+
+    private final EventLoop loop;
+    private final HandoverPeers peers;
+    private final CommandsSinceState sinceState;
+    private final HandoverFileWriter fileWriter;
+    private final HandoverOwner owner;
+    private final Consumer<String> successorGone;
+
+    /** The last one is told the address of a successor that has ended after it took over. */
+    CommandPropagation(
+            EventLoop loop,
+            HandoverPeers peers,
+            CommandsSinceState sinceState,
+            HandoverFileWriter fileWriter,
+            HandoverOwner owner,
+            Consumer<String> successorGone) {
+        this.loop = loop;
+        this.peers = peers;
+        this.sinceState = sinceState;
+        this.fileWriter = fileWriter;
+        this.owner = owner;
+        this.successorGone = successorGone;
+    }
+
+    /** Tells the other processes and the file; then says whether all have it. */
+    void propagate(String command, String worker, Consumer<Boolean> done) {
+        propagate(command, worker, "", done);
+    }
+
+    /** All but the one that it came from are told. */
+    private void propagate(String command, String worker, String except, Consumer<Boolean> done) {
+        Acknowledgements all = new Acknowledgements(command, done);
+        loop.schedule(ANSWER_WITHIN, all::giveUp);
+        if (peers.after() != null
+                && !peers.isAfter(except)
+                && peers.succession().commandToldAfter()) {
+            all.addPeer();
+            tell(peers.after(), command, worker, all);
+        }
+        if (peers.isBesideBefore() && !peers.isBefore(except)) {
+            all.addPeer();
+            tell(peers.before(), command, worker, all);
+        }
+        if (!peers.isSucceeded()) {
+            all.addFile();
+            fileWriter.write(all::written);
+        }
+        all.allTold();
+    }
+
+    private void tell(Peer peer, String command, String worker, Acknowledgements all) {
+        HandoverMessages.Command message =
+                new HandoverMessages.Command(command, worker, ++peer.told, peer.ask);
+        double sentAt = loop.now();
+        Future<?> tooLate = loop.schedule(JOINED_WITHIN, () -> dropJoined(peer));
+        peer.commands.call(
+                "word",
+                message.bytes(),
+                PATIENCE,
+                (status, none) -> {
+                    tooLate.cancel(false);
+                    answered(peer, command, status, sentAt);
+                    acknowledge(peer, status, all);
+                });
+    }
+
+    private void answered(Peer peer, String command, int status, double sentAt) {
+        if (status != CallStatus.OK) {
+            LOG.atWarn()
+                    .addKeyValue("word", command)
+                    .addKeyValue("status", status)
+                    .log("handover.notification_failed");
+            dropJoined(peer);
+        }
+        if (status == CallStatus.NO_ANSWER && loop.now() < sentAt + PATIENCE) {
+            refusedBy(peer);
+        }
+    }
+
+    private void acknowledge(Peer peer, int status, Acknowledgements all) {
+        if (status == CallStatus.NO_ANSWER) {
+            loop.schedule(GONE_SEEN_WITHIN, () -> all.peerAnswered(peers.isGone(peer)));
+        } else {
+            all.peerAnswered(status == CallStatus.OK || peers.isGone(peer));
+        }
+    }
+
+    /**
+     * No connection to it comes up, so nobody listens there. A successor that has taken over and
+     * does not hold its call open yet has ended: nothing else would tell of it for a while.
+     */
+    private void refusedBy(Peer peer) {
+        if (peer == peers.after() && !peer.holds) {
+            successorGone.accept(peer.name());
+        }
+    }
+
+    /**
+     * A process that has the state but has not taken over does not acknowledge a command: it is
+     * forgotten. Guards operators' calls: no call tells when such a process ends, and each would be
+     * refused for want of it. One that was only slow may not take over then, and asks for the state
+     * again.
+     */
+    private void dropJoined(Peer peer) {
+        Succession succession = peers.succession();
+        if (peer != peers.after() || succession.after() != Succession.After.JOINED) {
+            return;
+        }
+        LOG.atWarn().addKeyValue("successor", peer.name()).log("handover.successor_dropped");
+        succession.successorGone(peer.name());
+        peers.dropAfter();
+    }
+
+    /** Another process tells a command; it is answered once all others have it as well. */
+    void received(Inbound from, String teller, HandoverMessages.Command message) {
+        boolean fromBefore = peers.isBefore(teller);
+        if (fromBefore && !peers.succession().isServing() && !sinceState.follows(message.ask())) {
+            // Guards what is said later: the state that was asked for since has this command in it.
+            from.answer(CallStatus.OK, List.of(), NOTHING);
+            return;
+        }
+        Runnable carryOut = () -> carryOut(from, teller, message, fromBefore);
+        if (fromBefore && peers.succession().before() == Succession.Before.ASKED) {
+            sinceState.waitForState(carryOut);
+        } else {
+            carryOut.run();
+        }
+    }
+
+    private void carryOut(
+            Inbound from, String teller, HandoverMessages.Command message, boolean fromBefore) {
+        owner.carryOut(message.command(), message.worker());
+        if (fromBefore) {
+            sinceState.carriedOut(message.number());
+        }
+        propagate(
+                message.command(),
+                message.worker(),
+                teller,
+                all ->
+                        from.answer(
+                                all ? CallStatus.OK : CallStatus.UNAVAILABLE, List.of(), NOTHING));
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/handover/HandoverEndpoint.java
@@ -0,0 +1,73 @@
+package gingerspool.handover;
+
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Inbound;
+import gingerspool.wire.Message;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes the calls of the other processes from the management address: those that carry this
+ * process's token.
+ *
+ * <p>Thread: the event loop.
+ */
+final class HandoverEndpoint {
+    private static final Logger LOG = LoggerFactory.getLogger(HandoverEndpoint.class);
+    private static final String PATH = "/v1/link/";
+    private static final int TOKEN_BYTES = 16;
+
+    /** Who answers a call. */
+    interface Handler {
+        /** Who calls is told by its address. */
+        void called(Inbound from, String caller, String name, byte[] body) throws BadMessage;
+    }
+
+    private final String token;
+    private final Handler handler;
+
+    HandoverEndpoint(String token, Handler handler) {
+        this.token = token;
+        this.handler = handler;
+    }
+
+    /** A token that nobody guesses. */
+    static String freshToken() {
+        byte[] secret = new byte[TOKEN_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return HexFormat.of().formatHex(secret);
+    }
+
+    /** Whether this request to the management address is such a call; it is then answered. */
+    boolean takes(Inbound from, Message request) {
+        if (!request.target().startsWith(PATH)) {
+            return false;
+        }
+        if (!isToken(request.field("x-token"))) {
+            LOG.atWarn().addKeyValue("path", request.target()).log("handover.unknown_caller");
+            from.endAfterAnswer(true);
+            from.answer(CallStatus.NOT_FOUND, List.of(), "no such path\n");
+            return true;
+        }
+        String caller = request.field("x-from") == null ? "" : request.field("x-from");
+        String name = request.target().substring(PATH.length());
+        try {
+            handler.called(from, caller, name, request.body());
+        } catch (BadMessage e) {
+            from.answer(CallStatus.BAD_REQUEST, List.of(), e.getMessage() + "\n");
+        }
+        return true;
+    }
+
+    private boolean isToken(String said) {
+        return said != null
+                && MessageDigest.isEqual(
+                        said.getBytes(StandardCharsets.ISO_8859_1),
+                        token.getBytes(StandardCharsets.ISO_8859_1));
+    }
+}
--- a/src/main/java/gingerspool/handover/HandoverFile.java
+++ b/src/main/java/gingerspool/handover/HandoverFile.java
@@ -70,7 +70,7 @@
                 JsonTree.mark(tree, "drained"));
     }
 
-    /** The names under `suspended`, of a note or a state. */
+    /** The names under `suspended`, of a file or a state. */
     static List<String> names(Object tree) throws BadMessage {
         List<String> names = new ArrayList<>();
         if (JsonTree.at(tree, "suspended") instanceof List<?> list) {
--- a/src/main/java/gingerspool/handover/Peer.java
+++ b/src/main/java/gingerspool/handover/Peer.java
@@ -35,10 +35,10 @@
     private final String token;
     private final String own;
 
-    /** Words told to it so far. */
+    /** Commands told to it so far. */
     long told;
 
-    /** Which of its requests for the state these words follow. */
+    /** Which of its requests for the state these commands follow. */
     long ask;
 
     /** It keeps a call open, whose end tells its own. */
@@ -48,8 +48,8 @@
     private final double connectWithin;
     private boolean closed;
 
-    /** Words in their order, and call-backs, which need none. */
-    final Line words = new Line(1);
+    /** Commands in their order, and call-backs, which need none. */
+    final Line commands = new Line(1);
 
     final Line callBacks = new Line(2);
     final Line held = new Line(1);
@@ -207,7 +207,7 @@
     void close() {
         closed = true;
         Set.copyOf(open).forEach(Outbound::close);
-        for (Line line : new Line[] {words, callBacks, held}) {
+        for (Line line : new Line[] {commands, callBacks, held}) {
             for (Call c = line.waiting.poll(); c != null; c = line.waiting.poll()) {
                 c.reply.came(0, new byte[0]);
             }
--- a/src/main/java/gingerspool/handover/Succession.java
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -1,7 +1,7 @@
 package gingerspool.handover;
 
 /**
- * Which of two processes has the clients, without I/O. A process asks the one before it (if a note
+ * Which of two processes has the clients, without I/O. A process asks the one before it (if a file
  * names one) for its state, takes over, and binds; later one after it may do the same. Each input
  * is a call that returns what is to be done; what is not said by the rules below changes nothing.
  */
@@ -31,7 +31,7 @@
         ASK,
         /** Use the state that came, and ask the one before to retire. */
         TAKE,
-        /** Use the note's bans, bind and serve. */
+        /** Use the file's bans, bind and serve. */
         SERVE_ALONE,
         /**
          * Bind and serve, then have all new connections; the process before this one lives on until
@@ -46,7 +46,7 @@
         CLOSE,
         /** Take clients again: the process after this one is gone. */
         TAKE_BACK,
-        /** Say no: it has not had every word, or is not the latest to ask. */
+        /** Say no: it has not had every command, or is not the latest to ask. */
         REFUSE
     }
 
@@ -54,7 +54,7 @@
     private After after = After.NONE;
     private boolean serving;
 
-    /** Words told to the process after this one since it had the state. */
+    /** Commands told to the process after this one since it had the state. */
     private long told;
 
     private String successor = "";
@@ -71,7 +71,7 @@
         return serving;
     }
 
-    /** The process starts; a note names one before it or not. */
+    /** The process starts; a file names one before it or not. */
     Action begin(boolean named) {
         before = named ? Before.ASKED : Before.NONE;
         serving = !named;
@@ -107,7 +107,7 @@
         return Action.SERVE;
     }
 
-    /** The one before will not retire yet: words have passed since the state was told. */
+    /** The one before will not retire yet: commands have passed since the state was told. */
     Action refused() {
         if (before != Before.TAKING) {
             return Action.NONE;
@@ -127,7 +127,7 @@
                 : was == Before.ASKED ? Action.SERVE_ALONE : Action.NONE;
     }
 
-    /** Another process asks for the state; the latest to ask is the heir. */
+    /** Another process asks for the state; the latest to ask is the successor. */
     Action asked(String who) {
         if (!serving || after == After.SUCCEEDED) {
             return Action.REFUSE;
@@ -138,8 +138,10 @@
         return Action.TELL;
     }
 
-    /** An operator's word came that the heir must have; tells whether there is an heir to tell. */
-    boolean word() {
+    /**
+     * An operator's command came that the successor must have; tells whether there is one to tell.
+     */
+    boolean commandToldAfter() {
         if (after == After.NONE) {
             return false;
         }
@@ -147,26 +149,26 @@
         return true;
     }
 
-    /** The heir asks us to retire; it has had so many words since the state. */
-    Action asksToTake(String who, long words) {
-        if (after != After.JOINED || !who.equals(successor) || !counted(words)) {
+    /** The successor asks us to retire; it has had so many commands since the state. */
+    Action asksToTake(String who, long commands) {
+        if (after != After.JOINED || !who.equals(successor) || !counted(commands)) {
             return Action.REFUSE;
         }
         after = After.SUCCEEDED;
         return Action.RETIRE;
     }
 
-    /** The heir listens for clients. */
+    /** The successor listens for clients. */
     Action bound(String who) {
         return after == After.SUCCEEDED && who.equals(successor) ? Action.CLOSE : Action.NONE;
     }
 
-    /** Whether just so many words were told. */
-    boolean counted(long words) {
-        return words == told;
+    /** Whether just so many commands were told. */
+    boolean counted(long commands) {
+        return commands == told;
     }
 
-    /** The heir is gone. */
+    /** The successor is gone. */
     Action successorGone(String who) {
         if (after == After.NONE || !who.equals(successor)) {
             return Action.NONE;
--- a/src/test/java/gingerspool/daemon/HandoverRig.java
+++ b/src/test/java/gingerspool/daemon/HandoverRig.java
@@ -64,7 +64,8 @@
                         ? ""
                         : "{'host':'s-1','dial':'127.0.0.1:"
                                 + worker.getLocalPort()
-                                + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,'born_ms':0}";
+                                + "','site':'a','class':'m','block':0,"
+                                + "'health':'SERVING','share':4,'born_ms':0}";
         String node =
                 ConfigurationTest.NODE
                         .replace("127.0.0.1:0'", "127.0.0.1:" + port + "'")
@@ -189,7 +190,7 @@
                 .replaceAll("(?s).*\"token\":\"([0-9a-f]+)\".*", "$1");
     }
 
-    static final String JOIN = "{\"v\":1,\"token\":\"of the heir\",\"ask\":1";
+    static final String JOIN = "{\"v\":1,\"token\":\"of the successor\",\"ask\":1";
 
     /** Another process, played by the test, has the clients of this one. */
     void takeFrom(Daemon first) throws IOException {
--- a/src/test/java/gingerspool/daemon/HandoverTest.java
+++ b/src/test/java/gingerspool/daemon/HandoverTest.java
@@ -352,7 +352,7 @@
             open.add(s);
             asked = Bench.read(s);
         }
-        assertTrue(asked.contains("X-Token: of the heir\r\n"), asked);
+        assertTrue(asked.contains("X-Token: of the successor\r\n"), asked);
         assertFalse(on(late, late.clients::listens));
     }
 
--- a/src/test/java/gingerspool/handover/SuccessionTest.java
+++ b/src/test/java/gingerspool/handover/SuccessionTest.java
@@ -76,7 +76,7 @@
             case "take" -> s.asksToTake(part[1], Long.parseLong(part[2]));
             case "heirgone" -> s.successorGone(part[1]);
             case "word" -> {
-                s.word();
+                s.commandToldAfter();
                 yield Action.NONE;
             }
             default -> throw new IllegalArgumentException(input);
@@ -235,7 +235,7 @@
                     if (at != null) {
                         int ban = ++bans;
                         at.bans.add(ban);
-                        if (at.s.word()) {
+                        if (at.s.commandToldAfter()) {
                             int ask = old.asks;
                             link.add(new Sent(successor, true, () -> hear(successor, ban, ask)));
                         }
@@ -273,7 +273,7 @@
                 return seed + ": both take clients";
             }
             if (successor.listens && !successor.bans.containsAll(said)) {
-                return seed + ": the heir serves without a ban that was said";
+                return seed + ": the successor serves without a ban that was said";
             }
         }
         while (!link.isEmpty()) {
@@ -303,7 +303,9 @@
         }
     }
 
-    /** What the old process has counted itself, as if it asked nobody what the heir has heard. */
+    /**
+     * What the old process has counted itself, as if it asked nobody what the successor has heard.
+     */
     private static long told(Process old) {
         for (long n = 0; n < 100; n++) {
             if (old.s.counted(n)) {
