Of two processes that start at once in an empty folder one serves

Callers saw two schedulers of one name that know nothing of each other's bans and drains. Cause: without a hand-over file a process served at once, without the lock that decides where the file points at nobody; both did, and the file then named only one.

Change: a start always goes through the search, which without a file begins at the lock; the daemon binds once it is decided.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -119,7 +119,7 @@
         if (handover != null) {
             scheduler.elsewhere(handover::callBack);
         }
-        if (handover == null || !handover.hasFile()) {
+        if (handover == null) {
             clients.listen();
         }
     }
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -157,7 +157,7 @@
     /** Looks for the process that serves. */
     public void begin() {
         search.begin();
-        act(succession.begin(search.hasFile()));
+        act(succession.begin());
     }
 
     /** The process is to end: one that does not serve yet takes nothing over any more. */
--- a/src/main/java/gingerspool/handover/PredecessorSearch.java
+++ b/src/main/java/gingerspool/handover/PredecessorSearch.java
@@ -116,10 +116,15 @@
         files.execute(soleStart::release);
     }
 
+    /** Asks whom the file names; without a file nobody is known who could be asked. */
     void ask() {
         if (stopped) {
             return;
         }
+        if (asked == null) {
+            failed("no file");
+            return;
+        }
         if (asked.at().equals(Address.text(own))) {
             failed("it was called where this one is, so it has ended");
             return;
@@ -179,7 +184,7 @@
                 .addKeyValue("of", asked.at())
                 .addKeyValue("at", next.at())
                 .log("handover.next");
-        askInstead(found.calledAt(next.at(), next.token()), 0);
+        askInstead(asked.calledAt(next.at(), next.token()), 0);
     }
 
     private boolean isLate() {
@@ -216,9 +221,9 @@
     }
 
     /**
-     * Guards against two processes that start at once when the one before has gone: both would find
-     * nobody and serve beside each other. The one that gets the lock serves alone; the other one
-     * then finds it in the file.
+     * Guards against two processes that start at once when the one before has gone, or where there
+     * was none: both would find nobody and serve beside each other. The one that gets the lock
+     * serves alone; the other one then finds it in the file.
      */
     private void failed(String why) {
         files.execute(
@@ -239,15 +244,17 @@
             releaseLock();
             askInstead(newest, 0);
         } else {
-            LOG.atWarn()
-                    .addKeyValue("why", why)
-                    .addKeyValue("bans", asked.suspended().size())
-                    .log("handover.no_state");
+            if (asked != null) {
+                LOG.atWarn()
+                        .addKeyValue("why", why)
+                        .addKeyValue("bans", asked.suspended().size())
+                        .log("handover.no_state");
+            }
             owner.nobodyFound();
         }
     }
 
     private boolean isAnother(HandoverFile newest) {
-        return newest != null && !newest.at().equals(asked.at());
+        return newest != null && (asked == null || !newest.at().equals(asked.at()));
     }
 }
--- a/src/main/java/gingerspool/handover/Succession.java
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -71,11 +71,10 @@
         return serving;
     }
 
-    /** The process starts; a file names one before it or not. */
-    Action begin(boolean named) {
-        before = named ? Before.ASKED : Before.NONE;
-        serving = !named;
-        return named ? Action.ASK : Action.SERVE_ALONE;
+    /** The process starts, perhaps after another one. */
+    Action begin() {
+        before = Before.ASKED;
+        return Action.ASK;
     }
 
     /** The state came from the one before. */
--- a/src/test/java/gingerspool/controlplane/StartWithoutDiskTest.java
+++ b/src/test/java/gingerspool/controlplane/StartWithoutDiskTest.java
@@ -3,10 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.Ports;
 import gingerspool.settings.NodeSettings;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,14 +22,8 @@
 
     private final HttpClient client = HttpClient.newHttpClient();
 
-    private static int freePort() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
-            return any.getLocalPort();
-        }
-    }
-
     private static ControlNode node(Path folder, Path data, int port) throws Exception {
-        int inner = freePort();
+        int inner = Ports.free(IP);
         Path file = folder.resolve("settings.toml");
         Files.writeString(
                 file,
@@ -66,7 +59,7 @@
         Path folder = Files.createTempDirectory("start");
         Path inTheWay = folder.resolve("in-the-way");
         Files.write(inTheWay, new byte[1]);
-        int port = freePort();
+        int port = Ports.free(IP);
         ControlNode node = node(folder, inTheWay.resolve("data"), port);
         try {
             CompletableFuture<Void> listens = new CompletableFuture<>();
@@ -97,7 +90,7 @@
         Path folder = Files.createTempDirectory("start");
         Path data = Files.createDirectories(folder.resolve("data"));
         Files.write(data.resolve("ledger-3.mv"), new byte[9000]);
-        ControlNode node = node(folder, data, freePort());
+        ControlNode node = node(folder, data, Ports.free(IP));
         try {
             CompletableFuture<Boolean> learner = new CompletableFuture<>();
             node.begin(learner::completeExceptionally);
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.dispatch.Bench;
+import gingerspool.peers.Ports;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
@@ -216,7 +217,18 @@
         ready(gone);
         int port = port(gone);
         gone.loop.stop();
-        List<Daemon> both = List.of(start(port, true), start(port, true));
+        thereIsOneSchedulerOf(List.of(start(port, true), start(port, true)));
+    }
+
+    /** Guards against the same where no process was before them: no file names one. */
+    @Test(invocationCount = 5)
+    public void ofTwoThatStartAtOnceInAnEmptyFolderOneAsksTheOther() throws Exception {
+        int port = Ports.free("127.0.0.1");
+        thereIsOneSchedulerOf(List.of(start(port, true), start(port, true)));
+    }
+
+    /** Both listen, one is ready, and each tells the other what operators say. */
+    private void thereIsOneSchedulerOf(List<Daemon> both) throws Exception {
         for (Daemon each : both) {
             until(() -> on(each, each.clients::listens), "it does not listen");
         }
--- a/src/test/java/gingerspool/handover/SuccessionTest.java
+++ b/src/test/java/gingerspool/handover/SuccessionTest.java
@@ -65,8 +65,11 @@
     private static Action input(Succession s, String input) {
         String[] part = input.split(":");
         return switch (part[0]) {
-            case "alone" -> s.begin(false);
-            case "named" -> s.begin(true);
+            case "alone" -> {
+                s.begin();
+                yield s.stateFailed();
+            }
+            case "named" -> s.begin();
             case "state" -> s.stateCame();
             case "nostate" -> s.stateFailed();
             case "retired" -> s.retired();
@@ -125,7 +128,8 @@
         Process successor = new Process("b");
         List<Sent> link = new ArrayList<>();
         List<Integer> said = new ArrayList<>();
-        old.s.begin(false);
+        old.s.begin();
+        old.s.stateFailed();
         old.listens = true;
         class Acts {
             void act(Process p, Action act) {
@@ -225,7 +229,7 @@
                 case 0 -> {
                     if (!begun) {
                         begun = true;
-                        acts.act(successor, successor.s.begin(true));
+                        acts.act(successor, successor.s.begin());
                     }
                 }
                 case 1 -> {
