The judge counts a drain from when the call was sent, not from when its yes was noted

Trace: the call was sent at 34.680 and carried out at 34.683 (`operators.call`), the requests were written at 35.48 and closed by 35.59, the tool noted *drained* at 35.78. A drained scheduler may close kept connections from the call on; the judge let that pass from the note on, which on a busy machine is up to 2.3 s later.

Nothing else is let pass: before the call, on a new connection and 6 s after the note it is a breach as before.

Measured: JudgeTest.aRequestThatCrossesADrainIsNoBreach, 6 cases pass.

--- a/src/main/java/gingerspool/judge/Judge.java
+++ b/src/main/java/gingerspool/judge/Judge.java
@@ -31,6 +31,8 @@
     /** SIGKILL comes no later than this after SIGTERM. */
     private static final double LEAVES = 6000;
 
+    private static final String DRAIN = "/v1/scheduler/drain";
+
     private static final Set<String> STILL_OUT = Set.of("taken", "started", "untold", "told-oddly");
 
     /** The rules, by the names that violations carry. */
@@ -171,7 +173,7 @@
             if (b.scheduler() == t.scheduler()
                     && leaves
                     && t.reused()
-                    && t.at() >= b.at()
+                    && t.at() >= leavesFrom(b)
                     && t.at() <= b.at() + LEAVES
                     && of(t.id()).isEmpty()) {
                 return true;
@@ -180,6 +182,22 @@
         return false;
     }
 
+    /**
+     * A scheduler closes connections from the moment that it reads the call to drain, which is
+     * before its yes is noted.
+     */
+    private double leavesFrom(Records.Befell b) {
+        if (!b.what().equals("drained")) {
+            return b.at();
+        }
+        return r.operatorCalls.stream()
+                .filter(call -> call.scheduler() == b.scheduler())
+                .filter(call -> call.path().equals(DRAIN) && call.sent() <= b.at())
+                .mapToDouble(Records.OperatorCall::sent)
+                .max()
+                .orElse(b.at());
+    }
+
     private void extras() {
         for (Records.Extra e : r.extras) {
             breach(
--- a/src/test/java/gingerspool/experiment/JudgeTest.java
+++ b/src/test/java/gingerspool/experiment/JudgeTest.java
@@ -7,6 +7,7 @@
 import gingerspool.judge.Judge.Rule;
 import gingerspool.judge.Verdict;
 import gingerspool.load.Load;
+import gingerspool.peers.Folders;
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.Scenario;
 import gingerspool.scenario.ScenarioFile;
@@ -216,4 +217,47 @@
         }
         assertEquals(at, all.length, "missing: " + (at < all.length ? all[at] : ""));
     }
+
+    /**
+     * When a connection breaks beside a call to drain that is sent at 100 ms, answered at 300 and
+     * noted at 400; whether the request was the first on it; and whether that is a breach.
+     */
+    @DataProvider
+    Object[][] breaks() {
+        return new Object[][] {
+            {90, true, true},
+            {110, true, false},
+            {350, true, false},
+            {410, true, false},
+            {110, false, true},
+            {6500, true, true},
+        };
+    }
+
+    /** Guards the judge: what a drain may close, it may close once the call is on its way. */
+    @Test(dataProvider = "breaks")
+    public void aRequestThatCrossesADrainIsNoBreach(int at, boolean reused, boolean breach)
+            throws IOException {
+        Path folder = Files.createTempDirectory("judge");
+        try {
+            Path clients =
+                    Files.writeString(
+                            folder.resolve("c.tsv"),
+                            "kind\ta\tidempotent\t500\t2000\t2000\tall\t1\t0\n"
+                                    + "begin\t0\t9000\n"
+                                    + "operators\t0\t/v1/scheduler/drain\t100\t300\t200\ttrue\n"
+                                    + "scheduler\t0\tdrained\t400\n"
+                                    + "try\t1\t0\tt1\ta\t\t0\t80\t85\t9000\tbroke\t"
+                                    + at
+                                    + "\tNaN\t"
+                                    + reused
+                                    + "\t\n");
+            Path log =
+                    Files.writeString(
+                            folder.resolve("e.tsv"), "0\tfleet\trules\t-\t-\tgrace=0 deemed=0\n");
+            assertEquals(Judge.judge(clients, log).violations().isEmpty(), !breach);
+        } finally {
+            Folders.remove(folder);
+        }
+    }
 }
