A drained scheduler keeps new connections without a request for 3 s

Cause, by the order of times and by reading: a drained process closes what has waited 1.4 s for its first request. Nothing else closes such a connection there.

--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -18,6 +18,12 @@
     /** The same where another process has taken over, so that new connections are welcome there. */
     private static final double KEPT_SUCCEEDED = 0.4;
 
+    /** No client holds an idle connection to a drained scheduler after this, in milliseconds. */
+    private static final double SENT_AWAY_WITHIN = 4000;
+
+    /** The part of that in which connections without a request are kept. */
+    private static final double KEPT_DRAINED = 0.75;
+
     /** A connection that has been idle for less may have its first request under way. */
     private static final double FRESH = 200;
 
@@ -120,14 +126,17 @@
 
     /**
      * The same for connections that have had no request yet: a client's first one is lost if it
-     * crosses the close. A process that leaves keeps them as long as it can; one that was drained
-     * has to send its clients away, and closes what has waited so long for a first request.
+     * crosses the close, also where this process had no processor to read it. A process that leaves
+     * keeps them as long as it can. One that was drained has to send its clients away, and closes
+     * what has waited so long for a first request, but not before most of the time for that is
+     * over.
      */
     double freshMost(double now) {
         if (isOver(now)) {
             return 0;
         }
-        return isLeaving() ? Double.POSITIVE_INFINITY : 2 * STILL_COMING;
+        boolean mayWait = isLeaving() || now < drainedAt + KEPT_DRAINED * SENT_AWAY_WITHIN;
+        return mayWait ? Double.POSITIVE_INFINITY : 2 * STILL_COMING;
     }
 
     /** Whether it is time to leave for those who have nothing out. */
--- a/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
+++ b/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
@@ -86,6 +86,15 @@
     /** The process has been succeeded and gets SIGTERM. */
     @BeforeMethod
     public void leave() throws IOException {
+        open();
+        lifecycle.succeeded(loop.now());
+        leavingAt = loop.now();
+        lifecycle.leave(leavingAt, WITHIN - ProcessLifecycle.REFUSING);
+        look();
+    }
+
+    /** The process serves. */
+    private void open() throws IOException {
         loop = new ModelChannelLoop();
         lifecycle = new ProcessLifecycle();
         tasks = new Tasks();
@@ -97,10 +106,6 @@
         draining = new ConnectionDraining(lifecycle, clients, tasks);
         isEmptied = false;
         lifecycle.started();
-        lifecycle.succeeded(loop.now());
-        leavingAt = loop.now();
-        lifecycle.leave(leavingAt, WITHIN - ProcessLifecycle.REFUSING);
-        look();
     }
 
     private void look() {
@@ -210,4 +215,31 @@
         }
         assertEquals(channel.reset.size(), 0);
     }
+
+    /**
+     * Guards first requests: a drained process that had no processor for 1.5 s closed connections
+     * whose requests had come meanwhile (`ended without an answer`, day-to-day, seed 710102).
+     */
+    @Test
+    public void aFirstRequestThatIsReadLateIsAnsweredByADrainedProcess() throws IOException {
+        open();
+        lifecycle.drain(loop.now());
+        look();
+        ModelSocketChannel client = accepted(2);
+        loop.run(2 * QUIET + QUIET);
+        client.say(REQUEST.replace("POST /p", "GET /healthz"));
+        loop.run(0);
+        assertTrue(client.answered.toString().startsWith("HTTP/1.1 "), client.answered + "");
+    }
+
+    /** Guards operators: a drained process is rid of clients that never write in 4 s. */
+    @Test
+    public void aClientThatNeverWritesIsSentAway() throws IOException {
+        open();
+        lifecycle.drain(loop.now());
+        look();
+        accepted(2);
+        loop.run(4000 - LOOK_EVERY);
+        assertEquals(clients.connections(), 0);
+    }
 }
