A drained scheduler that was late reads before it closes new connections

A loop that gets no processor sees the time pass before it sees the bytes.

Change: where the state is applied more than 50 ms late, connections without a request are not closed before the loop has been on time for 0.5 s; at the end of the time to leave they are, as before.

Measured: aDrainedProcessThatWasLateReadsBeforeItCloses failed before and passes; 39 tests of both classes pass.

--- a/src/main/java/gingerspool/daemon/ConnectionDraining.java
+++ b/src/main/java/gingerspool/daemon/ConnectionDraining.java
@@ -18,6 +18,15 @@
 final class ConnectionDraining {
     private static final Logger LOG = LoggerFactory.getLogger(ConnectionDraining.class);
 
+    /** How often the present state is applied while time alone may change it. */
+    static final double APPLY_EVERY = 20;
+
+    /** The loop is late when it comes to that by so much later. */
+    private static final double LATE = 50;
+
+    /** After it was late, the loop has read what came meanwhile once it was on time for so long. */
+    private static final double CAUGHT_UP_AFTER = 500;
+
     /** The tasks of the process. */
     interface Tasks {
         /** How many have no answer yet. */
@@ -34,6 +43,9 @@
     /** Another process has the clients, but the kernel still lets some of them come here. */
     private boolean sharesClients;
 
+    private double appliedAt = Double.NaN;
+    private double caughtUpFrom = Double.NEGATIVE_INFINITY;
+
     ConnectionDraining(ProcessLifecycle lifecycle, ClientEndpoint clients, Tasks tasks) {
         this.lifecycle = lifecycle;
         this.clients = clients;
@@ -51,6 +63,7 @@
 
     /** Has the endpoint do what the present state asks for. */
     void apply(double now) {
+        noteLateness(now);
         clients.ready(lifecycle.isReady());
         clients.lastAnswers(lifecycle.lastAnswers(now), lifecycle.isSucceeded());
         clients.refuseTasks(lifecycle.isOver(now));
@@ -59,10 +72,21 @@
         }
     }
 
-    /** Who has been let in by the end gets its refusal before it is closed. */
+    private void noteLateness(double now) {
+        if (now > appliedAt + APPLY_EVERY + LATE) {
+            caughtUpFrom = now + CAUGHT_UP_AFTER;
+        }
+        appliedAt = now;
+    }
+
+    /**
+     * Who has been let in by the end gets its refusal before it is closed. Before the end, a
+     * process that had no processor does not take for idle what it has not read.
+     */
     private double freshMost(double now) {
         boolean refuses = lifecycle.isOver(now) && !lifecycle.isPast(now);
-        return refuses ? Double.POSITIVE_INFINITY : lifecycle.freshMost(now);
+        boolean catchesUp = !lifecycle.isOver(now) && now < caughtUpFrom;
+        return refuses || catchesUp ? Double.POSITIVE_INFINITY : lifecycle.freshMost(now);
     }
 
     /**
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -62,8 +62,6 @@
     /** What is not answered so long before the end of that is abandoned. */
     private static final double SPARE = 300;
 
-    private static final double LOOK_EVERY = 20;
-
     final NodeConfiguration node;
     final Scheduler scheduler;
     final SingleThreadEventLoop loop;
@@ -263,7 +261,7 @@
         if (!looking && lifecycle.isChanging()) {
             looking = true;
             loop.schedule(
-                    LOOK_EVERY,
+                    ConnectionDraining.APPLY_EVERY,
                     () -> {
                         looking = false;
                         look();
--- a/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
+++ b/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
@@ -242,4 +242,35 @@
         loop.run(4000 - LOOK_EVERY);
         assertEquals(clients.connections(), 0);
     }
+
+    /**
+     * Guards first requests: a drained process had no processor for most of 3 s, with 24 of them
+     * unread on new connections that it then closed as idle (day-to-day, seed 710302).
+     */
+    @Test
+    public void aDrainedProcessThatWasLateReadsBeforeItCloses() throws IOException {
+        open();
+        lifecycle.drain(loop.now());
+        draining.apply(loop.now());
+        ModelSocketChannel client = accepted(2);
+        loop.run(4000);
+        draining.apply(loop.now());
+        loop.run(LOOK_EVERY);
+        client.say(REQUEST.replace("POST /p", "GET /healthz"));
+        loop.run(0);
+        assertTrue(client.answered.toString().startsWith("HTTP/1.1 "), client.answered + "");
+    }
+
+    /** Guards operators: once it is on time again it sends away who never writes. */
+    @Test
+    public void aDrainedProcessThatIsOnTimeAgainSendsClientsAway() throws IOException {
+        open();
+        lifecycle.drain(loop.now());
+        draining.apply(loop.now());
+        accepted(2);
+        loop.run(4000);
+        look();
+        loop.run(500 + 2 * LOOK_EVERY);
+        assertEquals(clients.connections(), 0);
+    }
 }
