--- a/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
+++ b/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.RequestHandlerStub;
 import gingerspool.wire.ClientEndpoint;
 import gingerspool.wire.ModelChannelLoop;
 import gingerspool.wire.ModelServerChannel;
@@ -41,36 +42,15 @@
     private boolean isEmptied;
 
     /** Keeps every task until all are abandoned. */
-    private static final class Tasks
-            implements ClientEndpoint.RequestHandler, ConnectionDraining.Tasks {
+    private static final class Tasks extends RequestHandlerStub
+            implements ConnectionDraining.Tasks {
         private final List<TaskRequest> all = new ArrayList<>();
 
-        @Override
-        public boolean knowsProfile(String name) {
-            return true;
-        }
-
-        @Override
-        public boolean inHand(String id) {
-            return false;
-        }
-
-        @Override
-        public boolean hasRoomFor(int bytes) {
-            return true;
-        }
-
         @Override
         public void arrived(TaskRequest request) {
             all.add(request);
         }
 
-        @Override
-        public boolean told(
-                String id, String from, String state, double share, String result, Object load) {
-            return false;
-        }
-
         @Override
         public int unanswered() {
             return all.size();
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.peers.Folders;
+import gingerspool.peers.RequestHandlerStub;
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.ScenarioFile;
 import gingerspool.wire.ClientEndpoint;
@@ -96,37 +97,16 @@
     }
 
     static ClientEndpoint.RequestHandler desk(Clerk clerk) {
-        return new ClientEndpoint.RequestHandler() {
+        return new RequestHandlerStub() {
             @Override
             public boolean knowsProfile(String name) {
                 return name.equals("p");
             }
 
-            @Override
-            public boolean inHand(String id) {
-                return false;
-            }
-
-            @Override
-            public boolean hasRoomFor(int bytes) {
-                return true;
-            }
-
             @Override
             public void arrived(TaskRequest request) {
                 clerk.answer(request.client(), request.id(), request.repeat());
             }
-
-            @Override
-            public boolean told(
-                    String id,
-                    String from,
-                    String state,
-                    double share,
-                    String result,
-                    Object load) {
-                return true;
-            }
         };
     }
 
--- a/src/test/java/gingerspool/wire/ClosingListenerTest.java
+++ b/src/test/java/gingerspool/wire/ClosingListenerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import gingerspool.peers.RequestHandlerStub;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.testng.annotations.BeforeMethod;
@@ -45,32 +46,11 @@
     }
 
     /** No task comes in this test. */
-    private static final class NoTasks implements ClientEndpoint.RequestHandler {
-        @Override
-        public boolean knowsProfile(String name) {
-            return false;
-        }
-
-        @Override
-        public boolean inHand(String id) {
-            return false;
-        }
-
-        @Override
-        public boolean hasRoomFor(int bytes) {
-            return true;
-        }
-
+    private static final class NoTasks extends RequestHandlerStub {
         @Override
         public void arrived(TaskRequest request) {
             throw new AssertionError("no task was sent");
         }
-
-        @Override
-        public boolean told(
-                String id, String from, String state, double share, String result, Object load) {
-            return false;
-        }
     }
 
     /** The runtime has accepted a client, the loop has not heard of it, and the listener closes. */
