--- a/src/test/java/gingerspool/soak/PlatformProcesses.java
+++ b/src/test/java/gingerspool/soak/PlatformProcesses.java
@@ -1,10 +1,12 @@
 package gingerspool.soak;
 
+import gingerspool.peers.Folders;
 import gingerspool.standin.Cloud;
 import gingerspool.wire.Address;
 import gingerspool.wire.SingleThreadEventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -28,6 +30,8 @@
     private static final int WORK_MS = 20;
     private static final int LAG_MS = 100;
     private static final int INSTANCE_SLOTS = 8;
+    private static final long RETRY_MS = 20;
+    private static final int CONNECT_WITHIN_MS = 1000;
 
     /** Runs beside each other have networks of their own. */
     private static final int NETWORK = 20 + (int) (ProcessHandle.current().pid() % 200);
@@ -165,6 +169,32 @@
                     .waitFor();
         }
 
+        /** Waits until operators or clients can call it. */
+        void listensWithin(long ms) throws IOException, InterruptedException {
+            InetSocketAddress address = role == Role.CONTROL ? control() : front();
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+            while (!listens(address)) {
+                if (System.nanoTime() > until) {
+                    throw new IOException(name() + " does not listen after " + ms + " ms");
+                }
+                Thread.sleep(RETRY_MS);
+            }
+        }
+
+        private static boolean listens(InetSocketAddress address) {
+            try (Socket socket = new Socket()) {
+                socket.connect(address, CONNECT_WITHIN_MS);
+                return true;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
+        /** Nothing of what it wrote is left; only for one that has ended. */
+        void loseDisk() throws IOException {
+            Folders.remove(folder.resolve(name()));
+        }
+
         boolean endsWithin(long ms) throws InterruptedException {
             return process.waitFor(ms, TimeUnit.MILLISECONDS);
         }
