LogWriterTest counts files between attempts, not while one is under way

The fault is the test's: it counted as soon as the content was asked for the third time, and the attempt that then goes on has a file of its own until it fails.

The count is taken where the content is asked for, when no attempt is under way, and at each of the three attempts: as strict as before, twice more.

--- a/src/test/java/gingerspool/storage/LogWriterTest.java
+++ b/src/test/java/gingerspool/storage/LogWriterTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -28,7 +29,12 @@
     private static final long WHOLE = 7;
     private static final long PATIENCE_S = 10;
 
+    private static final int UNKNOWN = -1;
     private final LinkedBlockingQueue<Object> events = new LinkedBlockingQueue<>();
+
+    /** How many files there were each time the whole content was asked for. */
+    private final List<Integer> filesWhenAsked = new CopyOnWriteArrayList<>();
+
     private ExecutorService loop;
     private LogWriter writer;
 
@@ -41,6 +47,7 @@
     public void begin() {
         ModelDisk.begin();
         events.clear();
+        filesWhenAsked.clear();
         loop =
                 new ThreadPoolExecutor(
                         1,
@@ -81,6 +88,7 @@
 
                             @Override
                             public LogWrite fullState() {
+                                noteFiles(folder);
                                 events.add("asked");
                                 return whole(WHOLE);
                             }
@@ -88,6 +96,15 @@
         writer.start();
     }
 
+    /** Between two attempts, which nothing else tells: an attempt has a file while it lasts. */
+    private void noteFiles(LogFolder folder) {
+        try {
+            filesWhenAsked.add(folder.files().size());
+        } catch (IOException e) {
+            filesWhenAsked.add(UNKNOWN);
+        }
+    }
+
     private Object next() throws InterruptedException {
         Object event = events.poll(PATIENCE_S, TimeUnit.SECONDS);
         assertNotNull(event, "nothing came");
@@ -112,7 +129,10 @@
             assertEquals(next(), "asked", "nothing is confirmed, it is tried again");
         }
         assertTrue(writer.isFailing());
-        assertEquals(new LogFolder(at).files().size(), 1, "failed attempts leave nothing");
+        assertEquals(
+                List.copyOf(filesWhenAsked).subList(0, 3),
+                List.of(1, 1, 1),
+                "failed attempts leave nothing");
         ModelDisk.full = false;
         Object event = next();
         while (event.equals("asked")) {
