A client's time runs from when its request may have come, not from when it was read

Cause: X-Time-Left-Ms counts from the client's sending; the scheduler counted it from the moment at which its loop came to the request. Whatever a request had waited before that, in the kernel's queue for room, unread, or behind a loop or a process that was held up, its client waited longer than it had asked for.

Change: the loop knows when the runtime's own thread noticed each event (EventExecutor), and since when the whole process had stood still by then (StallTracker, from timers that fire late; one is due every 50 ms while clients are here). Connection and Listener pass on the earliest time at which what they read may have come; the time left counts from there, and a request without any is refused at once. Erring early costs a refusal, which may be tried again.

ModelSocketChannel keeps what is not yet read, as a kernel does.

--- a/src/main/java/gingerspool/daemon/Scheduler.java
+++ b/src/main/java/gingerspool/daemon/Scheduler.java
@@ -396,7 +396,13 @@
         double told = request.timeLeft();
         double wait = Double.isNaN(told) ? most : Math.min(told, most);
         double at = loop.now();
-        t.expiry = at + wait - Math.min(ahead, wait / 2);
+        // The client counts from when it wrote, however long that was under way to us.
+        double left = wait - Math.max(0, at - request.arrivedFrom());
+        if (left <= 0) {
+            refuseExpired(request);
+            return;
+        }
+        t.expiry = at + left - Math.min(ahead, left / 2);
         t.hint = request.hint();
         t.width = (int) Math.max(1, request.width());
         t.memory = request.memory();
@@ -419,6 +425,12 @@
         tasks.release(t);
     }
 
+    /** Its time may be over already: any answer but one at once would be later still. */
+    private void refuseExpired(TaskRequest request) {
+        bounced++;
+        ClientEndpoint.bounced(request.client(), 0);
+    }
+
     private void gone(ClientTask t) {
         clear(t, false);
         left++;
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -47,6 +47,9 @@
     /** A new connection's first request has come by then, in milliseconds. */
     private static final double FRESH = 200;
 
+    /** How closely it is known since when the process stood still, in milliseconds. */
+    private static final double STALLS_SEEN_EVERY = 50;
+
     private static final String LEAVING = "about to end\n";
     private static final String TOO_MANY = "too many tasks in hand\n";
 
@@ -69,6 +72,9 @@
     /** It is looked for room once more, when new connections have had time for a request. */
     private boolean looksAgain;
 
+    /** A timer for that is due. */
+    private boolean watchesStalls;
+
     private boolean ready = true;
     private boolean lastAnswers;
     private boolean lastCallBacks;
@@ -170,12 +176,32 @@
 
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
+        accepted(channel, loop.now());
+    }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel, double letInFrom) {
         Inbound connection = new Inbound(loop, channel, this);
+        connection.mayHoldSince(letInFrom);
         all.add(connection);
+        watchStalls();
         connection.endAfterAnswer(lastAnswers);
         connection.start();
     }
 
+    /** The loop sees a stall by its timers: while clients are here, one is due soon at any time. */
+    private void watchStalls() {
+        if (!watchesStalls && !all.isEmpty()) {
+            watchesStalls = true;
+            loop.schedule(
+                    STALLS_SEEN_EVERY,
+                    () -> {
+                        watchesStalls = false;
+                        watchStalls();
+                    });
+        }
+    }
+
     @Override
     public void idle(Inbound connection, boolean is) {
         if (is) {
@@ -400,6 +426,7 @@
                         id,
                         profile,
                         request.field("x-account"),
+                        client.arrivedFrom(),
                         timeLeft,
                         hint,
                         width,
--- a/src/main/java/gingerspool/wire/Connection.java
+++ b/src/main/java/gingerspool/wire/Connection.java
@@ -32,6 +32,10 @@
 
     private int start;
     private boolean reading;
+
+    /** Nothing that is yet to be read can have come before this. */
+    private double emptyAt;
+
     private boolean open = true;
 
     /** What is being written, and what comes after it. */
@@ -50,6 +54,7 @@
         this.loop = loop;
         this.most = most;
         this.channel = channel;
+        emptyAt = loop.now();
         reads = handler(this::read);
         writes = handler(this::written);
         try {
@@ -64,6 +69,19 @@
         most = bytes;
     }
 
+    /** The peer may have written since then, though the connection is taken only now. */
+    public final void mayHoldSince(double time) {
+        emptyAt = Math.min(emptyAt, time);
+    }
+
+    /**
+     * The earliest time at which what was read last may have come: a loop that was late, or an
+     * accept that waited, reads it later than that. In milliseconds on the loop's clock.
+     */
+    public final double arrivedFrom() {
+        return emptyAt;
+    }
+
     /** An operation's end becomes a turn; a failure counts as -1 bytes. */
     private CompletionHandler<Integer, Void> handler(IntConsumer then) {
         return Completions.onTurn(loop, bytes -> guarded(() -> then.accept(bytes)));
@@ -148,6 +166,7 @@
 
     private void read(int bytes) {
         reading = false;
+        emptyAt = Math.max(emptyAt, loop.noticedAt());
         if (open && bytes < 0) {
             close();
         } else if (open) {
--- a/src/main/java/gingerspool/wire/EventLoop.java
+++ b/src/main/java/gingerspool/wire/EventLoop.java
@@ -22,6 +22,15 @@
     /** Milliseconds of Unix time, never running backwards. */
     double now();
 
+    /**
+     * The earliest time at which the event that the present task tells of may have come: when the
+     * runtime noticed it, or since when the process had stood still by then. Negative infinity
+     * where the operation was done at once, so that the event may have come at any time before.
+     */
+    default double noticedAt() {
+        return now();
+    }
+
     /** The group whose completion handlers run on the loop's thread. */
     AsynchronousChannelGroup group();
 
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -45,6 +45,14 @@
         default void outOfDescriptors() {}
 
         void accepted(AsynchronousSocketChannel channel);
+
+        /**
+         * The same with the earliest time at which the client may have been let in by the kernel,
+         * in milliseconds on the loop's clock: it may have written its request since then.
+         */
+        default void accepted(AsynchronousSocketChannel channel, double letInFrom) {
+            accepted(channel);
+        }
     }
 
     private final EventLoop loop;
@@ -57,6 +65,9 @@
     /** An accept is under way, or the pause after one that failed. */
     private boolean accepting;
 
+    /** No client that is yet to be accepted can have been let in before this. */
+    private double emptyAt;
+
     /** Since when an accept has waited for a connection, or none was to be waited for. */
     private double quietSince;
 
@@ -79,6 +90,7 @@
             throws IOException {
         this.loop = loop;
         this.owner = owner;
+        emptyAt = loop.now();
         channel = loop.serverChannel();
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -129,6 +141,7 @@
         loop.execute(
                 () -> {
                     accepting = false;
+                    emptyAt = Math.max(emptyAt, loop.noticedAt());
                     take(accepted);
                     if (draining) {
                         drain();
@@ -145,7 +158,7 @@
             return;
         }
         acceptedClosing += isClosing() ? 1 : 0;
-        owner.accepted(accepted);
+        owner.accepted(accepted, emptyAt);
     }
 
     private static SocketAddress remote(AsynchronousSocketChannel accepted) {
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -28,7 +28,9 @@
     private static final double NANOS_PER_MS = 1e6;
 
     private final ScheduledThreadPoolExecutor thread;
+    private final EventExecutor events;
     private final AsynchronousChannelGroup group;
+    private final StallTracker stalls = new StallTracker();
 
     /** Tasks that wait for the one going on. */
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
@@ -48,7 +50,8 @@
         thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "loop"));
         thread.setRemoveOnCancelPolicy(true);
         thread.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
-        group = AsynchronousChannelGroup.withThreadPool(thread);
+        events = new EventExecutor(thread);
+        group = AsynchronousChannelGroup.withThreadPool(events);
     }
 
     @Override
@@ -61,6 +64,7 @@
         try {
             for (Runnable next = tasks.poll(); next != null; next = tasks.poll()) {
                 run(next);
+                events.eventHandled();
             }
         } finally {
             isRunning = false;
@@ -87,6 +91,7 @@
         long dueNanos = System.nanoTime() + delayNanos;
         return thread.schedule(
                 () -> {
+                    stalls.fired(unixMs(dueNanos), now());
                     noteLateness((System.nanoTime() - dueNanos) / NANOS_PER_MS);
                     execute(task);
                 },
@@ -128,7 +133,19 @@
 
     @Override
     public double now() {
-        return startedAt + (System.nanoTime() - startedAtNanos) / NANOS_PER_MS;
+        return unixMs(System.nanoTime());
+    }
+
+    private double unixMs(long nanos) {
+        return startedAt + (nanos - startedAtNanos) / NANOS_PER_MS;
+    }
+
+    @Override
+    public double noticedAt() {
+        long at = events.noticedAtNanos();
+        return at == EventExecutor.DONE_AT_ONCE
+                ? Double.NEGATIVE_INFINITY
+                : stalls.earliest(unixMs(at));
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/TaskRequest.java
+++ b/src/main/java/gingerspool/wire/TaskRequest.java
@@ -5,7 +5,9 @@
  *
  * @param client the connection that waits for the answer
  * @param tenant the tenant's name, or null
- * @param timeLeft milliseconds that the client still waits, NaN where it does not say
+ * @param arrivedFrom the earliest time at which it may have come, in milliseconds on the loop's
+ *     clock
+ * @param timeLeft milliseconds that the client waits from then on, NaN where it does not say
  * @param hint milliseconds of work to expect on a standard core, 0 where it does not say
  * @param width slots that the task takes
  * @param memory memory that it takes, in the units of the list
@@ -17,6 +19,7 @@
         String id,
         String profile,
         String tenant,
+        double arrivedFrom,
         double timeLeft,
         double hint,
         double width,
--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -12,13 +12,27 @@
 public final class ModelChannelLoop extends ModelEventLoop {
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean isRunning;
+    private double noticedAt = Double.NEGATIVE_INFINITY;
 
     /** The last listening socket. */
     public ModelServerChannel listening;
 
     /** The runtime has ended an operation: its handler runs as soon as the thread is free. */
     void complete(Runnable handler) {
-        super.schedule(0, handler);
+        // Done at once where a task of the loop's own begins the operation.
+        double at = isRunning ? Double.NEGATIVE_INFINITY : now();
+        super.schedule(
+                0,
+                () -> {
+                    noticedAt = at;
+                    handler.run();
+                    noticedAt = Double.NEGATIVE_INFINITY;
+                });
+    }
+
+    @Override
+    public double noticedAt() {
+        return noticedAt;
     }
 
     @Override
--- a/src/test/java/gingerspool/wire/ModelSocketChannel.java
+++ b/src/test/java/gingerspool/wire/ModelSocketChannel.java
@@ -13,12 +13,13 @@
 
 /**
  * A connection in memory. What its client says is read at once by a thread of the runtime's, and
- * the end of that waits for a turn of the loop.
+ * the end of that waits for a turn of the loop; until it is to be read the kernel keeps it.
  */
 public final class ModelSocketChannel extends AsynchronousSocketChannel {
     private final ModelChannelLoop loop;
     private final SocketAddress remote;
     private Consumer<byte[]> reader;
+    private String unread = "";
     private boolean open = true;
 
     /** What the process has answered. */
@@ -32,10 +33,17 @@
 
     /** The client sends this; whatever comes after a close is lost. */
     public void say(String text) {
-        if (reader != null) {
+        unread += open ? text : "";
+        readNext();
+    }
+
+    private void readNext() {
+        if (reader != null && !unread.isEmpty()) {
             Consumer<byte[]> now = reader;
+            byte[] bytes = unread.getBytes(StandardCharsets.ISO_8859_1);
             reader = null;
-            now.accept(text.getBytes(StandardCharsets.ISO_8859_1));
+            unread = "";
+            now.accept(bytes);
         }
     }
 
@@ -47,6 +55,7 @@
                     to.put(bytes);
                     loop.complete(() -> h.completed(bytes.length, a));
                 };
+        readNext();
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -0,0 +1,77 @@
+package gingerspool.wire;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+/**
+ * A process that stood still reads what came meanwhile after that, and must not take it for new.
+ */
+public class StallTrackerTest {
+    private static final double BEAT = 50;
+
+    private final StallTracker stalls = new StallTracker();
+
+    /** Timers fire on time, the last one at `until`. */
+    private static StallTracker onTime(StallTracker stalls, double from, double until) {
+        for (double at = from; at <= until; at += BEAT) {
+            stalls.fired(at, at);
+        }
+        return stalls;
+    }
+
+    @Test
+    public void whatIsNoticedByAProcessOnTimeCameThen() {
+        onTime(stalls, 0, 1000);
+        assertEquals(stalls.earliest(1010), 1010.0);
+    }
+
+    @Test
+    public void whatIsNoticedRightAfterAStallMayHaveComeWithItsBegin() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        assertEquals(seen.earliest(1801), 1000.0);
+        assertEquals(seen.earliest(1790), 1000.0, "noticed before the loop itself went on");
+    }
+
+    @Test
+    public void whatIsNoticedLaterCameThen() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        assertEquals(seen.earliest(1900), 1900.0);
+    }
+
+    /** Only the loop was held up: the thread that reads was not. */
+    @Test
+    public void whatWasNoticedInTheMiddleOfAStallCameThen() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        assertEquals(seen.earliest(1400), 1400.0);
+    }
+
+    @Test
+    public void stallsInARowCountAsOneUntilTheProcessHasCaughtUp() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        seen.fired(1850, 2600);
+        assertEquals(seen.earliest(2601), 1000.0);
+    }
+
+    @Test
+    public void aStallAfterTheProcessHasCaughtUpIsAnother() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        onTime(seen, 1850, 2000);
+        seen.fired(2050, 2600);
+        assertEquals(seen.earliest(2601), 2000.0);
+    }
+
+    /** Without a timer before it the stall began no earlier than the one that was late shows. */
+    @Test
+    public void theBeginOfAStallIsBoundedByTheLateTimer() {
+        StallTracker seen = new StallTracker();
+        seen.fired(0, 0);
+        seen.fired(5000, 5700);
+        assertEquals(seen.earliest(5701), 5000.0 - StallTracker.LATE);
+    }
+}
