The platform's scheduler counts a request's time from when it may have come

Evidence: RequestRouterTest.aRequestThatIsReadLateIsAnsweredBeforeItsClientsDeadline needs the change: noticed 400 ms earlier, 900 ms left, answered by 500 ms.

--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -174,9 +174,11 @@
 
     // ---- Clients' connections ----
 
-    void accept(AsynchronousSocketChannel channel) {
+    /** A client that may have written since `letInFrom`, in milliseconds on the loop's clock. */
+    void accept(AsynchronousSocketChannel channel, double letInFrom) {
         Inbound connection =
                 new Inbound(loop, channel, this, DEFAULT_IDLE_TIMEOUT, DEFAULT_READ_TIMEOUT);
+        connection.mayHoldSince(letInFrom);
         limit(connection);
         connections.add(connection);
         connection.endAfterAnswer(leaving);
@@ -277,7 +279,9 @@
         double urgentAt = dueAt - Math.max(0, most - deadline);
         PendingRequest taken =
                 new PendingRequest(id, from, request, route, now, dueAt, urgentAt, isFirstAttempt);
-        taken.expiry = now + Math.max(1, Math.min(deadline, most));
+        // The client counts from when it wrote, however long that was under way to us.
+        double waited = Math.max(0, now - from.arrivedFrom());
+        taken.expiry = now + Math.max(1, Math.min(deadline, most) - waited);
         pending.add(taken);
         from.whenGone(
                 () -> {
--- a/src/main/java/gingerspool/dataplane/SchedulerNode.java
+++ b/src/main/java/gingerspool/dataplane/SchedulerNode.java
@@ -172,7 +172,12 @@
 
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
-        router.accept(channel);
+        accepted(channel, loop.now());
+    }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel, double letInFrom) {
+        router.accept(channel, letInFrom);
     }
 
     // ---- The core ----
--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -300,7 +300,7 @@
             if (channel == null) {
                 channel = network.channel();
                 channel.join(new Line(channel));
-                network.execute(() -> router.accept(channel));
+                network.execute(() -> router.accept(channel, network.noticedAt()));
             }
             ask();
         }
--- a/src/test/java/gingerspool/dataplane/ModelNetwork.java
+++ b/src/test/java/gingerspool/dataplane/ModelNetwork.java
@@ -56,6 +56,9 @@
     private double now = 1_000_000;
     private String fault;
 
+    /** The loop comes to each event so much later than the runtime noticed it. */
+    double noticedEarlierBy;
+
     ModelNetwork(long seed, Set<RequestSafeguard> without) {
         chance = new SplittableRandom(seed);
         this.without = without.isEmpty() ? EnumSet.noneOf(RequestSafeguard.class) : without;
@@ -133,6 +136,11 @@
         return now;
     }
 
+    @Override
+    public double noticedAt() {
+        return now - noticedEarlierBy;
+    }
+
     @Override
     public AsynchronousChannelGroup group() {
         return null;
--- a/src/test/java/gingerspool/dataplane/RequestRouterTest.java
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -37,7 +37,7 @@
 
         Line() {
             channel.join(this);
-            network.execute(() -> router.accept(channel));
+            network.execute(() -> router.accept(channel, network.noticedAt()));
         }
 
         Line send(String text) {
@@ -187,6 +187,21 @@
         assertEquals(line.status(), "503");
     }
 
+    /** A loop that was late gave a request its whole time from when it read it. */
+    @Test
+    public void aRequestThatIsReadLateIsAnsweredBeforeItsClientsDeadline() {
+        InetSocketAddress silent = new InetSocketAddress("127.0.0.1", 9);
+        network.listenSilently(silent);
+        network.noticedEarlierBy = 400;
+        Line line = new Line().ask("a", "unsafe", 900);
+        run(20);
+        grant("i-1", 9, 1);
+        run(450);
+        assertEquals(line.status(), "", "it connects still");
+        run(50);
+        assertEquals(line.status(), "503");
+    }
+
     @Test
     public void atTheEndOfAProcessWhoeverWaitsGetsAnAnswer() {
         Line line = new Line().ask("a", "safe", 900);
