An operator's call counts from when it may have come, not from when it was read

Operators saw an answer after more than 1 s: where another process had to acknowledge a command and did not, the 0.8 s for that began when the loop came to the call.

Evidence: OverlappingHandoverTest.anAnswerIsInTimeThoughTheCallIsReadLate, the loop held up for 400 ms beside a stopped successor, took over 1 s on the text before.

Change: the answer is due 0.9 s after the earliest time at which the call may have come; others have 0.8 s of that as before, and 0.4 s at the least, since a no where a yes is owed is no better than a late yes.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -544,6 +544,7 @@
                 handover.propagate(
                         what,
                         worker,
+                        reply.calledFrom(),
                         told ->
                                 reply.answer(
                                         told
--- a/src/main/java/gingerspool/handover/CommandPropagation.java
+++ b/src/main/java/gingerspool/handover/CommandPropagation.java
@@ -20,20 +20,26 @@
     /** How long the other process may take over a command, in milliseconds. */
     static final double PATIENCE = 700;
 
-    /** An operator's call is answered by then, whoever else has to know of it, in milliseconds. */
+    /** Others have so long to acknowledge a command that was read in time, in milliseconds. */
     private static final double ANSWER_WITHIN = 800;
 
     /**
-     * A process that has the state and acknowledges no command by then is the successor no more, in
-     * milliseconds.
+     * A process that has the state and acknowledges no command in this part of the time that there
+     * is for it is the successor no more.
      */
-    private static final double JOINED_WITHIN = ANSWER_WITHIN / 2;
+    private static final double JOINED_PART = 0.5;
 
     /**
      * The end of another process is seen so soon after a call to it has broken, in milliseconds.
      */
     private static final double GONE_SEEN_WITHIN = 100;
 
+    /** An operator has the answer so long after the call, in milliseconds: 1 s is owed. */
+    private static final double OWED_WITHIN = 900;
+
+    /** Others have so long at the least, in milliseconds, however late the call was read. */
+    private static final double LEAST_PATIENCE = ANSWER_WITHIN / 2;
+
     private static final byte[] NOTHING = {};
 
     private final EventLoop loop;
@@ -59,24 +65,29 @@
         this.successorGone = successorGone;
     }
 
-    /** Tells the other processes and the file; then says whether all have it. */
-    void propagate(String command, String worker, Consumer<Boolean> done) {
-        propagate(command, worker, "", done);
+    /**
+     * Tells the other processes and the file; then says whether all have it. The operator may have
+     * called since `calledFrom`, in milliseconds on the loop's clock.
+     */
+    void propagate(String command, String worker, double calledFrom, Consumer<Boolean> done) {
+        double left = Math.min(ANSWER_WITHIN, calledFrom + OWED_WITHIN - loop.now());
+        propagate(command, worker, "", Math.max(LEAST_PATIENCE, left), done);
     }
 
-    /** All but the one that it came from are told. */
-    private void propagate(String command, String worker, String except, Consumer<Boolean> done) {
+    /** All but the one that it came from are told, and have so long to acknowledge it. */
+    private void propagate(
+            String command, String worker, String except, double within, Consumer<Boolean> done) {
         Acknowledgements all = new Acknowledgements(command, done);
-        loop.schedule(ANSWER_WITHIN, all::giveUp);
+        loop.schedule(within, all::giveUp);
         if (peers.after() != null
                 && !peers.isAfter(except)
                 && peers.succession().commandToldAfter()) {
             all.addPeer();
-            tell(peers.after(), command, worker, all);
+            tell(peers.after(), command, worker, within, all);
         }
         if (peers.isBesideBefore() && !peers.isBefore(except)) {
             all.addPeer();
-            tell(peers.before(), command, worker, all);
+            tell(peers.before(), command, worker, within, all);
         }
         if (!peers.isSucceeded()) {
             all.addFile();
@@ -85,11 +96,12 @@
         all.allTold();
     }
 
-    private void tell(Peer peer, String command, String worker, Acknowledgements all) {
+    private void tell(
+            Peer peer, String command, String worker, double within, Acknowledgements all) {
         HandoverMessages.Command message =
                 new HandoverMessages.Command(command, worker, ++peer.told, peer.ask);
         double sentAt = loop.now();
-        Future<?> tooLate = loop.schedule(JOINED_WITHIN, () -> dropJoined(peer));
+        Future<?> tooLate = loop.schedule(JOINED_PART * within, () -> dropJoined(peer));
         peer.commands.call(
                 "word",
                 message.bytes(),
@@ -174,6 +186,7 @@
                 message.command(),
                 message.worker(),
                 teller,
+                ANSWER_WITHIN,
                 all ->
                         from.answer(
                                 all ? CallStatus.OK : CallStatus.UNAVAILABLE, List.of(), NOTHING));
--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -172,9 +172,11 @@
 
     /**
      * Tells an operator's command to the other processes and the file; then whether all have it.
+     * The operator may have called since `calledFrom`, in milliseconds on the loop's clock.
      */
-    public void propagate(String command, String worker, Consumer<Boolean> done) {
-        propagation.propagate(command, worker, done);
+    public void propagate(
+            String command, String worker, double calledFrom, Consumer<Boolean> done) {
+        propagation.propagate(command, worker, calledFrom, done);
     }
 
     /**
--- a/src/main/java/gingerspool/wire/ManagementEndpoint.java
+++ b/src/main/java/gingerspool/wire/ManagementEndpoint.java
@@ -43,6 +43,9 @@
 
     /** Who is told how a call ended, once. */
     public interface Reply {
+        /** The earliest time at which the operator may have called, on the loop's clock. */
+        double calledFrom();
+
         void answer(Answer how);
     }
 
@@ -140,7 +143,13 @@
 
     @Override
     public void accepted(AsynchronousSocketChannel channel) {
+        accepted(channel, loop.now());
+    }
+
+    @Override
+    public void accepted(AsynchronousSocketChannel channel, double letInFrom) {
         Inbound connection = new Inbound(loop, channel, this, PATIENCE, PATIENCE);
+        connection.mayHoldSince(letInFrom);
         all.add(connection);
         waiting.add(connection);
         connection.start();
@@ -245,20 +254,29 @@
     }
 
     private Reply reply(Inbound from, String path) {
-        return how -> {
-            if (how == Answer.YES) {
-                answered++;
-            } else {
-                refused++;
+        return new Reply() {
+            @Override
+            public double calledFrom() {
+                return from.arrivedFrom();
+            }
+
+            @Override
+            public void answer(Answer how) {
+                ended(from, path, how);
             }
-            LOG.atDebug()
-                    .addKeyValue("path", path)
-                    .addKeyValue("answer", how)
-                    .log("management.call");
-            answer(from, how.status, List.of(), how.text);
         };
     }
 
+    private void ended(Inbound from, String path, Answer how) {
+        if (how == Answer.YES) {
+            answered++;
+        } else {
+            refused++;
+        }
+        LOG.atDebug().addKeyValue("path", path).addKeyValue("answer", how).log("management.call");
+        answer(from, how.status, List.of(), how.text);
+    }
+
     private void answer(Inbound from, int status, List<String> fields, String text) {
         if (all.contains(from)) {
             leaving.add(from);
--- a/src/test/java/gingerspool/daemon/LateLoopTest.java
+++ b/src/test/java/gingerspool/daemon/LateLoopTest.java
@@ -6,7 +6,6 @@
 import gingerspool.dispatch.Bench;
 import java.net.Socket;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -55,22 +54,6 @@
                 + "\r\nContent-Length: 0\r\n\r\n";
     }
 
-    /** From now on the loop does nothing else for so long; returns once that has begun. */
-    private void holdLoop() throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch never = new CountDownLatch(1);
-        daemon.loop.submit(
-                () -> {
-                    held.countDown();
-                    try {
-                        never.await(HELD_MS, TimeUnit.MILLISECONDS);
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
-        held.await();
-    }
-
     private static long msSince(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
@@ -80,7 +63,7 @@
     public void aRequestThatIsReadLateIsAnsweredBeforeItsClientsExpiry() throws Exception {
         Socket kept = to(daemon.clients.address(), "GET /healthz HTTP/1.1\r\n\r\n");
         assertTrue(Bench.read(kept).endsWith("ready\n"));
-        holdLoop();
+        holdLoop(daemon, HELD_MS);
         long written = System.nanoTime();
         Bench.write(kept, task("i1", TIME_LEFT_MS));
         Socket fresh = to(daemon.clients.address(), task("i2", TIME_LEFT_MS));
@@ -93,7 +76,7 @@
 
     @Test
     public void aRequestWhoseTimeIsOverIsRefusedAtOnce() throws Exception {
-        holdLoop();
+        holdLoop(daemon, HELD_MS);
         long written = System.nanoTime();
         Socket client = to(daemon.clients.address(), task("i1", (int) HELD_MS / 2));
         assertTrue(Bench.read(client).startsWith("HTTP/1.1 503 "));
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -75,6 +75,20 @@
         held.close();
     }
 
+    /** Guards operators: the call waits for a loop that is late, and its time runs meanwhile. */
+    @Test
+    public void anAnswerIsInTimeThoughTheCallIsReadLate() throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", 700);
+        ready(first);
+        takeFrom(first);
+        Socket held = beginLinkCall(first, secretOfNote(), "hold", "");
+        holdLoop(first, 400);
+        long since = System.nanoTime();
+        assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 503);
+        assertTrue(System.nanoTime() - since < ANSWER_OWED, "the answer took over 1 s");
+        held.close();
+    }
+
     /** A client that has come to this process and has not written its request yet. */
     private Socket comes(Daemon to) throws Exception {
         Socket client = to(to.clients.address(), "");
--- a/src/test/java/gingerspool/daemon/Rig.java
+++ b/src/test/java/gingerspool/daemon/Rig.java
@@ -8,6 +8,8 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** The sockets of a test that stands in for clients, operators, a worker and discovery itself. */
 abstract class Rig {
@@ -40,4 +42,20 @@
         Bench.write(s, text);
         return s;
     }
+
+    /** From now on the loop does nothing else for so long; returns once that has begun. */
+    static void holdLoop(Daemon daemon, long ms) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch never = new CountDownLatch(1);
+        daemon.loop.submit(
+                () -> {
+                    held.countDown();
+                    try {
+                        never.await(ms, TimeUnit.MILLISECONDS);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+        held.await();
+    }
 }
