After a stall an event came no earlier than the last look at the sockets before it

Need: beside a load of 30 to 48 timers are late in a row, and stalls that follow each other count as one; a request would be taken for seconds old though the thread that reads had noticed others meanwhile.

Change: EventExecutor notes when an earlier look at the sockets noticed something; an event that it did not show came after that.

Test: StallTrackerTest.whatAnEarlierLookDidNotShowCameAfterIt.

--- a/src/main/java/gingerspool/wire/EventExecutor.java
+++ b/src/main/java/gingerspool/wire/EventExecutor.java
@@ -10,14 +10,27 @@
  * notes when each was handed over. That is when the runtime's own thread, which waits for the
  * sockets, noticed the event; the loop may come to it much later.
  *
- * <p>Thread: any; {@link #noticedAtNanos} belongs to the loop's thread.
+ * <p>Thread: any; {@link #present} belongs to the loop's thread.
  */
 final class EventExecutor extends AbstractExecutorService {
-    /** The operation was done at once, so nobody had to wait for the event. */
-    static final long DONE_AT_ONCE = Long.MIN_VALUE;
+    /**
+     * Events noticed with more than this between them were not noticed by one look at the sockets.
+     */
+    private static final long SAME_LOOK_NANOS = 20_000_000;
+
+    /**
+     * An event that the runtime waited for, in System.nanoTime().
+     *
+     * @param noticedAt when it was noticed
+     * @param lookedAt when an earlier look at all sockets noticed others: this one had not come yet
+     */
+    record Notice(long noticedAt, long lookedAt) {}
 
     private final ExecutorService loop;
-    private long noticedAtNanos = DONE_AT_ONCE;
+    private Notice latest;
+
+    /** That of the loop's present task; null where its operation was done at once. */
+    private Notice present;
 
     EventExecutor(ExecutorService loop) {
         this.loop = loop;
@@ -25,31 +38,38 @@
 
     @Override
     public void execute(Runnable event) {
-        long at = System.nanoTime();
         Thread from = Thread.currentThread();
-        loop.execute(() -> run(event, from, at));
+        Notice notice = notice(System.nanoTime());
+        loop.execute(() -> run(event, from, notice));
     }
 
-    private void run(Runnable event, Thread from, long at) {
-        noticedAtNanos = from == Thread.currentThread() ? DONE_AT_ONCE : at;
+    private synchronized Notice notice(long at) {
+        if (latest == null) {
+            latest = new Notice(at, at);
+        } else {
+            boolean isLater = at - latest.noticedAt > SAME_LOOK_NANOS;
+            latest = new Notice(at, isLater ? latest.noticedAt : latest.lookedAt);
+        }
+        return latest;
+    }
+
+    private void run(Runnable event, Thread from, Notice notice) {
+        present = from == Thread.currentThread() ? null : notice;
         try {
             event.run();
         } finally {
-            noticedAtNanos = DONE_AT_ONCE;
+            present = null;
         }
     }
 
-    /**
-     * When the event that the loop's present task tells of was noticed, by System.nanoTime(), or
-     * DONE_AT_ONCE.
-     */
-    long noticedAtNanos() {
-        return noticedAtNanos;
+    /** Of the event that the loop's present task tells of; null where nobody waited for it. */
+    Notice present() {
+        return present;
     }
 
     /** The present task no longer tells of an event. */
     void eventHandled() {
-        noticedAtNanos = DONE_AT_ONCE;
+        present = null;
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -142,10 +142,10 @@
 
     @Override
     public double noticedAt() {
-        long at = events.noticedAtNanos();
-        return at == EventExecutor.DONE_AT_ONCE
+        EventExecutor.Notice notice = events.present();
+        return notice == null
                 ? Double.NEGATIVE_INFINITY
-                : stalls.earliest(unixMs(at));
+                : stalls.earliest(unixMs(notice.noticedAt()), unixMs(notice.lookedAt()));
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/StallTracker.java
+++ b/src/main/java/gingerspool/wire/StallTracker.java
@@ -32,12 +32,13 @@
     }
 
     /**
-     * The earliest time at which an event may have come that was noticed at this time. One that was
-     * noticed while the loop was held up shows that the rest of the process was not.
+     * The earliest time at which an event may have come that was noticed at this time, where others
+     * had been noticed before by another look at the sockets. One that was noticed while the loop
+     * was held up shows that the rest of the process was not.
      */
-    double earliest(double noticedAt) {
+    double earliest(double noticedAt, double lookedAt) {
         boolean afterStall =
                 noticedAt >= stalledUntil - CATCH_UP && noticedAt <= stalledUntil + CATCH_UP;
-        return afterStall ? Math.min(noticedAt, stalledFrom) : noticedAt;
+        return afterStall ? Math.min(noticedAt, Math.max(stalledFrom, lookedAt)) : noticedAt;
     }
 }
--- a/src/test/java/gingerspool/wire/StallTrackerTest.java
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -10,6 +10,9 @@
 public class StallTrackerTest {
     private static final double BEAT = 50;
 
+    /** No event had been noticed for long before. */
+    private static final double LONG_AGO = -1000;
+
     private final StallTracker stalls = new StallTracker();
 
     /** Timers fire on time, the last one at `until`. */
@@ -23,22 +26,23 @@
     @Test
     public void whatIsNoticedByAProcessOnTimeCameThen() {
         onTime(stalls, 0, 1000);
-        assertEquals(stalls.earliest(1010), 1010.0);
+        assertEquals(stalls.earliest(1010, LONG_AGO), 1010.0);
     }
 
     @Test
     public void whatIsNoticedRightAfterAStallMayHaveComeWithItsBegin() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
         seen.fired(1050, 1800);
-        assertEquals(seen.earliest(1801), 1000.0);
-        assertEquals(seen.earliest(1790), 1000.0, "noticed before the loop itself went on");
+        assertEquals(seen.earliest(1801, LONG_AGO), 1000.0);
+        assertEquals(
+                seen.earliest(1790, LONG_AGO), 1000.0, "noticed before the loop itself went on");
     }
 
     @Test
     public void whatIsNoticedLaterCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
         seen.fired(1050, 1800);
-        assertEquals(seen.earliest(1900), 1900.0);
+        assertEquals(seen.earliest(1900, LONG_AGO), 1900.0);
     }
 
     /** Only the loop was held up: the thread that reads was not. */
@@ -46,7 +50,7 @@
     public void whatWasNoticedInTheMiddleOfAStallCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
         seen.fired(1050, 1800);
-        assertEquals(seen.earliest(1400), 1400.0);
+        assertEquals(seen.earliest(1400, LONG_AGO), 1400.0);
     }
 
     @Test
@@ -54,7 +58,7 @@
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
         seen.fired(1050, 1800);
         seen.fired(1850, 2600);
-        assertEquals(seen.earliest(2601), 1000.0);
+        assertEquals(seen.earliest(2601, LONG_AGO), 1000.0);
     }
 
     @Test
@@ -63,7 +67,7 @@
         seen.fired(1050, 1800);
         onTime(seen, 1850, 2000);
         seen.fired(2050, 2600);
-        assertEquals(seen.earliest(2601), 2000.0);
+        assertEquals(seen.earliest(2601, LONG_AGO), 2000.0);
     }
 
     /** Without a timer before it the stall began no earlier than the one that was late shows. */
@@ -72,6 +76,15 @@
         StallTracker seen = new StallTracker();
         seen.fired(0, 0);
         seen.fired(5000, 5700);
-        assertEquals(seen.earliest(5701), 5000.0 - StallTracker.LATE);
+        assertEquals(seen.earliest(5701, LONG_AGO), 5000.0 - StallTracker.LATE);
+    }
+
+    /** The sockets were looked at in between: what that did not show came later. */
+    @Test
+    public void whatAnEarlierLookDidNotShowCameAfterIt() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800);
+        seen.fired(1850, 2600);
+        assertEquals(seen.earliest(2601, 1805), 1805.0);
     }
 }
