LatenessListener and LateSpan: an event loop can tell when it was late

The load tool is to lay the lateness of its own loop beside the answers that it received. The interface, the value and the setter alone: nothing is told yet.

--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -39,6 +39,9 @@
     private long warnedAtNanos = startedAtNanos - WARNING_INTERVAL_NANOS;
     private double latestTimerMs;
 
+    /** Set before the first task that may be late, from any thread. */
+    private volatile LatenessListener listener = span -> {};
+
     /** What the thread had run and waited by the last late timer, or by its start. */
     private ProcessorUse usedBefore = new ProcessorUse(0, 0);
 
@@ -119,6 +122,11 @@
         usedBeforeAtNanos = warnedAtNanos;
     }
 
+    /** Tells a listener of each late span from here on; from any thread. */
+    public void setLatenessListener(LatenessListener listener) {
+        this.listener = listener;
+    }
+
     /** The most that a timer was late by, in milliseconds, since this was last called. */
     public double takeLatestTimerMs() {
         double latest = latestTimerMs;
