A late loop's log line covers the late time alone, and says what held it up

What on-call saw: loop.timer_late told ran_ms and waited_ms since the last such line or the start. A wait of 2 s could lie long before the late timer, and a loop that was stopped or waited for a lock or the disk could not be told from one without a processor.

Change: the thread's processor use is read when a task ends and the last reading is 50 ms old (no wake-up; none in a process's first second unless a line asks). The line begins at the reading before the timer was due, and adds blocked_ms, what the thread neither ran nor waited of the late time. Page faults, the wait for the disk, steal and the machine's pressure are read once a second and with a line. A task of more than 50 ms is logged as loop.task_slow with the same split. A LatenessListener is told of each late span, without overlaps.

--- /dev/null
+++ b/src/main/java/gingerspool/wire/KernelFile.java
@@ -0,0 +1,57 @@
+package gingerspool.wire;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+
+/**
+ * The beginning of a file of the kernel, read anew each time. It is opened at the first reading and
+ * kept open, so that a further one is a single system call. A path of the calling thread stays that
+ * of the thread that read first. A file that could not be read once is not tried again.
+ */
+final class KernelFile implements Closeable {
+    private static final int MOST_BYTES = 1024;
+
+    private final Path path;
+    private final byte[] bytes = new byte[MOST_BYTES];
+    private FileChannel channel;
+    private boolean isUsable = true;
+
+    KernelFile(String path) {
+        this.path = Path.of(path);
+    }
+
+    /** The first bytes of the file as they are now; "" where the system has no such file. */
+    synchronized String read() {
+        if (!isUsable) {
+            return "";
+        }
+        try {
+            if (channel == null) {
+                channel = FileChannel.open(path);
+            }
+            int length = channel.read(ByteBuffer.wrap(bytes), 0);
+            return new String(bytes, 0, Math.max(0, length), StandardCharsets.ISO_8859_1);
+        } catch (IOException | RuntimeException e) {
+            close();
+            return "";
+        }
+    }
+
+    /** Nothing is read from here on. */
+    @Override
+    public synchronized void close() {
+        isUsable = false;
+        if (channel == null) {
+            return;
+        }
+        try {
+            channel.close();
+        } catch (IOException e) {
+            channel = null; // nothing was written, so nothing is lost
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gingerspool/wire/KernelReadings.java
@@ -0,0 +1,43 @@
+package gingerspool.wire;
+
+import java.util.Optional;
+
+/** Readings from the files of Linux; on another system, or where they are missing, none. */
+final class KernelReadings implements LoopReadings {
+    private final KernelFile processorUse = new KernelFile("/proc/thread-self/schedstat");
+    private final KernelFile threadStalls = new KernelFile("/proc/thread-self/stat");
+    private final KernelFile machine = new KernelFile("/proc/stat");
+    private final KernelFile processorPressure = new KernelFile("/proc/pressure/cpu");
+    private final KernelFile diskPressure = new KernelFile("/proc/pressure/io");
+    private final KernelFile memoryPressure = new KernelFile("/proc/pressure/memory");
+
+    @Override
+    public Optional<ProcessorUse> processorUse() {
+        String line = processorUse.read();
+        return line.isEmpty() ? Optional.empty() : ProcessorUse.parse(line);
+    }
+
+    @Override
+    public ThreadStalls threadStalls() {
+        return ThreadStalls.parse(threadStalls.read());
+    }
+
+    @Override
+    public MachinePressure machinePressure() {
+        return MachinePressure.parse(
+                machine.read(),
+                processorPressure.read(),
+                diskPressure.read(),
+                memoryPressure.read());
+    }
+
+    @Override
+    public void close() {
+        processorUse.close();
+        threadStalls.close();
+        machine.close();
+        processorPressure.close();
+        diskPressure.close();
+        memoryPressure.close();
+    }
+}
--- a/src/main/java/gingerspool/wire/ProcessorUse.java
+++ b/src/main/java/gingerspool/wire/ProcessorUse.java
@@ -1,29 +1,19 @@
 package gingerspool.wire;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Optional;
 
 /**
  * How long a thread has run, and how long it was ready and waited for a processor, as Linux counts
  * both: what tells a loop that works too long from one that gets no processor. Times are
- * milliseconds.
+ * milliseconds; a thread that runs is counted up to the kernel's last tick, some milliseconds ago.
  */
 record ProcessorUse(double ranMs, double waitedMs) {
-    private static final Path OF_THIS_THREAD = Path.of("/proc/thread-self/schedstat");
-    private static final double NANOS_PER_MS = 1e6;
+    /** That of a thread that begins. */
+    static final ProcessorUse NONE = new ProcessorUse(0, 0);
 
-    /** That of the calling thread since it began; empty where the system does not tell. */
-    static Optional<ProcessorUse> ofThisThread() {
-        try {
-            return parse(Files.readString(OF_THIS_THREAD));
-        } catch (IOException e) {
-            return Optional.empty();
-        }
-    }
+    private static final double NANOS_PER_MS = 1e6;
 
-    /** Reads "RAN WAITED SLICES", the first two in nanoseconds. */
+    /** Reads "RAN WAITED SLICES" of schedstat, the first two in nanoseconds. */
     static Optional<ProcessorUse> parse(String line) {
         String[] fields = line.strip().split(" ");
         try {
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * The event loop of a process: one thread on which completion handlers and timers end. It owns
@@ -19,12 +18,6 @@
 public final class SingleThreadEventLoop implements EventLoop {
     private static final Logger LOG = LoggerFactory.getLogger(SingleThreadEventLoop.class);
 
-    /** A timer that fires later than this is logged. */
-    private static final double LATE_TIMER_MS = 50;
-
-    /** Late timers are logged once in this time at the most. */
-    private static final long WARNING_INTERVAL_NANOS = 1_000_000_000;
-
     private static final double NANOS_PER_MS = 1e6;
 
     private final ScheduledThreadPoolExecutor thread;
@@ -36,16 +29,13 @@
     private final double startedAt = System.currentTimeMillis();
     private final long startedAtNanos = System.nanoTime();
     private boolean isRunning;
-    private long warnedAtNanos = startedAtNanos - WARNING_INTERVAL_NANOS;
-    private double latestTimerMs;
-
-    /** Set before the first task that may be late, from any thread. */
-    private volatile LatenessListener listener = span -> {};
-
-    /** What the thread had run and waited by the last late timer, or by its start. */
-    private ProcessorUse usedBefore = new ProcessorUse(0, 0);
 
-    private long usedBeforeAtNanos = startedAtNanos;
+    private final LatenessMonitor lateness =
+            new LatenessMonitor(
+                    LOG,
+                    new LoopUse(new KernelReadings(), startedAtNanos),
+                    startedAtNanos,
+                    this::unixMs);
 
     public SingleThreadEventLoop() throws IOException {
         thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "loop"));
@@ -62,8 +52,12 @@
         }
         isRunning = true;
         try {
+            long began = System.nanoTime();
             for (Runnable next = tasks.poll(); next != null; next = tasks.poll()) {
                 run(next);
+                long ended = System.nanoTime();
+                lateness.taskEnded(next, began, ended);
+                began = ended;
             }
         } finally {
             isRunning = false;
@@ -90,53 +84,30 @@
         long dueNanos = System.nanoTime() + delayNanos;
         return thread.schedule(
                 () -> {
-                    noteLateness((System.nanoTime() - dueNanos) / NANOS_PER_MS);
+                    lateness.timerFired(dueNanos, System.nanoTime());
                     execute(task);
                 },
                 delayNanos,
                 TimeUnit.NANOSECONDS);
     }
 
-    private void noteLateness(double lateMs) {
-        latestTimerMs = Math.max(latestTimerMs, lateMs);
-        if (lateMs > LATE_TIMER_MS && System.nanoTime() - warnedAtNanos > WARNING_INTERVAL_NANOS) {
-            warnedAtNanos = System.nanoTime();
-            LoggingEventBuilder line = LOG.atWarn().addKeyValue("ms", Math.round(lateMs));
-            addProcessorUse(line);
-            line.log("loop.timer_late");
-        }
-    }
-
-    /** Tells a loop that works for too long from one that gets no processor. */
-    private void addProcessorUse(LoggingEventBuilder line) {
-        ProcessorUse used = ProcessorUse.ofThisThread().orElse(null);
-        if (used == null) {
-            return;
-        }
-        ProcessorUse meanwhile = used.since(usedBefore);
-        line.addKeyValue(
-                        "within_ms", Math.round((warnedAtNanos - usedBeforeAtNanos) / NANOS_PER_MS))
-                .addKeyValue("ran_ms", Math.round(meanwhile.ranMs()))
-                .addKeyValue("waited_ms", Math.round(meanwhile.waitedMs()));
-        usedBefore = used;
-        usedBeforeAtNanos = warnedAtNanos;
-    }
-
     /** Tells a listener of each late span from here on; from any thread. */
     public void setLatenessListener(LatenessListener listener) {
-        this.listener = listener;
+        lateness.setListener(listener);
     }
 
     /** The most that a timer was late by, in milliseconds, since this was last called. */
     public double takeLatestTimerMs() {
-        double latest = latestTimerMs;
-        latestTimerMs = 0;
-        return latest;
+        return lateness.takeLatestTimerMs();
     }
 
     @Override
     public double now() {
-        return startedAt + (System.nanoTime() - startedAtNanos) / NANOS_PER_MS;
+        return unixMs(System.nanoTime());
+    }
+
+    private double unixMs(long nanos) {
+        return startedAt + (nanos - startedAtNanos) / NANOS_PER_MS;
     }
 
     @Override
@@ -152,5 +123,6 @@
             LOG.atWarn().addKeyValue("why", e.getMessage()).log("loop.close_failed");
         }
         thread.shutdownNow();
+        lateness.close();
     }
 }
--- /dev/null
+++ b/src/main/java/gingerspool/wire/ThreadStalls.java
@@ -0,0 +1,50 @@
+package gingerspool.wire;
+
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * What has made a thread wait for the disk, as Linux counts it. A figure that the system does not
+ * tell is NaN.
+ *
+ * @param majorFaults page faults that had to read the disk
+ * @param diskWaitMs time in which it waited for reads and writes of the disk, in milliseconds;
+ *     always 0 on a system that does not count it (kernel.task_delayacct)
+ */
+record ThreadStalls(double majorFaults, double diskWaitMs) {
+    static final ThreadStalls UNKNOWN = new ThreadStalls(Double.NaN, Double.NaN);
+
+    /** Those of a thread that begins. */
+    static final ThreadStalls NONE = new ThreadStalls(0, 0);
+
+    /** Places of fields after the thread's name, which may hold blanks. */
+    private static final int MAJOR_FAULTS = 9;
+
+    private static final int DISK_WAIT_TICKS = 39;
+
+    private static final double MS_PER_TICK = 10;
+
+    /** Reads the line of stat: "ID (NAME) STATE ...". */
+    static ThreadStalls parse(String line) {
+        int endOfName = line.lastIndexOf(") ");
+        if (endOfName < 0) {
+            return UNKNOWN;
+        }
+        String[] fields = line.substring(endOfName + 2).strip().split(" ");
+        return new ThreadStalls(
+                KernelFigures.at(fields, MAJOR_FAULTS),
+                KernelFigures.at(fields, DISK_WAIT_TICKS) * MS_PER_TICK);
+    }
+
+    /** What came on top of an earlier reading of the same thread. */
+    ThreadStalls since(ThreadStalls earlier) {
+        return new ThreadStalls(majorFaults - earlier.majorFaults, diskWaitMs - earlier.diskWaitMs);
+    }
+
+    /** Adds what is known; no disk_wait_ms of 0, since it may not be counted. */
+    void describe(LoggingEventBuilder line) {
+        KernelFigures.add(line, "major_faults", majorFaults);
+        if (diskWaitMs > 0) {
+            KernelFigures.add(line, "disk_wait_ms", diskWaitMs);
+        }
+    }
+}
--- a/src/test/java/gingerspool/wire/ProcessorUseTest.java
+++ b/src/test/java/gingerspool/wire/ProcessorUseTest.java
@@ -1,7 +1,6 @@
 package gingerspool.wire;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
 import org.testng.annotations.DataProvider;
@@ -26,21 +25,4 @@
     public void whatCannotBeReadIsNotKnown(String line) {
         assertEquals(ProcessorUse.parse(line), Optional.empty());
     }
-
-    /** A thread that works is seen to have run, where the system tells. */
-    @Test
-    public void aThreadThatWorksIsSeenToRun() {
-        Optional<ProcessorUse> before = ProcessorUse.ofThisThread();
-        long until = System.nanoTime() + 20_000_000;
-        while (System.nanoTime() < until) {
-            Thread.onSpinWait();
-        }
-        Optional<ProcessorUse> after = ProcessorUse.ofThisThread();
-        assertEquals(after.isPresent(), before.isPresent());
-        after.ifPresent(
-                use -> {
-                    ProcessorUse meanwhile = use.since(before.orElseThrow());
-                    assertTrue(meanwhile.ranMs() + meanwhile.waitedMs() > 0, meanwhile + "");
-                });
-    }
 }
--- /dev/null
+++ b/src/test/java/gingerspool/wire/ReadingHistoryTest.java
@@ -0,0 +1,37 @@
+package gingerspool.wire;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+/** A span begins at the reading before it. */
+public class ReadingHistoryTest {
+    @Test
+    public void theLatestReadingNoLaterIsFound() {
+        ReadingHistory<String> history = new ReadingHistory<>(3, 100, "first");
+        history.add(200, "second");
+        history.add(300, "third");
+        assertEquals(history.latestUntil(300).value(), "third");
+        assertEquals(history.latestUntil(299).value(), "second");
+        assertEquals(history.latestUntil(200).value(), "second");
+        assertEquals(history.latestUntil(199).value(), "first");
+        assertEquals(history.latest().atNanos(), 300);
+    }
+
+    @Test
+    public void theEarliestStandsForWhatIsNotKept() {
+        ReadingHistory<String> history = new ReadingHistory<>(2, 100, "first");
+        history.add(200, "second");
+        history.add(300, "third");
+        assertEquals(history.latestUntil(150).value(), "second");
+    }
+
+    /** The system's nanoseconds may begin anywhere and pass the end of their range. */
+    @Test
+    public void instantsMayOverflow() {
+        ReadingHistory<String> history = new ReadingHistory<>(2, Long.MAX_VALUE, "first");
+        history.add(Long.MIN_VALUE + 9, "second");
+        assertEquals(history.latestUntil(Long.MIN_VALUE + 8).value(), "first");
+        assertEquals(history.latestUntil(Long.MIN_VALUE + 10).value(), "second");
+    }
+}
--- /dev/null
+++ b/src/test/java/gingerspool/wire/SingleThreadEventLoopTest.java
@@ -0,0 +1,52 @@
+package gingerspool.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** The loop of the programs tells of its lateness. */
+public class SingleThreadEventLoopTest {
+    private static final long SPIN_NANOS = 60_000_000;
+    private static final long ANSWER_S = 20;
+
+    @Test
+    public void aTaskThatHoldsTheLoopUpMakesItsTimersLate() throws Exception {
+        SingleThreadEventLoop loop = new SingleThreadEventLoop();
+        try {
+            List<LateSpan> told = new CopyOnWriteArrayList<>();
+            loop.setLatenessListener(told::add);
+            CompletableFuture<Double> fired = new CompletableFuture<>();
+            CompletableFuture<Double> set = new CompletableFuture<>();
+            loop.submit(
+                    () -> {
+                        set.complete(loop.now());
+                        loop.schedule(0, () -> fired.complete(loop.now()));
+                        long until = System.nanoTime() + SPIN_NANOS;
+                        while (System.nanoTime() < until) {
+                            Thread.onSpinWait();
+                        }
+                    });
+            double firedAt = fired.get(ANSWER_S, TimeUnit.SECONDS);
+            assertEquals(told.size(), 1, told + "");
+            LateSpan span = told.get(0);
+            assertTrue(span.fromMs() >= set.get(), span + " " + set.get());
+            assertTrue(span.untilMs() <= firedAt, span + " " + firedAt);
+            assertTrue(span.untilMs() - span.fromMs() > 50, span + "");
+            assertTrue(loop.takeLatestTimerMs() > 50);
+        } finally {
+            loop.stop();
+        }
+    }
+
+    /** Nothing is left open by a loop that has ended, whichever readings it had taken. */
+    @Test
+    public void aLoopThatNeverRanCanBeStopped() throws IOException {
+        new SingleThreadEventLoop().stop();
+    }
+}
