A reader of the log that stalls no longer holds requests

What callers saw: where standard error is a pipe that nobody reads, or a file on a disk that stalls, no request, health check or operators' call was answered, and SIGTERM did not end the process.

Cause: serve, scheduler and control wrote each line to standard error on the event loop, under the simple logger's one lock.

Change: they log to a bounded buffer (256 kB, grown as needed) that one daemon thread writes; no lock is held during a write to the descriptor. Other subcommands write as before; a line and its end are one write there now.

Given up: a process that is killed, or exits on lack of memory, loses what was not written yet.

--- a/src/main/java/gingerspool/Main.java
+++ b/src/main/java/gingerspool/Main.java
@@ -11,7 +11,11 @@
     private Main() {}
 
     public static void main(String[] args) {
-        LogTimestamps.install();
+        if (args.length > 0 && isService(args[0])) {
+            LogTimestamps.installAsynchronous();
+        } else {
+            LogTimestamps.install();
+        }
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> System.exit(Daemon.serve(System.getenv()));
@@ -20,4 +24,12 @@
             default -> System.exit(Commands.run(args));
         }
     }
+
+    /** Whether the subcommand serves until it is told to end; the others are interactive. */
+    private static boolean isService(String command) {
+        return switch (command) {
+            case "serve", "scheduler", "control" -> true;
+            default -> false;
+        };
+    }
 }
--- a/src/main/java/gingerspool/cli/LogTimestamps.java
+++ b/src/main/java/gingerspool/cli/LogTimestamps.java
@@ -1,6 +1,9 @@
 package gingerspool.cli;
 
+import gingerspool.logging.AsynchronousLogOutput;
+import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.Charset;
 import java.time.LocalDateTime;
 import java.time.ZoneOffset;
 
@@ -13,7 +16,7 @@
     private static final int MS_PER_SECOND = 1000;
     private static final int NANOS_PER_MS = 1_000_000;
 
-    private LogTimestamps(PrintStream out) {
+    LogTimestamps(OutputStream out) {
         super(out, true);
     }
 
@@ -24,9 +27,19 @@
         }
     }
 
+    /** The same for a program whose threads must not wait for whoever reads standard error. */
+    public static void installAsynchronous() {
+        if (!(System.err instanceof LogTimestamps)) {
+            System.setErr(new LogTimestamps(AsynchronousLogOutput.install()));
+        }
+    }
+
+    /** Writes the whole line, with its end, at once. */
     @Override
     public void println(String line) {
-        super.println(time(System.currentTimeMillis()) + ' ' + line);
+        String text = time(System.currentTimeMillis()) + ' ' + line + System.lineSeparator();
+        byte[] bytes = text.getBytes(Charset.defaultCharset());
+        write(bytes, 0, bytes.length);
     }
 
     @Override
--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import gingerspool.handover.Handover;
 import gingerspool.handover.HandoverOwner;
+import gingerspool.logging.AsynchronousLogOutput;
 import gingerspool.wire.Address;
 import gingerspool.wire.BadMessage;
 import gingerspool.wire.ClientEndpoint;
@@ -236,6 +237,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        AsynchronousLogOutput.awaitInstalled();
     }
 
     /** To leave from this time on. */
--- a/src/test/java/gingerspool/ArchitectureTest.java
+++ b/src/test/java/gingerspool/ArchitectureTest.java
@@ -102,6 +102,8 @@
                 .definedBy("gingerspool.route..")
                 .layer("toml")
                 .definedBy("gingerspool.toml..")
+                .layer("logging")
+                .definedBy("gingerspool.logging..")
                 .layer("dispatch")
                 .definedBy("gingerspool.dispatch..")
                 .whereLayer("main")
@@ -159,6 +161,10 @@
                         "config", "cli", "daemon", "scenario", "experiment", "settings")
                 .whereLayer("route")
                 .mayOnlyBeAccessedByLayers("config", "daemon", "store", "program")
+                .whereLayer("logging")
+                .mayOnlyBeAccessedByLayers("cli", "daemon")
+                .whereLayer("logging")
+                .mayNotAccessAnyLayer()
                 .check(all);
     }
 }
--- /dev/null
+++ b/src/test/java/gingerspool/daemon/StalledPipeTest.java
@@ -0,0 +1,166 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.peers.Folders;
+import gingerspool.peers.Ports;
+import java.io.BufferedReader;
+import java.io.FileInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.RandomAccessFile;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A scheduler process whose standard error is a pipe that its reader leaves full. */
+public class StalledPipeTest {
+    /** What operators and the front are owed an answer in. */
+    private static final Duration ANSWER_WITHIN = Duration.ofSeconds(1);
+
+    /** From SIGTERM to SIGKILL: the longest expiry, 3 s at most, and 0.7 s. */
+    private static final long TIME_TO_LEAVE_MS = 3_700;
+
+    private static final int SIGTERM_EXIT = 143;
+
+    /** No other process has connections from this address, so a port found free stays free. */
+    private static final String HOST = "127.0.64.1";
+
+    private final HttpClient http = HttpClient.newHttpClient();
+    private Path folder;
+    private Path pipe;
+    private int clients;
+    private int operators;
+    private Process process;
+    private BufferedReader log;
+
+    /** Starts the process and reads its log up to the line that says that it serves. */
+    @BeforeMethod
+    public void begin() throws Exception {
+        folder = Files.createTempDirectory("gingerspool");
+        pipe = folder.resolve("stderr");
+        assertEquals(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor(), 0);
+        clients = Ports.free(HOST);
+        operators = Ports.free(HOST);
+        Files.writeString(
+                folder.resolve("node.json"),
+                ConfigurationTest.NODE
+                        .replace("127.0.0.1:0", HOST + ":" + clients)
+                        .replace('\'', '"'));
+        // A pipe is opened for writing without waiting only while somebody has it open to read.
+        RandomAccessFile both = new RandomAccessFile(pipe.toFile(), "rw");
+        try {
+            process = start();
+            log =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    new FileInputStream(pipe.toFile()), StandardCharsets.UTF_8));
+        } finally {
+            both.close();
+        }
+        skipTo(" serving");
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        process.destroyForcibly().waitFor();
+        log.close();
+        Folders.remove(folder);
+    }
+
+    private Process start() throws IOException {
+        ProcessBuilder made =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gingerspool.Main",
+                        "serve");
+        made.environment().put("GW_CONFIG", folder.resolve("node.json").toString());
+        made.environment().put("GW_MANAGEMENT", HOST + ":" + operators);
+        made.environment().remove("TMPDIR");
+        return made.redirectError(pipe.toFile()).start();
+    }
+
+    private void skipTo(String text) throws IOException {
+        StringBuilder skipped = new StringBuilder();
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            skipped.append(line).append('\n');
+            line = log.readLine();
+        }
+        assertNotNull(line, text + " is not in the log, which ended after: " + skipped);
+    }
+
+    /** Writes to the pipe until it takes nothing more. */
+    private void fillPipe() throws Exception {
+        Process fill =
+                new ProcessBuilder(
+                                "dd",
+                                "if=/dev/zero",
+                                "of=" + pipe,
+                                "bs=4096",
+                                "conv=notrunc",
+                                "oflag=nonblock")
+                        .redirectErrorStream(true)
+                        .start();
+        String said = new String(fill.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(fill.waitFor(), 1, said);
+        assertTrue(said.contains("temporarily unavailable"), said);
+    }
+
+    private int status(int port, String method, String path) throws Exception {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + path))
+                        .timeout(ANSWER_WITHIN)
+                        .method(method, HttpRequest.BodyPublishers.noBody())
+                        .build();
+        return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** An operators' call that is logged before it is answered. */
+    private void callThatIsLogged() throws Exception {
+        assertEquals(status(operators, "POST", "/v1/scheduler/activate"), 200);
+    }
+
+    @Test
+    public void requestsAreAnswered() throws Exception {
+        fillPipe();
+        callThatIsLogged();
+        assertEquals(status(clients, "GET", "/healthz"), 200);
+    }
+
+    @Test
+    public void sigtermEndsTheProcessInTime() throws Exception {
+        fillPipe();
+        process.destroy();
+        assertTrue(process.waitFor(TIME_TO_LEAVE_MS, TimeUnit.MILLISECONDS), "it is still there");
+        assertEquals(process.exitValue(), SIGTERM_EXIT);
+    }
+
+    @Test
+    public void whatWasLoggedMeanwhileIsWrittenOnceTheReaderGoesOn() throws Exception {
+        fillPipe();
+        callThatIsLogged();
+        skipTo(" operators.call");
+    }
+
+    /** With a reader that keeps up nothing is lost at the end. */
+    @Test
+    public void theLastLineIsWrittenBeforeTheProcessEnds() throws Exception {
+        process.destroy();
+        skipTo(" left");
+        assertTrue(process.waitFor(TIME_TO_LEAVE_MS, TimeUnit.MILLISECONDS), "it is still there");
+    }
+}
