Experiments pause schedulers and themselves and slow the disk, and record it

Faults scheduler-paused, tool-paused and disk-slow; each begin and end stands in the clients' record with the time measured right around the signal.

A line of a try tells when the time that is left was told.

--- a/src/main/java/gingerspool/experiment/Experiment.java
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -68,7 +68,7 @@
                                     side.name(),
                                     plan.seed,
                                     v,
-                                    run.cpu,
+                                    run.cpuMs(),
                                     run.load().lateness().getValueAtPercentile(99.9) / 1000.0));
                     broken += v.violations().size();
                     tell(v, run, to);
@@ -129,7 +129,7 @@
                 g.latency(0.5),
                 g.latency(0.99),
                 v.waste(),
-                run.cpu / 1000,
+                run.cpuMs() / 1000,
                 run.load().lateness().getValueAtPercentile(99.9) / 1000.0);
         v.byRule()
                 .forEach(
--- a/src/main/java/gingerspool/judge/Records.java
+++ b/src/main/java/gingerspool/judge/Records.java
@@ -25,7 +25,10 @@
             double utility,
             double tardy) {}
 
-    /** One try of a request and its end. */
+    /**
+     * One try of a request and its end; `written` is when the time that it had left was told, or
+     * NaN where the record does not say.
+     */
     record Try(
             int line,
             int request,
@@ -41,7 +44,8 @@
             double at,
             double advice,
             boolean reused,
-            String result) {
+            String result,
+            double written) {
         boolean isAnswered() {
             return status.matches("[0-9]+");
         }
@@ -102,6 +106,7 @@
     final List<Befell> schedulers = new ArrayList<>();
     final List<OperatorCall> operatorCalls = new ArrayList<>();
     final List<Event> events = new ArrayList<>();
+    final Disturbances disturbances = new Disturbances();
 
     /** The events of each task, in order. */
     final Map<String, List<Event>> byTask = new HashMap<>();
@@ -157,8 +162,21 @@
                     begun = number(f[1]);
                     length = number(f[2]);
                 }
-                case "scheduler" ->
-                        schedulers.add(new Befell(Integer.parseInt(f[1]), f[2], number(f[3])));
+                case "scheduler" -> {
+                    int scheduler = Integer.parseInt(f[1]);
+                    schedulers.add(new Befell(scheduler, f[2], number(f[3])));
+                    disturbances.scheduler(scheduler, f[2], number(f[3]));
+                }
+                case "tool" -> {
+                    if (f[1].equals("late")) {
+                        disturbances.toolLate(number(f[2]), number(f[3]));
+                    } else {
+                        disturbances.tool(f[1], number(f[2]));
+                    }
+                }
+                case "disk" -> {
+                    // It explains nothing by itself: who waits for it is told by other lines.
+                }
                 case "operators" ->
                         operatorCalls.add(
                                 new OperatorCall(
@@ -188,7 +206,8 @@
                                         number(f[11]),
                                         number(f[12]),
                                         Boolean.parseBoolean(f[13]),
-                                        f[14]));
+                                        f[14],
+                                        f.length > 15 ? number(f[15]) : Double.NaN));
                 default ->
                         throw new IOException(file + ":" + n + ": is no line of a clients' record");
             }
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -39,6 +39,9 @@
         final double expiry;
         boolean over;
 
+        /** When the time that it has left was told to the scheduler; NaN before. */
+        double written = Double.NaN;
+
         /** Its client means to go away and has done so. */
         boolean left;
 
@@ -132,15 +135,20 @@
     }
 
     /**
-     * Notes what befalls a scheduler: killed, terminated, drained, up, or what leaves it open. No
-     * new connections go to one of the first three until it is up.
+     * Notes what befalls a scheduler at this time: killed, terminated, drained, up, or what leaves
+     * it open. No new connections go to one of the first three until it is up.
      */
-    public void note(int scheduler, String what) {
+    public void note(int scheduler, String what, double atMs) {
         boolean down = what.equals("killed") || what.equals("terminated") || what.equals("drained");
         closed[scheduler] = down || closed[scheduler] && !what.equals("up");
         leaving[scheduler] =
                 closed[scheduler] && (leaving[scheduler] || down) && !what.equals("killed");
-        line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, loop.now()));
+        line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, atMs));
+    }
+
+    /** Notes what befell the tool or the disk at this time. */
+    public void note(String part, String what, double atMs) {
+        line(String.format(Locale.ROOT, "%s\t%s\t%.3f", part, what, atMs));
     }
 
     /** Notes how a call of an operator ended. */
@@ -251,7 +259,9 @@
 
     /** The request with the time that is left now, or null where none is. */
     private byte[] requestInTime(Try t) {
-        double left = t.expiry - loop.now();
+        double now = loop.now();
+        double left = t.expiry - now;
+        t.written = left > 0 ? now : Double.NaN;
         return left > 0 ? request(t, left) : null;
     }
 
@@ -405,7 +415,7 @@
         line(
                 String.format(
                         Locale.ROOT,
-                        "try\t%d\t%d\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%b\t%s",
+                        "try\t%d\t%d\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%b\t%s\t%.3f",
                         t.request.number(),
                         t.number,
                         t.id,
@@ -419,7 +429,8 @@
                         now,
                         advice,
                         reused,
-                        result.replaceAll("[\\t\\r\\n]", " ").strip()));
+                        result.replaceAll("[\\t\\r\\n]", " ").strip(),
+                        t.written));
     }
 
     private void retry(Try t, boolean allowed, double pause, boolean done) {
--- a/src/main/java/gingerspool/scenario/Scenario.java
+++ b/src/main/java/gingerspool/scenario/Scenario.java
@@ -168,6 +168,9 @@
         public int scheduler;
         public double every;
         public int bytes;
+
+        /** Which process of a scheduler: serving, newest or before (the one that serves). */
+        public String process;
     }
 
     public String name;
@@ -194,6 +197,11 @@
                                         .contains(f.what));
     }
 
+    /** Whether processes of schedulers are paused. */
+    public boolean pausesSchedulers() {
+        return faults.stream().anyMatch(f -> f.what.equals("scheduler-paused"));
+    }
+
     /** The longest expiry of any kind, in milliseconds. */
     public double longestExpiry() {
         return kinds.values().stream().mapToDouble(k -> k.expiry).max().orElse(0);
--- a/src/main/java/gingerspool/scenario/ScenarioFile.java
+++ b/src/main/java/gingerspool/scenario/ScenarioFile.java
@@ -21,6 +21,14 @@
             List.of("idempotent", "fingerprinted", "side-effecting");
     private static final List<String> ORDERS = List.of("first-come", "backfill", "priority");
 
+    /** Which process of a scheduler a pause may befall. */
+    private static final List<String> PROCESSES = List.of("serving", "newest", "before");
+
+    private static final List<String> PAUSES = List.of("scheduler-paused", "tool-paused");
+
+    /** A process that stands still for longer is taken for one that was left so. */
+    private static final double MOST_PAUSE = 10_000;
+
     /** Every fault, with the keys besides at, for and who that it takes. */
     private static final Map<String, List<String>> FAULTS = new LinkedHashMap<>();
 
@@ -53,7 +61,10 @@
         FAULTS.put("scheduler-hangup", List.of("scheduler"));
         FAULTS.put("heir-killed", List.of("scheduler"));
         FAULTS.put("scheduler-drained", List.of("scheduler"));
+        FAULTS.put("scheduler-paused", List.of("scheduler", "process"));
         FAULTS.put("suspend", List.of());
+        FAULTS.put("tool-paused", List.of());
+        FAULTS.put("disk-slow", List.of());
     }
 
     private final List<Diagnostic> faults = new ArrayList<>();
@@ -264,8 +275,14 @@
         }
         f.every = t.span("every", 500.0, 1, HOUR).value();
         f.bytes = t.whole("bytes", 1, 0, 1 << 20).value();
+        f.process = t.word("process", "serving", PROCESSES).value();
+        if (PAUSES.contains(f.what) && f.length > MOST_PAUSE) {
+            t.fault(
+                    t.has("for") ? "for" : "",
+                    "pauses for " + Math.round(f.length) + " ms, wanted 10s or less");
+        }
         List<String> own = FAULTS.getOrDefault(f.what, List.of());
-        for (String key : List.of("factor", "profile", "scheduler", "every", "bytes")) {
+        for (String key : List.of("factor", "profile", "scheduler", "every", "bytes", "process")) {
             if (t.has(key) && !own.contains(key) && !f.what.isEmpty()) {
                 t.fault(key, "has no effect on " + f.what);
             }
--- a/src/test/java/gingerspool/scenario/PlanTest.java
+++ b/src/test/java/gingerspool/scenario/PlanTest.java
@@ -186,6 +186,22 @@
                 KINDS + "[[fault]]\nwhat = \"scheduler-killed\"\nscheduler = 1\n",
                 "there are 1, counted from 0"
             },
+            {
+                KINDS + "[[fault]]\nwhat = \"scheduler-killed\"\nprocess = \"newest\"\n",
+                "fault[0].process has no effect on scheduler-killed"
+            },
+            {
+                KINDS + "[[fault]]\nwhat = \"scheduler-paused\"\nprocess = \"first\"\n",
+                "fault[0].process is \"first\", wanted one of serving, newest, before"
+            },
+            {
+                KINDS + "[[fault]]\nwhat = \"tool-paused\"\nfor = \"11s\"\n",
+                "fault[0].for pauses for 11000 ms, wanted 10s or less"
+            },
+            {
+                KINDS + "[[fault]]\nwhat = \"disk-slow\"\nscheduler = 0\n",
+                "fault[0].scheduler has no effect on disk-slow"
+            },
             {KINDS + "[profile.c]\nwidth = 9\n", "profile.c.width is more than any worker has"},
             {KINDS + "[profile.c]\ndue = \"5s\"\n", "profile.c.due is beyond the expiry"},
             {KINDS + "[load]\narrivals = \"trace\"\n", "load needs trace"},
