The judge lays late answers beside the recorded disturbances; plays can be void

Need: a late answer in a play in which its scheduler, or the tool itself, stood still counted as the product's.

Each late or missing answer, and each late yes to operators, has a cause: its scheduler's recorded pause, if the answer came within 250 ms after it (a first bound, not measured yet); the tool's own recorded lateness from the expiry to the noted answer, or as it wrote the request; or none. The first is listed as explained. A play in which every breach is of the second kind is void: exit code 3 of experiment and judge. Without such lines in the record nothing changes but the text ("unexplained").

--- a/src/main/java/gingerspool/cli/Rigs.java
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -205,7 +205,8 @@
             mixinStandardHelpOptions = true,
             description =
                     "Holds a clients' record and an execution log against the rules. Exit code 0 "
-                            + "where all hold, 1 where one broke, 2 where they can't be read.")
+                            + "where all hold, 1 where one broke, 2 where they can't be read, 3 "
+                            + "where the tool itself was late at each breach.")
     static final class JudgeCommand implements Callable<Integer> {
         @Spec CommandSpec spec;
 
@@ -220,12 +221,13 @@
             try {
                 Verdict v = Judge.judge(clients, executions);
                 v.violations().forEach(spec.commandLine().getOut()::println);
+                v.explained().forEach(x -> spec.commandLine().getOut().println("explained: " + x));
                 spec.commandLine()
                         .getOut()
                         .printf(
                                 "service %.3f of %d asked, %d breaches of rules%n",
                                 v.all().service(), v.all().asked, v.violations().size());
-                return v.violations().isEmpty() ? 0 : 1;
+                return v.isVoid() ? Experiment.VOID : v.violations().isEmpty() ? 0 : 1;
             } catch (IOException e) {
                 spec.commandLine().getErr().println(e.getMessage());
                 return 2;
@@ -239,7 +241,8 @@
             description =
                     "Starts schedulers, stand-ins and load, plays a scenario over seeds and judges "
                             + "by what workers and clients wrote down. Exit code 0 where all rules "
-                            + "hold, 1 where one broke, 2 for a scenario that can't be played.")
+                            + "hold, 1 where one broke, 2 for a scenario that can't be played, 3 "
+                            + "where the tool itself was late at each breach.")
     static final class ExperimentCommand implements Callable<Integer> {
         @Spec CommandSpec spec;
 
--- a/src/main/java/gingerspool/judge/Verdict.java
+++ b/src/main/java/gingerspool/judge/Verdict.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -47,6 +46,7 @@
     private static final Set<String> ENDS = Set.of("ended", "failed", "dropped", "lost");
 
     private final List<Judge.Violation> violations;
+    private final List<Judge.Violation> explained;
     private final Group all = new Group();
     private final Map<String, Group> byProfile = new TreeMap<>();
     private final Map<String, Group> byTenant = new TreeMap<>();
@@ -58,7 +58,8 @@
     private final List<double[]> faultTimes = new ArrayList<>();
 
     Verdict(Records r, List<Judge.Violation> violations) {
-        this.violations = Collections.unmodifiableList(violations);
+        this.violations = violations.stream().filter(v -> !isExplained(v)).toList();
+        explained = violations.stream().filter(Verdict::isExplained).toList();
         Map<Integer, List<Records.Try>> byRequest = new LinkedHashMap<>();
         r.tries.forEach(t -> byRequest.computeIfAbsent(t.request(), k -> new ArrayList<>()).add(t));
         int seconds = (int) Math.ceil(r.length / 1000);
@@ -145,10 +146,34 @@
         }
     }
 
+    private static boolean isExplained(Judge.Violation v) {
+        return v.cause() == Cause.SCHEDULER_PAUSED;
+    }
+
+    /** The breaches: all that no recorded pause of a scheduler explains. */
     public List<Judge.Violation> violations() {
         return violations;
     }
 
+    /** What a recorded pause of its scheduler explains wholly; no breach. */
+    public List<Judge.Violation> explained() {
+        return explained;
+    }
+
+    /**
+     * Whether the play decides nothing: there are breaches, and the record shows of every one that
+     * the tool itself was late.
+     */
+    public boolean isVoid() {
+        return !violations.isEmpty()
+                && violations.stream().allMatch(v -> v.cause() == Cause.TOOL_LATE);
+    }
+
+    /** The breaches that count: none in a play that decides nothing. */
+    public int broken() {
+        return isVoid() ? 0 : violations.size();
+    }
+
     /** Violations by rule, those without any included. */
     public Map<Judge.Rule, Integer> byRule() {
         return Judge.count(violations);
