Records are written beside the loops, and answers timed where they are read

Need: load and fleet wrote their records on their loops, so a slow disk made the tool late, and an answer's time was the one at which the loop came to it.

RecordWriter writes on a thread of its own, in order; a queue that is full, or a line that can't be written, fails the play (the end of the record throws), and the judge reads only what was written whole. Clients' channels have a group whose thread reads and takes the time (Arrivals); handlers still run on the loop. RequestText split out of Load.

ClientTest gets the new argument and one test more.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -70,6 +70,9 @@
             LoopCalls.on(fleetLoop, fleet::close);
         } finally {
             processes.killAll();
+            if (load != null) {
+                load.closeConnections();
+            }
             loadLoop.stop();
             fleetLoop.stop();
         }
--- a/src/main/java/gingerspool/load/Client.java
+++ b/src/main/java/gingerspool/load/Client.java
@@ -20,8 +20,8 @@
 final class Client {
     /** Whose connection it is. */
     interface Owner {
-        /** The whole answer to the request at hand. */
-        void answered(Client client, Message answer);
+        /** The whole answer to the request at hand, and when its end was read in Unix ms. */
+        void answered(Client client, Message answer, double at);
 
         /**
          * It ended without one; tells whether the request had been written whole, and whether it
@@ -38,6 +38,7 @@
 
     final int scheduler;
     private final EventLoop loop;
+    private final Arrivals arrivals;
     private final AsynchronousSocketChannel channel;
     private final Owner owner;
     private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
@@ -59,11 +60,13 @@
 
     int requests;
 
-    Client(EventLoop loop, int scheduler, InetSocketAddress to, Owner owner) throws IOException {
+    Client(EventLoop loop, Arrivals arrivals, int scheduler, InetSocketAddress to, Owner owner)
+            throws IOException {
         this.loop = loop;
+        this.arrivals = arrivals;
         this.scheduler = scheduler;
         this.owner = owner;
-        channel = AsynchronousSocketChannel.open(loop.group());
+        channel = arrivals.channel();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         channel.connect(
                 to,
@@ -91,7 +94,7 @@
         } else if (unsent != null) {
             channel.write(unsent, null, Completions.onTurn(loop, this::written));
         }
-        channel.read(buffer, null, Completions.onTurn(loop, this::read));
+        channel.read(buffer, null, arrivals.onTurn(this::read));
     }
 
     boolean isOpen() {
@@ -148,7 +151,7 @@
         }
     }
 
-    private void read(int bytes) {
+    private void read(int bytes, double at) {
         if (!open) {
             return;
         }
@@ -156,35 +159,35 @@
             Message whole = answer;
             if (whole != null && whole.headRead() && whole.endsWithClose()) {
                 answer = null;
-                owner.answered(this, whole);
+                owner.answered(this, whole, at);
             }
             end();
             return;
         }
-        int at = 0;
+        int taken = 0;
         try {
-            while (at < buffer.position()) {
+            while (taken < buffer.position()) {
                 if (answer == null) {
                     owner.extra(this);
                     end();
                     return;
                 }
-                int taken = answer.take(buffer.array(), at, buffer.position());
-                at += taken;
+                int more = answer.take(buffer.array(), taken, buffer.position());
+                taken += more;
                 if (answer.done()) {
                     Message whole = answer;
                     answer = null;
                     alarm(0, null);
-                    boolean more = at < buffer.position();
-                    if (more) {
+                    boolean isExtra = taken < buffer.position();
+                    if (isExtra) {
                         owner.extra(this);
                     }
-                    owner.answered(this, whole);
-                    if (!whole.keepsAlive() || more) {
+                    owner.answered(this, whole, at);
+                    if (!whole.keepsAlive() || isExtra) {
                         end();
                         return;
                     }
-                } else if (taken == 0) {
+                } else if (more == 0) {
                     break;
                 }
             }
@@ -192,10 +195,10 @@
             end();
             return;
         }
-        int left = buffer.position() - at;
-        System.arraycopy(buffer.array(), at, buffer.array(), 0, left);
+        int left = buffer.position() - taken;
+        System.arraycopy(buffer.array(), taken, buffer.array(), 0, left);
         buffer.position(left);
-        channel.read(buffer, null, Completions.onTurn(loop, this::read));
+        channel.read(buffer, null, arrivals.onTurn(this::read));
     }
 
     /** The one place where it is given back. */
--- a/src/main/java/gingerspool/load/HostileClients.java
+++ b/src/main/java/gingerspool/load/HostileClients.java
@@ -14,6 +14,7 @@
 /** Clients that misbehave: slow heads, half requests, floods of connections and nonsense. */
 final class HostileClients {
     private final EventLoop loop;
+    private final Arrivals arrivals;
     private final SplittableRandom chance;
     private final List<InetSocketAddress> schedulers;
     private final IntSupplier choose;
@@ -23,12 +24,14 @@
     /** None comes after `until`, in milliseconds of Unix time; `choose` gives a scheduler or -1. */
     HostileClients(
             EventLoop loop,
+            Arrivals arrivals,
             SplittableRandom chance,
             List<InetSocketAddress> schedulers,
             IntSupplier choose,
             BooleanSupplier over,
             double until) {
         this.loop = loop;
+        this.arrivals = arrivals;
         this.chance = chance;
         this.schedulers = schedulers;
         this.choose = choose;
@@ -64,11 +67,12 @@
                     ? null
                     : new Client(
                             loop,
+                            arrivals,
                             s,
                             schedulers.get(s),
                             new Client.Owner() {
                                 @Override
-                                public void answered(Client client, Message answer) {}
+                                public void answered(Client client, Message answer, double at) {}
 
                                 @Override
                                 public void broke(Client client, boolean written, boolean up) {}
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -1,15 +1,13 @@
 package gingerspool.load;
 
 import gingerspool.scenario.Plan;
+import gingerspool.scenario.RecordWriter;
 import gingerspool.scenario.Scenario;
-import gingerspool.wire.EventLoop;
 import gingerspool.wire.Message;
-import java.io.BufferedWriter;
+import gingerspool.wire.SingleThreadEventLoop;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -54,7 +52,7 @@
         }
     }
 
-    private final EventLoop loop;
+    private final SingleThreadEventLoop loop;
     private final Plan plan;
     private final Scenario scenario;
     private final List<InetSocketAddress> schedulers;
@@ -67,7 +65,8 @@
 
     private final List<Deque<Client>> free = new ArrayList<>();
     private final Deque<Try> waiting = new ArrayDeque<>();
-    private final BufferedWriter record;
+    private final RecordWriter record;
+    private final Arrivals arrivals;
     private final SplittableRandom chance;
     private final Histogram lateness = new Histogram(3_600_000_000L, 3);
     private final Histogram latency = new Histogram(3_600_000_000L, 3);
@@ -87,7 +86,8 @@
      */
     double slowedBy;
 
-    public Load(EventLoop loop, Plan plan, List<InetSocketAddress> schedulers, Path file)
+    public Load(
+            SingleThreadEventLoop loop, Plan plan, List<InetSocketAddress> schedulers, Path file)
             throws IOException {
         this.loop = loop;
         this.plan = plan;
@@ -96,30 +96,20 @@
         closed = new boolean[schedulers.size()];
         leaving = new boolean[schedulers.size()];
         schedulers.forEach(s -> free.add(new ArrayDeque<>()));
-        record = Files.newBufferedWriter(file);
+        record = new RecordWriter(file);
+        arrivals = new Arrivals(loop);
         chance = new SplittableRandom(plan.seed ^ 0x10adL);
         for (Scenario.Kind k : scenario.kinds.values()) {
-            line(
-                    String.format(
-                            Locale.ROOT,
-                            "kind\t%s\t%s\t%.3f\t%.3f\t%.3f\t%s\t%.6f\t%.6f",
-                            k.name,
-                            k.effect,
-                            k.due,
-                            k.expiry,
-                            k.window,
-                            k.scope,
-                            k.utility,
-                            k.tardyUtility));
-        }
-    }
-
-    private void line(String text) {
-        try {
-            record.write(text);
-            record.write('\n');
-        } catch (IOException e) {
-            throw new UncheckedIOException("the clients' record can't be written", e);
+            record.write(
+                    "kind\t%s\t%s\t%.3f\t%.3f\t%.3f\t%s\t%.6f\t%.6f",
+                    k.name,
+                    k.effect,
+                    k.due,
+                    k.expiry,
+                    k.window,
+                    k.scope,
+                    k.utility,
+                    k.tardyUtility);
         }
     }
 
@@ -127,10 +117,10 @@
     public void play(Runnable then) {
         whenDone = then;
         begun = loop.now();
-        line(String.format(Locale.ROOT, "begin\t%.3f\t%.3f", begun, scenario.length));
+        record.write("begin\t%.3f\t%.3f", begun, scenario.length);
         sendDue();
         double until = begun + scenario.length;
-        new HostileClients(loop, chance, schedulers, this::choose, () -> over, until)
+        new HostileClients(loop, arrivals, chance, schedulers, this::choose, () -> over, until)
                 .play(scenario.load);
     }
 
@@ -143,17 +133,17 @@
         closed[scheduler] = down || closed[scheduler] && !what.equals("up");
         leaving[scheduler] =
                 closed[scheduler] && (leaving[scheduler] || down) && !what.equals("killed");
-        line(String.format(Locale.ROOT, "scheduler\t%d\t%s\t%.3f", scheduler, what, atMs));
+        record.write("scheduler\t%d\t%s\t%.3f", scheduler, what, atMs);
     }
 
     /** Notes what befell the tool or the disk at this time. */
     public void note(String part, String what, double atMs) {
-        line(String.format(Locale.ROOT, "%s\t%s\t%.3f", part, what, atMs));
+        record.write("%s\t%s\t%.3f", part, what, atMs);
     }
 
     /** Notes how a call of an operator ended. */
     public void note(OperatorCall call) {
-        line(call.line());
+        record.write("%s", call.line());
     }
 
     private void sendDue() {
@@ -188,7 +178,7 @@
         Client c = kept != null || scheduler < 0 ? kept : free.get(scheduler).poll();
         try {
             if (c == null && scheduler >= 0 && connections < scenario.load.connections) {
-                c = new Client(loop, scheduler, schedulers.get(scheduler), this);
+                c = new Client(loop, arrivals, scheduler, schedulers.get(scheduler), this);
                 connections++;
             }
         } catch (IOException e) {
@@ -235,7 +225,7 @@
 
     private void giveUpWaiting(Try t) {
         if (waiting.remove(t)) {
-            told(t, -1, "none", Double.NaN, "", false);
+            told(t, -1, "none", Double.NaN, "", false, loop.now());
             ended(t, false);
         }
     }
@@ -270,7 +260,7 @@
     public void tooLate(Client c) {
         Try t = c.carries;
         c.carries = null;
-        told(t, -1, "none", Double.NaN, "", false);
+        told(t, -1, "none", Double.NaN, "", false, loop.now());
         ended(t, false);
         loop.execute(() -> useAgain(c));
     }
@@ -287,50 +277,15 @@
     }
 
     private byte[] request(Try t, double left) {
-        Plan.Request r = t.request;
-        String body = String.format(Locale.ROOT, "work=%.6f", r.work());
-        StringBuilder head =
-                new StringBuilder(300)
-                        .append("POST /")
-                        .append(r.profile())
-                        .append("?user=")
-                        .append(r.number())
-                        .append(" HTTP/1.1\r\nHost: clients.example.org\r\nX-Correlation-Id: " + "")
-                        .append(t.id)
-                        .append("\r\nX-Service-Class: ")
-                        .append(r.profile())
-                        .append("\r\nX-Time-Left-Ms: ")
-                        .append((long) Math.max(1, left))
-                        .append("\r\n");
-        if (!r.tenant().isEmpty()) {
-            head.append("X-Account: ").append(r.tenant()).append("\r\n");
-        }
-        if (r.hint() > 0) {
-            head.append("X-Weight-Hint: ").append((long) (1000 * r.hint())).append("\r\n");
-        }
-        Scenario.Kind k = scenario.kinds.get(r.profile());
-        if (k.width > 1 || k.memory > 0) {
-            head.append("X-Facts: slots=")
-                    .append(k.width)
-                    .append(",memory=")
-                    .append(k.memory)
-                    .append("\r\n");
-        }
-        if (t.number > 0 && scenario.load.marksRetries) {
-            head.append("X-Repeat: 1\r\n");
-        }
-        return head.append("Content-Length: " + "")
-                .append(body.length())
-                .append("\r\n\r\n")
-                .append(body)
-                .toString()
-                .getBytes(StandardCharsets.ISO_8859_1);
+        Scenario.Kind kind = scenario.kinds.get(t.request.profile());
+        boolean repeats = t.number > 0 && scenario.load.marksRetries;
+        return RequestText.of(t.request, kind, t.id, left, repeats);
     }
 
     // ---- Answers ----
 
     @Override
-    public void answered(Client c, Message answer) {
+    public void answered(Client c, Message answer, double at) {
         Try t = c.carries;
         c.carries = null;
         if (t == null) {
@@ -343,7 +298,8 @@
                 Integer.toString(answer.status()),
                 advice == null ? Double.NaN : number(advice),
                 new String(answer.body(), StandardCharsets.UTF_8),
-                c.requests > 1);
+                c.requests > 1,
+                at);
         if (answer.keepsAlive()) {
             useAgain(c);
         }
@@ -391,7 +347,7 @@
                                 : loop.now() >= t.expiry + LISTENS_ON - 1
                                         ? "none"
                                         : written ? "broke" : "unwritten";
-        told(t, c.scheduler, how, Double.NaN, "", c.requests > 1);
+        told(t, c.scheduler, how, Double.NaN, "", c.requests > 1, loop.now());
         failed++;
         retry(t, !t.left && (!up || harmless(t)), scenario.load.retryPause, false);
     }
@@ -399,38 +355,35 @@
     @Override
     public void extra(Client c) {
         Try t = c.carries != null ? c.carries : c.carried;
-        line(
-                String.format(
-                        Locale.ROOT,
-                        "extra\t%s\t%d\t%.3f",
-                        t == null ? "-" : t.id,
-                        c.scheduler,
-                        loop.now()));
+        record.write("extra\t%s\t%d\t%.3f", t == null ? "-" : t.id, c.scheduler, loop.now());
     }
 
     private void told(
-            Try t, int scheduler, String status, double advice, String result, boolean reused) {
-        double now = loop.now();
-        latency.recordValue((long) Math.max(0, 1000 * (now - begun - t.request.due())));
-        line(
-                String.format(
-                        Locale.ROOT,
-                        "try\t%d\t%d\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%b\t%s\t%.3f",
-                        t.request.number(),
-                        t.number,
-                        t.id,
-                        t.request.profile(),
-                        t.request.tenant(),
-                        scheduler,
-                        begun + t.request.due(),
-                        t.sent,
-                        t.expiry,
-                        status,
-                        now,
-                        advice,
-                        reused,
-                        result.replaceAll("[\\t\\r\\n]", " ").strip(),
-                        t.written));
+            Try t,
+            int scheduler,
+            String status,
+            double advice,
+            String result,
+            boolean reused,
+            double at) {
+        latency.recordValue((long) Math.max(0, 1000 * (at - begun - t.request.due())));
+        record.write(
+                "try\t%d\t%d\t%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%.3f\t%.3f\t%b\t%s\t%.3f",
+                t.request.number(),
+                t.number,
+                t.id,
+                t.request.profile(),
+                t.request.tenant(),
+                scheduler,
+                begun + t.request.due(),
+                t.sent,
+                t.expiry,
+                status,
+                at,
+                advice,
+                reused,
+                result.replaceAll("[\\t\\r\\n]", " ").strip(),
+                t.written);
     }
 
     private void retry(Try t, boolean allowed, double pause, boolean done) {
@@ -490,8 +443,14 @@
         return asked;
     }
 
-    /** Writes the record to its end. */
+    /** Closes all connections, also where the play has failed; from any thread. */
+    public void closeConnections() throws IOException {
+        arrivals.close();
+    }
+
+    /** Writes the record to its end, and says where that is not whole. */
     public void close() throws IOException {
+        arrivals.close();
         record.close();
     }
 }
--- a/src/test/java/gingerspool/load/ClientTest.java
+++ b/src/test/java/gingerspool/load/ClientTest.java
@@ -1,5 +1,6 @@
 package gingerspool.load;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -12,7 +13,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -26,14 +29,17 @@
     private static final double PATIENCE = 5000;
 
     private SingleThreadEventLoop loop;
+    private Arrivals arrivals;
     private ServerSocket server;
 
     /** How the request of a client ended. */
     private static final class Ends implements Client.Owner {
         private final CompletableFuture<String> how = new CompletableFuture<>();
+        private volatile double answeredAt;
 
         @Override
-        public void answered(Client client, Message answer) {
+        public void answered(Client client, Message answer, double at) {
+            answeredAt = at;
             how.complete("answered " + answer.status());
         }
 
@@ -57,12 +63,14 @@
     @BeforeMethod
     public void begin() throws IOException {
         loop = new SingleThreadEventLoop();
+        arrivals = new Arrivals(loop);
         server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         server.setSoTimeout(5000);
     }
 
     @AfterMethod
     public void end() throws IOException {
+        arrivals.close();
         loop.stop();
         server.close();
     }
@@ -70,6 +78,7 @@
     private Client client(Ends ends) throws IOException {
         return new Client(
                 loop,
+                arrivals,
                 0,
                 new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
                 ends);
@@ -125,4 +134,49 @@
             assertEquals(accepted.getInputStream().read(), -1);
         }
     }
+
+    /**
+     * Guards the record: the time of an answer is the one at which it was read, not the one at
+     * which the loop came to it. The loop stands still here until the answer has been read, and 20
+     * ms more.
+     */
+    @Test
+    public void anAnswerIsTimedWhenItIsRead() throws Exception {
+        Ends ends = new Ends();
+        CompletableFuture<Double> readBy = new CompletableFuture<>();
+        byte[] request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII);
+        loop.submit(
+                () -> {
+                    try {
+                        client(ends).ask(() -> request, PATIENCE);
+                    } catch (IOException e) {
+                        ends.how.completeExceptionally(e);
+                    }
+                });
+        try (Socket accepted = server.accept()) {
+            accepted.getInputStream().readNBytes(request.length);
+            CountDownLatch stands = new CountDownLatch(1);
+            loop.submit(
+                    () -> {
+                        stands.countDown();
+                        await(() -> arrivals.waiting() > 0);
+                        readBy.complete(loop.now());
+                        double until = loop.now() + 20;
+                        await(() -> loop.now() > until);
+                    });
+            stands.await();
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
+            assertEquals(ends.how.get(10, TimeUnit.SECONDS), "answered 200");
+            assertTrue(ends.answeredAt <= readBy.get(), ends.answeredAt + " > " + readBy.get());
+        }
+    }
+
+    /** Keeps the loop busy until this holds, for 5 s at most. */
+    private static void await(BooleanSupplier holds) {
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (!holds.getAsBoolean() && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
 }
