The load tool's own lateness stands in its record

The load listens to its loop (LatenessListener); each late span is a line tool, late, from, until, ran, waited, blocked.

--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -3,6 +3,7 @@
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.RecordWriter;
 import gingerspool.scenario.Scenario;
+import gingerspool.wire.LateSpan;
 import gingerspool.wire.Message;
 import gingerspool.wire.SingleThreadEventLoop;
 import java.io.IOException;
@@ -117,6 +118,7 @@
     public void play(Runnable then) {
         whenDone = then;
         begun = loop.now();
+        loop.setLatenessListener(this::note);
         record.write("begin\t%.3f\t%.3f", begun, scenario.length);
         sendDue();
         double until = begun + scenario.length;
@@ -141,6 +143,13 @@
         record.write("%s\t%s\t%.3f", part, what, atMs);
     }
 
+    /** Notes that this loop was late, which may be why something counts as late. */
+    private void note(LateSpan late) {
+        record.write(
+                "tool\tlate\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f",
+                late.fromMs(), late.untilMs(), late.ranMs(), late.waitedMs(), late.blockedMs());
+    }
+
     /** Notes how a call of an operator ended. */
     public void note(OperatorCall call) {
         record.write("%s", call.line());
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -96,6 +96,38 @@
         return tries;
     }
 
+    /**
+     * Guards the judge: the record shows when the tool's own loop was late. Here one request keeps
+     * it busy for 200 ms.
+     */
+    @Test
+    public void theToolsOwnLatenessStandsInItsRecord() throws Exception {
+        double[] busy = {Double.NaN, Double.NaN};
+        play(
+                KIND + "[load]\nrate_per_s = 100\n",
+                0,
+                (client, id, repeat) -> {
+                    if (Double.isNaN(busy[0])) {
+                        busy[0] = loop.now();
+                        busy[1] = busy[0] + 200;
+                        while (loop.now() < busy[1]) {
+                            Thread.onSpinWait();
+                        }
+                    }
+                    ClientEndpoint.finished(client, "x");
+                });
+        boolean told = false;
+        for (String line : Files.readAllLines(folder.resolve("clients.tsv"))) {
+            String[] f = line.split("\t", -1);
+            told |=
+                    line.startsWith("tool\tlate\t")
+                            && f.length == 7
+                            && Double.parseDouble(f[2]) < busy[1]
+                            && Double.parseDouble(f[3]) >= busy[1];
+        }
+        assertTrue(told, "no line covers the end of " + busy[0] + " to " + busy[1]);
+    }
+
     static ClientEndpoint.RequestHandler desk(Clerk clerk) {
         return new RequestHandlerStub() {
             @Override
