--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -2,7 +2,10 @@
 
 import gingerspool.peers.ModelEventLoop;
 import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Future;
 
 /**
@@ -16,6 +19,9 @@
     /** The last listening socket. */
     public ModelServerChannel listening;
 
+    /** The connections that the process opened itself; each comes up. */
+    public final List<ModelSocketChannel> opened = new ArrayList<>();
+
     /** The runtime has ended an operation: its handler runs as soon as the thread is free. */
     void complete(Runnable handler) {
         super.schedule(0, handler);
@@ -39,6 +45,13 @@
         return super.schedule(span, () -> execute(task));
     }
 
+    @Override
+    public AsynchronousSocketChannel channel() {
+        ModelSocketChannel channel = new ModelSocketChannel(this, null);
+        opened.add(channel);
+        return channel;
+    }
+
     @Override
     public AsynchronousServerSocketChannel serverChannel() {
         listening = new ModelServerChannel(this);
--- a/src/test/java/gingerspool/wire/ModelSocketChannel.java
+++ b/src/test/java/gingerspool/wire/ModelSocketChannel.java
@@ -6,20 +6,26 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * A connection in memory. What its client says is read at once by a thread of the runtime's, and
- * the end of that waits for a turn of the loop.
+ * A connection in memory. What its peer says is read by a thread of the runtime's as soon as a read
+ * is under way, and the end of that waits for a turn of the loop; until then the kernel keeps it.
+ * Closing with something unread resets the connection.
  */
 public final class ModelSocketChannel extends AsynchronousSocketChannel {
     private final ModelChannelLoop loop;
     private final SocketAddress remote;
+    private final Deque<byte[]> unread = new ArrayDeque<>();
     private Consumer<byte[]> reader;
     private boolean open = true;
+    private boolean starved;
+    private boolean reset;
 
     /** What the process has answered. */
     public final StringBuilder answered = new StringBuilder();
@@ -30,12 +36,30 @@
         this.remote = remote;
     }
 
-    /** The client sends this; whatever comes after a close is lost. */
+    /** The peer sends this; whatever comes after a close is lost. */
     public void say(String text) {
-        if (reader != null) {
+        if (open) {
+            unread.add(text.getBytes(StandardCharsets.ISO_8859_1));
+            readNext();
+        }
+    }
+
+    /** The runtime's threads get no processor: nothing is read. */
+    public void starve(boolean is) {
+        starved = is;
+        readNext();
+    }
+
+    /** Whether it was closed with something unread, so that the peer's request is lost. */
+    public boolean wasReset() {
+        return reset;
+    }
+
+    private void readNext() {
+        if (reader != null && !unread.isEmpty() && !starved) {
             Consumer<byte[]> now = reader;
             reader = null;
-            now.accept(text.getBytes(StandardCharsets.ISO_8859_1));
+            now.accept(unread.poll());
         }
     }
 
@@ -47,6 +71,7 @@
                     to.put(bytes);
                     loop.complete(() -> h.completed(bytes.length, a));
                 };
+        readNext();
     }
 
     @Override
@@ -69,6 +94,7 @@
 
     @Override
     public void close() {
+        reset |= open && !unread.isEmpty();
         open = false;
     }
 
@@ -99,12 +125,12 @@
 
     @Override
     public AsynchronousSocketChannel shutdownOutput() {
-        throw new UnsupportedOperationException();
+        return this;
     }
 
     @Override
     public <A> void connect(SocketAddress to, A a, CompletionHandler<Void, ? super A> h) {
-        throw new UnsupportedOperationException();
+        loop.complete(() -> h.completed(null, a));
     }
 
     @Override
