SignalledProcessTest: SIGTERM to a process that stands still counts from when it goes on (fails)

What callers see: requests in hand end unanswered with SIGKILL. Order of events: SIGTERM is sent while the process stands still (SIGSTOP; or its loop is late), it goes on 0.6 s later, its time to leave (until 0.3 s before the earliest SIGKILL) begins only then, so what is out is given up 0.3 s after SIGKILL may have come.

Cause, by reading: Daemon.stop submits leave(loop.now()), evaluated in a turn of the loop.

--- /dev/null
+++ b/src/test/java/gingerspool/daemon/SignalledProcessTest.java
@@ -0,0 +1,139 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.dispatch.Bench;
+import gingerspool.peers.Folders;
+import gingerspool.peers.Ports;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A scheduler as a process of its own, which is stopped and continued by signals. What has to hold
+ * is far from what a busy machine adds: a second or more.
+ */
+public class SignalledProcessTest extends Rig {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** The longest expiry counts for so much, in milliseconds. */
+    private static final long LONGEST_DEADLINE = 3000;
+
+    /** SIGKILL may come so long after SIGTERM, in milliseconds. */
+    private static final long KILL_AFTER = LONGEST_DEADLINE + 700;
+
+    /** The process stands still for so long with SIGTERM waiting for it, in milliseconds. */
+    private static final long STOPPED = 600;
+
+    private Path folder;
+    private Process process;
+    private InetSocketAddress clients;
+    private InetSocketAddress operators;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        listen();
+        folder = Files.createTempDirectory("signalled");
+        clients = new InetSocketAddress("127.0.0.1", Ports.free("127.0.0.1"));
+        operators = new InetSocketAddress("127.0.0.1", Ports.free("127.0.0.1"));
+        Files.writeString(folder.resolve("node.json"), node());
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gingerspool.Main",
+                        "serve");
+        builder.environment().put("GW_CONFIG", folder.resolve("node.json").toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        process = builder.start();
+        long since = System.nanoTime();
+        while (!isReady()) {
+            assertTrue(msSince(since) < 20_000, "not ready in 20 s");
+        }
+    }
+
+    private String node() {
+        String known =
+                "'known':{'seq':7,'whole':true,'hosts':[{'host':'s-1','dial':'127.0.0.1:"
+                        + worker.getLocalPort()
+                        + "','site':'a','class':'m','block':0,'health':'SERVING','share':4,"
+                        + "'born_ms':0}]},'settings'";
+        return ConfigurationTest.NODE
+                .replace("127.0.0.1:0'", "127.0.0.1:" + clients.getPort() + "'")
+                .replace(
+                        "127.0.0.1:1'",
+                        "127.0.0.1:"
+                                + discovery.getLocalPort()
+                                + "','management':'127.0.0.1:"
+                                + operators.getPort()
+                                + "'")
+                .replace("'settings'", known)
+                .replace("'safe'", "'unsafe'")
+                .replace('\'', '"');
+    }
+
+    @AfterMethod
+    public void end() throws Exception {
+        process.destroyForcibly().waitFor();
+        close();
+        Folders.remove(folder);
+    }
+
+    private boolean isReady() throws IOException {
+        try {
+            return call("GET", "/v1/readyz") == 200;
+        } catch (ConnectException e) {
+            return false;
+        }
+    }
+
+    private int call(String method, String path) throws IOException {
+        try (Socket s = to(operators, method + " " + path + " HTTP/1.1\r\n\r\n")) {
+            open.remove(s);
+            return Integer.parseInt(Bench.read(s).substring(9, 12));
+        }
+    }
+
+    private void signal(String name) throws Exception {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+        assertEquals(kill.waitFor(), 0);
+    }
+
+    private static long msSince(long nanos) {
+        return (System.nanoTime() - nanos) / NANOS_PER_MS;
+    }
+
+    /**
+     * Guards a client whose task is out: SIGTERM comes while the process stands still, and the time
+     * that it leaves runs from when it was sent. What is out has its answer before SIGKILL.
+     */
+    @Test
+    public void whatIsOutIsAnsweredBeforeTheKillThoughSigtermCameWhileItStoodStill()
+            throws Exception {
+        Socket client = to(clients, HandoverRig.task("i1").replace("Ms: 4000", "Ms: 5000"));
+        Socket taken = worker.accept();
+        open.add(taken);
+        assertTrue(Bench.read(taken).contains("X-Correlation-Id: i1\r\n"));
+        Bench.write(taken, TAKEN);
+        signal("STOP");
+        signal("TERM");
+        long terminated = System.nanoTime();
+        assertFalse(process.waitFor(STOPPED, TimeUnit.MILLISECONDS));
+        signal("CONT");
+        Bench.read(client);
+        long answeredAfter = msSince(terminated);
+        assertTrue(
+                answeredAfter < KILL_AFTER,
+                "SIGKILL may come after " + KILL_AFTER + " ms, the answer after " + answeredAfter);
+    }
+}
