SignalledProcessTest: a log that nobody reads stops the scheduler (fails)

What callers see: nothing is answered any more, neither clients nor operators, and SIGTERM does not end the process. Order of events: standard error is a pipe that nobody reads; after 64 KiB (728 operators' calls here) the loop's next line blocks in write, under the lock of System.err, which every other thread that logs waits for too.

--- a/src/test/java/gingerspool/daemon/SignalledProcessTest.java
+++ b/src/test/java/gingerspool/daemon/SignalledProcessTest.java
@@ -11,6 +11,7 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -19,8 +20,8 @@
 import org.testng.annotations.Test;
 
 /**
- * A scheduler as a process of its own, which is stopped and continued by signals. What has to hold
- * is far from what a busy machine adds: a second or more.
+ * A scheduler as a process of its own, which is stopped and continued by signals, or whose standard
+ * error nobody reads. What has to hold is far from what a busy machine adds: a second or more.
  */
 public class SignalledProcessTest extends Rig {
     private static final long NANOS_PER_MS = 1_000_000;
@@ -34,6 +35,9 @@
     /** The process stands still for so long with SIGTERM waiting for it, in milliseconds. */
     private static final long STOPPED = 600;
 
+    /** More lines than any pipe holds: 64 KiB and 100 bytes each. */
+    private static final int CALLS = 1500;
+
     private Path folder;
     private Process process;
     private InetSocketAddress clients;
@@ -136,4 +140,30 @@
                 answeredAfter < KILL_AFTER,
                 "SIGKILL may come after " + KILL_AFTER + " ms, the answer after " + answeredAfter);
     }
+
+    /** Guards operators and clients: a log that nobody reads holds no call up. */
+    @Test
+    public void callsAreAnsweredThoughNobodyReadsTheLog() throws Exception {
+        for (int i = 0; i < CALLS; i++) {
+            try {
+                assertEquals(call("POST", "/v1/workers/s-1/suspend"), 200);
+            } catch (SocketTimeoutException e) {
+                throw new AssertionError("call " + i + " has no answer after 5 s", e);
+            }
+        }
+    }
+
+    /** Guards whoever ends it: a log that nobody reads does not keep the process. */
+    @Test
+    public void itEndsThoughNobodyReadsTheLog() throws Exception {
+        try {
+            for (int i = 0; i < CALLS; i++) {
+                call("POST", "/v1/workers/s-1/suspend");
+            }
+        } catch (SocketTimeoutException e) {
+            // What the test above is about.
+        }
+        signal("TERM");
+        assertTrue(process.waitFor(KILL_AFTER, TimeUnit.MILLISECONDS), "alive after SIGTERM");
+    }
 }
