SignalledProcessTest: a process that goes on runs late timers before it reads (two tests fail)

What callers see: operators get a no to a call that the successor has acknowledged; a successor that lives is taken for gone, its predecessor takes the clients back and both serve.

Order of events: the process stands still (SIGSTOP), what it waits for comes meanwhile, it goes on. The timers that came due stand in the queue by their time, before the ends of reads and accepts, which come only after it goes on: so each "nothing came" is decided before what came is looked at. Not so where the loop alone is late: the runtime's thread reads meanwhile, and the order of times is right (a play with a held loop passes).

Evidence (a process of its own): SIGSTOP after the word is on its way, its acknowledgement written, SIGCONT 0.85 s after the operators' call: 503 in place of 200. SIGSTOP after `take`, `hold` written, SIGCONT 2.1 s later: `hold` is answered 409 in place of being kept open. By reading the same: connects (250 ms: an end of `hold`'s connect says that the predecessor is gone, a worker counts as unreachable), calls to the other process (0.95 s), assignments' time-outs.

--- a/src/test/java/gingerspool/daemon/SignalledProcessTest.java
+++ b/src/test/java/gingerspool/daemon/SignalledProcessTest.java
@@ -9,7 +9,9 @@
 import gingerspool.peers.Ports;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
@@ -38,6 +40,16 @@
     /** More lines than any pipe holds: 64 KiB and 100 bytes each. */
     private static final int CALLS = 1500;
 
+    /** A successor is taken for gone where it holds no call by then, in milliseconds. */
+    private static final long HELD_WITHIN = 2000;
+
+    /** Operators are owed an answer by then, in milliseconds. */
+    private static final long ANSWER_OWED = 1000;
+
+    /** Calls after which the one before them has been looked at. */
+    private static final int SOME = 5;
+
+    private ServerSocket successor;
     private Path folder;
     private Process process;
     private InetSocketAddress clients;
@@ -46,6 +58,7 @@
     @BeforeMethod
     public void start() throws Exception {
         listen();
+        successor = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         folder = Files.createTempDirectory("signalled");
         clients = new InetSocketAddress("127.0.0.1", Ports.free("127.0.0.1"));
         operators = new InetSocketAddress("127.0.0.1", Ports.free("127.0.0.1"));
@@ -90,6 +103,7 @@
     public void end() throws Exception {
         process.destroyForcibly().waitFor();
         close();
+        successor.close();
         Folders.remove(folder);
     }
 
@@ -141,6 +155,68 @@
                 "SIGKILL may come after " + KILL_AFTER + " ms, the answer after " + answeredAfter);
     }
 
+    private Socket link(String name, String body) throws IOException {
+        String secret =
+                Files.readString(folder.resolve("gingerspool-n1.json"))
+                        .replaceAll("(?s).*\"token\":\"([0-9a-f]+)\".*", "$1");
+        return to(
+                operators,
+                "POST /v1/link/"
+                        + name
+                        + " HTTP/1.1\r\nX-Token: "
+                        + secret
+                        + "\r\nX-From: 127.0.0.1:"
+                        + successor.getLocalPort()
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body);
+    }
+
+    /** The test is the successor, and has the clients. */
+    private void takeOver() throws IOException {
+        String taken = Bench.read(link("join", HandoverRig.JOIN + "}"));
+        assertTrue(taken.startsWith("HTTP/1.1 200 "), taken);
+        assertTrue(Bench.read(link("take", "{\"n\":0}")).startsWith("HTTP/1.1 200 "));
+    }
+
+    /**
+     * Guards bans and call-backs: a process stands still while its successor, which lives, begins
+     * to hold its call open; it goes on and must not take the successor for gone.
+     */
+    @Test
+    public void aSuccessorWhoseCallIsReadLateIsNotTakenForGone() throws Exception {
+        takeOver();
+        signal("STOP");
+        Socket held = link("hold", "");
+        assertFalse(process.waitFor(HELD_WITHIN + 100, TimeUnit.MILLISECONDS));
+        signal("CONT");
+        for (int i = 0; i < SOME; i++) {
+            call("GET", "/v1/readyz");
+        }
+        assertEquals(held.getInputStream().available(), 0, "it was answered: not the successor");
+    }
+
+    /**
+     * Guards operators: the successor has acknowledged their call, and the process, which stood
+     * still, goes on in time to say so.
+     */
+    @Test
+    public void anAcknowledgementThatIsReadLateCounts() throws Exception {
+        takeOver();
+        link("hold", "");
+        Socket caller = to(operators, "POST /v1/workers/s-1/suspend HTTP/1.1\r\n\r\n");
+        long since = System.nanoTime();
+        Socket told = successor.accept();
+        open.add(told);
+        assertTrue(Bench.read(told).startsWith("POST /v1/link/word "));
+        signal("STOP");
+        Bench.write(told, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertFalse(process.waitFor(ANSWER_OWED - 150 - msSince(since), TimeUnit.MILLISECONDS));
+        signal("CONT");
+        assertEquals(Bench.read(caller).substring(9, 12), "200");
+    }
+
     /** Guards operators and clients: a log that nobody reads holds no call up. */
     @Test
     public void callsAreAnsweredThoughNobodyReadsTheLog() throws Exception {
