StoppedPeerTest: a stopped predecessor costs operators a no at the process that serves (fails)

What callers see: suspend and drain at the process that serves are answered 503 after 0.8 s. Order of events: it has taken over, the one before it lives on with its last tasks and stands still for 0.8 s or more (SIGSTOP), an operator calls: the word to the predecessor is not acknowledged. A yes would be wrong as the text is, since the old process, once it goes on, sends its tasks to that worker before it reads the word.

--- /dev/null
+++ b/src/test/java/gingerspool/daemon/StoppedPeerTest.java
@@ -0,0 +1,148 @@
+package gingerspool.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import gingerspool.dispatch.Bench;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * One of the two processes of a hand-over stands still for a while at a certain step, and goes on.
+ * The test plays the other one; a process stands still by a task that holds its loop.
+ */
+public class StoppedPeerTest extends HandoverRig {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    private static final String STATE =
+            "{\"v\":1,\"suspended\":[],\"drained\":false,\"discovery\":\"\","
+                    + "\"list\":{\"seq\":7,\"whole\":true,\"hosts\":[{\"host\":\"s-1\","
+                    + "\"dial\":\"127.0.0.1:9\",\"site\":\"a\",\"class\":\"m\",\"block\":0,"
+                    + "\"health\":\"SERVING\",\"share\":4,\"born_ms\":0}]}}";
+
+    /** Operators are owed an answer by then, in milliseconds. */
+    private static final long ANSWER_OWED = 1000;
+
+    /** A connection to another process comes up within this, in milliseconds. */
+    private static final int CONNECT_WITHIN = 250;
+
+    private Predecessor predecessor;
+
+    @BeforeMethod
+    public void listenForSuccessor() throws IOException {
+        predecessor = new Predecessor();
+    }
+
+    @AfterMethod
+    public void closePredecessor() throws IOException {
+        predecessor.server.close();
+    }
+
+    /** The process before, as the test plays it: answers whatever it is not told to leave. */
+    private final class Predecessor {
+        private final ServerSocket server =
+                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+        /** Calls of these names get no answer. */
+        private volatile String silentAt = "hold";
+
+        Predecessor() throws IOException {
+            acceptAll(server, this::serve);
+        }
+
+        private void serve(Socket s) throws IOException {
+            while (true) {
+                String name = Bench.read(s).replaceAll("(?s)POST /v1/link/([a-z]+) .*", "$1");
+                if (silentAt.contains(name)) {
+                    return;
+                }
+                Bench.write(s, answer(name));
+            }
+        }
+
+        private String answer(String name) {
+            String body =
+                    name.equals("join")
+                            ? STATE
+                            : name.equals("take") || name.equals("held")
+                                    ? "{\"descriptors\":30,\"listener\":0}"
+                                    : "";
+            return OK + body.length() + "\r\n\r\n" + body;
+        }
+    }
+
+    private interface Service {
+        void serve(Socket s) throws IOException;
+    }
+
+    /** Serves each connection on a thread of its own, until the socket is closed. */
+    private void acceptAll(ServerSocket server, Service service) {
+        begin(
+                () -> {
+                    while (true) {
+                        Socket s = server.accept();
+                        open.add(s);
+                        begin(() -> service.serve(s));
+                    }
+                });
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private static void begin(Step step) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                step.run();
+                            } catch (IOException e) {
+                                // Closed by the other side, or the test is over.
+                            }
+                        },
+                        "peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A process that finds the one of the test in the file. */
+    private Daemon startAfterPredecessor() throws Exception {
+        Files.writeString(
+                folder.resolve("gingerspool-n1.json"),
+                "{\"v\":1,\"at\":\"127.0.0.1:"
+                        + predecessor.server.getLocalPort()
+                        + "\",\"token\":\"00ff\",\"suspended\":[],\"drained\":false}");
+        return start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
+    }
+
+    /** The process before stands still at these calls, as long as it is asked. */
+    @DataProvider
+    public Object[][] operatorsCalls() {
+        return new Object[][] {{"/v1/workers/s-1/suspend"}, {"/v1/scheduler/drain"}};
+    }
+
+    /**
+     * Guards operators: the process that serves does what they ask though the old one is stopped.
+     */
+    @Test(dataProvider = "operatorsCalls")
+    public void aCallIsAYesThoughThePredecessorIsStopped(String path) throws Exception {
+        Daemon second = startAfterPredecessor();
+        ready(second);
+        predecessor.silentAt = "hold held word callback";
+        long since = System.nanoTime();
+        assertEquals(call(second, "POST", path), 200);
+        assertTrue(msSince(since) < ANSWER_OWED, "the answer took over 1 s");
+    }
+
+    private static long msSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+}
