A process that stood still looks at what came before its timers run

Callers saw: requests that came while a process of a hand-over stood still closed unread, though it went on before SIGKILL; clients a 500 or 503 for an answer that had come. Operators: 503 though the successor had acknowledged their call; a successor that lives taken for gone, so that both served.

Cause: the runtime's thread reads and accepts only once the process goes on, and the timers that came due meanwhile stand before that in the loop's queue. Each "nothing came" was decided before what came was looked at. SIGTERM too counted from when the loop came to it.

Change: after a stall of the whole process, seen by a timer that is over 50 ms late while nothing was noticed meanwhile, timers wait once, until 20 ms after it. The listener counts its quiet span from when the loop is on time, by the same reckoning in place of one of its own, and looks at the end of the span too. The time to leave counts from when SIGTERM may have come. A timer is due every 50 ms while a scheduler listens. The modelled loop keeps the same order.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -231,7 +231,9 @@
 
     /** On SIGTERM, from the virtual machine's own thread: it ends when this returns. */
     private void stop() {
-        loop.submit(() -> leave(loop.now()));
+        double toldAt = loop.now();
+        // The signal may have come while the process stood still, and its time runs from then.
+        loop.submit(() -> leave(loop.earliest(toldAt)));
         try {
             ended.await();
         } catch (InterruptedException e) {
--- a/src/main/java/gingerspool/wire/ClientEndpoint.java
+++ b/src/main/java/gingerspool/wire/ClientEndpoint.java
@@ -111,6 +111,7 @@
 
     public void open() {
         listener.acceptOn();
+        watchStalls();
     }
 
     /** Holds so many connections at the most from now on. */
@@ -184,14 +185,16 @@
         Inbound connection = new Inbound(loop, channel, this);
         connection.mayHoldSince(letInFrom);
         all.add(connection);
-        watchStalls();
         connection.endAfterAnswer(lastAnswers);
         connection.start();
     }
 
-    /** The loop sees a stall by its timers: while clients are here, one is due soon at any time. */
+    /**
+     * The loop sees a stall by its timers: while clients are here or may come, one is due soon at
+     * any time.
+     */
     private void watchStalls() {
-        if (!watchesStalls && !all.isEmpty()) {
+        if (!watchesStalls && (listens() || !all.isEmpty())) {
             watchesStalls = true;
             loop.schedule(
                     STALLS_SEEN_EVERY,
--- a/src/main/java/gingerspool/wire/EventExecutor.java
+++ b/src/main/java/gingerspool/wire/EventExecutor.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * What a channel group hands the ends of operations to: passes them on to the loop's thread, and
@@ -27,34 +28,39 @@
     record Notice(long noticedAt, long lookedAt) {}
 
     private final ExecutorService loop;
-    private Notice latest;
+    private final Predicate<Thread> isLoop;
+    private volatile Notice latest;
 
     /** That of the loop's present task; null where its operation was done at once. */
     private Notice present;
 
-    EventExecutor(ExecutorService loop) {
+    /** Passes events on to this executor, whose one thread the predicate knows. */
+    EventExecutor(ExecutorService loop, Predicate<Thread> isLoop) {
         this.loop = loop;
+        this.isLoop = isLoop;
+        long now = System.nanoTime();
+        latest = new Notice(now, now);
     }
 
     @Override
     public void execute(Runnable event) {
-        Thread from = Thread.currentThread();
-        Notice notice = notice(System.nanoTime());
-        loop.execute(() -> run(event, from, notice));
+        Notice notice = isLoop.test(Thread.currentThread()) ? null : notice(System.nanoTime());
+        loop.execute(() -> run(event, notice));
     }
 
     private synchronized Notice notice(long at) {
-        if (latest == null) {
-            latest = new Notice(at, at);
-        } else {
-            boolean isLater = at - latest.noticedAt > SAME_LOOK_NANOS;
-            latest = new Notice(at, isLater ? latest.noticedAt : latest.lookedAt);
-        }
+        boolean isLater = at - latest.noticedAt > SAME_LOOK_NANOS;
+        latest = new Notice(at, isLater ? latest.noticedAt : latest.lookedAt);
         return latest;
     }
 
-    private void run(Runnable event, Thread from, Notice notice) {
-        present = from == Thread.currentThread() ? null : notice;
+    /** When an event was noticed last; when this was made where none has been; from any thread. */
+    long latestNanos() {
+        return latest.noticedAt;
+    }
+
+    private void run(Runnable event, Notice notice) {
+        present = notice;
         try {
             event.run();
         } finally {
--- a/src/main/java/gingerspool/wire/EventLoop.java
+++ b/src/main/java/gingerspool/wire/EventLoop.java
@@ -31,6 +31,11 @@
         return now();
     }
 
+    /** Since when the loop has been on time; what came before may not have been looked at. */
+    default double onTimeSince() {
+        return Double.NEGATIVE_INFINITY;
+    }
+
     /** The group whose completion handlers run on the loop's thread. */
     AsynchronousChannelGroup group();
 
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -33,6 +33,9 @@
     /** A span without connections is watched in so many parts. */
     private static final int QUIET_PARTS = 10;
 
+    /** No part is shorter than this, in milliseconds. */
+    private static final double SHORTEST_PART = 1;
+
     private static final String OUT_OF_DESCRIPTORS = "Too many open files";
 
     /** Who takes the connections. */
@@ -236,25 +239,26 @@
         acceptOn();
     }
 
-    /** Looks once in each part of the span; all parts together must have been quiet. */
+    /** Looks once in each part of the span, and at its end; all together must have been quiet. */
     private void lookWhetherQuiet() {
-        double part = closesAfter / QUIET_PARTS;
-        double due = loop.now() + part;
-        loop.schedule(part, () -> look(due, part));
+        double left = closesAfter - (loop.now() - quietSince);
+        double part = Math.min(closesAfter / QUIET_PARTS, Math.max(SHORTEST_PART, left));
+        loop.schedule(part, this::look);
     }
 
     /**
      * Guards against a process that gets no processor: what came meanwhile has not been accepted,
-     * so the parts in which its loop was late count for nothing.
+     * so the time in which its loop was late counts for nothing.
      */
-    private void look(double due, double part) {
+    private void look() {
         if (Double.isNaN(closesAfter) || !channel.isOpen()) {
             return;
         }
         // Where there is no room, connections may wait that no accept has been told of.
-        if (!accepting || loop.now() > due + part) {
+        if (!accepting) {
             quietSince = loop.now();
         }
+        quietSince = Math.max(quietSince, loop.onTimeSince());
         if (loop.now() - quietSince < closesAfter) {
             lookWhetherQuiet();
             return;
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -32,6 +32,9 @@
     private final long startedAtNanos = System.nanoTime();
     private boolean isRunning;
 
+    /** Null before the first task; replaced where an error ended it. */
+    private volatile Thread loopThread;
+
     private final LatenessMonitor lateness =
             new LatenessMonitor(
                     LOG,
@@ -40,13 +43,18 @@
                     this::unixMs);
 
     public SingleThreadEventLoop() throws IOException {
-        thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, "loop"));
+        thread = new ScheduledThreadPoolExecutor(1, this::newThread);
         thread.setRemoveOnCancelPolicy(true);
         thread.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
-        events = new EventExecutor(thread);
+        events = new EventExecutor(thread, candidate -> candidate == loopThread);
         group = AsynchronousChannelGroup.withThreadPool(events);
     }
 
+    private Thread newThread(Runnable work) {
+        loopThread = new Thread(work, "loop");
+        return loopThread;
+    }
+
     @Override
     public void execute(Runnable task) {
         tasks.add(task);
@@ -86,15 +94,30 @@
     public Future<?> schedule(double delay, Runnable task) {
         long delayNanos = (long) (delay * NANOS_PER_MS);
         long dueNanos = System.nanoTime() + delayNanos;
-        return thread.schedule(
-                () -> {
-                    long firedNanos = System.nanoTime();
-                    stalls.fired(unixMs(dueNanos), unixMs(firedNanos));
-                    lateness.timerFired(dueNanos, firedNanos);
-                    execute(task);
-                },
-                delayNanos,
-                TimeUnit.NANOSECONDS);
+        LoopTimer timer = new LoopTimer();
+        timer.waitsFor(after(delayNanos, () -> fire(timer, dueNanos, task)));
+        return timer;
+    }
+
+    private Future<?> after(long delayNanos, Runnable task) {
+        return thread.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Guards against a process that stood still: what came meanwhile is looked at first. */
+    private void fire(LoopTimer timer, long dueNanos, Runnable task) {
+        long nanos = System.nanoTime();
+        lateness.timerFired(dueNanos, nanos);
+        double wait = stalls.fired(unixMs(dueNanos), unixMs(nanos), unixMs(events.latestNanos()));
+        if (wait > 0) {
+            timer.waitsFor(after((long) (wait * NANOS_PER_MS), () -> run(timer, task)));
+        } else {
+            run(timer, task);
+        }
+    }
+
+    private void run(LoopTimer timer, Runnable task) {
+        timer.complete(null);
+        execute(task);
     }
 
     /** Tells a listener of each late span from here on; from any thread. */
@@ -124,6 +147,19 @@
                 : stalls.earliest(unixMs(notice.noticedAt()), unixMs(notice.lookedAt()));
     }
 
+    @Override
+    public double onTimeSince() {
+        return stalls.stalledUntil();
+    }
+
+    /**
+     * The earliest time at which something may have come that another thread noticed at this time;
+     * only for callers on the loop's thread.
+     */
+    public double earliest(double noticedAt) {
+        return stalls.earliest(noticedAt, Double.NEGATIVE_INFINITY);
+    }
+
     @Override
     public AsynchronousChannelGroup group() {
         return group;
--- a/src/main/java/gingerspool/wire/StallTracker.java
+++ b/src/main/java/gingerspool/wire/StallTracker.java
@@ -1,8 +1,9 @@
 package gingerspool.wire;
 
 /**
- * Knows from the loop's timers when the whole process stood still, stopped or without a processor:
- * what came meanwhile is noticed only after that, and may have come at any time of it.
+ * Knows from the loop's timers when the whole process stood still, stopped or without a processor.
+ * What came meanwhile is noticed only after that: it may have come at any time of the stall, and
+ * timers that came due meanwhile must not run before it is looked at.
  *
  * <p>A stall is seen by a timer that fires late. It began no earlier than the last timer before it,
  * so it is known as closely as timers follow each other. Stalls that follow each other before the
@@ -17,18 +18,42 @@
     /** After a stall all that came meanwhile has been noticed within this. */
     static final double CATCH_UP = 50;
 
+    /** After a stall the runtime gets so long to look at the sockets before any timer runs. */
+    static final double TIMERS_HELD = 20;
+
     private double lastTimerAt = Double.NEGATIVE_INFINITY;
     private double stalledFrom = Double.NaN;
-    private double stalledUntil = Double.NaN;
+    private double stalledUntil = Double.NEGATIVE_INFINITY;
+
+    /** Until then timers wait for what came in a stall of the whole process. */
+    private double heldUntil = Double.NEGATIVE_INFINITY;
 
-    /** A timer that was due at one time fires at another. */
-    void fired(double due, double at) {
+    /**
+     * A timer that was due at one time fires at another; the runtime's own thread has last noticed
+     * an event at `noticedAt`. Returns for how long the timer is to wait.
+     */
+    double fired(double due, double at, double noticedAt) {
         if (at > due + LATE) {
-            boolean goesOn = lastTimerAt <= stalledUntil + CATCH_UP;
+            boolean goesOn = hasStalled() && lastTimerAt <= stalledUntil + CATCH_UP;
             stalledFrom = goesOn ? stalledFrom : Math.min(due, Math.max(lastTimerAt, due - LATE));
+            boolean isNew = !goesOn || at > stalledUntil + LATE;
             stalledUntil = at;
+            // Where events were noticed in the stall, only the loop was held up: all is in order.
+            if (isNew && !(noticedAt > due && noticedAt < at - CATCH_UP)) {
+                heldUntil = at + TIMERS_HELD;
+            }
         }
         lastTimerAt = at;
+        return Math.max(0, heldUntil - at);
+    }
+
+    private boolean hasStalled() {
+        return stalledUntil > Double.NEGATIVE_INFINITY;
+    }
+
+    /** When the last stall ended; negative infinity before the first. */
+    double stalledUntil() {
+        return stalledUntil;
     }
 
     /**
@@ -38,7 +63,9 @@
      */
     double earliest(double noticedAt, double lookedAt) {
         boolean afterStall =
-                noticedAt >= stalledUntil - CATCH_UP && noticedAt <= stalledUntil + CATCH_UP;
+                hasStalled()
+                        && noticedAt >= stalledUntil - CATCH_UP
+                        && noticedAt <= stalledUntil + CATCH_UP;
         return afterStall ? Math.min(noticedAt, Math.max(stalledFrom, lookedAt)) : noticedAt;
     }
 }
--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -15,8 +15,14 @@
 public final class ModelChannelLoop extends ModelEventLoop {
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean isRunning;
+    private final StallTracker stalls = new StallTracker();
+
+    /** Of the event that the present task tells of, and of the last one of all. */
     private double noticedAt = Double.NEGATIVE_INFINITY;
 
+    private double lastNoticedAt = Double.NEGATIVE_INFINITY;
+    private double lookedAt = Double.NEGATIVE_INFINITY;
+
     /** The last listening socket. */
     public ModelServerChannel listening;
 
@@ -27,10 +33,13 @@
     void complete(Runnable handler) {
         // Done at once where a task of the loop's own begins the operation.
         double at = isRunning ? Double.NEGATIVE_INFINITY : now();
+        double lookedBefore = lastNoticedAt;
+        lastNoticedAt = Math.max(lastNoticedAt, at);
         super.schedule(
                 0,
                 () -> {
                     noticedAt = at;
+                    lookedAt = lookedBefore < at ? lookedBefore : lookedAt;
                     handler.run();
                     noticedAt = Double.NEGATIVE_INFINITY;
                 });
@@ -38,7 +47,12 @@
 
     @Override
     public double noticedAt() {
-        return noticedAt;
+        return stalls.earliest(noticedAt, lookedAt);
+    }
+
+    @Override
+    public double onTimeSince() {
+        return stalls.stalledUntil();
     }
 
     @Override
@@ -56,7 +70,20 @@
 
     @Override
     public Future<?> schedule(double span, Runnable task) {
-        return super.schedule(span, () -> execute(task));
+        double due = now() + span;
+        LoopTimer timer = new LoopTimer();
+        timer.waitsFor(super.schedule(span, () -> fire(timer, due, task)));
+        return timer;
+    }
+
+    /** As the real loop does: after a stall what came meanwhile goes first. */
+    private void fire(LoopTimer timer, double due, Runnable task) {
+        double wait = stalls.fired(due, now(), lastNoticedAt);
+        if (wait > 0) {
+            timer.waitsFor(super.schedule(wait, () -> execute(task)));
+        } else {
+            execute(task);
+        }
     }
 
     @Override
--- a/src/test/java/gingerspool/wire/StallTrackerTest.java
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -18,7 +18,7 @@
     /** Timers fire on time, the last one at `until`. */
     private static StallTracker onTime(StallTracker stalls, double from, double until) {
         for (double at = from; at <= until; at += BEAT) {
-            stalls.fired(at, at);
+            stalls.fired(at, at, LONG_AGO);
         }
         return stalls;
     }
@@ -32,7 +32,7 @@
     @Test
     public void whatIsNoticedRightAfterAStallMayHaveComeWithItsBegin() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
+        seen.fired(1050, 1800, LONG_AGO);
         assertEquals(seen.earliest(1801, LONG_AGO), 1000.0);
         assertEquals(
                 seen.earliest(1790, LONG_AGO), 1000.0, "noticed before the loop itself went on");
@@ -41,7 +41,7 @@
     @Test
     public void whatIsNoticedLaterCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
+        seen.fired(1050, 1800, LONG_AGO);
         assertEquals(seen.earliest(1900, LONG_AGO), 1900.0);
     }
 
@@ -49,24 +49,24 @@
     @Test
     public void whatWasNoticedInTheMiddleOfAStallCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
+        seen.fired(1050, 1800, LONG_AGO);
         assertEquals(seen.earliest(1400, LONG_AGO), 1400.0);
     }
 
     @Test
     public void stallsInARowCountAsOneUntilTheProcessHasCaughtUp() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
-        seen.fired(1850, 2600);
+        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1850, 2600, LONG_AGO);
         assertEquals(seen.earliest(2601, LONG_AGO), 1000.0);
     }
 
     @Test
     public void aStallAfterTheProcessHasCaughtUpIsAnother() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
+        seen.fired(1050, 1800, LONG_AGO);
         onTime(seen, 1850, 2000);
-        seen.fired(2050, 2600);
+        seen.fired(2050, 2600, LONG_AGO);
         assertEquals(seen.earliest(2601, LONG_AGO), 2000.0);
     }
 
@@ -74,8 +74,8 @@
     @Test
     public void theBeginOfAStallIsBoundedByTheLateTimer() {
         StallTracker seen = new StallTracker();
-        seen.fired(0, 0);
-        seen.fired(5000, 5700);
+        seen.fired(0, 0, LONG_AGO);
+        seen.fired(5000, 5700, LONG_AGO);
         assertEquals(seen.earliest(5701, LONG_AGO), 5000.0 - StallTracker.LATE);
     }
 
@@ -83,8 +83,30 @@
     @Test
     public void whatAnEarlierLookDidNotShowCameAfterIt() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800);
-        seen.fired(1850, 2600);
+        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1850, 2600, LONG_AGO);
         assertEquals(seen.earliest(2601, 1805), 1805.0);
     }
+
+    /** Timers that came due in a stall wait until what came meanwhile has been looked at. */
+    @Test
+    public void timersWaitAfterAStallOfTheWholeProcess() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        assertEquals(seen.fired(1050, 1800, LONG_AGO), StallTracker.TIMERS_HELD);
+        assertEquals(seen.fired(1400, 1801, LONG_AGO), StallTracker.TIMERS_HELD - 1);
+        assertEquals(seen.fired(1805, 1805, LONG_AGO), StallTracker.TIMERS_HELD - 5);
+        assertEquals(seen.fired(1850, 1850, LONG_AGO), 0.0);
+    }
+
+    /** What came meanwhile was noticed meanwhile, and stands before the timers or behind them. */
+    @Test
+    public void timersDoNotWaitWhereTheLoopAloneWasHeldUp() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        assertEquals(seen.fired(1050, 1800, 1500), 0.0);
+    }
+
+    @Test
+    public void timersThatAreOnTimeDoNotWait() {
+        assertEquals(stalls.fired(1000, 1000 + StallTracker.LATE, LONG_AGO), 0.0);
+    }
 }
