Readings of a loop's time begin when the program serves, and follow the work

Need: 100 ms of other tasks could stand in the split of a slow task, and the first second of a scheduler, in which hand-overs are, was counted from the thread's beginning: a start on a busy machine told within_ms=724 for a task of 57 ms.

Change: a reading is due after 100 ms, or after 20 ms of tasks; SingleThreadEventLoop.startUpEnded, called when the daemon serves, lets them begin (else after 10 s, or with a listener), so that a start pays for none. Figures are parsed without the library's methods, which cost more as long as they are not compiled. A loop whose system tells nothing is not asked at each task.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -214,6 +214,7 @@
                 .addKeyValue("name", node.name)
                 .addKeyValue("at", Address.text(node.listen))
                 .log("serving");
+        loop.startUpEnded();
         look();
     }
 
--- a/src/main/java/gingerspool/wire/LatenessMonitor.java
+++ b/src/main/java/gingerspool/wire/LatenessMonitor.java
@@ -44,6 +44,11 @@
         this.listener = listener;
     }
 
+    /** The start-up has ended: from here on the thread's time is read. */
+    void startUpEnded(long now) {
+        use.startUpEnded(now);
+    }
+
     /** A timer that was due then fires now. */
     void timerFired(long due, long now) {
         long late = now - due;
@@ -85,7 +90,10 @@
             taskWarnedAt = now;
             warn(began, now).addKeyValue("task", nameOf(task)).log("loop.task_slow");
         }
-        use.readIfDue(now);
+        if (listener != null) {
+            startUpEnded(now);
+        }
+        use.taskEnded(began, now);
     }
 
     /** The class that the task's code stands in: the part before the mark of a lambda's class. */
--- a/src/main/java/gingerspool/wire/LoopUse.java
+++ b/src/main/java/gingerspool/wire/LoopUse.java
@@ -8,20 +8,23 @@
  * How a loop's thread spent its time, by readings that are taken as its tasks end. They wake nobody
  * up: a loop without tasks takes none, and needs none, since its thread neither runs nor waits for
  * a processor meanwhile. So a span begins at the reading before it however old that is, and shows
- * at most the work of one interval that is not its own. Instants are those of System.nanoTime.
+ * little work that is not its own. Instants are those of System.nanoTime.
  */
 final class LoopUse {
-    /** The processor use is read when a task ends and the last reading is so old. */
-    static final long READING_INTERVAL_NANOS = 50_000_000;
+    /** The processor use is read when a task ends and the last reading is so old, */
+    static final long READING_INTERVAL_NANOS = 100_000_000;
+
+    /** or when tasks have taken so long since. */
+    static final long READING_WORK_NANOS = 20_000_000;
 
     /** The same for the thread's stalls and the machine, which cost more to read. */
     static final long SURROUNDINGS_INTERVAL_NANOS = 1_000_000_000;
 
-    /** Nothing is read in the beginning, which is short of time, unless a line asks for it. */
-    static final long FIRST_READING_NANOS = 1_000_000_000;
+    /** Unless the start-up is said to have ended, it has after this time. */
+    static final long LONGEST_START_NANOS = 10_000_000_000L;
 
     /** So many readings reach back 5 s; longer spans in which tasks ended are cut to that. */
-    private static final int READINGS = 100;
+    private static final int READINGS = 250;
 
     private static final int SURROUNDINGS = 6;
 
@@ -31,18 +34,26 @@
     private record Surroundings(ThreadStalls thread, MachinePressure machine) {}
 
     private final LoopReadings source;
-    private final long firstReadingAt;
     private final ReadingHistory<ProcessorUse> uses;
     private final ReadingHistory<Surroundings> surroundings;
 
+    /** Before this nothing is read, unless a line asks for it. */
+    private long readingsFrom;
+
     /** When the processor use was last asked for, whether or not the system told it. */
     private long useReadAt;
 
+    private long workSinceNanos;
+
+    /** The same for the surroundings; the end of the start-up puts their first reading off. */
+    private long surroundingsReadAt;
+
     /** Of a thread that began at this instant. */
     LoopUse(LoopReadings source, long beganAt) {
         this.source = source;
         useReadAt = beganAt;
-        firstReadingAt = beganAt + FIRST_READING_NANOS;
+        surroundingsReadAt = beganAt;
+        readingsFrom = beganAt + LONGEST_START_NANOS;
         uses = new ReadingHistory<>(READINGS, beganAt, ProcessorUse.NONE);
         surroundings =
                 new ReadingHistory<>(
@@ -51,14 +62,27 @@
                         new Surroundings(ThreadStalls.NONE, MachinePressure.UNKNOWN));
     }
 
-    /** A task has ended: reads what was not read lately, one thing at a time. */
-    void readIfDue(long now) {
-        if (now - firstReadingAt < 0) {
+    /** The start-up has ended: from here on readings are taken. */
+    void startUpEnded(long now) {
+        if (isStarting(now)) {
+            readingsFrom = now;
+            surroundingsReadAt = now;
+        }
+    }
+
+    private boolean isStarting(long now) {
+        return now - readingsFrom < 0;
+    }
+
+    /** A task that began then has ended now: reads what is due, one thing at a time. */
+    void taskEnded(long began, long now) {
+        workSinceNanos += now - began;
+        if (isStarting(now)) {
             return;
         }
-        if (now - useReadAt >= READING_INTERVAL_NANOS) {
+        if (now - useReadAt >= READING_INTERVAL_NANOS || workSinceNanos >= READING_WORK_NANOS) {
             readUse(now);
-        } else if (now - surroundings.latest().atNanos() >= SURROUNDINGS_INTERVAL_NANOS) {
+        } else if (now - surroundingsReadAt >= SURROUNDINGS_INTERVAL_NANOS) {
             readSurroundings(now);
         }
     }
@@ -83,6 +107,7 @@
             return;
         }
         useReadAt = now;
+        workSinceNanos = 0;
         Optional<ProcessorUse> use = source.processorUse();
         if (use.isPresent()) {
             uses.add(now, use.get());
@@ -103,10 +128,11 @@
     }
 
     private Surroundings readSurroundings(long now) {
-        boolean isBeginning = now - firstReadingAt < 0;
-        MachinePressure machine = isBeginning ? MachinePressure.UNKNOWN : source.machinePressure();
+        MachinePressure machine =
+                isStarting(now) ? MachinePressure.UNKNOWN : source.machinePressure();
         Surroundings here = new Surroundings(source.threadStalls(), machine);
         surroundings.add(now, here);
+        surroundingsReadAt = now;
         return here;
     }
 
--- a/src/main/java/gingerspool/wire/MachinePressure.java
+++ b/src/main/java/gingerspool/wire/MachinePressure.java
@@ -15,8 +15,11 @@
     static final MachinePressure UNKNOWN =
             new MachinePressure(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
-    /** Place of the field in the first line of stat, "cpu USER NICE ...". */
-    private static final int STEAL_TICKS = 8;
+    private static final String ALL_PROCESSORS = "cpu  ";
+    private static final String SOME = "some ";
+
+    /** Place of the field in the first line of stat, after the name. */
+    private static final int STEAL_TICKS = 7;
 
     private static final double MS_PER_TICK = 10;
     private static final String TOTAL = " total=";
@@ -29,27 +32,19 @@
     }
 
     private static double steal(String stat) {
-        if (!stat.startsWith("cpu ")) {
-            return Double.NaN;
-        }
-        String[] fields = firstLine(stat).replace("cpu  ", "cpu ").split(" ");
-        return KernelFigures.at(fields, STEAL_TICKS) * MS_PER_TICK;
+        return stat.startsWith(ALL_PROCESSORS)
+                ? KernelFigures.field(stat, ALL_PROCESSORS.length(), STEAL_TICKS) * MS_PER_TICK
+                : Double.NaN;
     }
 
-    /** Reads "some avg10=... total=MICROSECONDS". */
+    /** Reads "some avg10=... total=MICROSECONDS" and not the line after it. */
     private static double pressure(String text) {
-        String line = firstLine(text);
-        int total = line.indexOf(TOTAL);
-        return line.startsWith("some ") && total >= 0
-                ? KernelFigures.parse(line.substring(total + TOTAL.length())) / MICROS_PER_MS
+        int total = text.indexOf(TOTAL);
+        return text.startsWith(SOME) && total >= 0
+                ? KernelFigures.numberAt(text, total + TOTAL.length()) / MICROS_PER_MS
                 : Double.NaN;
     }
 
-    private static String firstLine(String text) {
-        int end = text.indexOf('\n');
-        return end < 0 ? text : text.substring(0, end);
-    }
-
     /** What came on top of an earlier reading. */
     MachinePressure since(MachinePressure earlier) {
         return new MachinePressure(
--- a/src/main/java/gingerspool/wire/ProcessorUse.java
+++ b/src/main/java/gingerspool/wire/ProcessorUse.java
@@ -15,15 +15,11 @@
 
     /** Reads "RAN WAITED SLICES" of schedstat, the first two in nanoseconds. */
     static Optional<ProcessorUse> parse(String line) {
-        String[] fields = line.strip().split(" ");
-        try {
-            return Optional.of(
-                    new ProcessorUse(
-                            Long.parseLong(fields[0]) / NANOS_PER_MS,
-                            Long.parseLong(fields[1]) / NANOS_PER_MS));
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-            return Optional.empty();
-        }
+        double ran = KernelFigures.field(line, 0, 0);
+        double waited = KernelFigures.field(line, 0, 1);
+        return Double.isNaN(ran) || Double.isNaN(waited)
+                ? Optional.empty()
+                : Optional.of(new ProcessorUse(ran / NANOS_PER_MS, waited / NANOS_PER_MS));
     }
 
     /** What came on top of an earlier reading of the same thread. */
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -91,6 +91,15 @@
                 TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * The program has started: lines on lateness tell of the late time alone from here on, which
+     * takes some readings of the system. Without this call they begin after 10 s, or with a
+     * listener. Only on the loop.
+     */
+    public void startUpEnded() {
+        lateness.startUpEnded(System.nanoTime());
+    }
+
     /** Tells a listener of each late span from here on; from any thread. */
     public void setLatenessListener(LatenessListener listener) {
         lateness.setListener(listener);
--- a/src/main/java/gingerspool/wire/ThreadStalls.java
+++ b/src/main/java/gingerspool/wire/ThreadStalls.java
@@ -16,6 +16,8 @@
     /** Those of a thread that begins. */
     static final ThreadStalls NONE = new ThreadStalls(0, 0);
 
+    private static final String END_OF_NAME = ") ";
+
     /** Places of fields after the thread's name, which may hold blanks. */
     private static final int MAJOR_FAULTS = 9;
 
@@ -25,14 +27,14 @@
 
     /** Reads the line of stat: "ID (NAME) STATE ...". */
     static ThreadStalls parse(String line) {
-        int endOfName = line.lastIndexOf(") ");
+        int endOfName = line.lastIndexOf(END_OF_NAME);
         if (endOfName < 0) {
             return UNKNOWN;
         }
-        String[] fields = line.substring(endOfName + 2).strip().split(" ");
+        int start = endOfName + END_OF_NAME.length();
         return new ThreadStalls(
-                KernelFigures.at(fields, MAJOR_FAULTS),
-                KernelFigures.at(fields, DISK_WAIT_TICKS) * MS_PER_TICK);
+                KernelFigures.field(line, start, MAJOR_FAULTS),
+                KernelFigures.field(line, start, DISK_WAIT_TICKS) * MS_PER_TICK);
     }
 
     /** What came on top of an earlier reading of the same thread. */
