Experiments start schedulers as they are deployed

SchedulerCommand holds the flags of deploy/balancer.toml (a test compares them) and uses the archive of classes that lies beside the jar and is not older. An archive names its jar as target/... as seen from where it was made: started elsewhere the virtual machine drops it, and its own archive with it; so schedulers are started in the folder that target stands in.

From classes, as in tests, there is no archive.

--- a/src/main/java/gingerspool/experiment/SchedulerProcesses.java
+++ b/src/main/java/gingerspool/experiment/SchedulerProcesses.java
@@ -94,9 +94,7 @@
 
     /** Starts a scheduler that finds its list at this address of the discovery. */
     void startFirst(int i, long seed, InetSocketAddress discovery) throws IOException {
-        Files.writeString(
-                folder.resolve("n" + i + ".json"),
-                NodeFile.of(scenario, i, seed, addresses.get(i), discovery));
+        Files.writeString(nodeFile(i), NodeFile.of(scenario, i, seed, addresses.get(i), discovery));
         if (operators == null) {
             start(i, null);
             return;
@@ -108,9 +106,10 @@
 
     /** Operators call the process at this address; null where they don't. */
     Process start(int i, InetSocketAddress at) throws IOException {
-        ProcessBuilder b = new ProcessBuilder(command(i));
+        ProcessBuilder b = new ProcessBuilder(SchedulerCommand.of(side, scenario.schedulers, i));
+        b.directory(SchedulerCommand.directory(side));
         b.environment().keySet().removeIf(k -> k.startsWith("GW_"));
-        b.environment().put("GW_CONFIG", folder.resolve("n" + i + ".json").toString());
+        b.environment().put("GW_CONFIG", nodeFile(i).toAbsolutePath().toString());
         if (at != null) {
             b.environment().put("GW_MANAGEMENT", Address.text(at));
             b.environment().put("TMPDIR", scratch(i).toAbsolutePath().toString());
@@ -128,34 +127,12 @@
         }
     }
 
-    private Path log(int i) {
-        return folder.resolve("n" + i + ".log");
+    private Path nodeFile(int i) {
+        return folder.resolve("n" + i + ".json");
     }
 
-    private List<String> command(int i) {
-        List<String> command = new ArrayList<>();
-        if (scenario.schedulers.pinFrom >= 0) {
-            String core = Integer.toString(scenario.schedulers.pinFrom + i);
-            command.addAll(List.of("taskset", "-c", core));
-        }
-        command.addAll(
-                List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-Xshare:auto",
-                        "-Xms48m",
-                        "-Xmx80m",
-                        "-Xss512k",
-                        "-XX:MaxDirectMemorySize=16m",
-                        "-Djdk.nio.maxCachedBufferSize=65536"));
-        command.addAll(side.classPath());
-        command.add("serve");
-        if (side.file() != null) {
-            command.add("--file");
-            command.add(side.file().toAbsolutePath().toString());
-        }
-        return command;
+    private Path log(int i) {
+        return folder.resolve("n" + i + ".log");
     }
 
     // ---- Which ----
