Experiments hold their ports for the whole play

Change: a port stays bound, without a listener, until the play is over; it is bound alone first, so that a second play is refused it.

--- a/src/main/java/gingerspool/experiment/Run.java
+++ b/src/main/java/gingerspool/experiment/Run.java
@@ -75,6 +75,7 @@
             }
             loadLoop.stop();
             fleetLoop.stop();
+            processes.releasePorts();
         }
         return Judge.judge(clients, executions);
     }
--- a/src/main/java/gingerspool/experiment/SchedulerFaults.java
+++ b/src/main/java/gingerspool/experiment/SchedulerFaults.java
@@ -62,7 +62,7 @@
      * leave. One that a later process has overtaken is not waited for.
      */
     private void succeed(int i, String note) throws IOException, InterruptedException {
-        InetSocketAddress own = FreePorts.next();
+        InetSocketAddress own = processes.nextAddress();
         List<Process> before = new ArrayList<>();
         Process successor = processes.startBeside(i, own, before);
         try {
@@ -87,7 +87,7 @@
 
     /** The second process is killed this long after its start, wherever it stands then. */
     private void killHeir(Scenario.Fault f) throws IOException, InterruptedException {
-        Process heir = processes.start(f.scheduler, FreePorts.next());
+        Process heir = processes.start(f.scheduler, processes.nextAddress());
         Thread.sleep((long) f.length);
         record.scheduler(f.scheduler, "heir-killed");
         heir.destroyForcibly().waitFor();
--- a/src/main/java/gingerspool/experiment/SchedulerProcesses.java
+++ b/src/main/java/gingerspool/experiment/SchedulerProcesses.java
@@ -29,6 +29,7 @@
     private final Scenario scenario;
     private final Run.Side side;
     private final Path folder;
+    private final FreePorts ports = new FreePorts();
     private final List<InetSocketAddress> addresses = new ArrayList<>();
 
     /** Each scheduler's processes in the order of their starts; the last one is the newest. */
@@ -58,11 +59,16 @@
     /** Finds an address for each scheduler. */
     void chooseAddresses() throws IOException {
         for (int i = 0; i < scenario.schedulers.count; i++) {
-            addresses.add(FreePorts.next());
+            addresses.add(ports.next());
             processes.add(new CopyOnWriteArrayList<>());
         }
     }
 
+    /** An address for operators' calls to another process; nobody else has it during the play. */
+    InetSocketAddress nextAddress() throws IOException {
+        return ports.next();
+    }
+
     /** Where each scheduler takes its clients. */
     List<InetSocketAddress> addresses() {
         return addresses;
@@ -100,7 +106,7 @@
             return;
         }
         Files.createDirectories(scratch(i));
-        InetSocketAddress at = FreePorts.next();
+        InetSocketAddress at = ports.next();
         operators.serves(i, at, start(i, at));
     }
 
@@ -276,6 +282,11 @@
         }
     }
 
+    /** Others may have their ports from now on. */
+    void releasePorts() throws IOException {
+        ports.close();
+    }
+
     // ---- CPU ----
 
     /** What the schedulers have used until now does not count. */
