StoppedPeerTest: an operators' call that is read late is answered late (fails)

What callers see: an answer after more than the second that is owed. Order of events: a process whose successor says nothing has a late loop; an operator's call waits for it, and then 0.8 s for the successor, counted from the reading.

--- a/src/test/java/gingerspool/daemon/StoppedPeerTest.java
+++ b/src/test/java/gingerspool/daemon/StoppedPeerTest.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -123,6 +124,23 @@
         return start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
     }
 
+    /** Holds the process's loop from now on, until the latch is down. */
+    private static CountDownLatch standStill(Daemon process) throws InterruptedException {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        process.loop.submit(
+                () -> {
+                    stands.countDown();
+                    await(goesOn);
+                });
+        stands.await();
+        return goesOn;
+    }
+
+    private static void pass(long ms) throws InterruptedException {
+        new CountDownLatch(1).await(ms, TimeUnit.MILLISECONDS);
+    }
+
     /** The process before stands still at these calls, as long as it is asked. */
     @DataProvider
     public Object[][] operatorsCalls() {
@@ -142,6 +160,27 @@
         assertTrue(msSince(since) < ANSWER_OWED, "the answer took over 1 s");
     }
 
+    /**
+     * Guards operators: a call waits while the process stands still, and then for a successor that
+     * says nothing. Both together are within the second that is owed.
+     */
+    @Test(dataProvider = "operatorsCalls")
+    public void aCallThatIsReadLateIsAnsweredInTime(String path) throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
+        ready(first);
+        String secret = secretOfNote();
+        takeFrom(first);
+        beginLinkCall(first, secret, "hold", "");
+        CountDownLatch goesOn = standStill(first);
+        Socket caller = to(first.management.address(), "POST " + path + " HTTP/1.1\r\n\r\n");
+        long since = System.nanoTime();
+        pass(ANSWER_OWED / 2);
+        goesOn.countDown();
+        Bench.read(caller);
+        long took = msSince(since);
+        assertTrue(took < ANSWER_OWED, "the answer came after " + took + " ms");
+    }
+
     private static long msSince(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
