StoppedPeerTest: a call to take over that is made twice ends in two that know of each other no more (fails)

What callers see: after a stop of 2 s at the call to take over the new process serves alone, though the one before it lives: operators get a yes to a ban that the old process knows nothing of, and call-backs for its tasks are not handed on. After shorter stops (1.45 s) it is ready 2 s later than need be and asks without a pause meanwhile, with one log line each.

Order of events: `take` is given up and made again (Peer.Line.begin; "all calls may be made twice"), the first one retires the old process, the second is answered 409; the new one asks for the state, is told that its own address serves, finds that address to be its own, gets the lock, reads the file, which names the old one, and so on (PredecessorSearch.ask, failed, lockTried), until the old one takes its clients back since no call is held (2 s after it retired), or until 4 s have passed since it began to look, when it serves alone.

--- a/src/test/java/gingerspool/daemon/StoppedPeerTest.java
+++ b/src/test/java/gingerspool/daemon/StoppedPeerTest.java
@@ -6,11 +6,14 @@
 import gingerspool.dispatch.Bench;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -34,6 +37,11 @@
     /** A connection to another process comes up within this, in milliseconds. */
     private static final int CONNECT_WITHIN = 250;
 
+    /** A process that has to wait for another one asks every 50 ms, for 2 s here. */
+    private static final int MOST_JOINS = 50;
+
+    private static final long FAR_BEYOND = 10;
+
     private Predecessor predecessor;
 
     @BeforeMethod
@@ -141,6 +149,105 @@
         new CountDownLatch(1).await(ms, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Whether the call to take over is held up or its answer, and for how long, in milliseconds:
+     * beyond the time after which it is made once more.
+     */
+    @DataProvider
+    public Object[][] heldUp() {
+        return new Object[][] {{true, 1450}, {false, 1450}, {true, 2050}, {false, 2050}};
+    }
+
+    /**
+     * Guards bans and call-backs: the process before stands still when it is asked to retire, or
+     * the new one when that is answered. Both go on, and the new one must know of the other: a ban
+     * that it says yes to holds there as well.
+     */
+    @Test(dataProvider = "heldUp")
+    public void whoTakesOverFromAStoppedProcessKnowsThatItLives(boolean isCall, long stopped)
+            throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
+        ready(first);
+        String note = Files.readString(note());
+        Relay relay = new Relay((InetSocketAddress) first.management.address(), isCall);
+        Files.writeString(
+                note(),
+                note.replaceAll("127.0.0.1:[0-9]+", "127.0.0.1:" + relay.server.getLocalPort()));
+        Daemon second = start(port(first), true, "'dueTimeMs':100", CONNECT_WITHIN);
+        assertTrue(relay.isTaken.await(FAR_BEYOND, TimeUnit.SECONDS));
+        pass(stopped);
+        relay.goesOn.countDown();
+        ready(second);
+        assertEquals(call(second, "POST", "/v1/workers/s-1/suspend"), 200);
+        boolean isBanned = on(first, () -> first.scheduler.suspended().contains("s-1"));
+        relay.server.close();
+        assertTrue(isBanned, "yes was said to a ban that the process before knows nothing of");
+        assertTrue(relay.joins.get() <= MOST_JOINS, relay.joins + " calls to join");
+    }
+
+    /** Guards who takes over: each call of a hand-over may be made twice, as when one breaks. */
+    @Test
+    public void aCallToTakeOverMayBeMadeTwice() throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
+        ready(first);
+        takeFrom(first);
+        String again = linkCall(first, secretOfNote(), "take", "{\"n\":0}");
+        assertTrue(again.startsWith("HTTP/1.1 200 "), again);
+    }
+
+    private Path note() {
+        return folder.resolve("gingerspool-n1.json");
+    }
+
+    /** Stands between the two processes; holds the first call to take over, or its answer, up. */
+    private final class Relay {
+        private final ServerSocket server =
+                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final InetSocketAddress to;
+        private final boolean holdsCall;
+        private final AtomicInteger joins = new AtomicInteger();
+        private final AtomicInteger takes = new AtomicInteger();
+        private final CountDownLatch isFirstAnswered = new CountDownLatch(1);
+        private final CountDownLatch isTaken = new CountDownLatch(1);
+        private final CountDownLatch goesOn = new CountDownLatch(1);
+
+        Relay(InetSocketAddress to, boolean holdsCall) throws IOException {
+            this.to = to;
+            this.holdsCall = holdsCall;
+            acceptAll(server, this::relay);
+        }
+
+        private void relay(Socket from) throws IOException {
+            while (true) {
+                String call = Bench.read(from);
+                joins.addAndGet(call.startsWith("POST /v1/link/join ") ? 1 : 0);
+                int take = call.startsWith("POST /v1/link/take ") ? takes.incrementAndGet() : 0;
+                if (take == 1) {
+                    isTaken.countDown();
+                }
+                if (take > 0 && holdsCall) {
+                    // What a stopped process has not read it reads in this order.
+                    await(take == 1 ? goesOn : isFirstAnswered);
+                }
+                String answer = answer(call);
+                if (take == 1) {
+                    isFirstAnswered.countDown();
+                    await(goesOn);
+                }
+                Bench.write(from, answer);
+            }
+        }
+
+        /** On a connection of its own, which the process has had no time to close as idle. */
+        private String answer(String call) throws IOException {
+            try (Socket on = new Socket(to.getAddress(), to.getPort())) {
+                open.add(on);
+                Bench.write(on, call);
+                return Bench.read(on);
+            }
+        }
+    }
+
     /** The process before stands still at these calls, as long as it is asked. */
     @DataProvider
     public Object[][] operatorsCalls() {
