SignalledProcessTest: a request that is over waits for the next stop of its process (fails)

Order of events: a kept connection, SIGSTOP, the request is written with 500 ms to wait, SIGCONT 600 ms later; the process reads it, sends it to a worker and gives it 500 ms again (LateRequestTest), SIGSTOP 200 ms later: nothing was answered.

Evidence (a process of its own): not answered 200 ms after it was read, 800 ms after it was sent.

StoppedPeerTest.aProcessThatIsAskedWhileItStandsStillTellsItsState: 2.0 s at the call for the state hold (passes).

--- a/src/test/java/gingerspool/daemon/SignalledProcessTest.java
+++ b/src/test/java/gingerspool/daemon/SignalledProcessTest.java
@@ -37,6 +37,9 @@
     /** The process stands still for so long with SIGTERM waiting for it, in milliseconds. */
     private static final long STOPPED = 600;
 
+    /** It goes on for so long between two stops, in milliseconds. */
+    private static final long GAP = 200;
+
     /** More lines than any pipe holds: 64 KiB and 100 bytes each. */
     private static final int CALLS = 1500;
 
@@ -155,6 +158,31 @@
                 "SIGKILL may come after " + KILL_AFTER + " ms, the answer after " + answeredAfter);
     }
 
+    /**
+     * Guards clients of a process that is stopped several times in a row: a request whose time is
+     * over when it is read gets its answer then, not after the next stop (day-to-day, seed 781001:
+     * two of them on kept connections got none at all).
+     */
+    @Test
+    public void aRequestThatIsOverIsAnsweredBetweenTwoStops() throws Exception {
+        Socket client = to(clients, "GET /healthz HTTP/1.1\r\n\r\n");
+        Bench.read(client);
+        signal("STOP");
+        Bench.write(
+                client,
+                HandoverRig.task("i1").replace("Ms: 4000", "Ms: 500").replace("500000", "10000"));
+        assertFalse(process.waitFor(STOPPED, TimeUnit.MILLISECONDS));
+        signal("CONT");
+        assertFalse(process.waitFor(GAP, TimeUnit.MILLISECONDS));
+        signal("STOP");
+        client.setSoTimeout(1);
+        try {
+            assertEquals(Bench.read(client).substring(9, 12), "503");
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("read 600 ms after its sending, not answered 200 ms later", e);
+        }
+    }
+
     private Socket link(String name, String body) throws IOException {
         String secret =
                 Files.readString(folder.resolve("gingerspool-n1.json"))
--- a/src/test/java/gingerspool/daemon/StoppedPeerTest.java
+++ b/src/test/java/gingerspool/daemon/StoppedPeerTest.java
@@ -37,6 +37,9 @@
     /** A connection to another process comes up within this, in milliseconds. */
     private static final int CONNECT_WITHIN = 250;
 
+    /** No process of these tests stands still for longer, in milliseconds. */
+    private static final long LONGEST_STOP = 2000;
+
     /** A process that has to wait for another one asks every 50 ms, for 2 s here. */
     private static final int MOST_JOINS = 50;
 
@@ -185,6 +188,21 @@
         assertTrue(relay.joins.get() <= MOST_JOINS, relay.joins + " calls to join");
     }
 
+    /** Guards bans: the process before stands still for 2 s when it is asked for its state. */
+    @Test
+    public void aProcessThatIsAskedWhileItStandsStillTellsItsState() throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", CONNECT_WITHIN);
+        ready(first);
+        assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 200);
+        CountDownLatch goesOn = standStill(first);
+        Daemon second = start(port(first), true, "'dueTimeMs':100", CONNECT_WITHIN);
+        pass(LONGEST_STOP);
+        goesOn.countDown();
+        ready(second);
+        assertEquals(call(second, "POST", "/v1/workers/s-1/resume"), 200);
+        assertTrue(on(first, () -> first.scheduler.suspended().isEmpty()), "it was not told");
+    }
+
     /** Guards who takes over: each call of a hand-over may be made twice, as when one breaks. */
     @Test
     public void aCallToTakeOverMayBeMadeTwice() throws Exception {
