A call to take over that is made twice is answered the same twice

Operators and workers saw, after a stop of 1.45 to 2 s at the call to take over, two processes that knew of each other no more: a yes to a ban that the old one had not, call-backs that were not handed on.

Cause: a call that gets no answer is made again; the first had retired the old process, the second was answered 409, and the new one looked for a predecessor until its 4 s were over and served alone.

--- a/src/main/java/gingerspool/handover/Handover.java
+++ b/src/main/java/gingerspool/handover/Handover.java
@@ -408,6 +408,10 @@
     }
 
     private void take(Inbound from, String caller, HandoverMessages.Take take) {
+        if (succession.hasTaken(caller)) {
+            from.answer(CallStatus.OK, List.of(), holdings().bytes());
+            return;
+        }
         if (succession.asksToTake(caller, take.commands()) != Succession.Action.RETIRE) {
             from.answer(CallStatus.CONFLICT, List.of(), "not yet\n");
             return;
--- a/src/main/java/gingerspool/handover/Succession.java
+++ b/src/main/java/gingerspool/handover/Succession.java
@@ -157,6 +157,11 @@
         return Action.RETIRE;
     }
 
+    /** Whether this one has the clients already: its call was made twice, as any call may be. */
+    boolean hasTaken(String who) {
+        return after == After.SUCCEEDED && who.equals(successor);
+    }
+
     /** The successor listens for clients. */
     Action bound(String who) {
         return after == After.SUCCEEDED && who.equals(successor) ? Action.CLOSE : Action.NONE;
