--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -162,11 +162,11 @@
     }
 
     /**
-     * The earliest time at which something may have come that another thread noticed at this time;
-     * only for callers on the loop's thread.
+     * The earliest time at which something may have come that another thread, which waited for
+     * nothing else, noticed at this time; only for callers on the loop's thread.
      */
     public double earliest(double noticedAt) {
-        return stalls.earliest(noticedAt, Double.NEGATIVE_INFINITY);
+        return stalls.earliest(noticedAt);
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/StallTracker.java
+++ b/src/main/java/gingerspool/wire/StallTracker.java
@@ -25,6 +25,9 @@
     private double stalledFrom = Double.NaN;
     private double stalledUntil = Double.NEGATIVE_INFINITY;
 
+    /** When the last one of those that count as one began. */
+    private double lastStalledFrom = Double.NaN;
+
     /** Until then timers wait for what came in a stall of the whole process. */
     private double heldUntil = Double.NEGATIVE_INFINITY;
 
@@ -35,8 +38,10 @@
     double fired(double due, double at, double noticedAt) {
         if (at > due + LATE) {
             boolean goesOn = hasStalled() && lastTimerAt <= stalledUntil + CATCH_UP;
-            stalledFrom = goesOn ? stalledFrom : Math.min(due, Math.max(lastTimerAt, due - LATE));
             boolean isNew = !goesOn || at > stalledUntil + LATE;
+            double from = Math.min(due, Math.max(lastTimerAt, due - LATE));
+            stalledFrom = goesOn ? stalledFrom : from;
+            lastStalledFrom = isNew ? from : lastStalledFrom;
             stalledUntil = at;
             // Where events were noticed in the stall, only the loop was held up: all is in order.
             if (isNew && !(noticedAt > due && noticedAt < at - CATCH_UP)) {
@@ -56,16 +61,26 @@
         return stalledUntil;
     }
 
+    /**
+     * The earliest time at which something may have come that a thread noticed at this time which
+     * waits for nothing else, as for a signal: in the last stall, since it ran before that.
+     */
+    double earliest(double noticedAt) {
+        return isAfterStall(noticedAt) ? Math.min(noticedAt, lastStalledFrom) : noticedAt;
+    }
+
     /**
      * The earliest time at which an event may have come that was noticed at this time, where others
      * had been noticed before by another look at the sockets. One that was noticed while the loop
      * was held up shows that the rest of the process was not.
      */
     double earliest(double noticedAt, double lookedAt) {
-        boolean afterStall =
-                hasStalled()
-                        && noticedAt >= stalledUntil - CATCH_UP
-                        && noticedAt <= stalledUntil + CATCH_UP;
-        return afterStall ? Math.min(noticedAt, Math.max(stalledFrom, lookedAt)) : noticedAt;
+        return isAfterStall(noticedAt)
+                ? Math.min(noticedAt, Math.max(stalledFrom, lookedAt))
+                : noticedAt;
+    }
+
+    private boolean isAfterStall(double at) {
+        return hasStalled() && at >= stalledUntil - CATCH_UP && at <= stalledUntil + CATCH_UP;
     }
 }
--- a/src/test/java/gingerspool/wire/StallTrackerTest.java
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -109,4 +109,19 @@
     public void timersThatAreOnTimeDoNotWait() {
         assertEquals(stalls.fired(1000, 1000 + StallTracker.LATE, LONG_AGO), 0.0);
     }
+
+    /**
+     * Guards clients of a process that leaves: SIGTERM was put at the begin of all stalls in a row,
+     * 3.7 s before it came, so that the time to leave was over at once and the listener closed.
+     */
+    @Test
+    public void aSignalCameInTheLastStallOfThoseInARow() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1840, 1840, LONG_AGO);
+        seen.fired(1890, 2600, LONG_AGO);
+        assertEquals(seen.earliest(2601), 1840.0);
+        assertEquals(seen.earliest(2601, LONG_AGO), 1000.0);
+        assertEquals(seen.earliest(3000), 3000.0);
+    }
 }
