--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -15,6 +15,10 @@
 public final class ModelChannelLoop extends ModelEventLoop {
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean isRunning;
+
+    /** As EventExecutor has it: events so close to each other may be of one look. */
+    private static final double SAME_LOOK = 20;
+
     private final StallTracker stalls = new StallTracker();
 
     /** Of the event that the present task tells of, and of the last one of all. */
@@ -39,7 +43,7 @@
                 0,
                 () -> {
                     noticedAt = at;
-                    lookedAt = lookedBefore < at ? lookedBefore : lookedAt;
+                    lookedAt = at > lookedBefore + SAME_LOOK ? lookedBefore : lookedAt;
                     handler.run();
                     noticedAt = Double.NEGATIVE_INFINITY;
                 });
--- a/src/test/java/gingerspool/wire/RequestArrivalTest.java
+++ b/src/test/java/gingerspool/wire/RequestArrivalTest.java
@@ -1,6 +1,7 @@
 package gingerspool.wire;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import gingerspool.peers.RequestHandlerStub;
 import java.io.IOException;
@@ -21,6 +22,7 @@
     private static final int MOST = 2;
 
     private final List<TaskRequest> requests = new ArrayList<>();
+    private Runnable whenArrived;
     private ModelChannelLoop loop;
     private ModelServerChannel channel;
 
@@ -29,16 +31,22 @@
         @Override
         public void arrived(TaskRequest request) {
             requests.add(request);
+            whenArrived.run();
         }
     }
 
     @BeforeMethod
     public void listen() throws IOException {
+        listen(MOST);
+    }
+
+    private void listen(int most) throws IOException {
         requests.clear();
+        whenArrived = () -> {};
         loop = new ModelChannelLoop();
         ClientEndpoint clients =
                 new ClientEndpoint(
-                        loop, new InetSocketAddress("127.0.0.1", 1), true, MOST, new Requests());
+                        loop, new InetSocketAddress("127.0.0.1", 1), true, most, new Requests());
         clients.listen();
         clients.open();
         channel = loop.listening;
@@ -116,4 +124,79 @@
         loop.run(1);
         assertEquals(arrivedFrom(0), written);
     }
+
+    /**
+     * A loop that has just enough to do: whenever it takes a client, the next one has come, some
+     * milliseconds ago. Nobody waits for long, however long that goes on.
+     */
+    @Test
+    public void clientsThatComeOneAfterTheOtherToABusyLoopCameOneAfterTheOther()
+            throws IOException {
+        int many = 300;
+        double takesMs = 10;
+        List<Double> written = new ArrayList<>();
+        listen(2 * many);
+        loop.run(300);
+        whenArrived =
+                () -> {
+                    requests.get(requests.size() - 1).client().answer(503, List.of(), "");
+                    loop.stall(takesMs);
+                    come(written, written.size() < many ? 1 : 0);
+                };
+        come(written, 2);
+        loop.run(2 * many * takesMs);
+        assertEquals(requests.size(), many);
+        double early = written.get(many - 1) - arrivedFrom(many - 1);
+        assertTrue(early < 500, "taken for " + early + " ms older than it was");
+    }
+
+    private void come(List<Double> written, int clients) {
+        for (int i = 0; i < clients; i++) {
+            written.add(loop.now());
+            channel.arrive(written.size() + 1).say(REQUEST);
+        }
+    }
+
+    /** Stopped again before the timers that waited for the first stop's end have run. */
+    @Test
+    public void aRequestThatCameInASecondStopCountsFromThen() {
+        ModelSocketChannel client = connected(2);
+        loop.run(300);
+        loop.stall(600);
+        loop.run(5);
+        double written = loop.now();
+        client.starve(true);
+        client.say(REQUEST);
+        loop.stall(700);
+        client.starve(false);
+        loop.run(1);
+        assertTrue(arrivedFrom(0) <= written, arrivedFrom(0) - written + " ms too late");
+    }
+
+    /** Both at once: requests are read all the time, and timers are late by more than 50 ms. */
+    @Test
+    public void aRequestUnderLoadIsNotAsOldAsTheLoad() throws IOException {
+        listen(20);
+        List<ModelSocketChannel> busy = new ArrayList<>();
+        for (int i = 0; i < 15; i++) {
+            busy.add(connected(2 + i));
+        }
+        List<ModelSocketChannel> clients = List.of(connected(98), connected(99));
+        loop.run(300);
+        for (int i = 0; i < 60; i++) {
+            for (ModelSocketChannel next : busy) {
+                loop.stall(10);
+                next.say("GET /healthz HTTP/1.1\r\n\r\n");
+            }
+            double written = loop.now();
+            if (i >= 58) {
+                clients.get(i - 58).say(REQUEST);
+            }
+            loop.run(0);
+            if (i >= 58) {
+                double early = written - arrivedFrom(i - 58);
+                assertTrue(early < 500, "taken for " + early + " ms older than it was");
+            }
+        }
+    }
 }
--- a/src/test/java/gingerspool/wire/SingleThreadEventLoopTest.java
+++ b/src/test/java/gingerspool/wire/SingleThreadEventLoopTest.java
@@ -49,4 +49,39 @@
     public void aLoopThatNeverRanCanBeStopped() throws IOException {
         new SingleThreadEventLoop().stop();
     }
+
+    /** Timers that waited for the end of a stall still run in the order in which they were due. */
+    @Test
+    public void timersThatWereHeldRunInTheirOrder() throws Exception {
+        SingleThreadEventLoop loop = new SingleThreadEventLoop();
+        try {
+            int many = 20;
+            List<Integer> ran = new CopyOnWriteArrayList<>();
+            List<Integer> order = new CopyOnWriteArrayList<>();
+            CompletableFuture<Void> all = new CompletableFuture<>();
+            loop.submit(
+                    () -> {
+                        for (int i = 0; i < many; i++) {
+                            int number = i;
+                            order.add(number);
+                            loop.schedule(
+                                    number,
+                                    () -> {
+                                        ran.add(number);
+                                        if (ran.size() == many) {
+                                            all.complete(null);
+                                        }
+                                    });
+                        }
+                        long until = System.nanoTime() + 3 * SPIN_NANOS;
+                        while (System.nanoTime() < until) {
+                            Thread.onSpinWait();
+                        }
+                    });
+            all.get(ANSWER_S, TimeUnit.SECONDS);
+            assertEquals(ran, order);
+        } finally {
+            loop.stop();
+        }
+    }
 }
--- a/src/test/java/gingerspool/wire/StallTrackerTest.java
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -1,6 +1,7 @@
 package gingerspool.wire;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
 
@@ -109,4 +110,29 @@
     public void timersThatAreOnTimeDoNotWait() {
         assertEquals(stalls.fired(1000, 1000 + StallTracker.LATE, LONG_AGO), 0.0);
     }
+
+    /**
+     * A loop that is late again and again under load reads all the time: SIGTERM or a request that
+     * is noticed then has not come when the load began.
+     */
+    @Test
+    public void timersThatAreLateAgainAndAgainAreNotOneStall() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        double at = 1000;
+        for (int i = 0; i < 100; i++) {
+            at += 60;
+            seen.fired(at - 55, at, at - 1);
+        }
+        assertEquals(seen.earliest(at, LONG_AGO), at, 200.0);
+    }
+
+    /** After a stop the thread that reads may get a processor long before the loop does. */
+    @Test
+    public void timersWaitWhereTheLoopGoesOnLaterThanTheThreadThatReads() {
+        StallTracker seen = onTime(new StallTracker(), 0, 1000);
+        double readerGoesOn = 1740;
+        assertTrue(
+                seen.fired(1050, readerGoesOn + 60, readerGoesOn) > 0,
+                "what came from 1000 to 1740 stands behind this timer");
+    }
 }
