--- a/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
+++ b/src/test/java/gingerspool/daemon/ConnectionDrainingTest.java
@@ -253,4 +253,20 @@
         loop.run(500 + 2 * LOOK_EVERY);
         assertEquals(clients.connections(), 0);
     }
+
+    /** The same where the loop was late by a tenth of a second twice in the last one. */
+    @Test
+    public void aClientThatNeverWritesIsSentAwayInTimeByALoopThatWasLate() throws IOException {
+        open();
+        lifecycle.drain(loop.now());
+        look();
+        accepted(2);
+        double drainedAt = loop.now();
+        loop.run(2950);
+        loop.stall(100);
+        loop.run(450);
+        loop.stall(100);
+        loop.run(drainedAt + 4000 - loop.now());
+        assertEquals(clients.connections(), 0);
+    }
 }
--- a/src/test/java/gingerspool/experiment/LateAnswersTest.java
+++ b/src/test/java/gingerspool/experiment/LateAnswersTest.java
@@ -196,4 +196,36 @@
         assertEquals(found.stream().map(Judge.Violation::cause).toList(), List.of(cause));
         assertEquals(found.get(0).rule(), Judge.Rule.OPERATORS);
     }
+
+    /**
+     * Answers are timed by the thread that reads them: one that it read in the middle of the loop's
+     * lateness shows that it was on time, so that a late answer after that came late.
+     */
+    @Test
+    public void aLoopThatWasLateAloneExplainsNoLateAnswer() throws IOException {
+        String inTime = "try\t%d\t0\tt%d\ta\t\t0\t100\t100\t5000\t503\t%d\tNaN\ttrue\t\t100\n";
+        StringBuilder read = new StringBuilder();
+        for (int i = 0; i < 4; i++) {
+            read.append(String.format(inTime, i + 2, i + 2, 1100 + 100 * i));
+        }
+        Verdict v = judge(toolLate(990, 1500), read + ended("503", 1450));
+        assertEquals(v.violations().get(0).cause(), Cause.UNEXPLAINED);
+        assertTrue(!v.isVoid());
+    }
+
+    /**
+     * A request that the loop wrote while its timers were late went out then: only a stop of the
+     * tool, and not a loop that has much to do, delays it after its time was told.
+     */
+    @Test
+    public void aLoopThatWroteWhileItWasLateExplainsNoLateAnswer() throws IOException {
+        StringBuilder others = new StringBuilder();
+        String wrote = "try\t%d\t0\tt%d\ta\t\t0\t100\t100\t5000\t503\t900\tNaN\ttrue\t\t%d\n";
+        for (int i = 0; i < 4; i++) {
+            others.append(String.format(wrote, i + 2, i + 2, 150 + 100 * i));
+        }
+        Verdict v = judge(toolLate(90, 600), others + ended("503", 1450));
+        assertEquals(v.violations().get(0).cause(), Cause.UNEXPLAINED);
+        assertTrue(!v.isVoid());
+    }
 }
--- a/src/test/java/gingerspool/wire/RequestArrivalTest.java
+++ b/src/test/java/gingerspool/wire/RequestArrivalTest.java
@@ -199,4 +199,21 @@
             }
         }
     }
+
+    /**
+     * Where the room is used up, the longest idle connection makes way for a new one. Right after a
+     * stop an idle time tells nothing: what came meanwhile has not been looked at.
+     */
+    @Test
+    public void aFirstRequestThatCameInAStopIsNotClosedForRoom() {
+        ModelSocketChannel client = connected(2);
+        loop.run(100);
+        client.starve(true);
+        client.say(REQUEST);
+        loop.stall(600);
+        channel.arrive(3);
+        client.starve(false);
+        loop.run(100);
+        assertEquals(requests.size(), 1, "the first request was closed unread");
+    }
 }
