SIGHUP no longer has the loop wait for the configuration's file

ServeTest.reload calls reload() as the signal's thread does, no longer on the loop; what it asserts is unchanged.

--- a/src/main/java/gingerspool/daemon/Daemon.java
+++ b/src/main/java/gingerspool/daemon/Daemon.java
@@ -131,9 +131,7 @@
     /** Serves until it is told to stop; returns the exit code. */
     public static int serve(Map<String, String> environment) {
         return serve(
-                () -> NodeConfiguration.read(environment),
-                d -> {},
-                d -> d.loop.submit(() -> d.reload(environment)));
+                () -> NodeConfiguration.read(environment), d -> {}, d -> d.reload(environment));
     }
 
     /**
@@ -166,22 +164,30 @@
         Signal.handle(new Signal("HUP"), signal -> then.run());
     }
 
-    /** On SIGHUP: `discovery` takes effect; a file that can't be used changes nothing. */
-    void reload(Map<String, String> environment) {
+    /**
+     * On SIGHUP: `discovery` takes effect; a file that can't be used changes nothing. Not on the
+     * loop, which must not wait for a file. One call at a time, so that what was read last is what
+     * holds.
+     */
+    synchronized void reload(Map<String, String> environment) {
         try {
             NodeConfiguration read = NodeConfiguration.read(environment);
-            Set<String> changed = node.differences(read);
-            changed.remove("discovery");
-            LOG.atInfo()
-                    .addKeyValue("discovery", read.discovery)
-                    .addKeyValue("kept", changed)
-                    .log("config.reloaded");
-            scheduler.follow(read.discovery);
+            loop.submit(() -> follow(read));
         } catch (ConfigurationException e) {
             LOG.atError().addKeyValue("why", e.getMessage()).log("config.refused");
         }
     }
 
+    private void follow(NodeConfiguration read) {
+        Set<String> changed = node.differences(read);
+        changed.remove("discovery");
+        LOG.atInfo()
+                .addKeyValue("discovery", read.discovery)
+                .addKeyValue("kept", changed)
+                .log("config.reloaded");
+        scheduler.follow(read.discovery);
+    }
+
     void begin() {
         try {
             if (management != null) {
--- a/src/test/java/gingerspool/daemon/ServeTest.java
+++ b/src/test/java/gingerspool/daemon/ServeTest.java
@@ -411,7 +411,7 @@
     private void reload(String text) throws IOException {
         Path file = Files.createTempFile("configuration", ".json");
         Files.writeString(file, text.replace('\'', '"'));
-        daemon.loop.submit(() -> daemon.reload(Map.of("GW_CONFIG", file.toString())));
+        daemon.reload(Map.of("GW_CONFIG", file.toString()));
         assertTrue(Bench.read(say("GET /healthz HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 "));
         Files.delete(file);
     }
--- a/src/test/java/gingerspool/daemon/StalledPipeTest.java
+++ b/src/test/java/gingerspool/daemon/StalledPipeTest.java
@@ -8,6 +8,7 @@
 import gingerspool.peers.Ports;
 import java.io.BufferedReader;
 import java.io.FileInputStream;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.RandomAccessFile;
@@ -24,7 +25,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** A scheduler process whose standard error is a pipe that its reader leaves full. */
+/** A scheduler process whose standard error, or configuration file, is a pipe that stands still. */
 public class StalledPipeTest {
     /** What operators and the front are owed an answer in. */
     private static final Duration ANSWER_WITHIN = Duration.ofSeconds(1);
@@ -32,6 +33,7 @@
     /** From SIGTERM to SIGKILL: the longest expiry, 3 s at most, and 0.7 s. */
     private static final long TIME_TO_LEAVE_MS = 3_700;
 
+    private static final int RELOAD_TIMEOUT_MS = 20_000;
     private static final int SIGTERM_EXIT = 143;
 
     /** No other process has connections from this address, so a port found free stays free. */
@@ -156,6 +158,22 @@
         skipTo(" operators.call");
     }
 
+    /** SIGHUP has the configuration read again, here from a pipe that nobody has written to yet. */
+    @Test(timeOut = RELOAD_TIMEOUT_MS)
+    public void requestsAreAnsweredWhileTheConfigurationIsRead() throws Exception {
+        Path file = folder.resolve("node.json");
+        byte[] content = Files.readAllBytes(file);
+        Files.delete(file);
+        assertEquals(new ProcessBuilder("mkfifo", file.toString()).start().waitFor(), 0);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        // It is opened for writing once the process has opened it to read.
+        try (FileOutputStream writer = new FileOutputStream(file.toFile())) {
+            assertEquals(status(clients, "GET", "/healthz"), 200);
+            writer.write(content);
+        }
+        skipTo(" config.reloaded");
+    }
+
     /** With a reader that keeps up nothing is lost at the end. */
     @Test
     public void theLastLineIsWrittenBeforeTheProcessEnds() throws Exception {
