What a stall hides is bounded by what was noticed; all who wait are accepted at once

- requests that had all their time were refused as seconds old: stalls in a row counted as one though the runtime read all the while, the last look at the sockets stood still under load, and a client that was accepted without waiting counted from the last time at which the queue was known to be empty;
- held timers ran in another order, before what came in a second stop, and not at all held where the reading thread goes on before the loop;
- a first request unread after a stop was closed to make room; clients that never write were kept past the 4 s of a drain by a loop that was late twice.

A listener accepts all who wait in one call, 64 at most, so it knows when nobody waits. Idle times do not count what the loop was late. A drained process has 50 ms in place of 500 to catch up once its 4 s are nearly over.

StallTrackerTest hands over the span without an event where it handed over the last event: the same cases, the same bounds.

--- a/src/main/java/gingerspool/daemon/ConnectionDraining.java
+++ b/src/main/java/gingerspool/daemon/ConnectionDraining.java
@@ -27,6 +27,9 @@
     /** After it was late, the loop has read what came meanwhile once it was on time for so long. */
     private static final double CAUGHT_UP_AFTER = 500;
 
+    /** The same where a drained process is to be rid of its clients by now. */
+    private static final double CAUGHT_UP_AFTER_DUE = 50;
+
     /** The tasks of the process. */
     interface Tasks {
         /** How many have no answer yet. */
@@ -44,7 +47,7 @@
     private boolean sharesClients;
 
     private double appliedAt = Double.NaN;
-    private double caughtUpFrom = Double.NEGATIVE_INFINITY;
+    private double lateAt = Double.NEGATIVE_INFINITY;
 
     ConnectionDraining(ProcessLifecycle lifecycle, ClientEndpoint clients, Tasks tasks) {
         this.lifecycle = lifecycle;
@@ -74,7 +77,7 @@
 
     private void noteLateness(double now) {
         if (now > appliedAt + APPLY_EVERY + LATE) {
-            caughtUpFrom = now + CAUGHT_UP_AFTER;
+            lateAt = now;
         }
         appliedAt = now;
     }
@@ -85,7 +88,8 @@
      */
     private double freshMost(double now) {
         boolean refuses = lifecycle.isOver(now) && !lifecycle.isPast(now);
-        boolean catchesUp = !lifecycle.isOver(now) && now < caughtUpFrom;
+        double catchUp = lifecycle.isDrainDue(now) ? CAUGHT_UP_AFTER_DUE : CAUGHT_UP_AFTER;
+        boolean catchesUp = !lifecycle.isOver(now) && now < lateAt + catchUp;
         return refuses || catchesUp ? Double.POSITIVE_INFINITY : lifecycle.freshMost(now);
     }
 
--- a/src/main/java/gingerspool/daemon/ProcessLifecycle.java
+++ b/src/main/java/gingerspool/daemon/ProcessLifecycle.java
@@ -21,6 +21,9 @@
     /** No client holds an idle connection to a drained scheduler after this, in milliseconds. */
     private static final double SENT_AWAY_WITHIN = 4000;
 
+    /** So long before that the last ones are closed, in milliseconds. */
+    private static final double SENT_AWAY_SPARE = 100;
+
     /** The part of that in which connections without a request are kept. */
     private static final double KEPT_DRAINED = 0.75;
 
@@ -132,13 +135,18 @@
      * over.
      */
     double freshMost(double now) {
-        if (isOver(now)) {
+        if (isOver(now) || isDrainDue(now)) {
             return 0;
         }
         boolean mayWait = isLeaving() || now < drainedAt + KEPT_DRAINED * SENT_AWAY_WITHIN;
         return mayWait ? Double.POSITIVE_INFINITY : 2 * STILL_COMING;
     }
 
+    /** Whether a drained process has to be rid of its clients now, however late its loop was. */
+    boolean isDrainDue(double now) {
+        return isDrained() && now >= drainedAt + SENT_AWAY_WITHIN - SENT_AWAY_SPARE;
+    }
+
     /** Whether it is time to leave for those who have nothing out. */
     boolean isClosing(double now) {
         return isLeaving()
--- a/src/main/java/gingerspool/wire/EventExecutor.java
+++ b/src/main/java/gingerspool/wire/EventExecutor.java
@@ -27,36 +27,88 @@
      */
     record Notice(long noticedAt, long lookedAt) {}
 
+    /** Between two events, in System.nanoTime(). */
+    record Quiet(long from, long until) {}
+
+    /** A span without an event is long where a timer that fires so late is late. */
+    private static final long LONG_QUIET_NANOS = (long) (StallTracker.LATE * 1e6);
+
+    private static final int QUIETS_KEPT = 16;
+
     private final ExecutorService loop;
     private final Predicate<Thread> isLoop;
-    private volatile Notice latest;
 
-    /** That of the loop's present task; null where its operation was done at once. */
+    private Notice latest;
+
+    /** When the look began that the latest event may belong to. */
+    private long lookBegan;
+
+    /** The last long spans without an event, the oldest overwritten first. */
+    private final Quiet[] quiets = new Quiet[QUIETS_KEPT];
+
+    private int quietCount;
+
+    /** That of the loop's present task; null where nobody waited for its event. */
     private Notice present;
 
     /** Passes events on to this executor, whose one thread the predicate knows. */
     EventExecutor(ExecutorService loop, Predicate<Thread> isLoop) {
+        this(loop, isLoop, System.nanoTime());
+    }
+
+    /** The same, begun at this instant of a clock that a test keeps. */
+    EventExecutor(ExecutorService loop, Predicate<Thread> isLoop, long now) {
         this.loop = loop;
         this.isLoop = isLoop;
-        long now = System.nanoTime();
         latest = new Notice(now, now);
+        lookBegan = now;
     }
 
     @Override
     public void execute(Runnable event) {
-        Notice notice = isLoop.test(Thread.currentThread()) ? null : notice(System.nanoTime());
-        loop.execute(() -> run(event, notice));
+        if (isLoop.test(Thread.currentThread())) {
+            // Done at once: its end comes in the call that began it.
+            event.run();
+        } else {
+            Notice notice = notice(System.nanoTime());
+            loop.execute(() -> run(event, notice));
+        }
     }
 
-    private synchronized Notice notice(long at) {
-        boolean isLater = at - latest.noticedAt > SAME_LOOK_NANOS;
-        latest = new Notice(at, isLater ? latest.noticedAt : latest.lookedAt);
+    /** An event is noticed. */
+    synchronized Notice notice(long at) {
+        long previous = latest.noticedAt;
+        long lookedAt = latest.lookedAt;
+        if (at - previous > SAME_LOOK_NANOS) {
+            lookedAt = previous;
+            lookBegan = at;
+        } else if (at - lookBegan > SAME_LOOK_NANOS) {
+            lookedAt = lookBegan;
+            lookBegan = at;
+        }
+        if (at - previous > LONG_QUIET_NANOS) {
+            quiets[quietCount++ % quiets.length] = new Quiet(previous, at);
+        }
+        latest = new Notice(at, lookedAt);
         return latest;
     }
 
-    /** When an event was noticed last; when this was made where none has been; from any thread. */
-    long latestNanos() {
-        return latest.noticedAt;
+    /**
+     * The long span without an event that this time lies in, by System.nanoTime(), up to now where
+     * it lasts; null where there is none. From any thread.
+     */
+    synchronized Quiet quietAround(long time, long now) {
+        if (time - latest.noticedAt >= 0) {
+            return now - latest.noticedAt > LONG_QUIET_NANOS
+                    ? new Quiet(latest.noticedAt, now)
+                    : null;
+        }
+        for (Quiet quiet : quiets) {
+            if (quiet != null && time - quiet.from >= 0 && quiet.until - time >= 0) {
+                return quiet;
+            }
+        }
+        return null;
     }
 
     private void run(Runnable event, Notice notice) {
--- a/src/main/java/gingerspool/wire/Inbound.java
+++ b/src/main/java/gingerspool/wire/Inbound.java
@@ -303,9 +303,11 @@
         return state == State.IDLE && (used || idleFor() >= fresh);
     }
 
-    /** How long it has been idle, in milliseconds. */
+    /**
+     * How long it has been idle, in milliseconds, as far as the loop was on time to see what came.
+     */
     public double idleFor() {
-        return loop.now() - since;
+        return loop.now() - Math.max(since, loop.onTimeSince());
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/Listener.java
+++ b/src/main/java/gingerspool/wire/Listener.java
@@ -30,6 +30,9 @@
     /** How long it waits after an accept that failed, as when there is no descriptor left. */
     private static final double PAUSE = 100;
 
+    /** Connections that are accepted in one turn. */
+    private static final int MOST_AT_ONCE = 64;
+
     /** A span without connections is watched in so many parts. */
     private static final int QUIET_PARTS = 10;
 
@@ -65,6 +68,11 @@
     /** Connections of our own, by where they come from; they are not the owner's. */
     private final Map<SocketAddress, Runnable> expected = new HashMap<>();
 
+    /** An accept is being begun; one that is done at once ends in that call. */
+    private boolean isBeginning;
+
+    private AsynchronousSocketChannel acceptedAtOnce;
+
     /** An accept is under way, or the pause after one that failed. */
     private boolean accepting;
 
@@ -128,19 +136,48 @@
         return channel.isOpen() && accepting;
     }
 
-    /** Goes on accepting, if it does not and there is room. */
+    /**
+     * Goes on accepting, if it does not and there is room: all who wait at once, up to a bound, so
+     * that it is known that nobody waits any more.
+     */
     public void acceptOn() {
-        // Making room may close a connection, which asks for this again: so the mark is looked at
-        // last.
-        if (channel.isOpen() && owner.hasRoom() && !accepting) {
-            accepting = true;
-            quietSince = loop.now();
-            channel.accept(null, this);
+        if (isBeginning) {
+            return;
         }
+        for (int i = 0; i < MOST_AT_ONCE; i++) {
+            // Making room may close a connection, which asks for this again: so the mark is looked
+            // at last.
+            if (!channel.isOpen() || !owner.hasRoom() || accepting || !acceptOne()) {
+                return;
+            }
+        }
+        loop.schedule(0, this::acceptOn);
+    }
+
+    /** Tells whether one was accepted at once, and has been taken. */
+    private boolean acceptOne() {
+        accepting = true;
+        quietSince = loop.now();
+        isBeginning = true;
+        channel.accept(null, this);
+        isBeginning = false;
+        AsynchronousSocketChannel accepted = acceptedAtOnce;
+        acceptedAtOnce = null;
+        if (accepted == null) {
+            emptyAt = loop.now();
+            return false;
+        }
+        accepting = false;
+        take(accepted);
+        return true;
     }
 
     @Override
     public void completed(AsynchronousSocketChannel accepted, Void none) {
+        if (isBeginning) {
+            acceptedAtOnce = accepted;
+            return;
+        }
         loop.execute(
                 () -> {
                     accepting = false;
--- a/src/main/java/gingerspool/wire/LoopTimer.java
+++ b/src/main/java/gingerspool/wire/LoopTimer.java
@@ -4,16 +4,17 @@
 import java.util.concurrent.Future;
 
 /**
- * The handle of a timer that may be put off once: cancelling takes back whatever it waits for.
+ * The handle of a timer that may have to wait after it has fired: one that is cancelled before its
+ * task runs never runs it.
  *
  * <p>Thread: the event loop.
  */
 final class LoopTimer extends CompletableFuture<Void> {
     private Future<?> pending;
 
-    /** What it waits for from now on. */
-    void waitsFor(Future<?> next) {
-        pending = next;
+    /** What fires it. */
+    void firedBy(Future<?> timer) {
+        pending = timer;
     }
 
     @Override
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -24,6 +24,7 @@
     private final EventExecutor events;
     private final AsynchronousChannelGroup group;
     private final StallTracker stalls = new StallTracker();
+    private final TimerGate timers = new TimerGate(new GateLoop(), stalls);
 
     /** Tasks that wait for the one going on. */
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
@@ -46,10 +47,14 @@
         thread = new ScheduledThreadPoolExecutor(1, this::newThread);
         thread.setRemoveOnCancelPolicy(true);
         thread.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
-        events = new EventExecutor(thread, candidate -> candidate == loopThread);
+        events = new EventExecutor(thread, this::isLoop);
         group = AsynchronousChannelGroup.withThreadPool(events);
     }
 
+    private boolean isLoop(Thread candidate) {
+        return candidate == loopThread;
+    }
+
     private Thread newThread(Runnable work) {
         loopThread = new Thread(work, "loop");
         return loopThread;
@@ -95,7 +100,7 @@
         long delayNanos = (long) (delay * NANOS_PER_MS);
         long dueNanos = System.nanoTime() + delayNanos;
         LoopTimer timer = new LoopTimer();
-        timer.waitsFor(after(delayNanos, () -> fire(timer, dueNanos, task)));
+        timer.firedBy(after(delayNanos, () -> fire(timer, dueNanos, task)));
         return timer;
     }
 
@@ -103,21 +108,35 @@
         return thread.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Guards against a process that stood still: what came meanwhile is looked at first. */
     private void fire(LoopTimer timer, long dueNanos, Runnable task) {
-        long nanos = System.nanoTime();
-        lateness.timerFired(dueNanos, nanos);
-        double wait = stalls.fired(unixMs(dueNanos), unixMs(nanos), unixMs(events.latestNanos()));
-        if (wait > 0) {
-            timer.waitsFor(after((long) (wait * NANOS_PER_MS), () -> run(timer, task)));
-        } else {
-            run(timer, task);
-        }
+        timers.fired(timer, unixMs(dueNanos), task);
+        lateness.timerFired(dueNanos, System.nanoTime());
     }
 
-    private void run(LoopTimer timer, Runnable task) {
-        timer.complete(null);
-        execute(task);
+    /** What the gate of the timers needs of this loop. */
+    private final class GateLoop implements TimerGate.Loop {
+        @Override
+        public double now() {
+            return SingleThreadEventLoop.this.now();
+        }
+
+        @Override
+        public QuietSpan quietAround(double time) {
+            EventExecutor.Quiet quiet = events.quietAround(nanos(time), System.nanoTime());
+            return quiet == null
+                    ? null
+                    : new QuietSpan(unixMs(quiet.from()), unixMs(quiet.until()));
+        }
+
+        @Override
+        public void after(double delay, Runnable step) {
+            SingleThreadEventLoop.this.after((long) (delay * NANOS_PER_MS), step);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            SingleThreadEventLoop.this.execute(task);
+        }
     }
 
     /**
@@ -144,6 +163,10 @@
         return unixMs(System.nanoTime());
     }
 
+    private long nanos(double unixMs) {
+        return startedAtNanos + (long) ((unixMs - startedAt) * NANOS_PER_MS);
+    }
+
     private double unixMs(long nanos) {
         return startedAt + (nanos - startedAtNanos) / NANOS_PER_MS;
     }
@@ -158,7 +181,7 @@
 
     @Override
     public double onTimeSince() {
-        return stalls.stalledUntil();
+        return stalls.onTimeSince();
     }
 
     /**
--- a/src/main/java/gingerspool/wire/StallTracker.java
+++ b/src/main/java/gingerspool/wire/StallTracker.java
@@ -5,14 +5,15 @@
  * What came meanwhile is noticed only after that: it may have come at any time of the stall, and
  * timers that came due meanwhile must not run before it is looked at.
  *
- * <p>A stall is seen by a timer that fires late. It began no earlier than the last timer before it,
- * so it is known as closely as timers follow each other. Stalls that follow each other before the
- * process has caught up count as one.
+ * <p>A stall is seen by a timer that fires late while no event was noticed around the time at which
+ * it was due; where events were, the loop alone was held up. It began no earlier than the last
+ * timer before it, so it is known as closely as timers follow each other. Stalls between which
+ * nothing was noticed count as one.
  *
  * <p>Thread: the event loop. Times are milliseconds on any one clock.
  */
 final class StallTracker {
-    /** A timer that fires later than this was held up by a stall. */
+    /** A timer that fires later than this was held up. */
     static final double LATE = 50;
 
     /** After a stall all that came meanwhile has been noticed within this. */
@@ -22,43 +23,56 @@
     static final double TIMERS_HELD = 20;
 
     private double lastTimerAt = Double.NEGATIVE_INFINITY;
+
+    /** When the loop was last seen to be late, whatever held it up. */
+    private double lateUntil = Double.NEGATIVE_INFINITY;
+
     private double stalledFrom = Double.NaN;
     private double stalledUntil = Double.NEGATIVE_INFINITY;
 
-    /** When the last one of those that count as one began. */
+    /** When the first event after the stall was noticed, as far as known at its end. */
+    private double quietUntil = Double.NEGATIVE_INFINITY;
+
+    /** When the last one of the stalls that count as one began. */
     private double lastStalledFrom = Double.NaN;
 
     /** Until then timers wait for what came in a stall of the whole process. */
     private double heldUntil = Double.NEGATIVE_INFINITY;
 
     /**
-     * A timer that was due at one time fires at another; the runtime's own thread has last noticed
-     * an event at `noticedAt`. Returns for how long the timer is to wait.
+     * A timer that was due at one time fires at another. The span is the one of over LATE without
+     * an event in which it was due; null where events were noticed around that time. Returns for
+     * how long the timer is to wait.
      */
-    double fired(double due, double at, double noticedAt) {
+    double fired(double due, double at, QuietSpan quiet) {
         if (at > due + LATE) {
-            boolean goesOn = hasStalled() && lastTimerAt <= stalledUntil + CATCH_UP;
-            boolean isNew = !goesOn || at > stalledUntil + LATE;
-            double from = Math.min(due, Math.max(lastTimerAt, due - LATE));
-            stalledFrom = goesOn ? stalledFrom : from;
-            lastStalledFrom = isNew ? from : lastStalledFrom;
-            stalledUntil = at;
-            // Where events were noticed in the stall, only the loop was held up: all is in order.
-            if (isNew && !(noticedAt > due && noticedAt < at - CATCH_UP)) {
-                heldUntil = at + TIMERS_HELD;
+            lateUntil = at;
+            // Others that were due in the same stall tell nothing new.
+            if (quiet != null && due > stalledUntil) {
+                stalled(due, at, quiet);
             }
         }
         lastTimerAt = at;
         return Math.max(0, heldUntil - at);
     }
 
+    private void stalled(double due, double at, QuietSpan quiet) {
+        boolean goesOn =
+                hasStalled() && lastTimerAt <= stalledUntil + CATCH_UP && quiet.from() < quietUntil;
+        lastStalledFrom = Math.min(due, Math.max(lastTimerAt, due - LATE));
+        stalledFrom = goesOn ? stalledFrom : lastStalledFrom;
+        stalledUntil = at;
+        quietUntil = quiet.until();
+        heldUntil = at + TIMERS_HELD;
+    }
+
     private boolean hasStalled() {
         return stalledUntil > Double.NEGATIVE_INFINITY;
     }
 
-    /** When the last stall ended; negative infinity before the first. */
-    double stalledUntil() {
-        return stalledUntil;
+    /** Since when the loop has been on time; negative infinity where it always was. */
+    double onTimeSince() {
+        return lateUntil;
     }
 
     /**
@@ -71,8 +85,7 @@
 
     /**
      * The earliest time at which an event may have come that was noticed at this time, where others
-     * had been noticed before by another look at the sockets. One that was noticed while the loop
-     * was held up shows that the rest of the process was not.
+     * had been noticed before by another look at the sockets.
      */
     double earliest(double noticedAt, double lookedAt) {
         return isAfterStall(noticedAt)
@@ -81,6 +94,8 @@
     }
 
     private boolean isAfterStall(double at) {
-        return hasStalled() && at >= stalledUntil - CATCH_UP && at <= stalledUntil + CATCH_UP;
+        return hasStalled()
+                && at >= Math.min(quietUntil, stalledUntil - CATCH_UP)
+                && at <= stalledUntil + CATCH_UP;
     }
 }
--- a/src/test/java/gingerspool/wire/ModelChannelLoop.java
+++ b/src/test/java/gingerspool/wire/ModelChannelLoop.java
@@ -13,19 +13,21 @@
  * one: each in a turn of its own, in the order in which they came due.
  */
 public final class ModelChannelLoop extends ModelEventLoop {
+    private static final double NANOS_PER_MS = 1e6;
+
     private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
     private boolean isRunning;
 
-    /** As EventExecutor has it: events so close to each other may be of one look. */
-    private static final double SAME_LOOK = 20;
+    /** Notes events as the real loop does, in the model's time. */
+    private final EventExecutor events = new EventExecutor(null, thread -> false, 0);
 
     private final StallTracker stalls = new StallTracker();
+    private final TimerGate timers = new TimerGate(new GateLoop(), stalls);
 
-    /** Of the event that the present task tells of, and of the last one of all. */
-    private double noticedAt = Double.NEGATIVE_INFINITY;
+    /** Of the event that the present task tells of; null where it was done at once. */
+    private EventExecutor.Notice present;
 
-    private double lastNoticedAt = Double.NEGATIVE_INFINITY;
-    private double lookedAt = Double.NEGATIVE_INFINITY;
+    private boolean isBeginning;
 
     /** The last listening socket. */
     public ModelServerChannel listening;
@@ -33,30 +35,48 @@
     /** The connections that the process opened itself; each comes up. */
     public final List<ModelSocketChannel> opened = new ArrayList<>();
 
+    /** An operation begins: where it is done at once, its end comes in this call. */
+    void begin(Runnable operation) {
+        boolean was = isBeginning;
+        isBeginning = true;
+        operation.run();
+        isBeginning = was;
+    }
+
     /** The runtime has ended an operation: its handler runs as soon as the thread is free. */
     void complete(Runnable handler) {
-        // Done at once where a task of the loop's own begins the operation.
-        double at = isRunning ? Double.NEGATIVE_INFINITY : now();
-        double lookedBefore = lastNoticedAt;
-        lastNoticedAt = Math.max(lastNoticedAt, at);
+        if (isBeginning) {
+            handler.run();
+            return;
+        }
+        EventExecutor.Notice notice = events.notice(nanos(now()));
         super.schedule(
                 0,
                 () -> {
-                    noticedAt = at;
-                    lookedAt = at > lookedBefore + SAME_LOOK ? lookedBefore : lookedAt;
+                    present = notice;
                     handler.run();
-                    noticedAt = Double.NEGATIVE_INFINITY;
+                    present = null;
                 });
     }
 
+    private static long nanos(double ms) {
+        return Math.round(ms * NANOS_PER_MS);
+    }
+
+    private static double ms(long nanos) {
+        return nanos / NANOS_PER_MS;
+    }
+
     @Override
     public double noticedAt() {
-        return stalls.earliest(noticedAt, lookedAt);
+        return present == null
+                ? Double.NEGATIVE_INFINITY
+                : stalls.earliest(ms(present.noticedAt()), ms(present.lookedAt()));
     }
 
     @Override
     public double onTimeSince() {
-        return stalls.stalledUntil();
+        return stalls.onTimeSince();
     }
 
     @Override
@@ -68,6 +88,7 @@
         isRunning = true;
         for (Runnable next = tasks.poll(); next != null; next = tasks.poll()) {
             next.run();
+            present = null;
         }
         isRunning = false;
     }
@@ -76,17 +97,31 @@
     public Future<?> schedule(double span, Runnable task) {
         double due = now() + span;
         LoopTimer timer = new LoopTimer();
-        timer.waitsFor(super.schedule(span, () -> fire(timer, due, task)));
+        timer.firedBy(super.schedule(span, () -> timers.fired(timer, due, task)));
         return timer;
     }
 
-    /** As the real loop does: after a stall what came meanwhile goes first. */
-    private void fire(LoopTimer timer, double due, Runnable task) {
-        double wait = stalls.fired(due, now(), lastNoticedAt);
-        if (wait > 0) {
-            timer.waitsFor(super.schedule(wait, () -> execute(task)));
-        } else {
-            execute(task);
+    /** What the gate of the timers needs: the real one, in the model's time. */
+    private final class GateLoop implements TimerGate.Loop {
+        @Override
+        public double now() {
+            return ModelChannelLoop.this.now();
+        }
+
+        @Override
+        public QuietSpan quietAround(double time) {
+            EventExecutor.Quiet quiet = events.quietAround(nanos(time), nanos(now()));
+            return quiet == null ? null : new QuietSpan(ms(quiet.from()), ms(quiet.until()));
+        }
+
+        @Override
+        public void after(double delay, Runnable step) {
+            ModelChannelLoop.super.schedule(delay, step);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            ModelChannelLoop.this.execute(task);
         }
     }
 
--- a/src/test/java/gingerspool/wire/ModelServerChannel.java
+++ b/src/test/java/gingerspool/wire/ModelServerChannel.java
@@ -76,7 +76,7 @@
                 };
         whenClosed =
                 () -> loop.complete(() -> h.failed(new AsynchronousCloseException(), attachment));
-        takeNext();
+        loop.begin(this::takeNext);
     }
 
     @Override
--- a/src/test/java/gingerspool/wire/ModelSocketChannel.java
+++ b/src/test/java/gingerspool/wire/ModelSocketChannel.java
@@ -71,7 +71,7 @@
                     to.put(bytes);
                     loop.complete(() -> h.completed(bytes.length, a));
                 };
-        readNext();
+        loop.begin(this::readNext);
     }
 
     @Override
@@ -79,7 +79,7 @@
             ByteBuffer from, long t, TimeUnit u, A a, CompletionHandler<Integer, ? super A> h) {
         int bytes = from.remaining();
         answered.append(StandardCharsets.ISO_8859_1.decode(from));
-        loop.complete(() -> h.completed(bytes, a));
+        loop.begin(() -> loop.complete(() -> h.completed(bytes, a)));
     }
 
     @Override
--- a/src/test/java/gingerspool/wire/StallTrackerTest.java
+++ b/src/test/java/gingerspool/wire/StallTrackerTest.java
@@ -16,10 +16,15 @@
 
     private final StallTracker stalls = new StallTracker();
 
+    /** No event had been noticed for long before this time. */
+    private static QuietSpan quietUntil(double time) {
+        return new QuietSpan(LONG_AGO, time);
+    }
+
     /** Timers fire on time, the last one at `until`. */
     private static StallTracker onTime(StallTracker stalls, double from, double until) {
         for (double at = from; at <= until; at += BEAT) {
-            stalls.fired(at, at, LONG_AGO);
+            stalls.fired(at, at, quietUntil(at));
         }
         return stalls;
     }
@@ -33,7 +38,7 @@
     @Test
     public void whatIsNoticedRightAfterAStallMayHaveComeWithItsBegin() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
         assertEquals(seen.earliest(1801, LONG_AGO), 1000.0);
         assertEquals(
                 seen.earliest(1790, LONG_AGO), 1000.0, "noticed before the loop itself went on");
@@ -42,7 +47,7 @@
     @Test
     public void whatIsNoticedLaterCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
         assertEquals(seen.earliest(1900, LONG_AGO), 1900.0);
     }
 
@@ -50,24 +55,24 @@
     @Test
     public void whatWasNoticedInTheMiddleOfAStallCameThen() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
         assertEquals(seen.earliest(1400, LONG_AGO), 1400.0);
     }
 
     @Test
     public void stallsInARowCountAsOneUntilTheProcessHasCaughtUp() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
-        seen.fired(1850, 2600, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
+        seen.fired(1850, 2600, quietUntil(2600));
         assertEquals(seen.earliest(2601, LONG_AGO), 1000.0);
     }
 
     @Test
     public void aStallAfterTheProcessHasCaughtUpIsAnother() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
         onTime(seen, 1850, 2000);
-        seen.fired(2050, 2600, LONG_AGO);
+        seen.fired(2050, 2600, quietUntil(2600));
         assertEquals(seen.earliest(2601, LONG_AGO), 2000.0);
     }
 
@@ -75,8 +80,8 @@
     @Test
     public void theBeginOfAStallIsBoundedByTheLateTimer() {
         StallTracker seen = new StallTracker();
-        seen.fired(0, 0, LONG_AGO);
-        seen.fired(5000, 5700, LONG_AGO);
+        seen.fired(0, 0, quietUntil(0));
+        seen.fired(5000, 5700, quietUntil(5700));
         assertEquals(seen.earliest(5701, LONG_AGO), 5000.0 - StallTracker.LATE);
     }
 
@@ -84,8 +89,8 @@
     @Test
     public void whatAnEarlierLookDidNotShowCameAfterIt() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
-        seen.fired(1850, 2600, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
+        seen.fired(1850, 2600, quietUntil(2600));
         assertEquals(seen.earliest(2601, 1805), 1805.0);
     }
 
@@ -93,22 +98,24 @@
     @Test
     public void timersWaitAfterAStallOfTheWholeProcess() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        assertEquals(seen.fired(1050, 1800, LONG_AGO), StallTracker.TIMERS_HELD);
-        assertEquals(seen.fired(1400, 1801, LONG_AGO), StallTracker.TIMERS_HELD - 1);
-        assertEquals(seen.fired(1805, 1805, LONG_AGO), StallTracker.TIMERS_HELD - 5);
-        assertEquals(seen.fired(1850, 1850, LONG_AGO), 0.0);
+        assertEquals(seen.fired(1050, 1800, quietUntil(1800)), StallTracker.TIMERS_HELD);
+        assertEquals(seen.fired(1400, 1801, quietUntil(1801)), StallTracker.TIMERS_HELD - 1);
+        assertEquals(seen.fired(1805, 1805, quietUntil(1805)), StallTracker.TIMERS_HELD - 5);
+        assertEquals(seen.fired(1850, 1850, quietUntil(1850)), 0.0);
     }
 
     /** What came meanwhile was noticed meanwhile, and stands before the timers or behind them. */
     @Test
     public void timersDoNotWaitWhereTheLoopAloneWasHeldUp() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        assertEquals(seen.fired(1050, 1800, 1500), 0.0);
+        assertEquals(seen.fired(1050, 1800, null), 0.0);
     }
 
     @Test
     public void timersThatAreOnTimeDoNotWait() {
-        assertEquals(stalls.fired(1000, 1000 + StallTracker.LATE, LONG_AGO), 0.0);
+        assertEquals(
+                stalls.fired(1000, 1000 + StallTracker.LATE, quietUntil(1000 + StallTracker.LATE)),
+                0.0);
     }
 
     /**
@@ -118,9 +125,9 @@
     @Test
     public void aSignalCameInTheLastStallOfThoseInARow() {
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
-        seen.fired(1050, 1800, LONG_AGO);
-        seen.fired(1840, 1840, LONG_AGO);
-        seen.fired(1890, 2600, LONG_AGO);
+        seen.fired(1050, 1800, quietUntil(1800));
+        seen.fired(1840, 1840, quietUntil(1840));
+        seen.fired(1890, 2600, quietUntil(2600));
         assertEquals(seen.earliest(2601), 1840.0);
         assertEquals(seen.earliest(2601, LONG_AGO), 1000.0);
         assertEquals(seen.earliest(3000), 3000.0);
@@ -136,7 +143,7 @@
         double at = 1000;
         for (int i = 0; i < 100; i++) {
             at += 60;
-            seen.fired(at - 55, at, at - 1);
+            seen.fired(at - 55, at, new QuietSpan(at - 61, at - 1));
         }
         assertEquals(seen.earliest(at, LONG_AGO), at, 200.0);
     }
@@ -147,7 +154,7 @@
         StallTracker seen = onTime(new StallTracker(), 0, 1000);
         double readerGoesOn = 1740;
         assertTrue(
-                seen.fired(1050, readerGoesOn + 60, readerGoesOn) > 0,
+                seen.fired(1050, readerGoesOn + 60, quietUntil(readerGoesOn)) > 0,
                 "what came from 1000 to 1740 stands behind this timer");
     }
 }
