Only a tool without any sign of life explains a late answer

The rule took each late span as covering an answer. It is cut now at the first sign of life after the point that it is to explain: an answer or the end of a connection that was read, or a request that was written.

LateAnswersTest.aLoopThatWasLateAloneExplainsNoLateAnswer and aLoopThatWroteWhileItWasLateExplainsNoLateAnswer failed before (TOOL_LATE) and pass now, with all others of LateAnswersTest and JudgeTest unchanged.

--- a/src/main/java/gingerspool/judge/AnswerRules.java
+++ b/src/main/java/gingerspool/judge/AnswerRules.java
@@ -30,10 +30,12 @@
 
     private final Records r;
     private final Findings findings;
+    private final SignsOfLife signs;
 
     AnswerRules(Records r, Findings findings) {
         this.r = r;
         this.findings = findings;
+        signs = new SignsOfLife(r.tries);
     }
 
     void answers() {
@@ -110,22 +112,36 @@
     }
 
     /**
-     * The span in which the tool was late, if that covers the time from the expiry to the noted
-     * answer, or began as the request was written and delayed it by as much; else null.
+     * The span in which the tool was late and showed no sign of life, if that covers the time from
+     * the expiry to the noted answer, or began as the request was written and delayed it by as
+     * much; else null. Lateness of the tool's loop alone delays no noted answer: another thread
+     * reads and times those.
      */
     private Spans.Span toolLate(Records.Try t) {
         for (Spans.Span s : r.disturbances.toolLate(Judge.SLACK)) {
+            Spans.Span atExpiry = silent(s, t.expiry() + Judge.SLACK);
             boolean coversAnswer =
-                    s.from() <= t.expiry() + Judge.SLACK && s.until() >= t.at() - Judge.SLACK;
+                    s.from() <= t.expiry() + Judge.SLACK
+                            && atExpiry.until() >= t.at() - Judge.SLACK;
+            if (coversAnswer) {
+                return atExpiry;
+            }
+            Spans.Span atWriting = silent(s, t.written());
             boolean coversWriting = s.overlaps(t.written(), t.written());
-            boolean delayedSoMuch = t.at() - t.expiry() <= s.until() - t.written() + Judge.SLACK;
-            if (coversAnswer || coversWriting && delayedSoMuch) {
-                return s;
+            boolean delayedSoMuch =
+                    t.at() - t.expiry() <= atWriting.until() - t.written() + Judge.SLACK;
+            if (coversWriting && delayedSoMuch) {
+                return atWriting;
             }
         }
         return null;
     }
 
+    /** The span up to the tool's first sign of life after this time. */
+    private Spans.Span silent(Spans.Span span, double after) {
+        return new Spans.Span(span.from(), Math.min(span.until(), signs.firstAfter(after)));
+    }
+
     // ---- Ends of connections ----
 
     /**
