A connection that broke is noted at the time at which its end was read

The load tool noted the end of a connection at the time of its loop's turn. A loop that came late to it noted a connection that broke in time as "none", which the tool's lateness may explain, in place of "broke", which nothing explains. The owner of a client is now told when the end was read, or its write failed, by the thread that reads.

ClientTest.theEndOfAConnectionIsTimedWhenItIsRead is new too and was not run against the old code, whose clients tell no time.

--- a/src/main/java/gingerspool/load/Client.java
+++ b/src/main/java/gingerspool/load/Client.java
@@ -1,7 +1,6 @@
 package gingerspool.load;
 
 import gingerspool.wire.BadMessage;
-import gingerspool.wire.Completions;
 import gingerspool.wire.EventLoop;
 import gingerspool.wire.Message;
 import java.io.IOException;
@@ -24,10 +23,10 @@
         void answered(Client client, Message answer, double at);
 
         /**
-         * It ended without one; tells whether the request had been written whole, and whether it
-         * was ever up.
+         * It ended without one; tells whether the request had been written whole, whether it was
+         * ever up, and when its end was read, or else came about, in Unix ms.
          */
-        void broke(Client client, boolean written, boolean up);
+        void broke(Client client, boolean written, boolean up, double at);
 
         /** The request at hand was not sent, since its time was over when the connection was up. */
         default void tooLate(Client client) {}
@@ -92,7 +91,7 @@
         if (pending != null) {
             writePending();
         } else if (unsent != null) {
-            channel.write(unsent, null, Completions.onTurn(loop, this::written));
+            channel.write(unsent, null, arrivals.onTurn(this::written));
         }
         channel.read(buffer, null, arrivals.onTurn(this::read));
     }
@@ -132,7 +131,7 @@
     void send(byte[] bytes) {
         unsent = ByteBuffer.wrap(bytes);
         if (up) {
-            channel.write(unsent, null, Completions.onTurn(loop, this::written));
+            channel.write(unsent, null, arrivals.onTurn(this::written));
         }
     }
 
@@ -143,11 +142,11 @@
         alarm = open && span > 0 ? loop.schedule(span, then) : null;
     }
 
-    private void written(int bytes) {
+    private void written(int bytes, double at) {
         if (bytes < 0) {
-            end();
+            end(at);
         } else if (open && unsent.hasRemaining()) {
-            channel.write(unsent, null, Completions.onTurn(loop, this::written));
+            channel.write(unsent, null, arrivals.onTurn(this::written));
         }
     }
 
@@ -161,7 +160,7 @@
                 answer = null;
                 owner.answered(this, whole, at);
             }
-            end();
+            end(at);
             return;
         }
         int taken = 0;
@@ -169,7 +168,7 @@
             while (taken < buffer.position()) {
                 if (answer == null) {
                     owner.extra(this);
-                    end();
+                    end(at);
                     return;
                 }
                 int more = answer.take(buffer.array(), taken, buffer.position());
@@ -184,7 +183,7 @@
                     }
                     owner.answered(this, whole, at);
                     if (!whole.keepsAlive() || isExtra) {
-                        end();
+                        end(at);
                         return;
                     }
                 } else if (more == 0) {
@@ -192,7 +191,7 @@
                 }
             }
         } catch (BadMessage e) {
-            end();
+            end(at);
             return;
         }
         int left = buffer.position() - taken;
@@ -201,8 +200,13 @@
         channel.read(buffer, null, arrivals.onTurn(this::read));
     }
 
-    /** The one place where it is given back. */
+    /** Ends it now. */
     void end() {
+        end(loop.now());
+    }
+
+    /** The one place where it is given back. */
+    private void end(double at) {
         if (!open) {
             return;
         }
@@ -213,6 +217,6 @@
         } catch (IOException e) {
             // Nothing is left to give back.
         }
-        owner.broke(this, up && (unsent == null || !unsent.hasRemaining()), up);
+        owner.broke(this, up && (unsent == null || !unsent.hasRemaining()), up, at);
     }
 }
--- a/src/main/java/gingerspool/load/HostileClients.java
+++ b/src/main/java/gingerspool/load/HostileClients.java
@@ -75,7 +75,8 @@
                                 public void answered(Client client, Message answer, double at) {}
 
                                 @Override
-                                public void broke(Client client, boolean written, boolean up) {}
+                                public void broke(
+                                        Client client, boolean written, boolean up, double at) {}
 
                                 @Override
                                 public void extra(Client client) {}
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -340,7 +340,7 @@
     }
 
     @Override
-    public void broke(Client c, boolean written, boolean up) {
+    public void broke(Client c, boolean written, boolean up, double at) {
         connections--;
         free.get(c.scheduler).remove(c);
         Try t = c.carries;
@@ -353,10 +353,10 @@
                         ? "left"
                         : !up
                                 ? "unreachable"
-                                : loop.now() >= t.expiry + LISTENS_ON - 1
+                                : at >= t.expiry + LISTENS_ON - 1
                                         ? "none"
                                         : written ? "broke" : "unwritten";
-        told(t, c.scheduler, how, Double.NaN, "", c.requests > 1, loop.now());
+        told(t, c.scheduler, how, Double.NaN, "", c.requests > 1, at);
         failed++;
         retry(t, !t.left && (!up || harmless(t)), scenario.load.retryPause, false);
     }
--- a/src/test/java/gingerspool/load/ClientTest.java
+++ b/src/test/java/gingerspool/load/ClientTest.java
@@ -36,6 +36,7 @@
     private static final class Ends implements Client.Owner {
         private final CompletableFuture<String> how = new CompletableFuture<>();
         private volatile double answeredAt;
+        private volatile double brokeAt;
 
         @Override
         public void answered(Client client, Message answer, double at) {
@@ -44,7 +45,8 @@
         }
 
         @Override
-        public void broke(Client client, boolean written, boolean up) {
+        public void broke(Client client, boolean written, boolean up, double at) {
+            brokeAt = at;
             how.complete("broke");
         }
 
@@ -172,6 +174,37 @@
         }
     }
 
+    /** Guards the record: the end of a connection is timed when it is read, as an answer is. */
+    @Test
+    public void theEndOfAConnectionIsTimedWhenItIsRead() throws Exception {
+        Ends ends = new Ends();
+        CompletableFuture<Double> readBy = new CompletableFuture<>();
+        byte[] request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII);
+        loop.submit(
+                () -> {
+                    try {
+                        client(ends).ask(() -> request, PATIENCE);
+                    } catch (IOException e) {
+                        ends.how.completeExceptionally(e);
+                    }
+                });
+        try (Socket accepted = server.accept()) {
+            accepted.getInputStream().readNBytes(request.length);
+            CountDownLatch stands = new CountDownLatch(1);
+            loop.submit(
+                    () -> {
+                        stands.countDown();
+                        await(() -> arrivals.waiting() > 0);
+                        readBy.complete(loop.now());
+                        double until = loop.now() + 20;
+                        await(() -> loop.now() > until);
+                    });
+            stands.await();
+        }
+        assertEquals(ends.how.get(10, TimeUnit.SECONDS), "broke");
+        assertTrue(ends.brokeAt <= readBy.get(), ends.brokeAt + " > " + readBy.get());
+    }
+
     /** Keeps the loop busy until this holds, for 5 s at most. */
     private static void await(BooleanSupplier holds) {
         long until = System.nanoTime() + 5_000_000_000L;
--- a/src/test/java/gingerspool/load/LoadTest.java
+++ b/src/test/java/gingerspool/load/LoadTest.java
@@ -224,4 +224,35 @@
                 tries.stream().allMatch(t -> t[2].equals("0")),
                 "what may have run is not tried again");
     }
+
+    /**
+     * Guards the judge: a connection that ended in time is no missing answer, however late the
+     * tool's loop comes to it. Here the loop stands still until the client would give up.
+     */
+    @Test
+    public void aConnectionThatEndsInTimeIsWrittenDownAsSuchByALateLoop() throws Exception {
+        double givesUpAfter = 1100;
+        String[] first = {null};
+        double[] ended = {Double.NaN, Double.NaN};
+        List<String[]> tries =
+                play(
+                        "length = \"1s\"\n[profile.p]\neffect = \"side-effecting\"\n"
+                                + "expiry = \"100ms\"\n[load]\nrate_per_s = 20\n",
+                        0,
+                        (client, id, repeat) -> {
+                            client.close();
+                            if (first[0] == null) {
+                                first[0] = id;
+                                ended[0] = loop.now();
+                                ended[1] = ended[0] + givesUpAfter;
+                                while (loop.now() < ended[1]) {
+                                    Thread.onSpinWait();
+                                }
+                            }
+                        });
+        String[] told = tries.stream().filter(t -> t[3].equals(first[0])).findFirst().orElseThrow();
+        assertEquals(told[10], "broke");
+        double at = Double.parseDouble(told[11]);
+        assertTrue(at < ended[1], "noted at " + at + ", the loop stood until " + ended[1]);
+    }
 }
