A pause that is interrupted has its end written down

A fault's thread that was interrupted in a pause had the process go on but wrote no "continued": in the record the pause lasted for ever.

MachineFaultsTest.theEndOfAnInterruptedPauseIsWrittenDown is new and failed before (one line in place of two); the 9 tests of that class pass.

--- a/src/main/java/gingerspool/experiment/ProcessPauses.java
+++ b/src/main/java/gingerspool/experiment/ProcessPauses.java
@@ -29,21 +29,20 @@
 
     /**
      * Pauses a process for so long. Written are the moment just before the stop and the one just
-     * after the process goes on; nothing where it has ended, or all pauses have.
+     * after the process goes on, also where the caller is interrupted; nothing where it has ended,
+     * or all pauses have.
      */
     void pause(Process process, long forMs, Written written) throws InterruptedException {
         double from = stop(process);
         if (Double.isNaN(from)) {
             return;
         }
-        double until;
         try {
             written.at("paused", from);
             Thread.sleep(forMs);
         } finally {
-            until = goOn(process);
+            written.at("continued", goOn(process));
         }
-        written.at("continued", until);
     }
 
     private synchronized double stop(Process process) {
--- a/src/test/java/gingerspool/experiment/MachineFaultsTest.java
+++ b/src/test/java/gingerspool/experiment/MachineFaultsTest.java
@@ -1,6 +1,7 @@
 package gingerspool.experiment;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.peers.Folders;
@@ -112,6 +113,24 @@
         awaitStopped(false);
     }
 
+    /** Guards the judge: a pause that its thread's interrupt ends has an end in the record. */
+    @Test
+    public void theEndOfAnInterruptedPauseIsWrittenDown() throws Exception {
+        List<String> written = new ArrayList<>();
+        double[] now = {100};
+        Thread.currentThread().interrupt();
+        assertThrows(
+                InterruptedException.class,
+                () ->
+                        new ProcessPauses(() -> now[0]++)
+                                .pause(
+                                        process,
+                                        LONG_MS,
+                                        (what, at) -> written.add(what + " " + at)));
+        assertEquals(written, List.of("paused 100.0", "continued 101.0"));
+        awaitStopped(false);
+    }
+
     /** Two pauses of a process overlap: it goes on after the later one. */
     @Test
     public void overlappingPausesEndWithTheLast() throws Exception {
