A pause explains no answer while the scheduler had another process

A pause was kept by the scheduler's number alone: in a hand-over it excused a late answer of the other process, which ran. The lines "paused" and "continued" now hold the process id and how many other processes of that scheduler lived then, or since the pause began. As the record does not tell which process answered, a pause with another living process, or with an heir killed in it, explains nothing, neither answers to clients nor operators' calls.

--- a/src/main/java/gingerspool/experiment/FaultRecord.java
+++ b/src/main/java/gingerspool/experiment/FaultRecord.java
@@ -23,9 +23,12 @@
         LoopCalls.on(loop, () -> load.note(scheduler, what, loop.now()));
     }
 
-    /** Notes what befell a scheduler at this time. */
-    void schedulerAt(int scheduler, String what, double atMs) {
-        loop.submit(() -> load.note(scheduler, what, atMs));
+    /**
+     * Notes that a process of a scheduler was paused, or went on, at this time, and how many others
+     * of that scheduler lived then, or since the pause began.
+     */
+    void pauseAt(int scheduler, String what, double atMs, long pid, int others) {
+        loop.submit(() -> load.notePause(scheduler, what, atMs, pid, others));
     }
 
     /** Notes what befell the tool or the disk at this time. */
--- a/src/main/java/gingerspool/experiment/SchedulerFaults.java
+++ b/src/main/java/gingerspool/experiment/SchedulerFaults.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -111,12 +112,18 @@
                     case "before" -> processes.before(f.scheduler);
                     default -> processes.serving(f.scheduler);
                 };
+        int i = f.scheduler;
+        List<Process> before = processes.all(i);
+        Set<Process> others = new HashSet<>();
         processes
                 .pauses()
                 .pause(
                         process,
                         (long) f.length,
-                        (what, at) -> record.schedulerAt(f.scheduler, what, at));
+                        (what, at) -> {
+                            others.addAll(processes.beside(i, process, before));
+                            record.pauseAt(i, what, at, process.pid(), others.size());
+                        });
     }
 
     private void drain(Scenario.Fault f) throws IOException, InterruptedException {
--- a/src/main/java/gingerspool/experiment/SchedulerProcesses.java
+++ b/src/main/java/gingerspool/experiment/SchedulerProcesses.java
@@ -165,6 +165,13 @@
         return List.copyOf(processes.get(i));
     }
 
+    /** Its other processes that live, or that are not among those known before. */
+    List<Process> beside(int i, Process process, List<Process> before) {
+        return all(i).stream()
+                .filter(p -> p != process && (p.isAlive() || !before.contains(p)))
+                .toList();
+    }
+
     /** Starts another process of this scheduler; the list that is filled gets those before it. */
     Process startBeside(int i, InetSocketAddress at, List<Process> before) throws IOException {
         synchronized (processes) {
--- a/src/main/java/gingerspool/judge/Disturbances.java
+++ b/src/main/java/gingerspool/judge/Disturbances.java
@@ -1,5 +1,6 @@
 package gingerspool.judge;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,10 @@
  */
 final class Disturbances {
     private final Map<Integer, Spans> paused = new HashMap<>();
+
+    /** Times at which a scheduler had several processes, any of which may have answered. */
+    private final Map<Integer, List<Double>> othersLived = new HashMap<>();
+
     private final Spans toolPaused = new Spans();
     private final Spans toolLate = new Spans();
 
@@ -18,6 +23,11 @@
         mark(paused.computeIfAbsent(scheduler, s -> new Spans()), what, at);
     }
 
+    /** This scheduler had more than one process at this time, or until then. */
+    void othersLived(int scheduler, double at) {
+        othersLived.computeIfAbsent(scheduler, s -> new ArrayList<>()).add(at);
+    }
+
     /** The tool was paused, or went on. */
     void tool(String what, double at) {
         mark(toolPaused, what, at);
@@ -36,9 +46,15 @@
         }
     }
 
-    /** When a process of this scheduler was paused; short times between count as paused. */
+    /**
+     * When this scheduler was paused; short times between count as paused. Left out are pauses in
+     * which another of its processes lived: the record does not tell which of them answered.
+     */
     List<Spans.Span> pausesOf(int scheduler, double gapMs) {
-        return paused.getOrDefault(scheduler, new Spans()).joined(gapMs);
+        List<Double> shared = othersLived.getOrDefault(scheduler, List.of());
+        return paused.getOrDefault(scheduler, new Spans()).joined(gapMs).stream()
+                .filter(pause -> shared.stream().noneMatch(at -> pause.overlaps(at, at)))
+                .toList();
     }
 
     /** When the tool was paused. */
--- a/src/main/java/gingerspool/judge/Records.java
+++ b/src/main/java/gingerspool/judge/Records.java
@@ -166,6 +166,9 @@
                     int scheduler = Integer.parseInt(f[1]);
                     schedulers.add(new Befell(scheduler, f[2], number(f[3])));
                     disturbances.scheduler(scheduler, f[2], number(f[3]));
+                    if (f.length > 5 && Integer.parseInt(f[5]) > 0 || f[2].equals("heir-killed")) {
+                        disturbances.othersLived(scheduler, number(f[3]));
+                    }
                 }
                 case "tool" -> {
                     if (f[1].equals("late")) {
--- a/src/main/java/gingerspool/load/Load.java
+++ b/src/main/java/gingerspool/load/Load.java
@@ -138,6 +138,14 @@
         record.write("scheduler\t%d\t%s\t%.3f", scheduler, what, atMs);
     }
 
+    /**
+     * Notes that a process of a scheduler was paused, or went on, and how many others of that
+     * scheduler lived beside it then, or since the pause began.
+     */
+    public void notePause(int scheduler, String what, double atMs, long pid, int others) {
+        record.write("scheduler\t%d\t%s\t%.3f\t%d\t%d", scheduler, what, atMs, pid, others);
+    }
+
     /** Notes what befell the tool or the disk at this time. */
     public void note(String part, String what, double atMs) {
         record.write("%s\t%s\t%.3f", part, what, atMs);
--- a/src/test/java/gingerspool/experiment/LateAnswersTest.java
+++ b/src/test/java/gingerspool/experiment/LateAnswersTest.java
@@ -228,4 +228,42 @@
         assertEquals(v.violations().get(0).cause(), Cause.UNEXPLAINED);
         assertTrue(!v.isVoid());
     }
+
+    private static String pausedBeside(int othersAtBegin, int othersSince) {
+        String line = "scheduler\t0\t%s\t%d\t4711\t%d";
+        return String.format(line, "paused", 900, othersAtBegin)
+                + "\n"
+                + String.format(line, "continued", 1800, othersSince);
+    }
+
+    /** What was written of the pause and the processes beside the paused one, and the cause. */
+    @DataProvider
+    public Object[][] pausesInHandOvers() {
+        String heirKilled = "scheduler\t0\their-killed\t%d\n";
+        return new Object[][] {
+            {"alone", pausedBeside(0, 0), Cause.SCHEDULER_PAUSED},
+            {"another lived", pausedBeside(1, 1), Cause.UNEXPLAINED},
+            {"another was started meanwhile", pausedBeside(0, 1), Cause.UNEXPLAINED},
+            {
+                "an heir was killed meanwhile",
+                String.format(heirKilled, 1000) + pausedBeside(0, 0),
+                Cause.UNEXPLAINED
+            },
+            {
+                "an heir was killed before",
+                String.format(heirKilled, 800) + pausedBeside(0, 0),
+                Cause.SCHEDULER_PAUSED
+            },
+        };
+    }
+
+    /** A process that ran beside the paused one may have answered: its lateness has no excuse. */
+    @Test(dataProvider = "pausesInHandOvers")
+    public void aPauseExplainsNoAnswerWhileAnotherProcessLived(
+            String what, String record, Cause cause) throws IOException {
+        Verdict v = judge(record, ended("503", 1810));
+        List<Judge.Violation> found =
+                cause == Cause.SCHEDULER_PAUSED ? v.explained() : v.violations();
+        assertEquals(found.stream().map(Judge.Violation::cause).toList(), List.of(cause), what);
+    }
 }
