LogWriterTest: a writer that still ends tells of the test before, not of the next one

By reading: the thread of the test before may try once more and tell it after the next test has emptied the queue that both share. Each test has queues of its own; the assertions are as they were.

--- a/src/test/java/gingerspool/storage/LogWriterTest.java
+++ b/src/test/java/gingerspool/storage/LogWriterTest.java
@@ -30,10 +30,12 @@
     private static final long PATIENCE_S = 10;
 
     private static final int UNKNOWN = -1;
-    private final LinkedBlockingQueue<Object> events = new LinkedBlockingQueue<>();
+
+    /** Those of the present test: a writer that still ends may tell of the one before. */
+    private LinkedBlockingQueue<Object> events;
 
     /** How many files there were each time the whole content was asked for. */
-    private final List<Integer> filesWhenAsked = new CopyOnWriteArrayList<>();
+    private List<Integer> filesWhenAsked;
 
     private ExecutorService loop;
     private LogWriter writer;
@@ -46,8 +48,8 @@
     @BeforeMethod
     public void begin() {
         ModelDisk.begin();
-        events.clear();
-        filesWhenAsked.clear();
+        events = new LinkedBlockingQueue<>();
+        filesWhenAsked = new CopyOnWriteArrayList<>();
         loop =
                 new ThreadPoolExecutor(
                         1,
@@ -65,6 +67,8 @@
     }
 
     private void start(LogFolder folder) {
+        LinkedBlockingQueue<Object> told = events;
+        List<Integer> files = filesWhenAsked;
         DurableLog log = new DurableLog(folder, 128, ModelDisk.SCHEME);
         writer =
                 new LogWriter(
@@ -73,23 +77,23 @@
                         new LogWriter.Owner() {
                             @Override
                             public void recovered(RecoveredLog found) {
-                                events.add(found);
+                                told.add(found);
                             }
 
                             @Override
                             public void unusable(StorageException why) {
-                                events.add(why);
+                                told.add(why);
                             }
 
                             @Override
                             public void persisted(long ticket) {
-                                events.add(ticket);
+                                told.add(ticket);
                             }
 
                             @Override
                             public LogWrite fullState() {
-                                noteFiles(folder);
-                                events.add("asked");
+                                noteFiles(folder, files);
+                                told.add("asked");
                                 return whole(WHOLE);
                             }
                         });
@@ -97,11 +101,11 @@
     }
 
     /** Between two attempts, which nothing else tells: an attempt has a file while it lasts. */
-    private void noteFiles(LogFolder folder) {
+    private static void noteFiles(LogFolder folder, List<Integer> files) {
         try {
-            filesWhenAsked.add(folder.files().size());
+            files.add(folder.files().size());
         } catch (IOException e) {
-            filesWhenAsked.add(UNKNOWN);
+            files.add(UNKNOWN);
         }
     }
 
@@ -145,13 +149,14 @@
 
     @Test
     public void aDiskThatCanNotBeReadIsTriedAgainAndIsNoEmptyOne() throws Exception {
+        LinkedBlockingQueue<Object> told = events;
         start(
                 new LogFolder(folder()) {
                     private int attempts;
 
                     @Override
                     void create() throws IOException {
-                        events.add("tried");
+                        told.add("tried");
                         if (++attempts < 3) {
                             throw new IOException("Input/output error");
                         }
