--- a/src/main/java/gingerspool/experiment/DiskLoad.java
+++ b/src/main/java/gingerspool/experiment/DiskLoad.java
@@ -63,7 +63,8 @@
     private static void write(Path file, long untilNanos, AtomicLong written) {
         ByteBuffer part = ByteBuffer.allocateDirect(PART_BYTES);
         try (FileChannel to = FileChannel.open(file, StandardOpenOption.WRITE)) {
-            for (long i = 0; System.nanoTime() < untilNanos; i++) {
+            // However late its thread began, each writer writes once.
+            for (long i = 0; i == 0 || System.nanoTime() < untilNanos; i++) {
                 if (written.addAndGet(PART_BYTES) > MOST_BYTES) {
                     written.addAndGet(-PART_BYTES);
                     return;
