--- a/src/main/java/gingerspool/wire/EventExecutor.java
+++ b/src/main/java/gingerspool/wire/EventExecutor.java
@@ -46,7 +46,7 @@
     /** The last long spans without an event, the oldest overwritten first. */
     private final Quiet[] quiets = new Quiet[QUIETS_KEPT];
 
-    private int quietCount;
+    private int nextQuiet;
 
     /** That of the loop's present task; null where nobody waited for its event. */
     private Notice present;
@@ -87,7 +87,8 @@
             lookBegan = at;
         }
         if (at - previous > LONG_QUIET_NANOS) {
-            quiets[quietCount++ % quiets.length] = new Quiet(previous, at);
+            quiets[nextQuiet] = new Quiet(previous, at);
+            nextQuiet = (nextQuiet + 1) % QUIETS_KEPT;
         }
         latest = new Notice(at, lookedAt);
         return latest;
--- a/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
+++ b/src/main/java/gingerspool/wire/SingleThreadEventLoop.java
@@ -109,8 +109,8 @@
     }
 
     private void fire(LoopTimer timer, long dueNanos, Runnable task) {
-        timers.fired(timer, unixMs(dueNanos), task);
         lateness.timerFired(dueNanos, System.nanoTime());
+        timers.fired(timer, unixMs(dueNanos), task);
     }
 
     /** What the gate of the timers needs of this loop. */
