Calls that begin and end a worker's ban reach a scheduler in the order of the record

Trace: two bans of w0 overlap; the pause of scheduler 0 put the end of the first (sent 14.681) beside the begin of the second (14.679). The scheduler carried out suspend, then resume, and lifted the ban; the record had `resumed` (14.6809) before `suspended` (14.6885). A fault of the tool: a call back ends the ban.

Change: the two calls and their notes no longer interleave.

--- a/src/main/java/gingerspool/experiment/SchedulerFaults.java
+++ b/src/main/java/gingerspool/experiment/SchedulerFaults.java
@@ -141,19 +141,28 @@
         for (boolean on : new boolean[] {true, false}) {
             for (int w : b.workers()) {
                 for (int i = 0; i < schedulers; i++) {
-                    String path = "/v1/workers/" + Plan.name(w) + (on ? "/suspend" : "/resume");
-                    if (!on) {
-                        record.scheduler(i, "resumed " + Plan.name(w));
-                    }
-                    if (processes.operators().call(i, path) && on) {
-                        record.scheduler(i, "suspended " + Plan.name(w));
-                    }
+                    suspend(i, Plan.name(w), on);
                 }
             }
             Thread.sleep(on ? (long) b.fault().length : 0);
         }
     }
 
+    /**
+     * Guards the record: where bans of one worker overlap, the calls that begin and end them reach
+     * a scheduler in the order in which they are written down.
+     */
+    private synchronized void suspend(int scheduler, String worker, boolean on)
+            throws IOException, InterruptedException {
+        String path = "/v1/workers/" + worker + (on ? "/suspend" : "/resume");
+        if (!on) {
+            record.scheduler(scheduler, "resumed " + worker);
+        }
+        if (processes.operators().call(scheduler, path) && on) {
+            record.scheduler(scheduler, "suspended " + worker);
+        }
+    }
+
     private void end(Scenario.Fault f) throws IOException, InterruptedException {
         Process p = processes.newest(f.scheduler);
         boolean kill = f.what.equals("scheduler-killed");
