A request to a banned worker counts from when it came, not from when it was read

What callers saw: nothing. The judge said BANS where the stand-in worker read late what had been sent before the yes.

Cause: the worker noted the time at which its own loop read a request, and the judge took that for the time of the send. Beside 64 busy loops that loop is late by hundreds of ms.

Change: the worker asks the kernel (TCP_INFO, tcpi_last_data_recv) when the last bytes of a request came, where the scenario bans it; the judge's bound and slack are the same. It is stricter too: a send under a ban that was read after the call back is found now. SocketCalls and OwnSockets are out of ReusePortGroup, whose calls are the same.

--- a/src/main/java/gingerspool/judge/WorkerRules.java
+++ b/src/main/java/gingerspool/judge/WorkerRules.java
@@ -73,13 +73,16 @@
         }
     }
 
-    /** Nothing new to a worker that its scheduler has said is suspended. */
+    /**
+     * Nothing new to a worker that its scheduler has said is suspended. What the worker read late
+     * counts from when it came to the worker's machine, where the record tells that.
+     */
     void bans() {
         for (Records.Event e : r.events) {
             if (!e.what().equals("asked") && !e.detail().contains("first=")) {
                 continue;
             }
-            double first = e.number("first", e.at());
+            double first = e.number("came", e.number("first", e.at()));
             Records.Befell ban = null;
             for (Records.Befell b : r.schedulers) {
                 if (b.scheduler() == e.scheduler() && b.at() + Judge.SLACK < first) {
--- a/src/main/java/gingerspool/scenario/Plan.java
+++ b/src/main/java/gingerspool/scenario/Plan.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -13,6 +14,8 @@
  * speeds, whom faults befall. The same scenario and seed give the same plan, to the byte in text().
  */
 public final class Plan {
+    private static final String SUSPEND = "suspend";
+
     /** One request that a client will make; times are milliseconds from the begin. */
     public record Request(
             int number,
@@ -91,6 +94,18 @@
         return all.stream().mapToInt(i -> i).toArray();
     }
 
+    /** Whether operators ban a worker at times. */
+    public boolean suspendsWorkers() {
+        return blows.stream().anyMatch(b -> b.fault.what.equals(SUSPEND));
+    }
+
+    /** Whether operators ban this worker at times. */
+    public boolean suspends(int worker) {
+        return blows.stream()
+                .filter(b -> b.fault.what.equals(SUSPEND))
+                .anyMatch(b -> Arrays.stream(b.workers).anyMatch(w -> w == worker));
+    }
+
     /** The name of a worker by its number. */
     public static String name(int worker) {
         return "w" + worker;
@@ -250,7 +265,7 @@
                             b.fault.what,
                             b.fault.at,
                             b.fault.length,
-                            java.util.Arrays.toString(b.workers)));
+                            Arrays.toString(b.workers)));
         }
         for (Request r : requests) {
             t.append(
--- a/src/main/java/gingerspool/standin/Fleet.java
+++ b/src/main/java/gingerspool/standin/Fleet.java
@@ -3,6 +3,7 @@
 import gingerspool.scenario.Plan;
 import gingerspool.scenario.Scenario;
 import gingerspool.wire.EventLoop;
+import gingerspool.wire.ReceiveTimes;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -37,6 +38,9 @@
         this.loop = loop;
         this.plan = plan;
         log = new ExecutionLog(record);
+        if (plan.suspendsWorkers()) {
+            ReceiveTimes.load();
+        }
         discovery = new Discovery(loop, schedulers.size(), log);
         for (int w = 0; w < plan.scenario.fleet.workers; w++) {
             workers.add(new Worker(loop, plan, w, schedulers, log));
--- a/src/main/java/gingerspool/standin/Link.java
+++ b/src/main/java/gingerspool/standin/Link.java
@@ -4,6 +4,7 @@
 import gingerspool.wire.Completions;
 import gingerspool.wire.EventLoop;
 import gingerspool.wire.Message;
+import gingerspool.wire.ReceiveTimes;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -50,6 +51,9 @@
     private boolean last;
     private Future<?> idle;
 
+    /** Null until they are asked for. */
+    private ReceiveTimes receiveTimes;
+
     /** How many requests came on it. */
     int requests;
 
@@ -130,6 +134,22 @@
         }
     }
 
+    /**
+     * When its last bytes came to this machine, in the loop's time, however late they are read; NaN
+     * where that is not known.
+     */
+    double lastBytesAt() {
+        if (!open) {
+            return Double.NaN;
+        }
+        try {
+            receiveTimes = receiveTimes == null ? ReceiveTimes.of(channel) : receiveTimes;
+            return loop.now() - receiveTimes.sinceLast();
+        } catch (IOException e) {
+            return Double.NaN;
+        }
+    }
+
     /** From its next answer on it ends after so many bytes. */
     void cutAnswerAfter(int bytes) {
         cutAfter = bytes;
--- a/src/main/java/gingerspool/standin/Worker.java
+++ b/src/main/java/gingerspool/standin/Worker.java
@@ -40,6 +40,10 @@
     private final Machine.Spec spec;
     private final ExecutionLog log;
     private final SplittableRandom chance;
+
+    /** Operators ban it at times: when requests came matters, not only when they were read. */
+    private final boolean notesArrivals;
+
     private final List<InetSocketAddress> schedulers;
     private final int[] ports;
     private final List<Listener> listeners = new ArrayList<>();
@@ -84,6 +88,7 @@
         zone = plan.zones[number];
         chance = new SplittableRandom(plan.seed * 1_000_003 + number);
         ports = new int[schedulers.size()];
+        notesArrivals = plan.suspends(number);
         Scenario.Fleet f = scenario.fleet;
         spec =
                 new Machine.Spec(
@@ -345,6 +350,10 @@
             return;
         }
         String detail = String.format(Locale.ROOT, "first=%.3f work=%.3f", firstByteAt, work);
+        double cameAt = notesArrivals ? link.lastBytesAt() : Double.NaN;
+        if (!Double.isNaN(cameAt)) {
+            detail += String.format(Locale.ROOT, " came=%.3f", cameAt);
+        }
         if (failsFast != null && (failsFast.equals("*") || failsFast.equals(kind.name))) {
             log.write(now, name, "failed", id, scheduler, detail);
             answer(link, id, Link.message(500, "", ""));
--- a/src/main/java/gingerspool/wire/ReusePortGroup.java
+++ b/src/main/java/gingerspool/wire/ReusePortGroup.java
@@ -1,16 +1,9 @@
 package gingerspool.wire;
 
-import com.sun.jna.Library;
 import com.sun.jna.Memory;
-import com.sun.jna.Native;
-import com.sun.jna.Pointer;
 import com.sun.jna.ptr.IntByReference;
-import java.io.IOException;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
-import java.nio.file.DirectoryStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -24,9 +17,6 @@
  * native library.
  */
 final class ReusePortGroup {
-    private static final Path OWN_DESCRIPTORS = Path.of("/proc/self/fd");
-    private static final String SOCKET_LINK = "socket:";
-
     // asm-generic/socket.h, as on x86-64 and aarch64.
     private static final int SOL_SOCKET = 1;
     private static final int SO_REUSEPORT = 15;
@@ -54,25 +44,6 @@
     /** Stands for no member: the hash chooses. */
     static final int BY_HASH = -1;
 
-    /** Room for a sockaddr of either family; the port stands in its third and fourth byte. */
-    private static final int ADDRESS_BYTES = 128;
-
-    private static final int PORT_OFFSET = 2;
-
-    /** The system calls that are needed, by their names in the C library. */
-    interface SocketCalls extends Library {
-        int getsockopt(int descriptor, int level, int option, IntByReference to, IntByReference n);
-
-        int setsockopt(int descriptor, int level, int option, Pointer value, int bytes);
-
-        int getsockname(int descriptor, byte[] address, IntByReference bytes);
-    }
-
-    /** Loaded with the first call, and only by a process that hands over or takes over. */
-    private static final class Calls {
-        static final SocketCalls C = Native.load("c", SocketCalls.class);
-    }
-
     private ReusePortGroup() {}
 
     /** One instruction of a filter. */
@@ -87,7 +58,7 @@
      * @throws LinkageError where there is none for this system
      */
     static void load() {
-        if (isSupported()) {
+        if (SocketCalls.isSupported()) {
             isSet(0, SO_ACCEPTCONN);
         }
     }
@@ -119,7 +90,7 @@
     }
 
     private static boolean attach(int port, List<Instruction> filter) {
-        int descriptor = isSupported() ? listening(port) : -1;
+        int descriptor = SocketCalls.isSupported() ? listening(port) : -1;
         if (descriptor < 0) {
             return false;
         }
@@ -135,7 +106,7 @@
             program.clear();
             program.setShort(0, (short) filter.size());
             program.setPointer(PROGRAM_POINTER_OFFSET, instructions);
-            return Calls.C.setsockopt(
+            return SocketCalls.Loaded.C.setsockopt(
                             descriptor,
                             SOL_SOCKET,
                             SO_ATTACH_REUSEPORT_CBPF,
@@ -147,65 +118,32 @@
 
     /** Leaves the choice to the hash again; nothing changes where no member was selected. */
     static void selectByHash(int port) {
-        if (!isSupported()) {
+        if (!SocketCalls.isSupported()) {
             return;
         }
         int descriptor = listening(port);
         if (descriptor >= 0) {
             try (Memory none = new Memory(Integer.BYTES)) {
                 none.clear();
-                Calls.C.setsockopt(
+                SocketCalls.Loaded.C.setsockopt(
                         descriptor, SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, none, Integer.BYTES);
             }
         }
     }
 
-    private static boolean isSupported() {
-        String architecture = System.getProperty("os.arch");
-        return System.getProperty("os.name").equals("Linux")
-                && (architecture.equals("amd64") || architecture.equals("aarch64"));
-    }
-
     /** A socket of this process that listens at this port beside others, or -1. */
     private static int listening(int port) {
-        try (DirectoryStream<Path> all = Files.newDirectoryStream(OWN_DESCRIPTORS)) {
-            for (Path entry : all) {
-                int descriptor = Integer.parseInt(entry.getFileName().toString());
-                if (isSocket(entry)
-                        && isSet(descriptor, SO_ACCEPTCONN)
-                        && isSet(descriptor, SO_REUSEPORT)
-                        && port(descriptor) == port) {
-                    return descriptor;
-                }
-            }
-        } catch (IOException e) {
-            return -1;
-        }
-        return -1;
-    }
-
-    /** A descriptor may be closed while the folder is read: it is then no socket. */
-    private static boolean isSocket(Path entry) {
-        try {
-            return Files.readSymbolicLink(entry).toString().startsWith(SOCKET_LINK);
-        } catch (IOException e) {
-            return false;
-        }
+        return OwnSockets.find(
+                descriptor ->
+                        isSet(descriptor, SO_ACCEPTCONN)
+                                && isSet(descriptor, SO_REUSEPORT)
+                                && OwnSockets.localPort(descriptor) == port);
     }
 
     private static boolean isSet(int descriptor, int option) {
         IntByReference value = new IntByReference();
         IntByReference size = new IntByReference(Integer.BYTES);
-        return Calls.C.getsockopt(descriptor, SOL_SOCKET, option, value, size) == 0
+        return SocketCalls.Loaded.C.getsockopt(descriptor, SOL_SOCKET, option, value, size) == 0
                 && value.getValue() != 0;
     }
-
-    private static int port(int descriptor) {
-        byte[] address = new byte[ADDRESS_BYTES];
-        if (Calls.C.getsockname(descriptor, address, new IntByReference(ADDRESS_BYTES)) != 0) {
-            return -1;
-        }
-        return Byte.toUnsignedInt(address[PORT_OFFSET]) << Byte.SIZE
-                | Byte.toUnsignedInt(address[PORT_OFFSET + 1]);
-    }
 }
