--- a/src/main/java/gingerspool/experiment/Experiment.java
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -44,6 +44,7 @@
         }
         Scenario s = read.scenario();
         List<Run.Side> sides = sides(s, file, against, jar);
+        WarmUp.SHARED.once(sides.get(0), out, to);
         List<Result> results = new ArrayList<>();
         int broken = 0;
         int voids = 0;
