A call that is read late waits no longer than is owed for a process that has joined

What callers saw: suspend, answered with nothing within 1 s while a replacement was under way, on a starved machine.

Cause: a process that has the state and has not taken over is dropped where it acknowledges nothing; but it had 200 ms at the least however little was left of the second, and then 100 ms more passed to see the end of a process that we had dropped.

Change: it has half of what is left until the answer is due; a joined process that is gone makes no yes wait. What is owed by those that have clients or leave is as it was. Why it works: a dropped process can't take over without the command.

--- a/src/main/java/gingerspool/handover/CommandPropagation.java
+++ b/src/main/java/gingerspool/handover/CommandPropagation.java
@@ -71,23 +71,42 @@
      */
     void propagate(String command, String worker, double calledFrom, Consumer<Boolean> done) {
         double left = Math.min(ANSWER_WITHIN, calledFrom + OWED_WITHIN - loop.now());
-        propagate(command, worker, "", Math.max(LEAST_PATIENCE, left), done);
+        propagate(command, worker, "", Patience.untilOwed(left), done);
     }
 
-    /** All but the one that it came from are told, and have so long to acknowledge it. */
+    /**
+     * How long the other processes have to acknowledge a command, in milliseconds.
+     *
+     * @param ofAll whoever is needed for a yes
+     * @param ofJoined a process that has the state, which a yes can do without once it is dropped
+     */
+    private record Patience(double ofAll, double ofJoined) {
+        static final Patience USUAL = untilOwed(ANSWER_WITHIN);
+
+        /** With so much left until the operator is to have the answer. */
+        static Patience untilOwed(double left) {
+            return new Patience(Math.max(LEAST_PATIENCE, left), JOINED_PART * Math.max(0, left));
+        }
+    }
+
+    /** All but the one that it came from are told. */
     private void propagate(
-            String command, String worker, String except, double within, Consumer<Boolean> done) {
+            String command,
+            String worker,
+            String except,
+            Patience patience,
+            Consumer<Boolean> done) {
         Acknowledgements all = new Acknowledgements(command, done);
-        loop.schedule(within, all::giveUp);
+        loop.schedule(patience.ofAll, all::giveUp);
         if (peers.after() != null
                 && !peers.isAfter(except)
                 && peers.succession().commandToldAfter()) {
             all.addPeer();
-            tell(peers.after(), command, worker, within, all);
+            tell(peers.after(), command, worker, patience.ofJoined, all);
         }
         if (peers.isBesideBefore() && !peers.isBefore(except)) {
             all.addPeer();
-            tell(peers.before(), command, worker, within, all);
+            tell(peers.before(), command, worker, patience.ofJoined, all);
         }
         if (!peers.isSucceeded()) {
             all.addFile();
@@ -97,11 +116,12 @@
     }
 
     private void tell(
-            Peer peer, String command, String worker, double within, Acknowledgements all) {
+            Peer peer, String command, String worker, double joinedWithin, Acknowledgements all) {
         HandoverMessages.Command message =
                 new HandoverMessages.Command(command, worker, ++peer.told, peer.ask);
         double sentAt = loop.now();
-        Future<?> tooLate = loop.schedule(JOINED_PART * within, () -> dropJoined(peer));
+        boolean hasJoined = hasJoined(peer);
+        Future<?> tooLate = loop.schedule(joinedWithin, () -> dropJoined(peer));
         peer.commands.call(
                 "word",
                 message.bytes(),
@@ -109,7 +129,11 @@
                 (status, none) -> {
                     tooLate.cancel(false);
                     answered(peer, command, status, sentAt);
-                    acknowledge(peer, status, all);
+                    if (hasJoined && peers.isGone(peer)) {
+                        all.peerAnswered(true);
+                    } else {
+                        acknowledge(peer, status, all);
+                    }
                 });
     }
 
@@ -134,6 +158,11 @@
         }
     }
 
+    /** Whether it has the state and has not taken over: it does nothing yet. */
+    private boolean hasJoined(Peer peer) {
+        return peer == peers.after() && peers.succession().after() == Succession.After.JOINED;
+    }
+
     /**
      * No connection to it comes up, so nobody listens there. A successor that has taken over and
      * does not hold its call open yet has ended: nothing else would tell of it for a while.
@@ -151,12 +180,11 @@
      * again.
      */
     private void dropJoined(Peer peer) {
-        Succession succession = peers.succession();
-        if (peer != peers.after() || succession.after() != Succession.After.JOINED) {
+        if (!hasJoined(peer)) {
             return;
         }
         LOG.atWarn().addKeyValue("successor", peer.name()).log("handover.successor_dropped");
-        succession.successorGone(peer.name());
+        peers.succession().successorGone(peer.name());
         peers.dropAfter();
     }
 
@@ -186,7 +214,7 @@
                 message.command(),
                 message.worker(),
                 teller,
-                ANSWER_WITHIN,
+                Patience.USUAL,
                 all ->
                         from.answer(
                                 all ? CallStatus.OK : CallStatus.UNAVAILABLE, List.of(), NOTHING));
--- a/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
+++ b/src/test/java/gingerspool/daemon/OverlappingHandoverTest.java
@@ -89,6 +89,23 @@
         held.close();
     }
 
+    /**
+     * Guards operators: a call that is read late, beside a process that has the state and is
+     * stopped, was a yes after 1.0 s: that process had its usual time, and then 0.1 s more to be
+     * seen gone.
+     */
+    @Test
+    public void aCallThatIsReadLateIsAYesInTimeThoughAProcessThatJoinedIsStopped()
+            throws Exception {
+        Daemon first = start(0, true, "'dueTimeMs':100", 700);
+        ready(first);
+        linkCall(first, secretOfNote(), "join", JOIN + "}");
+        holdLoop(first, 700);
+        long since = System.nanoTime();
+        assertEquals(call(first, "POST", "/v1/workers/s-1/suspend"), 200);
+        assertTrue(System.nanoTime() - since < ANSWER_OWED, "the answer took over 1 s");
+    }
+
     /** A client that has come to this process and has not written its request yet. */
     private Socket comes(Daemon to) throws Exception {
         Socket client = to(to.clients.address(), "");
