LateReadingTest holds the loop before the request is written

Cause: the connection could still be in the loop's task that accepts it when the bytes came, so they were read in that task, before the one that was to hold the loop up.

--- a/src/test/java/gingerspool/standin/LateReadingTest.java
+++ b/src/test/java/gingerspool/standin/LateReadingTest.java
@@ -31,10 +31,18 @@
         SingleThreadEventLoop loop = new SingleThreadEventLoop();
         CompletableFuture<Times> times = new CompletableFuture<>();
         CompletableFuture<Integer> port = new CompletableFuture<>();
+        CompletableFuture<Void> accepted = new CompletableFuture<>();
+        CompletableFuture<Void> isHeld = new CompletableFuture<>();
         CompletableFuture<Void> goesOn = new CompletableFuture<>();
-        port.completeAsync(() -> listen(loop, times), loop::submit);
+        port.completeAsync(() -> listen(loop, accepted, times), loop::submit);
         try (Socket client = new Socket("127.0.0.1", port.get(WITHIN_S, TimeUnit.SECONDS))) {
-            loop.submit(goesOn::join);
+            accepted.get(WITHIN_S, TimeUnit.SECONDS);
+            loop.submit(
+                    () -> {
+                        isHeld.complete(null);
+                        goesOn.join();
+                    });
+            isHeld.get(WITHIN_S, TimeUnit.SECONDS);
             client.getOutputStream().write(request());
             double sent = loop.now();
             while (loop.now() < sent + HELD_UP_MS) {
@@ -54,7 +62,10 @@
         return "GET / HTTP/1.1\r\nHost: w\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private static int listen(SingleThreadEventLoop loop, CompletableFuture<Times> times) {
+    private static int listen(
+            SingleThreadEventLoop loop,
+            CompletableFuture<Void> accepted,
+            CompletableFuture<Times> times) {
         Link.Server server =
                 new Link.Server() {
                     @Override
@@ -75,7 +86,14 @@
                 };
         try {
             Listener listener =
-                    Acceptor.at(loop, 0, () -> true, c -> new Link(loop, c, server).start());
+                    Acceptor.at(
+                            loop,
+                            0,
+                            () -> true,
+                            channel -> {
+                                new Link(loop, channel, server).start();
+                                accepted.complete(null);
+                            });
             listener.acceptOn();
             return ((InetSocketAddress) listener.address()).getPort();
         } catch (IOException e) {
