The experiment command runs in a virtual machine without the second compiler

Need: beside busy sessions the warm-up alone does not keep the tool from the schedulers' processors: a starved second compiler goes on for longer than a warm-up can wait, and reads as quiet meanwhile.

Change: `experiment` starts itself again with -XX:TieredStopAtLevel=1, the flags of its own machine and its input and output, and hands the exit code back; one that has the flag goes on by itself, as in tests. Refused: a directive to the running compiler, which works by names inside one virtual machine's implementation.

Tests: ForkedCommandTest.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 
 # A scheduler, a small stand-in fleet and a load with two faults for 20 s; ends with the rules and figures.
 demo: build
-	java -XX:TieredStopAtLevel=1 -jar $(JAR) experiment deploy/experiments/demo.toml --out target/demo
+	java -jar $(JAR) experiment deploy/experiments/demo.toml --out target/demo
 
 # A small platform on loopback: three control nodes, two schedulers, a stand-in for the machines of instances.
 platform: build
--- a/src/main/java/gingerspool/experiment/Experiment.java
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -109,6 +109,11 @@
         return broken > 0 ? BROKE : voids > 0 ? VOID : HELD;
     }
 
+    /** The arguments of a virtual machine that start this very program again. */
+    public static List<String> ownProgram() {
+        return Run.ownClassPath();
+    }
+
     private static List<Run.Side> sides(Scenario s, Path file, Path against, Path jar) {
         Path own =
                 s.schedulers.file == null
