Experiments, also those of tests, run in a virtual machine without the second compiler

Need: left the second compiler out of surefire's whole machine.

Change: Experiment.run forks, so that the command and ExperimentTest do alike; surefire's flags are as they were. ForkedCommand is ForkedExperiment, with the output handed back. SoakTest calls runHere: it looks after the children of its own machine, and all of its checks stay as they were. A warm-up is now paid by each run, some 4 s.

--- a/src/main/java/gingerspool/cli/Rigs.java
+++ b/src/main/java/gingerspool/cli/Rigs.java
@@ -268,15 +268,11 @@
         Path out;
 
         @Override
-        public Integer call() throws IOException, InterruptedException {
+        public Integer call() throws InterruptedException {
             if (seeds < 1) {
                 spec.commandLine().getErr().println("--seeds is " + seeds + ", wanted 1 or more");
                 return 2;
             }
-            if (ForkedCommand.isNeeded()) {
-                List<String> arguments = spec.root().commandLine().getParseResult().originalArgs();
-                return ForkedCommand.run(Experiment.ownProgram(), arguments);
-            }
             return Experiment.run(
                     file, seeds, against, jar, out, new PrintStream(System.out, true));
         }
--- a/src/main/java/gingerspool/experiment/Experiment.java
+++ b/src/main/java/gingerspool/experiment/Experiment.java
@@ -32,9 +32,34 @@
 
     private Experiment() {}
 
-    /** Plays it; `against` is another jar or operator's file, or null. Returns the exit code. */
+    /**
+     * Plays it, in a virtual machine of its own; `against` is another jar or operator's file, or
+     * null. Returns the exit code.
+     */
     public static int run(Path file, int seeds, Path against, Path jar, Path out, PrintStream to)
             throws InterruptedException {
+        if (!ForkedExperiment.isNeeded()) {
+            return runHere(file, seeds, against, jar, out, to);
+        }
+        List<String> arguments = new ArrayList<>(List.of(file.toString(), "--out", out.toString()));
+        arguments.addAll(List.of("--seeds", Integer.toString(seeds)));
+        if (against != null) {
+            arguments.addAll(List.of("--against", against.toString()));
+        }
+        if (jar != null) {
+            arguments.addAll(List.of("--jar", jar.toString()));
+        }
+        try {
+            return ForkedExperiment.run(arguments, to);
+        } catch (IOException e) {
+            to.println("no virtual machine could be started for it: " + e.getMessage());
+            return BAD;
+        }
+    }
+
+    /** The same in this virtual machine, whose children the schedulers are. */
+    static int runHere(Path file, int seeds, Path against, Path jar, Path out, PrintStream to)
+            throws InterruptedException {
         ScenarioFile read = ScenarioFile.read(file);
         for (Diagnostic f : read.faults()) {
             to.println(f);
@@ -109,11 +134,6 @@
         return broken > 0 ? BROKE : voids > 0 ? VOID : HELD;
     }
 
-    /** The arguments of a virtual machine that start this very program again. */
-    public static List<String> ownProgram() {
-        return Run.ownClassPath();
-    }
-
     private static List<Run.Side> sides(Scenario s, Path file, Path against, Path jar) {
         Path own =
                 s.schedulers.file == null
--- a/src/test/java/gingerspool/experiment/SoakTest.java
+++ b/src/test/java/gingerspool/experiment/SoakTest.java
@@ -80,7 +80,7 @@
         Path out = folder;
         for (int i = 0; code == Experiment.VOID && i < MOST_PLAYS; i++) {
             out = folder.resolve("out-" + i);
-            code = Experiment.run(file, 1, null, null, out, new PrintStream(said, true));
+            code = Experiment.runHere(file, 1, null, null, out, new PrintStream(said, true));
         }
         sampler.end();
         String text = "seed " + seed + "\n" + said.toString(StandardCharsets.UTF_8);
