--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -456,6 +457,9 @@
 def main(case, folder, **options):
     """Runs case(rig, trouble); it returns whether the rule held. Exit codes as issue 73 asks."""
 
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
+
     async def run():
         rig = Rig(folder, **options)
         trouble = os.environ.get("TROUBLE", "1") != "0"
