Review: keep the rig quiet at the end of a script

Cause: instances that still worked as a script ended printed their cancellation. Change: the stand-ins end silently.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -149,7 +149,7 @@
                 body = await read_body(reader, fields)
                 if not await self.cloud.behave(self, line, fields, body, reader, writer):
                     return
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -188,7 +188,7 @@
                     f"Content-Length: {len(out)}\r\n\r\n".encode() + out
                 )
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
