--- a/review/1/case.py
+++ b/review/1/case.py
@@ -127,4 +127,4 @@
     return not share["print"] < share["first"] / 4
 
 
-r.main(case, Path(__file__).parent, fronts=2, cores=3)
+r.main(case, Path(__file__).parent, fronts=2, cores=3, record="record.txt")
