Match requests to the profiles that their Dispatcher was created with

Cause: FunctionQueue held the profiles of the newest routes, its Dispatcher those that it was created with. A service that lost its last route had none: an idle queue then created a Dispatcher without profiles, which throws in the midst of RequestRouter.configure; a busy one matched its requests to profiles that were not there.

Change: FunctionDispatcher owns the Dispatcher and its profiles together; a function without routes keeps the Dispatcher that it has. Nothing in FunctionQueue.onConfiguration can fail any more.

Why it works: there is no second copy of the profiles that could differ, and no Dispatcher without any.

--- a/src/main/java/gingerspool/dataplane/FunctionDispatcher.java
+++ b/src/main/java/gingerspool/dataplane/FunctionDispatcher.java
@@ -1,10 +1,12 @@
 package gingerspool.dataplane;
 
+import gingerspool.configuration.Route;
 import gingerspool.dispatch.Assignment;
 import gingerspool.dispatch.DispatchActions;
 import gingerspool.dispatch.Dispatcher;
 import gingerspool.dispatch.DispatcherSettings;
 import gingerspool.dispatch.Outcome;
+import gingerspool.dispatch.Profile;
 import gingerspool.dispatch.Report;
 import gingerspool.settings.NodeSettings;
 import java.util.Arrays;
@@ -14,6 +16,9 @@
  * requests to it in its own terms. The Dispatcher is replaced when the routes change, which must
  * happen while it holds no task.
  *
+ * <p>Invariant: each request that is passed to the Dispatcher has a profile that the Dispatcher was
+ * created with, whatever the routes are by then.
+ *
  * <p>Used by {@link FunctionQueue} and its parts, on the event loop.
  */
 final class FunctionDispatcher {
@@ -27,6 +32,9 @@
     private final long seed;
     private Dispatcher dispatcher;
 
+    /** The profiles that the Dispatcher was created with. */
+    private RouteProfiles profiles = RouteProfiles.NONE;
+
     /** The seed initializes the Dispatcher's random numbers. */
     FunctionDispatcher(
             FunctionQueue.Environment environment,
@@ -40,17 +48,25 @@
         settings = environment.settings();
     }
 
-    boolean isCreated() {
-        return dispatcher != null;
+    /** Whether the Dispatcher was created with profiles that are the same to it as these. */
+    boolean hasProfiles(RouteProfiles others) {
+        return profiles.hasSameProfilesAs(others);
+    }
+
+    /** The Dispatcher's profile for a request on this route. */
+    Profile profileOf(Route route, boolean isLate) {
+        return profiles.find(route, isLate);
     }
 
     /**
-     * Creates a new Dispatcher and publishes all instances to it. The start-up time of an instance,
-     * in milliseconds, is the longest Retry-After that the Dispatcher suggests.
+     * Creates a new Dispatcher for these profiles, of which there must be one at least, and
+     * publishes all instances to it. The start-up time of an instance, in milliseconds, is the
+     * longest Retry-After that the Dispatcher suggests.
      */
-    void renew(RouteProfiles profiles, double startupTime) {
+    void renew(RouteProfiles newProfiles, double startupTime) {
+        profiles = newProfiles;
         DispatcherSettings dispatcherSettings = new DispatcherSettings();
-        dispatcherSettings.profiles = profiles.toNumberedArray();
+        dispatcherSettings.profiles = profiles.toArray();
         dispatcherSettings.zone = settings.zoneNumber(settings.zone);
         dispatcherSettings.zoneName = settings.zone;
         dispatcherSettings.dispatchers = Math.max(1, environment.schedulerCount());
--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -88,10 +88,9 @@
     private final AttemptRunner attempts;
     private final UnassignedSlots unassigned;
     private Service service;
-    private RouteProfiles profiles = RouteProfiles.NONE;
 
-    /** Whether the profiles have changed since the Dispatcher was created. */
-    private boolean haveProfilesChanged;
+    /** The profiles of the newest routes; the Dispatcher may still use those of earlier ones. */
+    private RouteProfiles newestProfiles = RouteProfiles.NONE;
 
     private boolean isCheckScheduled;
 
@@ -130,28 +129,28 @@
 
     // ---- Configuration ----
 
-    /** Applies a new configuration; the routes are those that lead to this function. */
+    /**
+     * Stores a new configuration; the routes are those that lead to this function, possibly none.
+     * It takes effect on the Dispatcher as soon as there are routes and no request is in flight;
+     * until then the Dispatcher serves with the routes that it was created for.
+     */
     void onConfiguration(Service newService, List<Route> routes) {
         service = newService;
-        RouteProfiles newProfiles = RouteProfiles.of(routes, loop::isEnabled);
-        if (!newProfiles.hasSameProfilesAs(profiles)) {
-            profiles = newProfiles;
-            haveProfilesChanged = true;
+        newestProfiles = RouteProfiles.of(routes, loop::isEnabled);
+        if (backlog.inFlight() == 0) {
+            renewDispatcher();
         }
-        renewDispatcher();
     }
 
     /**
-     * Creates the Dispatcher, or replaces it after a change of the profiles. Guards the requests in
-     * flight: the Dispatcher is replaced only while there are none.
+     * Creates the Dispatcher for the newest routes, or replaces it after a change. Without routes
+     * no request can arrive, so the Dispatcher stays as it is. Must not be called while requests
+     * are in flight.
      */
     private void renewDispatcher() {
-        boolean isNeeded =
-                !dispatcher.isCreated() || haveProfilesChanged && backlog.inFlight() == 0;
-        if (isNeeded) {
-            haveProfilesChanged = false;
-            terms.renew(profiles);
-            dispatcher.renew(profiles, service.getBoot());
+        if (!newestProfiles.isEmpty() && !dispatcher.hasProfiles(newestProfiles)) {
+            terms.renew(newestProfiles);
+            dispatcher.renew(newestProfiles, service.getBoot());
         }
     }
 
@@ -206,7 +205,7 @@
     private void dispatch(PendingRequest request) {
         boolean isLate = loop.now() + serviceTime.mean() > request.dueAt;
         request.isDispatched = true;
-        request.profile = profiles.find(request.route, isLate);
+        request.profile = dispatcher.profileOf(request.route, isLate);
         request.terms = terms.of(request);
         dispatcher.onArrival(request);
     }
--- a/src/main/java/gingerspool/dataplane/RouteProfiles.java
+++ b/src/main/java/gingerspool/dataplane/RouteProfiles.java
@@ -9,11 +9,15 @@
 import java.util.function.Predicate;
 
 /**
- * The Dispatcher's profiles for one function. Routes with the same kind, latency target, time-out
- * and priority share two profiles: one for requests on time and one for requests that will miss the
- * latency target.
+ * The Dispatcher's profiles for the routes of one function. Routes with the same kind, latency
+ * target, time-out and priority share two profiles: one for requests on time and one for requests
+ * that will miss the latency target.
  *
- * <p>Immutable but for the profiles' numbers; used by {@link FunctionQueue} on the event loop.
+ * <p>Invariant: the index of a profile is its position here, from its creation on. A Dispatcher
+ * knows only the indexes of the profiles that it was created with, so its requests must get their
+ * profiles from the same RouteProfiles; {@link FunctionDispatcher} keeps the two together.
+ *
+ * <p>Immutable; used on the event loop.
  */
 final class RouteProfiles {
     /** The expiry for routes without a time-out, in milliseconds. */
@@ -31,6 +35,14 @@
 
     private RouteProfiles(List<Profile> profiles) {
         this.profiles = profiles;
+        for (int i = 0; i < profiles.size(); i++) {
+            profiles.get(i).index = i;
+        }
+    }
+
+    /** Whether the function has no routes, so that no Dispatcher can be created for it. */
+    boolean isEmpty() {
+        return profiles.isEmpty();
     }
 
     /** The profiles for the routes that lead to a function. */
@@ -72,13 +84,9 @@
         return isLate ? routeType + " late" : routeType;
     }
 
-    /** The profiles, with their index set. */
-    Profile[] toNumberedArray() {
-        Profile[] all = profiles.toArray(new Profile[0]);
-        for (int i = 0; i < all.length; i++) {
-            all[i].index = i;
-        }
-        return all;
+    /** The profiles by index. */
+    Profile[] toArray() {
+        return profiles.toArray(new Profile[0]);
     }
 
     /** The shortest latency target of all profiles, in milliseconds. */
--- a/src/test/java/gingerspool/dataplane/RequestRouterTest.java
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -121,18 +121,76 @@
         return builder.build();
     }
 
+    private static Route route(String name, String service) {
+        return Route.newBuilder()
+                .setName(name)
+                .setHost("h.example")
+                .setPrefix("/" + name + "/")
+                .setKind("safe")
+                .setAttempts(1)
+                .setTimeout(1000)
+                .setAim(300)
+                .setService(service)
+                .build();
+    }
+
+    /** A configuration with the services f, g and h and these routes. */
+    private static Configuration routed(long version, Route... routes) {
+        Configuration.Builder builder = Configuration.newBuilder().setVersion(version);
+        for (String service : List.of("f", "g", "h")) {
+            builder.addServices(
+                    Service.newBuilder().setName(service).setBoot(100).setConcurrency(2));
+        }
+        return builder.addAllRoutes(List.of(routes)).build();
+    }
+
+    /**
+     * Starts an instance that answers each request with 200 after `serviceTime` ms, and adds the
+     * ids of the requests to the list as they arrive.
+     */
+    private void startInstance(int port, double serviceTime, List<String> received) {
+        network.listen(
+                new InetSocketAddress("127.0.0.1", port),
+                channel ->
+                        new ModelNetwork.Remote() {
+                            @Override
+                            public void received(byte[] bytes) {
+                                String text = new String(bytes, StandardCharsets.ISO_8859_1);
+                                String id = text.replaceAll("(?s).*Request-Id: (\\w+)\r.*", "$1");
+                                received.add(id);
+                                network.runAt(
+                                        network.now() + serviceTime,
+                                        () -> channel.send(success(id)));
+                            }
+
+                            @Override
+                            public void closed() {}
+                        });
+    }
+
+    private static byte[] success(String id) {
+        return ("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
+                        + id
+                        + "\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     private void run(double duration) {
         network.runUntil(network.now() + duration);
         assertEquals(network.violation(), null);
     }
 
     private void grant(String instance, int port, int slots) {
+        grant("f", instance, port, slots);
+    }
+
+    private void grant(String function, String instance, int port, int slots) {
         network.execute(
                 () ->
-                        router.queue("f")
+                        router.queue(function)
                                 .onGrant(
                                         new Messages.SlotGrant(
-                                                "f",
+                                                function,
                                                 instance,
                                                 "127.0.0.1:" + port,
                                                 "a",
@@ -234,25 +292,7 @@
     @Test
     public void aRequestWithReducedRemainingTimeIsServedFirst() {
         List<String> order = new ArrayList<>();
-        network.listen(
-                new InetSocketAddress("127.0.0.1", 8),
-                channel ->
-                        new ModelNetwork.Remote() {
-                            @Override
-                            public void received(byte[] bytes) {
-                                String text = new String(bytes, StandardCharsets.ISO_8859_1);
-                                String id = text.replaceAll("(?s).*Request-Id: (\\w+)\r.*", "$1");
-                                order.add(id);
-                                channel.send(
-                                        ("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
-                                                        + id
-                                                        + "\r\nContent-Length: 0\r\n\r\n")
-                                                .getBytes(StandardCharsets.ISO_8859_1));
-                            }
-
-                            @Override
-                            public void closed() {}
-                        });
+        startInstance(8, 0, order);
         new ClientConnection().request("first", "safe", 1000);
         run(20);
         new ClientConnection().request("call", "safe", 600);
@@ -262,6 +302,64 @@
         assertEquals(order, List.of("call", "first"));
     }
 
+    /**
+     * Guards against a service without routes that spoils the configuration: the services behind it
+     * were not told of theirs, and requests on the moved route got no answer.
+     */
+    @Test
+    public void aRouteThatMovesOutAndBackAndOutAgainIsServed() {
+        router.configure(routed(2, route("moved", "f")));
+        List<String> services = List.of("f", "g", "f", "g", "h", "f");
+        for (int i = 0; i < services.size(); i++) {
+            String service = services.get(i);
+            router.configure(routed(3 + i, route("moved", service)));
+            startInstance(10 + i, 20, new ArrayList<>());
+            ClientConnection connection = new ClientConnection().request("r" + i, "moved", 900);
+            run(20);
+            grant(service, "i-" + i, 10 + i, 1);
+            run(100);
+            assertEquals(connection.status(), "200", "change " + i + ", to " + service);
+        }
+    }
+
+    /**
+     * Guards against waiting requests that lose the profile of their route: they got no answer, not
+     * even at their expiry.
+     */
+    @Test
+    public void requestsThatWaitAsTheirRouteMovesAwayAreServed() {
+        router.configure(routed(2, route("moved", "f")));
+        List<ClientConnection> connections = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            connections.add(new ClientConnection().request("r" + i, "moved", 900));
+        }
+        run(50);
+        router.configure(routed(3, route("moved", "g")));
+        startInstance(8, 20, new ArrayList<>());
+        run(50);
+        grant("i-1", 8, 2);
+        run(300);
+        connections.forEach(connection -> assertEquals(connection.status(), "200"));
+        assertEquals(router.inFlight(), 0);
+    }
+
+    /** Guards against requests that expire without an answer after their route has moved away. */
+    @Test
+    public void requestsThatExpireAsTheirRouteMovesAwayAreAnswered() {
+        network.listenSilently(new InetSocketAddress("127.0.0.1", 9));
+        router.configure(routed(2, route("moved", "f")));
+        List<ClientConnection> connections = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            connections.add(new ClientConnection().request("r" + i, "moved", 900));
+        }
+        run(50);
+        router.configure(routed(3));
+        grant("i-1", 9, 2);
+        run(1000);
+        connections.forEach(connection -> assertEquals(connection.status(), "503"));
+        assertEquals(router.inFlight(), 0);
+    }
+
     @Test
     public void theLargestRecentSchedulerCountIsUsed() {
         SchedulerCount count = new SchedulerCount(10_000);
