Decide requests of a new route by its own settings while the service is busy

Callers saw: on a route added to a service that always has a request in flight, a safe request beside an unsafe route got a 502 after one failure of an instance, though its route allows another attempt.

Cause: the Dispatcher is replaced only while no request is in flight; until then the requests of a route that it does not know took the whole profile of another one, a side-effecting one if there was any. Evidence: a trace of the new test shows the request with the profile of the unsafe route, and its retry forbidden.

Change: such a request gets a profile of its own route with the index of a similar one. Why it works: the Dispatcher takes due time, expiry, effect and priority from the request's profile, and only what it learns from the index, which is one that it has.

Test: RequestRouterTest.aSafeRequestOnARouteAddedToABusyServiceIsRetried, 502 before. Its settings have a retry budget now, without which nothing is retried.

--- a/src/main/java/gingerspool/dataplane/RouteProfiles.java
+++ b/src/main/java/gingerspool/dataplane/RouteProfiles.java
@@ -29,12 +29,18 @@
     /** The shortest latency target if there are no routes, in milliseconds. */
     private static final double DEFAULT_TARGET_MS = 1000;
 
-    static final RouteProfiles NONE = new RouteProfiles(List.of());
+    private static final int PROFILES_PER_ROUTE = 2;
 
+    static final RouteProfiles NONE = new RouteProfiles(List.of(), safeguard -> true);
+
+    /** The profile of a route's late requests follows the one of its requests on time. */
     private final List<Profile> profiles;
 
-    private RouteProfiles(List<Profile> profiles) {
+    private final Predicate<RequestSafeguard> safeguards;
+
+    private RouteProfiles(List<Profile> profiles, Predicate<RequestSafeguard> safeguards) {
         this.profiles = profiles;
+        this.safeguards = safeguards;
         for (int i = 0; i < profiles.size(); i++) {
             profiles.get(i).index = i;
         }
@@ -54,7 +60,7 @@
                 all.putIfAbsent(profile.name, profile);
             }
         }
-        return new RouteProfiles(List.copyOf(all.values()));
+        return new RouteProfiles(List.copyOf(all.values()), has);
     }
 
     private static Profile profile(Route route, boolean isLate, Predicate<RequestSafeguard> has) {
@@ -95,21 +101,29 @@
     }
 
     /**
-     * The profile for a request on this route. Until the Dispatcher is replaced a new route may
-     * have none; then a side-effecting one is used if there is any, as the most conservative.
+     * The profile for a request on this route; there must be profiles. A route that is not among
+     * those of these profiles gets one with its own settings and the index of a similar profile, so
+     * that its requests share what the Dispatcher learns but are decided by their own terms.
      */
     Profile find(Route route, boolean isLate) {
         String name = name(route, isLate);
-        Profile fallback = null;
         for (Profile profile : profiles) {
             if (profile.name.equals(name)) {
                 return profile;
             }
-            boolean isBetterFallback =
-                    fallback == null || profile.effect == Profile.Effect.SIDE_EFFECTING;
-            fallback = isBetterFallback ? profile : fallback;
         }
-        return fallback;
+        Profile substitute = profile(route, isLate, safeguards);
+        substitute.index = similarIndex(substitute.effect, isLate);
+        return substitute;
+    }
+
+    /** The index of the first profile with this effect, if there is any, and this lateness. */
+    private int similarIndex(Profile.Effect effect, boolean isLate) {
+        int onTime = 0;
+        while (onTime < profiles.size() && profiles.get(onTime).effect != effect) {
+            onTime += PROFILES_PER_ROUTE;
+        }
+        return onTime % profiles.size() + (isLate ? 1 : 0);
     }
 
     /** Whether the other profiles are the same to the Dispatcher. */
--- a/src/test/java/gingerspool/dataplane/RequestRouterTest.java
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -85,6 +85,8 @@
             HeartbeatIntervalMs = 400
             [Zones]
             a = "r"
+            [Bounds]
+            RetryBudgetSlack = 10
             """);
         NodeSettings settings = NodeSettings.read(file);
         network = new ModelNetwork(1, Set.of());
@@ -168,6 +170,23 @@
                         });
     }
 
+    /** An instance that resets each connection 50 ms after a request arrived on it. */
+    private final class ResettingInstance implements ModelNetwork.Remote {
+        private final ModelNetwork.Channel channel;
+
+        ResettingInstance(ModelNetwork.Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void received(byte[] bytes) {
+            network.runAt(network.now() + 50, channel::reset);
+        }
+
+        @Override
+        public void closed() {}
+    }
+
     private static byte[] success(String id) {
         return ("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
                         + id
@@ -343,6 +362,31 @@
         assertEquals(router.inFlight(), 0);
     }
 
+    /**
+     * Guards against requests of a new route that are treated as those of the routes before it: a
+     * Dispatcher is not replaced while requests are in flight, and the service is never without.
+     */
+    @Test
+    public void aSafeRequestOnARouteAddedToABusyServiceIsRetried() {
+        Route unsafe = route("old", "f").toBuilder().setKind("unsafe").build();
+        router.configure(routed(2, unsafe));
+        startInstance(8, 900, new ArrayList<>());
+        new ClientConnection().request("busy", "old", 1000);
+        run(20);
+        grant("i-1", 8, 1);
+        run(20);
+        Route added = route("added", "f").toBuilder().setAttempts(2).build();
+        router.configure(routed(3, unsafe, added));
+        ClientConnection connection = new ClientConnection().request("a", "added", 1000);
+        run(20);
+        network.listen(new InetSocketAddress("127.0.0.1", 9), ResettingInstance::new);
+        grant("i-2", 9, 1);
+        run(20);
+        startInstance(9, 20, new ArrayList<>());
+        run(300);
+        assertEquals(connection.status(), "200");
+    }
+
     /** Guards against requests that expire without an answer after their route has moved away. */
     @Test
     public void requestsThatExpireAsTheirRouteMovesAwayAreAnswered() {
