Change routes in series in the simulation of the data plane

Change: by seed, an operator adds, moves, changes and removes routes every 0.3 s at most, services lose all their routes or are gone, while requests wait and run and leaders, instances and clients fail as before; then all routes are there, instances are sound, and each route must be served at least a quarter as often as the one served best. RouteHistory keeps an account of its own for ROUTE, CONFIG and DENIED; RouteConfigurations takes the configurations out of DataPlaneSimulation. The recorded traces of the fixed routes are unchanged.

--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -2,9 +2,6 @@
 
 import gingerspool.codec.Messages;
 import gingerspool.configuration.Configuration;
-import gingerspool.configuration.Limits;
-import gingerspool.configuration.Route;
-import gingerspool.configuration.Service;
 import gingerspool.peers.DecisionTrace;
 import gingerspool.settings.NodeSettings;
 import gingerspool.slots.Instance;
@@ -26,8 +23,9 @@
  * A seeded, single-threaded simulation of one scheduler's data plane in memory. A {@link
  * RequestRouter} serves modelled clients that may abandon requests and forwards to modelled workers
  * that may respond wrongly. The leader is lost and replaced, recalls slots, and instances are
- * replaced by others at the same address. {@link ModelRecord} keeps an independent account of what
- * was run and answered and checks it.
+ * replaced by others at the same address. If asked to, an operator adds, moves, changes and removes
+ * routes in series; services lose all their routes and get them back. {@link ModelRecord} keeps an
+ * independent account of what was run and answered and checks it.
  *
  * <p>Run by {@link DataPlaneSimulationTest}; times are in milliseconds.
  */
@@ -38,22 +36,38 @@
     /** How long pending requests may complete afterwards, without new requests or faults. */
     private static final double SETTLING_PHASE_MS = 4000;
 
+    private static final double FIRST_FAULT_MS = 500;
     private static final int CLIENT_COUNT = 6;
     private static final int ADDRESS_COUNT = 4;
-    private static final int SLOTS_PER_INSTANCE = 2;
 
     /** The longest pause of a client between two requests. */
     private static final double MAX_PAUSE_MS = 60;
 
-    private static final long ROUTE_TIMEOUT_MS = 1200;
-    static final String FUNCTION = "f";
-    private static final String OTHER_FUNCTION = "g";
+    /** How long requests are sent and judged after the faults have ended, if routes change. */
+    private static final double CALM_PHASE_MS = 4000;
+
+    /** How long after the faults have ended requests are not judged yet. */
+    private static final double RECOVERY_MS = 2500;
+
+    /** The longest time between two changes of the routes. */
+    private static final int MAX_CHANGE_INTERVAL_MS = 300;
+
+    /** No route ever leads to this function. */
+    private static final String UNROUTED_FUNCTION = "g";
+
     private static final String ZONE = "a";
 
     private final ModelNetwork network;
     private final ModelRecord record;
     private final NodeSettings settings;
     private final RequestRouter router;
+    private final RouteHistory routes = new RouteHistory();
+
+    /** Whether an operator changes the routes. */
+    private final boolean changesRoutes;
+
+    /** The newest configuration, in force at the scheduler and at each leader. */
+    private Configuration configuration;
 
     /** The fraction of requests to which workers respond with a random behaviour. */
     private final double workerFaultRate;
@@ -77,58 +91,77 @@
     private int requestCount;
     private int instanceCount;
     private boolean isSettling;
+
+    /** Whether faults and changes of the routes have ended. */
+    private boolean isCalm;
+
     private boolean mayDrain;
 
     /** The trace of decisions; null unless requested. */
     private DecisionTrace trace;
 
     DataPlaneSimulation(
-            NodeSettings settings, long seed, Set<RequestSafeguard> disabledSafeguards) {
+            NodeSettings settings,
+            long seed,
+            Set<RequestSafeguard> disabledSafeguards,
+            boolean changesRoutes) {
         this.settings = settings;
+        this.changesRoutes = changesRoutes;
         network = new ModelNetwork(seed, disabledSafeguards);
         record =
                 new ModelRecord(
                         network,
+                        routes,
                         settings.retryBudgetRatio,
                         settings.retryBudgetSlack,
                         settings.retryBudgetWindow);
         workerFaultRate = network.random.nextInt(4) * 0.3;
         ConnectionPool pool = new ConnectionPool(network, settings.heartbeatInterval / 4, 5000, 40);
         router = new RequestRouter(network, settings, pool, this, () -> {});
-        router.configure(configuration());
+        apply(RouteConfigurations.fixed());
     }
 
-    private static Configuration configuration() {
-        Configuration.Builder builder =
-                Configuration.newBuilder()
-                        .setVersion(1)
-                        .setLimits(
-                                Limits.newBuilder()
-                                        .setHeaderBytes(16_384)
-                                        .setBodyBytes(65_536)
-                                        .setHeaderTimeout(3000)
-                                        .setIdleTimeout(15_000))
-                        .addServices(
-                                Service.newBuilder()
-                                        .setName(FUNCTION)
-                                        .setBoot(100)
-                                        .setConcurrency(SLOTS_PER_INSTANCE)
-                                        .setMemory(128));
-        for (String kind : List.of("safe", "unsafe")) {
-            for (int attempts = 1; attempts <= 3; attempts++) {
-                builder.addRoutes(
-                        Route.newBuilder()
-                                .setName(kind + attempts)
-                                .setHost("h.example")
-                                .setPrefix("/" + kind + attempts + "/")
-                                .setKind(kind)
-                                .setAttempts(attempts)
-                                .setTimeout(ROUTE_TIMEOUT_MS)
-                                .setAim(150)
-                                .setService(FUNCTION));
-            }
+    // ---- The operator ----
+
+    /** Puts a configuration in force everywhere. */
+    private void apply(Configuration newest) {
+        configuration = newest;
+        routes.add(network.now(), newest);
+        network.execute(() -> router.configure(newest));
+        if (allocator != null) {
+            allocator.configure(newest);
+        }
+    }
+
+    /** Changes the routes and schedules the next change. */
+    private void changeRoutes() {
+        if (isCalm || isSettling) {
+            return;
+        }
+        apply(RouteConfigurations.random(network.random, configuration.getVersion() + 1, false));
+        network.runAt(
+                network.now() + network.random.nextInt(MAX_CHANGE_INTERVAL_MS), this::changeRoutes);
+    }
+
+    /**
+     * Ends all faults and changes: each route is there, and each service has sound instances at
+     * addresses of their own.
+     */
+    private void beginCalmPhase() {
+        isCalm = true;
+        for (int port = 1; port <= ADDRESS_COUNT; port++) {
+            removeInstance(port);
         }
-        return builder.build();
+        for (int port = ADDRESS_COUNT + 1; port <= 2 * ADDRESS_COUNT; port++) {
+            boolean isFirst = port % 2 == 0;
+            startInstance(
+                    port,
+                    isFirst
+                            ? RouteConfigurations.FIRST_SERVICE
+                            : RouteConfigurations.SECOND_SERVICE,
+                    0);
+        }
+        apply(RouteConfigurations.random(network.random, configuration.getVersion() + 1, true));
     }
 
     // ---- Instances and the leader ----
@@ -139,8 +172,12 @@
 
     /** Starts an instance of a function at a port, whichever instance used it before. */
     private void startInstance(int port, String function) {
+        startInstance(port, function, workerFaultRate);
+    }
+
+    private void startInstance(int port, String function, double faultRate) {
         String id = "i-" + instanceCount++;
-        ModelWorker worker = new ModelWorker(network, record, id, function, workerFaultRate);
+        ModelWorker worker = new ModelWorker(network, record, id, function, faultRate);
         workers.put(id, worker);
         workersByPort.put(port, worker);
         network.listen(address(port), worker);
@@ -150,7 +187,12 @@
     }
 
     private String randomFunction() {
-        return network.random.nextInt(3) == 0 ? OTHER_FUNCTION : FUNCTION;
+        if (network.random.nextInt(3) == 0) {
+            return UNROUTED_FUNCTION;
+        }
+        return changesRoutes && network.random.nextBoolean()
+                ? RouteConfigurations.SECOND_SERVICE
+                : RouteConfigurations.FIRST_SERVICE;
     }
 
     private void addToAllocator(int port, ModelWorker worker) {
@@ -161,7 +203,7 @@
                 "127.0.0.1:" + port,
                 ZONE,
                 "host",
-                SLOTS_PER_INSTANCE,
+                RouteConfigurations.SLOTS_PER_INSTANCE,
                 Instance.State.READY);
     }
 
@@ -182,7 +224,23 @@
         network.stopListening(address(port));
         network.runAt(
                 network.now() + network.random.nextInt(200),
-                () -> startInstance(port, randomFunction()));
+                () -> {
+                    if (!isCalm) {
+                        startInstance(port, randomFunction());
+                    }
+                });
+    }
+
+    /** Ends the instance at a port; leader and scheduler are notified. */
+    private void removeInstance(int port) {
+        ModelWorker worker = workersByPort.remove(port);
+        worker.crash();
+        network.stopListening(address(port));
+        Instance instance = allocator == null ? null : allocator.instance(worker.id);
+        if (instance != null) {
+            allocator.removeInstance(network.now(), instance);
+        }
+        network.execute(() -> withdraw(worker.id));
     }
 
     private void withdraw(String instanceId) {
@@ -223,7 +281,7 @@
                         network.now(),
                         (schedulerId, message) ->
                                 deliverToScheduler(ownTerm, () -> receive(message)));
-        allocator.configure(configuration());
+        allocator.configure(configuration);
         workersByPort.forEach(this::addToAllocator);
         Map<String, Integer> heldSlots = router.heldSlots();
         allocator.onRegister(
@@ -296,7 +354,7 @@
 
     /** Injects one random fault and schedules the next. */
     private void injectFault() {
-        if (isSettling) {
+        if (isCalm || isSettling) {
             return;
         }
         switch (network.random.nextInt(5)) {
@@ -307,7 +365,13 @@
                 leaderLostAt = network.now();
                 network.runAt(network.now() + network.random.nextInt(1500), this::startLeader);
             }
-            case 1 -> deliverToScheduler(term, () -> receive(new Messages.SlotRecall(FUNCTION, 1)));
+            case 1 ->
+                    deliverToScheduler(
+                            term,
+                            () ->
+                                    receive(
+                                            new Messages.SlotRecall(
+                                                    RouteConfigurations.FIRST_SERVICE, 1)));
             case 2 -> router.setSchedulerCount(1 + network.random.nextInt(4));
             case 3 -> {
                 if (mayDrain && network.now() > 1_000_000 + ACTIVE_PHASE_MS * 0.7) {
@@ -363,7 +427,9 @@
                                     safe,
                                     attempts,
                                     network.now(),
-                                    network.now() + Math.min(remaining, ROUTE_TIMEOUT_MS),
+                                    network.now()
+                                            + Math.min(
+                                                    remaining, RouteConfigurations.MAX_TIMEOUT_MS),
                                     target,
                                     body));
             response = Message.answer(null, 1 << 20);
@@ -466,7 +532,7 @@
     /** Runs the simulation and returns the first violation, or null if there is none. */
     String run() {
         for (int port = 1; port <= ADDRESS_COUNT; port++) {
-            startInstance(port, FUNCTION);
+            startInstance(port, RouteConfigurations.FIRST_SERVICE);
         }
         startLeader();
         List<Client> clients = new ArrayList<>();
@@ -476,10 +542,21 @@
             client.scheduleNextRequest(MAX_PAUSE_MS);
         }
         mayDrain = network.random.nextInt(4) == 0;
-        network.runAt(network.now() + 500, this::injectFault);
-        network.runUntil(1_000_000 + ACTIVE_PHASE_MS);
+        network.runAt(network.now() + FIRST_FAULT_MS, this::injectFault);
+        if (changesRoutes) {
+            network.runAt(network.now(), this::changeRoutes);
+        }
+        network.runUntil(network.now() + ACTIVE_PHASE_MS);
+        double judgedFrom = network.now() + RECOVERY_MS;
+        if (changesRoutes) {
+            beginCalmPhase();
+            network.runUntil(network.now() + CALM_PHASE_MS);
+        }
         isSettling = true;
-        network.runUntil(1_000_000 + ACTIVE_PHASE_MS + SETTLING_PHASE_MS);
+        network.runUntil(network.now() + SETTLING_PHASE_MS);
+        if (changesRoutes && network.violation() == null) {
+            record.checkRoutesServed(judgedFrom);
+        }
         if (network.violation() == null) {
             record.checkCompletedHistory();
         }
--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulationTest.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulationTest.java
@@ -22,7 +22,8 @@
 
 /**
  * Runs many seeded simulations of the data plane. Guards against responses that are returned for
- * another request, unsafe requests that run twice, and requests reported as not executed that ran.
+ * another request, unsafe requests that run twice, and requests reported as not executed that ran,
+ * also while the routes change.
  */
 public class DataPlaneSimulationTest {
     /** The number of simulated histories, each with its own seed. */
@@ -52,14 +53,18 @@
 
     /** Each kind of violation, with its first seed and the number of histories that had it. */
     private Map<String, String> violations(
-            int histories, Set<RequestSafeguard> disabledSafeguards) {
+            int histories, Set<RequestSafeguard> disabledSafeguards, boolean changesRoutes) {
         Map<String, List<String>> violationsByKind = new ConcurrentSkipListMap<>();
         LongStream.rangeClosed(1, histories)
                 .parallel()
                 .forEach(
                         seed -> {
                             String violation =
-                                    new DataPlaneSimulation(settings, seed, disabledSafeguards)
+                                    new DataPlaneSimulation(
+                                                    settings,
+                                                    seed,
+                                                    disabledSafeguards,
+                                                    changesRoutes)
                                             .run();
                             if (violation != null) {
                                 violationsByKind
@@ -92,7 +97,8 @@
         Map<String, String> digests = new TreeMap<>();
         for (long seed = 1; seed <= 12; seed++) {
             DataPlaneSimulation history =
-                    new DataPlaneSimulation(settings, seed, EnumSet.noneOf(RequestSafeguard.class));
+                    new DataPlaneSimulation(
+                            settings, seed, EnumSet.noneOf(RequestSafeguard.class), false);
             DecisionTrace trace = history.startTrace();
             history.run();
             digests.put("seed " + seed, trace.end());
@@ -102,7 +108,19 @@
 
     @Test
     public void guaranteesHoldInAllHistories() {
-        Map<String, String> summary = violations(HISTORIES, EnumSet.noneOf(RequestSafeguard.class));
+        Map<String, String> summary =
+                violations(HISTORIES, EnumSet.noneOf(RequestSafeguard.class), false);
+        assertEquals(summary.toString(), "{}");
+    }
+
+    /**
+     * Guards against routes that are no longer served, or requests without an answer, after routes
+     * were added, moved, moved back, changed and removed in series.
+     */
+    @Test
+    public void guaranteesHoldWhileRoutesChange() {
+        Map<String, String> summary =
+                violations(HISTORIES, EnumSet.noneOf(RequestSafeguard.class), true);
         assertEquals(summary.toString(), "{}");
     }
 
@@ -112,7 +130,7 @@
         List<String> unneeded = new ArrayList<>();
         for (RequestSafeguard safeguard : RequestSafeguard.values()) {
             Map<String, String> summary =
-                    violations(Math.max(1, HISTORIES / 4), EnumSet.of(safeguard));
+                    violations(Math.max(1, HISTORIES / 4), EnumSet.of(safeguard), false);
             Reporter.log(safeguard + " " + summary, Boolean.getBoolean("guards"));
             if (summary.isEmpty()) {
                 unneeded.add(safeguard.name());
--- a/src/test/java/gingerspool/dataplane/ModelRecord.java
+++ b/src/test/java/gingerspool/dataplane/ModelRecord.java
@@ -22,6 +22,18 @@
      */
     private static final double MAX_CANCELLATION_DELAY_MS = 500;
 
+    /** How long a request may take from the client until the scheduler has read all of it. */
+    private static final double MAX_READING_TIME_MS = 500;
+
+    /**
+     * In calm times each route is served at least this fraction as often as the one that is served
+     * best.
+     */
+    private static final double MIN_SERVED_FRACTION = 0.25;
+
+    /** Routes with fewer requests are not judged. */
+    private static final int MIN_JUDGED_REQUESTS = 20;
+
     /** Statuses by which the scheduler promises the client that the request was not executed. */
     private static final Set<Integer> NOT_EXECUTED_STATUSES = Set.of(408, 421, 429, 503);
 
@@ -36,6 +48,7 @@
         final byte[] body;
         int executionCount;
         final List<Arrival> arrivals = new ArrayList<>();
+        boolean isServed;
         int responseCount;
         int notExecutedResponseCount;
         boolean isAbandoned;
@@ -61,6 +74,12 @@
         }
     }
 
+    /** The served requests of one route, and all that were not abandoned. */
+    private static final class RouteShare {
+        int served;
+        int all;
+    }
+
     /** The arrival of a request's head at a worker. */
     static final class Arrival {
         final double arrivedAt;
@@ -79,6 +98,7 @@
     private record WorkerResponse(String requestId, int status, byte[] body) {}
 
     private final ModelNetwork network;
+    private final RouteHistory routes;
     private final double retryRatio;
     private final double retrySlack;
     private final double retryWindow;
@@ -86,8 +106,14 @@
     private final Map<String, WorkerResponse> responsesByStamp = new HashMap<>();
     private int stampCount;
 
-    ModelRecord(ModelNetwork network, double retryRatio, double retrySlack, double retryWindow) {
+    ModelRecord(
+            ModelNetwork network,
+            RouteHistory routes,
+            double retryRatio,
+            double retrySlack,
+            double retryWindow) {
         this.network = network;
+        this.routes = routes;
         this.retryRatio = retryRatio;
         this.retrySlack = retrySlack;
         this.retryWindow = retryWindow;
@@ -145,7 +171,8 @@
         }
         request.executionCount++;
         network.check(
-                function.equals(DataPlaneSimulation.FUNCTION),
+                routes.mayLeadTo(
+                        routeOf(request), function, request.sentAt, admittedBefore(request)),
                 "ROUTE: a worker of " + function + " ran " + request.id);
         network.check(
                 request.safe || request.executionCount == 1,
@@ -178,11 +205,28 @@
         return stamp;
     }
 
+    private static String routeOf(ClientRequest request) {
+        return request.target.split("/")[1];
+    }
+
+    /** A request is admitted on the route that is in force as its last byte is read. */
+    private double admittedBefore(ClientRequest request) {
+        double firstArrival =
+                request.arrivals.isEmpty() ? network.now() : request.arrivals.get(0).arrivedAt;
+        return Math.min(firstArrival, request.sentAt + MAX_READING_TIME_MS);
+    }
+
     // ---- Clients ----
 
     void onResponse(ClientRequest request, Message response) {
         int status = response.status();
         request.responseCount++;
+        request.isServed = status < 300;
+        network.check(
+                status != 404
+                        || routes.mayBeMissing(
+                                routeOf(request), request.sentAt, admittedBefore(request)),
+                "DENIED: 404 for " + request.id + ", whose route was there");
         network.check(request.responseCount == 1, "two responses to " + request.id);
         network.check(
                 network.now() < request.expiry + 100, "answered after its deadline: " + request.id);
@@ -244,6 +288,36 @@
         }
     }
 
+    /** Checks that all routes are served alike; requests sent earlier are not judged. */
+    void checkRoutesServed(double judgedFrom) {
+        Map<String, RouteShare> shares = new LinkedHashMap<>();
+        for (ClientRequest request : requests.values()) {
+            if (request.sentAt >= judgedFrom && !request.isAbandoned) {
+                RouteShare share =
+                        shares.computeIfAbsent(routeOf(request), name -> new RouteShare());
+                share.all++;
+                share.served += request.isServed ? 1 : 0;
+            }
+        }
+        double best = 0;
+        for (RouteShare share : shares.values()) {
+            best = Math.max(best, (double) share.served / share.all);
+        }
+        network.check(best > 0, "CONFIG: no route is served in calm times");
+        for (Map.Entry<String, RouteShare> entry : shares.entrySet()) {
+            RouteShare share = entry.getValue();
+            network.check(
+                    share.all < MIN_JUDGED_REQUESTS
+                            || share.served >= MIN_SERVED_FRACTION * best * share.all,
+                    "CONFIG: "
+                            + entry.getKey()
+                            + " is served "
+                            + share.served
+                            + " of "
+                            + share.all);
+        }
+    }
+
     /** The number of requests that were executed and answered. */
     int served() {
         return (int)
