Report a configuration as in force only once it is applied

Cause: ConfigurationSubscriber made it the current one before its listener had applied it, so the next registration reported it. Evidence: core.link_closed in the same millisecond as the exception, the link up some 20 to 110 ms later, and no further push.

Change: it becomes current after the listener has returned; a failure is logged, not acknowledged, and no longer closes the link. Why it works: the leader repeats whatever a scheduler does not report.

--- a/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
+++ b/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
@@ -21,7 +21,7 @@
 
     /** Carries out the effects of a push. */
     public interface Listener {
-        /** This configuration is the current one from now on. */
+        /** Puts this configuration in force; it is the current one once this returns. */
         void onConfiguration(Configuration configuration);
 
         /** Sends a message to the leader. */
@@ -89,10 +89,21 @@
         acknowledge();
     }
 
+    /**
+     * Puts a configuration in force. Guards against reporting what is not in force: one that the
+     * listener fails to apply is neither current nor acknowledged, so that the leader repeats it.
+     */
     private void activate(Configuration configuration) {
+        try {
+            listener.onConfiguration(configuration);
+        } catch (RuntimeException e) {
+            LOG.atError()
+                    .setCause(e)
+                    .log("configuration.not_applied version={}", configuration.getVersion());
+            return;
+        }
         current = configuration;
         checksum = ConfigurationChecksum.of(configuration);
-        listener.onConfiguration(configuration);
         acknowledge();
         LOG.info(
                 "configuration.in_force version={} routes={} services={}",
