Answer a request whose time is over though its queue fails

Cause: RequestRouter.abort let the queue drop the request, which dispatches others as well, and answered after that; an exception there skipped the answer, and in abortAll the answers of all requests behind it.

Change: the failure is logged and the answer is written. Why it works: the answer no longer depends on the queue, and the order that tells what may have run is kept.

Test: RequestRouterTest.requestsAreAnsweredThoughTheirQueueFails, which failed before.

--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -22,6 +22,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Handles clients' requests from arrival to response. Owns the client connections, the current
@@ -32,6 +34,8 @@
  * milliseconds.
  */
 final class RequestRouter implements Inbound.Handler, FunctionQueue.Environment {
+    private static final Logger LOG = LoggerFactory.getLogger(RequestRouter.class);
+
     /** Limits that apply where the configuration sets none. */
     private static final double DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
@@ -330,7 +334,16 @@
      * can have run, otherwise with `statusIfSent`.
      */
     private void abort(PendingRequest request, int statusIfSent, String message) {
-        queues.get(request.route.getService()).discard(request);
+        FunctionQueue queue = queues.get(request.route.getService());
+        try {
+            queue.discard(request);
+        } catch (RuntimeException e) {
+            // Guards the answer: a client must not wait for ever because its function's queue
+            // fails.
+            LOG.atError()
+                    .setCause(e)
+                    .log("request.discard_failed function={}", request.route.getService());
+        }
         boolean mayHaveRun = request.mayHaveRun();
         answer(request, mayHaveRun ? statusIfSent : 503, List.of(), InstanceProtocol.utf8(message));
     }
--- a/src/test/java/gingerspool/dataplane/RequestRouterTest.java
+++ b/src/test/java/gingerspool/dataplane/RequestRouterTest.java
@@ -28,6 +28,9 @@
     private RequestRouter router;
     private List<Object> messagesToLeader;
 
+    /** Whether the queue that sends the next message to the leader is to fail by it. */
+    private boolean failsNextMessage;
+
     /** A client's connection, with what it received and when it was closed. */
     private final class ClientConnection implements ModelNetwork.Remote {
         final ModelNetwork.Channel channel = network.channel();
@@ -304,6 +307,31 @@
         assertEquals(router.inFlight(), 0);
     }
 
+    /**
+     * Guards against a request that gets no answer at its expiry, or none of those behind it as the
+     * process ends, because the queue of its function fails while it drops the request.
+     */
+    @Test
+    public void requestsAreAnsweredThoughTheirQueueFails() {
+        network.listenSilently(new InetSocketAddress("127.0.0.1", 9));
+        ClientConnection expired = new ClientConnection().request("a", "safe", 300);
+        ClientConnection next = new ClientConnection().request("b", "safe", 900);
+        run(20);
+        grant("i-1", 9, 1);
+        run(80);
+        failsNextMessage = true;
+        run(250);
+        assertEquals(expired.status(), "503");
+        assertEquals(next.status(), "", "its time is not over");
+        new ClientConnection().request("c", "safe", 900);
+        run(50);
+        failsNextMessage = true;
+        network.execute(router::abortAll);
+        run(20);
+        assertEquals(next.status(), "503");
+        assertEquals(router.inFlight(), 0);
+    }
+
     /**
      * A nested call keeps a slot of its caller busy, and a request that was rejected once must not
      * be rejected again.
@@ -423,6 +451,10 @@
 
     @Override
     public boolean sendToLeader(Object message) {
+        if (failsNextMessage) {
+            failsNextMessage = false;
+            throw new IllegalStateException("a failure of the queue");
+        }
         return messagesToLeader.add(message);
     }
 
