Start instances for requests whose function has lost its routes

Callers saw: users who wait for the first instance of a service as their route moves away are refused or expire, if no instance was being started yet or the one there was crashed.

Cause: the autoscaler wanted no instance of a function without routes, although a request belongs to the function that it was admitted to and its scheduler goes on asking for slots. Evidence: by the new test, no start in a second with one request waiting.

Change: such a function has an arrival rate of 0 but gets what its requests in flight need, by the latency target of its last routes. Why it works: the demand that schedulers report is counted whatever the routes are, and ends with those requests.

Test: AutoscalerTest.aFunctionWithoutRoutesGetsWhatItsWaitingRequestsNeed, which failed before.

--- a/src/main/java/gingerspool/autoscaler/CapacityPlan.java
+++ b/src/main/java/gingerspool/autoscaler/CapacityPlan.java
@@ -55,18 +55,20 @@
         return function.memoryMb + " " + function.concurrency + " " + function.targetLatency;
     }
 
-    /** The number of instances that the function should have now. */
+    /**
+     * The number of instances that the function should have now. Guards requests that were admitted
+     * before their route moved away: a function without routes expects no arrivals, but gets what
+     * its requests in flight need.
+     */
     int desiredInstances(Function function) {
-        if (!function.isRouted) {
-            return 0;
-        }
         double serviceTime = estimatedServiceTime(function);
-        double load = function.arrivals.provisionedRate() * serviceTime;
+        double arrivalRate = function.isRouted ? function.arrivals.provisionedRate() : 0;
+        double load = arrivalRate * serviceTime;
         double maxWait =
                 Math.max(0, MAX_RESPONSE_TIME_SHARE * function.targetLatency - serviceTime);
         // The backlog is to be served within the longest wait.
         double backlogShare = serviceTime / Math.max(serviceTime, maxWait);
-        boolean needsWarmInstances = needsWarmInstances(function, serviceTime);
+        boolean needsWarmInstances = function.isRouted && needsWarmInstances(function, serviceTime);
         // Without warm instances, the maximum is taken instead of the sum: requests in flight are
         // part of the arrival rate already, and rare ones must not be counted twice.
         double loadWithBacklog =
@@ -80,7 +82,7 @@
                     slots < loadWithBacklog
                             || (needsWarmInstances
                                     ? waitsTooLong(slots, load, maxWait / serviceTime)
-                                    : startsTooOften(function, slots, load, serviceTime));
+                                    : startsTooOften(function, slots, arrivalRate, serviceTime));
             if (!isTooFew) {
                 break;
             }
@@ -99,14 +101,12 @@
      * whose target leaves time for a start, so that they need no spare capacity for their latency.
      */
     private static boolean startsTooOften(
-            Function function, int slots, double load, double serviceTime) {
+            Function function, int slots, double arrivalRate, double serviceTime) {
         double slowStartTime = SLOW_START_FACTOR * function.startTime;
         double startProbability =
-                ErlangDelay.probabilityOfWaitOver(slots, load, slowStartTime / serviceTime);
-        return function.arrivals.provisionedRate()
-                        * startProbability
-                        * StartCost.equivalentIdleTime(function)
-                > 1;
+                ErlangDelay.probabilityOfWaitOver(
+                        slots, arrivalRate * serviceTime, slowStartTime / serviceTime);
+        return arrivalRate * startProbability * StartCost.equivalentIdleTime(function) > 1;
     }
 
     private double estimatedServiceTime(Function function) {
--- a/src/main/java/gingerspool/slots/Function.java
+++ b/src/main/java/gingerspool/slots/Function.java
@@ -19,10 +19,13 @@
 
     public int memoryMb;
 
-    /** The shortest latency target of its routes; infinite if no route has one. */
-    public double targetLatency;
+    /**
+     * The shortest latency target of its routes, or of its last ones if it has none any more;
+     * infinite if no route has one.
+     */
+    public double targetLatency = Double.POSITIVE_INFINITY;
 
-    /** Whether any route refers to it. */
+    /** Whether any route refers to it. Requests that arrived before may still be in flight. */
     public boolean isRouted;
 
     /** By identifier. */
--- a/src/main/java/gingerspool/slots/FunctionCatalog.java
+++ b/src/main/java/gingerspool/slots/FunctionCatalog.java
@@ -32,13 +32,13 @@
             function.startTime = service.getBoot();
             function.concurrency = Math.max(1, service.getConcurrency());
             function.memoryMb = service.getMemory();
-            function.targetLatency = Double.POSITIVE_INFINITY;
         }
         for (Route route : configuration.getRoutesList()) {
             Function function = functions.get(route.getService());
             double target = route.getAim() > 0 ? route.getAim() : Double.POSITIVE_INFINITY;
+            function.targetLatency =
+                    function.isRouted ? Math.min(function.targetLatency, target) : target;
             function.isRouted = true;
-            function.targetLatency = Math.min(function.targetLatency, target);
         }
     }
 
--- a/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
+++ b/src/test/java/gingerspool/autoscaler/AutoscalerTest.java
@@ -234,6 +234,30 @@
         assertEquals(starts.stream().filter(s -> s.startsWith("new")).count(), 1);
     }
 
+    /**
+     * Guards against requests that nobody starts an instance for, since their function has lost its
+     * routes while they wait; without such requests nothing is started or kept.
+     */
+    @Test
+    public void aFunctionWithoutRoutesGetsWhatItsWaitingRequestsNeed() {
+        listHosts(4096);
+        demand("rare", 1, 1, 600);
+        allocator.configure(Configuration.getDefaultInstance());
+        for (double now = 650; now < 1650; now += 50) {
+            autoscaler.tick(now);
+        }
+        assertEquals(starts, List.of("rare on h2"));
+        autoscaler.started(1650, nonces.get(0), "i1", "10.0.0.1:1");
+        allocator.markReady(1700, allocator.instance("i1"));
+        demand("rare", 0, 0, 1750);
+        for (double now = 1750; now < 4000; now += 50) {
+            allocator.tick(now);
+            autoscaler.tick(now);
+        }
+        assertEquals(starts.size(), 1);
+        assertEquals(stops, List.of("i1"));
+    }
+
     /** A single request, even if it runs for long, is no reason to start further instances. */
     @Test
     public void rareSlowRequestStartsOneInstance() {
