Compare a function's profiles once for each configuration

Need: the comparison with the Dispatcher's profiles, which builds text of all of them, ran for each request that found its queue idle.

Change: FunctionQueue.onConfiguration compares and notes whether the Dispatcher is to be replaced. No change of behaviour.

Result: RequestRouterTest, FunctionQueueTest and DataPlaneSimulationTest pass; its recorded traces are the same.

--- a/src/main/java/gingerspool/dataplane/FunctionQueue.java
+++ b/src/main/java/gingerspool/dataplane/FunctionQueue.java
@@ -92,6 +92,9 @@
     /** The profiles of the newest routes; the Dispatcher may still use those of earlier ones. */
     private RouteProfiles newestProfiles = RouteProfiles.NONE;
 
+    /** Whether the Dispatcher is to be created, or replaced, for the newest profiles. */
+    private boolean isRenewalDue;
+
     private boolean isCheckScheduled;
 
     FunctionQueue(Environment environment, String name) {
@@ -137,18 +140,20 @@
     void onConfiguration(Service newService, List<Route> routes) {
         service = newService;
         newestProfiles = RouteProfiles.of(routes, loop::isEnabled);
+        // Without routes no request can arrive, so the Dispatcher stays as it is.
+        isRenewalDue = !newestProfiles.isEmpty() && !dispatcher.hasProfiles(newestProfiles);
         if (backlog.inFlight() == 0) {
             renewDispatcher();
         }
     }
 
     /**
-     * Creates the Dispatcher for the newest routes, or replaces it after a change. Without routes
-     * no request can arrive, so the Dispatcher stays as it is. Must not be called while requests
-     * are in flight.
+     * Creates the Dispatcher for the newest routes, or replaces it after a change. Must not be
+     * called while requests are in flight.
      */
     private void renewDispatcher() {
-        if (!newestProfiles.isEmpty() && !dispatcher.hasProfiles(newestProfiles)) {
+        if (isRenewalDue) {
+            isRenewalDue = false;
             terms.renew(newestProfiles);
             dispatcher.renew(newestProfiles, service.getBoot());
         }
