Soak the platform with routes that change in series beside its faults

Change: by seed, routes are added, split, moved, moved back, removed and added anew in series, services are without any or gone, by replace and by modify; signals come in series that overlap; clients wait and run on all routes, rest on open connections and are still there as all processes are terminated; changes go on after the last fault. New checks: no silent request, LOST on kept connections past LossSlackMs, ROUTE and CONFIG by the operator's own log, late answers, the share served on each route, processes that end by themselves. All former checks stand. New connections go where the platform's readiness checks send them; read-back compares version, routes and services. RouteChanges, ConfigurationLog, RequestChecks and PlatformFaults are split off.

--- a/src/main/java/gingerspool/standin/Cloud.java
+++ b/src/main/java/gingerspool/standin/Cloud.java
@@ -104,7 +104,10 @@
                         work,
                         () -> {
                             busy--;
-                            from.answer(200, fields, "hello from " + id + " on " + host);
+                            from.answer(
+                                    200,
+                                    fields,
+                                    "hello from " + id + " of " + service + " on " + host);
                         });
             }
         }
--- a/src/test/java/gingerspool/soak/PlatformClient.java
+++ b/src/test/java/gingerspool/soak/PlatformClient.java
@@ -1,44 +1,98 @@
 package gingerspool.soak;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Simulates a client for {@link PlatformSoakTest}: sends one request after the other on its own
- * thread, reuses its connection while that stays open, and records the outcome of each request.
+ * thread, on the routes of the newest configuration and on others, and records the outcome of each.
+ * It uses its connection until that is closed, and opens new ones to schedulers that the platform
+ * sends new clients to.
  */
 final class PlatformClient extends Thread {
-    private static final int REQUEST_TIMEOUT_MS = 3000;
+    static final int REQUEST_TIMEOUT_MS = 3000;
+
+    /** Longer than any request may stay unanswered. */
+    private static final int RESPONSE_TIMEOUT_MS = 2 * REQUEST_TIMEOUT_MS;
+
     private static final long REQUEST_PAUSE_MS = 15;
-    static final String HOST = "soak.example";
+
+    /** Some clients rest on their open connections for up to this long. */
+    private static final int MAX_REST_MS = 3000;
+
+    private static final int CLIENTS_PER_RESTING_ONE = 4;
+
+    /** Of so many requests one goes to a route of any earlier configuration. */
+    private static final int REQUESTS_PER_OLD_TARGET = 6;
+
+    private static final Pattern SERVED_BY = Pattern.compile("hello from \\S+ of (\\S+) on .*");
+
+    /** How a request ended. */
+    enum Outcome {
+        ANSWERED,
+        /** The connection ended before a complete response. */
+        CLOSED,
+        /** Nothing came for longer than any request may take. */
+        SILENT,
+        NOT_CONNECTED
+    }
 
     /**
-     * The outcome of one request. Times are System.nanoTime().
+     * One request. Times are System.nanoTime().
      *
-     * @param status of the response, 0 if the connection ended or timed out before a complete
-     *     response, -1 if it could not be established
+     * @param status of the response; 0 without one
+     * @param reused whether a response had come on its connection before
      * @param mine false if the response names another request
+     * @param service that ran it; null if none did
      */
     record Request(
             PlatformProcesses.Node scheduler,
+            String target,
             long sent,
             long ended,
+            Outcome outcome,
             int status,
             boolean reused,
-            boolean mine) {}
+            boolean mine,
+            String service) {
+        /** A request that ends now without a response. */
+        static Request withoutResponse(
+                PlatformProcesses.Node scheduler,
+                String target,
+                long sentNanos,
+                Outcome outcome,
+                boolean reused) {
+            return new Request(
+                    scheduler,
+                    target,
+                    sentNanos,
+                    System.nanoTime(),
+                    outcome,
+                    0,
+                    reused,
+                    true,
+                    null);
+        }
+    }
 
-    private final List<PlatformProcesses.Node> schedulers;
+    private final PlatformProcesses platform;
+    private final ConfigurationLog configurations;
     private final SplittableRandom random;
     private final int number;
     final List<Request> requests = new CopyOnWriteArrayList<>();
     private volatile boolean stopping;
 
-    PlatformClient(List<PlatformProcesses.Node> schedulers, int number, long seed) {
+    PlatformClient(
+            PlatformProcesses platform, ConfigurationLog configurations, int number, long seed) {
         super("client-" + number);
-        this.schedulers = schedulers;
+        this.platform = platform;
+        this.configurations = configurations;
         this.number = number;
         random = new SplittableRandom(seed * 1000 + number);
         setDaemon(true);
@@ -49,12 +103,14 @@
         HttpConnection connection = null;
         PlatformProcesses.Node scheduler = null;
         for (int i = 0; !stopping; i++) {
+            String target = drawTarget() + i;
             if (connection == null) {
-                scheduler = schedulers.get(random.nextInt(schedulers.size()));
-                connection = connect(scheduler);
+                List<PlatformProcesses.Node> candidates = platform.schedulersForNewClients();
+                scheduler = candidates.get(random.nextInt(candidates.size()));
+                connection = connect(scheduler, target);
             }
             if (connection != null
-                    && !sendRequest(connection, scheduler, "soak-" + number + "-" + i)) {
+                    && !sendRequest(connection, scheduler, target, "soak-" + number + "-" + i)) {
                 close(connection);
                 connection = null;
             }
@@ -65,54 +121,74 @@
         }
     }
 
-    private HttpConnection connect(PlatformProcesses.Node scheduler) {
+    /** The prefix of a route. */
+    private String drawTarget() {
+        List<SoakConfiguration> all = configurations.all();
+        boolean isOld = random.nextInt(REQUESTS_PER_OLD_TARGET) == 0;
+        SoakConfiguration configuration =
+                all.get(isOld ? random.nextInt(all.size()) : all.size() - 1);
+        List<SoakConfiguration.Route> routes = List.copyOf(configuration.routes().values());
+        return routes.get(random.nextInt(routes.size())).prefix();
+    }
+
+    private HttpConnection connect(PlatformProcesses.Node scheduler, String target) {
         long startNanos = System.nanoTime();
         try {
-            return new HttpConnection(scheduler.frontAddress(), 2 * REQUEST_TIMEOUT_MS);
+            return new HttpConnection(scheduler.frontAddress(), RESPONSE_TIMEOUT_MS);
         } catch (IOException e) {
-            requests.add(new Request(scheduler, startNanos, System.nanoTime(), -1, false, true));
+            requests.add(
+                    Request.withoutResponse(
+                            scheduler, target, startNanos, Outcome.NOT_CONNECTED, false));
             return null;
         }
     }
 
     /** Sends one request and returns whether the connection can be reused. */
     private boolean sendRequest(
-            HttpConnection connection, PlatformProcesses.Node scheduler, String id) {
+            HttpConnection connection, PlatformProcesses.Node scheduler, String target, String id) {
         boolean reused = connection.isReused();
         long sentNanos = System.nanoTime();
         try {
-            HttpConnection.Response response =
-                    connection.send(
-                            "GET",
-                            "/hello/world",
-                            Map.of(
-                                    "Host",
-                                    HOST,
-                                    "Request-Id",
-                                    id,
-                                    "Remaining-Milliseconds",
-                                    Integer.toString(REQUEST_TIMEOUT_MS)),
-                            "");
-            boolean matchesRequest =
-                    response.status() != 200 || id.equals(response.headers().get("request-id"));
+            HttpConnection.Response response = connection.send("GET", target, headers(id), "");
+            boolean isSuccess = response.status() == 200;
             requests.add(
                     new Request(
                             scheduler,
+                            target,
                             sentNanos,
                             System.nanoTime(),
+                            Outcome.ANSWERED,
                             response.status(),
                             reused,
-                            matchesRequest));
+                            !isSuccess || id.equals(response.headers().get("request-id")),
+                            isSuccess ? servedBy(response.body()) : null));
             return response.isKeepAlive();
         } catch (IOException e) {
-            requests.add(new Request(scheduler, sentNanos, System.nanoTime(), 0, reused, true));
+            Outcome outcome = e instanceof SocketTimeoutException ? Outcome.SILENT : Outcome.CLOSED;
+            requests.add(Request.withoutResponse(scheduler, target, sentNanos, outcome, reused));
             return false;
         }
     }
 
-    private static void pause() {
+    private static Map<String, String> headers(String id) {
+        return Map.of(
+                "Host",
+                SoakConfiguration.HOST,
+                "Request-Id",
+                id,
+                "Remaining-Milliseconds",
+                Integer.toString(REQUEST_TIMEOUT_MS));
+    }
+
+    private static String servedBy(String body) {
+        Matcher matcher = SERVED_BY.matcher(body);
+        return matcher.matches() ? matcher.group(1) : "unknown: " + body;
+    }
+
+    private void pause() {
+        boolean rests = number % CLIENTS_PER_RESTING_ONE == 0;
         try {
-            Thread.sleep(REQUEST_PAUSE_MS);
+            Thread.sleep(rests ? random.nextInt(MAX_REST_MS) : REQUEST_PAUSE_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/gingerspool/soak/PlatformOperator.java
+++ b/src/test/java/gingerspool/soak/PlatformOperator.java
@@ -11,13 +11,18 @@
 
 /**
  * Simulates an operator of the platform for {@link PlatformSoakTest}: sends one configuration
- * change after the other to random control nodes on its own thread. A change that is not
- * acknowledged is retried unchanged.
+ * change after the other to random control nodes on its own thread, some as whole configurations
+ * and some as changes of items. A change that is not acknowledged is retried unchanged.
  */
 final class PlatformOperator extends Thread {
     private static final int RESPONSE_TIMEOUT_MS = 2000;
     private static final long RETRY_PAUSE_MS = 100;
-    private static final long CHANGE_PAUSE_MS = 250;
+
+    /** Changes come in series with short pauses, and after longer ones. */
+    private static final int MAX_PAUSE_IN_SERIES_MS = 250;
+
+    private static final int MAX_PAUSE_BETWEEN_SERIES_MS = 2000;
+    private static final int MEAN_SERIES_LENGTH = 5;
     private static final int OK = 200;
     private static final int TEMPORARY_REDIRECT = 307;
 
@@ -26,87 +31,107 @@
 
     private static final int PRECONDITION_FAILED = 412;
 
-    private static final String CONFIGURATION =
-            """
-            {"Version":%d,"Routes":[{"Name":"r","HostName":"%s","PathPrefix":"/hello/",
-            "RouteKind":"safe",
-            "TimeoutMs":%d,"TargetLatencyMs":2000,"Priority":1,"Service":"hello","MaxAttempts":2}],
-            "Services":[{"Name":"hello","HealthPath":null,"ConnectionLimit":20,"MemoryMb":128,"BootMs":200,
-            "MaxConcurrency":8}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,
-            "IdleTimeoutMs":15000}}""";
+    private static final String REPLACE = "/v1/configuration/replace";
+    private static final String MODIFY = "/v1/configuration/modify";
+
+    /** One call, and the configuration that results from it. */
+    private record Change(
+            SoakConfiguration configuration, int baseVersion, String path, String body) {}
 
     private final List<PlatformProcesses.Node> controlNodes;
+    private final ConfigurationLog log;
+    private final RouteChanges changes;
     private final SplittableRandom random;
     private volatile boolean stopping;
-    private volatile int acknowledgedVersion;
+
+    /** Null before the first acknowledgement. */
+    private volatile SoakConfiguration acknowledged;
+
+    /** The change that was sent and not acknowledged yet; null if there is none. */
+    private Change unacknowledged;
 
     /** Changes that were rejected although they were based on the newest acknowledged version. */
     final List<String> rejectedChanges = new ArrayList<>();
 
-    PlatformOperator(List<PlatformProcesses.Node> controls, long seed) {
+    PlatformOperator(List<PlatformProcesses.Node> controls, ConfigurationLog log, long seed) {
         super("operator");
         this.controlNodes = controls;
+        this.log = log;
+        changes = new RouteChanges(seed);
         random = new SplittableRandom(seed);
         setDaemon(true);
     }
 
-    /** The newest acknowledged configuration version; 0 before the first. */
-    int acknowledgedVersion() {
-        return acknowledgedVersion;
-    }
-
-    /** The configuration of this version, which is identified by its route's timeout. */
-    static String configuration(int version) {
-        return CONFIGURATION.formatted(version, PlatformClient.HOST, routeTimeoutMs(version));
-    }
-
-    static int routeTimeoutMs(int version) {
-        return 4000 + version;
+    /** The newest acknowledged configuration. */
+    SoakConfiguration acknowledged() {
+        return acknowledged;
     }
 
     @Override
     public void run() {
         while (!stopping) {
             applyNextChange(Long.MAX_VALUE);
-            pause(CHANGE_PAUSE_MS);
+            boolean endsSeries = random.nextInt(MEAN_SERIES_LENGTH) == 0;
+            pause(
+                    random.nextInt(
+                            endsSeries ? MAX_PAUSE_BETWEEN_SERIES_MS : MAX_PAUSE_IN_SERIES_MS));
         }
     }
 
     /**
-     * Sends the next change until it is acknowledged.
+     * Sends the next change, or the last one if it was not acknowledged, until it is acknowledged.
      *
      * @param deadlineNanos System.nanoTime() after which it gives up; with Long.MAX_VALUE it
      *     retries until the operator is stopped
      * @return whether the change was acknowledged
      */
     boolean applyNextChange(long deadlineNanos) {
-        int version = acknowledgedVersion + 1;
+        if (unacknowledged == null) {
+            unacknowledged = prepareNext();
+            log.onSent(unacknowledged.configuration);
+        }
+        Change change = unacknowledged;
         while (!stopping || deadlineNanos != Long.MAX_VALUE) {
             if (System.nanoTime() > deadlineNanos) {
                 return false;
             }
-            int status = sendChange(version);
+            int status = send(change);
             if (status == OK) {
-                acknowledgedVersion = version;
+                log.onAcknowledged();
+                acknowledged = change.configuration;
+                unacknowledged = null;
                 return true;
             }
             if (status == PRECONDITION_FAILED) {
-                rejectedChanges.add("version " + version + " on " + (version - 1));
+                rejectedChanges.add(
+                        "version " + change.configuration.version() + " on " + change.baseVersion);
             }
             pause(RETRY_PAUSE_MS);
         }
         return false;
     }
 
-    private int sendChange(int version) {
+    private Change prepareNext() {
+        SoakConfiguration base = acknowledged;
+        if (base == null) {
+            SoakConfiguration first = changes.first();
+            return new Change(first, 0, REPLACE, first.toJson());
+        }
+        SoakConfiguration next = changes.next(base);
+        return random.nextBoolean()
+                ? new Change(next, base.version(), REPLACE, next.toJson())
+                : new Change(next, base.version(), MODIFY, next.changesToJson(base));
+    }
+
+    private int send(Change change) {
         PlatformProcesses.Node node = controlNodes.get(random.nextInt(controlNodes.size()));
         try {
             return call(
                             node.controlAddress(),
                             "POST",
-                            "/v1/configuration/replace",
-                            Map.of("Based-On-Version", Integer.toString(version - 1)),
-                            configuration(version))
+                            change.path,
+                            Map.of("Based-On-Version", Integer.toString(change.baseVersion)),
+                            change.body)
                     .status();
         } catch (IOException e) {
             return 0;
--- a/src/test/java/gingerspool/soak/PlatformProcesses.java
+++ b/src/test/java/gingerspool/soak/PlatformProcesses.java
@@ -26,18 +26,22 @@
     private static final int FRONT_PORT = 18241;
     private static final int READINESS_PORT = 18246;
     private static final int INTERNAL_PORT = 17400;
-    private static final int BOOT_MS = 200;
 
     /** The time that a simulated instance takes per request. */
-    private static final int WORK_MS = 20;
+    private static final int WORK_MS = 60;
 
     /** The delay of the simulated cloud's lists; the processes are configured with it as well. */
     private static final int LAG_MS = 100;
 
-    private static final int INSTANCE_SLOTS = 8;
     private static final long RETRY_INTERVAL_MS = 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
+    /**
+     * How long after SIGTERM a process still gets new connections: until two readiness checks, a
+     * second apart, have failed.
+     */
+    private static final long READINESS_LAG_NANOS = 2_000_000_000L;
+
     /** Second octet of all addresses, derived from the pid so that concurrent runs differ. */
     private static final int NETWORK_OCTET = 20 + (int) (ProcessHandle.current().pid() % 200);
 
@@ -62,6 +66,9 @@
         private final Path settingsFile;
         private volatile Process process;
 
+        /** System.nanoTime() of the SIGTERM that its process got; null if it got none. */
+        private volatile Long terminatedNanos;
+
         Node(Role role, int number) throws IOException {
             this.role = role;
             this.number = number;
@@ -165,9 +172,22 @@
             builder.redirectOutput(
                     ProcessBuilder.Redirect.appendTo(folder.resolve(name() + ".log").toFile()));
             process = builder.start();
+            terminatedNanos = null;
             startedProcesses.add(process);
         }
 
+        /** Sends SIGTERM. */
+        void terminate() throws IOException, InterruptedException {
+            terminatedNanos = System.nanoTime();
+            signal("TERM");
+        }
+
+        /** Whether the platform counts it as ready. */
+        private boolean countsAsReady() {
+            Long terminated = terminatedNanos;
+            return terminated == null || System.nanoTime() - terminated < READINESS_LAG_NANOS;
+        }
+
         void signal(String signal) throws IOException, InterruptedException {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
                     .start()
@@ -208,6 +228,11 @@
             return process.isAlive();
         }
 
+        /** The exit code of the process, which must have exited. */
+        int exitCode() {
+            return process.exitValue();
+        }
+
         long pid() {
             return process.pid();
         }
@@ -230,10 +255,10 @@
                         loop,
                         "127." + NETWORK_OCTET + ".7.1",
                         Map.of("h1", "a", "h2", "b"),
-                        BOOT_MS,
+                        SoakConfiguration.BOOT_MS,
                         WORK_MS,
                         LAG_MS,
-                        INSTANCE_SLOTS);
+                        SoakConfiguration.INSTANCE_SLOTS);
         for (int i = 1; i <= controls; i++) {
             controlNodes.add(new Node(Role.CONTROL, i));
         }
@@ -251,6 +276,15 @@
         return all;
     }
 
+    /**
+     * The schedulers that new clients are sent to: those that count as ready, or all if these are
+     * fewer than half.
+     */
+    List<Node> schedulersForNewClients() {
+        List<Node> ready = schedulers.stream().filter(Node::countsAsReady).toList();
+        return 2 * ready.size() < schedulers.size() ? schedulers : ready;
+    }
+
     /** The pids of all processes started so far that are still running. */
     List<Long> livePids() {
         return startedProcesses.stream().filter(Process::isAlive).map(Process::pid).toList();
--- a/src/test/java/gingerspool/soak/PlatformSoakTest.java
+++ b/src/test/java/gingerspool/soak/PlatformSoakTest.java
@@ -4,74 +4,75 @@
 import static org.testng.Assert.assertTrue;
 
 import gingerspool.peers.Folders;
-import java.io.IOException;
+import gingerspool.wire.BadMessage;
+import gingerspool.wire.Json;
+import gingerspool.wire.JsonTree;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
- * Runs the platform's two programs as processes and injects overlapping faults: control nodes and
- * schedulers are terminated, killed, suspended, reloaded and restarted, and in about half of the
- * runs one control node loses its disk. Meanwhile clients send requests over persistent connections
- * and an operator sends one configuration change after the other.
+ * Runs the platform's two programs as processes. By seed, {@link PlatformFaults} terminates, kills,
+ * suspends, reloads and restarts them in series that overlap, and {@link RouteChanges} adds,
+ * splits, moves, moves back, removes and adds anew routes in series, while clients send requests
+ * over persistent connections. The changes go on for a while after the last fault; then all is
+ * calm, and at last all processes are terminated under their clients.
  *
- * <p>One seed runs by default. To run more of them: {@code mvn test -Dtest=PlatformSoakTest
- * -Dsoak.from=1 -Dsoak.seeds=50 -Dsoak.out=FOLDER}. One seed takes about 25 s.
+ * <p>Two seeds run by default. To run more of them: {@code mvn test -Dtest=PlatformSoakTest
+ * -Dsoak.from=1 -Dsoak.seeds=50 -Dsoak.out=FOLDER}. One seed takes about 45 s. Each tenth seed runs
+ * 5 control nodes and 20 schedulers; {@code -Dsoak.schedulers=N} sets their number.
  *
  * <p>The bounds were set before the first run, from RULES and the settings:
  *
  * <ul>
- *   <li>A request sent on a new connection gets a complete response, unless its scheduler was
- *       killed or suspended between ContactMs (4 s) before it was sent and its end.
- *   <li>A response names its own request.
+ *   <li>A request sent on a new connection gets a complete response, and so does one on a kept
+ *       connection that ends more than LossSlackMs (0.2 s) later, unless its scheduler was killed
+ *       or suspended between ContactMs (4 s) before it was sent and its end.
+ *   <li>A response names its own request; one is run only by a service that some configuration led
+ *       it to and, in calm times, none that only a version replaced ConfigApplyMs (3 s) before
+ *       leads to. A route that is there is found.
+ *   <li>No request stays without a response for twice its client's time, and of those unanswered at
+ *       their time-out not more than half, and less than eight, are 0.5 s later.
+ *   <li>In calm times each route is served at least a quarter as often as the first one.
  *   <li>No change that is based on the newest version is rejected.
  *   <li>A change is acknowledged within ContactMs + AcknowledgeMs (9 s) after the last fault.
  *   <li>Acknowledged changes are read back.
+ *   <li>No process ends by itself.
  *   <li>A process exits within GracePeriodS + 1 s (7 s) after SIGTERM, and no process remains.
  * </ul>
  */
 public class PlatformSoakTest {
     private static final int CONTROL_NODE_COUNT = 3;
     private static final int SCHEDULER_COUNT = 2;
-    private static final int CLIENT_COUNT = 6;
-    private static final int MIN_FAULTS = 5;
-    private static final int FAULT_COUNT_RANGE = 5;
-    private static final long FAULT_PERIOD_MS = 10_000;
+    private static final int CLIENT_COUNT = 12;
+    private static final int LARGE_RUN_INTERVAL = 10;
+    private static final int LARGE_CONTROL_NODE_COUNT = 5;
+    private static final int LARGE_SCHEDULER_COUNT = 20;
     private static final long CONTACT_TIMEOUT_MS = 4000;
     private static final long ACKNOWLEDGE_TIMEOUT_MS = CONTACT_TIMEOUT_MS + 5000;
-    private static final long EXIT_TIMEOUT_MS = 7000;
+    private static final long APPLY_TIMEOUT_MS = 3000;
     private static final long START_TIMEOUT_MS = 30_000;
 
-    /** The faults that are injected into a process. */
-    private enum Fault {
-        TERMINATED,
-        KILLED,
-        STOPPED,
-        RELOADED,
-        /** The process is killed and restarted without its data directory. */
-        DISK_LOST
-    }
-
-    /** Faults that may be injected into any process, and repeatedly. */
-    private static final List<Fault> REPEATABLE_FAULTS =
-            List.of(Fault.TERMINATED, Fault.KILLED, Fault.STOPPED, Fault.RELOADED);
+    /** How long routes change in calm times. */
+    private static final long CALM_CHANGES_MS = 6000;
 
-    /** A fault that was injected or ended at this System.nanoTime(). */
-    private record InjectedFault(PlatformProcesses.Node node, Fault fault, long atNanos) {}
+    /** How long requests are judged after the last change is in force. */
+    private static final long JUDGED_MS = 5000;
 
-    private final List<InjectedFault> injectedFaults = new CopyOnWriteArrayList<>();
     private final List<String> violations = new CopyOnWriteArrayList<>();
 
     @DataProvider
     public Object[][] seeds() {
         long from = Long.getLong("soak.from", 1);
-        int count = Integer.getInteger("soak.seeds", 1);
+        int count = Integer.getInteger("soak.seeds", 2);
         Object[][] seeds = new Object[count][];
         for (int i = 0; i < count; i++) {
             seeds[i] = new Object[] {from + i};
@@ -81,208 +82,129 @@
 
     @Test(dataProvider = "seeds")
     public void noAcknowledgedChangeIsLostAndNoProcessRemains(long seed) throws Exception {
-        injectedFaults.clear();
         violations.clear();
         String outputFolder = System.getProperty("soak.out");
         Path folder =
                 outputFolder == null
                         ? Files.createTempDirectory("platform-soak")
                         : Files.createDirectories(Path.of(outputFolder, "platform-" + seed));
-        try (PlatformProcesses platform =
-                new PlatformProcesses(folder, CONTROL_NODE_COUNT, SCHEDULER_COUNT)) {
-            runScenario(platform, seed);
-            Files.writeString(folder.resolve("said.txt"), String.join("\n", violations));
-            assertEquals(violations, List.of(), "seed " + seed + " " + injectedFaults);
+        boolean isLarge = seed % LARGE_RUN_INTERVAL == 0;
+        int controlNodes = isLarge ? LARGE_CONTROL_NODE_COUNT : CONTROL_NODE_COUNT;
+        int schedulers =
+                Integer.getInteger(
+                        "soak.schedulers", isLarge ? LARGE_SCHEDULER_COUNT : SCHEDULER_COUNT);
+        try (PlatformProcesses platform = new PlatformProcesses(folder, controlNodes, schedulers)) {
+            PlatformFaults faults = new PlatformFaults(platform, seed, violations);
+            runScenario(platform, faults, seed);
+            Files.writeString(
+                    folder.resolve("said.txt"), String.join("\n", violations) + "\n" + faults);
+            assertEquals(violations, List.of(), "seed " + seed + ": " + faults);
         }
         Folders.remove(folder);
     }
 
-    private void runScenario(PlatformProcesses platform, long seed) throws Exception {
-        PlatformOperator operator = new PlatformOperator(platform.controlNodes, seed);
-        long startDeadlineNanos =
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
+    private void runScenario(PlatformProcesses platform, PlatformFaults faults, long seed)
+            throws Exception {
+        ConfigurationLog configurations =
+                new ConfigurationLog(TimeUnit.MILLISECONDS.toNanos(APPLY_TIMEOUT_MS));
+        PlatformOperator operator =
+                new PlatformOperator(platform.controlNodes, configurations, seed);
         assertTrue(
-                operator.applyNextChange(startDeadlineNanos),
+                operator.applyNextChange(nanosFromNow(START_TIMEOUT_MS)),
                 "the first configuration was not acknowledged within 30 s");
-        List<PlatformClient> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENT_COUNT; i++) {
-            clients.add(new PlatformClient(platform.schedulers, i, seed));
-        }
-        clients.forEach(Thread::start);
+        List<PlatformClient> clients = startClients(platform, configurations, seed);
         operator.start();
-        injectFaults(platform, new SplittableRandom(seed));
+        faults.run();
+        long faultsEndedNanos = System.nanoTime();
+        long calmFromNanos = nanosFromNow(CONTACT_TIMEOUT_MS);
+        Thread.sleep(CONTACT_TIMEOUT_MS + CALM_CHANGES_MS);
         operator.stopAndJoin();
-        for (PlatformClient client : clients) {
-            client.stopAndJoin();
+        if (!configurations.isAcknowledgedBetween(
+                faultsEndedNanos,
+                faultsEndedNanos + TimeUnit.MILLISECONDS.toNanos(ACKNOWLEDGE_TIMEOUT_MS))) {
+            violations.add("no change was acknowledged within 9 s after the last fault");
         }
         checkConfigurationChanges(platform, operator);
-        checkRequests(clients);
-        terminateAll(platform);
-    }
-
-    // ---- Fault injection ----
-
-    /** Injects faults at random times, each on its own thread so that they can overlap. */
-    private void injectFaults(PlatformProcesses platform, SplittableRandom random)
-            throws InterruptedException {
-        List<Thread> threads = new ArrayList<>();
-        int faultCount = MIN_FAULTS + random.nextInt(FAULT_COUNT_RANGE);
-        for (int i = 0; i < faultCount; i++) {
-            Fault fault = REPEATABLE_FAULTS.get(random.nextInt(REPEATABLE_FAULTS.size()));
-            List<PlatformProcesses.Node> all = platform.allNodes();
-            PlatformProcesses.Node node = all.get(random.nextInt(all.size()));
-            long delayMs = random.nextLong(FAULT_PERIOD_MS);
-            long durationMs = 200 + random.nextLong(1300);
-            threads.add(new Thread(() -> injectFault(node, fault, delayMs, durationMs), "fault"));
-        }
-        // ToleratedLosses allows the permanent loss of one control machine.
-        if (random.nextBoolean()) {
-            PlatformProcesses.Node node =
-                    platform.controlNodes.get(random.nextInt(platform.controlNodes.size()));
-            long delayMs = random.nextLong(FAULT_PERIOD_MS);
-            long durationMs = 200 + random.nextLong(1300);
-            threads.add(
-                    new Thread(
-                            () -> injectFault(node, Fault.DISK_LOST, delayMs, durationMs),
-                            "disk-lost"));
-        }
-        threads.forEach(Thread::start);
-        Thread.sleep(FAULT_PERIOD_MS);
-        for (Thread thread : threads) {
-            thread.join();
+        Thread.sleep(APPLY_TIMEOUT_MS);
+        long judgedFromNanos = System.nanoTime();
+        Thread.sleep(JUDGED_MS);
+        long judgedToNanos = System.nanoTime();
+        faults.checkAllAlive();
+        faults.terminateAll();
+        List<PlatformClient.Request> requests = new ArrayList<>();
+        for (PlatformClient client : clients) {
+            client.stopAndJoin();
+            requests.addAll(client.requests);
         }
+        RequestChecks checks = new RequestChecks(configurations, faults, calmFromNanos, violations);
+        checks.check(requests);
+        checks.checkRoutesServed(requests, judgedFromNanos, judgedToNanos);
     }
 
-    private void injectFault(
-            PlatformProcesses.Node node, Fault fault, long delayMs, long durationMs) {
-        try {
-            Thread.sleep(delayMs);
-            // Faults of the same process are serialized; those of different processes overlap.
-            synchronized (node) {
-                injectedFaults.add(new InjectedFault(node, fault, System.nanoTime()));
-                applyFault(node, fault, durationMs);
-            }
-        } catch (IOException | InterruptedException e) {
-            violations.add(fault + " of " + node.name() + " could not be injected: " + e);
+    private static List<PlatformClient> startClients(
+            PlatformProcesses platform, ConfigurationLog configurations, long seed) {
+        List<PlatformClient> clients = new ArrayList<>();
+        int count = Math.max(CLIENT_COUNT, 2 * platform.schedulers.size());
+        for (int i = 0; i < count; i++) {
+            clients.add(new PlatformClient(platform, configurations, i, seed));
         }
+        clients.forEach(Thread::start);
+        return clients;
     }
 
-    private void applyFault(PlatformProcesses.Node node, Fault fault, long durationMs)
-            throws IOException, InterruptedException {
-        switch (fault) {
-            case RELOADED -> {
-                // SIGHUP would end a JVM that has just started and has no handler for it yet.
-                node.awaitListening(START_TIMEOUT_MS);
-                node.signal("HUP");
-            }
-            case STOPPED -> {
-                node.signal("STOP");
-                Thread.sleep(durationMs);
-                node.signal("CONT");
-                injectedFaults.add(new InjectedFault(node, fault, System.nanoTime()));
-            }
-            case KILLED, DISK_LOST -> {
-                node.signal("KILL");
-                node.awaitExit(EXIT_TIMEOUT_MS);
-                if (fault == Fault.DISK_LOST) {
-                    node.deleteDisk();
-                }
-                Thread.sleep(durationMs);
-                node.start();
-                injectedFaults.add(new InjectedFault(node, fault, System.nanoTime()));
-            }
-            default -> {
-                node.signal("TERM");
-                if (!node.awaitExit(EXIT_TIMEOUT_MS)) {
-                    violations.add(node.name() + " did not exit within 7 s after SIGTERM");
-                    node.signal("KILL");
-                    node.awaitExit(EXIT_TIMEOUT_MS);
-                }
-                node.start();
-            }
-        }
+    private static long nanosFromNow(long ms) {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
-    // ---- Checks ----
-
     private void checkConfigurationChanges(PlatformProcesses platform, PlatformOperator operator)
             throws InterruptedException {
-        long deadlineNanos =
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ACKNOWLEDGE_TIMEOUT_MS);
+        long deadlineNanos = nanosFromNow(ACKNOWLEDGE_TIMEOUT_MS);
         if (!operator.applyNextChange(deadlineNanos)) {
-            violations.add("no change was acknowledged within 9 s after the last fault");
+            violations.add("the last change was not acknowledged within 9 s");
         }
         operator.rejectedChanges.forEach(order -> violations.add("rejected: " + order));
-        String expectedTimeout =
-                "\"TimeoutMs\":" + PlatformOperator.routeTimeoutMs(operator.acknowledgedVersion());
+        SoakConfiguration expected = operator.acknowledged();
         for (PlatformProcesses.Node node : platform.controlNodes) {
             String configuration = PlatformOperator.readConfiguration(node);
-            while (!configuration.replace(" ", "").contains(expectedTimeout)
-                    && System.nanoTime() < deadlineNanos) {
+            while (!isSame(configuration, expected) && System.nanoTime() < deadlineNanos) {
                 Thread.sleep(100);
                 configuration = PlatformOperator.readConfiguration(node);
             }
-            if (!configuration.replace(" ", "").contains(expectedTimeout)) {
+            if (!isSame(configuration, expected)) {
                 violations.add(
-                        node.name()
-                                + " does not return "
-                                + expectedTimeout
-                                + " but "
-                                + configuration);
+                        node.name() + " does not return " + expected + " but " + configuration);
             }
         }
     }
 
-    private void checkRequests(List<PlatformClient> clients) {
-        int served = 0;
-        for (PlatformClient client : clients) {
-            for (PlatformClient.Request request : client.requests) {
-                served += request.status() == 200 ? 1 : 0;
-                if (!request.mine()) {
-                    violations.add("response to another request: " + request);
-                }
-                if (request.status() == 0 && !request.reused() && !isLossAllowed(request)) {
-                    violations.add("no response on a new connection: " + request);
-                }
-            }
+    /** Whether this JSON has the version, the routes and the services of the configuration. */
+    private static boolean isSame(String json, SoakConfiguration expected) {
+        if (json.isEmpty()) {
+            return false;
         }
-        if (served == 0) {
-            violations.add("no request was served");
-        }
-    }
-
-    /**
-     * Whether the request's scheduler was killed or suspended between ContactMs before the request
-     * was sent and its end.
-     */
-    private boolean isLossAllowed(PlatformClient.Request request) {
-        long windowStartNanos = request.sent() - TimeUnit.MILLISECONDS.toNanos(CONTACT_TIMEOUT_MS);
-        for (InjectedFault blow : injectedFaults) {
-            boolean unplanned = blow.fault() == Fault.KILLED || blow.fault() == Fault.STOPPED;
-            if (blow.node() == request.scheduler()
-                    && unplanned
-                    && blow.atNanos() >= windowStartNanos
-                    && blow.atNanos() <= request.ended()) {
-                return true;
+        try {
+            Object tree = Json.read(json);
+            SortedMap<String, SoakConfiguration.Route> routes = new TreeMap<>();
+            for (Object each : (List<?>) ((Map<?, ?>) tree).get("Routes")) {
+                String name = JsonTree.text("", each, "Name");
+                routes.put(
+                        name,
+                        new SoakConfiguration.Route(
+                                name,
+                                JsonTree.text("", each, "PathPrefix"),
+                                JsonTree.text("", each, "Service"),
+                                (int) JsonTree.number(0, each, "TimeoutMs")));
             }
-        }
-        return false;
-    }
-
-    /** Terminates all processes at once, control nodes included. */
-    private void terminateAll(PlatformProcesses platform) throws IOException, InterruptedException {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXIT_TIMEOUT_MS);
-        for (PlatformProcesses.Node node : platform.allNodes()) {
-            node.signal("TERM");
-        }
-        for (PlatformProcesses.Node node : platform.allNodes()) {
-            long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
-            if (!node.awaitExit(Math.max(1, remainingMs))) {
-                violations.add(node.name() + " is still running 7 s after SIGTERM");
+            List<String> services = new ArrayList<>();
+            for (Object each : (List<?>) ((Map<?, ?>) tree).get("Services")) {
+                services.add(JsonTree.text("", each, "Name"));
             }
-        }
-        if (!platform.livePids().isEmpty()) {
-            violations.add("processes are still running: " + platform.livePids());
+            return JsonTree.number(0, tree, "Version") == expected.version()
+                    && routes.equals(expected.routes())
+                    && services.size() == expected.services().size()
+                    && expected.services().containsAll(services);
+        } catch (BadMessage e) {
+            return false;
         }
     }
 }
