Take the client out of the simulation of the data plane

Change: ModelClient is a class of its own with an owner interface of four methods. No change of behaviour.

--- a/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
+++ b/src/test/java/gingerspool/dataplane/DataPlaneSimulation.java
@@ -7,15 +7,10 @@
 import gingerspool.slots.Instance;
 import gingerspool.slots.SlotAllocator;
 import gingerspool.store.ConnectionPool;
-import gingerspool.wire.BadMessage;
-import gingerspool.wire.Inbound;
 import gingerspool.wire.Message;
 import gingerspool.wire.RequestSafeguard;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -29,7 +24,7 @@
  *
  * <p>Run by {@link DataPlaneSimulationTest}; times are in milliseconds.
  */
-final class DataPlaneSimulation implements RequestRouter.ControlPlane {
+final class DataPlaneSimulation implements RequestRouter.ControlPlane, ModelClient.Owner {
     /** How long clients send requests and faults are injected. */
     private static final double ACTIVE_PHASE_MS = 6000;
 
@@ -40,9 +35,6 @@
     private static final int CLIENT_COUNT = 6;
     private static final int ADDRESS_COUNT = 4;
 
-    /** The longest pause of a client between two requests. */
-    private static final double MAX_PAUSE_MS = 60;
-
     /** How long requests are sent and judged after the faults have ended, if routes change. */
     private static final double CALM_PHASE_MS = 4000;
 
@@ -385,148 +377,24 @@
 
     // ---- Clients ----
 
-    /** A client that uses one connection at a time, for one request at a time. */
-    private final class Client {
-        private ModelNetwork.Channel channel;
-        private Message response;
-
-        /** The request that waits for its response; null if there is none. */
-        private ModelRecord.ClientRequest pending;
-
-        private byte[] unparsed = new byte[0];
-
-        void sendNextRequest() {
-            if (isSettling) {
-                return;
-            }
-            if (channel == null) {
-                channel = network.channel();
-                channel.setRemote(new ClientConnection(channel));
-                network.execute(() -> router.accept(channel, network.noticedAt()));
-            }
-            sendRequest();
-        }
-
-        private void scheduleNextRequest(double maxDelay) {
-            network.runAt(
-                    network.now() + maxDelay * network.random.nextDouble(), this::sendNextRequest);
-        }
-
-        private void sendRequest() {
-            boolean safe = network.random.nextBoolean();
-            int attempts = 1 + network.random.nextInt(3);
-            String id = "r" + requestCount++;
-            double remaining = 100 + network.random.nextInt(1500);
-            byte[] body = new byte[network.random.nextBoolean() ? 0 : network.random.nextInt(9000)];
-            java.util.Arrays.fill(body, (byte) ('a' + requestCount % 26));
-            String target = "/" + (safe ? "safe" : "unsafe") + attempts + "/" + id;
-            pending =
-                    record.add(
-                            new ModelRecord.ClientRequest(
-                                    id,
-                                    safe,
-                                    attempts,
-                                    network.now(),
-                                    network.now()
-                                            + Math.min(
-                                                    remaining, RouteConfigurations.MAX_TIMEOUT_MS),
-                                    target,
-                                    body));
-            response = Message.answer(null, 1 << 20);
-            channel.send(
-                    Inbound.joined(
-                            (body.length > 0 ? "POST " : "GET ")
-                                    + target
-                                    + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
-                                    + id
-                                    + "\r\nRemaining-Milliseconds: "
-                                    + Math.round(remaining)
-                                    + "\r\nContent-Length: "
-                                    + body.length
-                                    + "\r\n\r\n",
-                            body));
-            if (network.random.nextInt(8) == 0) {
-                ModelRecord.ClientRequest request = pending;
-                network.runAt(network.now() + network.random.nextInt(400), () -> abandon(request));
-            }
-        }
-
-        /** Closes the connection if this request still waits for its response. */
-        private void abandon(ModelRecord.ClientRequest request) {
-            if (pending != request || channel == null) {
-                return;
-            }
-            pending.isAbandoned = true;
-            pending.abandonedAt = network.now();
-            if (network.random.nextBoolean()) {
-                channel.closeOutput();
-            } else {
-                channel.reset();
-            }
-            leaveConnection();
-        }
-
-        /** Continues on a new connection after a pause. */
-        private void leaveConnection() {
-            channel = null;
-            pending = null;
-            unparsed = new byte[0];
-            scheduleNextRequest(MAX_PAUSE_MS);
-        }
-
-        /** The client's end of one connection; discards what arrives after the client left it. */
-        private final class ClientConnection implements ModelNetwork.Remote {
-            private final ModelNetwork.Channel ownChannel;
-
-            ClientConnection(ModelNetwork.Channel connection) {
-                this.ownChannel = connection;
-            }
+    @Override
+    public void accept(ModelNetwork.Channel connection) {
+        router.accept(connection, network.noticedAt());
+    }
 
-            @Override
-            public void received(byte[] bytes) {
-                if (channel == ownChannel) {
-                    Client.this.received(bytes);
-                }
-            }
+    @Override
+    public boolean isSettling() {
+        return isSettling;
+    }
 
-            @Override
-            public void closed() {
-                if (channel == ownChannel && pending == null) {
-                    channel = null;
-                }
-            }
-        }
+    @Override
+    public int nextRequestNumber() {
+        return requestCount++;
+    }
 
-        private void received(byte[] bytes) {
-            network.check(pending != null, "bytes received by a client without a pending request");
-            if (pending == null) {
-                return;
-            }
-            byte[] bytesSoFar =
-                    Inbound.joined(new String(unparsed, StandardCharsets.ISO_8859_1), bytes);
-            try {
-                int consumed = response.take(bytesSoFar, 0, bytesSoFar.length);
-                unparsed = java.util.Arrays.copyOfRange(bytesSoFar, consumed, bytesSoFar.length);
-            } catch (BadMessage e) {
-                network.check(false, "MISMATCH: malformed response: " + e.getMessage());
-                return;
-            }
-            if (response.done()) {
-                network.check(unparsed.length == 0, "trailing bytes after a response");
-                ModelRecord.ClientRequest request = pending;
-                boolean keepsAlive = response.keepsAlive();
-                pending = null;
-                traceDecision(
-                        "answer", request.id, response.status(), response.field("retry-after"));
-                record.onResponse(request, response);
-                if (!keepsAlive || network.random.nextInt(4) == 0) {
-                    channel.closeOutput();
-                    leaveConnection();
-                } else {
-                    scheduleNextRequest(MAX_PAUSE_MS);
-                }
-            }
-        }
+    @Override
+    public void onResponse(ModelRecord.ClientRequest request, Message response) {
+        traceDecision("answer", request.id, response.status(), response.field("retry-after"));
     }
 
     /** Runs the simulation and returns the first violation, or null if there is none. */
@@ -535,11 +403,8 @@
             startInstance(port, RouteConfigurations.FIRST_SERVICE);
         }
         startLeader();
-        List<Client> clients = new ArrayList<>();
         for (int i = 0; i < CLIENT_COUNT; i++) {
-            Client client = new Client();
-            clients.add(client);
-            client.scheduleNextRequest(MAX_PAUSE_MS);
+            new ModelClient(network, record, this).scheduleNextRequest(ModelClient.MAX_PAUSE_MS);
         }
         mayDrain = network.random.nextInt(4) == 0;
         network.runAt(network.now() + FIRST_FAULT_MS, this::injectFault);
