Judge lost requests of the platform's soak by what an instance got

Need: the soak called each request on a new connection lost that ended without a response. LOST counts what a process has read: a request that was passed on to an instance, or one that ends later than LossSlackMs after it was sent.

The stand-in tells the ids that arrive.

--- a/src/main/java/gingerspool/standin/Cloud.java
+++ b/src/main/java/gingerspool/standin/Cloud.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * A stand-in for the platform that instances run on: its lists, which are late, starts and stops,
@@ -44,6 +45,9 @@
     /** It answers no call while this is set. */
     public boolean down;
 
+    /** Called on the loop with the Request-Id of each request that arrives at an instance. */
+    public Consumer<String> onArrival = id -> {};
+
     /** One started copy of a service. */
     private final class Instance implements Listener.Owner, Inbound.Handler {
         final String id;
@@ -91,6 +95,7 @@
         public void asked(Inbound from, Message m) {
             String request = m.field("request-id");
             String meant = m.field("expected-instance");
+            onArrival.accept(request);
             List<String> fields = List.of("Request-Id: " + request, "Server-Stamp: " + id);
             if (meant != null && !meant.equals(id)) {
                 from.answer(421, fields, "");
--- a/src/test/java/gingerspool/soak/PlatformProcesses.java
+++ b/src/test/java/gingerspool/soak/PlatformProcesses.java
@@ -12,6 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -76,6 +78,11 @@
             writeSettings(true);
         }
 
+        @Override
+        public String toString() {
+            return name();
+        }
+
         String name() {
             return role.command + "-" + number;
         }
@@ -243,6 +250,10 @@
     private final SingleThreadEventLoop loop = new SingleThreadEventLoop();
     private final Cloud cloud;
     private final List<Process> startedProcesses = new CopyOnWriteArrayList<>();
+
+    /** The ids of the requests that have arrived at an instance. */
+    private final Set<String> arrivedIds = ConcurrentHashMap.newKeySet();
+
     final List<Node> controlNodes = new ArrayList<>();
     final List<Node> schedulers = new ArrayList<>();
 
@@ -259,6 +270,7 @@
                         WORK_MS,
                         LAG_MS,
                         SoakConfiguration.INSTANCE_SLOTS);
+        loop.submit(() -> cloud.onArrival = arrivedIds::add);
         for (int i = 1; i <= controls; i++) {
             controlNodes.add(new Node(Role.CONTROL, i));
         }
@@ -285,6 +297,11 @@
         return 2 * ready.size() < schedulers.size() ? schedulers : ready;
     }
 
+    /** Whether the request with this id has arrived at an instance. */
+    boolean hasArrived(String id) {
+        return arrivedIds.contains(id);
+    }
+
     /** The pids of all processes started so far that are still running. */
     List<Long> livePids() {
         return startedProcesses.stream().filter(Process::isAlive).map(Process::pid).toList();
