Find the similar profile of a new route without arithmetic on the list's length

Need: RouteProfiles.similarIndex fell back to index 0 by a remainder, which a reader has to work out.

Change: a loop that returns what it finds, and the fallback after it. No change of behaviour.

Result: RequestRouterTest and DataPlaneSimulationTest pass.

--- a/src/main/java/gingerspool/dataplane/RouteProfiles.java
+++ b/src/main/java/gingerspool/dataplane/RouteProfiles.java
@@ -117,13 +117,15 @@
         return substitute;
     }
 
-    /** The index of the first profile with this effect, if there is any, and this lateness. */
+    /** The index of a profile with this lateness, and with this effect if there is any. */
     private int similarIndex(Profile.Effect effect, boolean isLate) {
-        int onTime = 0;
-        while (onTime < profiles.size() && profiles.get(onTime).effect != effect) {
-            onTime += PROFILES_PER_ROUTE;
+        int offset = isLate ? 1 : 0;
+        for (int onTime = 0; onTime < profiles.size(); onTime += PROFILES_PER_ROUTE) {
+            if (profiles.get(onTime).effect == effect) {
+                return onTime + offset;
+            }
         }
-        return onTime % profiles.size() + (isLate ? 1 : 0);
+        return offset;
     }
 
     /** Whether the other profiles are the same to the Dispatcher. */
