--- a/src/test/java/gingerspool/soak/PlatformProcesses.java
+++ b/src/test/java/gingerspool/soak/PlatformProcesses.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
  * Starts the control nodes and schedulers of a platform for {@link PlatformSoakTest}, each as a
@@ -176,8 +177,7 @@
             builder.environment().keySet().removeIf(key -> key.startsWith("GW_"));
             builder.environment().put("GINGERSPOOL_CONFIG", settingsFile.toString());
             builder.redirectErrorStream(true);
-            builder.redirectOutput(
-                    ProcessBuilder.Redirect.appendTo(folder.resolve(name() + ".log").toFile()));
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
             process = builder.start();
             terminatedNanos = null;
             startedProcesses.add(process);
@@ -235,6 +235,17 @@
             return process.isAlive();
         }
 
+        /** The errors that its processes have logged, in all their lives. */
+        List<String> loggedErrors() throws IOException {
+            try (Stream<String> lines = Files.lines(logFile())) {
+                return lines.filter(line -> line.contains(" ERROR ")).toList();
+            }
+        }
+
+        private Path logFile() {
+            return folder.resolve(name() + ".log");
+        }
+
         /** The exit code of the process, which must have exited. */
         int exitCode() {
             return process.exitValue();
--- a/src/test/java/gingerspool/soak/PlatformSoakTest.java
+++ b/src/test/java/gingerspool/soak/PlatformSoakTest.java
@@ -45,7 +45,7 @@
  *   <li>No change that is based on the newest version is rejected.
  *   <li>A change is acknowledged within ContactMs + AcknowledgeMs (9 s) after the last fault.
  *   <li>Acknowledged changes are read back.
- *   <li>No process ends by itself.
+ *   <li>No process ends by itself or logs an error.
  *   <li>A process exits within GracePeriodS + 1 s (7 s) after SIGTERM, and no process remains.
  * </ul>
  */
@@ -131,6 +131,9 @@
         long judgedToNanos = System.nanoTime();
         faults.checkAllAlive();
         faults.terminateAll();
+        for (PlatformProcesses.Node node : platform.allNodes()) {
+            node.loggedErrors().forEach(line -> violations.add(node.name() + ": " + line));
+        }
         List<PlatformClient.Request> requests = new ArrayList<>();
         for (PlatformClient client : clients) {
             client.stopAndJoin();
