--- a/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
+++ b/src/main/java/gingerspool/dataplane/ConfigurationSubscriber.java
@@ -97,9 +97,7 @@
         try {
             listener.onConfiguration(configuration);
         } catch (RuntimeException e) {
-            LOG.atError()
-                    .setCause(e)
-                    .log("configuration.not_applied version={}", configuration.getVersion());
+            LOG.error("configuration.not_applied version={}", configuration.getVersion(), e);
             return;
         }
         current = configuration;
--- a/src/main/java/gingerspool/dataplane/RequestRouter.java
+++ b/src/main/java/gingerspool/dataplane/RequestRouter.java
@@ -340,9 +340,7 @@
         } catch (RuntimeException e) {
             // Guards the answer: a client must not wait for ever because its function's queue
             // fails.
-            LOG.atError()
-                    .setCause(e)
-                    .log("request.discard_failed function={}", request.route.getService());
+            LOG.error("request.discard_failed function={}", request.route.getService(), e);
         }
         boolean mayHaveRun = request.mayHaveRun();
         answer(request, mayHaveRun ? statusIfSent : 503, List.of(), InstanceProtocol.utf8(message));
