--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -374,5 +375,8 @@
     except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as e:
         record("could not run: %s %s" % (type(e).__name__, e))
         code = CAN_NOT_RUN
+    except Exception:  # a fault of the script says nothing about the rule
+        record("could not run: %s" % traceback.format_exc())
+        code = CAN_NOT_RUN
     record("exit %d" % code)
     sys.exit(code)
