--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -28,18 +28,18 @@
 
 
 def free_port():
-    """A port that is free on all loopback addresses at this moment."""
+    """A port that is free on 127.0.0.1 at this moment; the addresses used are drawn anew for each run."""
     with socket.socket() as s:
-        s.bind(("0.0.0.0", 0))
+        s.bind(("127.0.0.1", 0))
         return s.getsockname()[1]
 
 
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         self.file.write("%8.3f %s\n" % (time.monotonic() - self.began, text))
@@ -357,9 +357,9 @@
 LIMITS = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
 
 
-def main(play, folder, seconds=115):
-    """Runs a case and exits as the review asks: 1 broken, 0 held, 2 could not run."""
-    record = Record(folder)
+def main(play, record_path, seconds=115):
+    """Runs a case, writes its record to that path, and exits as the review asks: 1 broken, 0 held, 2 could not run."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble %s" % ("on" if trouble else "off"))
 
